--- /dev/null
+++ b/include/waxwingvale/model/member.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include <waxwingvale/model/time.hpp>
+
+namespace waxwingvale {
+
+// An entry instance and the life it is in. A restarted process at the same
+// address is a new incarnation: what the former one remembered is gone, so
+// nothing said to or by the former counts for it.
+struct member_id {
+    std::string name;
+    std::uint64_t incarnation = 0; // fresh at every start; larger is later
+
+    friend bool operator==(const member_id& a, const member_id& b) {
+        return std::tie(a.name, a.incarnation) ==
+               std::tie(b.name, b.incarnation);
+    }
+    friend bool operator!=(const member_id& a, const member_id& b) {
+        return !(a == b);
+    }
+    friend bool operator<(const member_id& a, const member_id& b) {
+        return std::tie(a.name, a.incarnation) <
+               std::tie(b.name, b.incarnation);
+    }
+};
+
+// What is believed of a member.
+enum class member_state {
+    alive,
+    suspect, // silent for a while; still owns its slots
+    leaving, // stopping in an orderly way; owns nothing new
+    gone     // silent past the bound, or replaced; owns nothing
+};
+
+// Where one entry instance listens. All addresses are IP numbers.
+struct member_addresses {
+    std::string host;
+    std::uint16_t caller_port = 0;  // waxwing-entry, HTTP for callers
+    std::uint16_t steer_port = 0;   // waxwing-steer, HTTP for callers
+    std::uint16_t control_port = 0; // waxwing-control, websocket for peers
+    std::uint16_t entry_port = 0;   // waxwing-entry, websocket for peers
+
+    friend bool operator==(const member_addresses& a,
+                           const member_addresses& b) {
+        return std::tie(a.host, a.caller_port, a.steer_port, a.control_port,
+                        a.entry_port) == std::tie(b.host, b.caller_port,
+                                                  b.steer_port, b.control_port,
+                                                  b.entry_port);
+    }
+};
+
+// One entry instance as the others know it.
+struct member {
+    member_id id;
+    std::string data_centre;
+    member_addresses addresses;
+    member_state state = member_state::alive;
+
+    friend bool operator==(const member& a, const member& b) {
+        return std::tie(a.id, a.data_centre, a.addresses, a.state) ==
+               std::tie(b.id, b.data_centre, b.addresses, b.state);
+    }
+};
+
+} // namespace waxwingvale
--- /dev/null
+++ b/include/waxwingvale/model/view.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <waxwingvale/model/backend_belief.hpp>
+#include <waxwingvale/model/configuration.hpp>
+#include <waxwingvale/model/member.hpp>
+
+namespace waxwingvale {
+
+// All that waxwing-control tells the processes beside it. Every view is whole;
+// a later serial replaces an earlier one of the same control incarnation.
+struct view {
+    std::uint64_t control_incarnation = 0;
+    std::uint64_t serial = 0;
+    member self;
+    configuration_ptr config;    // null until a first file was accepted
+    std::vector<member> members; // sorted by id; includes self
+    std::vector<backend_belief> beliefs;
+    std::vector<std::uint64_t> quarantined; // request fingerprints
+    bool fresh = false; // false until word from platform or a peer has come
+};
+
+using view_ptr = std::shared_ptr<const view>;
+
+} // namespace waxwingvale
--- /dev/null
+++ b/src/kernel/timer_service.cpp
@@ -0,0 +1,140 @@
+#include <waxwingvale/kernel/timer_service.hpp>
+
+#include <algorithm>
+#include <ev.h>
+#include <utility>
+
+namespace waxwingvale::kernel {
+
+struct timer_service::entry {
+    time_point due;
+    duration period; // zero: once
+    handler call;
+};
+
+struct timer_service::loop_timer {
+    struct ev_loop* loop;
+    ev_timer watcher{};
+};
+
+timer_service::subscription::subscription(timer_service& of,
+                                          std::uint64_t number)
+    : of_(&of), number_(number) {}
+
+timer_service::subscription::subscription(subscription&& other) noexcept
+    : of_(std::exchange(other.of_, nullptr)), number_(other.number_) {}
+
+timer_service::subscription&
+timer_service::subscription::operator=(subscription&& other) noexcept {
+    if (this != &other) {
+        cancel();
+        of_ = std::exchange(other.of_, nullptr);
+        number_ = other.number_;
+    }
+    return *this;
+}
+
+timer_service::subscription::~subscription() {
+    cancel();
+}
+
+void timer_service::subscription::cancel() {
+    if (of_ != nullptr) {
+        of_->remove(number_);
+        of_ = nullptr;
+    }
+}
+
+timer_service::timer_service(const clock& time, event_loop& loop)
+    : clock_(time), loop_timer_(std::make_unique<loop_timer>()) {
+    loop_timer_->loop = loop.native();
+    ev_timer_init(
+        &loop_timer_->watcher,
+        [](struct ev_loop*, ev_timer* w, int) {
+            static_cast<timer_service*>(w->data)->fire_due();
+        },
+        0., 0.);
+    loop_timer_->watcher.data = this;
+}
+
+timer_service::timer_service(const clock& time) : clock_(time) {}
+
+timer_service::~timer_service() {
+    if (loop_timer_) {
+        ev_timer_stop(loop_timer_->loop, &loop_timer_->watcher);
+    }
+}
+
+timer_service::subscription timer_service::after(duration delay, handler call) {
+    return add(delay, duration::zero(), std::move(call));
+}
+
+timer_service::subscription timer_service::every(duration period,
+                                                 handler call) {
+    return add(period, period, std::move(call));
+}
+
+timer_service::subscription timer_service::add(duration delay, duration period,
+                                               handler call) {
+    const auto number = next_number_++;
+    auto added = std::make_shared<entry>(
+        entry{clock_.now() + delay, period, std::move(call)});
+    due_.emplace(added->due, number);
+    entries_.emplace(number, std::move(added));
+    rearm();
+    return subscription(*this, number);
+}
+
+void timer_service::remove(std::uint64_t number) {
+    const auto found = entries_.find(number);
+    if (found == entries_.end()) {
+        return;
+    }
+    const auto range = due_.equal_range(found->second->due);
+    const auto position =
+        std::find_if(range.first, range.second,
+                     [&](const auto& item) { return item.second == number; });
+    if (position != range.second) {
+        due_.erase(position);
+    }
+    entries_.erase(found);
+    rearm();
+}
+
+void timer_service::fire_due() {
+    const auto now = clock_.now();
+    while (!due_.empty() && due_.begin()->first <= now) {
+        const auto number = due_.begin()->second;
+        due_.erase(due_.begin());
+        // Held here because the handler may end its own subscription.
+        const auto fired = entries_.at(number);
+        if (fired->period == duration::zero()) {
+            entries_.erase(number);
+        } else {
+            // From now, not from when it was due: a process that was stopped
+            // for a minute is called once, not once for each missed period.
+            fired->due = now + fired->period;
+            due_.emplace(fired->due, number);
+        }
+        fired->call(now);
+    }
+    rearm();
+}
+
+void timer_service::rearm() {
+    if (!loop_timer_) {
+        return;
+    }
+    ev_timer_stop(loop_timer_->loop, &loop_timer_->watcher);
+    if (due_.empty()) {
+        return;
+    }
+    const auto wait =
+        std::max(due_.begin()->first - clock_.now(), duration::zero());
+    ev_now_update(loop_timer_->loop);
+    ev_timer_set(&loop_timer_->watcher,
+                 std::chrono::duration<double>(wait).count(), 0.);
+    ev_timer_start(loop_timer_->loop, &loop_timer_->watcher);
+}
+
+} // namespace waxwingvale::kernel
--- /dev/null
+++ b/src/model/configuration.cpp
@@ -0,0 +1,72 @@
+#include <waxwingvale/model/configuration.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace waxwingvale {
+
+bool operator==(const request_class& a, const request_class& b) {
+    return std::tie(a.name, a.methods, a.path_prefix, a.nature, a.deadline,
+                    a.queue_limit) == std::tie(b.name, b.methods, b.path_prefix,
+                                               b.nature, b.deadline,
+                                               b.queue_limit);
+}
+
+bool operator==(const backend_server& a, const backend_server& b) {
+    return std::tie(a.name, a.host, a.port, a.data_centre, a.slots,
+                    a.connections) == std::tie(b.name, b.host, b.port,
+                                               b.data_centre, b.slots,
+                                               b.connections);
+}
+
+bool operator==(const tenant& a, const tenant& b) {
+    return std::tie(a.name, a.share) == std::tie(b.name, b.share);
+}
+
+bool operator==(const service_budgets& a, const service_budgets& b) {
+    return std::tie(a.retries, a.hedges, a.probes) ==
+           std::tie(b.retries, b.hedges, b.probes);
+}
+
+bool operator==(const service& a, const service& b) {
+    return std::tie(a.name, a.classes, a.backend_servers, a.budgets, a.owners,
+                    a.typical_time, a.tenants) ==
+           std::tie(b.name, b.classes, b.backend_servers, b.budgets, b.owners,
+                    b.typical_time, b.tenants);
+}
+
+bool operator==(const data_centre& a, const data_centre& b) {
+    return std::tie(a.name, a.region) == std::tie(b.name, b.region);
+}
+
+bool operator==(const configuration& a, const configuration& b) {
+    return std::tie(a.schema_version, a.revision, a.data_centres, a.tenants,
+                    a.services, a.key_lifetime, a.key_limit, a.address_keep_min,
+                    a.address_keep_max) ==
+           std::tie(b.schema_version, b.revision, b.data_centres, b.tenants,
+                    b.services, b.key_lifetime, b.key_limit, b.address_keep_min,
+                    b.address_keep_max);
+}
+
+const service* find_service(const configuration& config,
+                            const std::string& name) {
+    const auto found =
+        std::find_if(config.services.begin(), config.services.end(),
+                     [&](const service& s) { return s.name == name; });
+    return found == config.services.end() ? nullptr : &*found;
+}
+
+const request_class* find_class(const service& of, const std::string& method,
+                                const std::string& path) {
+    const auto matches = [&](const request_class& c) {
+        const bool method_listed = std::find(c.methods.begin(), c.methods.end(),
+                                             method) != c.methods.end();
+        return method_listed &&
+               path.compare(0, c.path_prefix.size(), c.path_prefix) == 0;
+    };
+    const auto found =
+        std::find_if(of.classes.begin(), of.classes.end(), matches);
+    return found == of.classes.end() ? nullptr : &*found;
+}
+
+} // namespace waxwingvale
--- /dev/null
+++ b/test/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
