--- /dev/null
+++ b/src/waxwing_entry/caller_call.cpp
@@ -0,0 +1,103 @@
+#include "waxwing_entry/caller_call.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+
+namespace waxwingvale::entry {
+
+namespace {
+
+constexpr const char* step = "understand request";
+constexpr std::size_t key_length_limit = 200;
+// Longer deadlines are cut to this, so that arithmetic on them is safe.
+constexpr std::uint64_t longest_deadline_ms = 3'600'000;
+
+result<std::optional<std::uint64_t>> number_header(const io::http_request& from,
+                                                   const char* name) {
+    const auto* text = io::find_header(from.headers, name);
+    if (text == nullptr) {
+        return std::optional<std::uint64_t>();
+    }
+    std::uint64_t value = 0;
+    const auto* end = text->data() + text->size();
+    const auto parsed = std::from_chars(text->data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        return error{error_code::invalid_argument, step, from.peer,
+                     std::string(name) + ": expected a whole number"};
+    }
+    return std::optional<std::uint64_t>(value);
+}
+
+result<void> read_headers(const io::http_request& request, caller_call& into) {
+    auto deadline = number_header(request, header::deadline);
+    if (!deadline) {
+        return deadline.error();
+    }
+    auto attempt = number_header(request, header::attempt);
+    if (!attempt) {
+        return attempt.error();
+    }
+    into.time_left = into.kind->deadline;
+    if (deadline.value()) {
+        const auto capped = std::min(*deadline.value(), longest_deadline_ms);
+        into.time_left = std::chrono::milliseconds(capped);
+    }
+    into.attempt = static_cast<unsigned>(attempt.value().value_or(0));
+    const auto* tenant = io::find_header(request.headers, header::tenant);
+    into.tenant = tenant == nullptr ? default_tenant : *tenant;
+    const auto* key = io::find_header(request.headers, header::key);
+    if (key == nullptr) {
+        return success();
+    }
+    if (key->empty() || key->size() > key_length_limit) {
+        return error{error_code::invalid_argument, step, request.peer,
+                     std::string(header::key) + ": expected 1 to " +
+                         std::to_string(key_length_limit) + " characters"};
+    }
+    into.key = *key;
+    return success();
+}
+
+bool may_call(const service& of, const std::string& tenant) {
+    return of.tenants.empty() || std::find(of.tenants.begin(), of.tenants.end(),
+                                           tenant) != of.tenants.end();
+}
+
+} // namespace
+
+result<caller_call> understand(const configuration& config,
+                               const io::http_request& request) {
+    const auto& target = request.target;
+    const auto name_end =
+        std::min(target.find_first_of("/?", 1), target.size());
+    const auto name =
+        target.empty() ? std::string() : target.substr(1, name_end - 1);
+    caller_call call;
+    call.of = find_service(config, name);
+    if (call.of == nullptr) {
+        return error{error_code::not_found, step, request.peer,
+                     "no service is called '" + name + "'"};
+    }
+    call.path = target.substr(name_end);
+    if (call.path.empty() || call.path.front() != '/') {
+        call.path.insert(0, "/");
+    }
+    call.kind = find_class(*call.of, request.method, call.path);
+    if (call.kind == nullptr) {
+        return error{error_code::not_found, step, request.peer,
+                     "no class of " + name + " takes " + request.method + " " +
+                         call.path};
+    }
+    auto read = read_headers(request, call);
+    if (!read) {
+        return read.error();
+    }
+    if (!may_call(*call.of, call.tenant)) {
+        return error{error_code::refused, step, request.peer,
+                     "tenant '" + call.tenant + "' may not call " + name};
+    }
+    return call;
+}
+
+} // namespace waxwingvale::entry
