--- /dev/null
+++ b/src/waxwing_entry/backend_answer.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include <waxwingvale/io/http_client.hpp>
+#include <waxwingvale/model/backend_belief.hpp>
+#include <waxwingvale/model/outcome.hpp>
+
+namespace waxwingvale::entry {
+
+// How an attempt on a backend server ended, as far as we can tell.
+enum class attempt_end {
+    answered,    // a whole answer below 500
+    failed,      // a whole answer of 500 or above
+    not_started, // the backend server refused before it began
+    not_sent,    // no byte of the request left this process
+    timed_out,   // sent, and no answer within the time left
+    broken       // sent, and the connection ended without a whole answer
+};
+
+// What an attempt tells about the request and about the backend server.
+struct backend_answer {
+    attempt_end end = attempt_end::broken;
+    run_outcome outcome = run_outcome::unknown;
+    std::optional<backend_state> state; // what the server says of itself
+    std::uint64_t incarnation = 0;      // 0 when it did not say
+};
+
+// Reads the protocol's headers off a finished call.
+backend_answer classify(const io::http_call_result& ended);
+
+} // namespace waxwingvale::entry
