configuration: files and settings checked whole, frame of every program

Cause: every other part needs the parsed configuration, its settings and a main that starts and stops the same way everywhere. Change: a document reader that records the fields it was asked for, so that unknown ones are found; configuration and settings read by it, all problems told at once with file, path and expectation; fields named twice refused, since the JSON library would keep the last; program frame (docopt, exit codes, ready line, graceful stop with a bound); metrics by prometheus-cpp with bounded label sets. Excluded: a JSON schema library; none in Debian for C++ that tells paths.

--- /dev/null
+++ b/include/waxwingvale/program/program_frame.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <waxwingvale/kernel/event_loop.hpp>
+#include <waxwingvale/kernel/service_registry.hpp>
+#include <waxwingvale/kernel/timer_service.hpp>
+#include <waxwingvale/model/error.hpp>
+#include <waxwingvale/program/metrics.hpp>
+#include <waxwingvale/program/settings.hpp>
+
+namespace waxwingvale::program {
+
+// How every program ends; docs/commands/exit-codes.md documents them.
+enum class exit_code : int {
+    ok = 0,              // did what was asked; also after SIGTERM
+    refused = 1,         // what was checked is not valid, or a query failed
+    usage = 2,           // the command line is not understood
+    settings = 3,        // the settings file is not valid
+    cannot_start = 4,    // an address cannot be listened on, or the like
+    drain_timed_out = 5, // stopped with requests still in flight
+    internal = 6         // a fault of ours
+};
+
+// The version of this release, "0.1.0".
+const char* version();
+
+// What the frame gives to the parts of a program.
+struct program_environment {
+    const program::settings& settings;
+    kernel::event_loop& loop;
+    kernel::timer_service& timers;
+    kernel::service_registry& services;
+    program::metrics& metrics;
+};
+
+// The ports a program listens on, by what they are for ("callers", "steer",
+// "peers", "admin", "metrics"); told by the ready line.
+using port_map = std::map<std::string, std::uint16_t>;
+
+// A program that runs until it is told to stop.
+class server_program {
+public:
+    virtual ~server_program() = default;
+
+    // Opens its ports and begins to serve.
+    virtual result<port_map> start() = 0;
+
+    // SIGTERM or SIGINT came: takes no new work, lets what is in flight
+    // finish and then calls `stopped`, at once or later. When that takes
+    // longer than its drain timeout the process ends without.
+    virtual void stop(std::function<void()> stopped) = 0;
+};
+
+// What a main says of its program.
+struct program_description {
+    std::string name;    // "waxwing-entry"
+    std::string summary; // one sentence for --help
+    duration (*drain_timeout)(const settings&);
+    std::function<std::unique_ptr<server_program>(const program_environment&)>
+        create;
+};
+
+// The whole of a main: usage by docopt (--settings FILE, --check-settings,
+// --version, --help), settings, log, loop, one ready line on standard output
+// `{"ready":true,"program":"waxwing-entry","ports":{"callers":1234}}`, and a
+// graceful stop. Returns the process's exit code.
+int run_program(int argc, char** argv, const program_description& program);
+
+// The ready line without its line end.
+std::string ready_line(const std::string& program, const port_map& ports);
+
+} // namespace waxwingvale::program
--- /dev/null
+++ b/src/model/document_reader.cpp
@@ -0,0 +1,464 @@
+#include "model/document_reader.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <utility>
+
+namespace waxwingvale {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t name_limit = 63;    // characters, as a DNS label
+constexpr std::size_t text_limit = 4096;  // characters
+constexpr std::size_t shown_limit = 60;   // characters of a value in an error
+constexpr std::size_t problem_limit = 50; // errors told of one document
+
+const json& empty_object() {
+    static const json none = json::object();
+    return none;
+}
+
+// The value as it stands in the document, cut short. Only ASCII comes out, so
+// that a cut never splits a character.
+std::string shown(const json& value) {
+    constexpr int on_one_line = -1;
+    constexpr bool only_ascii = true;
+    if (value.is_object() || value.is_array()) {
+        return value.is_object() ? "an object" : "an array";
+    }
+    auto text = value.dump(on_one_line, ' ', only_ascii);
+    if (text.size() > shown_limit) {
+        text.resize(shown_limit);
+        text += "...";
+    }
+    return text;
+}
+
+bool is_name_character(char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+}
+
+bool is_name(const std::string& text) {
+    return !text.empty() && text.size() <= name_limit && text.front() != '-' &&
+           std::all_of(text.begin(), text.end(), is_name_character);
+}
+
+bool is_ip_number(const std::string& text) {
+    in_addr address{};
+    return inet_pton(AF_INET, text.c_str(), &address) == 1;
+}
+
+// A field's name as it appears in a path; odd ones are quoted, because they
+// come from the document and end up in terminals and logs.
+std::string shown_field(std::string_view name) {
+    const bool plain =
+        !name.empty() && name.size() <= shown_limit &&
+        std::all_of(name.begin(), name.end(), [](char c) {
+            return is_name_character(c) || c == '_' || (c >= 'A' && c <= 'Z');
+        });
+    return plain ? std::string(name) : shown(json(std::string(name)));
+}
+
+std::string join(const std::string& path, std::string_view field) {
+    return path.empty() ? shown_field(field) : path + "." + shown_field(field);
+}
+
+std::string element_path(const std::string& path, std::size_t index) {
+    return path + "[" + std::to_string(index) + "]";
+}
+
+std::string range_text(number_range range) {
+    return "from " + std::to_string(range.least) + " to " +
+           std::to_string(range.most);
+}
+
+std::string decimal(double value) {
+    return json(value).dump();
+}
+
+// Follows the parser through the document to find fields named twice.
+class duplicate_finder {
+public:
+    explicit duplicate_finder(document_problems& problems)
+        : problems_(problems) {}
+
+    void follow(json::parse_event_t event, const json& parsed) {
+        switch (event) {
+        case json::parse_event_t::object_start:
+        case json::parse_event_t::array_start:
+            open_.push_back({path_here(), {}, {}, 0});
+            break;
+        case json::parse_event_t::object_end:
+        case json::parse_event_t::array_end:
+            open_.pop_back();
+            count_element();
+            break;
+        case json::parse_event_t::key:
+            take_key(parsed.get_ref<const std::string&>());
+            break;
+        case json::parse_event_t::value:
+            count_element();
+            break;
+        }
+    }
+
+private:
+    struct container {
+        std::string path;
+        std::set<std::string> keys;
+        std::string current_key;
+        std::size_t index;
+    };
+
+    std::string path_here() const {
+        if (open_.empty()) {
+            return "";
+        }
+        const auto& inner = open_.back();
+        return inner.keys.empty() ? element_path(inner.path, inner.index)
+                                  : join(inner.path, inner.current_key);
+    }
+
+    void take_key(const std::string& key) {
+        auto& inner = open_.back();
+        inner.current_key = key;
+        if (!inner.keys.insert(key).second) {
+            problems_.add(path_here(), "expected once in this object, found "
+                                       "more than once");
+        }
+    }
+
+    void count_element() {
+        if (!open_.empty()) {
+            ++open_.back().index;
+        }
+    }
+
+    document_problems& problems_;
+    std::vector<container> open_;
+};
+
+} // namespace
+
+document_problems::document_problems(std::string step, std::string file_name)
+    : step_(std::move(step)), file_name_(std::move(file_name)) {}
+
+void document_problems::add(const std::string& path,
+                            const std::string& detail) {
+    if (errors_.size() < problem_limit) {
+        const std::string where = path.empty() ? "the document" : path;
+        errors_.push_back({error_code::invalid_argument, step_, file_name_,
+                           where + ": " + detail});
+    }
+}
+
+void document_problems::add_syntax(const std::string& detail) {
+    errors_.push_back({error_code::malformed, step_, file_name_, detail});
+}
+
+nlohmann::json parse_document(std::string_view text, std::size_t size_limit,
+                              document_problems& problems) {
+    if (text.size() > size_limit) {
+        problems.add_syntax("expected at most " + std::to_string(size_limit) +
+                            " bytes, found " + std::to_string(text.size()));
+        return nullptr;
+    }
+    duplicate_finder duplicates(problems);
+    const auto follow = [&](int, json::parse_event_t event, json& parsed) {
+        duplicates.follow(event, parsed);
+        return true;
+    };
+    constexpr bool throw_errors = true;
+    constexpr bool ignore_comments = true;
+    try {
+        auto parsed = json::parse(text.begin(), text.end(), follow,
+                                  throw_errors, ignore_comments);
+        return problems.empty() ? parsed : json();
+    } catch (const json::exception& failure) {
+        // The library's text begins with its own error number.
+        const std::string told = failure.what();
+        const auto number_end = told.find("] ");
+        problems.add_syntax(
+            number_end == told.npos ? told : told.substr(number_end + 2));
+        return nullptr;
+    }
+}
+
+object_reader::object_reader(const json& value, std::string path,
+                             document_problems& problems)
+    : value_(&value), path_(std::move(path)), problems_(&problems) {
+    if (!value.is_object()) {
+        problems_->add(path_, "expected an object, found " + shown(value));
+        value_ = &empty_object();
+    }
+}
+
+bool object_reader::has(const char* name) const {
+    return value_->contains(name);
+}
+
+std::string object_reader::path_of(std::string_view name) const {
+    return join(path_, name);
+}
+
+std::string object_reader::quoted(const std::string& text) {
+    return shown(json(text));
+}
+
+void object_reader::complain(std::string_view field,
+                             const std::string& detail) {
+    problems_->add(path_of(field), detail);
+}
+
+void object_reader::complain_at(const std::string& below,
+                                const std::string& detail) {
+    problems_->add(path_.empty() ? below : path_ + "." + below, detail);
+}
+
+void object_reader::complain_of(const char* field, const std::string& expected,
+                                const json& found) {
+    complain(field, "expected " + expected + ", found " + shown(found));
+}
+
+const json* object_reader::find(const char* field) {
+    asked_for_.insert(field);
+    const auto found = value_->find(field);
+    return found == value_->end() ? nullptr : &*found;
+}
+
+const json* object_reader::require(const char* field, const char* expected) {
+    const auto* found = find(field);
+    // An object that is no object was complained about when it was opened.
+    if (found == nullptr && value_ != &empty_object()) {
+        complain(field, std::string("expected ") + expected + ", but missing");
+    }
+    return found;
+}
+
+std::string object_reader::text_in(const char* field, const json* value) {
+    if (value == nullptr) {
+        return "";
+    }
+    if (!value->is_string() || value->get_ref<const std::string&>().empty()) {
+        complain_of(field, "a text that is not empty", *value);
+        return "";
+    }
+    auto text = value->get<std::string>();
+    if (text.size() > text_limit) {
+        complain_of(field,
+                    "at most " + std::to_string(text_limit) + " characters",
+                    *value);
+        return "";
+    }
+    return text;
+}
+
+std::string object_reader::name_in(const char* field, const json* value) {
+    if (value == nullptr) {
+        return "";
+    }
+    if (!value->is_string() || !is_name(value->get_ref<const std::string&>())) {
+        complain_of(field,
+                    "a name of at most 63 lower-case letters, digits and '-'",
+                    *value);
+        return "";
+    }
+    return value->get<std::string>();
+}
+
+std::string object_reader::ip_number_in(const char* field, const json* value) {
+    if (value == nullptr) {
+        return "";
+    }
+    if (!value->is_string() ||
+        !is_ip_number(value->get_ref<const std::string&>())) {
+        complain_of(field, "an IP number such as 127.0.0.1", *value);
+        return "";
+    }
+    return value->get<std::string>();
+}
+
+std::uint64_t object_reader::number_in(const char* field, const json* value,
+                                       number_range range) {
+    if (value == nullptr) {
+        return range.least;
+    }
+    const bool fits = value->is_number_unsigned() &&
+                      value->get<std::uint64_t>() >= range.least &&
+                      value->get<std::uint64_t>() <= range.most;
+    if (!fits) {
+        complain_of(field, "a whole number " + range_text(range), *value);
+        return range.least;
+    }
+    return value->get<std::uint64_t>();
+}
+
+std::string object_reader::name(const char* field) {
+    return name_in(field, require(field, "a name"));
+}
+
+std::string object_reader::name_or(const char* field,
+                                   const std::string& otherwise) {
+    const auto* found = find(field);
+    return found == nullptr ? otherwise : name_in(field, found);
+}
+
+std::string object_reader::text(const char* field) {
+    return text_in(field, require(field, "a text"));
+}
+
+std::string object_reader::text_or(const char* field,
+                                   const std::string& otherwise) {
+    const auto* found = find(field);
+    return found == nullptr ? otherwise : text_in(field, found);
+}
+
+std::string object_reader::ip_number(const char* field) {
+    return ip_number_in(field, require(field, "an IP number"));
+}
+
+std::string object_reader::ip_number_or(const char* field,
+                                        const std::string& otherwise) {
+    const auto* found = find(field);
+    return found == nullptr ? otherwise : ip_number_in(field, found);
+}
+
+std::uint64_t object_reader::number(const char* field, number_range range) {
+    return number_in(field, require(field, "a whole number"), range);
+}
+
+std::uint64_t object_reader::number_or(const char* field, number_range range,
+                                       std::uint64_t otherwise) {
+    const auto* found = find(field);
+    return found == nullptr ? otherwise : number_in(field, found, range);
+}
+
+double object_reader::fraction_or(const char* field, fraction_range range,
+                                  double otherwise) {
+    const auto* found = find(field);
+    if (found == nullptr) {
+        return otherwise;
+    }
+    const bool fits = found->is_number() &&
+                      found->get<double>() >= range.least &&
+                      found->get<double>() <= range.most;
+    if (!fits) {
+        complain_of(field,
+                    "a number from " + decimal(range.least) + " to " +
+                        decimal(range.most),
+                    *found);
+        return otherwise;
+    }
+    return found->get<double>();
+}
+
+bool object_reader::flag_or(const char* field, bool otherwise) {
+    const auto* found = find(field);
+    if (found == nullptr) {
+        return otherwise;
+    }
+    if (!found->is_boolean()) {
+        complain_of(field, "true or false", *found);
+        return otherwise;
+    }
+    return found->get<bool>();
+}
+
+duration object_reader::milliseconds(const char* field, number_range range) {
+    return std::chrono::milliseconds(number(field, range));
+}
+
+duration object_reader::milliseconds_or(const char* field, number_range range,
+                                        duration otherwise) {
+    const auto* found = find(field);
+    if (found == nullptr) {
+        return otherwise;
+    }
+    return std::chrono::milliseconds(number_in(field, found, range));
+}
+
+object_reader object_reader::object_or_empty(const char* field) {
+    const auto* found = find(field);
+    return {found == nullptr ? empty_object() : *found, path_of(field),
+            *problems_};
+}
+
+object_reader object_reader::object(const char* field) {
+    const auto* found = require(field, "an object");
+    return {found == nullptr ? empty_object() : *found, path_of(field),
+            *problems_};
+}
+
+const json* object_reader::array(const char* field, number_range count) {
+    const auto* found = find(field);
+    if (found == nullptr) {
+        return nullptr;
+    }
+    if (!found->is_array()) {
+        complain_of(field, "an array", *found);
+        return nullptr;
+    }
+    if (found->size() < count.least || found->size() > count.most) {
+        complain(field, "expected " + range_text(count) + " elements, found " +
+                            std::to_string(found->size()));
+        return nullptr;
+    }
+    return found;
+}
+
+std::vector<object_reader> object_reader::objects(const char* field,
+                                                  number_range count) {
+    require(field, "an array of objects");
+    return objects_or_none(field, count);
+}
+
+std::vector<object_reader> object_reader::objects_or_none(const char* field,
+                                                          number_range count) {
+    std::vector<object_reader> readers;
+    const auto* found = array(field, count);
+    if (found == nullptr) {
+        return readers;
+    }
+    for (std::size_t i = 0; i < found->size(); ++i) {
+        readers.emplace_back((*found)[i], element_path(path_of(field), i),
+                             *problems_);
+    }
+    return readers;
+}
+
+std::vector<std::string> object_reader::texts(const char* field,
+                                              number_range count) {
+    require(field, "an array of texts");
+    return texts_or_none(field, count);
+}
+
+std::vector<std::string> object_reader::texts_or_none(const char* field,
+                                                      number_range count) {
+    std::vector<std::string> texts;
+    const auto* found = array(field, count);
+    if (found == nullptr) {
+        return texts;
+    }
+    for (std::size_t i = 0; i < found->size(); ++i) {
+        const auto& element = (*found)[i];
+        if (!element.is_string()) {
+            problems_->add(element_path(path_of(field), i),
+                           "expected a text, found " + shown(element));
+            continue;
+        }
+        texts.push_back(element.get<std::string>());
+    }
+    return texts;
+}
+
+void object_reader::finish() {
+    for (const auto& field : value_->items()) {
+        if (asked_for_.count(field.key()) == 0) {
+            complain(field.key(), "unknown field");
+        }
+    }
+}
+
+} // namespace waxwingvale
--- /dev/null
+++ b/src/program/settings.cpp
@@ -0,0 +1,261 @@
+#include <waxwingvale/program/settings.hpp>
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <memory>
+#include <utility>
+
+#include "model/document_reader.hpp"
+
+namespace waxwingvale::program {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr unsigned settings_version = 1;
+constexpr number_range listen_port_range{0, 65535}; // 0: any free port
+constexpr number_range peer_port_range{1, 65535};
+constexpr number_range seed_count{0, 64};
+constexpr number_range body_range{1, 256 * 1024 * 1024}; // bytes
+constexpr number_range connection_range{1, 100'000};
+constexpr number_range drain_range{0, 3'600'000}; // ms
+
+constexpr std::size_t default_body_limit = 16 * 1024 * 1024; // bytes
+constexpr unsigned default_connection_limit = 8192;
+constexpr duration default_drain_timeout = 30s;
+constexpr std::size_t secret_least = 16;             // characters
+constexpr std::size_t secret_file_limit = 64 * 1024; // bytes
+
+// A secret stands in the file or in a file that it names, not in both.
+struct secret_fields {
+    const char* value;
+    const char* file;
+};
+
+constexpr secret_fields shared_key_fields{"shared_key", "shared_key_file"};
+constexpr secret_fields admin_token_fields{"admin_token", "admin_token_file"};
+
+void read_secret(object_reader& reader, const secret_fields& fields,
+                 std::string& value, std::string& file) {
+    value = reader.text_or(fields.value, "");
+    file = reader.text_or(fields.file, "");
+    const bool both = reader.has(fields.value) && reader.has(fields.file);
+    const bool none = !reader.has(fields.value) && !reader.has(fields.file);
+    if (both || none) {
+        reader.complain(fields.value, std::string("expected either this or ") +
+                                          fields.file + ", found " +
+                                          (both ? "both" : "neither"));
+    }
+    if (!value.empty() && value.size() < secret_least) {
+        reader.complain(fields.value, "expected at least " +
+                                          std::to_string(secret_least) +
+                                          " characters");
+    }
+}
+
+std::uint16_t listen_port(object_reader& reader, const char* field) {
+    return static_cast<std::uint16_t>(
+        reader.number_or(field, listen_port_range, 0));
+}
+
+std::optional<std::uint16_t> metrics_port(object_reader& reader) {
+    if (!reader.has("metrics_port")) {
+        return std::nullopt;
+    }
+    return listen_port(reader, "metrics_port");
+}
+
+unsigned connection_limit(object_reader& reader) {
+    return static_cast<unsigned>(reader.number_or(
+        "connection_limit", connection_range, default_connection_limit));
+}
+
+duration drain_timeout(object_reader& reader) {
+    return reader.milliseconds_or("drain_timeout_ms", drain_range,
+                                  default_drain_timeout);
+}
+
+instance_settings read_instance(object_reader reader) {
+    instance_settings read;
+    read.name = reader.name("name");
+    read.data_centre = reader.name("data_centre");
+    read.host = reader.ip_number("host");
+    reader.finish();
+    return read;
+}
+
+platform_settings read_platform(object_reader reader) {
+    platform_settings read;
+    read.host = reader.ip_number("host");
+    read.port =
+        static_cast<std::uint16_t>(reader.number("port", peer_port_range));
+    reader.finish();
+    return read;
+}
+
+seed_settings read_seed(object_reader reader) {
+    seed_settings read;
+    read.name = reader.name("name");
+    read.host = reader.ip_number("host");
+    read.control_port = static_cast<std::uint16_t>(
+        reader.number("control_port", peer_port_range));
+    reader.finish();
+    return read;
+}
+
+peer_settings read_peers(object_reader reader) {
+    peer_settings read;
+    read_secret(reader, shared_key_fields, read.shared_key,
+                read.shared_key_file);
+    for (const auto& seed : reader.objects_or_none("seeds", seed_count)) {
+        read.seeds.push_back(read_seed(seed));
+    }
+    reader.finish();
+    return read;
+}
+
+entry_settings read_entry(object_reader reader) {
+    entry_settings read;
+    read.caller_port = listen_port(reader, "caller_port");
+    read.entry_port = listen_port(reader, "entry_port");
+    read.body_limit =
+        reader.number_or("body_limit_bytes", body_range, default_body_limit);
+    read.connection_limit = connection_limit(reader);
+    read.drain_timeout = drain_timeout(reader);
+    read.metrics_port = metrics_port(reader);
+    reader.finish();
+    return read;
+}
+
+steer_settings read_steer(object_reader reader) {
+    steer_settings read;
+    read.steer_port = listen_port(reader, "steer_port");
+    read.connection_limit = connection_limit(reader);
+    read.drain_timeout = drain_timeout(reader);
+    read.metrics_port = metrics_port(reader);
+    reader.finish();
+    return read;
+}
+
+control_settings read_control(object_reader reader,
+                              const std::string& instance_host) {
+    control_settings read;
+    read.control_port = listen_port(reader, "control_port");
+    read.admin_port = listen_port(reader, "admin_port");
+    read.admin_host = reader.ip_number_or("admin_host", instance_host);
+    read_secret(reader, admin_token_fields, read.admin_token,
+                read.admin_token_file);
+    read.drain_timeout = drain_timeout(reader);
+    reader.finish();
+    return read;
+}
+
+settings read_settings(std::string_view text, document_problems& problems) {
+    settings read;
+    const auto document = parse_document(text, settings_size_limit, problems);
+    if (!problems.empty()) {
+        return read;
+    }
+    object_reader file(document, "", problems);
+    file.number("settings_version", {settings_version, settings_version});
+    read.instance = read_instance(file.object("instance"));
+    read.platform = read_platform(file.object("platform"));
+    read.peers = read_peers(file.object("peers"));
+    read.entry = read_entry(file.object_or_empty("entry"));
+    read.steer = read_steer(file.object_or_empty("steer"));
+    read.control = read_control(file.object("control"), read.instance.host);
+    file.finish();
+    return read;
+}
+
+document_problems problems_of(std::string_view file_name) {
+    return {"check settings", std::string(file_name)};
+}
+
+// Puts the secret that the file holds, less the line's end, into `value`.
+result<void> resolve_secret(const std::string& file, std::string& value) {
+    if (file.empty()) {
+        return success();
+    }
+    auto text = read_file(file, secret_file_limit);
+    if (!text) {
+        return text.error();
+    }
+    value = std::move(text.value());
+    while (!value.empty() && (value.back() == '\n' || value.back() == '\r')) {
+        value.pop_back();
+    }
+    if (value.size() < secret_least) {
+        return error{error_code::invalid_argument, "read secret", file,
+                     "expected at least " + std::to_string(secret_least) +
+                         " characters"};
+    }
+    return success();
+}
+
+} // namespace
+
+result<settings> parse_settings(std::string_view text,
+                                std::string_view file_name) {
+    auto problems = problems_of(file_name);
+    auto read = read_settings(text, problems);
+    if (!problems.empty()) {
+        return problems.errors().front();
+    }
+    return read;
+}
+
+std::vector<error> check_settings(std::string_view text,
+                                  std::string_view file_name) {
+    auto problems = problems_of(file_name);
+    read_settings(text, problems);
+    return problems.errors();
+}
+
+result<std::string> read_file(const std::string& file_name, std::size_t limit) {
+    const std::unique_ptr<std::FILE, int (*)(std::FILE*)> file(
+        std::fopen(file_name.c_str(), "rb"), std::fclose);
+    if (!file) {
+        return error{error_code::not_found, "read file", file_name,
+                     std::strerror(errno)};
+    }
+    // One byte more than the limit shows a file that is too large.
+    std::string bytes(limit + 1, '\0');
+    bytes.resize(std::fread(bytes.data(), 1, bytes.size(), file.get()));
+    if (std::ferror(file.get()) != 0) {
+        return error{error_code::unavailable, "read file", file_name,
+                     std::strerror(errno)};
+    }
+    if (bytes.size() > limit) {
+        return error{error_code::invalid_argument, "read file", file_name,
+                     "expected at most " + std::to_string(limit) + " bytes"};
+    }
+    return bytes;
+}
+
+result<settings> load_settings(const std::string& file_name) {
+    const auto text = read_file(file_name, settings_size_limit);
+    if (!text) {
+        return text.error();
+    }
+    auto read = parse_settings(text.value(), file_name);
+    if (!read) {
+        return read;
+    }
+    auto& peers = read.value().peers;
+    if (auto got = resolve_secret(peers.shared_key_file, peers.shared_key);
+        !got) {
+        return got.error();
+    }
+    auto& control = read.value().control;
+    if (auto got =
+            resolve_secret(control.admin_token_file, control.admin_token);
+        !got) {
+        return got.error();
+    }
+    return read;
+}
+
+} // namespace waxwingvale::program
