decision: ownership, steering and the scheduler of a service

Change: owners by rendezvous hashing, addresses weighted by owned slots, a scheduler with late binding, deadline queue, grants between instances and a fallback without owners. Conclusion: the interfaces are ready to be wired.

--- /dev/null
+++ b/include/waxwingvale/decision/service_scheduler.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <waxwingvale/decision/scheduler_actions.hpp>
+#include <waxwingvale/decision/scheduler_events.hpp>
+#include <waxwingvale/decision/scheduling_policy.hpp>
+#include <waxwingvale/model/member.hpp>
+#include <waxwingvale/model/time.hpp>
+
+namespace waxwingvale::decision {
+
+// One backend server as the scheduler sees it, for metrics and explain.
+struct slot_report {
+    std::string backend_server;
+    bool owned = false;
+    unsigned slots = 0;     // by configuration
+    unsigned usable = 0;    // after cold start, shedding and vetoes
+    unsigned in_flight = 0; // own requests and grants given away
+    bool straggler = false;
+    bool failing = false;
+    double slowness = 1; // service time against the usual
+};
+
+bool operator==(const slot_report& a, const slot_report& b);
+
+// Decides, for one service on one entry instance, when and where each request
+// runs: slots owned here are handed out from one queue, late, when one is
+// free; slots of other owners are asked for; without an owner in reach a
+// share of its slots is used. Pure: it is told the time and returns actions.
+class service_scheduler {
+public:
+    service_scheduler(std::string service, member_id self,
+                      const scheduling_policy& policy = {});
+    ~service_scheduler();
+    service_scheduler(service_scheduler&&) noexcept;
+    service_scheduler& operator=(service_scheduler&&) noexcept;
+    service_scheduler(const service_scheduler&) = delete;
+    service_scheduler& operator=(const service_scheduler&) = delete;
+
+    // Takes one event and appends what is to be done. now never goes back;
+    // an earlier one counts as the latest seen.
+    void handle(const scheduler_event& event, time_point now,
+                std::vector<scheduler_action>& actions);
+
+    std::size_t queued() const;
+    std::size_t in_flight() const;
+    // True when a slot owned here is free and nothing waits for it: only then
+    // may a hedge be sent.
+    bool has_spare_slot() const;
+    std::vector<slot_report> slots() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace waxwingvale::decision
--- /dev/null
+++ b/src/decision/backend_slots.cpp
@@ -0,0 +1,92 @@
+#include "decision/backend_slots.hpp"
+
+#include <algorithm>
+
+namespace waxwingvale::decision {
+
+void backend_slots::configure(const backend_server& server) {
+    data_centre_ = server.data_centre;
+    if (configured_ == server.slots) {
+        return;
+    }
+    configured_ = server.slots;
+    usable_ = server.slots;
+}
+
+void backend_slots::set_incarnation(std::uint64_t incarnation) {
+    if (incarnation <= incarnation_) {
+        return;
+    }
+    const bool restarted = incarnation_ != 0;
+    incarnation_ = incarnation;
+    if (restarted) {
+        // What was seen of the former process says nothing of this one, and
+        // its caches are cold.
+        health_ = backend_health();
+        paused_until_ = time_point{};
+        start_cold();
+    }
+}
+
+unsigned backend_slots::limit() const {
+    return vetoed_ ? 0 : std::min(usable_, allowance_);
+}
+
+unsigned backend_slots::free(time_point now) const {
+    const unsigned most = limit();
+    if (isolated_ || now < paused_until_ || in_flight() >= most) {
+        return 0;
+    }
+    return most - in_flight();
+}
+
+void backend_slots::start(time_point now, bool isolated) {
+    started_.push_back(now);
+    isolated_ = isolated_ || isolated;
+}
+
+void backend_slots::finish(time_point started_at, attempt_verdict verdict,
+                           time_point now, const scheduling_policy& policy) {
+    const auto found = std::find(started_.begin(), started_.end(), started_at);
+    if (found != started_.end()) {
+        *found = started_.back();
+        started_.pop_back();
+    }
+    if (started_.empty()) {
+        isolated_ = false;
+    }
+    if (verdict == attempt_verdict::answered) {
+        grow();
+    } else if (verdict == attempt_verdict::shed) {
+        shrink(now, policy);
+    }
+}
+
+void backend_slots::grow() {
+    pause_ = duration::zero();
+    if (usable_ < configured_ && ++answers_ >= usable_) {
+        answers_ = 0;
+        ++usable_;
+    }
+}
+
+void backend_slots::shrink(time_point now, const scheduling_policy& policy) {
+    // The server had no room although slots were free by our account:
+    // somebody else uses them, or it has fewer than the file says. Asked
+    // again at once it would refuse again, and each refusal costs a request
+    // a round trip.
+    const auto kept = static_cast<unsigned>(usable_ * policy.shed_decrease);
+    usable_ = std::max(kept, 1U);
+    answers_ = 0;
+    pause_ =
+        std::clamp(pause_ * 2, policy.shed_pause_min, policy.shed_pause_max);
+    paused_until_ = now + pause_;
+}
+
+unsigned backend_slots::started_before(time_point moment) const {
+    return static_cast<unsigned>(
+        std::count_if(started_.begin(), started_.end(),
+                      [&](time_point at) { return at < moment; }));
+}
+
+} // namespace waxwingvale::decision
--- /dev/null
+++ b/src/decision/ownership.cpp
@@ -0,0 +1,189 @@
+#include <waxwingvale/decision/ownership.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+#include <waxwingvale/decision/stable_hash.hpp>
+
+namespace waxwingvale::decision {
+
+namespace {
+
+bool may_own(const member& candidate) {
+    return candidate.state == member_state::alive ||
+           candidate.state == member_state::suspect;
+}
+
+unsigned total_slots(const service& of) {
+    unsigned sum = 0;
+    for (const backend_server& server : of.backend_servers) {
+        sum += server.slots;
+    }
+    return sum;
+}
+
+std::size_t owner_count(const service& of, std::size_t candidates) {
+    const std::size_t derived =
+        (total_slots(of) + slots_per_owner - 1) / slots_per_owner;
+    const std::size_t wanted = of.owners != 0 ? of.owners : derived;
+    return std::min(std::max<std::size_t>(wanted, 2), candidates);
+}
+
+struct scored_member {
+    std::uint64_t score;
+    const member* candidate;
+};
+
+// Members by falling score, one of each name: while an instance is replaced
+// the list may hold both of its incarnations, and the later one counts.
+std::vector<scored_member> ranked_members(const service& of,
+                                          const std::vector<member>& members) {
+    std::vector<scored_member> ranked;
+    for (const member& candidate : members) {
+        if (!may_own(candidate)) {
+            continue;
+        }
+        const auto score = stable_hash(candidate.id.name, stable_hash(of.name));
+        ranked.push_back({score, &candidate});
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const scored_member& a, const scored_member& b) {
+                  return std::tie(b.score, a.candidate->id.name,
+                                  b.candidate->id.incarnation) <
+                         std::tie(a.score, b.candidate->id.name,
+                                  a.candidate->id.incarnation);
+              });
+    const auto same_name = [](const scored_member& a, const scored_member& b) {
+        return a.candidate->id.name == b.candidate->id.name;
+    };
+    ranked.erase(std::unique(ranked.begin(), ranked.end(), same_name),
+                 ranked.end());
+    return ranked;
+}
+
+// Takes members by rank but passes over data centres already taken while
+// others are left: were all owners in one, its loss would stop the service
+// until the members are seen as gone.
+std::vector<slot_owner> pick_owners(const std::vector<scored_member>& ranked,
+                                    std::size_t count) {
+    std::vector<slot_owner> owners;
+    std::vector<bool> taken(ranked.size(), false);
+    while (owners.size() < count) {
+        std::vector<std::string> used;
+        for (std::size_t i = 0; i < ranked.size() && owners.size() < count;
+             ++i) {
+            const std::string& centre = ranked[i].candidate->data_centre;
+            const bool seen =
+                std::find(used.begin(), used.end(), centre) != used.end();
+            if (taken[i] || seen) {
+                continue;
+            }
+            taken[i] = true;
+            used.push_back(centre);
+            owners.push_back({ranked[i].candidate->id, centre, {}, 0});
+        }
+    }
+    return owners;
+}
+
+// The owner with room that the server prefers: one in its own data centre
+// first, then by rendezvous.
+slot_owner* preferred_owner(std::vector<slot_owner>& owners,
+                            const backend_server& server, unsigned room_for) {
+    slot_owner* best = nullptr;
+    bool best_is_near = false;
+    std::uint64_t best_score = 0;
+    for (slot_owner& owner : owners) {
+        if (owner.slots + server.slots > room_for) {
+            continue;
+        }
+        const bool near = owner.data_centre == server.data_centre;
+        const auto score =
+            stable_hash(owner.member.name, stable_hash(server.name));
+        if (best == nullptr ||
+            std::tie(near, score) > std::tie(best_is_near, best_score)) {
+            best = &owner;
+            best_is_near = near;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+slot_owner& least_loaded(std::vector<slot_owner>& owners) {
+    return *std::min_element(owners.begin(), owners.end(),
+                             [](const slot_owner& a, const slot_owner& b) {
+                                 return a.slots < b.slots;
+                             });
+}
+
+std::vector<const backend_server*> servers_by_hash(const service& of) {
+    std::vector<const backend_server*> servers;
+    for (const backend_server& server : of.backend_servers) {
+        servers.push_back(&server);
+    }
+    std::sort(servers.begin(), servers.end(),
+              [](const backend_server* a, const backend_server* b) {
+                  return std::make_tuple(stable_hash(a->name), a->name) <
+                         std::make_tuple(stable_hash(b->name), b->name);
+              });
+    return servers;
+}
+
+} // namespace
+
+bool operator==(const slot_owner& a, const slot_owner& b) {
+    return std::tie(a.member, a.data_centre, a.backend_servers, a.slots) ==
+           std::tie(b.member, b.data_centre, b.backend_servers, b.slots);
+}
+
+bool operator==(const ownership& a, const ownership& b) {
+    return std::tie(a.service, a.owners) == std::tie(b.service, b.owners);
+}
+
+ownership compute_ownership(const service& of,
+                            const std::vector<member>& members) {
+    ownership result{of.name, {}};
+    const auto ranked = ranked_members(of, members);
+    if (ranked.empty()) {
+        return result;
+    }
+    result.owners = pick_owners(ranked, owner_count(of, ranked.size()));
+    const auto owners = static_cast<unsigned>(result.owners.size());
+    const unsigned room = (total_slots(of) + owners - 1) / owners;
+    for (const backend_server* server : servers_by_hash(of)) {
+        slot_owner* owner = preferred_owner(result.owners, *server, room);
+        if (owner == nullptr) {
+            owner = &least_loaded(result.owners);
+        }
+        owner->backend_servers.push_back(server->name);
+        owner->slots += server->slots;
+    }
+    for (slot_owner& owner : result.owners) {
+        std::sort(owner.backend_servers.begin(), owner.backend_servers.end());
+    }
+    return result;
+}
+
+const slot_owner* find_owner_of(const ownership& owners,
+                                const std::string& backend_server) {
+    for (const slot_owner& owner : owners.owners) {
+        if (std::binary_search(owner.backend_servers.begin(),
+                               owner.backend_servers.end(), backend_server)) {
+            return &owner;
+        }
+    }
+    return nullptr;
+}
+
+const slot_owner* find_owner(const ownership& owners,
+                             const std::string& member_name) {
+    for (const slot_owner& owner : owners.owners) {
+        if (owner.member.name == member_name) {
+            return &owner;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace waxwingvale::decision
--- /dev/null
+++ b/src/decision/request_queue.cpp
@@ -0,0 +1,158 @@
+#include "decision/request_queue.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+namespace waxwingvale::decision {
+
+bool request_queue::rank::operator<(const rank& other) const {
+    return std::tie(latest_start, sequence) <
+           std::tie(other.latest_start, other.sequence);
+}
+
+request_queue::request_queue(unsigned fairness_window)
+    : fairness_window_(fairness_window) {}
+
+void request_queue::set_tenants(const std::vector<tenant>& tenants) {
+    for (auto& named : tenants_) {
+        named.second.weight = 1;
+    }
+    for (const tenant& named : tenants) {
+        tenants_[named.name].weight = std::max(named.share, 1U);
+    }
+}
+
+request_queue::tenant_queue&
+request_queue::queue_of(const std::string& tenant_name) {
+    return tenants_[tenant_name];
+}
+
+void request_queue::insert(queued_request entry) {
+    const request_id request = entry.arrival.request;
+    const rank place{entry.latest_start, next_sequence_++, request};
+    tenant_queue& queue = queue_of(entry.arrival.tenant);
+    queue.ranks.insert(place);
+    ranks_.insert(place);
+    ++class_sizes_[entry.arrival.request_class];
+    entries_.emplace(request, stored{std::move(entry), place});
+}
+
+void request_queue::push(queued_request entry) {
+    tenant_queue& queue = queue_of(entry.arrival.tenant);
+    if (queue.ranks.empty()) {
+        // A tenant that was idle saves nothing up: else its return would
+        // take every slot until it had caught up.
+        queue.served = std::max(queue.served, served_floor_);
+    }
+    insert(std::move(entry));
+}
+
+std::map<std::string, request_queue::tenant_queue>::iterator
+request_queue::next_tenant() {
+    double lowest = std::numeric_limits<double>::max();
+    for (const auto& named : tenants_) {
+        if (!named.second.ranks.empty()) {
+            lowest = std::min(lowest, named.second.served);
+        }
+    }
+    served_floor_ = std::max(served_floor_, lowest);
+    auto best = tenants_.end();
+    for (auto it = tenants_.begin(); it != tenants_.end(); ++it) {
+        const tenant_queue& queue = it->second;
+        if (queue.ranks.empty() ||
+            queue.served > lowest + fairness_window_ / queue.weight) {
+            continue;
+        }
+        if (best == tenants_.end() ||
+            *queue.ranks.begin() < *best->second.ranks.begin()) {
+            best = it;
+        }
+    }
+    return best;
+}
+
+queued_request request_queue::pop() {
+    auto chosen = next_tenant();
+    chosen->second.served += 1.0 / chosen->second.weight;
+    return take(chosen->second.ranks.begin()->request);
+}
+
+void request_queue::restore(queued_request entry) {
+    tenant_queue& queue = queue_of(entry.arrival.tenant);
+    queue.served -= 1.0 / queue.weight;
+    insert(std::move(entry));
+}
+
+queued_request request_queue::take(request_id request) {
+    auto found = entries_.find(request);
+    queued_request entry = std::move(found->second.entry);
+    tenant_queue& queue = queue_of(entry.arrival.tenant);
+    queue.ranks.erase(found->second.place);
+    ranks_.erase(found->second.place);
+    --class_sizes_[entry.arrival.request_class];
+    entries_.erase(found);
+    return entry;
+}
+
+std::optional<queued_request> request_queue::pop_overdue(time_point now) {
+    if (ranks_.empty() || ranks_.begin()->latest_start > now) {
+        return std::nullopt;
+    }
+    return take(ranks_.begin()->request);
+}
+
+std::optional<queued_request> request_queue::remove(request_id request) {
+    if (!contains(request)) {
+        return std::nullopt;
+    }
+    return take(request);
+}
+
+queued_request request_queue::pop_least_urgent() {
+    return take(std::prev(ranks_.end())->request);
+}
+
+bool request_queue::contains(request_id request) const {
+    return entries_.count(request) != 0;
+}
+
+std::size_t request_queue::class_size(const std::string& request_class) const {
+    const auto found = class_sizes_.find(request_class);
+    return found == class_sizes_.end() ? 0 : found->second;
+}
+
+time_point request_queue::most_urgent() const {
+    return ranks_.begin()->latest_start;
+}
+
+double request_queue::active_weight() const {
+    double sum = 0;
+    for (const auto& named : tenants_) {
+        sum += named.second.ranks.empty() ? 0.0 : named.second.weight;
+    }
+    return sum;
+}
+
+double request_queue::ahead_of(const std::string& tenant_name,
+                               time_point latest_start) const {
+    const auto total = static_cast<double>(ranks_.size());
+    const auto found = tenants_.find(tenant_name);
+    if (found == tenants_.end() || found->second.ranks.empty()) {
+        // First of its tenant: at most one round of the others goes before.
+        return std::min(total, active_weight());
+    }
+    const tenant_queue& queue = found->second;
+    if (latest_start < queue.ranks.begin()->latest_start) {
+        return std::min(total, active_weight());
+    }
+    // Counting only the more urgent ones of the tenant would take time in
+    // proportion to the queue; nearly all requests of a tenant have the same
+    // time allowed and queue up at the end.
+    const double share = queue.weight / active_weight();
+    return std::min(total, static_cast<double>(queue.ranks.size()) / share);
+}
+
+} // namespace waxwingvale::decision
--- /dev/null
+++ b/src/decision/request_queue.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include <waxwingvale/decision/scheduler_events.hpp>
+
+namespace waxwingvale::decision {
+
+// One waiting request, and the last moment at which starting it is useful.
+struct queued_request {
+    request_arrived arrival;
+    time_point arrived_at{};
+    time_point latest_start{};
+};
+
+// The requests that wait for a slot. The most urgent goes first, but no
+// tenant gets further ahead of its share than a window of requests, so that
+// one tenant's flood does not take the others' slots.
+class request_queue {
+public:
+    explicit request_queue(unsigned fairness_window);
+
+    // Weights of tenants; those not named have weight 1.
+    void set_tenants(const std::vector<tenant>& tenants);
+
+    void push(queued_request entry);
+    // Takes the next request; the queue must not be empty.
+    queued_request pop();
+    // Puts back what pop gave, as if it had not been taken.
+    void restore(queued_request entry);
+    // Takes a request whose latest start is at or before that moment.
+    std::optional<queued_request> pop_overdue(time_point now);
+    std::optional<queued_request> remove(request_id request);
+    // Takes the least urgent request; the queue must not be empty.
+    queued_request pop_least_urgent();
+
+    bool empty() const { return entries_.empty(); }
+    std::size_t size() const { return entries_.size(); }
+    bool contains(request_id request) const;
+    std::size_t class_size(const std::string& request_class) const;
+    // Earliest latest_start of all; the queue must not be empty.
+    time_point most_urgent() const;
+    // How many requests are served before a new one of that tenant and
+    // urgency, with the tenants' shares taken into account.
+    double ahead_of(const std::string& tenant_name,
+                    time_point latest_start) const;
+
+private:
+    struct rank {
+        time_point latest_start;
+        std::uint64_t sequence;
+        request_id request;
+        bool operator<(const rank& other) const;
+    };
+    struct tenant_queue {
+        std::set<rank> ranks;
+        double served = 0; // requests served, divided by the weight
+        double weight = 1;
+    };
+    struct stored {
+        queued_request entry;
+        rank place;
+    };
+
+    queued_request take(request_id request);
+    tenant_queue& queue_of(const std::string& tenant_name);
+    void insert(queued_request entry);
+    std::map<std::string, tenant_queue>::iterator next_tenant();
+    double active_weight() const;
+
+    unsigned fairness_window_;
+    std::uint64_t next_sequence_ = 0;
+    double served_floor_ = 0; // what a tenant that was idle starts from
+    std::map<std::string, tenant_queue> tenants_;
+    std::set<rank> ranks_;
+    std::unordered_map<request_id, stored> entries_;
+    std::unordered_map<std::string, std::size_t> class_sizes_;
+};
+
+} // namespace waxwingvale::decision
--- /dev/null
+++ b/src/decision/service_scheduler.cpp
@@ -0,0 +1,145 @@
+#include <waxwingvale/decision/service_scheduler.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "decision/service_scheduler_impl.hpp"
+
+namespace waxwingvale::decision {
+
+bool operator==(const slot_report& a, const slot_report& b) {
+    return std::tie(a.backend_server, a.owned, a.slots, a.usable, a.in_flight,
+                    a.straggler, a.failing, a.slowness) ==
+           std::tie(b.backend_server, b.owned, b.slots, b.usable, b.in_flight,
+                    b.straggler, b.failing, b.slowness);
+}
+
+service_scheduler::service_scheduler(std::string service, member_id self,
+                                     const scheduling_policy& policy)
+    : impl_(std::make_unique<impl>(std::move(service), std::move(self),
+                                   policy)) {}
+
+service_scheduler::~service_scheduler() = default;
+service_scheduler::service_scheduler(service_scheduler&&) noexcept = default;
+service_scheduler&
+service_scheduler::operator=(service_scheduler&&) noexcept = default;
+
+void service_scheduler::handle(const scheduler_event& event, time_point now,
+                               std::vector<scheduler_action>& actions) {
+    impl_->handle(event, now, actions);
+}
+
+std::size_t service_scheduler::queued() const {
+    return impl_->queued();
+}
+
+std::size_t service_scheduler::in_flight() const {
+    return impl_->in_flight();
+}
+
+bool service_scheduler::has_spare_slot() const {
+    return impl_->has_spare_slot();
+}
+
+std::vector<slot_report> service_scheduler::slots() const {
+    return impl_->slots();
+}
+
+service_scheduler::impl::impl(std::string service, member_id self,
+                              const scheduling_policy& policy)
+    : service_(std::move(service)),
+      self_(std::move(self)),
+      policy_(policy),
+      table_(self_, policy),
+      queue_(policy.fairness_window),
+      admission_(policy),
+      lender_(self_, policy),
+      borrower_(policy) {}
+
+void service_scheduler::impl::handle(const scheduler_event& event,
+                                     time_point now, action_list& actions) {
+    if (now - now_ >= policy_.silence_limit) {
+        // Nothing reached us for that long, perhaps since we did not run:
+        // peers may have answered, and their words are still to be read.
+        borrower_.forgive_silence(now);
+    }
+    now_ = std::max(now_, now);
+    actions_ = &actions;
+    end_leases();
+    drop_overdue();
+    std::visit([this](const auto& known) { on(known); }, event);
+    settle();
+    actions_ = nullptr;
+}
+
+// What follows from every event: waiting requests get the slots there are,
+// then peers are given or asked for slots.
+void service_scheduler::impl::settle() {
+    lend();
+    dispatch();
+    lend();
+    borrow();
+    wake();
+}
+
+void service_scheduler::impl::wake() {
+    std::optional<time_point> next = lender_.next_expiry();
+    const auto consider = [&](std::optional<time_point> when) {
+        if (when && (!next || *when < *next)) {
+            next = when;
+        }
+    };
+    if (!queue_.empty()) {
+        consider(queue_.most_urgent());
+        consider(table_.next_change(now_));
+        consider(borrower_.next_change());
+    }
+    const bool pending = wake_at_ && *wake_at_ > now_;
+    if (!next || (pending && *wake_at_ <= *next)) {
+        return;
+    }
+    wake_at_ = std::max(*next, now_ + duration(1));
+    actions_->emplace_back(wake_at{*wake_at_});
+}
+
+void service_scheduler::impl::on(const view_changed& event) {
+    view_ = event;
+    const service* of =
+        view_.config ? find_service(*view_.config, service_) : nullptr;
+    static const service no_service;
+    const service& known = of != nullptr ? *of : no_service;
+    admission_.configure(known);
+    if (view_.config) {
+        queue_.set_tenants(view_.config->tenants);
+    }
+    apply_reachability();
+}
+
+void service_scheduler::impl::on(const time_passed& /*event*/) {
+    watch_silence();
+}
+
+bool service_scheduler::impl::has_spare_slot() const {
+    return queue_.empty() && table_.idle_slots(now_) > 0;
+}
+
+std::vector<slot_report> service_scheduler::impl::slots() const {
+    std::vector<slot_report> reports;
+    for (const backend_slots& server : table_.all()) {
+        const auto place = table_.find(server.name());
+        slot_report report;
+        report.backend_server = server.name();
+        report.owned = place && table_.owned(*place);
+        report.slots = server.configured();
+        report.usable = server.limit();
+        report.in_flight = server.in_flight();
+        report.straggler = server.health().straggler();
+        report.failing = server.health().failing();
+        report.slowness = server.health().slowness();
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+} // namespace waxwingvale::decision
--- /dev/null
+++ b/src/decision/slot_table.cpp
@@ -0,0 +1,332 @@
+#include "decision/slot_table.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace waxwingvale::decision {
+
+namespace {
+
+// A request that must not run twice is the sample for a failing server only
+// when no harmless one came by for so long: it may end as unknown.
+constexpr duration write_sample_delay{2000000};
+
+bool serves(const member& candidate) {
+    return candidate.state == member_state::alive ||
+           candidate.state == member_state::suspect;
+}
+
+bool excludes(const slot_wish& wish, const std::string& name) {
+    return wish.excluded != nullptr &&
+           std::find(wish.excluded->begin(), wish.excluded->end(), name) !=
+               wish.excluded->end();
+}
+
+// What is believed of one backend server's latest incarnation.
+struct latest_belief {
+    std::uint64_t incarnation = 0;
+    bool leaving = false;
+    bool listed_dead = false;    // the platform says so
+    bool suspected_dead = false; // somebody's connections say so
+};
+
+void add_belief(latest_belief& latest, const backend_belief& belief) {
+    if (belief.incarnation != 0 && belief.incarnation < latest.incarnation) {
+        return; // word about a former incarnation
+    }
+    if (belief.incarnation > latest.incarnation) {
+        latest = latest_belief();
+        latest.incarnation = belief.incarnation;
+    }
+    const bool dead = belief.state == backend_state::dead;
+    const bool listed = belief.source == belief_source::platform_list;
+    latest.leaving |= belief.state == backend_state::leaving;
+    latest.listed_dead |= dead && listed;
+    latest.suspected_dead |= dead && !listed;
+}
+
+std::unordered_map<std::string, latest_belief>
+latest_beliefs(const std::vector<backend_belief>& beliefs) {
+    std::unordered_map<std::string, latest_belief> latest;
+    for (const backend_belief& belief : beliefs) {
+        add_belief(latest[belief.backend_server], belief);
+    }
+    return latest;
+}
+
+} // namespace
+
+slot_table::slot_table(member_id self, const scheduling_policy& policy)
+    : self_(std::move(self)), policy_(policy) {}
+
+void slot_table::apply(const service& of, const view_changed& view,
+                       const std::unordered_set<std::string>& reachable) {
+    configure_servers(of);
+    apply_beliefs(view);
+    apply_ownership(view, reachable);
+    configured_before_ = !servers_.empty();
+}
+
+void slot_table::configure_servers(const service& of) {
+    std::vector<backend_slots> former = std::move(servers_);
+    const auto former_places = std::move(by_name_);
+    servers_.clear();
+    by_name_.clear();
+    for (const backend_server& server : of.backend_servers) {
+        const auto found = former_places.find(server.name);
+        const bool known = found != former_places.end();
+        by_name_[server.name] = servers_.size();
+        servers_.push_back(known ? std::move(former[found->second])
+                                 : backend_slots(server.name));
+        servers_.back().configure(server);
+        if (!known && configured_before_) {
+            servers_.back().start_cold();
+        }
+    }
+}
+
+void slot_table::apply_beliefs(const view_changed& view) {
+    const auto latest = latest_beliefs(view.beliefs);
+    std::size_t serving = 0;
+    for (backend_slots& server : servers_) {
+        const auto found = latest.find(server.name());
+        const latest_belief belief =
+            found == latest.end() ? latest_belief() : found->second;
+        server.set_incarnation(belief.incarnation);
+        server.set_vetoed(belief.leaving || belief.listed_dead ||
+                          belief.suspected_dead);
+        serving += server.vetoed() ? 0 : 1;
+    }
+    if (serving > 0) {
+        return;
+    }
+    // Every server looks dead to connections of ours or of a peer: more
+    // likely the network near the observer is broken. Shutting all of them
+    // out would turn that suspicion into an outage.
+    for (backend_slots& server : servers_) {
+        const auto found = latest.find(server.name());
+        const latest_belief& belief = found->second;
+        server.set_vetoed(belief.leaving || belief.listed_dead);
+    }
+}
+
+void slot_table::apply_ownership(
+    const view_changed& view,
+    const std::unordered_set<std::string>& reachable) {
+    const auto members = static_cast<unsigned>(
+        std::count_if(view.members.begin(), view.members.end(), serves));
+    for (const member& known : view.members) {
+        if (known.id == self_) {
+            self_data_centre_ = known.data_centre;
+        }
+    }
+    owned_.assign(servers_.size(), false);
+    usable_.clear();
+    for (index place = 0; place < servers_.size(); ++place) {
+        backend_slots& server = servers_[place];
+        const slot_owner* owner = find_owner_of(view.owners, server.name());
+        const unsigned share =
+            std::max(1U, server.configured() / std::max(members, 1U));
+        unsigned allowance = share;
+        if (owner != nullptr && owner->member.name == self_.name) {
+            allowance = server.configured();
+            owned_[place] = true;
+        } else if (owner != nullptr &&
+                   reachable.count(owner->member.name) != 0) {
+            allowance = 0;
+        }
+        server.set_allowance(allowance);
+        if (allowance > 0) {
+            usable_.push_back(place);
+        }
+    }
+}
+
+std::optional<slot_table::index>
+slot_table::find(const std::string& backend_server) const {
+    const auto found = by_name_.find(backend_server);
+    if (found == by_name_.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+// Failing servers are shut out only while they are the minority: when most
+// fail, the fault is more likely in the requests or in what all depend on.
+bool slot_table::shuts_out_failing() const {
+    std::size_t failing = 0;
+    std::size_t serving = 0;
+    for (const index place : usable_) {
+        const backend_slots& server = servers_[place];
+        serving += server.vetoed() ? 0 : 1;
+        failing += !server.vetoed() && server.health().failing() ? 1 : 0;
+    }
+    return failing * 2 <= serving;
+}
+
+double slot_table::slowness(const backend_slots& server, duration typical,
+                            time_point now) const {
+    double slow = server.health().slowness();
+    if (typical <= duration::zero() || server.in_flight() < 2) {
+        return slow;
+    }
+    // Answers tell that a server became slow only when they come, which is
+    // late by the very slowness; requests that stay away tell sooner. One
+    // slow request says nothing, half of them do.
+    const auto stuck_age = duration(static_cast<duration::rep>(
+        policy_.stuck_ratio * static_cast<double>(typical.count())));
+    const unsigned stuck = server.started_before(now - stuck_age);
+    if (stuck >= 2 && stuck * 2 >= server.configured()) {
+        slow = std::max(slow, policy_.stuck_ratio);
+    }
+    return slow;
+}
+
+bool slot_table::passed_over(const backend_slots& server, duration typical,
+                             time_point now) const {
+    return server.health().straggler() ||
+           slowness(server, typical, now) >= policy_.straggler_ratio;
+}
+
+bool slot_table::sampled(const backend_slots& server, const slot_wish& wish,
+                         time_point now) const {
+    return server.health().sample_due(
+        wish.may_sample ? now : now - write_sample_delay);
+}
+
+bool slot_table::admits(const backend_slots& server, const slot_wish& wish,
+                        time_point now) const {
+    if (server.health().failing()) {
+        return sampled(server, wish, now);
+    }
+    if (!passed_over(server, wish.typical, now)) {
+        return true;
+    }
+    if (server.health().straggler() && sampled(server, wish, now)) {
+        return true;
+    }
+    // A slow slot is worth its while once waiting for the others would take
+    // longer than the slow answer.
+    const double extra = (slowness(server, wish.typical, now) - 1.0) *
+                         static_cast<double>(wish.typical.count());
+    return static_cast<double>(wish.backlog.count()) > extra;
+}
+
+double slot_table::cost(const backend_slots& server, const slot_wish& wish,
+                        time_point now) const {
+    const double load = static_cast<double>(server.in_flight()) /
+                        static_cast<double>(std::max(server.limit(), 1U));
+    const bool far = server.data_centre() != self_data_centre_;
+    const auto typical = static_cast<double>(wish.typical.count());
+    return typical * slowness(server, wish.typical, now) *
+               (1.0 + policy_.load_cost * load) +
+           (far ? static_cast<double>(policy_.other_data_centre_cost.count())
+                : 0.0);
+}
+
+bool slot_table::only_passed_over(time_point now, duration typical) const {
+    return std::none_of(usable_.begin(), usable_.end(), [&](index place) {
+        const backend_slots& server = servers_[place];
+        return server.limit() > 0 && !server.health().failing() &&
+               !passed_over(server, typical, now);
+    });
+}
+
+std::optional<slot_table::index> slot_table::choose(const slot_wish& wish,
+                                                    time_point now) const {
+    std::optional<index> best;
+    std::optional<index> fallback;
+    double best_cost = std::numeric_limits<double>::max();
+    double fallback_cost = std::numeric_limits<double>::max();
+    for (const index place : usable_) {
+        const backend_slots& server = servers_[place];
+        const bool alone = !wish.isolated || server.in_flight() == 0;
+        if (server.free(now) == 0 || !alone || excludes(wish, server.name())) {
+            continue;
+        }
+        const double price = cost(server, wish, now);
+        const bool admitted = admits(server, wish, now);
+        if (admitted && price < best_cost) {
+            best = place;
+            best_cost = price;
+        } else if (!admitted && price < fallback_cost) {
+            fallback = place;
+            fallback_cost = price;
+        }
+    }
+    if (best || !fallback) {
+        return best;
+    }
+    const bool nothing_better =
+        !shuts_out_failing() || only_passed_over(now, wish.typical);
+    return nothing_better ? fallback : std::nullopt;
+}
+
+bool slot_table::any_left(const std::vector<std::string>& excluded) const {
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const backend_slots& server) {
+                           return !server.vetoed() &&
+                                  std::find(excluded.begin(), excluded.end(),
+                                            server.name()) == excluded.end();
+                       });
+}
+
+bool slot_table::may_start(index place, const slot_wish& wish) const {
+    const backend_slots& server = servers_[place];
+    return !server.vetoed() && !excludes(wish, server.name());
+}
+
+void slot_table::start(index place, time_point now, bool isolated) {
+    backend_slots& server = servers_[place];
+    const bool watched =
+        server.health().failing() || server.health().straggler();
+    if (watched && server.health().sample_due(now)) {
+        server.health().sample_taken(now, policy_);
+    }
+    server.start(now, isolated);
+}
+
+unsigned slot_table::working_slots() const {
+    unsigned sum = 0;
+    for (const index place : usable_) {
+        const backend_slots& server = servers_[place];
+        if (!server.health().failing() && !server.health().straggler()) {
+            sum += server.limit();
+        }
+    }
+    return sum;
+}
+
+unsigned slot_table::idle_slots(time_point now) const {
+    unsigned sum = 0;
+    for (const index place : usable_) {
+        const backend_slots& server = servers_[place];
+        if (!server.health().failing() && !server.health().straggler()) {
+            sum += server.free(now);
+        }
+    }
+    return sum;
+}
+
+std::optional<time_point> slot_table::next_change(time_point now) const {
+    std::optional<time_point> next;
+    const auto consider = [&](time_point when) {
+        if (when > now && (!next || when < *next)) {
+            next = when;
+        }
+    };
+    for (const index place : usable_) {
+        const backend_slots& server = servers_[place];
+        if (server.limit() == 0) {
+            continue;
+        }
+        consider(server.paused_until());
+        if (server.health().failing() || server.health().straggler()) {
+            consider(server.health().next_sample());
+        }
+    }
+    return next;
+}
+
+} // namespace waxwingvale::decision
--- /dev/null
+++ b/src/decision/steering.cpp
@@ -0,0 +1,93 @@
+#include <waxwingvale/decision/steering.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+#include <waxwingvale/decision/stable_hash.hpp>
+
+namespace waxwingvale::decision {
+
+namespace {
+
+struct candidate_address {
+    steering_address address;
+    bool suspect = false; // silent for a while: a fallback only
+    bool owner = false;
+    bool near = false; // in the caller's data centre
+    double score = 0;
+};
+
+// Weight of an instance that owns no slots when such instances are compared.
+constexpr double fallback_weight = 1.0;
+
+bool better(const candidate_address& a, const candidate_address& b) {
+    // Among owners the slots decide, so that callers divide as slots do;
+    // nearness only orders instances that have no slots of their own.
+    const bool a_near = a.near && !a.owner;
+    const bool b_near = b.near && !b.owner;
+    return std::make_tuple(!a.suspect, a.owner, a_near, a.score) >
+           std::make_tuple(!b.suspect, b.owner, b_near, b.score);
+}
+
+candidate_address make_candidate(const member& of, const ownership& owners,
+                                 const steering_caller& caller) {
+    const slot_owner* owned = find_owner(owners, of.id.name);
+    candidate_address made;
+    made.address = {of.id, of.addresses.host, of.addresses.caller_port,
+                    owned != nullptr ? owned->slots : 0};
+    made.suspect = of.state == member_state::suspect;
+    made.owner = made.address.weight > 0;
+    made.near = of.data_centre == caller.data_centre;
+    const double weight =
+        made.owner ? static_cast<double>(owned->slots) : fallback_weight;
+    made.score = rendezvous_score(stable_hash(of.id.name, caller.hash), weight);
+    return made;
+}
+
+duration keep_time(const configuration& config, const steering_caller& caller) {
+    const duration span = config.address_keep_max - config.address_keep_min;
+    if (span <= duration::zero()) {
+        return config.address_keep_min;
+    }
+    const double fraction =
+        unit_interval(combine_hashes(caller.hash, caller.window));
+    return config.address_keep_min +
+           duration(static_cast<duration::rep>(
+               fraction * static_cast<double>(span.count())));
+}
+
+} // namespace
+
+bool operator==(const steering_address& a, const steering_address& b) {
+    return std::tie(a.member, a.host, a.port, a.weight) ==
+           std::tie(b.member, b.host, b.port, b.weight);
+}
+
+bool operator==(const steering_answer& a, const steering_answer& b) {
+    return std::tie(a.addresses, a.keep) == std::tie(b.addresses, b.keep);
+}
+
+steering_answer steer_caller(const configuration& config,
+                             const ownership& owners,
+                             const std::vector<member>& members,
+                             const steering_caller& caller) {
+    std::vector<candidate_address> candidates;
+    for (const member& candidate : members) {
+        if (candidate.state == member_state::alive ||
+            candidate.state == member_state::suspect) {
+            candidates.push_back(make_candidate(candidate, owners, caller));
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), better);
+    steering_answer answer;
+    for (const candidate_address& candidate : candidates) {
+        if (answer.addresses.size() == addresses_per_answer) {
+            break;
+        }
+        answer.addresses.push_back(candidate.address);
+    }
+    answer.keep = keep_time(config, caller);
+    return answer;
+}
+
+} // namespace waxwingvale::decision
--- /dev/null
+++ b/test/steering/ownership_test.cpp
@@ -0,0 +1,122 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+#include <waxwingvale/decision/ownership.hpp>
+
+using namespace waxwingvale;
+using namespace waxwingvale::decision;
+
+namespace {
+
+service service_of(unsigned servers, unsigned slots) {
+    const char* centres[] = {"sea", "pdx", "spk", "boi"};
+    service of;
+    of.name = "slate-view";
+    for (unsigned i = 0; i < servers; ++i) {
+        backend_server server;
+        server.name = "slate-" + std::to_string(i);
+        server.data_centre = centres[i % 4];
+        server.slots = slots;
+        of.backend_servers.push_back(server);
+    }
+    return of;
+}
+
+std::vector<member> members_of(unsigned count) {
+    const char* centres[] = {"sea", "pdx", "spk", "boi"};
+    std::vector<member> members;
+    for (unsigned i = 0; i < count; ++i) {
+        member made;
+        made.id = {"entry-" + std::to_string(i), 1};
+        made.data_centre = centres[i % 4];
+        members.push_back(made);
+    }
+    return members;
+}
+
+unsigned moved_servers(const service& of, const ownership& before,
+                       const ownership& after) {
+    unsigned moved = 0;
+    for (const backend_server& server : of.backend_servers) {
+        const slot_owner* first = find_owner_of(before, server.name);
+        const slot_owner* second = find_owner_of(after, server.name);
+        moved += first->member.name != second->member.name ? 1 : 0;
+    }
+    return moved;
+}
+
+} // namespace
+
+TEST_CASE("every backend server has one owner, and owners share evenly") {
+    const service of = service_of(15, 6);
+    const ownership owners = compute_ownership(of, members_of(18));
+    REQUIRE(owners.owners.size() == 3);
+    std::multiset<std::string> owned;
+    for (const slot_owner& owner : owners.owners) {
+        CHECK(owner.slots == 30);
+        owned.insert(owner.backend_servers.begin(),
+                     owner.backend_servers.end());
+    }
+    CHECK(owned.size() == 15);
+    CHECK(std::set<std::string>(owned.begin(), owned.end()).size() == 15);
+}
+
+TEST_CASE("owners do not depend on the order of the member list") {
+    const service of = service_of(10, 2);
+    std::vector<member> members = members_of(18);
+    const ownership owners = compute_ownership(of, members);
+    std::reverse(members.begin(), members.end());
+    CHECK(compute_ownership(of, members) == owners);
+}
+
+TEST_CASE("a small service has two owners, in two data centres") {
+    // One owner alone could fail and leave the service without any until the
+    // others notice; two in one data centre fail together with it.
+    const ownership owners =
+        compute_ownership(service_of(2, 2), members_of(18));
+    REQUIRE(owners.owners.size() == 2);
+    CHECK(owners.owners[0].data_centre != owners.owners[1].data_centre);
+}
+
+TEST_CASE("an instance that owns nothing moves nothing when it goes") {
+    const service of = service_of(15, 6);
+    std::vector<member> members = members_of(18);
+    const ownership before = compute_ownership(of, members);
+    for (member& candidate : members) {
+        if (find_owner(before, candidate.id.name) != nullptr) {
+            continue;
+        }
+        candidate.state = member_state::gone;
+        CHECK(compute_ownership(of, members) == before);
+        candidate.state = member_state::alive;
+    }
+}
+
+TEST_CASE("the loss of one owner leaves most servers with theirs") {
+    // An owner fails. Were all backend servers dealt out anew, the other
+    // owners would lose sight of what is in flight, and callers would see
+    // refusals from servers that are full.
+    const service of = service_of(15, 6);
+    std::vector<member> members = members_of(18);
+    const ownership before = compute_ownership(of, members);
+    for (member& candidate : members) {
+        if (find_owner(before, candidate.id.name) == nullptr) {
+            continue;
+        }
+        candidate.state = member_state::gone;
+        const ownership after = compute_ownership(of, members);
+        CHECK(after.owners.size() == 3);
+        CHECK(moved_servers(of, before, after) <= 9);
+        candidate.state = member_state::alive;
+    }
+}
+
+TEST_CASE("the later incarnation of a replaced instance owns") {
+    const service of = service_of(15, 6);
+    std::vector<member> members = members_of(2);
+    members.push_back(members[0]);
+    members.back().id.incarnation = 7;
+    const ownership owners = compute_ownership(of, members);
+    REQUIRE(owners.owners.size() == 2);
+    CHECK(find_owner(owners, "entry-0")->member.incarnation == 7);
+}
--- /dev/null
+++ b/test/steering/steering_test.cpp
@@ -0,0 +1,95 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <waxwingvale/decision/stable_hash.hpp>
+#include <waxwingvale/decision/steering.hpp>
+
+using namespace std::chrono_literals;
+using namespace waxwingvale;
+using namespace waxwingvale::decision;
+
+namespace {
+
+struct fixture {
+    configuration config;
+    std::vector<member> members;
+    ownership owners;
+
+    fixture() {
+        config.address_keep_min = 10s;
+        config.address_keep_max = 30s;
+        for (int i = 0; i < 6; ++i) {
+            member made;
+            made.id = {"entry-" + std::to_string(i), 1};
+            made.data_centre = i % 2 == 0 ? "sea" : "pdx";
+            members.push_back(made);
+        }
+        owners.service = "slate-view";
+        owners.owners = {{{"entry-1", 1}, "pdx", {"a"}, 60},
+                         {{"entry-4", 1}, "sea", {"b"}, 30}};
+    }
+
+    steering_answer steer(std::uint64_t caller,
+                          std::uint64_t window = 0) const {
+        return steer_caller(
+            config, owners, members,
+            {stable_hash(std::to_string(caller)), "sea", window});
+    }
+};
+
+} // namespace
+
+TEST_CASE("the stable hash is the one that was released") {
+    // Instances of two versions must agree on owners; these figures never
+    // change.
+    CHECK(stable_hash("") == 0xF52A15E9A9B5E89BULL);
+    CHECK(stable_hash("slate-view") == 0x454EEAA9A374A89FULL);
+}
+
+TEST_CASE("callers divide among owners as the slots do") {
+    const fixture f;
+    std::map<std::string, int> firsts;
+    for (std::uint64_t caller = 0; caller < 3000; ++caller) {
+        ++firsts[f.steer(caller).addresses.front().member.name];
+    }
+    CHECK(firsts.size() == 2);
+    CHECK(firsts["entry-1"] > 1900);
+    CHECK(firsts["entry-1"] < 2100);
+}
+
+TEST_CASE("fallbacks are the other owner, then instances nearby") {
+    const fixture f;
+    const steering_answer answer = f.steer(1);
+    REQUIRE(answer.addresses.size() == addresses_per_answer);
+    CHECK(answer.addresses[1].weight > 0);
+    for (std::size_t i = 2; i < answer.addresses.size(); ++i) {
+        CHECK(answer.addresses[i].weight == 0);
+        CHECK((answer.addresses[i].member.name == "entry-0" ||
+               answer.addresses[i].member.name == "entry-2"));
+    }
+}
+
+TEST_CASE("an owner that is silent is only a fallback") {
+    // An owner was not heard of for a while but still owns its slots. Callers
+    // sent there would wait for connections that nobody takes.
+    fixture f;
+    f.members[1].state = member_state::suspect;
+    for (std::uint64_t caller = 0; caller < 100; ++caller) {
+        CHECK(f.steer(caller).addresses.front().member.name == "entry-4");
+    }
+}
+
+TEST_CASE("callers that asked together do not return together") {
+    // All devices wake on the hour. Kept for the same time, their addresses
+    // would run out in the same moment, hour after hour.
+    const fixture f;
+    std::set<duration> keeps;
+    for (std::uint64_t caller = 0; caller < 100; ++caller) {
+        const duration keep = f.steer(caller).keep;
+        CHECK(keep >= 10s);
+        CHECK(keep <= 30s);
+        keeps.insert(keep);
+    }
+    CHECK(keeps.size() > 95);
+    CHECK(f.steer(1, 0).keep != f.steer(1, 1).keep);
+}
