--- /dev/null
+++ b/src/waxwing_entry/call_desk.cpp
@@ -0,0 +1,463 @@
+#include "waxwing_entry/call_desk.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <waxwingvale/decision/ownership.hpp>
+
+namespace waxwingvale::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// When nothing better is known of when an answer will be possible.
+constexpr duration come_back_default = 1s;
+// Attempts for one call on this level, the first included.
+constexpr unsigned attempt_limit = 3;
+
+decision::attempt_verdict verdict_of(attempt_end end) {
+    switch (end) {
+    case attempt_end::answered:
+        return decision::attempt_verdict::answered;
+    case attempt_end::failed:
+        return decision::attempt_verdict::failed;
+    case attempt_end::not_started:
+        return decision::attempt_verdict::shed;
+    case attempt_end::not_sent:
+        return decision::attempt_verdict::connect_refused;
+    case attempt_end::timed_out:
+        return decision::attempt_verdict::timed_out;
+    case attempt_end::broken:
+        return decision::attempt_verdict::died;
+    }
+    return decision::attempt_verdict::died;
+}
+
+own_answer not_understood(const error& why) {
+    own_answer answer;
+    answer.detail = why.detail;
+    switch (why.code) {
+    case error_code::not_found:
+        answer.status = status::not_found;
+        answer.reason = "no-such-service";
+        break;
+    case error_code::refused:
+        answer.status = status::forbidden;
+        answer.reason = "tenant-refused";
+        break;
+    default:
+        answer.status = status::bad_request;
+        answer.reason = "bad-request";
+    }
+    return answer;
+}
+
+decision::answer_ptr keepable(const io::http_response& answer) {
+    decision::whole_answer kept;
+    kept.status = answer.status;
+    for (const auto& header : answer.headers) {
+        kept.headers.push_back({header.name, header.value});
+    }
+    kept.body = answer.body;
+    return std::make_shared<const decision::whole_answer>(std::move(kept));
+}
+
+io::http_response replayed(const decision::whole_answer& kept) {
+    io::http_response answer;
+    answer.status = kept.status;
+    for (const auto& header : kept.headers) {
+        answer.headers.push_back({header.name, header.value});
+    }
+    answer.body = kept.body;
+    return answer;
+}
+
+// Headers that we set ourselves on the way to a backend server.
+bool is_rewritten(const std::string& name) {
+    const io::http_headers one = {{name, ""}};
+    return io::find_header(one, header::deadline) != nullptr ||
+           io::find_header(one, header::attempt) != nullptr;
+}
+
+} // namespace
+
+call_desk::call_desk(member_id self, kernel::timer_service& timers,
+                     io::http_client& client, io::message_hub& hub,
+                     entry_metrics& metrics, call_desk_outlet& outlet)
+    : self_(self),
+      timers_(timers),
+      client_(client),
+      metrics_(metrics),
+      outlet_(outlet),
+      keys_(std::move(self), hub, timers, *this) {}
+
+void call_desk::take(io::http_request request, io::http_responder respond) {
+    if (!view_ || !view_->config) {
+        own_answer answer;
+        answer.reason = "no-configuration";
+        answer.come_back_in = come_back_default;
+        this->answer(respond, render(answer));
+        return;
+    }
+    const auto understood = understand(*view_->config, request);
+    if (!understood) {
+        metrics_.not_understood.add();
+        this->answer(respond, render(not_understood(understood.error())));
+        return;
+    }
+    const auto id = next_id_++;
+    auto& call =
+        calls_
+            .emplace(std::piecewise_construct, std::forward_as_tuple(id),
+                     std::forward_as_tuple(id, std::move(request),
+                                           std::move(respond)))
+            .first->second;
+    admit(call, understood.value());
+}
+
+void call_desk::admit(call_record& call, const caller_call& understood) {
+    call.labels = {understood.tenant, understood.of->name,
+                   understood.kind->name};
+    call.nature = understood.kind->nature;
+    call.path = understood.path;
+    call.arrived = timers_.now();
+    call.deadline = call.arrived + understood.time_left;
+    call.attempts_above = understood.attempt;
+    metrics_.calls.add(call.labels);
+    metrics_.open_calls.set(static_cast<double>(calls_.size()));
+    const bool keyed =
+        call.nature == request_nature::at_most_once && understood.key;
+    if (!keyed) {
+        queue_attempt(call);
+        return;
+    }
+    call.fingerprint = decision::fingerprint_of(
+        call.labels.service, call.request.method, call.path, call.request.body);
+    call.key = held_key{*understood.key, 0};
+    arm_deadline(call);
+    keys_.on_request(call.key->key, call.fingerprint, call.id);
+}
+
+// A parked call would wait for ever if the instance that it waits for went
+// away; its caller learns "unknown" when its time is over.
+void call_desk::arm_deadline(call_record& call) {
+    const auto wait = std::max(call.deadline - timers_.now(), duration::zero());
+    deadlines_[call.id] = timers_.after(
+        wait, [this, id = call.id](time_point) { pass_deadline(id); });
+}
+
+void call_desk::pass_deadline(decision::request_id id) {
+    const auto* call = find(id);
+    if (call == nullptr) {
+        return;
+    }
+    keys_.on_waiter_gone(call->key->key, id);
+    own_answer late;
+    late.status = status::gateway_timeout;
+    late.outcome = run_outcome::unknown;
+    late.reason = "deadline-passed";
+    late.come_back_in = come_back_default;
+    finish(id, late);
+}
+
+void call_desk::queue_attempt(call_record& call) {
+    ++call.attempts_here;
+    decision::request_arrived arrived;
+    arrived.request = call.id;
+    arrived.tenant = call.labels.tenant;
+    arrived.request_class = call.labels.request_class;
+    arrived.nature = call.nature;
+    arrived.deadline = call.deadline;
+    arrived.attempt = call.attempts_here;
+    arrived.excluded = call.excluded;
+    desk_of(call.labels.service).handle(arrived);
+}
+
+void call_desk::start(const std::string& service,
+                      const decision::start_request& action) {
+    auto* call = find(action.request);
+    const auto* server = find_backend(service, action.backend_server);
+    if (call == nullptr || server == nullptr) {
+        // The configuration has dropped the server between the decision and
+        // now, or the call is gone: the slot must still come back.
+        decision::request_finished ended;
+        ended.request = action.request;
+        ended.verdict = decision::attempt_verdict::cancelled;
+        desk_of(service).handle(ended);
+        return;
+    }
+    const auto now = timers_.now();
+    const auto left = std::max<duration>(call->deadline - now, 1ms);
+    io::http_call out;
+    out.host = server->host;
+    out.port = server->port;
+    out.method = call->request.method;
+    out.target = call->path;
+    out.timeout = left;
+    out.connect_timeout = left;
+    out.body = call->request.body;
+    // See http_call: on a kept connection it might be sent twice.
+    out.fresh_connection = call->nature == request_nature::at_most_once;
+    for (auto& header : io::end_to_end_headers(call->request.headers)) {
+        if (!is_rewritten(header.name)) {
+            out.headers.push_back(std::move(header));
+        }
+    }
+    const auto left_ms = std::chrono::ceil<std::chrono::milliseconds>(left);
+    out.headers.push_back({header::deadline, std::to_string(left_ms.count())});
+    // One more than what came: levels below see that a level above retries.
+    const auto attempt = call->attempts_above + call->attempts_here;
+    out.headers.push_back({header::attempt, std::to_string(attempt)});
+    const auto id = call->id;
+    const auto sent = client_.send(
+        std::move(out), [this, id, service](io::http_call_result ended) {
+            take_result(id, service, std::move(ended));
+        });
+    call->running = running_attempt{action.backend_server, sent, now};
+}
+
+void call_desk::take_result(decision::request_id id, const std::string& service,
+                            io::http_call_result ended) {
+    auto* call = find(id);
+    if (call == nullptr) {
+        return;
+    }
+    const auto answer = classify(ended);
+    const auto attempt = *call->running;
+    call->running.reset();
+    const auto took = timers_.now() - attempt.started;
+    metrics_.backend_time.observe(call->labels, took);
+    decision::request_finished finished;
+    finished.request = id;
+    finished.verdict = verdict_of(answer.end);
+    finished.service_time =
+        answer.outcome == run_outcome::ran ? took : duration::zero();
+    outlet_.observe(attempt.backend_server, answer);
+    desk_of(service).handle(finished);
+    if (may_retry(*call, answer)) {
+        if (answer.outcome != run_outcome::not_run) {
+            call->earlier = run_outcome::unknown;
+        }
+        call->excluded.push_back(attempt.backend_server);
+        metrics_.retries.add(call->labels);
+        queue_attempt(*call);
+        return;
+    }
+    if (ended.response.has_value() && answer.end != attempt_end::not_started) {
+        finish(id, run_outcome::ran,
+               pass_on(std::move(ended.response.value())));
+        return;
+    }
+    own_answer lost;
+    lost.outcome = answer.outcome;
+    lost.reason = "backend-server-refused";
+    lost.come_back_in = come_back_default;
+    if (answer.outcome == run_outcome::unknown) {
+        lost.status = answer.end == attempt_end::timed_out
+                          ? status::gateway_timeout
+                          : status::bad_gateway;
+        lost.reason = "answer-lost";
+    }
+    finish(id, lost);
+}
+
+bool call_desk::may_retry(const call_record& call,
+                          const backend_answer& answer) const {
+    if (answer.end == attempt_end::answered ||
+        call.attempts_here >= attempt_limit || timers_.now() >= call.deadline) {
+        return false;
+    }
+    if (answer.outcome == run_outcome::not_run) {
+        return true;
+    }
+    // Only one of up to ten levels retries what may have run, or a failure
+    // at the bottom would be multiplied at every level above it.
+    return call.nature == request_nature::retriable && call.attempts_above == 0;
+}
+
+void call_desk::refuse(const decision::refuse_request& action) {
+    own_answer refusal;
+    refusal.reason = to_string(action.reason);
+    refusal.come_back_in = action.come_back_in;
+    finish(action.request, refusal);
+}
+
+void call_desk::expire(const decision::expire_request& action) {
+    own_answer expired;
+    expired.reason = "deadline-passed";
+    expired.come_back_in = come_back_default;
+    finish(action.request, expired);
+}
+
+void call_desk::send(const outgoing_grant_message& message) {
+    metrics_.grants_sent.add();
+    outlet_.send_to_peer(message);
+}
+
+void call_desk::finish(decision::request_id id, const own_answer& answer) {
+    auto stated = answer;
+    const auto* call = find(id);
+    if (call != nullptr && stated.outcome == run_outcome::not_run) {
+        stated.outcome = call->earlier;
+    }
+    finish(id, stated.outcome, render(stated));
+}
+
+void call_desk::finish(decision::request_id id, run_outcome outcome,
+                       io::http_response answer) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    auto call = std::move(found->second);
+    calls_.erase(found);
+    deadlines_.erase(id);
+    metrics_.open_calls.set(static_cast<double>(calls_.size()));
+    metrics_.call_time.observe(call.labels, timers_.now() - call.arrived);
+    if (outcome == run_outcome::not_run) {
+        metrics_.refused.add(call.labels);
+    } else if (outcome == run_outcome::unknown) {
+        metrics_.unknown.add(call.labels);
+    }
+    const bool holds_key = call.key && call.key->attempt != 0;
+    if (holds_key) {
+        keys_.on_finished(call.key->key, call.key->attempt, outcome,
+                          outcome == run_outcome::ran ? keepable(answer)
+                                                      : nullptr);
+    }
+    this->answer(call.respond, std::move(answer));
+}
+
+void call_desk::answer(const io::http_responder& respond,
+                       io::http_response response) const {
+    if (stopping_) {
+        response.headers.push_back({"Connection", "close"});
+    }
+    respond(std::move(response));
+}
+
+call_record* call_desk::find(decision::request_id id) {
+    const auto found = calls_.find(id);
+    return found == calls_.end() ? nullptr : &found->second;
+}
+
+// What each decision of the key store means for the call that waits.
+struct call_desk::settle_call {
+    call_desk& desk;
+    call_record& call;
+
+    void own(unsigned status, run_outcome outcome, const char* reason,
+             std::optional<duration> come_back_in = std::nullopt,
+             std::string detail = {}) const {
+        desk.finish(call.id,
+                    {status, outcome, reason, std::move(detail), come_back_in});
+    }
+
+    void operator()(const decision::run_here& run) const {
+        call.key->attempt = run.attempt;
+        // From here on the scheduler watches the deadline.
+        desk.deadlines_.erase(call.id);
+        desk.queue_attempt(call);
+    }
+    void operator()(const decision::join_attempt&) const {}
+    void operator()(const decision::ask_peer&) const {}
+    void operator()(const decision::replay_answer& replay) const {
+        desk.finish(call.id, run_outcome::ran, replayed(*replay.answer));
+    }
+    void operator()(const decision::report_ran&) const {
+        own(status::conflict, run_outcome::ran, "answer-not-kept");
+    }
+    void operator()(const decision::report_unknown& report) const {
+        own(status::gateway_timeout, run_outcome::unknown, "outcome-unknown",
+            report.come_back_in);
+    }
+    void operator()(const decision::report_not_run& report) const {
+        own(status::service_unavailable, run_outcome::not_run,
+            "attempt-not-run", report.come_back_in);
+    }
+    void operator()(const decision::refuse_mismatch&) const {
+        own(status::unprocessable, run_outcome::not_run,
+            "key-of-other-request");
+    }
+    void operator()(const decision::refuse_full& full) const {
+        own(status::service_unavailable, run_outcome::not_run, "keys-full",
+            full.come_back_in);
+    }
+    void operator()(const decision::refuse_expired&) const {
+        own(status::gone, run_outcome::unknown, "key-expired");
+    }
+    void operator()(const decision::refuse_key_form& form) const {
+        own(status::conflict, run_outcome::not_run, "key-without-holder",
+            std::nullopt, "use the prefix " + form.prefix_to_use);
+    }
+};
+
+void call_desk::settle(decision::waiter_id waiter,
+                       const decision::key_decision& decision) {
+    auto* call = find(waiter);
+    if (call != nullptr) {
+        std::visit(settle_call{*this, *call}, decision);
+    }
+}
+
+void call_desk::take(const view_ptr& view) {
+    view_ = view;
+    keys_.change_members(view->members);
+    if (!view->config) {
+        return;
+    }
+    decision::key_limits limits;
+    limits.lifetime = view->config->key_lifetime;
+    limits.keys = view->config->key_limit;
+    keys_.change_limits(limits);
+    for (const auto& of : view->config->services) {
+        decision::view_changed changed;
+        changed.config = view->config;
+        changed.members = view->members;
+        changed.owners = decision::compute_ownership(of, view->members);
+        changed.beliefs = view->beliefs;
+        changed.fresh = view->fresh;
+        desk_of(of.name).handle(changed);
+    }
+}
+
+void call_desk::take(const incoming_grant_message& message) {
+    metrics_.grants_taken.add();
+    const bool known = view_ && view_->config &&
+                       find_service(*view_->config, message.service) != nullptr;
+    if (known) {
+        desk_of(message.service).handle(message.event);
+    }
+}
+
+void call_desk::take(const decision::peer_reachability& reach) {
+    reachable_[reach.peer] = reach.reachable;
+    for (const auto& desk : desks_) {
+        desk.second->handle(reach);
+    }
+}
+
+service_desk& call_desk::desk_of(const std::string& service) {
+    auto& desk = desks_[service];
+    if (!desk) {
+        desk = std::make_unique<service_desk>(service, self_, timers_, *this);
+        for (const auto& peer : reachable_) {
+            desk->handle(decision::peer_reachability{peer.first, peer.second});
+        }
+    }
+    return *desk;
+}
+
+const backend_server* call_desk::find_backend(const std::string& service,
+                                              const std::string& name) const {
+    const auto* of = find_service(*view_->config, service);
+    if (of == nullptr) {
+        return nullptr;
+    }
+    const auto found = std::find_if(
+        of->backend_servers.begin(), of->backend_servers.end(),
+        [&](const backend_server& server) { return server.name == name; });
+    return found == of->backend_servers.end() ? nullptr : &*found;
+}
+
+} // namespace waxwingvale::entry
--- /dev/null
+++ b/src/waxwing_entry/call_record.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <waxwingvale/decision/fingerprint.hpp>
+#include <waxwingvale/decision/scheduler_events.hpp>
+#include <waxwingvale/io/http_client.hpp>
+#include <waxwingvale/io/http_server.hpp>
+#include <waxwingvale/model/outcome.hpp>
+#include <waxwingvale/model/time.hpp>
+#include <waxwingvale/program/metrics.hpp>
+
+namespace waxwingvale::entry {
+
+// An attempt that is on its way to a backend server.
+struct running_attempt {
+    std::string backend_server;
+    io::http_client::call_id call = 0;
+    time_point started{};
+};
+
+// A key's right to run, held by this call until its outcome is reported.
+struct held_key {
+    std::string key;
+    std::uint64_t attempt = 0;
+};
+
+// A caller's request from its arrival to its answer.
+struct call_record {
+    call_record(decision::request_id number, io::http_request received,
+                io::http_responder answer_by)
+        : id(number),
+          request(std::move(received)),
+          respond(std::move(answer_by)) {}
+
+    decision::request_id id;
+    io::http_request request;
+    io::http_responder respond;
+    program::call_labels labels; // tenant, service and class
+    request_nature nature = request_nature::at_most_once;
+    std::string path; // what the backend server is asked for
+    decision::request_fingerprint fingerprint;
+    time_point arrived{};
+    time_point deadline{};
+    unsigned attempts_above = 0; // retries that callers of the caller made
+    unsigned attempts_here = 0;
+    std::vector<std::string> excluded; // backend servers that failed it
+    std::optional<held_key> key;
+    std::optional<running_attempt> running;
+    // What earlier attempts leave open: a read that got lost once is not
+    // "not run" when its next attempt is refused.
+    run_outcome earlier = run_outcome::not_run;
+};
+
+} // namespace waxwingvale::entry
--- /dev/null
+++ b/src/waxwing_entry/caller_answer.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include <waxwingvale/io/http_message.hpp>
+#include <waxwingvale/model/outcome.hpp>
+#include <waxwingvale/model/time.hpp>
+
+namespace waxwingvale::entry {
+
+// HTTP status codes of answers that waxwing-entry itself gives.
+namespace status {
+constexpr unsigned bad_request = 400;
+constexpr unsigned forbidden = 403;
+constexpr unsigned not_found = 404;
+constexpr unsigned conflict = 409;
+constexpr unsigned gone = 410;
+constexpr unsigned unprocessable = 422;
+constexpr unsigned bad_gateway = 502;
+constexpr unsigned service_unavailable = 503;
+constexpr unsigned gateway_timeout = 504;
+} // namespace status
+
+// An answer that no backend server gave.
+struct own_answer {
+    unsigned status = status::service_unavailable;
+    run_outcome outcome = run_outcome::not_run;
+    std::string reason; // a fixed word, in the header Waxwing-Reason
+    std::string detail; // for people, in the body
+    std::optional<duration> come_back_in;
+};
+
+io::http_response render(const own_answer& answer);
+
+// A backend server's answer as the caller gets it: whole and unaltered but
+// for hop-by-hop headers and the outcome.
+io::http_response pass_on(io::http_response answer);
+
+} // namespace waxwingvale::entry
--- /dev/null
+++ b/src/waxwing_entry/entry_metrics.cpp
@@ -0,0 +1,31 @@
+#include "waxwing_entry/entry_metrics.hpp"
+
+namespace waxwingvale::entry {
+
+entry_metrics::entry_metrics(program::metrics& all)
+    : calls(all.add_call_counter("waxwing_calls_total",
+                                 "Callers' requests, by their class.")),
+      refused(all.add_call_counter("waxwing_calls_refused_total",
+                                   "Answered as not run.")),
+      unknown(all.add_call_counter("waxwing_calls_unknown_total",
+                                   "Answered as of unknown outcome.")),
+      retries(all.add_call_counter("waxwing_retries_total",
+                                   "Attempts after the first.")),
+      hedges(all.add_call_counter("waxwing_hedges_total",
+                                  "Second attempts beside a slow first.")),
+      call_time(all.add_call_histogram("waxwing_call_seconds",
+                                       "From arrival to answer.")),
+      backend_time(all.add_call_histogram(
+          "waxwing_backend_seconds", "From sending an attempt to its answer.")),
+      not_understood(all.add_counter("waxwing_calls_not_understood_total",
+                                     "Requests of no known service or class.")),
+      grants_sent(all.add_counter("waxwing_grant_messages_sent_total",
+                                  "Scheduler messages to other instances.")),
+      grants_taken(all.add_counter("waxwing_grant_messages_received_total",
+                                   "Scheduler messages of other instances.")),
+      late_wakeups(all.add_counter("waxwing_late_wakeups_total",
+                                   "Times this process was stopped for long.")),
+      open_calls(all.add_gauge("waxwing_open_calls", "Calls without answer.")),
+      keys(all.add_gauge("waxwing_request_keys", "Request keys remembered.")) {}
+
+} // namespace waxwingvale::entry
--- /dev/null
+++ b/src/waxwing_entry/entry_metrics.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <waxwingvale/program/metrics.hpp>
+
+namespace waxwingvale::entry {
+
+// What waxwing-entry counts; docs/operations/metrics.md explains each.
+struct entry_metrics {
+    explicit entry_metrics(program::metrics& all);
+
+    program::call_counter calls;
+    program::call_counter refused;
+    program::call_counter unknown;
+    program::call_counter retries;
+    program::call_counter hedges;
+    program::call_histogram call_time;
+    program::call_histogram backend_time;
+    program::counter not_understood;
+    program::counter grants_sent;
+    program::counter grants_taken;
+    program::counter late_wakeups;
+    program::gauge open_calls;
+    program::gauge keys;
+};
+
+} // namespace waxwingvale::entry
--- /dev/null
+++ b/src/waxwing_entry/key_message_codec.cpp
@@ -0,0 +1,132 @@
+#include "waxwing_entry/key_message_codec.hpp"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+namespace waxwingvale::entry {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* step = "decode key message";
+
+json write(const member_id& id) {
+    return {{"name", id.name}, {"incarnation", id.incarnation}};
+}
+
+member_id read_member(const json& from) {
+    return {from.at("name").get<std::string>(),
+            from.at("incarnation").get<std::uint64_t>()};
+}
+
+json write(const decision::whole_answer& answer) {
+    json headers = json::array();
+    for (const auto& header : answer.headers) {
+        headers.push_back({header.name, header.value});
+    }
+    const std::vector<std::uint8_t> body(answer.body.begin(),
+                                         answer.body.end());
+    return {{"status", answer.status},
+            {"headers", std::move(headers)},
+            {"body", json::binary(body)}};
+}
+
+decision::answer_ptr read_answer(const json& from) {
+    decision::whole_answer answer;
+    answer.status = from.at("status").get<unsigned>();
+    for (const auto& header : from.at("headers")) {
+        answer.headers.push_back(
+            {header.at(0).get<std::string>(), header.at(1).get<std::string>()});
+    }
+    const auto& body = from.at("body").get_binary();
+    answer.body.assign(body.begin(), body.end());
+    return std::make_shared<const decision::whole_answer>(std::move(answer));
+}
+
+json write(const decision::hand_over_request& message) {
+    return {{"type", "request"},
+            {"from", write(message.from)},
+            {"to", write(message.to)},
+            {"key", message.key},
+            {"fingerprint", message.fingerprint.value},
+            {"ask_id", message.ask_id}};
+}
+
+json write(const decision::hand_over_reply& message) {
+    json written = {{"type", "reply"},
+                    {"from", write(message.from)},
+                    {"to", write(message.to)},
+                    {"key", message.key},
+                    {"ask_id", message.ask_id},
+                    {"kind", static_cast<unsigned>(message.kind)}};
+    if (message.answer) {
+        written["answer"] = write(*message.answer);
+    }
+    if (message.kind == decision::hand_over_kind::moved) {
+        written["moved_to"] = write(message.moved_to);
+    }
+    return written;
+}
+
+decision::key_message read_request(const json& from) {
+    return decision::hand_over_request{
+        read_member(from.at("from")),
+        read_member(from.at("to")),
+        from.at("key").get<std::string>(),
+        {from.at("fingerprint").get<std::uint64_t>()},
+        from.at("ask_id").get<std::uint64_t>()};
+}
+
+decision::hand_over_kind read_kind(const json& from) {
+    const auto number = from.at("kind").get<unsigned>();
+    constexpr auto last = static_cast<unsigned>(decision::hand_over_kind::full);
+    // A kind of a later release: what it means is not known here, and
+    // "unknown" never lets anything run.
+    return number > last ? decision::hand_over_kind::unknown
+                         : static_cast<decision::hand_over_kind>(number);
+}
+
+decision::key_message read_reply(const json& from) {
+    decision::hand_over_reply reply;
+    reply.from = read_member(from.at("from"));
+    reply.to = read_member(from.at("to"));
+    reply.key = from.at("key").get<std::string>();
+    reply.ask_id = from.at("ask_id").get<std::uint64_t>();
+    reply.kind = read_kind(from);
+    if (from.contains("answer")) {
+        reply.answer = read_answer(from.at("answer"));
+    }
+    if (from.contains("moved_to")) {
+        reply.moved_to = read_member(from.at("moved_to"));
+    }
+    return reply;
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encode(const decision::key_message& message) {
+    return std::visit([](const auto& one) { return json::to_cbor(write(one)); },
+                      message);
+}
+
+result<decision::key_message>
+decode_key_message(const std::vector<std::uint8_t>& bytes) {
+    try {
+        const auto read = json::from_cbor(bytes);
+        const auto type = read.at("type").get<std::string>();
+        if (type == "request") {
+            return read_request(read);
+        }
+        if (type == "reply") {
+            return read_reply(read);
+        }
+        return error{error_code::malformed, step, "", "type " + type};
+    } catch (const json::exception& problem) {
+        return error{error_code::malformed, step, "", problem.what()};
+    }
+}
+
+} // namespace waxwingvale::entry
--- /dev/null
+++ b/src/waxwing_steer/address_desk.cpp
@@ -0,0 +1,110 @@
+#include "waxwing_steer/address_desk.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <waxwingvale/decision/request_key.hpp>
+#include <waxwingvale/decision/stable_hash.hpp>
+#include <waxwingvale/decision/steering.hpp>
+
+namespace waxwingvale::steer {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* addresses_path = "/v1/addresses";
+constexpr const char* caller_header = "Waxwing-Caller";
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+
+io::http_response problem(unsigned status, const std::string& what) {
+    io::http_response response;
+    response.status = status;
+    response.headers = {{"Content-Type", "application/json"}};
+    if (status == status_unavailable) {
+        response.headers.push_back({"Retry-After", "1"});
+    }
+    response.body = json({{"error", what}}).dump() + "\n";
+    return response;
+}
+
+// The value of a query parameter, or empty. Names of services and data
+// centres need no escapes.
+std::string query_value(const std::string& target, const std::string& name) {
+    auto begin = target.find('?');
+    while (begin != std::string::npos) {
+        const auto end = target.find('&', begin + 1);
+        const auto part = target.substr(begin + 1, end - begin - 1);
+        if (part.compare(0, name.size() + 1, name + "=") == 0) {
+            return part.substr(name.size() + 1);
+        }
+        begin = end;
+    }
+    return "";
+}
+
+// A caller is known by the name it gives itself, or else by its address.
+std::string caller_of(const io::http_request& request) {
+    const auto* named = io::find_header(request.headers, caller_header);
+    return named == nullptr ? request.peer : *named;
+}
+
+std::string prefix_for(const member_id& holder, std::uint64_t wall_us) {
+    const auto age = wall_us > holder.incarnation
+                         ? duration(wall_us - holder.incarnation)
+                         : duration::zero();
+    return decision::key_prefix(holder, age);
+}
+
+} // namespace
+
+io::http_response address_desk::answer(const io::http_request& request,
+                                       std::uint64_t asked,
+                                       std::uint64_t wall_us) const {
+    const auto path = request.target.substr(0, request.target.find('?'));
+    if (path != addresses_path || request.method != "GET") {
+        return problem(status_not_found, "expected GET /v1/addresses");
+    }
+    const auto name = query_value(request.target, "service");
+    if (name.empty()) {
+        return problem(status_bad_request, "service: expected a name");
+    }
+    if (!view_ || !view_->config) {
+        return problem(status_unavailable, "no configuration yet");
+    }
+    const auto* of = find_service(*view_->config, name);
+    if (of == nullptr) {
+        return problem(status_not_found, "service: none is called " + name);
+    }
+    decision::steering_caller caller;
+    caller.hash = decision::stable_hash(caller_of(request));
+    caller.data_centre = query_value(request.target, "data_centre");
+    caller.window = asked;
+    const auto steered = decision::steer_caller(
+        *view_->config, decision::compute_ownership(*of, view_->members),
+        view_->members, caller);
+    if (steered.addresses.empty()) {
+        return problem(status_unavailable, "no entry instance is alive");
+    }
+    json addresses = json::array();
+    for (const auto& address : steered.addresses) {
+        addresses.push_back({{"instance", address.member.name},
+                             {"host", address.host},
+                             {"port", address.port},
+                             {"weight", address.weight}});
+    }
+    const auto keep_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(steered.keep);
+    const json answer = {
+        {"service", name},
+        {"addresses", addresses},
+        {"keep_ms", keep_ms.count()},
+        {"key_prefix", prefix_for(steered.addresses.front().member, wall_us)}};
+    io::http_response response;
+    response.headers = {{"Content-Type", "application/json"}};
+    response.body = answer.dump() + "\n";
+    return response;
+}
+
+} // namespace waxwingvale::steer
--- /dev/null
+++ b/src/waxwing_steer/steer_program.cpp
@@ -0,0 +1,82 @@
+#include "waxwing_steer/steer_program.hpp"
+
+#include <utility>
+#include <waxwingvale/program/incarnation.hpp>
+
+namespace waxwingvale::steer {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration drain_check_period = 5ms;
+
+io::message_hub_options hub_options(const program::settings& from) {
+    io::message_hub_options options;
+    options.self_name = from.instance.name + "/steer";
+    options.shared_key = from.peers.shared_key;
+    return options;
+}
+
+io::http_server_options caller_options(const program::settings& from) {
+    io::http_server_options options;
+    options.address = from.instance.host;
+    options.port = from.steer.steer_port;
+    options.connection_limit = from.steer.connection_limit;
+    return options;
+}
+
+} // namespace
+
+steer_program::steer_program(const program::program_environment& environment)
+    : environment_(environment),
+      asked_(environment.metrics.add_counter("waxwing_addresses_asked_total",
+                                             "Callers' askings.")),
+      hub_(environment.loop, environment.timers,
+           hub_options(environment.settings)),
+      callers_(environment.loop, caller_options(environment.settings)),
+      feed_(hub_, environment.timers, bus_, environment.settings) {
+    bus_.subscribe<program::view_arrived>(
+        [this](const program::view_arrived& arrived) {
+            desk_.take(arrived.now);
+        });
+}
+
+result<program::port_map> steer_program::start() {
+    const auto& settings = environment_.settings;
+    program::port_map ports;
+    auto serving = callers_.start(
+        [this](io::http_request request, io::http_responder respond) {
+            asked_.add();
+            // The wall clock is what an incarnation is made of.
+            respond(desk_.answer(request, ++askings_,
+                                 program::fresh_incarnation()));
+        });
+    if (!serving) {
+        return serving.error();
+    }
+    ports["steer"] = callers_.port();
+    if (settings.steer.metrics_port) {
+        metrics_endpoint_ = std::make_unique<program::metrics_endpoint>(
+            environment_.loop, environment_.metrics, settings.instance.host,
+            *settings.steer.metrics_port);
+        auto metrics = metrics_endpoint_->start();
+        if (!metrics) {
+            return metrics.error();
+        }
+        ports["metrics"] = metrics_endpoint_->port();
+    }
+    return ports;
+}
+
+void steer_program::stop(std::function<void()> stopped) {
+    callers_.stop_accepting();
+    drain_check_ = environment_.timers.every(
+        drain_check_period, [this, stopped = std::move(stopped)](time_point) {
+            if (callers_.pending() == 0) {
+                stopped();
+            }
+        });
+}
+
+} // namespace waxwingvale::steer
