--- /dev/null
+++ b/src/waxwing_entry/call_attempts.cpp
@@ -0,0 +1,330 @@
+// The part of call_desk that deals with attempts on backend servers.
+
+#include <algorithm>
+#include <utility>
+
+#include "waxwing_entry/backend_call.hpp"
+#include "waxwing_entry/call_desk.hpp"
+
+namespace waxwingvale::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration come_back_default = 1s;
+
+decision::attempt_verdict verdict_of(attempt_end end) {
+    switch (end) {
+    case attempt_end::answered:
+        return decision::attempt_verdict::answered;
+    case attempt_end::failed:
+        return decision::attempt_verdict::failed;
+    case attempt_end::not_started:
+        return decision::attempt_verdict::shed;
+    case attempt_end::not_sent:
+        return decision::attempt_verdict::connect_refused;
+    case attempt_end::timed_out:
+        return decision::attempt_verdict::timed_out;
+    case attempt_end::broken:
+        return decision::attempt_verdict::died;
+    }
+    return decision::attempt_verdict::died;
+}
+
+decision::request_fingerprint fingerprint(const call_record& call) {
+    return decision::fingerprint_of(call.labels.service, call.request.method,
+                                    call.path, call.request.body);
+}
+
+own_answer lost_answer(const backend_answer& answer) {
+    own_answer lost;
+    lost.outcome = answer.outcome;
+    lost.reason = "backend-server-refused";
+    lost.come_back_in = come_back_default;
+    if (answer.outcome != run_outcome::unknown) {
+        return lost;
+    }
+    const bool late = answer.end == attempt_end::timed_out;
+    lost.status = late ? status::gateway_timeout : status::bad_gateway;
+    lost.reason = "answer-lost";
+    return lost;
+}
+
+} // namespace
+
+void call_desk::queue_attempt(call_record& call) {
+    if (crashes_.watching() && !pass_crash_guard(call)) {
+        return;
+    }
+    ++call.attempts_here;
+    auto& part = part_of(call.labels.service);
+    if (call.attempts_here == 1) {
+        part.policies.retries().on_first_attempt();
+        part.policies.hedges(call.labels.request_class).on_first_attempt();
+    }
+    decision::request_arrived arrived;
+    arrived.request = call.id;
+    arrived.tenant = call.labels.tenant;
+    arrived.request_class = call.labels.request_class;
+    arrived.nature = call.nature;
+    arrived.deadline = call.deadline;
+    arrived.attempt = call.attempts_here;
+    arrived.excluded = call.excluded;
+    arrived.isolated = call.alone;
+    part.desk->handle(arrived);
+}
+
+// What the quarantine says of a request under suspicion; true: go on.
+struct call_desk::admit_suspect {
+    call_desk& desk;
+    call_record& call;
+
+    bool operator()(const decision::run_normally&) const { return true; }
+    bool operator()(const decision::run_alone& run) const {
+        call.alone = true;
+        call.excluded.push_back(run.avoid);
+        return true;
+    }
+    bool operator()(const decision::refuse_suspect& refusal) const {
+        own_answer answer;
+        answer.reason = "suspected-of-crashing";
+        answer.come_back_in = refusal.come_back_in;
+        desk.finish(call.id, answer);
+        return false;
+    }
+    bool operator()(const decision::refuse_quarantined&) const {
+        own_answer answer;
+        answer.status = status::unprocessable;
+        answer.reason = "crashes-backend-servers";
+        desk.finish(call.id, answer);
+        return false;
+    }
+};
+
+bool call_desk::pass_crash_guard(call_record& call) {
+    return std::visit(admit_suspect{*this, call},
+                      crashes_.admit(fingerprint(call)));
+}
+
+void call_desk::start(const std::string& service,
+                      const decision::start_request& action) {
+    const auto hedge = hedges_.find(action.request);
+    const auto id = hedge == hedges_.end() ? action.request : hedge->second;
+    auto* call = find(id);
+    if (call != nullptr &&
+        find_backend(service, action.backend_server) != nullptr) {
+        dispatch(*call, service, action);
+        return;
+    }
+    // The configuration has dropped the server between the decision and now,
+    // or the call is gone: the slot must still come back.
+    decision::request_finished ended;
+    ended.request = action.request;
+    ended.verdict = decision::attempt_verdict::cancelled;
+    desk_of(service).handle(ended);
+    if (call != nullptr && id == action.request) {
+        own_answer dropped;
+        dropped.reason = "backend-server-dropped";
+        dropped.come_back_in = come_back_default;
+        finish(id, dropped);
+    }
+}
+
+void call_desk::dispatch(call_record& call, const std::string& service,
+                         const decision::start_request& action) {
+    const auto now = timers_.now();
+    const auto& server = *find_backend(service, action.backend_server);
+    const auto id = call.id;
+    const auto attempt_id = action.request;
+    const auto sent = client_.send(
+        make_backend_call(call, server, now),
+        [this, id, attempt_id, service](io::http_call_result ended) {
+            take_result(id, attempt_id, service, std::move(ended));
+        });
+    const running_attempt attempt{attempt_id, action.backend_server, sent, now};
+    if (attempt_id != id) {
+        call.hedge = attempt;
+        return;
+    }
+    call.running = attempt;
+    if (call.nature == request_nature::retriable && !call.hedged) {
+        arm_hedge(call, part_of(service)
+                            .policies.hedges(call.labels.request_class)
+                            .delay());
+    }
+}
+
+void call_desk::take_result(decision::request_id id,
+                            decision::request_id attempt_id,
+                            const std::string& service,
+                            io::http_call_result ended) {
+    notice_late_wakeup();
+    auto* call = find(id);
+    if (call == nullptr) {
+        return;
+    }
+    const bool was_hedge = attempt_id != id;
+    auto& ours = was_hedge ? call->hedge : call->running;
+    auto& other = was_hedge ? call->running : call->hedge;
+    const auto attempt = *ours;
+    const auto answer = classify(ended);
+    if (answer.end == attempt_end::broken) {
+        report_death(attempt.backend_server);
+    }
+    ours.reset();
+    hedges_.erase(attempt_id);
+    report_end(*call, attempt, answer);
+    if (other && answer.end != attempt_end::answered) {
+        return; // the other copy may still bring the answer
+    }
+    if (other) {
+        const auto loser = *other;
+        other.reset();
+        cancel_attempt(service, loser);
+    }
+    end_with(*call, attempt, answer, std::move(ended));
+}
+
+void call_desk::report_end(const call_record& call,
+                           const running_attempt& attempt,
+                           const backend_answer& answer) {
+    const auto took = timers_.now() - attempt.started;
+    metrics_.backend_time.observe(call.labels, took);
+    auto& part = part_of(call.labels.service);
+    if (answer.end == attempt_end::answered) {
+        part.policies.hedges(call.labels.request_class).on_latency(took);
+    }
+    if (answer.outcome == run_outcome::ran) {
+        crashes_.on_alive(attempt.backend_server, answer.incarnation);
+    }
+    if (crashes_.watching() && answer.outcome == run_outcome::ran) {
+        crashes_.on_passed(fingerprint(call));
+    } else if (call.alone && answer.end != attempt_end::broken) {
+        crashes_.on_trial_abandoned(fingerprint(call));
+    }
+    outlet_.observe(attempt.backend_server, answer);
+    decision::request_finished finished;
+    finished.request = attempt.id;
+    finished.verdict = verdict_of(answer.end);
+    finished.service_time =
+        answer.outcome == run_outcome::ran ? took : duration::zero();
+    part.desk->handle(finished);
+}
+
+// A connection broke under a request. Whatever was in flight on that backend
+// server is a suspect: one of them may crash each server that runs it.
+void call_desk::report_death(const std::string& backend_server) {
+    if (!crashes_.is_news(backend_server)) {
+        return;
+    }
+    std::vector<decision::request_fingerprint> in_flight;
+    const auto runs_there = [&](const std::optional<running_attempt>& one) {
+        return one && one->backend_server == backend_server;
+    };
+    for (const auto& entry : calls_) {
+        if (runs_there(entry.second.running) ||
+            runs_there(entry.second.hedge)) {
+            in_flight.push_back(fingerprint(entry.second));
+        }
+    }
+    crashes_.on_died(backend_server, in_flight);
+}
+
+void call_desk::end_with(call_record& call, const running_attempt& attempt,
+                         const backend_answer& answer,
+                         io::http_call_result ended) {
+    if (answer.end != attempt_end::answered &&
+        try_again(call, attempt, answer)) {
+        return;
+    }
+    if (answer.outcome == run_outcome::ran) {
+        finish(call.id, run_outcome::ran,
+               pass_on(std::move(ended.response.value())));
+        return;
+    }
+    finish(call.id, lost_answer(answer));
+}
+
+bool call_desk::try_again(call_record& call, const running_attempt& attempt,
+                          const backend_answer& answer) {
+    auto& part = part_of(call.labels.service);
+    decision::failed_attempt failed;
+    failed.nature = call.nature;
+    failed.outcome = answer.outcome;
+    failed.nested = call.nested;
+    failed.attempts = call.attempts_here;
+    failed.deadline = call.deadline;
+    const auto decided =
+        part.policies.retries().on_failed(failed, timers_.now());
+    if (!std::holds_alternative<decision::retry_elsewhere>(decided)) {
+        return false;
+    }
+    if (answer.outcome != run_outcome::not_run) {
+        call.earlier = run_outcome::unknown;
+    }
+    call.excluded.push_back(attempt.backend_server);
+    call.alone = false;
+    metrics_.retries.add(call.labels);
+    queue_attempt(call);
+    return true;
+}
+
+void call_desk::arm_hedge(call_record& call, duration delay) {
+    call.hedge_timer = timers_.after(
+        delay, [this, id = call.id](time_point) { consider_hedge(id); });
+}
+
+void call_desk::consider_hedge(decision::request_id id) {
+    auto* call = find(id);
+    if (call == nullptr || !call->running || call->alone) {
+        return;
+    }
+    auto& part = part_of(call->labels.service);
+    const auto& scheduler = part.desk->scheduler();
+    decision::hedge_candidate candidate;
+    candidate.nature = call->nature;
+    candidate.nested = call->nested;
+    candidate.hedged = call->hedged;
+    candidate.sent = call->running->started;
+    candidate.deadline = call->deadline;
+    candidate.free_slots = scheduler.has_spare_slot() ? 1 : 0;
+    candidate.waiting = static_cast<unsigned>(scheduler.queued());
+    const auto now = timers_.now();
+    const auto decided = part.policies.hedges(call->labels.request_class)
+                             .on_slow(candidate, now);
+    if (const auto* later = std::get_if<decision::hedge_later>(&decided)) {
+        arm_hedge(*call, std::max<duration>(later->at - now, 1ms));
+        return;
+    }
+    if (!std::holds_alternative<decision::hedge_now>(decided)) {
+        return;
+    }
+    call->hedged = true;
+    metrics_.hedges.add(call->labels);
+    const auto hedge_id = next_id_++;
+    hedges_.emplace(hedge_id, id);
+    decision::request_arrived second;
+    second.request = hedge_id;
+    second.tenant = call->labels.tenant;
+    second.request_class = call->labels.request_class;
+    second.nature = call->nature;
+    second.deadline = call->deadline;
+    second.attempt = call->attempts_here;
+    second.excluded = call->excluded;
+    second.excluded.push_back(call->running->backend_server);
+    second.only_if_spare = true;
+    part.desk->handle(second);
+}
+
+void call_desk::cancel_attempt(const std::string& service,
+                               const running_attempt& attempt) {
+    client_.cancel(attempt.call);
+    hedges_.erase(attempt.id);
+    decision::request_finished ended;
+    ended.request = attempt.id;
+    ended.verdict = decision::attempt_verdict::cancelled;
+    desk_of(service).handle(ended);
+}
+
+} // namespace waxwingvale::entry
--- a/src/waxwing_entry/call_desk.cpp
+++ b/src/waxwing_entry/call_desk.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 #include <waxwingvale/decision/ownership.hpp>
+#include <waxwingvale/program/state_log.hpp>
 
 namespace waxwingvale::entry {
 
@@ -12,26 +13,10 @@
 
 // When nothing better is known of when an answer will be possible.
 constexpr duration come_back_default = 1s;
-// Attempts for one call on this level, the first included.
-constexpr unsigned attempt_limit = 3;
-
-decision::attempt_verdict verdict_of(attempt_end end) {
-    switch (end) {
-    case attempt_end::answered:
-        return decision::attempt_verdict::answered;
-    case attempt_end::failed:
-        return decision::attempt_verdict::failed;
-    case attempt_end::not_started:
-        return decision::attempt_verdict::shed;
-    case attempt_end::not_sent:
-        return decision::attempt_verdict::connect_refused;
-    case attempt_end::timed_out:
-        return decision::attempt_verdict::timed_out;
-    case attempt_end::broken:
-        return decision::attempt_verdict::died;
-    }
-    return decision::attempt_verdict::died;
-}
+// How often the process shows itself that it runs, and what gap means that it
+// was stopped: far longer than any pass of the loop, shorter than a lease.
+constexpr duration heartbeat_period = 50ms;
+constexpr duration late_wakeup_limit = 500ms;
 
 own_answer not_understood(const error& why) {
     own_answer answer;
@@ -72,13 +57,6 @@
     return answer;
 }
 
-// Headers that we set ourselves on the way to a backend server.
-bool is_rewritten(const std::string& name) {
-    const io::http_headers one = {{name, ""}};
-    return io::find_header(one, header::deadline) != nullptr ||
-           io::find_header(one, header::attempt) != nullptr;
-}
-
 } // namespace
 
 call_desk::call_desk(member_id self, kernel::timer_service& timers,
@@ -92,6 +70,7 @@
       keys_(std::move(self), hub, timers, *this) {}
 
 void call_desk::take(io::http_request request, io::http_responder respond) {
+    notice_late_wakeup();
     if (!view_ || !view_->config) {
         own_answer answer;
         answer.reason = "no-configuration";
@@ -122,7 +101,8 @@
     call.path = understood.path;
     call.arrived = timers_.now();
     call.deadline = call.arrived + understood.time_left;
-    call.attempts_above = understood.attempt;
+    call.nested = understood.attempt.has_value();
+    call.attempts_above = understood.attempt.value_or(0);
     metrics_.calls.add(call.labels);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
     const bool keyed =
@@ -160,122 +140,10 @@
     finish(id, late);
 }
 
-void call_desk::queue_attempt(call_record& call) {
-    ++call.attempts_here;
-    decision::request_arrived arrived;
-    arrived.request = call.id;
-    arrived.tenant = call.labels.tenant;
-    arrived.request_class = call.labels.request_class;
-    arrived.nature = call.nature;
-    arrived.deadline = call.deadline;
-    arrived.attempt = call.attempts_here;
-    arrived.excluded = call.excluded;
-    desk_of(call.labels.service).handle(arrived);
-}
-
-void call_desk::start(const std::string& service,
-                      const decision::start_request& action) {
-    auto* call = find(action.request);
-    const auto* server = find_backend(service, action.backend_server);
-    if (call == nullptr || server == nullptr) {
-        // The configuration has dropped the server between the decision and
-        // now, or the call is gone: the slot must still come back.
-        decision::request_finished ended;
-        ended.request = action.request;
-        ended.verdict = decision::attempt_verdict::cancelled;
-        desk_of(service).handle(ended);
-        return;
-    }
-    const auto now = timers_.now();
-    const auto left = std::max<duration>(call->deadline - now, 1ms);
-    io::http_call out;
-    out.host = server->host;
-    out.port = server->port;
-    out.method = call->request.method;
-    out.target = call->path;
-    out.timeout = left;
-    out.connect_timeout = left;
-    out.body = call->request.body;
-    // See http_call: on a kept connection it might be sent twice.
-    out.fresh_connection = call->nature == request_nature::at_most_once;
-    for (auto& header : io::end_to_end_headers(call->request.headers)) {
-        if (!is_rewritten(header.name)) {
-            out.headers.push_back(std::move(header));
-        }
-    }
-    const auto left_ms = std::chrono::ceil<std::chrono::milliseconds>(left);
-    out.headers.push_back({header::deadline, std::to_string(left_ms.count())});
-    // One more than what came: levels below see that a level above retries.
-    const auto attempt = call->attempts_above + call->attempts_here;
-    out.headers.push_back({header::attempt, std::to_string(attempt)});
-    const auto id = call->id;
-    const auto sent = client_.send(
-        std::move(out), [this, id, service](io::http_call_result ended) {
-            take_result(id, service, std::move(ended));
-        });
-    call->running = running_attempt{action.backend_server, sent, now};
-}
-
-void call_desk::take_result(decision::request_id id, const std::string& service,
-                            io::http_call_result ended) {
-    auto* call = find(id);
-    if (call == nullptr) {
-        return;
-    }
-    const auto answer = classify(ended);
-    const auto attempt = *call->running;
-    call->running.reset();
-    const auto took = timers_.now() - attempt.started;
-    metrics_.backend_time.observe(call->labels, took);
-    decision::request_finished finished;
-    finished.request = id;
-    finished.verdict = verdict_of(answer.end);
-    finished.service_time =
-        answer.outcome == run_outcome::ran ? took : duration::zero();
-    outlet_.observe(attempt.backend_server, answer);
-    desk_of(service).handle(finished);
-    if (may_retry(*call, answer)) {
-        if (answer.outcome != run_outcome::not_run) {
-            call->earlier = run_outcome::unknown;
-        }
-        call->excluded.push_back(attempt.backend_server);
-        metrics_.retries.add(call->labels);
-        queue_attempt(*call);
-        return;
-    }
-    if (ended.response.has_value() && answer.end != attempt_end::not_started) {
-        finish(id, run_outcome::ran,
-               pass_on(std::move(ended.response.value())));
+void call_desk::refuse(const decision::refuse_request& action) {
+    if (hedges_.erase(action.request) > 0) {
         return;
     }
-    own_answer lost;
-    lost.outcome = answer.outcome;
-    lost.reason = "backend-server-refused";
-    lost.come_back_in = come_back_default;
-    if (answer.outcome == run_outcome::unknown) {
-        lost.status = answer.end == attempt_end::timed_out
-                          ? status::gateway_timeout
-                          : status::bad_gateway;
-        lost.reason = "answer-lost";
-    }
-    finish(id, lost);
-}
-
-bool call_desk::may_retry(const call_record& call,
-                          const backend_answer& answer) const {
-    if (answer.end == attempt_end::answered ||
-        call.attempts_here >= attempt_limit || timers_.now() >= call.deadline) {
-        return false;
-    }
-    if (answer.outcome == run_outcome::not_run) {
-        return true;
-    }
-    // Only one of up to ten levels retries what may have run, or a failure
-    // at the bottom would be multiplied at every level above it.
-    return call.nature == request_nature::retriable && call.attempts_above == 0;
-}
-
-void call_desk::refuse(const decision::refuse_request& action) {
     own_answer refusal;
     refusal.reason = to_string(action.reason);
     refusal.come_back_in = action.come_back_in;
@@ -311,7 +179,6 @@
     }
     auto call = std::move(found->second);
     calls_.erase(found);
-    deadlines_.erase(id);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
     metrics_.call_time.observe(call.labels, timers_.now() - call.arrived);
     if (outcome == run_outcome::not_run) {
@@ -356,7 +223,7 @@
     void operator()(const decision::run_here& run) const {
         call.key->attempt = run.attempt;
         // From here on the scheduler watches the deadline.
-        desk.deadlines_.erase(call.id);
+        call.deadline_timer.cancel();
         desk.queue_attempt(call);
     }
     void operator()(const decision::join_attempt&) const {}
@@ -401,27 +268,34 @@
 }
 
 void call_desk::take(const view_ptr& view) {
+    notice_late_wakeup();
     view_ = view;
     keys_.change_members(view->members);
-    if (!view->config) {
+    follow(*view, view->fresh);
+}
+
+void call_desk::follow(const view& now, bool fresh) {
+    if (!now.config) {
         return;
     }
     decision::key_limits limits;
-    limits.lifetime = view->config->key_lifetime;
-    limits.keys = view->config->key_limit;
+    limits.lifetime = now.config->key_lifetime;
+    limits.keys = now.config->key_limit;
     keys_.change_limits(limits);
-    for (const auto& of : view->config->services) {
+    for (const auto& of : now.config->services) {
         decision::view_changed changed;
-        changed.config = view->config;
-        changed.members = view->members;
-        changed.owners = decision::compute_ownership(of, view->members);
-        changed.beliefs = view->beliefs;
-        changed.fresh = view->fresh;
+        changed.config = now.config;
+        changed.members = now.members;
+        changed.owners = decision::compute_ownership(of, now.members);
+        changed.beliefs = now.beliefs;
+        changed.fresh = fresh;
+        part_of(of.name).policies.follow(of.budgets);
         desk_of(of.name).handle(changed);
     }
 }
 
 void call_desk::take(const incoming_grant_message& message) {
+    notice_late_wakeup();
     metrics_.grants_taken.add();
     const bool known = view_ && view_->config &&
                        find_service(*view_->config, message.service) != nullptr;
@@ -432,20 +306,26 @@
 
 void call_desk::take(const decision::peer_reachability& reach) {
     reachable_[reach.peer] = reach.reachable;
-    for (const auto& desk : desks_) {
-        desk.second->handle(reach);
+    for (auto& entry : services_) {
+        entry.second.desk->handle(reach);
     }
 }
 
-service_desk& call_desk::desk_of(const std::string& service) {
-    auto& desk = desks_[service];
-    if (!desk) {
-        desk = std::make_unique<service_desk>(service, self_, timers_, *this);
+call_desk::service_part& call_desk::part_of(const std::string& service) {
+    auto& part = services_[service];
+    if (!part.desk) {
+        part.desk =
+            std::make_unique<service_desk>(service, self_, timers_, *this);
         for (const auto& peer : reachable_) {
-            desk->handle(decision::peer_reachability{peer.first, peer.second});
+            part.desk->handle(
+                decision::peer_reachability{peer.first, peer.second});
         }
     }
-    return *desk;
+    return part;
+}
+
+service_desk& call_desk::desk_of(const std::string& service) {
+    return *part_of(service).desk;
 }
 
 const backend_server* call_desk::find_backend(const std::string& service,
--- a/src/waxwing_entry/call_desk.hpp
+++ b/src/waxwing_entry/call_desk.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <unordered_map>
 
+#include <waxwingvale/decision/late_wakeup.hpp>
 #include <waxwingvale/io/http_client.hpp>
 #include <waxwingvale/io/http_server.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
@@ -15,9 +16,11 @@
 #include "waxwing_entry/call_record.hpp"
 #include "waxwing_entry/caller_answer.hpp"
 #include "waxwing_entry/caller_call.hpp"
+#include "waxwing_entry/crash_guard.hpp"
 #include "waxwing_entry/entry_metrics.hpp"
 #include "waxwing_entry/key_desk.hpp"
 #include "waxwing_entry/service_desk.hpp"
+#include "waxwing_entry/service_policies.hpp"
 
 namespace waxwingvale::entry {
 
@@ -29,11 +32,13 @@
     virtual void observe(const std::string& backend_server,
                          const backend_answer& answer) = 0;
     virtual void send_to_peer(const outgoing_grant_message& message) = 0;
+    // The process was stopped for long; fresh word is wanted from control.
+    virtual void ask_for_fresh_view() = 0;
 };
 
 // Follows every caller's request from its arrival to its one answer: keys
 // first, then a slot by the service's scheduler, then the backend server,
-// retries where they are allowed, and the answer.
+// retries and hedges where they are allowed, and the answer.
 class call_desk : public scheduler_outlet, public key_outlet {
 public:
     call_desk(member_id self, kernel::timer_service& timers,
@@ -63,18 +68,43 @@
 
 private:
     struct settle_call;
+    struct admit_suspect;
+
+    // One service: its scheduler and its budgets.
+    struct service_part {
+        std::unique_ptr<service_desk> desk;
+        service_policies policies;
+    };
 
     call_record* find(decision::request_id id);
     void admit(call_record& call, const caller_call& understood);
-    void queue_attempt(call_record& call);
     void arm_deadline(call_record& call);
     void pass_deadline(decision::request_id id);
-    void take_result(decision::request_id id, const std::string& service,
-                     io::http_call_result ended);
-    bool may_retry(const call_record& call, const backend_answer& answer) const;
+    void notice_late_wakeup();
+    void follow(const view& now, bool fresh);
+
+    void queue_attempt(call_record& call);
+    bool pass_crash_guard(call_record& call);
+    void dispatch(call_record& call, const std::string& service,
+                  const decision::start_request& action);
+    void take_result(decision::request_id id, decision::request_id attempt_id,
+                     const std::string& service, io::http_call_result ended);
+    void report_end(const call_record& call, const running_attempt& attempt,
+                    const backend_answer& answer);
+    void report_death(const std::string& backend_server);
+    void end_with(call_record& call, const running_attempt& attempt,
+                  const backend_answer& answer, io::http_call_result ended);
+    bool try_again(call_record& call, const running_attempt& attempt,
+                   const backend_answer& answer);
+    void arm_hedge(call_record& call, duration delay);
+    void consider_hedge(decision::request_id id);
+    void cancel_attempt(const std::string& service,
+                        const running_attempt& attempt);
+
     void finish(decision::request_id id, run_outcome outcome,
                 io::http_response answer);
     void finish(decision::request_id id, const own_answer& answer);
+    service_part& part_of(const std::string& service);
     service_desk& desk_of(const std::string& service);
     const backend_server* find_backend(const std::string& service,
                                        const std::string& name) const;
@@ -87,14 +117,16 @@
     entry_metrics& metrics_;
     call_desk_outlet& outlet_;
     key_desk keys_;
+    crash_guard crashes_;
+    decision::late_wakeup wakeups_;
+    kernel::timer_service::subscription heartbeat_;
     view_ptr view_;
-    std::map<std::string, std::unique_ptr<service_desk>> desks_;
+    std::map<std::string, service_part> services_;
     std::map<std::string, bool> reachable_; // peers, by member name
     decision::request_id next_id_ = 1;
     std::unordered_map<decision::request_id, call_record> calls_;
-    std::unordered_map<decision::request_id,
-                       kernel::timer_service::subscription>
-        deadlines_;
+    // The scheduler's number of each hedge, and the call it belongs to.
+    std::unordered_map<decision::request_id, decision::request_id> hedges_;
     bool stopping_ = false;
 };
 
--- a/src/waxwing_entry/call_record.hpp
+++ b/src/waxwing_entry/call_record.hpp
@@ -3,20 +3,24 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <waxwingvale/decision/fingerprint.hpp>
 #include <waxwingvale/decision/scheduler_events.hpp>
 #include <waxwingvale/io/http_client.hpp>
 #include <waxwingvale/io/http_server.hpp>
+#include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/outcome.hpp>
 #include <waxwingvale/model/time.hpp>
 #include <waxwingvale/program/metrics.hpp>
 
 namespace waxwingvale::entry {
 
-// An attempt that is on its way to a backend server.
+// An attempt that is on its way to a backend server. A hedge is known to the
+// scheduler by a number of its own.
 struct running_attempt {
+    decision::request_id id = 0;
     std::string backend_server;
     io::http_client::call_id call = 0;
     time_point started{};
@@ -49,7 +53,13 @@
     unsigned attempts_here = 0;
     std::vector<std::string> excluded; // backend servers that failed it
     std::optional<held_key> key;
+    bool nested = false; // the caller is itself serving a call
+    bool alone = false;  // under suspicion of crashing backend servers
+    bool hedged = false;
     std::optional<running_attempt> running;
+    std::optional<running_attempt> hedge;
+    kernel::timer_service::subscription hedge_timer;
+    kernel::timer_service::subscription deadline_timer;
     // What earlier attempts leave open: a read that got lost once is not
     // "not run" when its next attempt is refused.
     run_outcome earlier = run_outcome::not_run;
--- a/src/waxwing_entry/caller_call.cpp
+++ b/src/waxwing_entry/caller_call.cpp
@@ -43,7 +43,9 @@
         const auto capped = std::min(*deadline.value(), longest_deadline_ms);
         into.time_left = std::chrono::milliseconds(capped);
     }
-    into.attempt = static_cast<unsigned>(attempt.value().value_or(0));
+    if (attempt.value()) {
+        into.attempt = static_cast<unsigned>(*attempt.value());
+    }
     const auto* tenant = io::find_header(request.headers, header::tenant);
     into.tenant = tenant == nullptr ? default_tenant : *tenant;
     const auto* key = io::find_header(request.headers, header::key);
--- a/src/waxwing_entry/caller_call.hpp
+++ b/src/waxwing_entry/caller_call.hpp
@@ -37,7 +37,9 @@
     std::string tenant;
     std::optional<std::string> key;
     duration time_left{};
-    unsigned attempt = 0; // retries that levels above have already made
+    // The attempt of the level above, when the caller is itself serving a
+    // call: that level alone retries.
+    std::optional<unsigned> attempt;
 };
 
 // Understands a request under a configuration. Fails with not_found when no
--- /dev/null
+++ b/src/waxwing_entry/crash_guard.cpp
@@ -0,0 +1,103 @@
+#include "waxwing_entry/crash_guard.hpp"
+
+#include <waxwingvale/program/state_log.hpp>
+
+#include "waxwing_entry/peer_name.hpp"
+#include "waxwing_entry/suspicion_codec.hpp"
+
+namespace waxwingvale::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration forgetting_period = 1s;
+
+} // namespace
+
+crash_guard::crash_guard(const std::string& self, io::message_hub& hub,
+                         kernel::timer_service& timers)
+    : hub_(hub), timers_(timers), quarantine_(self, {}) {
+    hub_.on_message(
+        suspicion_kind,
+        [this](const std::string&, const std::vector<std::uint8_t>& bytes) {
+            take(bytes);
+        });
+    hub_.on_link_change([this](const std::string& peer, bool up) {
+        // An instance that has just started knows of no suspect, and would
+        // run a crashing request once more.
+        if (up && watching() && !instance_of(peer).empty()) {
+            hub_.send(peer, suspicion_kind,
+                      encode(quarantine_.words(timers_.now())));
+        }
+    });
+    forgetting_ = timers_.every(
+        forgetting_period, [this](time_point now) { quarantine_.tick(now); });
+}
+
+decision::quarantine_decision
+crash_guard::admit(decision::request_fingerprint of) {
+    return quarantine_.admit(of, timers_.now());
+}
+
+void crash_guard::on_alive(const std::string& backend_server,
+                           std::uint64_t incarnation) {
+    backend_servers_[backend_server] = {incarnation, false};
+}
+
+// When a server dies, every connection to it breaks: the first one reports
+// them all, and the others add nothing until it has answered again.
+bool crash_guard::is_news(const std::string& backend_server) const {
+    const auto known = backend_servers_.find(backend_server);
+    return known == backend_servers_.end() || !known->second.dead;
+}
+
+void crash_guard::on_died(
+    const std::string& backend_server,
+    const std::vector<decision::request_fingerprint>& in_flight) {
+    auto& sight = backend_servers_[backend_server];
+    sight.dead = true;
+    const auto words = quarantine_.on_backend_died(
+        {backend_server, sight.incarnation}, in_flight, timers_.now());
+    program::log_warning("backend_server_died",
+                         {{"backend_server", backend_server},
+                          {"in_flight", std::to_string(in_flight.size())}});
+    tell_all(words);
+}
+
+void crash_guard::on_passed(decision::request_fingerprint of) {
+    const auto word = quarantine_.on_passed(of, timers_.now());
+    if (word) {
+        tell_all({*word});
+    }
+}
+
+void crash_guard::on_trial_abandoned(decision::request_fingerprint of) {
+    quarantine_.on_trial_abandoned(of);
+}
+
+void crash_guard::take(const std::vector<std::uint8_t>& bytes) {
+    const auto words = decode_suspicions(bytes);
+    if (!words) {
+        return;
+    }
+    for (const auto& word : words.value()) {
+        // Every entry process hears the first teller itself; passing it on
+        // would only multiply it.
+        quarantine_.merge(word, timers_.now());
+    }
+}
+
+void crash_guard::tell_all(const std::vector<decision::suspicion_word>& words) {
+    if (words.empty()) {
+        return;
+    }
+    const auto message = encode(words);
+    for (const auto& peer : hub_.connected_peers()) {
+        if (!instance_of(peer).empty()) {
+            hub_.send(peer, suspicion_kind, message);
+        }
+    }
+}
+
+} // namespace waxwingvale::entry
--- a/src/waxwing_entry/entry_program.cpp
+++ b/src/waxwing_entry/entry_program.cpp
@@ -6,6 +6,8 @@
 #include <waxwingvale/program/incarnation.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
+#include "waxwing_entry/peer_name.hpp"
+
 namespace waxwingvale::entry {
 
 namespace {
@@ -15,11 +17,10 @@
 constexpr duration drain_check_period = 5ms;
 constexpr std::size_t connections_per_backend_server = 256;
 constexpr std::size_t connections_to_backend_servers = 8192;
-constexpr const char* entry_role = "/entry";
 
 io::message_hub_options hub_options(const program::settings& from) {
     io::message_hub_options options;
-    options.self_name = from.instance.name + entry_role;
+    options.self_name = entry_process(from.instance.name);
     options.shared_key = from.peers.shared_key;
     return options;
 }
@@ -41,16 +42,6 @@
     return limits;
 }
 
-// The instance's name when the peer is an entry process, or empty.
-std::string instance_of(const std::string& peer) {
-    const std::string role = entry_role;
-    if (peer.size() <= role.size() ||
-        peer.compare(peer.size() - role.size(), role.size(), role) != 0) {
-        return "";
-    }
-    return peer.substr(0, peer.size() - role.size());
-}
-
 const char* to_word(backend_state state) {
     switch (state) {
     case backend_state::serving:
@@ -136,7 +127,7 @@
         const bool ours_to_open =
             self_.name < other.id.name && other.state != member_state::gone;
         if (ours_to_open) {
-            hub_.connect(other.id.name + entry_role, other.addresses.host,
+            hub_.connect(entry_process(other.id.name), other.addresses.host,
                          other.addresses.entry_port);
         }
     }
@@ -177,7 +168,7 @@
 }
 
 void entry_program::send_to_peer(const outgoing_grant_message& message) {
-    hub_.send(peer_of(message) + entry_role, grant_kind, encode(message));
+    hub_.send(entry_process(peer_of(message)), grant_kind, encode(message));
 }
 
 void entry_program::stop(std::function<void()> stopped) {
--- a/src/waxwing_entry/key_desk.cpp
+++ b/src/waxwing_entry/key_desk.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <utility>
-#include <waxwingvale/program/state_log.hpp>
 
 #include "waxwing_entry/key_message_codec.hpp"
+#include "waxwing_entry/peer_name.hpp"
 
 namespace waxwingvale::entry {
 
@@ -99,7 +99,7 @@
     const auto& key = request.key;
     const bool sent =
         !is_gone(request.to) &&
-        hub_.send(entry_process(request.to), key_kind, encode(request));
+        hub_.send(entry_process(request.to.name), key_kind, encode(request));
     auto& ask = asks_[key];
     ask.asked = request.to;
     // Also when nothing was sent the failure comes by the timer, so that the
@@ -111,7 +111,7 @@
 void key_desk::send(const decision::hand_over_reply& reply) {
     // A reply that cannot be sent is lost like one on the way: the asker
     // tells its caller "unknown", and a resend asks again.
-    hub_.send(entry_process(reply.to), key_kind, encode(reply));
+    hub_.send(entry_process(reply.to.name), key_kind, encode(reply));
 }
 
 void key_desk::fail_ask(const std::string& key) {
--- /dev/null
+++ b/src/waxwing_entry/service_policies.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include <waxwingvale/decision/hedge_policy.hpp>
+#include <waxwingvale/decision/retry_policy.hpp>
+#include <waxwingvale/model/configuration.hpp>
+
+namespace waxwingvale::entry {
+
+// The policies for extra attempts of one service: retries by service, hedges
+// by class, both within the budgets of the configuration file.
+class service_policies {
+public:
+    service_policies();
+
+    void follow(const service_budgets& budgets);
+    decision::retry_policy& retries() { return retries_; }
+    decision::hedge_policy& hedges(const std::string& request_class);
+
+private:
+    double hedge_fraction_ = 0;
+    decision::retry_policy retries_;
+    std::map<std::string, decision::hedge_policy> hedges_;
+};
+
+} // namespace waxwingvale::entry
--- /dev/null
+++ b/src/waxwing_entry/suspicion_codec.cpp
@@ -0,0 +1,64 @@
+#include "waxwing_entry/suspicion_codec.hpp"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+namespace waxwingvale::entry {
+
+namespace {
+
+using decision::suspicion_state;
+using decision::suspicion_word;
+using nlohmann::json;
+
+json write(const suspicion_word& word) {
+    return {{"fingerprint", word.fingerprint.value},
+            {"state", static_cast<unsigned>(word.state)},
+            {"tester", word.tester},
+            {"backend_server", word.died.backend_server},
+            {"incarnation", word.died.incarnation},
+            {"age_us", word.age.count()}};
+}
+
+suspicion_word read(const json& from) {
+    suspicion_word word;
+    word.fingerprint.value = from.at("fingerprint").get<std::uint64_t>();
+    const auto state = from.at("state").get<unsigned>();
+    constexpr auto last = static_cast<unsigned>(suspicion_state::quarantined);
+    // A state of a later release: suspicion is the careful reading of it.
+    word.state = state > last ? suspicion_state::suspect
+                              : static_cast<suspicion_state>(state);
+    word.tester = from.at("tester").get<std::string>();
+    word.died.backend_server = from.at("backend_server").get<std::string>();
+    word.died.incarnation = from.at("incarnation").get<std::uint64_t>();
+    word.age = duration(from.at("age_us").get<std::int64_t>());
+    return word;
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encode(const std::vector<suspicion_word>& words) {
+    json list = json::array();
+    for (const auto& word : words) {
+        list.push_back(write(word));
+    }
+    return json::to_cbor(json({{"words", std::move(list)}}));
+}
+
+result<std::vector<suspicion_word>>
+decode_suspicions(const std::vector<std::uint8_t>& bytes) {
+    try {
+        std::vector<suspicion_word> words;
+        const auto message = json::from_cbor(bytes);
+        for (const auto& item : message.at("words")) {
+            words.push_back(read(item));
+        }
+        return words;
+    } catch (const json::exception& problem) {
+        return error{error_code::malformed, "decode suspicion", "",
+                     problem.what()};
+    }
+}
+
+} // namespace waxwingvale::entry
