--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -1,10 +1,12 @@
 #include <waxwingvale/io/http_server.hpp>
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <ev.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <set>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
 
@@ -28,6 +30,12 @@
     bool finished = false;
     http_response answer;
     MHD_Connection* connection = nullptr;
+    // The caller closed its connection before it was answered.
+    bool caller_gone = false;
+    // The library does not look at a connection whose request waits, so the
+    // caller's leaving would go unnoticed and its request be run for nobody.
+    struct ev_loop* loop = nullptr;
+    ev_io caller_watch{};
     // Outlives the server, which may go while answers are awaited.
     std::shared_ptr<std::size_t> pending;
     std::function<void()> resume;
@@ -38,13 +46,49 @@
         }
         answered = true;
         answer = std::move(given);
+        go_on();
+    }
+
+    void go_on() {
         if (suspended) {
             suspended = false;
+            ev_io_stop(loop, &caller_watch);
             resume();
         }
     }
+
+    void watch_caller(struct ev_loop* on);
+    void look_for_close();
 };
 
+void http_responder::exchange::watch_caller(struct ev_loop* on) {
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    loop = on;
+    ev_io_init(
+        &caller_watch,
+        [](struct ev_loop*, ev_io* w, int) {
+            static_cast<exchange*>(w->data)->look_for_close();
+        },
+        info->connect_fd, EV_READ);
+    caller_watch.data = this;
+    ev_io_start(loop, &caller_watch);
+}
+
+void http_responder::exchange::look_for_close() {
+    char next = 0;
+    const auto seen = recv(caller_watch.fd, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (seen > 0) {
+        // The caller's next request waits behind this one and hides a close.
+        ev_io_stop(loop, &caller_watch);
+        return;
+    }
+    if (seen == 0 || (errno != EAGAIN && errno != EINTR)) {
+        caller_gone = true;
+        go_on();
+    }
+}
+
 http_responder::http_responder(std::shared_ptr<exchange> of)
     : exchange_(std::move(of)) {}
 
@@ -53,7 +97,8 @@
 }
 
 bool http_responder::abandoned() const {
-    return exchange_->finished && !exchange_->answered;
+    const bool ended = exchange_->finished || exchange_->caller_gone;
+    return ended && !exchange_->answered;
 }
 
 struct http_server::state {
@@ -145,6 +190,9 @@
                                     const char* method, const char* upload,
                                     std::size_t* upload_size,
                                     exchange_ptr& held) {
+    if (held->caller_gone) {
+        return MHD_NO;
+    }
     if (held->answered) {
         return queue_answer(connection, held);
     }
@@ -176,6 +224,7 @@
     held->suspended = true;
     suspended.insert(held);
     MHD_suspend_connection(connection);
+    held->watch_caller(loop);
     return MHD_YES;
 }
 
--- a/test/io/http_round_trip_test.cpp
+++ b/test/io/http_round_trip_test.cpp
@@ -139,3 +139,25 @@
     }
     CHECK(ended);
 }
+
+TEST_CASE("a caller that leaves while its request waits is noticed") {
+    // A caller gives up and closes its connection. Were it not noticed, its
+    // request would hold a slot of a backend server for nobody.
+    round_trip fixture;
+    std::optional<io::http_responder> kept;
+    REQUIRE(fixture.server.start(
+        [&](io::http_request, io::http_responder respond) { kept = respond; }));
+    const auto call =
+        fixture.client.send(fixture.call_to_server(),
+                            [](io::http_call_result) { FAIL("answered"); });
+    while (!kept) {
+        fixture.loop.run_once(true);
+    }
+    CHECK_FALSE(kept->abandoned());
+    fixture.client.cancel(call);
+    while (!kept->abandoned() || fixture.server.pending() > 0) {
+        fixture.loop.run_once(true);
+    }
+    (*kept)({200, {}, "too late"});
+    CHECK(kept->abandoned());
+}
--- /dev/null
+++ b/test/standin/process.cpp
@@ -0,0 +1,214 @@
+#include "standin/process.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <set>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace waxwingvale::standin {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds poll_interval{2};
+constexpr int signal_exit_base = 128;
+constexpr int exec_failed = 127;
+
+std::runtime_error system_failure(const std::string& step) {
+    return std::runtime_error(step + ": " + std::strerror(errno));
+}
+
+// In the child, between fork and exec: only calls that are safe there.
+[[noreturn]] void become(const char* program, char* const* arguments,
+                         int output) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(output, STDOUT_FILENO);
+    execv(program, arguments);
+    _exit(exec_failed);
+}
+
+int exit_code_of(int status) {
+    return WIFSIGNALED(status) ? signal_exit_base + WTERMSIG(status)
+                               : WEXITSTATUS(status);
+}
+
+} // namespace
+
+bool wait_until(const std::function<bool()>& condition, milliseconds bound) {
+    const auto until = steady_clock::now() + bound;
+    while (!condition()) {
+        if (steady_clock::now() >= until) {
+            return false;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return true;
+}
+
+std::uint16_t free_port() {
+    static std::set<std::uint16_t> given;
+    for (;;) {
+        const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* raw = reinterpret_cast<sockaddr*>(&address);
+        const bool bound =
+            bind(probe, raw, size) == 0 && getsockname(probe, raw, &size) == 0;
+        close(probe);
+        if (!bound) {
+            throw system_failure("find a free port");
+        }
+        if (given.insert(ntohs(address.sin_port)).second) {
+            return ntohs(address.sin_port);
+        }
+    }
+}
+
+std::string program_path(const std::string& name) {
+    const char* folder = std::getenv("WAXWING_BIN");
+    const std::string base = folder == nullptr ? "." : folder;
+    const bool standin = name.compare(0, 8, "standin-") == 0;
+    return base + (standin ? "/test/" : "/") + name;
+}
+
+child_process::child_process(const std::string& program,
+                             const std::vector<std::string>& arguments) {
+    const auto path = program_path(program);
+    std::vector<std::string> words = {path};
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<char*> raw;
+    raw.reserve(words.size() + 1);
+    for (auto& word : words) {
+        raw.push_back(word.data());
+    }
+    raw.push_back(nullptr);
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+        throw system_failure("open a pipe");
+    }
+    id_ = fork();
+    if (id_ == 0) {
+        become(path.c_str(), raw.data(), ends[1]);
+    }
+    close(ends[1]);
+    output_ = ends[0];
+    if (id_ < 0) {
+        throw system_failure("fork");
+    }
+}
+
+child_process::~child_process() {
+    if (id_ > 0) {
+        kill();
+    }
+    if (output_ >= 0) {
+        close(output_);
+    }
+}
+
+child_process::child_process(child_process&& other) noexcept
+    : id_(std::exchange(other.id_, -1)),
+      output_(std::exchange(other.output_, -1)),
+      unread_(std::move(other.unread_)),
+      ended_(other.ended_) {}
+
+child_process& child_process::operator=(child_process&& other) noexcept {
+    std::swap(id_, other.id_);
+    std::swap(output_, other.output_);
+    std::swap(unread_, other.unread_);
+    std::swap(ended_, other.ended_);
+    return *this;
+}
+
+// Reads what is there; false at the end of the output or of the time.
+bool child_process::fill(steady_clock::time_point until) {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(until - steady_clock::now());
+    pollfd readable{output_, POLLIN, 0};
+    const auto wait_ms = static_cast<int>(std::max<long>(0, left.count()));
+    if (poll(&readable, 1, wait_ms) <= 0) {
+        return false;
+    }
+    char buffer[4096];
+    const auto count = read(output_, buffer, sizeof buffer);
+    if (count <= 0) {
+        return false;
+    }
+    unread_.append(buffer, static_cast<std::size_t>(count));
+    return true;
+}
+
+std::string child_process::read_line(milliseconds bound) {
+    const auto until = steady_clock::now() + bound;
+    for (;;) {
+        const auto end = unread_.find('\n');
+        if (end != std::string::npos) {
+            auto line = unread_.substr(0, end);
+            unread_.erase(0, end + 1);
+            return line;
+        }
+        if (!fill(until)) {
+            throw std::runtime_error("no line from process " +
+                                     std::to_string(id_));
+        }
+    }
+}
+
+nlohmann::json child_process::read_ready(milliseconds bound) {
+    return nlohmann::json::parse(read_line(bound));
+}
+
+std::string child_process::read_rest(milliseconds bound) {
+    const auto until = steady_clock::now() + bound;
+    while (fill(until)) {
+    }
+    return std::exchange(unread_, {});
+}
+
+void child_process::signal(int number) const {
+    if (id_ > 0 && !ended_) {
+        ::kill(id_, number);
+    }
+}
+
+std::optional<int> child_process::wait(milliseconds bound) {
+    wait_until([this] { return !running(); }, bound);
+    return ended_;
+}
+
+bool child_process::running() {
+    int status = 0;
+    if (!ended_ && waitpid(id_, &status, WNOHANG) == id_) {
+        ended_ = exit_code_of(status);
+    }
+    return !ended_;
+}
+
+void child_process::kill() {
+    if (!running()) {
+        return;
+    }
+    signal(SIGKILL);
+    int status = 0;
+    waitpid(id_, &status, 0);
+    ended_ = exit_code_of(status);
+}
+
+} // namespace waxwingvale::standin
