--- a/src/program/view_feed.cpp
+++ b/src/program/view_feed.cpp
@@ -1,7 +1,7 @@
 #include <waxwingvale/program/view_feed.hpp>
 
-#include <nlohmann/json.hpp>
 #include <utility>
+#include <waxwingvale/io/control_messages.hpp>
 #include <waxwingvale/model/configuration_file.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
@@ -77,8 +77,8 @@
     if (!current_ || !current_->config) {
         return;
     }
-    const nlohmann::json report = {{"revision", current_->config->revision}};
-    hub_.send(control_name_, "in_force", nlohmann::json::to_cbor(report));
+    hub_.send(control_name_, io::in_force_kind,
+              io::encode(io::in_force_report{current_->config->revision}));
 }
 
 } // namespace waxwingvale::program
--- a/src/waxwing_entry/call_desk.cpp
+++ b/src/waxwing_entry/call_desk.cpp
@@ -67,7 +67,27 @@
       client_(client),
       metrics_(metrics),
       outlet_(outlet),
-      keys_(std::move(self), hub, timers, *this) {}
+      keys_(self, hub, timers, *this),
+      crashes_(self.name, hub, timers),
+      wakeups_(late_wakeup_limit) {
+    heartbeat_ = timers_.every(heartbeat_period,
+                               [this](time_point) { notice_late_wakeup(); });
+}
+
+// A process that was stopped still believes its old view. Whatever event comes
+// first, nothing is dispatched on that view: what must run at most once waits
+// or is refused until fresh word has come.
+void call_desk::notice_late_wakeup() {
+    if (!wakeups_.noticed(timers_.now())) {
+        return;
+    }
+    metrics_.late_wakeups.add();
+    program::log_warning("late_wakeup");
+    if (view_) {
+        follow(*view_, false);
+    }
+    outlet_.ask_for_fresh_view();
+}
 
 void call_desk::take(io::http_request request, io::http_responder respond) {
     notice_late_wakeup();
@@ -122,7 +142,7 @@
 // away; its caller learns "unknown" when its time is over.
 void call_desk::arm_deadline(call_record& call) {
     const auto wait = std::max(call.deadline - timers_.now(), duration::zero());
-    deadlines_[call.id] = timers_.after(
+    call.deadline_timer = timers_.after(
         wait, [this, id = call.id](time_point) { pass_deadline(id); });
 }
 
--- a/src/waxwing_entry/entry_program.cpp
+++ b/src/waxwing_entry/entry_program.cpp
@@ -1,8 +1,8 @@
 #include "waxwing_entry/entry_program.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
+#include <waxwingvale/io/control_messages.hpp>
 #include <waxwingvale/program/incarnation.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
@@ -42,18 +42,6 @@
     return limits;
 }
 
-const char* to_word(backend_state state) {
-    switch (state) {
-    case backend_state::serving:
-        return "serving";
-    case backend_state::leaving:
-        return "leaving";
-    case backend_state::dead:
-        return "dead";
-    }
-    return "serving";
-}
-
 } // namespace
 
 entry_program::entry_program(const program::program_environment& environment)
@@ -147,24 +135,33 @@
 // This process alone remembers request keys, so its incarnation is the one
 // that keys must name: control makes it the member's.
 void entry_program::announce_self() {
-    const nlohmann::json hello = {{"incarnation", self_.incarnation}};
-    hub_.send(control_name_, "entry_started", nlohmann::json::to_cbor(hello));
+    hub_.send(control_name_, io::entry_life_kind,
+              io::encode(io::entry_life{self_.incarnation}));
 }
 
 void entry_program::observe(const std::string& backend_server,
                             const backend_answer& answer) {
-    std::optional<backend_state> seen = answer.state;
+    auto seen = answer.state;
     if (answer.end == attempt_end::not_sent) {
         seen = backend_state::dead;
     }
     if (!seen || *seen == backend_state::serving) {
         return;
     }
-    const nlohmann::json belief = {{"backend_server", backend_server},
-                                   {"incarnation", answer.incarnation},
-                                   {"state", to_word(*seen)},
-                                   {"source", "traffic"}};
-    hub_.send(control_name_, "belief", nlohmann::json::to_cbor(belief));
+    const auto now = environment_.timers.now();
+    backend_belief belief;
+    belief.backend_server = backend_server;
+    belief.incarnation = answer.incarnation;
+    belief.state = *seen;
+    belief.source = belief_source::traffic;
+    belief.observer = self_.name;
+    belief.since = now;
+    hub_.send(control_name_, io::belief_kind,
+              io::encode(io::belief_report{{belief}}, now));
+}
+
+void entry_program::ask_for_fresh_view() {
+    announce_self();
 }
 
 void entry_program::send_to_peer(const outgoing_grant_message& message) {
--- a/src/waxwing_entry/entry_program.hpp
+++ b/src/waxwing_entry/entry_program.hpp
@@ -30,6 +30,7 @@
     void observe(const std::string& backend_server,
                  const backend_answer& answer) override;
     void send_to_peer(const outgoing_grant_message& message) override;
+    void ask_for_fresh_view() override;
 
     void wire_peers();
     void follow_members(const view& now);
--- a/src/waxwing_entry/key_desk.cpp
+++ b/src/waxwing_entry/key_desk.cpp
@@ -17,10 +17,6 @@
 constexpr duration ask_timeout = 500ms;
 constexpr duration forgetting_period = 1s;
 
-std::string entry_process(const member_id& of) {
-    return of.name + "/entry";
-}
-
 } // namespace
 
 key_desk::key_desk(member_id self, io::message_hub& hub,
