--- /dev/null
+++ b/src/waxwing_entry/call_desk.cpp
@@ -0,0 +1,363 @@
+#include "waxwing_entry/call_desk.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <waxwingvale/decision/ownership.hpp>
+#include <waxwingvale/program/state_log.hpp>
+
+namespace waxwingvale::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// When nothing better is known of when an answer will be possible.
+constexpr duration come_back_default = 1s;
+// How often the process shows itself that it runs, and what gap means that it
+// was stopped: far longer than any pass of the loop, shorter than a lease.
+constexpr duration heartbeat_period = 50ms;
+constexpr duration late_wakeup_limit = 500ms;
+
+own_answer not_understood(const error& why) {
+    own_answer answer;
+    answer.detail = why.detail;
+    switch (why.code) {
+    case error_code::not_found:
+        answer.status = status::not_found;
+        answer.reason = "no-such-service";
+        break;
+    case error_code::refused:
+        answer.status = status::forbidden;
+        answer.reason = "tenant-refused";
+        break;
+    default:
+        answer.status = status::bad_request;
+        answer.reason = "bad-request";
+    }
+    return answer;
+}
+
+decision::answer_ptr keepable(const io::http_response& answer) {
+    decision::whole_answer kept;
+    kept.status = answer.status;
+    for (const auto& header : answer.headers) {
+        kept.headers.push_back({header.name, header.value});
+    }
+    kept.body = answer.body;
+    return std::make_shared<const decision::whole_answer>(std::move(kept));
+}
+
+io::http_response replayed(const decision::whole_answer& kept) {
+    io::http_response answer;
+    answer.status = kept.status;
+    for (const auto& header : kept.headers) {
+        answer.headers.push_back({header.name, header.value});
+    }
+    answer.body = kept.body;
+    return answer;
+}
+
+} // namespace
+
+call_desk::call_desk(member_id self, kernel::timer_service& timers,
+                     io::http_client& client, io::message_hub& hub,
+                     entry_metrics& metrics, call_desk_outlet& outlet)
+    : self_(self),
+      timers_(timers),
+      client_(client),
+      metrics_(metrics),
+      outlet_(outlet),
+      keys_(self, hub, timers, *this),
+      crashes_(self.name, hub, timers),
+      wakeups_(late_wakeup_limit) {
+    heartbeat_ = timers_.every(heartbeat_period,
+                               [this](time_point) { notice_late_wakeup(); });
+}
+
+// A process that was stopped still believes its old view. Whatever event comes
+// first, nothing is dispatched on that view: what must run at most once waits
+// or is refused until fresh word has come.
+void call_desk::notice_late_wakeup() {
+    if (!wakeups_.noticed(timers_.now())) {
+        return;
+    }
+    metrics_.late_wakeups.add();
+    program::log_warning("late_wakeup");
+    if (view_) {
+        follow(*view_, false);
+    }
+    outlet_.ask_for_fresh_view();
+}
+
+void call_desk::take(io::http_request request, io::http_responder respond) {
+    notice_late_wakeup();
+    if (!view_ || !view_->config) {
+        own_answer answer;
+        answer.reason = "no-configuration";
+        answer.come_back_in = come_back_default;
+        this->answer(respond, render(answer));
+        return;
+    }
+    const auto understood = understand(*view_->config, request);
+    if (!understood) {
+        metrics_.not_understood.add();
+        this->answer(respond, render(not_understood(understood.error())));
+        return;
+    }
+    const auto id = next_id_++;
+    auto& call =
+        calls_
+            .emplace(std::piecewise_construct, std::forward_as_tuple(id),
+                     std::forward_as_tuple(id, std::move(request),
+                                           std::move(respond)))
+            .first->second;
+    admit(call, understood.value());
+}
+
+void call_desk::admit(call_record& call, const caller_call& understood) {
+    call.labels = {understood.tenant, understood.of->name,
+                   understood.kind->name};
+    call.nature = understood.kind->nature;
+    call.path = understood.path;
+    call.arrived = timers_.now();
+    call.deadline = call.arrived + understood.time_left;
+    call.nested = understood.attempt.has_value();
+    call.attempts_above = understood.attempt.value_or(0);
+    metrics_.calls.add(call.labels);
+    metrics_.open_calls.set(static_cast<double>(calls_.size()));
+    const bool keyed =
+        call.nature == request_nature::at_most_once && understood.key;
+    if (!keyed) {
+        queue_attempt(call);
+        return;
+    }
+    call.fingerprint = decision::fingerprint_of(
+        call.labels.service, call.request.method, call.path, call.request.body);
+    call.key = held_key{*understood.key, 0};
+    arm_deadline(call);
+    keys_.on_request(call.key->key, call.fingerprint, call.id);
+}
+
+// A parked call would wait for ever if the instance that it waits for went
+// away; its caller learns "unknown" when its time is over.
+void call_desk::arm_deadline(call_record& call) {
+    const auto wait = std::max(call.deadline - timers_.now(), duration::zero());
+    call.deadline_timer = timers_.after(
+        wait, [this, id = call.id](time_point) { pass_deadline(id); });
+}
+
+void call_desk::pass_deadline(decision::request_id id) {
+    const auto* call = find(id);
+    if (call == nullptr) {
+        return;
+    }
+    keys_.on_waiter_gone(call->key->key, id);
+    own_answer late;
+    late.status = status::gateway_timeout;
+    late.outcome = run_outcome::unknown;
+    late.reason = "deadline-passed";
+    late.come_back_in = come_back_default;
+    finish(id, late);
+}
+
+void call_desk::refuse(const decision::refuse_request& action) {
+    if (hedges_.erase(action.request) > 0) {
+        return;
+    }
+    own_answer refusal;
+    refusal.reason = to_string(action.reason);
+    refusal.come_back_in = action.come_back_in;
+    finish(action.request, refusal);
+}
+
+void call_desk::expire(const decision::expire_request& action) {
+    own_answer expired;
+    expired.reason = "deadline-passed";
+    expired.come_back_in = come_back_default;
+    finish(action.request, expired);
+}
+
+void call_desk::send(const outgoing_grant_message& message) {
+    metrics_.grants_sent.add();
+    outlet_.send_to_peer(message);
+}
+
+void call_desk::finish(decision::request_id id, const own_answer& answer) {
+    auto stated = answer;
+    const auto* call = find(id);
+    if (call != nullptr && stated.outcome == run_outcome::not_run) {
+        stated.outcome = call->earlier;
+    }
+    finish(id, stated.outcome, render(stated));
+}
+
+void call_desk::finish(decision::request_id id, run_outcome outcome,
+                       io::http_response answer) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    auto call = std::move(found->second);
+    calls_.erase(found);
+    metrics_.open_calls.set(static_cast<double>(calls_.size()));
+    metrics_.call_time.observe(call.labels, timers_.now() - call.arrived);
+    if (outcome == run_outcome::not_run) {
+        metrics_.refused.add(call.labels);
+    } else if (outcome == run_outcome::unknown) {
+        metrics_.unknown.add(call.labels);
+    }
+    const bool holds_key = call.key && call.key->attempt != 0;
+    if (holds_key) {
+        keys_.on_finished(call.key->key, call.key->attempt, outcome,
+                          outcome == run_outcome::ran ? keepable(answer)
+                                                      : nullptr);
+    }
+    this->answer(call.respond, std::move(answer));
+}
+
+void call_desk::answer(const io::http_responder& respond,
+                       io::http_response response) const {
+    if (stopping_) {
+        response.headers.push_back({"Connection", "close"});
+    }
+    respond(std::move(response));
+}
+
+call_record* call_desk::find(decision::request_id id) {
+    const auto found = calls_.find(id);
+    return found == calls_.end() ? nullptr : &found->second;
+}
+
+// What each decision of the key store means for the call that waits.
+struct call_desk::settle_call {
+    call_desk& desk;
+    call_record& call;
+
+    void own(unsigned status, run_outcome outcome, const char* reason,
+             std::optional<duration> come_back_in = std::nullopt,
+             std::string detail = {}) const {
+        desk.finish(call.id,
+                    {status, outcome, reason, std::move(detail), come_back_in});
+    }
+
+    void operator()(const decision::run_here& run) const {
+        call.key->attempt = run.attempt;
+        // From here on the scheduler watches the deadline.
+        call.deadline_timer.cancel();
+        desk.queue_attempt(call);
+    }
+    void operator()(const decision::join_attempt&) const {}
+    void operator()(const decision::ask_peer&) const {}
+    void operator()(const decision::replay_answer& replay) const {
+        desk.finish(call.id, run_outcome::ran, replayed(*replay.answer));
+    }
+    void operator()(const decision::report_ran&) const {
+        own(status::conflict, run_outcome::ran, "answer-not-kept");
+    }
+    void operator()(const decision::report_unknown& report) const {
+        own(status::gateway_timeout, run_outcome::unknown, "outcome-unknown",
+            report.come_back_in);
+    }
+    void operator()(const decision::report_not_run& report) const {
+        own(status::service_unavailable, run_outcome::not_run,
+            "attempt-not-run", report.come_back_in);
+    }
+    void operator()(const decision::refuse_mismatch&) const {
+        own(status::unprocessable, run_outcome::not_run,
+            "key-of-other-request");
+    }
+    void operator()(const decision::refuse_full& full) const {
+        own(status::service_unavailable, run_outcome::not_run, "keys-full",
+            full.come_back_in);
+    }
+    void operator()(const decision::refuse_expired&) const {
+        own(status::gone, run_outcome::unknown, "key-expired");
+    }
+    void operator()(const decision::refuse_key_form& form) const {
+        own(status::conflict, run_outcome::not_run, "key-without-holder",
+            std::nullopt, "use the prefix " + form.prefix_to_use);
+    }
+};
+
+void call_desk::settle(decision::waiter_id waiter,
+                       const decision::key_decision& decision) {
+    auto* call = find(waiter);
+    if (call != nullptr) {
+        std::visit(settle_call{*this, *call}, decision);
+    }
+}
+
+void call_desk::take(const view_ptr& view) {
+    notice_late_wakeup();
+    view_ = view;
+    keys_.change_members(view->members);
+    follow(*view, view->fresh);
+}
+
+void call_desk::follow(const view& now, bool fresh) {
+    if (!now.config) {
+        return;
+    }
+    decision::key_limits limits;
+    limits.lifetime = now.config->key_lifetime;
+    limits.keys = now.config->key_limit;
+    keys_.change_limits(limits);
+    for (const auto& of : now.config->services) {
+        decision::view_changed changed;
+        changed.config = now.config;
+        changed.members = now.members;
+        changed.owners = decision::compute_ownership(of, now.members);
+        changed.beliefs = now.beliefs;
+        changed.fresh = fresh;
+        part_of(of.name).policies.follow(of.budgets);
+        desk_of(of.name).handle(changed);
+    }
+}
+
+void call_desk::take(const incoming_grant_message& message) {
+    notice_late_wakeup();
+    metrics_.grants_taken.add();
+    const bool known = view_ && view_->config &&
+                       find_service(*view_->config, message.service) != nullptr;
+    if (known) {
+        desk_of(message.service).handle(message.event);
+    }
+}
+
+void call_desk::take(const decision::peer_reachability& reach) {
+    reachable_[reach.peer] = reach.reachable;
+    for (auto& entry : services_) {
+        entry.second.desk->handle(reach);
+    }
+}
+
+call_desk::service_part& call_desk::part_of(const std::string& service) {
+    auto& part = services_[service];
+    if (!part.desk) {
+        part.desk =
+            std::make_unique<service_desk>(service, self_, timers_, *this);
+        for (const auto& peer : reachable_) {
+            part.desk->handle(
+                decision::peer_reachability{peer.first, peer.second});
+        }
+    }
+    return part;
+}
+
+service_desk& call_desk::desk_of(const std::string& service) {
+    return *part_of(service).desk;
+}
+
+const backend_server* call_desk::find_backend(const std::string& service,
+                                              const std::string& name) const {
+    const auto* of = find_service(*view_->config, service);
+    if (of == nullptr) {
+        return nullptr;
+    }
+    const auto found = std::find_if(
+        of->backend_servers.begin(), of->backend_servers.end(),
+        [&](const backend_server& server) { return server.name == name; });
+    return found == of->backend_servers.end() ? nullptr : &*found;
+}
+
+} // namespace waxwingvale::entry
