--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -30,7 +30,7 @@
     double load_cost = 0.25; // of the usual time, when all slots are busy
 
     // Admission.
-    double admission_quantile = 0.95; // of service time, kept before deadlines
+    double admission_quantile = 0.98; // of service time, kept before deadlines
     duration appointment_horizon{30000000}; // latest time to come back
     unsigned fairness_window = 8;           // requests a tenant may run ahead
 
--- /dev/null
+++ b/src/waxwing_replay/backend_model.cpp
@@ -0,0 +1,94 @@
+#include "waxwing_replay/backend_model.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwingvale::replay {
+
+namespace {
+
+using decision::attempt_verdict;
+
+// How quickly a backend server that fails fast answers with its error.
+constexpr duration fast_failure{1000};
+
+} // namespace
+
+backend_model::backend_model(calendar& times, unsigned slots,
+                             unsigned queue_limit)
+    : times_(times), slots_(slots), queue_limit_(queue_limit) {}
+
+bool backend_model::has(fault_kind kind) const {
+    const time_point now = times_.now();
+    return std::any_of(faults_.begin(), faults_.end(), [&](const fault& f) {
+        return f.kind == kind && f.from <= now && now < f.until;
+    });
+}
+
+void backend_model::submit(std::uint64_t attempt, duration service_time,
+                           time_point deadline, done when_done) {
+    if (has(fault_kind::draining)) {
+        when_done({attempt_verdict::shed, true});
+        return;
+    }
+    if (has(fault_kind::failing_fast)) {
+        times_.after(fast_failure, [when_done] {
+            when_done({attempt_verdict::failed, false});
+        });
+        return;
+    }
+    job made{attempt, service_time, deadline, std::move(when_done)};
+    if (in_service_ < slots_) {
+        run(std::move(made));
+    } else if (waiting_.size() < queue_limit_) {
+        waiting_.push_back(std::move(made));
+    } else {
+        made.when_done({attempt_verdict::shed, false});
+    }
+}
+
+void backend_model::run(job next) {
+    ++in_service_;
+    const double factor = has(fault_kind::straggling) ? straggler_factor : 1.0;
+    const duration takes(static_cast<std::int64_t>(
+        static_cast<double>(next.service_time.count()) * factor));
+    const std::uint64_t attempt = next.attempt;
+    running_[attempt] = std::move(next);
+    times_.after(takes, [this, attempt] { finish(attempt); });
+}
+
+void backend_model::finish(std::uint64_t attempt) {
+    const auto found = running_.find(attempt);
+    if (found == running_.end()) {
+        return; // cancelled
+    }
+    const done when_done = std::move(found->second.when_done);
+    running_.erase(found);
+    --in_service_;
+    next_job();
+    when_done({attempt_verdict::answered, false});
+}
+
+void backend_model::next_job() {
+    while (!waiting_.empty() && in_service_ < slots_) {
+        job next = std::move(waiting_.front());
+        waiting_.pop_front();
+        if (next.deadline > times_.now()) {
+            run(std::move(next));
+        }
+    }
+}
+
+void backend_model::cancel(std::uint64_t attempt) {
+    if (running_.erase(attempt) != 0) {
+        --in_service_;
+        next_job();
+        return;
+    }
+    waiting_.erase(
+        std::remove_if(waiting_.begin(), waiting_.end(),
+                       [&](const job& j) { return j.attempt == attempt; }),
+        waiting_.end());
+}
+
+} // namespace waxwingvale::replay
--- /dev/null
+++ b/src/waxwing_replay/replay_world.cpp
@@ -0,0 +1,150 @@
+#include "waxwing_replay/replay_world.hpp"
+
+#include <utility>
+
+#include "waxwing_replay/routing_policy.hpp"
+
+namespace waxwingvale::replay {
+
+namespace {
+
+// Callers come back at most so often after refusals.
+constexpr unsigned returns_limit = 2;
+
+// After the last arrival, calls in flight may still end.
+constexpr duration run_out{3000000};
+
+} // namespace
+
+replay_world::replay_world(const workload& load) : load_(load) {
+    const unsigned queue = load.size.slots * backend_queue_per_slot;
+    backends_.reserve(load.size.backend_servers);
+    for (unsigned i = 0; i < load.size.backend_servers; ++i) {
+        backends_.emplace_back(times_, load.size.slots, queue);
+    }
+    for (const fault& known : load.faults) {
+        if (known.kind != fault_kind::owner_lost) {
+            backends_[known.place].add_fault(known);
+        }
+    }
+}
+
+run_figures replay_world::run(routing_policy& policy) {
+    policy_ = &policy;
+    policy.begin(*this);
+    arrive_next();
+    times_.run_until(time_point(load_.length + run_out));
+    run_figures figures;
+    figures.user = load_.size.user;
+    figures.scenario = load_.scenario;
+    figures.seed = load_.seed;
+    figures.probes = policy.probe_rate();
+    statistics_.fill(figures, capacity_of(load_.size),
+                     load_.length - load_.warm_up);
+    return figures;
+}
+
+void replay_world::arrive_next() {
+    if (next_call_ == load_.calls.size()) {
+        return;
+    }
+    const call& next = load_.calls[next_call_++];
+    times_.at(next.arrives_at, [this, &next] {
+        policy_->arrive(next);
+        arrive_next();
+    });
+}
+
+bool replay_world::measuring() const {
+    const duration at = times_.now().time_since_epoch();
+    return at >= load_.warm_up && at < load_.length;
+}
+
+std::uint64_t replay_world::send(const call& of, unsigned attempt,
+                                 std::size_t server, result_handler handler) {
+    const std::uint64_t id = next_attempt_++;
+    if (attempt > 1 && measuring()) {
+        statistics_.retried();
+    }
+    in_flight_[id] = {server, times_.now(), std::move(handler)};
+    const duration service_time = service_time_of(load_.seed, of.id, attempt);
+    const time_point deadline = deadline_of(of);
+    times_.after(backend_hop, [this, id, server, service_time, deadline] {
+        if (in_flight_.count(id) == 0) {
+            return;
+        }
+        backends_[server].submit(
+            id, service_time, deadline, [this, id](const attempt_result& r) {
+                times_.after(backend_hop, [this, id, r] { conclude(id, r); });
+            });
+    });
+    times_.at(deadline, [this, id] {
+        if (in_flight_.count(id) != 0) {
+            const std::size_t at = in_flight_[id].server;
+            conclude(id, {decision::attempt_verdict::timed_out, false});
+            times_.after(backend_hop,
+                         [this, id, at] { backends_[at].cancel(id); });
+        }
+    });
+    return id;
+}
+
+void replay_world::conclude(std::uint64_t attempt_id,
+                            const attempt_result& result) {
+    const auto found = in_flight_.find(attempt_id);
+    if (found == in_flight_.end()) {
+        return;
+    }
+    const attempt_in_flight ended = std::move(found->second);
+    in_flight_.erase(found);
+    ended.handler(result, times_.now() - ended.sent_at);
+}
+
+void replay_world::cancel(std::uint64_t attempt_id) {
+    const auto found = in_flight_.find(attempt_id);
+    if (found == in_flight_.end()) {
+        return;
+    }
+    const std::size_t at = found->second.server;
+    in_flight_.erase(found);
+    times_.after(backend_hop,
+                 [this, attempt_id, at] { backends_[at].cancel(attempt_id); });
+}
+
+void replay_world::answer(const call& of) {
+    if (!measuring()) {
+        return;
+    }
+    if (times_.now() > deadline_of(of)) {
+        statistics_.ended(call_end::late);
+    } else {
+        statistics_.answered(times_.now() - of.arrives_at);
+    }
+}
+
+void replay_world::fail(const call& of) {
+    if (measuring()) {
+        statistics_.ended(times_.now() >= deadline_of(of) ? call_end::late
+                                                          : call_end::failed);
+    }
+}
+
+void replay_world::refuse(const call& of, duration come_back_in) {
+    const bool comes_back =
+        of.returns < returns_limit && come_back_in > duration::zero();
+    if (!comes_back) {
+        if (measuring()) {
+            statistics_.ended(call_end::refused);
+        }
+        return;
+    }
+    call again = of;
+    again.returns += 1;
+    again.arrives_at = times_.now() + come_back_in;
+    if (measuring()) {
+        statistics_.came_back_at(again.arrives_at);
+    }
+    times_.at(again.arrives_at, [this, again] { policy_->arrive(again); });
+}
+
+} // namespace waxwingvale::replay
--- /dev/null
+++ b/src/waxwing_replay/waxwing_policy.cpp
@@ -0,0 +1,296 @@
+#include "waxwing_replay/waxwing_policy.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <waxwingvale/decision/stable_hash.hpp>
+
+namespace waxwingvale::replay {
+
+namespace {
+
+using namespace decision;
+
+// Callers that still use an address from before: they reach an instance that
+// may own nothing.
+constexpr double stale_callers = 0.05;
+constexpr unsigned attempts_limit = 3;
+// From a link's end until its peer knows, and until owners are moved.
+constexpr duration link_loss_noticed{5000};
+constexpr duration ownership_moves_after{3000000};
+// Word of a leaving server reaches all entry instances after that time.
+constexpr duration belief_spreads_in{5000};
+
+} // namespace
+
+waxwing_policy::waxwing_policy(const scheduling_policy& knobs,
+                               event_listener listener)
+    : knobs_(knobs), listener_(std::move(listener)) {}
+
+void waxwing_policy::make_members() {
+    const service_size& size = world_->load().size;
+    for (unsigned i = 0; i < size.entry_instances; ++i) {
+        member made;
+        made.id = {"entry-" + std::to_string(i), 1};
+        made.data_centre = size.data_centres[i % size.data_centres.size()];
+        instance_places_[made.id.name] = members_.size();
+        members_.push_back(made);
+    }
+}
+
+void waxwing_policy::begin(replay_world& world) {
+    world_ = &world;
+    service_ = service_of(world.load().size);
+    configuration config;
+    config.services = {service_};
+    config_ = std::make_shared<const configuration>(config);
+    for (std::size_t i = 0; i < service_.backend_servers.size(); ++i) {
+        server_places_[service_.backend_servers[i].name] = i;
+    }
+    make_members();
+    owners_ = compute_ownership(service_, members_);
+    for (const member& made : members_) {
+        entry_instance instance;
+        instance.scheduler =
+            std::make_unique<service_scheduler>(service_.name, made.id, knobs_);
+        instances_.push_back(std::move(instance));
+    }
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        for (const member& peer : members_) {
+            if (peer.id.name != members_[i].id.name) {
+                send_event(i, peer_reachability{peer.id.name, true});
+            }
+        }
+        send_view(i);
+    }
+    for (const fault& known : world.load().faults) {
+        if (known.kind == fault_kind::owner_lost) {
+            const std::size_t rank = known.place;
+            world.times().at(known.from, [this, rank] { lose_owner(rank); });
+        }
+    }
+}
+
+void waxwing_policy::send_view(std::size_t instance) {
+    send_event(instance,
+               view_changed{config_, members_, owners_, beliefs_, true});
+}
+
+// The instance stops with all it had; its peers see their links break, and
+// ownership moves once it is held to be gone.
+void waxwing_policy::lose_owner(std::size_t rank) {
+    const std::string name = owners_.owners.at(rank).member.name;
+    const std::size_t lost = instance_places_.at(name);
+    instances_[lost].lost = true;
+    std::vector<call> cut_off;
+    for (auto it = pending_.begin(); it != pending_.end();) {
+        if (it->second.instance == lost) {
+            world_->cancel(it->second.attempt_id);
+            cut_off.push_back(it->second.of);
+            it = pending_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    for (const call& ended : cut_off) {
+        world_->fail(ended);
+    }
+    world_->times().after(link_loss_noticed, [this, name] {
+        for (std::size_t i = 0; i < instances_.size(); ++i) {
+            send_event(i, peer_reachability{name, false});
+        }
+    });
+    world_->times().after(ownership_moves_after,
+                          [this, lost] { move_ownership(lost); });
+}
+
+void waxwing_policy::move_ownership(std::size_t lost) {
+    members_[lost].state = member_state::gone;
+    owners_ = compute_ownership(service_, members_);
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        send_view(i);
+    }
+}
+
+// Callers go where they are steered, to the next address when that instance
+// is lost; a few use an old answer.
+std::size_t waxwing_policy::instance_for(const call& arrived) const {
+    const std::uint64_t hash = stable_hash("caller", arrived.caller);
+    if (unit_interval(combine_hashes(hash, 5)) < stale_callers) {
+        const std::size_t place = combine_hashes(hash, 6) % instances_.size();
+        if (!instances_[place].lost) {
+            return place;
+        }
+    }
+    const steering_answer answer =
+        steer_caller(*config_, owners_, members_, {hash, {}, 0});
+    for (const steering_address& address : answer.addresses) {
+        const std::size_t place = instance_places_.at(address.member.name);
+        if (!instances_[place].lost) {
+            return place;
+        }
+    }
+    return 0;
+}
+
+void waxwing_policy::arrive(const call& arrived) {
+    const std::uint64_t request = next_request_++;
+    pending_[request] = {arrived, 1, {}, instance_for(arrived), 0};
+    submit(request);
+}
+
+void waxwing_policy::submit(std::uint64_t request) {
+    const pending_call& known = pending_.at(request);
+    request_arrived event;
+    event.request = request;
+    event.tenant = known.of.tenant;
+    event.nature = known.of.nature;
+    event.request_class =
+        known.of.nature == request_nature::retriable ? "reads" : "writes";
+    event.deadline = world_->deadline_of(known.of);
+    event.attempt = known.attempt;
+    event.excluded = known.excluded;
+    send_event(known.instance, event);
+}
+
+void waxwing_policy::send_event(std::size_t instance,
+                                const scheduler_event& event) {
+    if (instances_[instance].lost) {
+        return;
+    }
+    std::vector<scheduler_action> actions;
+    const time_point now = world_->times().now();
+    instances_[instance].scheduler->handle(event, now, actions);
+    if (listener_) {
+        listener_(instance, event, now, actions);
+    }
+    for (const scheduler_action& action : actions) {
+        std::visit([&](const auto& known) { act(instance, known); }, action);
+    }
+}
+
+void waxwing_policy::send_to_peer(std::size_t from, const std::string& peer,
+                                  scheduler_event event) {
+    if (world_->measuring()) {
+        world_->statistics().message_sent();
+    }
+    const std::size_t to = instance_places_.at(peer);
+    if (instances_[from].lost) {
+        return;
+    }
+    world_->times().after(peer_hop, [this, to, event = std::move(event)] {
+        send_event(to, event);
+    });
+}
+
+void waxwing_policy::act(std::size_t /*instance*/,
+                         const start_request& action) {
+    pending_call& known = pending_.at(action.request);
+    const std::uint64_t request = action.request;
+    const std::string server = action.backend_server;
+    known.attempt_id = world_->send(
+        known.of, known.attempt, server_places_.at(server),
+        [this, request, server](const attempt_result& result, duration time) {
+            attempt_ended(request, server, result, time);
+        });
+}
+
+void waxwing_policy::attempt_ended(std::uint64_t request,
+                                   const std::string& server,
+                                   const attempt_result& result,
+                                   duration service_time) {
+    pending_call& known = pending_.at(request);
+    const std::size_t instance = known.instance;
+    if (result.leaving) {
+        server_leaves(server, instance);
+    }
+    send_event(instance,
+               request_finished{request, result.verdict, service_time});
+    const bool again = result.verdict == attempt_verdict::shed ||
+                       (result.verdict == attempt_verdict::failed &&
+                        known.of.nature == request_nature::retriable);
+    if (again && known.attempt < attempts_limit) {
+        ++known.attempt;
+        known.excluded.push_back(server);
+        submit(request);
+        return;
+    }
+    const call ended = known.of;
+    pending_.erase(request);
+    if (result.verdict == attempt_verdict::answered) {
+        world_->answer(ended);
+    } else if (result.verdict == attempt_verdict::shed) {
+        world_->refuse(ended, duration::zero());
+    } else {
+        world_->fail(ended);
+    }
+}
+
+void waxwing_policy::server_leaves(const std::string& server,
+                                   std::size_t observer) {
+    const auto known = std::find_if(beliefs_.begin(), beliefs_.end(),
+                                    [&](const backend_belief& belief) {
+                                        return belief.backend_server == server;
+                                    });
+    if (known != beliefs_.end()) {
+        return;
+    }
+    beliefs_.push_back({server, 1, backend_state::leaving,
+                        belief_source::traffic, members_[observer].id.name,
+                        world_->times().now()});
+    send_view(observer);
+    world_->times().after(belief_spreads_in, [this, observer] {
+        for (std::size_t i = 0; i < instances_.size(); ++i) {
+            if (i != observer) {
+                send_view(i);
+            }
+        }
+    });
+}
+
+void waxwing_policy::act(std::size_t /*instance*/,
+                         const refuse_request& action) {
+    const call refused = pending_.at(action.request).of;
+    pending_.erase(action.request);
+    world_->refuse(refused, action.come_back_in);
+}
+
+void waxwing_policy::act(std::size_t /*instance*/,
+                         const expire_request& action) {
+    const call expired = pending_.at(action.request).of;
+    pending_.erase(action.request);
+    world_->fail(expired);
+}
+
+void waxwing_policy::act(std::size_t instance, const ask_grants& action) {
+    send_to_peer(
+        instance, action.peer,
+        grants_asked{members_[instance].id.name, action.count, action.urgency});
+}
+
+void waxwing_policy::act(std::size_t instance, const answer_ask& action) {
+    send_to_peer(instance, action.peer,
+                 ask_answered{members_[instance].id.name, action.idle,
+                              action.declined, action.come_back_in,
+                              action.come_back_interval});
+}
+
+void waxwing_policy::act(std::size_t instance, const give_grant& action) {
+    send_to_peer(instance, action.peer,
+                 grant_received{members_[instance].id.name, action.grant,
+                                action.backend_server, action.lease});
+}
+
+void waxwing_policy::act(std::size_t instance, const return_grant& action) {
+    send_to_peer(instance, action.peer,
+                 grant_returned{members_[instance].id.name, action.grant,
+                                action.unused, action.verdict,
+                                action.request_class, action.service_time});
+}
+
+void waxwing_policy::act(std::size_t instance, const wake_at& action) {
+    world_->times().at(
+        action.when, [this, instance] { send_event(instance, time_passed{}); });
+}
+
+} // namespace waxwingvale::replay
--- /dev/null
+++ b/src/waxwing_replay/waxwing_policy.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "waxwing_replay/routing_policy.hpp"
+#include <waxwingvale/decision/ownership.hpp>
+#include <waxwingvale/decision/service_scheduler.hpp>
+#include <waxwingvale/decision/steering.hpp>
+
+namespace waxwingvale::replay {
+
+// Sees every event that an instance's scheduler is given, and the actions
+// that it returned.
+using event_listener = std::function<void(
+    std::size_t instance, const decision::scheduler_event& event, time_point at,
+    const std::vector<decision::scheduler_action>& actions)>;
+
+// The decision library itself: a scheduler on each entry instance, callers
+// steered to owners, and messages between instances that take a while.
+class waxwing_policy : public routing_policy {
+public:
+    explicit waxwing_policy(const decision::scheduling_policy& knobs,
+                            event_listener listener = {});
+
+    void begin(replay_world& world) override;
+    void arrive(const call& arrived) override;
+
+private:
+    struct pending_call {
+        call of;
+        unsigned attempt = 1;
+        std::vector<std::string> excluded;
+        std::size_t instance = 0;
+        std::uint64_t attempt_id = 0;
+    };
+
+    struct entry_instance {
+        std::unique_ptr<decision::service_scheduler> scheduler;
+        bool lost = false;
+    };
+
+    void make_members();
+    void lose_owner(std::size_t rank);
+    void move_ownership(std::size_t lost);
+    std::size_t instance_for(const call& arrived) const;
+    void submit(std::uint64_t request);
+    void send_event(std::size_t instance,
+                    const decision::scheduler_event& event);
+    void send_view(std::size_t instance);
+    void send_to_peer(std::size_t from, const std::string& peer,
+                      decision::scheduler_event event);
+
+    void act(std::size_t instance, const decision::start_request& action);
+    void act(std::size_t instance, const decision::refuse_request& action);
+    void act(std::size_t instance, const decision::expire_request& action);
+    void act(std::size_t instance, const decision::ask_grants& action);
+    void act(std::size_t instance, const decision::answer_ask& action);
+    void act(std::size_t instance, const decision::give_grant& action);
+    void act(std::size_t instance, const decision::return_grant& action);
+    void act(std::size_t instance, const decision::wake_at& action);
+
+    void attempt_ended(std::uint64_t request, const std::string& server,
+                       const attempt_result& result, duration service_time);
+    void server_leaves(const std::string& server, std::size_t observer);
+
+    decision::scheduling_policy knobs_;
+    event_listener listener_;
+    replay_world* world_ = nullptr;
+    service service_;
+    configuration_ptr config_;
+    std::vector<member> members_;
+    decision::ownership owners_;
+    std::vector<backend_belief> beliefs_;
+    std::vector<entry_instance> instances_;
+    std::unordered_map<std::string, std::size_t> instance_places_;
+    std::unordered_map<std::string, std::size_t> server_places_;
+    std::unordered_map<std::uint64_t, pending_call> pending_;
+    std::uint64_t next_request_ = 1;
+};
+
+} // namespace waxwingvale::replay
