--- a/include/waxwingvale/decision/key_messages.hpp
+++ b/include/waxwingvale/decision/key_messages.hpp
@@ -23,16 +23,17 @@
     std::uint64_t ask_id = 0;
 };
 
+// There is no "not run" among them: it would be true when sent and could be
+// false when it arrives, since the key may have run in between. Only a grant
+// proves that a key never ran, and it moves the right to run it along.
 enum class hand_over_kind {
     granted,   // never run; the right to run it has moved to the asker
     in_flight, // an attempt is under way; its end is sent when it comes
     answered,  // ran; the whole answer is attached
     moved,     // handed to another member before; ask there
-    not_run,   // the attempt waited for ended as provably not run
-    unknown,   // may have run; cannot be told
+    unknown,   // may have run, or cannot be told now
     mismatch,  // the key was used with another request
-    expired,   // older than what the holder remembers
-    full       // never run, but no room to remember it; not handed over
+    expired    // older than what the holder remembers
 };
 
 const char* to_string(hand_over_kind kind);
--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -65,8 +65,11 @@
     std::variant<run_normally, run_alone, refuse_suspect, refuse_quarantined>;
 
 struct quarantine_limits {
-    duration suspect_for = std::chrono::seconds(10);
-    duration quarantined_for = std::chrono::minutes(10);
+    // How long after the latest death, clearing or proof all is forgotten.
+    duration kept_for = std::chrono::minutes(10);
+    // How long the trial of a suspect is left to its tester.
+    duration reserved_for = std::chrono::seconds(10);
+    duration come_back_in = std::chrono::milliseconds(500);
     // Deaths this close together are one event: a rack or a data centre that
     // fails takes many backend servers, and whatever was popular was in flight
     // on several of them.
--- a/src/decision/key_decision.cpp
+++ b/src/decision/key_decision.cpp
@@ -25,9 +25,9 @@
     {"key-form", run_outcome::not_run},
 }};
 
-constexpr std::array<const char*, 9> hand_over_names{
-    "granted", "in_flight", "answered", "moved", "not_run",
-    "unknown", "mismatch",  "expired",  "full"};
+constexpr std::array<const char*, 7> hand_over_names{
+    "granted", "in_flight", "answered", "moved",
+    "unknown", "mismatch",  "expired"};
 
 } // namespace
 
--- a/src/decision/key_protocol.cpp
+++ b/src/decision/key_protocol.cpp
@@ -159,7 +159,7 @@
     } else if (outcome == run_outcome::not_run) {
         record->state = key_state::idle;
         settle_all(key, *record, report_not_run{memory_.limits().come_back_in},
-                   hand_over_kind::not_run, effects);
+                   hand_over_kind::unknown, effects);
     } else {
         record->state = key_state::unknown;
         settle_all(key, *record, unknown_for_now(), hand_over_kind::unknown,
@@ -203,7 +203,7 @@
         return hand_over_kind::expired;
     }
     if (!memory_.has_room_for_key()) {
-        return hand_over_kind::full;
+        return hand_over_kind::unknown;
     }
     auto& record = memory_.insert_own(request.key, parsed->issued_s);
     record.fingerprint = request.fingerprint;
@@ -309,7 +309,7 @@
     if (links.waiters.empty() || !memory_.has_room_for_attempt()) {
         record.state = key_state::idle;
         settle_all(key, record, report_not_run{memory_.limits().come_back_in},
-                   hand_over_kind::not_run, effects);
+                   hand_over_kind::unknown, effects);
         return effects;
     }
     const auto first = links.waiters.front();
@@ -337,14 +337,7 @@
 
 key_effects key_protocol::on_refused(const hand_over_reply& reply,
                                      key_record& record) {
-    const auto again = memory_.limits().come_back_in;
     switch (reply.kind) {
-    case hand_over_kind::not_run:
-        return end_asking(reply.key, record, report_not_run{again},
-                          hand_over_kind::not_run);
-    case hand_over_kind::full:
-        return end_asking(reply.key, record, refuse_full{again},
-                          hand_over_kind::full);
     case hand_over_kind::mismatch:
         return end_asking(reply.key, record, refuse_mismatch{},
                           hand_over_kind::mismatch);
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -9,10 +9,7 @@
     : self_(std::move(self)), limits_(limits) {}
 
 bool quarantine::expired(const entry& of, time_point now) const {
-    const auto kept = of.state == suspicion_state::quarantined
-                          ? limits_.quarantined_for
-                          : limits_.suspect_for;
-    return now - of.since >= kept;
+    return now - of.since >= limits_.kept_for;
 }
 
 quarantine::entry* quarantine::find(request_fingerprint fingerprint,
@@ -34,9 +31,12 @@
         return refuse_quarantined{};
     }
     // One trial at a time, by one entry instance: two trials of a request that
-    // does kill would cost one backend server more.
-    if (known->trial || known->tester != self_) {
-        const auto left = known->since + limits_.suspect_for - now;
+    // does kill would cost one backend server more. The tester may be gone
+    // itself, so after a while whoever gets a copy may try it.
+    const auto reserved_until = known->since + limits_.reserved_for;
+    const bool reserved = known->tester != self_ && now < reserved_until;
+    if (known->trial || reserved) {
+        const auto left = std::max(reserved_until - now, limits_.come_back_in);
         return refuse_suspect{known->tester, left};
     }
     known->trial = true;
@@ -77,8 +77,9 @@
         entries_[fingerprint] = death;
         return;
     }
-    if (known->state == suspicion_state::quarantined ||
-        known->died == death.died) {
+    // Several entry instances tell of one death, each in its own words.
+    const bool same_death = !alone && known->died == death.died;
+    if (known->state == suspicion_state::quarantined || same_death) {
         return;
     }
     const bool later = death.since - known->since >= limits_.same_event;
