--- a/src/waxwing_entry/key_message_codec.cpp
+++ b/src/waxwing_entry/key_message_codec.cpp
@@ -1,5 +1,7 @@
 #include "waxwing_entry/key_message_codec.hpp"
 
+#include <algorithm>
+#include <array>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -61,7 +63,7 @@
                     {"to", write(message.to)},
                     {"key", message.key},
                     {"ask_id", message.ask_id},
-                    {"kind", static_cast<unsigned>(message.kind)}};
+                    {"kind", decision::to_string(message.kind)}};
     if (message.answer) {
         written["answer"] = write(*message.answer);
     }
@@ -80,13 +82,20 @@
         from.at("ask_id").get<std::uint64_t>()};
 }
 
+constexpr std::array<decision::hand_over_kind, 7> kinds = {
+    decision::hand_over_kind::granted,  decision::hand_over_kind::in_flight,
+    decision::hand_over_kind::answered, decision::hand_over_kind::moved,
+    decision::hand_over_kind::unknown,  decision::hand_over_kind::mismatch,
+    decision::hand_over_kind::expired};
+
 decision::hand_over_kind read_kind(const json& from) {
-    const auto number = from.at("kind").get<unsigned>();
-    constexpr auto last = static_cast<unsigned>(decision::hand_over_kind::full);
+    const auto word = from.at("kind").get<std::string>();
+    const auto found = std::find_if(kinds.begin(), kinds.end(), [&](auto kind) {
+        return word == decision::to_string(kind);
+    });
     // A kind of a later release: what it means is not known here, and
     // "unknown" never lets anything run.
-    return number > last ? decision::hand_over_kind::unknown
-                         : static_cast<decision::hand_over_kind>(number);
+    return found == kinds.end() ? decision::hand_over_kind::unknown : *found;
 }
 
 decision::key_message read_reply(const json& from) {
