entry: doubt kept connections after silence, hedge on new ones

Cause: open connections can go silent for good while new ones work; each kept one would cost a read its whole deadline. Change: hedges go out on new connections; a timeout, or a lost race far longer than a slow answer, makes only new connections be used to that server until the kept ones have aged out (10 s). The file's connection limit is divided among the entry instances. Excluded: taking every lost race for silence, which would end keep-alive.

--- a/include/waxwingvale/io/http_client.hpp
+++ b/include/waxwingvale/io/http_client.hpp
@@ -60,6 +60,8 @@
     // whether the call was still open.
     bool cancel(call_id call);
     std::size_t open_calls() const;
+    // From now on at most so many connections to one host and port.
+    void limit_connections_per_host(std::size_t limit);
 
 private:
     struct state;
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr double ms_per_second = 1000.;
+// A connection kept idle for longer is not used again: what stands between
+// the two ends may have forgotten it.
+constexpr long idle_connection_seconds = 10;
 
 long to_milliseconds(duration value) {
     const auto rounded =
@@ -125,6 +128,7 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, to_milliseconds(call.timeout));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      to_milliseconds(call.connect_timeout));
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, idle_connection_seconds);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                      call.fresh_connection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
@@ -310,6 +314,11 @@
     return true;
 }
 
+void http_client::limit_connections_per_host(std::size_t limit) {
+    curl_multi_setopt(state_->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      static_cast<long>(limit));
+}
+
 std::size_t http_client::open_calls() const {
     return state_->transfers.size();
 }
--- a/src/waxwing_entry/backend_call.cpp
+++ b/src/waxwing_entry/backend_call.cpp
@@ -21,7 +21,8 @@
 } // namespace
 
 io::http_call make_backend_call(const call_record& call,
-                                const backend_server& to, time_point now) {
+                                const backend_server& to,
+                                connection_choice choice, time_point now) {
     const auto left = std::max<duration>(call.deadline - now, 1ms);
     io::http_call out;
     out.host = to.host;
@@ -32,7 +33,8 @@
     out.timeout = left;
     out.connect_timeout = left;
     // See http_call: on a kept connection it might be sent twice.
-    out.fresh_connection = call.nature == request_nature::at_most_once;
+    out.fresh_connection = choice == connection_choice::new_only ||
+                           call.nature == request_nature::at_most_once;
     for (auto& header : io::end_to_end_headers(call.request.headers)) {
         if (!is_rewritten(header.name)) {
             out.headers.push_back(std::move(header));
--- a/src/waxwing_entry/call_attempts.cpp
+++ b/src/waxwing_entry/call_attempts.cpp
@@ -13,6 +13,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration come_back_default = 1s;
+// How many times longer than a slow answer means a silent connection.
+constexpr int silence_factor = 8;
 
 decision::attempt_verdict verdict_of(attempt_end end) {
     switch (end) {
@@ -137,8 +139,13 @@
     const auto& server = *find_backend(service, action.backend_server);
     const auto id = call.id;
     const auto attempt_id = action.request;
+    // A hedge must not share the fate of the connection that it makes up for.
+    const bool new_only =
+        attempt_id != id || silences_.doubtful(action.backend_server, now);
+    const auto choice =
+        new_only ? connection_choice::new_only : connection_choice::kept_or_new;
     const auto sent = client_.send(
-        make_backend_call(call, server, now),
+        make_backend_call(call, server, choice, now),
         [this, id, attempt_id, service](io::http_call_result ended) {
             take_result(id, attempt_id, service, std::move(ended));
         });
@@ -172,6 +179,9 @@
     if (answer.end == attempt_end::broken) {
         report_death(attempt.backend_server);
     }
+    if (answer.end == attempt_end::timed_out) {
+        silences_.on_silent(attempt.backend_server, timers_.now());
+    }
     ours.reset();
     hedges_.erase(attempt_id);
     report_end(*call, attempt, answer);
@@ -181,11 +191,26 @@
     if (other) {
         const auto loser = *other;
         other.reset();
+        note_lost_race(*call, loser);
         cancel_attempt(service, loser);
     }
     end_with(*call, attempt, answer, std::move(ended));
 }
 
+// A copy that lost its race was slow, or its connection is silent for good;
+// only a far longer wait than slow answers take speaks for the latter. Were
+// every lost race taken for it, hedging would end the use of kept connections.
+void call_desk::note_lost_race(const call_record& call,
+                               const running_attempt& loser) {
+    const auto now = timers_.now();
+    const auto slow = part_of(call.labels.service)
+                          .policies.hedges(call.labels.request_class)
+                          .delay();
+    if (now - loser.started > slow * silence_factor) {
+        silences_.on_silent(loser.backend_server, now);
+    }
+}
+
 void call_desk::report_end(const call_record& call,
                            const running_attempt& attempt,
                            const backend_answer& answer) {
--- a/src/waxwing_entry/call_desk.hpp
+++ b/src/waxwing_entry/call_desk.hpp
@@ -21,6 +21,7 @@
 #include "waxwing_entry/key_desk.hpp"
 #include "waxwing_entry/service_desk.hpp"
 #include "waxwing_entry/service_policies.hpp"
+#include "waxwing_entry/silence_watch.hpp"
 
 namespace waxwingvale::entry {
 
@@ -91,6 +92,7 @@
                      const std::string& service, io::http_call_result ended);
     void report_end(const call_record& call, const running_attempt& attempt,
                     const backend_answer& answer);
+    void note_lost_race(const call_record& call, const running_attempt& loser);
     void report_death(const std::string& backend_server);
     void end_with(call_record& call, const running_attempt& attempt,
                   const backend_answer& answer, io::http_call_result ended);
@@ -118,6 +120,7 @@
     call_desk_outlet& outlet_;
     key_desk keys_;
     crash_guard crashes_;
+    silence_watch silences_;
     decision::late_wakeup wakeups_;
     kernel::timer_service::subscription heartbeat_;
     view_ptr view_;
--- a/src/waxwing_entry/entry_program.cpp
+++ b/src/waxwing_entry/entry_program.cpp
@@ -94,6 +94,7 @@
     bus_.subscribe<program::view_arrived>(
         [this](const program::view_arrived& arrived) {
             follow_members(*arrived.now);
+            limit_connections(*arrived.now);
             calls_.take(arrived.now);
         });
     hub_.on_message(grant_kind, [this](const std::string& peer,
@@ -121,6 +122,22 @@
     }
 }
 
+// The file's limit of connections to a backend server is for all entry
+// instances together; each takes an equal part of the tightest.
+void entry_program::limit_connections(const view& now) {
+    if (!now.config || now.members.empty()) {
+        return;
+    }
+    std::size_t tightest = connections_per_backend_server;
+    for (const auto& of : now.config->services) {
+        for (const auto& server : of.backend_servers) {
+            tightest = std::min<std::size_t>(tightest, server.connections);
+        }
+    }
+    const auto part = tightest / now.members.size();
+    backend_servers_.limit_connections_per_host(std::max<std::size_t>(part, 1));
+}
+
 void entry_program::follow_link(const std::string& peer, bool up) {
     if (peer == control_name_ && up) {
         announce_self();
--- a/src/waxwing_entry/entry_program.hpp
+++ b/src/waxwing_entry/entry_program.hpp
@@ -34,6 +34,7 @@
 
     void wire_peers();
     void follow_members(const view& now);
+    void limit_connections(const view& now);
     void follow_link(const std::string& peer, bool up);
     void announce_self();
     void check_drained();
