--- a/src/waxwing_entry/call_attempts.cpp
+++ b/src/waxwing_entry/call_attempts.cpp
@@ -39,6 +39,18 @@
                                     call.path, call.request.body);
 }
 
+// Why the request went where it did, for operators; `waxwingctl explain`
+// reads it.
+std::string route_of(const std::string& self, const call_record& call,
+                     const running_attempt& attempt) {
+    const auto waited = attempt.started - call.arrived;
+    return "instance=" + self + " backend_server=" + attempt.backend_server +
+           " slot=" +
+           (attempt.granted_by.empty() ? "own" : attempt.granted_by) +
+           " attempts=" + std::to_string(call.attempts_here) +
+           " waited_us=" + std::to_string(waited.count());
+}
+
 own_answer lost_answer(const backend_answer& answer) {
     own_answer lost;
     lost.outcome = answer.outcome;
@@ -149,7 +161,8 @@
         [this, id, attempt_id, service](io::http_call_result ended) {
             take_result(id, attempt_id, service, std::move(ended));
         });
-    const running_attempt attempt{attempt_id, action.backend_server, sent, now};
+    const running_attempt attempt{attempt_id, action.backend_server, sent, now,
+                                  action.from_peer};
     if (attempt_id != id) {
         call.hedge = attempt;
         return;
@@ -264,8 +277,10 @@
         return;
     }
     if (answer.outcome == run_outcome::ran) {
-        finish(call.id, run_outcome::ran,
-               pass_on(std::move(ended.response.value())));
+        auto response = pass_on(std::move(ended.response.value()));
+        response.headers.push_back(
+            {header::route, route_of(self_.name, call, attempt)});
+        finish(call.id, run_outcome::ran, std::move(response));
         return;
     }
     finish(call.id, lost_answer(answer));
--- a/src/waxwing_entry/call_record.hpp
+++ b/src/waxwing_entry/call_record.hpp
@@ -24,6 +24,7 @@
     std::string backend_server;
     io::http_client::call_id call = 0;
     time_point started{};
+    std::string granted_by; // the owner whose slot it is; empty: an own slot
 };
 
 // A key's right to run, held by this call until its outcome is reported.
--- a/src/waxwing_entry/caller_call.hpp
+++ b/src/waxwing_entry/caller_call.hpp
@@ -18,6 +18,7 @@
 constexpr const char* key = "Idempotency-Key";
 constexpr const char* outcome = "Waxwing-Outcome";
 constexpr const char* reason = "Waxwing-Reason";
+constexpr const char* route = "Waxwing-Route";
 constexpr const char* retry_after = "Retry-After";
 constexpr const char* retry_after_ms = "Waxwing-Retry-After-Ms";
 constexpr const char* not_started = "Waxwing-Not-Started";
--- a/src/waxwing_entry/entry_metrics.cpp
+++ b/src/waxwing_entry/entry_metrics.cpp
@@ -23,6 +23,8 @@
                                   "Scheduler messages to other instances.")),
       grants_taken(all.add_counter("waxwing_grant_messages_received_total",
                                    "Scheduler messages of other instances.")),
+      probes(all.add_counter("waxwing_probes_total",
+                             "Probes sent to backend servers.")),
       late_wakeups(all.add_counter("waxwing_late_wakeups_total",
                                    "Times this process was stopped for long.")),
       open_calls(all.add_gauge("waxwing_open_calls", "Calls without answer.")),
--- a/src/waxwing_entry/entry_metrics.hpp
+++ b/src/waxwing_entry/entry_metrics.hpp
@@ -18,6 +18,7 @@
     program::counter not_understood;
     program::counter grants_sent;
     program::counter grants_taken;
+    program::counter probes;
     program::counter late_wakeups;
     program::gauge open_calls;
     program::gauge keys;
--- a/src/waxwing_entry/entry_program.cpp
+++ b/src/waxwing_entry/entry_program.cpp
@@ -55,7 +55,11 @@
       backend_servers_(environment.loop, client_limits(environment.settings)),
       feed_(hub_, environment.timers, bus_, environment.settings),
       calls_(self_, environment.timers, backend_servers_, hub_, metrics_,
-             *this) {}
+             *this),
+      prober_(self_.name, environment.timers, backend_servers_, metrics_.probes,
+              [this](const std::string& server, const backend_answer& answer) {
+                  report(server, answer, belief_source::probe);
+              }) {}
 
 entry_program::~entry_program() = default;
 
@@ -96,6 +100,7 @@
             follow_members(*arrived.now);
             limit_connections(*arrived.now);
             calls_.take(arrived.now);
+            prober_.take(arrived.now);
         });
     hub_.on_message(grant_kind, [this](const std::string& peer,
                                        const std::vector<std::uint8_t>& bytes) {
@@ -144,9 +149,16 @@
         return;
     }
     const auto instance = instance_of(peer);
-    if (!instance.empty()) {
-        calls_.take(decision::peer_reachability{instance, up});
+    if (instance.empty()) {
+        return;
     }
+    calls_.take(decision::peer_reachability{instance, up});
+    const auto peers = hub_.connected_peers();
+    const auto links =
+        std::count_if(peers.begin(), peers.end(), [](const std::string& name) {
+            return !instance_of(name).empty();
+        });
+    prober_.change_links(static_cast<std::size_t>(links));
 }
 
 // This process alone remembers request keys, so its incarnation is the one
@@ -158,11 +170,19 @@
 
 void entry_program::observe(const std::string& backend_server,
                             const backend_answer& answer) {
+    report(backend_server, answer, belief_source::traffic);
+}
+
+// Only what an answer proves becomes word for all: what the server said of
+// itself, or that nothing listens there. A lost answer is local evidence and
+// stays with the scheduler.
+void entry_program::report(const std::string& backend_server,
+                           const backend_answer& answer, belief_source source) {
     auto seen = answer.state;
     if (answer.end == attempt_end::not_sent) {
         seen = backend_state::dead;
     }
-    if (!seen || *seen == backend_state::serving) {
+    if (!seen || !is_change(backend_server, answer.incarnation, *seen)) {
         return;
     }
     const auto now = environment_.timers.now();
@@ -170,13 +190,33 @@
     belief.backend_server = backend_server;
     belief.incarnation = answer.incarnation;
     belief.state = *seen;
-    belief.source = belief_source::traffic;
+    belief.source = source;
     belief.observer = self_.name;
     belief.since = now;
     hub_.send(control_name_, io::belief_kind,
               io::encode(io::belief_report{{belief}}, now));
 }
 
+// Whether it differs from what the last view already holds.
+bool entry_program::is_change(const std::string& backend_server,
+                              std::uint64_t incarnation,
+                              backend_state seen) const {
+    const auto& now = feed_.current();
+    if (!now) {
+        return false;
+    }
+    const auto known = std::find_if(
+        now->beliefs.begin(), now->beliefs.end(), [&](const backend_belief& b) {
+            return b.backend_server == backend_server;
+        });
+    if (known == now->beliefs.end()) {
+        return seen != backend_state::serving;
+    }
+    const bool other_life =
+        incarnation != 0 && incarnation != known->incarnation;
+    return other_life || known->state != seen;
+}
+
 void entry_program::ask_for_fresh_view() {
     announce_self();
 }
--- a/src/waxwing_entry/entry_program.hpp
+++ b/src/waxwing_entry/entry_program.hpp
@@ -13,6 +13,7 @@
 
 #include "waxwing_entry/call_desk.hpp"
 #include "waxwing_entry/entry_metrics.hpp"
+#include "waxwing_entry/prober.hpp"
 
 namespace waxwingvale::entry {
 
@@ -29,6 +30,10 @@
 private:
     void observe(const std::string& backend_server,
                  const backend_answer& answer) override;
+    void report(const std::string& backend_server, const backend_answer& answer,
+                belief_source source);
+    bool is_change(const std::string& backend_server, std::uint64_t incarnation,
+                   backend_state seen) const;
     void send_to_peer(const outgoing_grant_message& message) override;
     void ask_for_fresh_view() override;
 
@@ -49,6 +54,7 @@
     io::http_client backend_servers_;
     program::view_feed feed_;
     call_desk calls_;
+    prober prober_;
     std::unique_ptr<program::metrics_endpoint> metrics_endpoint_;
     kernel::timer_service::subscription drain_check_;
     std::function<void()> stopped_;
