replay: model hedged reads with the product's hedge policy

Change: the replay hedges as waxwing-entry does, only on spare slots; the policy waxwing-no-hedge shows routing alone. Excluded: slow calls that are slow on every server; hedges do not help these.

--- a/src/waxwing_replay/baseline_policies.cpp
+++ b/src/waxwing_replay/baseline_policies.cpp
@@ -130,6 +130,9 @@
         const std::size_t server = choose_(instance, open, key);
         tried.push_back(server);
         ++instance.in_flight[server];
+        if (attempt > 1 && world_->measuring()) {
+            world_->statistics().retried();
+        }
         world_->send(of, attempt, server,
                      [this, of, at, attempt, server,
                       tried](const attempt_result& result, duration) {
--- a/src/waxwing_replay/comparison.cpp
+++ b/src/waxwing_replay/comparison.cpp
@@ -28,6 +28,7 @@
     {"refused", 8, 4, &run_figures::refused},
     {"failed", 8, 4, &run_figures::failed},
     {"retries", 8, 4, &run_figures::retries},
+    {"hedges", 7, 4, &run_figures::hedges},
     {"probes/s", 9, 1, &run_figures::probes},
     {"messages", 9, 3, &run_figures::messages},
     {"spread", 7, 1, &run_figures::spread},
@@ -37,6 +38,7 @@
 
 std::vector<std::string> policy_names() {
     std::vector<std::string> names = baseline_names();
+    names.emplace_back(unhedged_policy_name);
     names.emplace_back(waxwing_policy_name);
     return names;
 }
@@ -44,8 +46,9 @@
 run_figures run_one(const workload& load, const std::string& policy,
                     const decision::scheduling_policy& knobs) {
     std::unique_ptr<routing_policy> routing;
-    if (policy == waxwing_policy_name) {
-        routing = std::make_unique<waxwing_policy>(knobs);
+    const bool hedging = policy == waxwing_policy_name;
+    if (hedging || policy == unhedged_policy_name) {
+        routing = std::make_unique<waxwing_policy>(knobs, hedging);
     } else {
         routing = make_baseline(policy);
     }
--- a/src/waxwing_replay/comparison.hpp
+++ b/src/waxwing_replay/comparison.hpp
@@ -13,6 +13,8 @@
 
 // The name under which the decision library itself is measured.
 inline constexpr const char* waxwing_policy_name = "waxwingvale";
+// The same without hedges.
+inline constexpr const char* unhedged_policy_name = "waxwing-no-hedge";
 
 // What to compare.
 struct comparison_plan {
--- a/src/waxwing_replay/replay_world.cpp
+++ b/src/waxwing_replay/replay_world.cpp
@@ -63,9 +63,6 @@
 std::uint64_t replay_world::send(const call& of, unsigned attempt,
                                  std::size_t server, result_handler handler) {
     const std::uint64_t id = next_attempt_++;
-    if (attempt > 1 && measuring()) {
-        statistics_.retried();
-    }
     in_flight_[id] = {server, times_.now(), std::move(handler)};
     const duration service_time = service_time_of(load_.seed, of.id, attempt);
     const time_point deadline = deadline_of(of);
--- a/src/waxwing_replay/run_statistics.cpp
+++ b/src/waxwing_replay/run_statistics.cpp
@@ -58,6 +58,7 @@
     figures.refused = refused_calls / calls;
     figures.failed = (late + failed_calls) / calls;
     figures.retries = static_cast<double>(retries_) / calls;
+    figures.hedges = static_cast<double>(hedges_) / calls;
     figures.messages = static_cast<double>(messages_) / calls;
     figures.spread = come_back_spread();
 }
--- a/src/waxwing_replay/run_statistics.hpp
+++ b/src/waxwing_replay/run_statistics.hpp
@@ -30,6 +30,7 @@
     double refused = 0;     // of all calls
     double failed = 0;      // late or failed, of all calls
     double retries = 0;     // further attempts, of all calls
+    double hedges = 0;      // second copies, of all calls
     double probes = 0;      // a second to each backend server
     double messages = 0;    // between entry instances, of all calls
     double spread = 0;      // busiest 100 ms of come-backs against their mean
@@ -41,6 +42,7 @@
     void answered(duration latency);
     void ended(call_end end) { ++counts_[static_cast<int>(end)]; }
     void retried() { ++retries_; }
+    void hedged() { ++hedges_; }
     void message_sent() { ++messages_; }
     void came_back_at(time_point when) { come_backs_.push_back(when); }
 
@@ -56,6 +58,7 @@
 
     std::uint64_t counts_[4] = {};
     std::uint64_t retries_ = 0;
+    std::uint64_t hedges_ = 0;
     std::uint64_t messages_ = 0;
     std::vector<duration> latencies_;
     std::vector<time_point> come_backs_;
--- a/src/waxwing_replay/waxwing_policy.cpp
+++ b/src/waxwing_replay/waxwing_policy.cpp
@@ -23,9 +23,9 @@
 
 } // namespace
 
-waxwing_policy::waxwing_policy(const scheduling_policy& knobs,
+waxwing_policy::waxwing_policy(const scheduling_policy& knobs, bool hedging,
                                event_listener listener)
-    : knobs_(knobs), listener_(std::move(listener)) {}
+    : knobs_(knobs), hedging_(hedging), listener_(std::move(listener)) {}
 
 void waxwing_policy::make_members() {
     const service_size& size = world_->load().size;
@@ -86,7 +86,9 @@
     for (auto it = pending_.begin(); it != pending_.end();) {
         if (it->second.instance == lost) {
             world_->cancel(it->second.attempt_id);
-            cut_off.push_back(it->second.of);
+            if (!it->second.is_hedge) {
+                cut_off.push_back(it->second.of);
+            }
             it = pending_.erase(it);
         } else {
             ++it;
@@ -135,7 +137,10 @@
 
 void waxwing_policy::arrive(const call& arrived) {
     const std::uint64_t request = next_request_++;
-    pending_[request] = {arrived, 1, {}, instance_for(arrived), 0};
+    pending_call made;
+    made.of = arrived;
+    made.instance = instance_for(arrived);
+    pending_[request] = std::move(made);
     submit(request);
 }
 
@@ -150,6 +155,7 @@
     event.deadline = world_->deadline_of(known.of);
     event.attempt = known.attempt;
     event.excluded = known.excluded;
+    event.only_if_spare = known.is_hedge;
     send_event(known.instance, event);
 }
 
@@ -185,37 +191,67 @@
 
 void waxwing_policy::act(std::size_t /*instance*/,
                          const start_request& action) {
+    // A hedge's work is drawn anew, as that of a retry is.
+    constexpr unsigned hedge_draw = 100;
     pending_call& known = pending_.at(action.request);
     const std::uint64_t request = action.request;
-    const std::string server = action.backend_server;
+    known.server = action.backend_server;
+    known.sent = world_->times().now();
+    const unsigned draw = known.attempt + (known.is_hedge ? hedge_draw : 0);
     known.attempt_id = world_->send(
-        known.of, known.attempt, server_places_.at(server),
-        [this, request, server](const attempt_result& result, duration time) {
-            attempt_ended(request, server, result, time);
+        known.of, draw, server_places_.at(known.server),
+        [this, request](const attempt_result& result, duration time) {
+            attempt_ended(request, pending_.at(request).server, result, time);
         });
+    watch_for_hedge(request);
+}
+
+bool waxwing_policy::may_retry(const pending_call& ended,
+                               const attempt_result& result) const {
+    const bool harmless = result.verdict == attempt_verdict::shed ||
+                          (result.verdict == attempt_verdict::failed &&
+                           ended.of.nature == request_nature::retriable);
+    return harmless && !ended.is_hedge && ended.attempt < attempts_limit;
+}
+
+void waxwing_policy::retry(std::uint64_t request) {
+    pending_call& known = pending_.at(request);
+    ++known.attempt;
+    if (world_->measuring()) {
+        world_->statistics().retried();
+    }
+    known.excluded.push_back(known.server);
+    known.attempt_id = 0;
+    submit(request);
 }
 
 void waxwing_policy::attempt_ended(std::uint64_t request,
                                    const std::string& server,
                                    const attempt_result& result,
                                    duration service_time) {
-    pending_call& known = pending_.at(request);
-    const std::size_t instance = known.instance;
+    const std::size_t instance = pending_.at(request).instance;
     if (result.leaving) {
         server_leaves(server, instance);
     }
+    if (result.verdict == attempt_verdict::answered) {
+        instances_[instance].hedges.on_latency(service_time);
+        cancel_partner(request);
+    }
     send_event(instance,
                request_finished{request, result.verdict, service_time});
-    const bool again = result.verdict == attempt_verdict::shed ||
-                       (result.verdict == attempt_verdict::failed &&
-                        known.of.nature == request_nature::retriable);
-    if (again && known.attempt < attempts_limit) {
-        ++known.attempt;
-        known.excluded.push_back(server);
-        submit(request);
+    if (partner_goes_on(request)) {
         return;
     }
-    const call ended = known.of;
+    if (may_retry(pending_.at(request), result)) {
+        retry(request);
+    } else {
+        finish_call(request, result);
+    }
+}
+
+void waxwing_policy::finish_call(std::uint64_t request,
+                                 const attempt_result& result) {
+    const call ended = pending_.at(request).of;
     pending_.erase(request);
     if (result.verdict == attempt_verdict::answered) {
         world_->answer(ended);
@@ -250,6 +286,9 @@
 
 void waxwing_policy::act(std::size_t /*instance*/,
                          const refuse_request& action) {
+    if (partner_goes_on(action.request)) {
+        return;
+    }
     const call refused = pending_.at(action.request).of;
     pending_.erase(action.request);
     world_->refuse(refused, action.come_back_in);
--- a/src/waxwing_replay/waxwing_policy.hpp
+++ b/src/waxwing_replay/waxwing_policy.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "waxwing_replay/routing_policy.hpp"
+#include <waxwingvale/decision/hedge_policy.hpp>
 #include <waxwingvale/decision/ownership.hpp>
 #include <waxwingvale/decision/service_scheduler.hpp>
 #include <waxwingvale/decision/steering.hpp>
@@ -23,8 +24,8 @@
 // steered to owners, and messages between instances that take a while.
 class waxwing_policy : public routing_policy {
 public:
-    explicit waxwing_policy(const decision::scheduling_policy& knobs,
-                            event_listener listener = {});
+    waxwing_policy(const decision::scheduling_policy& knobs, bool hedging,
+                   event_listener listener = {});
 
     void begin(replay_world& world) override;
     void arrive(const call& arrived) override;
@@ -35,11 +36,16 @@
         unsigned attempt = 1;
         std::vector<std::string> excluded;
         std::size_t instance = 0;
-        std::uint64_t attempt_id = 0;
+        std::uint64_t attempt_id = 0; // 0: not started
+        std::string server;
+        time_point sent{};
+        std::uint64_t partner = 0; // the hedge, or the request hedged
+        bool is_hedge = false;
     };
 
     struct entry_instance {
         std::unique_ptr<decision::service_scheduler> scheduler;
+        decision::hedge_policy hedges{decision::hedge_limits{}};
         bool lost = false;
     };
 
@@ -65,9 +71,24 @@
 
     void attempt_ended(std::uint64_t request, const std::string& server,
                        const attempt_result& result, duration service_time);
+    void retry(std::uint64_t request);
+    bool may_retry(const pending_call& ended,
+                   const attempt_result& result) const;
+    void finish_call(std::uint64_t request, const attempt_result& result);
+
+    // waxwing_hedges.cpp
+    void watch_for_hedge(std::uint64_t request);
+    void consider_hedge(std::uint64_t request, time_point sent);
+    void send_hedge(std::uint64_t request);
+    // Ends the other copy after an answer.
+    void cancel_partner(std::uint64_t request);
+    // True when the other copy goes on in place of this one.
+    bool partner_goes_on(std::uint64_t request);
+
     void server_leaves(const std::string& server, std::size_t observer);
 
     decision::scheduling_policy knobs_;
+    bool hedging_;
     event_listener listener_;
     replay_world* world_ = nullptr;
     service service_;
