--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -46,7 +46,8 @@
 struct run_normally {};
 
 // Run it alone: no other request on the backend server meanwhile, and not on
-// `avoid`. Report on_passed, on_trial_abandoned or on_backend_died.
+// `avoid`. Report on_trial_placed, and then on_passed, on_trial_abandoned or
+// on_backend_died.
 struct run_alone {
     std::string avoid;
 };
@@ -70,15 +71,15 @@
     // How long the trial of a suspect is left to its tester.
     duration reserved_for = std::chrono::seconds(10);
     duration come_back_in = std::chrono::milliseconds(500);
-    // Deaths this close together are one event: a rack or a data centre that
-    // fails takes many backend servers, and whatever was popular was in flight
-    // on several of them.
-    duration same_event = std::chrono::seconds(2);
     std::size_t fingerprints = 4096;
 };
 
 // Keeps a request that kills each backend server running it from killing more
 // than two, without shutting out the requests that were beside it.
+//
+// Only a death during a trial is proof. Two deaths in company are not: when a
+// rack or a data centre fails, whatever is popular was in flight on several of
+// its backend servers, and shutting that out would turn the failure into ours.
 class quarantine {
 public:
     // `self` is this entry instance's name.
@@ -98,6 +99,11 @@
     std::optional<suspicion_word> on_passed(request_fingerprint fingerprint,
                                             time_point now);
 
+    // The trial that admit granted has been sent to that backend server. Other
+    // copies may still be in flight elsewhere, whose end proves nothing.
+    void on_trial_placed(request_fingerprint fingerprint,
+                         const backend_life& on);
+
     // A trial ended without proof either way: not started, or no answer while
     // the backend server lives on.
     void on_trial_abandoned(request_fingerprint fingerprint);
@@ -120,6 +126,7 @@
         backend_life died;
         time_point since{};
         bool trial = false;
+        backend_life trial_on; // once it is placed
     };
 
     entry* find(request_fingerprint fingerprint, time_point now);
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -40,6 +40,7 @@
         return refuse_suspect{known->tester, left};
     }
     known->trial = true;
+    known->trial_on = backend_life{};
     return run_alone{known->died.backend_server};
 }
 
@@ -51,8 +52,8 @@
     for (const auto& fingerprint : in_flight) {
         auto* known = find(fingerprint, now);
         const bool alone =
-            known != nullptr && known->trial && in_flight.size() == 1;
-        if (known != nullptr) {
+            known != nullptr && known->trial && known->trial_on == died;
+        if (alone) {
             known->trial = false;
         }
         entry death;
@@ -82,8 +83,7 @@
     if (known->state == suspicion_state::quarantined || same_death) {
         return;
     }
-    const bool later = death.since - known->since >= limits_.same_event;
-    if (alone || later) {
+    if (alone) {
         known->state = suspicion_state::quarantined;
     }
     known->tester = std::min(known->tester, death.tester);
@@ -103,6 +103,14 @@
     return word_for(fingerprint, *known, now);
 }
 
+void quarantine::on_trial_placed(request_fingerprint fingerprint,
+                                 const backend_life& on) {
+    const auto found = entries_.find(fingerprint);
+    if (found != entries_.end() && found->second.trial) {
+        found->second.trial_on = on;
+    }
+}
+
 void quarantine::on_trial_abandoned(request_fingerprint fingerprint) {
     const auto found = entries_.find(fingerprint);
     if (found != entries_.end()) {
--- /dev/null
+++ b/test/probe_budget/probe_budget_test.cpp
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+
+#include "probe_budget/probe_world.hpp"
+
+using namespace waxwingvale;
+using namespace waxwingvale::decision;
+using probe_model::probe_rules;
+using probe_model::probe_world;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+standin::schedule_run model_with(const probe_rules& rules) {
+    return [rules](const standin::schedule& steps) {
+        return probe_world(rules).run(steps);
+    };
+}
+
+} // namespace
+
+// Ownership of a backend server moves while instances come, go and lose each
+// other, so that two may take themselves for the owner. On a backend server
+// with two slots every probe too many makes a customer wait.
+TEST_CASE("Probes stay within the budget while ownership moves") {
+    std::size_t probes = 0;
+    const auto run = [&](const standin::schedule& steps) {
+        probe_world world({});
+        auto violated = world.run(steps);
+        probes += world.probes();
+        return violated;
+    };
+    REQUIRE(standin::explore("probe budget", run));
+    std::cout << "  probes: " << probes << '\n';
+    REQUIRE(probes > 0);
+}
+
+// The bound rests on waiting for the former owner and on slowing down when cut
+// off; a model that passed without them would prove nothing.
+TEST_CASE("The model catches broken probe budgets") {
+    const std::string over = "more probes than the budget in a window";
+    probe_rules hasty;
+    hasty.waits_to_settle = false;
+    REQUIRE(standin::caught_after("new owners do not wait", model_with(hasty),
+                                  over));
+    probe_rules whole;
+    whole.uses_share = false;
+    REQUIRE(standin::caught_after("cut-off owners use the whole rate",
+                                  model_with(whole), over));
+}
+
+TEST_CASE("A new owner waits a period and the settling time") {
+    probe_limits limits;
+    limits.rate = 0.5;
+    limits.settle = seconds(3);
+    probe_budget budget(limits);
+    const time_point start{};
+    budget.on_share(1, start);
+    budget.on_owned("b0", start);
+    REQUIRE_FALSE(budget.try_probe("b0", start + milliseconds(4999)));
+    REQUIRE(budget.next_probe("b0", start) <= start + milliseconds(5001));
+    REQUIRE(budget.try_probe("b0", start + milliseconds(5001)));
+    REQUIRE_FALSE(budget.try_probe("b0", start + milliseconds(7000)));
+    REQUIRE(budget.try_probe("b0", start + milliseconds(7002)));
+    REQUIRE_FALSE(budget.try_probe("b1", start + seconds(60)));
+}
+
+TEST_CASE("A budget of nothing allows no probe") {
+    probe_limits limits;
+    limits.rate = 0;
+    probe_budget budget(limits);
+    budget.on_share(1, time_point{});
+    budget.on_owned("b0", time_point{});
+    REQUIRE_FALSE(budget.try_probe("b0", time_point{} + seconds(1000)));
+    REQUIRE(budget.next_probe("b0", time_point{}) == time_point::max());
+}
