--- a/test/load/load_run_test.cpp
+++ b/test/load/load_run_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <waxwingvale/io/http_server.hpp>
 
 #include "standin/http_request_once.hpp"
 #include "standin/process.hpp"
