administration: API that shows and checks, waxwingctl on top of it

Cause: operators drive the system by files only, so that they need to see what is in force where, why a file was refused, and what a file would change. Excluded: commands that change anything, as the users ask.

--- a/cmake/waxwing_targets.cmake
+++ b/cmake/waxwing_targets.cmake
@@ -45,7 +45,8 @@
     foreach(main IN LISTS mains)
         get_filename_component(folder ${main} DIRECTORY)
         get_filename_component(folder_name ${folder} NAME)
-        waxwing_library(${folder_name} DEPENDS waxwing_program)
+        waxwing_library(${folder_name}
+            DEPENDS waxwing_program waxwing_administration)
         string(REPLACE "_" "-" program ${folder_name})
         add_executable(${program} ${main})
         target_link_libraries(${program} PRIVATE
--- /dev/null
+++ b/include/waxwingvale/administration/control_snapshot.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <waxwingvale/model/error.hpp>
+#include <waxwingvale/model/time.hpp>
+#include <waxwingvale/model/view.hpp>
+
+namespace waxwingvale::administration {
+
+// A newer configuration file that was not taken, and why.
+struct refused_file {
+    std::uint64_t revision = 0;
+    error reason;
+};
+
+// How the reading of the platform goes.
+struct platform_word {
+    bool reachable = false;                // the last read was answered
+    std::optional<time_point> last_answer; // none: never
+    std::uint64_t reads = 0;               // since the start
+    std::uint64_t failures = 0;
+};
+
+// A link with another process, by its peer name ("sea-1/entry").
+struct peer_link {
+    std::string peer;
+    bool connected = false;
+};
+
+// The revision that a process beside this one has reported to be in force.
+struct process_revision {
+    std::string process; // "sea-1/entry"
+    std::uint64_t revision = 0;
+};
+
+// All that the administration API shows, at one moment of waxwing-control.
+struct control_snapshot {
+    time_point now{};
+    view_ptr seen; // as entry and steer get it; null at the very start
+    std::uint64_t newest_revision_seen = 0;
+    std::optional<refused_file> refused;
+    platform_word platform;
+    std::vector<peer_link> links;
+    std::vector<process_revision> processes;
+};
+
+} // namespace waxwingvale::administration
--- /dev/null
+++ b/src/administration/query.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace waxwingvale::administration {
+
+// The value of a query parameter of an HTTP target, percent-decoded; empty
+// when it is absent.
+std::string query_value(const std::string& target, const std::string& name);
+
+} // namespace waxwingvale::administration
