--- a/src/waxwing_entry/entry_program.cpp
+++ b/src/waxwing_entry/entry_program.cpp
@@ -1,11 +1,13 @@
 #include "waxwing_entry/entry_program.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
+#include <waxwingvale/io/control_messages.hpp>
 #include <waxwingvale/program/incarnation.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
+#include "waxwing_entry/peer_name.hpp"
+
 namespace waxwingvale::entry {
 
 namespace {
@@ -15,11 +17,10 @@
 constexpr duration drain_check_period = 5ms;
 constexpr std::size_t connections_per_backend_server = 256;
 constexpr std::size_t connections_to_backend_servers = 8192;
-constexpr const char* entry_role = "/entry";
 
 io::message_hub_options hub_options(const program::settings& from) {
     io::message_hub_options options;
-    options.self_name = from.instance.name + entry_role;
+    options.self_name = entry_process(from.instance.name);
     options.shared_key = from.peers.shared_key;
     return options;
 }
@@ -41,28 +42,6 @@
     return limits;
 }
 
-// The instance's name when the peer is an entry process, or empty.
-std::string instance_of(const std::string& peer) {
-    const std::string role = entry_role;
-    if (peer.size() <= role.size() ||
-        peer.compare(peer.size() - role.size(), role.size(), role) != 0) {
-        return "";
-    }
-    return peer.substr(0, peer.size() - role.size());
-}
-
-const char* to_word(backend_state state) {
-    switch (state) {
-    case backend_state::serving:
-        return "serving";
-    case backend_state::leaving:
-        return "leaving";
-    case backend_state::dead:
-        return "dead";
-    }
-    return "serving";
-}
-
 } // namespace
 
 entry_program::entry_program(const program::program_environment& environment)
@@ -136,7 +115,7 @@
         const bool ours_to_open =
             self_.name < other.id.name && other.state != member_state::gone;
         if (ours_to_open) {
-            hub_.connect(other.id.name + entry_role, other.addresses.host,
+            hub_.connect(entry_process(other.id.name), other.addresses.host,
                          other.addresses.entry_port);
         }
     }
@@ -156,28 +135,37 @@
 // This process alone remembers request keys, so its incarnation is the one
 // that keys must name: control makes it the member's.
 void entry_program::announce_self() {
-    const nlohmann::json hello = {{"incarnation", self_.incarnation}};
-    hub_.send(control_name_, "entry_started", nlohmann::json::to_cbor(hello));
+    hub_.send(control_name_, io::entry_life_kind,
+              io::encode(io::entry_life{self_.incarnation}));
 }
 
 void entry_program::observe(const std::string& backend_server,
                             const backend_answer& answer) {
-    std::optional<backend_state> seen = answer.state;
+    auto seen = answer.state;
     if (answer.end == attempt_end::not_sent) {
         seen = backend_state::dead;
     }
     if (!seen || *seen == backend_state::serving) {
         return;
     }
-    const nlohmann::json belief = {{"backend_server", backend_server},
-                                   {"incarnation", answer.incarnation},
-                                   {"state", to_word(*seen)},
-                                   {"source", "traffic"}};
-    hub_.send(control_name_, "belief", nlohmann::json::to_cbor(belief));
+    const auto now = environment_.timers.now();
+    backend_belief belief;
+    belief.backend_server = backend_server;
+    belief.incarnation = answer.incarnation;
+    belief.state = *seen;
+    belief.source = belief_source::traffic;
+    belief.observer = self_.name;
+    belief.since = now;
+    hub_.send(control_name_, io::belief_kind,
+              io::encode(io::belief_report{{belief}}, now));
+}
+
+void entry_program::ask_for_fresh_view() {
+    announce_self();
 }
 
 void entry_program::send_to_peer(const outgoing_grant_message& message) {
-    hub_.send(peer_of(message) + entry_role, grant_kind, encode(message));
+    hub_.send(entry_process(peer_of(message)), grant_kind, encode(message));
 }
 
 void entry_program::stop(std::function<void()> stopped) {
