--- a/src/waxwing_load/load_options.cpp
+++ b/src/waxwing_load/load_options.cpp
@@ -9,7 +9,7 @@
     R"(waxwing-load: an open-loop load and experiment tool.
 
 Usage:
-  waxwing-load --steer=LIST --service=NAME [options]
+  waxwing-load --steer=LIST --service=NAME [--direct=LIST] [options]
   waxwing-load --direct=LIST [options]
   waxwing-load (--help | --version)
 
