control: waxwing-control reads the platform and exchanges with its peers

Entry and steer need whole views of configuration, members and beliefs, and the instances must agree without writing anything anywhere. Pure tables hold each kind of knowledge (src/membership), one exchange passes changes on over a sparse set of links and finds losses by digests, and waxwing-control wires them to the platform, to its peers and to the two processes beside it.

Three instances that know two seeds agree on members and a file in a test with real processes. Seeds are dialed at once: waiting for the smaller name to dial left the third instance alone, which that test showed.

Not yet: administration API, models, measurements.

--- /dev/null
+++ b/include/waxwingvale/membership/exchange_message.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <waxwingvale/membership/belief_table.hpp>
+#include <waxwingvale/membership/digest.hpp>
+#include <waxwingvale/membership/member_record.hpp>
+#include <waxwingvale/membership/quarantine_table.hpp>
+#include <waxwingvale/model/view.hpp>
+
+// What waxwing-control processes of different entry instances say to each
+// other.
+namespace waxwingvale::membership {
+
+// All that the sender knows, in a few numbers. Sent when a link opens, now
+// and then after, and to ask whether anybody is there after a late wake-up.
+struct digest_message {
+    std::uint64_t asks = 0;     // an epoch to be named in an answer; 0: none
+    std::uint64_t answers = 0;  // the epoch that the receiver asked with
+    std::uint64_t revision = 0; // configuration in force
+    std::uint64_t refused = 0;  // a newer file that was refused, or 0
+    digest_buckets members{};
+    digest_buckets beliefs{};
+    std::uint64_t quarantine = 0;
+};
+
+// Records that changed, or those of buckets in which the two differ.
+struct records_message {
+    std::vector<member_record> members;
+    std::vector<belief_record> beliefs;
+    std::vector<quarantine_record> quarantine;
+    std::vector<death_record> deaths;
+    // The sender has sent all it has of these, and wants what is newer.
+    std::vector<unsigned> member_buckets;
+    std::vector<unsigned> belief_buckets;
+    bool whole_quarantine = false;
+};
+
+// A revision that the sender has in force; the receiver asks for it if it
+// does not get it from the platform first.
+struct revision_message {
+    std::uint64_t revision = 0;
+    std::uint64_t refused = 0; // a newer file that was refused, or 0
+};
+
+// Asks for the files at the receiver that are newer than the sender's.
+struct configuration_request {
+    std::uint64_t revision = 0; // in force at the sender
+    std::uint64_t refused = 0;  // the newest file refused there, or 0
+};
+
+// A file that is in force at the sender, or was refused there: then it will
+// be refused here too, and is passed on so that every instance shows it.
+struct configuration_message {
+    configuration_text file;
+};
+
+using exchange_message =
+    std::variant<digest_message, records_message, revision_message,
+                 configuration_request, configuration_message>;
+
+// A message and the entry instance that it goes to.
+struct addressed_message {
+    std::string peer;
+    exchange_message message;
+};
+
+} // namespace waxwingvale::membership
--- /dev/null
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <waxwingvale/membership/belief_table.hpp>
+#include <waxwingvale/membership/configuration_register.hpp>
+#include <waxwingvale/membership/exchange_message.hpp>
+#include <waxwingvale/membership/freshness.hpp>
+#include <waxwingvale/membership/member_table.hpp>
+#include <waxwingvale/membership/quarantine_table.hpp>
+
+namespace waxwingvale::membership {
+
+// The exchange's paces.
+struct exchange_timing {
+    // One digest goes to one peer in each of these; with it, anything that a
+    // broken link swallowed is found again.
+    duration digest_period = std::chrono::seconds(5);
+    // A revision that a peer announced is asked for after this long, in which
+    // the platform usually tells it.
+    duration configuration_wait = std::chrono::milliseconds(250);
+    // A link that broke may be opened again for this long before its peer is
+    // accused.
+    duration reconnect_grace = std::chrono::milliseconds(500);
+    // A planned link that never opened.
+    duration connect_grace = std::chrono::seconds(3);
+};
+
+struct exchange_counters {
+    std::uint64_t digests_sent = 0;
+    std::uint64_t digests_differed = 0;
+    std::uint64_t records_sent = 0;
+    std::uint64_t records_received = 0;
+    std::uint64_t configurations_sent = 0;
+    std::uint64_t accusations = 0;
+};
+
+// What all the tables of one waxwing-control are.
+struct known_state {
+    configuration_register& configurations;
+    member_table& members;
+    belief_table& beliefs;
+    quarantine_table& quarantine;
+};
+
+// Exchanges what this entry instance knows with its peers: every change is
+// passed on at once over all links but the one it came by, and digests find
+// what got lost. Pure: messages and the time go in, messages come out.
+class peer_exchange {
+public:
+    peer_exchange(known_state state, freshness& fresh, exchange_timing timing,
+                  std::uint64_t seed, time_point now);
+
+    // The links that ought to be open. Those that do not open within the
+    // grace are taken as silence of the peer.
+    void plan(const std::set<std::string>& peers, time_point now);
+    void link_up(const std::string& peer, time_point now);
+    void link_down(const std::string& peer, time_point now);
+
+    void receive(const std::string& peer, const exchange_message& message,
+                 time_point now);
+    void tick(time_point now);
+    // The process was stopped: peers are asked whether anybody is there, and
+    // nobody is accused for a silence that was ours.
+    void woke_late(time_point now);
+
+    // Whether the platform answers; if not, peers are asked for newer files
+    // at once.
+    void set_platform_answers(bool answers) { platform_answers_ = answers; }
+
+    // All messages to be sent by now, changes included.
+    std::vector<addressed_message> take_messages(time_point now);
+    const std::set<std::string>& linked() const { return linked_; }
+    const exchange_counters& counters() const { return counters_; }
+
+private:
+    struct wanted_configuration {
+        std::string from;
+        time_point ask_at{};
+    };
+
+    void take(const std::string& peer, const digest_message& message,
+              time_point now);
+    void take(const std::string& peer, const records_message& message,
+              time_point now);
+    void take(const std::string& peer, const revision_message& message,
+              time_point now);
+    void take(const std::string& peer, const configuration_request& message,
+              time_point now);
+    void take(const std::string& peer, const configuration_message& message,
+              time_point now);
+    void merge_records(const std::string& peer, const records_message& message,
+                       time_point now);
+    records_message newer_than(const records_message& theirs) const;
+    void send_differing(const std::string& peer, const digest_message& theirs);
+    void want_configuration(const std::string& peer,
+                            const revision_message& theirs, time_point now);
+    revision_message own_revision() const;
+    digest_message own_digest() const;
+    void send_digest(const std::string& peer, std::uint64_t asks,
+                     std::uint64_t answers);
+    void send(const std::string& peer, exchange_message message);
+    void pass_on_changes();
+    void pass_on_revision();
+    void accuse_silent(time_point now);
+    void ask_for_configuration(time_point now);
+    void send_due_digest(time_point now);
+
+    known_state state_;
+    freshness& fresh_;
+    exchange_timing timing_;
+    std::mt19937_64 random_;
+    time_point next_digest_;
+    std::set<std::string> linked_;
+    // Planned peers without a link, and when they will be accused.
+    std::map<std::string, time_point> awaited_;
+    std::set<std::string> planned_;
+    std::optional<wanted_configuration> wanted_;
+    revision_message announced_;
+    bool platform_answers_ = false;
+    // Who told us what is waiting to be passed on.
+    std::map<std::string, std::string> member_origin_;
+    std::map<std::string, std::string> belief_origin_;
+    std::vector<addressed_message> outgoing_;
+    exchange_counters counters_;
+};
+
+} // namespace waxwingvale::membership
--- /dev/null
+++ b/include/waxwingvale/membership/read_budget.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+
+#include <waxwingvale/model/time.hpp>
+
+namespace waxwingvale::membership {
+
+// The platform answers about this many reads a second over all its readers.
+constexpr double platform_reads_per_second = 2000;
+
+// One reader's share of the platform's reads: a bucket of tokens.
+struct read_share {
+    double per_second = 2;
+    double burst = 2;
+
+    friend bool operator==(const read_share& a, const read_share& b) {
+        return a.per_second == b.per_second && a.burst == b.burst;
+    }
+};
+
+// The share of each of that many readers. All of them may spend their whole
+// burst and one second's reads in the same second, as when the platform comes
+// back for everybody at once, and still stay under half of what it answers.
+read_share share_of(std::size_t readers);
+
+// Decides when the platform may be read: by tokens, so that whatever goes
+// wrong here the platform is not read more often than the share; and by a
+// jittered backoff, so that readers who lost it together do not return
+// together. Randomness comes from the seed.
+class read_budget {
+public:
+    read_budget(read_share share, std::uint64_t seed, time_point now);
+
+    void set_share(read_share share, time_point now);
+
+    // How long to wait before the next read, at least; zero: now.
+    duration wait_before_read(time_point now);
+    // A read has been started.
+    void take(time_point now);
+
+    void succeeded();
+    void failed(time_point now);
+    unsigned failures_in_row() const { return failures_; }
+
+private:
+    void refill(time_point now);
+
+    read_share share_;
+    std::mt19937_64 random_;
+    double tokens_;
+    time_point refilled_;
+    time_point not_before_;
+    unsigned failures_ = 0;
+};
+
+} // namespace waxwingvale::membership
--- /dev/null
+++ b/src/io/exchange_codec.cpp
@@ -0,0 +1,245 @@
+#include "io/exchange_codec.hpp"
+
+#include <map>
+
+#include "io/model_codec.hpp"
+
+namespace waxwingvale::io {
+
+namespace {
+
+using membership::belief_record;
+using membership::configuration_message;
+using membership::configuration_request;
+using membership::death_record;
+using membership::digest_buckets;
+using membership::digest_message;
+using membership::exchange_message;
+using membership::member_record;
+using membership::quarantine_record;
+using membership::records_message;
+using membership::revision_message;
+using nlohmann::json;
+
+constexpr const char* decode_step = "decode peer's message";
+
+// No message may make us hold more records than this.
+constexpr std::size_t record_limit = 16384;
+
+json write(const member_record& value, time_point) {
+    auto list = write_member(membership::to_member(value));
+    list.push_back(value.assertion);
+    list.push_back(static_cast<unsigned>(value.life));
+    list.push_back(value.leaving);
+    return list;
+}
+
+void read(const json& from, time_point, member_record& value) {
+    const auto base = read_member(from);
+    value.id = base.id;
+    value.data_centre = base.data_centre;
+    value.addresses = base.addresses;
+    value.assertion = from.at(9).get<std::uint64_t>();
+    value.life = read_enum(from.at(10), membership::liveness::gone);
+    value.leaving = from.at(11).get<bool>();
+}
+
+json write(const belief_record& value, time_point now) {
+    return json::array({value.backend_server, value.incarnation, value.version,
+                        value.dead, value.leaving,
+                        static_cast<unsigned>(value.source), value.observer,
+                        age_of(value.since, now)});
+}
+
+void read(const json& from, time_point now, belief_record& value) {
+    value.backend_server = from.at(0).get<std::string>();
+    value.incarnation = from.at(1).get<std::uint64_t>();
+    value.version = from.at(2).get<std::uint64_t>();
+    value.dead = from.at(3).get<bool>();
+    value.leaving = from.at(4).get<bool>();
+    value.source = read_enum(from.at(5), belief_source::peer);
+    value.observer = from.at(6).get<std::string>();
+    value.since = moment_of(from.at(7).get<std::int64_t>(), now);
+}
+
+json write(const quarantine_record& value, time_point now) {
+    return json::array(
+        {value.fingerprint, value.observer, age_of(value.since, now)});
+}
+
+void read(const json& from, time_point now, quarantine_record& value) {
+    value.fingerprint = from.at(0).get<std::uint64_t>();
+    value.observer = from.at(1).get<std::string>();
+    value.since = moment_of(from.at(2).get<std::int64_t>(), now);
+}
+
+json write(const death_record& value, time_point now) {
+    return json::array({value.fingerprint, value.backend_server,
+                        value.incarnation, value.alone,
+                        age_of(value.since, now)});
+}
+
+void read(const json& from, time_point now, death_record& value) {
+    value.fingerprint = from.at(0).get<std::uint64_t>();
+    value.backend_server = from.at(1).get<std::string>();
+    value.incarnation = from.at(2).get<std::uint64_t>();
+    value.alone = from.at(3).get<bool>();
+    value.since = moment_of(from.at(4).get<std::int64_t>(), now);
+}
+
+// Empty lists are left out: most messages hold one record of one table.
+template <typename Record>
+void write_list(json& to, const char* field, const std::vector<Record>& list,
+                time_point now) {
+    if (list.empty()) {
+        return;
+    }
+    auto& array = to[field] = json::array();
+    for (const auto& each : list) {
+        array.push_back(write(each, now));
+    }
+}
+
+template <typename Record>
+void read_list(const json& from, const char* field, time_point now,
+               std::vector<Record>& list) {
+    const auto found = from.find(field);
+    if (found == from.end()) {
+        return;
+    }
+    if (found->size() > record_limit) {
+        throw json::other_error::create(501, "too many records", &from);
+    }
+    for (const auto& each : *found) {
+        read(each, now, list.emplace_back());
+    }
+}
+
+json write_message(const digest_message& value, time_point) {
+    return {{"a", value.asks},      {"w", value.answers}, {"r", value.revision},
+            {"x", value.refused},   {"m", value.members}, {"b", value.beliefs},
+            {"q", value.quarantine}};
+}
+
+json write_message(const records_message& value, time_point now) {
+    json object = json::object();
+    write_list(object, "m", value.members, now);
+    write_list(object, "b", value.beliefs, now);
+    write_list(object, "q", value.quarantine, now);
+    write_list(object, "d", value.deaths, now);
+    if (!value.member_buckets.empty()) {
+        object["mb"] = value.member_buckets;
+    }
+    if (!value.belief_buckets.empty()) {
+        object["bb"] = value.belief_buckets;
+    }
+    if (value.whole_quarantine) {
+        object["wq"] = true;
+    }
+    return object;
+}
+
+json write_message(const revision_message& value, time_point) {
+    return {{"r", value.revision}, {"x", value.refused}};
+}
+
+json write_message(const configuration_request& value, time_point) {
+    return {{"r", value.revision}, {"x", value.refused}};
+}
+
+json write_message(const configuration_message& value, time_point) {
+    return {{"r", value.file.revision}, {"t", value.file.text}};
+}
+
+exchange_message read_digest(const json& from, time_point) {
+    digest_message value;
+    value.asks = from.at("a").get<std::uint64_t>();
+    value.answers = from.at("w").get<std::uint64_t>();
+    value.revision = from.at("r").get<std::uint64_t>();
+    value.refused = from.at("x").get<std::uint64_t>();
+    value.members = from.at("m").get<digest_buckets>();
+    value.beliefs = from.at("b").get<digest_buckets>();
+    value.quarantine = from.at("q").get<std::uint64_t>();
+    return value;
+}
+
+// Buckets past the last are those of a version with more of them; it finds
+// its records again by its own digest.
+std::vector<unsigned> read_buckets(const json& from, const char* field) {
+    std::vector<unsigned> buckets;
+    for (const auto bucket : from.value(field, std::vector<unsigned>())) {
+        if (bucket < membership::bucket_count) {
+            buckets.push_back(bucket);
+        }
+    }
+    return buckets;
+}
+
+exchange_message read_records(const json& from, time_point now) {
+    records_message value;
+    read_list(from, "m", now, value.members);
+    read_list(from, "b", now, value.beliefs);
+    read_list(from, "q", now, value.quarantine);
+    read_list(from, "d", now, value.deaths);
+    value.member_buckets = read_buckets(from, "mb");
+    value.belief_buckets = read_buckets(from, "bb");
+    value.whole_quarantine = from.value("wq", false);
+    return value;
+}
+
+exchange_message read_revision(const json& from, time_point) {
+    return revision_message{from.at("r").get<std::uint64_t>(),
+                            from.at("x").get<std::uint64_t>()};
+}
+
+exchange_message read_request(const json& from, time_point) {
+    return configuration_request{from.at("r").get<std::uint64_t>(),
+                                 from.at("x").get<std::uint64_t>()};
+}
+
+exchange_message read_file(const json& from, time_point) {
+    return configuration_message{
+        {from.at("r").get<std::uint64_t>(), from.at("t").get<std::string>()}};
+}
+
+using message_reader = exchange_message (*)(const json&, time_point);
+
+const std::map<std::string, message_reader>& readers() {
+    static const std::map<std::string, message_reader> table = {
+        {exchange_kinds[0], read_digest},
+        {exchange_kinds[1], read_records},
+        {exchange_kinds[2], read_revision},
+        {exchange_kinds[3], read_request},
+        {exchange_kinds[4], read_file}};
+    return table;
+}
+
+} // namespace
+
+const char* kind_of(const exchange_message& message) {
+    return exchange_kinds[message.index()];
+}
+
+std::vector<std::uint8_t> encode_exchange(const exchange_message& message,
+                                          time_point now) {
+    return std::visit(
+        [now](const auto& typed) {
+            return json::to_cbor(write_message(typed, now));
+        },
+        message);
+}
+
+result<exchange_message> decode_exchange(const std::string& kind,
+                                         const std::vector<std::uint8_t>& bytes,
+                                         time_point now) {
+    const auto reader = readers().find(kind);
+    if (reader == readers().end()) {
+        return error{error_code::malformed, decode_step, "",
+                     "kind not known: " + kind};
+    }
+    return decode_guarded<exchange_message>(
+        bytes, decode_step,
+        [&](const json& from) { return reader->second(from, now); });
+}
+
+} // namespace waxwingvale::io
--- /dev/null
+++ b/src/membership/link_plan.cpp
@@ -0,0 +1,94 @@
+#include <waxwingvale/membership/link_plan.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <waxwingvale/decision/stable_hash.hpp>
+
+namespace waxwingvale::membership {
+
+namespace {
+
+constexpr std::size_t chord_base = 4;
+constexpr unsigned links_between_data_centres = 2;
+constexpr unsigned links_between_regions = 3;
+
+using names = std::vector<std::string>;
+
+// The name that scores highest for that purpose.
+const std::string& chosen(const names& of, const std::string& purpose) {
+    const auto seed = decision::stable_hash(purpose);
+    return *std::max_element(of.begin(), of.end(),
+                             [seed](const auto& a, const auto& b) {
+                                 return decision::stable_hash(a, seed) <
+                                        decision::stable_hash(b, seed);
+                             });
+}
+
+void plan_ring(const std::string& self, const names& ring,
+               std::set<std::string>& links) {
+    const auto size = ring.size();
+    const auto place = static_cast<std::size_t>(
+        std::find(ring.begin(), ring.end(), self) - ring.begin());
+    for (std::size_t step = 1; step < size; step *= chord_base) {
+        links.insert(ring[(place + step) % size]);
+        links.insert(ring[(place + size - step) % size]);
+    }
+}
+
+// Links between two groups, given which of them `self` lies in.
+void plan_between(const std::string& self, const names& a, const names& b,
+                  const std::string& purpose, unsigned count,
+                  std::set<std::string>& links) {
+    for (unsigned number = 0; number < count; ++number) {
+        const auto nth = purpose + "/" + std::to_string(number);
+        const auto& from = chosen(a, nth);
+        const auto& to = chosen(b, nth);
+        if (from == self) {
+            links.insert(to);
+        } else if (to == self) {
+            links.insert(from);
+        }
+    }
+}
+
+using groups = std::map<std::string, names>;
+
+void plan_between_all(const std::string& self, const groups& of,
+                      const std::string& kind, unsigned count,
+                      std::set<std::string>& links) {
+    for (auto a = of.begin(); a != of.end(); ++a) {
+        for (auto b = std::next(a); b != of.end(); ++b) {
+            plan_between(self, a->second, b->second,
+                         kind + "/" + a->first + "/" + b->first, count, links);
+        }
+    }
+}
+
+} // namespace
+
+std::set<std::string> plan_links(const std::string& self,
+                                 const std::vector<placed_member>& members) {
+    std::map<std::string, groups> regions;
+    groups by_region;
+    std::set<std::string> links;
+    for (const auto& each : members) {
+        regions[each.region][each.data_centre].push_back(each.name);
+        by_region[each.region].push_back(each.name);
+    }
+    for (auto& [region, data_centres] : regions) {
+        for (auto& [data_centre, ring] : data_centres) {
+            std::sort(ring.begin(), ring.end());
+            if (std::binary_search(ring.begin(), ring.end(), self)) {
+                plan_ring(self, ring, links);
+            }
+        }
+        plan_between_all(self, data_centres, "data centre",
+                         links_between_data_centres, links);
+    }
+    plan_between_all(self, by_region, "region", links_between_regions, links);
+    links.erase(self);
+    return links;
+}
+
+} // namespace waxwingvale::membership
--- /dev/null
+++ b/src/membership/peer_exchange.cpp
@@ -0,0 +1,374 @@
+#include <waxwingvale/membership/peer_exchange.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwingvale::membership {
+
+namespace {
+
+bool is_empty(const records_message& message) {
+    return message.members.empty() && message.beliefs.empty() &&
+           message.quarantine.empty() && message.deaths.empty();
+}
+
+std::size_t count_of(const records_message& message) {
+    return message.members.size() + message.beliefs.size() +
+           message.quarantine.size() + message.deaths.size();
+}
+
+std::vector<unsigned> differing(const digest_buckets& a,
+                                const digest_buckets& b) {
+    std::vector<unsigned> buckets;
+    for (unsigned bucket = 0; bucket < bucket_count; ++bucket) {
+        if (a.at(bucket) != b.at(bucket)) {
+            buckets.push_back(bucket);
+        }
+    }
+    return buckets;
+}
+
+template <typename Record>
+void append(std::vector<Record>& to, const std::vector<Record>& more) {
+    to.insert(to.end(), more.begin(), more.end());
+}
+
+// The peer that told us, or an empty name.
+std::string origin_of(const std::map<std::string, std::string>& origins,
+                      const std::string& name) {
+    const auto found = origins.find(name);
+    return found == origins.end() ? std::string() : found->second;
+}
+
+// Whether theirs lacks something of this record, going by what they sent.
+template <typename Record, typename Same>
+bool lacks(const std::vector<Record>& theirs, const Record& record, Same same) {
+    return std::none_of(theirs.begin(), theirs.end(),
+                        [&](const auto& each) { return same(each, record); });
+}
+
+bool same_word(const belief_record& a, const belief_record& b) {
+    return a.backend_server == b.backend_server &&
+           a.incarnation == b.incarnation && a.version == b.version &&
+           a.dead == b.dead && a.leaving == b.leaving;
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(known_state state, freshness& fresh,
+                             exchange_timing timing, std::uint64_t seed,
+                             time_point now)
+    : state_(state),
+      fresh_(fresh),
+      timing_(timing),
+      random_(seed),
+      next_digest_(now) {}
+
+void peer_exchange::plan(const std::set<std::string>& peers, time_point now) {
+    planned_ = peers;
+    for (const auto& peer : peers) {
+        if (linked_.count(peer) == 0) {
+            awaited_.emplace(peer, now + timing_.connect_grace);
+        }
+    }
+    for (auto at = awaited_.begin(); at != awaited_.end();) {
+        at = peers.count(at->first) == 0 ? awaited_.erase(at) : std::next(at);
+    }
+}
+
+void peer_exchange::link_up(const std::string& peer, time_point) {
+    linked_.insert(peer);
+    awaited_.erase(peer);
+    send_digest(peer, fresh_.epoch(), 0);
+}
+
+void peer_exchange::link_down(const std::string& peer, time_point now) {
+    linked_.erase(peer);
+    if (planned_.count(peer) > 0) {
+        awaited_[peer] = now + timing_.reconnect_grace;
+    }
+}
+
+void peer_exchange::receive(const std::string& peer,
+                            const exchange_message& message, time_point now) {
+    std::visit([&](const auto& typed) { take(peer, typed, now); }, message);
+}
+
+void peer_exchange::take(const std::string& peer, const digest_message& message,
+                         time_point now) {
+    if (message.answers != 0) {
+        fresh_.hear(message.answers);
+    }
+    if (message.asks != 0) {
+        send_digest(peer, 0, message.asks);
+    }
+    want_configuration(peer, {message.revision, message.refused}, now);
+    send_differing(peer, message);
+}
+
+// What we have in the buckets that differ; the peer answers with what is
+// newer there.
+void peer_exchange::send_differing(const std::string& peer,
+                                   const digest_message& theirs) {
+    const auto mine = own_digest();
+    records_message records;
+    records.member_buckets = differing(mine.members, theirs.members);
+    records.belief_buckets = differing(mine.beliefs, theirs.beliefs);
+    records.whole_quarantine = mine.quarantine != theirs.quarantine;
+    const bool same = records.member_buckets.empty() &&
+                      records.belief_buckets.empty() &&
+                      !records.whole_quarantine;
+    if (same) {
+        return;
+    }
+    ++counters_.digests_differed;
+    for (const auto bucket : records.member_buckets) {
+        append(records.members, state_.members.in_bucket(bucket));
+    }
+    for (const auto bucket : records.belief_buckets) {
+        append(records.beliefs, state_.beliefs.in_bucket(bucket));
+    }
+    if (records.whole_quarantine) {
+        records.quarantine = state_.quarantine.verdicts();
+        records.deaths = state_.quarantine.deaths();
+    }
+    send(peer, std::move(records));
+}
+
+void peer_exchange::take(const std::string& peer,
+                         const records_message& message, time_point now) {
+    counters_.records_received += count_of(message);
+    merge_records(peer, message, now);
+    auto answer = newer_than(message);
+    if (!is_empty(answer)) {
+        send(peer, std::move(answer));
+    }
+}
+
+void peer_exchange::merge_records(const std::string& peer,
+                                  const records_message& message,
+                                  time_point now) {
+    for (const auto& record : message.members) {
+        const bool changed = state_.members.merge(record, now);
+        // Who told us needs no telling, unless we know better.
+        if (changed && *state_.members.find(record.id.name) == record) {
+            member_origin_[record.id.name] = peer;
+        }
+    }
+    for (const auto& record : message.beliefs) {
+        const bool changed = state_.beliefs.merge(record);
+        if (changed && *state_.beliefs.find(record.backend_server) == record) {
+            belief_origin_[record.backend_server] = peer;
+        }
+    }
+    for (const auto& record : message.quarantine) {
+        state_.quarantine.add_verdict(record);
+    }
+    for (const auto& record : message.deaths) {
+        state_.quarantine.add_death(record);
+    }
+}
+
+// What we hold, in the buckets they sent whole, that is not among theirs.
+records_message peer_exchange::newer_than(const records_message& theirs) const {
+    records_message newer;
+    for (const auto bucket : theirs.member_buckets) {
+        for (const auto& mine : state_.members.in_bucket(bucket)) {
+            if (lacks(theirs.members, mine, std::equal_to<>())) {
+                newer.members.push_back(mine);
+            }
+        }
+    }
+    for (const auto bucket : theirs.belief_buckets) {
+        for (const auto& mine : state_.beliefs.in_bucket(bucket)) {
+            if (lacks(theirs.beliefs, mine, same_word)) {
+                newer.beliefs.push_back(mine);
+            }
+        }
+    }
+    if (theirs.whole_quarantine) {
+        for (const auto& mine : state_.quarantine.verdicts()) {
+            const auto same = [](const auto& a, const auto& b) {
+                return a.fingerprint == b.fingerprint;
+            };
+            if (lacks(theirs.quarantine, mine, same)) {
+                newer.quarantine.push_back(mine);
+            }
+        }
+    }
+    return newer;
+}
+
+void peer_exchange::take(const std::string& peer,
+                         const revision_message& message, time_point now) {
+    want_configuration(peer, message, now);
+}
+
+void peer_exchange::want_configuration(const std::string& peer,
+                                       const revision_message& theirs,
+                                       time_point now) {
+    const auto mine = own_revision();
+    const bool newer = theirs.revision > mine.revision ||
+                       theirs.refused > std::max(mine.refused, mine.revision);
+    if (!newer || wanted_) {
+        return;
+    }
+    const auto wait =
+        platform_answers_ ? timing_.configuration_wait : duration::zero();
+    wanted_ = wanted_configuration{peer, now + wait};
+    ask_for_configuration(now);
+}
+
+revision_message peer_exchange::own_revision() const {
+    return {state_.configurations.revision(),
+            state_.configurations.refused_revision()};
+}
+
+void peer_exchange::take(const std::string& peer,
+                         const configuration_request& message, time_point) {
+    const auto mine = own_revision();
+    if (mine.revision > message.revision) {
+        ++counters_.configurations_sent;
+        send(peer, configuration_message{state_.configurations.published()});
+    }
+    if (mine.refused > std::max(message.refused, message.revision)) {
+        ++counters_.configurations_sent;
+        send(peer, configuration_message{state_.configurations.refused_file()});
+    }
+}
+
+void peer_exchange::take(const std::string&,
+                         const configuration_message& message, time_point) {
+    state_.configurations.offer(message.file);
+}
+
+void peer_exchange::tick(time_point now) {
+    accuse_silent(now);
+    state_.members.tick(now);
+    state_.quarantine.expire(now);
+    ask_for_configuration(now);
+    send_due_digest(now);
+}
+
+// Once for each time a link is missed: a member that others still reach
+// refutes, and is not accused again for the same broken link.
+void peer_exchange::accuse_silent(time_point now) {
+    for (auto& [peer, deadline] : awaited_) {
+        if (now < deadline) {
+            continue;
+        }
+        deadline = time_point::max();
+        if (state_.members.accuse(peer, now)) {
+            ++counters_.accusations;
+        }
+    }
+}
+
+void peer_exchange::ask_for_configuration(time_point now) {
+    if (!wanted_ || now < wanted_->ask_at) {
+        return;
+    }
+    const auto from = wanted_->from;
+    wanted_.reset();
+    const auto mine = own_revision();
+    send(from, configuration_request{mine.revision, mine.refused});
+}
+
+void peer_exchange::send_due_digest(time_point now) {
+    if (now < next_digest_ || linked_.empty()) {
+        return;
+    }
+    const auto period = timing_.digest_period.count();
+    std::uniform_int_distribution<duration::rep> jitter(period / 2,
+                                                        period * 3 / 2);
+    next_digest_ = now + duration(jitter(random_));
+    std::uniform_int_distribution<std::size_t> pick(0, linked_.size() - 1);
+    const auto peer =
+        std::next(linked_.begin(), static_cast<std::ptrdiff_t>(pick(random_)));
+    send_digest(*peer, fresh_.fresh() ? 0 : fresh_.epoch(), 0);
+}
+
+void peer_exchange::woke_late(time_point now) {
+    state_.members.restart_suspicions(now);
+    for (auto& [peer, deadline] : awaited_) {
+        if (deadline != time_point::max()) {
+            deadline = now + timing_.connect_grace;
+        }
+    }
+    for (const auto& peer : linked_) {
+        send_digest(peer, fresh_.epoch(), 0);
+    }
+}
+
+digest_message peer_exchange::own_digest() const {
+    digest_message digest;
+    digest.revision = state_.configurations.revision();
+    digest.refused = state_.configurations.refused_revision();
+    digest.members = state_.members.digest();
+    digest.beliefs = state_.beliefs.digest();
+    digest.quarantine = state_.quarantine.digest();
+    return digest;
+}
+
+void peer_exchange::send_digest(const std::string& peer, std::uint64_t asks,
+                                std::uint64_t answers) {
+    auto digest = own_digest();
+    digest.asks = asks;
+    digest.answers = answers;
+    ++counters_.digests_sent;
+    send(peer, digest);
+}
+
+void peer_exchange::send(const std::string& peer, exchange_message message) {
+    if (const auto* records = std::get_if<records_message>(&message)) {
+        counters_.records_sent += count_of(*records);
+    }
+    outgoing_.push_back({peer, std::move(message)});
+}
+
+std::vector<addressed_message> peer_exchange::take_messages(time_point) {
+    pass_on_revision();
+    pass_on_changes();
+    return std::exchange(outgoing_, {});
+}
+
+void peer_exchange::pass_on_revision() {
+    const auto mine = own_revision();
+    if (mine.revision == announced_.revision &&
+        mine.refused == announced_.refused) {
+        return;
+    }
+    announced_ = mine;
+    for (const auto& peer : linked_) {
+        send(peer, mine);
+    }
+}
+
+void peer_exchange::pass_on_changes() {
+    const auto members = state_.members.take_changes();
+    const auto beliefs = state_.beliefs.take_changes();
+    const auto verdicts = state_.quarantine.take_new_verdicts();
+    const auto deaths = state_.quarantine.take_new_deaths();
+    for (const auto& peer : linked_) {
+        records_message records;
+        for (const auto& each : members) {
+            if (origin_of(member_origin_, each.id.name) != peer) {
+                records.members.push_back(each);
+            }
+        }
+        for (const auto& each : beliefs) {
+            if (origin_of(belief_origin_, each.backend_server) != peer) {
+                records.beliefs.push_back(each);
+            }
+        }
+        records.quarantine = verdicts;
+        records.deaths = deaths;
+        if (!is_empty(records)) {
+            send(peer, std::move(records));
+        }
+    }
+    member_origin_.clear();
+    belief_origin_.clear();
+}
+
+} // namespace waxwingvale::membership
--- /dev/null
+++ b/src/waxwing_control/peer_links.cpp
@@ -0,0 +1,193 @@
+#include "waxwing_control/peer_links.hpp"
+
+#include <utility>
+
+#include "io/exchange_codec.hpp"
+
+namespace waxwingvale::control {
+
+namespace {
+
+// Of two peers that both plan a link the one with the smaller name dials; the
+// other does so only when that has not happened within this time, because the
+// first may not know of it yet.
+constexpr duration second_dialer_wait = std::chrono::milliseconds(300);
+// Links that the plan gave up stay open this long, so that they do not come
+// and go with every passing suspicion.
+constexpr duration unwanted_limit = std::chrono::seconds(5);
+
+std::string region_of(const configuration_ptr& config,
+                      const std::string& data_centre) {
+    if (config) {
+        for (const auto& each : config->data_centres) {
+            if (each.name == data_centre) {
+                return each.region;
+            }
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+peer_links::peer_links(io::message_hub& hub, kernel::timer_service& timers,
+                       knowledge& known,
+                       std::vector<program::seed_settings> seeds,
+                       std::uint64_t seed)
+    : hub_(hub),
+      timers_(timers),
+      known_(known),
+      seeds_(std::move(seeds)),
+      exchange_(known.tables(), known.fresh, {}, seed, timers.now()) {
+    hub_.on_link_change(
+        [this](const std::string& process, bool up) { on_link(process, up); });
+    for (const auto* kind : io::exchange_kinds) {
+        hub_.on_message(
+            kind, [this, kind](const std::string& process, const auto& body) {
+                on_message(kind, process, body);
+            });
+    }
+}
+
+void peer_links::on_link(const std::string& process, bool up) {
+    const auto peer = instance_of(process, control_role);
+    if (peer.empty()) {
+        return;
+    }
+    if (up) {
+        exchange_.link_up(peer, timers_.now());
+    } else {
+        exchange_.link_down(peer, timers_.now());
+    }
+    send_waiting();
+}
+
+void peer_links::on_message(const std::string& kind, const std::string& process,
+                            const io::message_hub::payload& body) {
+    const auto peer = instance_of(process, control_role);
+    if (peer.empty()) {
+        return;
+    }
+    const auto now = timers_.now();
+    const auto message = io::decode_exchange(kind, body, now);
+    if (!message) {
+        ++malformed_;
+        return;
+    }
+    exchange_.receive(peer, message.value(), now);
+    on_heard_();
+}
+
+void peer_links::send_waiting() {
+    const auto now = timers_.now();
+    for (const auto& each : exchange_.take_messages(now)) {
+        hub_.send(process_name(each.peer, control_role),
+                  io::kind_of(each.message),
+                  io::encode_exchange(each.message, now));
+    }
+}
+
+std::vector<membership::placed_member>
+peer_links::placed(bool with_gone) const {
+    const auto config = known_.configurations.in_force();
+    std::vector<membership::placed_member> all;
+    for (const auto& each : known_.members.members()) {
+        const bool is_self = each.id.name == known_.members.self().id.name;
+        if (is_self || with_gone || each.state != member_state::gone) {
+            all.push_back({each.id.name, each.data_centre,
+                           region_of(config, each.data_centre)});
+        }
+    }
+    return all;
+}
+
+// The links among those that live, and those that would be if the gone were
+// back: a partition's end is noticed only by those who go on dialing.
+std::set<std::string> peer_links::wanted_links() const {
+    const auto& self = known_.members.self().id.name;
+    auto wanted = membership::plan_links(self, placed(false));
+    const auto with_gone = membership::plan_links(self, placed(true));
+    wanted.insert(with_gone.begin(), with_gone.end());
+    return wanted;
+}
+
+void peer_links::plan() {
+    const auto now = timers_.now();
+    const auto wanted = wanted_links();
+    exchange_.plan(wanted, now);
+    for (const auto& peer : wanted) {
+        want(peer, known_.members.find(peer)->addresses, now);
+    }
+    dial_seeds();
+    drop_unwanted(wanted, now);
+}
+
+void peer_links::want(const std::string& peer, const member_addresses& address,
+                      time_point now) {
+    auto& link = links_[peer];
+    if (link.planned == time_point()) {
+        link.planned = now;
+    }
+    link.unwanted = {};
+    const bool first = known_.members.self().id.name < peer;
+    const bool my_turn = first || now - link.planned >= second_dialer_wait;
+    if (my_turn) {
+        dial(peer, address);
+    }
+}
+
+void peer_links::dial(const std::string& peer,
+                      const member_addresses& address) {
+    auto& link = links_[peer];
+    const bool same = link.dialing && link.address == address;
+    if (address.control_port == 0 || same) {
+        return;
+    }
+    link.address = address;
+    link.dialing = true;
+    hub_.connect(process_name(peer, control_role), address.host,
+                 address.control_port);
+}
+
+// Seeds are only for finding anybody at all; kept, they would hold a link with
+// every instance that names them.
+void peer_links::dial_seeds() {
+    if (!exchange_.linked().empty()) {
+        return;
+    }
+    for (const auto& seed : seeds_) {
+        const bool is_self = seed.name == known_.members.self().id.name;
+        if (!is_self && links_.count(seed.name) == 0) {
+            member_addresses address;
+            address.host = seed.host;
+            address.control_port = seed.control_port;
+            dial(seed.name, address);
+        }
+    }
+}
+
+void peer_links::drop_unwanted(const std::set<std::string>& wanted,
+                               time_point now) {
+    for (auto at = links_.begin(); at != links_.end();) {
+        auto& link = at->second;
+        const bool is_wanted = wanted.count(at->first) > 0;
+        // A seed stays until others are found.
+        if (!is_wanted && exchange_.linked().size() > 1 &&
+            link.unwanted == time_point()) {
+            link.unwanted = now;
+        }
+        const bool drop = !is_wanted && link.unwanted != time_point() &&
+                          now - link.unwanted >= unwanted_limit;
+        if (drop) {
+            hub_.disconnect(process_name(at->first, control_role));
+        }
+        at = drop ? links_.erase(at) : std::next(at);
+    }
+}
+
+void peer_links::tick(time_point now) {
+    exchange_.tick(now);
+    plan();
+}
+
+} // namespace waxwingvale::control
--- /dev/null
+++ b/src/waxwing_control/peer_links.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "waxwing_control/knowledge.hpp"
+#include <waxwingvale/io/message_hub.hpp>
+#include <waxwingvale/kernel/timer_service.hpp>
+#include <waxwingvale/membership/link_plan.hpp>
+#include <waxwingvale/membership/peer_exchange.hpp>
+#include <waxwingvale/program/settings.hpp>
+
+namespace waxwingvale::control {
+
+// Opens the links that the members ask for and carries the exchange's
+// messages over them.
+class peer_links {
+public:
+    peer_links(io::message_hub& hub, kernel::timer_service& timers,
+               knowledge& known, std::vector<program::seed_settings> seeds,
+               std::uint64_t seed);
+
+    // Called whenever something a peer said may have changed what is known.
+    void on_heard(std::function<void()> handler) {
+        on_heard_ = std::move(handler);
+    }
+
+    // Computes the links anew and dials, or gives up, what changed.
+    void plan();
+    void tick(time_point now);
+    void woke_late(time_point now) { exchange_.woke_late(now); }
+    void set_platform_answers(bool answers) {
+        exchange_.set_platform_answers(answers);
+    }
+    // Hands over to the hub what the exchange has to say.
+    void send_waiting();
+
+    const membership::peer_exchange& exchange() const { return exchange_; }
+    std::uint64_t malformed() const { return malformed_; }
+
+private:
+    struct dialed_link {
+        member_addresses address;
+        bool dialing = false;
+        time_point planned{};  // since when
+        time_point unwanted{}; // since when, if it is not
+    };
+
+    void on_link(const std::string& process, bool up);
+    void on_message(const std::string& kind, const std::string& process,
+                    const io::message_hub::payload& body);
+    std::set<std::string> wanted_links() const;
+    std::vector<membership::placed_member> placed(bool with_gone) const;
+    void want(const std::string& peer, const member_addresses& address,
+              time_point now);
+    void drop_unwanted(const std::set<std::string>& wanted, time_point now);
+    void dial(const std::string& peer, const member_addresses& address);
+    void dial_seeds();
+
+    io::message_hub& hub_;
+    kernel::timer_service& timers_;
+    knowledge& known_;
+    std::vector<program::seed_settings> seeds_;
+    membership::peer_exchange exchange_;
+    std::map<std::string, dialed_link> links_;
+    std::function<void()> on_heard_;
+    std::uint64_t malformed_ = 0;
+};
+
+} // namespace waxwingvale::control
