entry: trials name their backend server, and askers of a key keep asking

Cause: the quarantine now counts a death as proof only on the trial's own backend server, which the wiring did not name, so nothing would ever be convicted. And any reply ended the watch over an asking: after "in flight", or a late copy, the death of the peer left the parked copy to its deadline. Change: on_trial_placed is called at dispatch; an asking is watched until the key store no longer waits, and repeated while the peer says "in flight". A member that asks again is remembered once. Excluded: nothing. Conclusion: a lost holder means "unknown" within two ask bounds.

--- a/include/waxwingvale/decision/key_store.hpp
+++ b/include/waxwingvale/decision/key_store.hpp
@@ -85,6 +85,11 @@
     // The prefix for keys that this member remembers, to hand to callers.
     std::string prefix(time_point now) const;
 
+    // Whether copies of that key are parked until a peer replies. While they
+    // are, ask again now and then: asking twice does no harm, and a peer that
+    // has died after "in flight" is noticed by its silence.
+    bool asking(const std::string& key) const;
+
     const member_id& self() const;
     std::size_t size() const;         // keys remembered
     std::size_t answer_bytes() const; // answers kept, in bytes
--- a/src/decision/key_memory.cpp
+++ b/src/decision/key_memory.cpp
@@ -25,6 +25,11 @@
     return found == records_.end() ? nullptr : &found->second;
 }
 
+const key_record* key_memory::find(const std::string& key) const {
+    const auto found = records_.find(key);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
 key_record& key_memory::insert(const std::string& key, std::int64_t second) {
     const auto inserted = records_.emplace(key, key_record{}).first;
     by_second_[second].push_back(&inserted->first);
--- a/src/decision/key_memory.hpp
+++ b/src/decision/key_memory.hpp
@@ -28,6 +28,7 @@
     void change_limits(const key_limits& limits) { limits_ = limits; }
 
     key_record* find(const std::string& key);
+    const key_record* find(const std::string& key) const;
 
     // A key of our own, issued that many seconds after our start.
     key_record& insert_own(const std::string& key, std::uint64_t issued_s);
--- a/src/decision/key_protocol.cpp
+++ b/src/decision/key_protocol.cpp
@@ -19,6 +19,14 @@
     return report_ran{};
 }
 
+// Whoever waits asks again now and then, and needs only one reply.
+void remember_asker(key_links& links, const key_asker& asker) {
+    auto& askers = links.askers;
+    if (std::find(askers.begin(), askers.end(), asker) == askers.end()) {
+        askers.push_back(asker);
+    }
+}
+
 } // namespace
 
 key_protocol::key_protocol(member_id self, time_point started,
@@ -178,6 +186,11 @@
                   waiters.end());
 }
 
+bool key_protocol::asking(const std::string& key) const {
+    const auto* record = memory_.find(key);
+    return record != nullptr && record->state == key_state::asking;
+}
+
 hand_over_reply
 key_protocol::on_hand_over_request(const hand_over_request& request,
                                    time_point now) {
@@ -233,7 +246,7 @@
         if (record.linked().askers.size() >= max_askers) {
             return hand_over_kind::unknown;
         }
-        record.linked().askers.push_back(asker);
+        remember_asker(record.linked(), asker);
         return hand_over_kind::in_flight;
     case key_state::answered:
         reply.answer = record.answer;
--- a/src/decision/key_protocol.hpp
+++ b/src/decision/key_protocol.hpp
@@ -29,6 +29,8 @@
     key_effects on_hand_over_reply(const hand_over_reply& reply);
     key_effects on_hand_over_failed(const std::string& key, bool gone);
 
+    bool asking(const std::string& key) const;
+
     key_memory& memory() { return memory_; }
     const key_memory& memory() const { return memory_; }
     const member_id& self() const { return self_; }
--- a/src/decision/key_store.cpp
+++ b/src/decision/key_store.cpp
@@ -67,6 +67,10 @@
     return key_prefix(self(), protocol_->memory().age(now));
 }
 
+bool key_store::asking(const std::string& key) const {
+    return protocol_->asking(key);
+}
+
 const member_id& key_store::self() const {
     return protocol_->self();
 }
--- a/src/waxwing_entry/call_attempts.cpp
+++ b/src/waxwing_entry/call_attempts.cpp
@@ -148,6 +148,9 @@
         return;
     }
     call.running = attempt;
+    if (call.alone) {
+        crashes_.on_trial_placed(fingerprint(call), action.backend_server);
+    }
     if (call.nature == request_nature::retriable && !call.hedged) {
         arm_hedge(call, part_of(service)
                             .policies.hedges(call.labels.request_class)
--- a/src/waxwing_entry/crash_guard.cpp
+++ b/src/waxwing_entry/crash_guard.cpp
@@ -72,6 +72,15 @@
     }
 }
 
+void crash_guard::on_trial_placed(decision::request_fingerprint of,
+                                  const std::string& backend_server) {
+    auto& sight = backend_servers_[backend_server];
+    // What breaks from now on is news again: the trial runs on a server that
+    // took a connection, whatever was seen of it before.
+    sight.dead = false;
+    quarantine_.on_trial_placed(of, {backend_server, sight.incarnation});
+}
+
 void crash_guard::on_trial_abandoned(decision::request_fingerprint of) {
     quarantine_.on_trial_abandoned(of);
 }
--- a/src/waxwing_entry/crash_guard.hpp
+++ b/src/waxwing_entry/crash_guard.hpp
@@ -32,6 +32,9 @@
     void on_died(const std::string& backend_server,
                  const std::vector<decision::request_fingerprint>& in_flight);
     void on_passed(decision::request_fingerprint of);
+    // A request that may only run alone was sent to that backend server.
+    void on_trial_placed(decision::request_fingerprint of,
+                         const std::string& backend_server);
     void on_trial_abandoned(decision::request_fingerprint of);
 
 private:
--- a/src/waxwing_entry/key_desk.cpp
+++ b/src/waxwing_entry/key_desk.cpp
@@ -78,8 +78,21 @@
         return;
     }
     const auto& reply = std::get<decision::hand_over_reply>(message.value());
-    asks_.erase(reply.key);
     carry_out(store_.on_hand_over_reply(reply, now));
+    ask_ended(reply);
+}
+
+void key_desk::ask_ended(const decision::hand_over_reply& reply) {
+    const auto found = asks_.find(reply.key);
+    if (found == asks_.end()) {
+        return;
+    }
+    if (!store_.asking(reply.key)) {
+        asks_.erase(found);
+    } else if (reply.kind == decision::hand_over_kind::in_flight &&
+               reply.from == found->second.request.to) {
+        found->second.in_flight = true;
+    }
 }
 
 void key_desk::carry_out(const decision::key_effects& effects) {
@@ -97,11 +110,12 @@
         !is_gone(request.to) &&
         hub_.send(entry_process(request.to.name), key_kind, encode(request));
     auto& ask = asks_[key];
-    ask.asked = request.to;
+    ask.request = request;
+    ask.in_flight = false;
     // Also when nothing was sent the failure comes by the timer, so that the
     // store is never entered again from within itself.
     ask.timeout = timers_.after(sent ? ask_timeout : 0ms,
-                                [this, key](time_point) { fail_ask(key); });
+                                [this, key](time_point) { check_ask(key); });
 }
 
 void key_desk::send(const decision::hand_over_reply& reply) {
@@ -110,14 +124,21 @@
     hub_.send(entry_process(reply.to.name), key_kind, encode(reply));
 }
 
-void key_desk::fail_ask(const std::string& key) {
+// A peer that said "in flight" may die before it sends the end, and a parked
+// copy would wait for its deadline. So it is asked again until the end comes.
+void key_desk::check_ask(const std::string& key) {
     const auto found = asks_.find(key);
     if (found == asks_.end()) {
         return;
     }
-    const bool gone = is_gone(found->second.asked);
+    const auto request = found->second.request;
+    if (found->second.in_flight && store_.asking(key)) {
+        send(request);
+        return;
+    }
     asks_.erase(found);
-    carry_out(store_.on_hand_over_failed(key, gone, timers_.now()));
+    carry_out(
+        store_.on_hand_over_failed(key, is_gone(request.to), timers_.now()));
 }
 
 bool key_desk::is_gone(const member_id& holder) const {
--- a/src/waxwing_entry/key_desk.hpp
+++ b/src/waxwing_entry/key_desk.hpp
@@ -44,7 +44,8 @@
 
 private:
     struct open_ask {
-        member_id asked;
+        decision::hand_over_request request;
+        bool in_flight = false; // the peer said so since it was last asked
         kernel::timer_service::subscription timeout;
     };
 
@@ -52,7 +53,8 @@
     void carry_out(const decision::key_effects& effects);
     void send(const decision::hand_over_request& request);
     void send(const decision::hand_over_reply& reply);
-    void fail_ask(const std::string& key);
+    void ask_ended(const decision::hand_over_reply& reply);
+    void check_ask(const std::string& key);
     bool is_gone(const member_id& holder) const;
 
     io::message_hub& hub_;
@@ -60,7 +62,7 @@
     key_outlet& outlet_;
     decision::key_store store_;
     std::vector<member> members_;
-    std::map<std::string, open_ask> asks_; // by key
+    std::map<std::string, open_ask> asks_; // by key, one while copies wait
     kernel::timer_service::subscription forgetting_;
 };
 
--- a/test/request_keys/key_store_test.cpp
+++ b/test/request_keys/key_store_test.cpp
@@ -96,3 +96,28 @@
     attempt_of(
         store.on_request(join_key("sea-1.7-0", "abc"), booking, 1, start));
 }
+
+// The member that runs a key dies after it said "in flight". Whoever waits
+// asks again until the end comes, so that a caller is not left hanging; the
+// repeated asking must not bring the answer twice.
+TEST_CASE("Asking again while an attempt is in flight brings one reply") {
+    key_store holder(sea, start, {});
+    key_store other(pdx, start, {});
+    const auto attempt = attempt_of(holder.on_request(key, booking, 1, start));
+    const auto asked = other.on_request(key, booking, 2, start);
+    const auto& request = std::get<ask_peer>(asked).request;
+    for (int again = 0; again < 3; ++again) {
+        const auto effects = holder.on_hand_over_request(request, start);
+        const auto& reply = std::get<hand_over_reply>(effects.messages.at(0));
+        REQUIRE(reply.kind == hand_over_kind::in_flight);
+        other.on_hand_over_reply(reply, start);
+        REQUIRE(other.asking(key));
+    }
+    const auto ended = holder.on_finished(key, attempt, run_outcome::ran,
+                                          answer_of("booked"), start);
+    REQUIRE(ended.messages.size() == 1);
+    const auto settled = other.on_hand_over_reply(
+        std::get<hand_over_reply>(ended.messages[0]), start);
+    REQUIRE(settled.settled.size() == 1);
+    REQUIRE_FALSE(other.asking(key));
+}
