--- a/src/waxwing_load/load_options.cpp
+++ b/src/waxwing_load/load_options.cpp
@@ -118,7 +118,7 @@
     }
 
     std::string path(const std::string& name) {
-        const auto value = text(name);
+        auto value = text(name);
         if (value.empty() || value.front() != '/') {
             complain(name, "a path that begins with '/'");
         }
