--- a/test/standin/process.cpp
+++ b/test/standin/process.cpp
@@ -9,7 +9,6 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
-#include <set>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -29,6 +28,45 @@
 constexpr int signal_exit_base = 128;
 constexpr int exec_failed = 127;
 
+// Below 32768, where Linux begins to take ports for outgoing connections.
+constexpr unsigned first_port = 20000;
+constexpr unsigned port_count = 12000;
+constexpr unsigned ports_by_process = 64;
+// Test processes mark their ports as taken at this address of loopback. The
+// servers under test share ports without complaint (SO_REUSEPORT), so that two
+// tests with the same one would serve each other's callers.
+constexpr const char* reservation_host = "127.77.0.1";
+
+// A socket bound to that port, which must be free there; -1 when it is not.
+int bind_to(const char* host, std::uint16_t port) {
+    const int bound = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, host, &address.sin_addr);
+    if (bind(bound, reinterpret_cast<sockaddr*>(&address), sizeof address) ==
+        0) {
+        return bound;
+    }
+    close(bound);
+    return -1;
+}
+
+// Marks the port as this process's for the rest of its life.
+bool reserve(std::uint16_t port) {
+    const int mark = bind_to(reservation_host, port);
+    if (mark < 0) {
+        return false;
+    }
+    const int probe = bind_to("127.0.0.1", port);
+    if (probe < 0) {
+        close(mark);
+        return false;
+    }
+    close(probe);
+    return true;
+}
+
 std::runtime_error system_failure(const std::string& step) {
     return std::runtime_error(step + ": " + std::strerror(errno));
 }
@@ -61,24 +99,15 @@
 }
 
 std::uint16_t free_port() {
-    static std::set<std::uint16_t> given;
-    for (;;) {
-        const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        auto* raw = reinterpret_cast<sockaddr*>(&address);
-        const bool bound =
-            bind(probe, raw, size) == 0 && getsockname(probe, raw, &size) == 0;
-        close(probe);
-        if (!bound) {
-            throw system_failure("find a free port");
-        }
-        if (given.insert(ntohs(address.sin_port)).second) {
-            return ntohs(address.sin_port);
+    static auto next = static_cast<unsigned>(getpid()) * ports_by_process;
+    for (unsigned tried = 0; tried < port_count; ++tried) {
+        const auto port =
+            static_cast<std::uint16_t>(first_port + next++ % port_count);
+        if (reserve(port)) {
+            return port;
         }
     }
+    throw std::runtime_error("no free port");
 }
 
 std::string program_path(const std::string& name) {
--- a/test/standin/process.hpp
+++ b/test/standin/process.hpp
@@ -20,8 +20,9 @@
 bool wait_until(const std::function<bool()>& condition,
                 std::chrono::milliseconds bound = patience);
 
-// A port of 127.0.0.1 that was free a moment ago, for programs that must be
-// told theirs. Each call of a test process gives another one.
+// A free port of 127.0.0.1 for programs that must be told theirs. No other
+// test process is given it while this one lives, and it lies below the range
+// from which the machine takes ports for outgoing connections.
 std::uint16_t free_port();
 
 // The full path of a program of the build: "waxwing-entry", or a stand-in
