configuration: refuse deeply nested files before they take memory

Cause: checking a file of 500,000 opening and closing brackets (under the size limit) was killed for want of memory, exit status 137: the path of each open level holds all levels above it, and the parsed value was copied level by level. Such a file, published, would have ended every waxwing-control. Change: the parser is left at more than 16 levels; the value is not copied.

--- a/src/model/document_reader.cpp
+++ b/src/model/document_reader.cpp
@@ -14,6 +14,12 @@
 constexpr std::size_t text_limit = 4096;  // characters
 constexpr std::size_t shown_limit = 60;   // characters of a value in an error
 constexpr std::size_t problem_limit = 50; // errors told of one document
+constexpr std::size_t depth_limit = 16;   // containers within one another
+
+// Leaves the parser when a document is nested too deeply. The path of each
+// level is as long as all levels above it: a file of brackets only would take
+// memory with the square of its depth.
+struct nested_too_deeply {};
 
 const json& empty_object() {
     static const json none = json::object();
@@ -88,6 +94,9 @@
         switch (event) {
         case json::parse_event_t::object_start:
         case json::parse_event_t::array_start:
+            if (open_.size() == depth_limit) {
+                throw nested_too_deeply();
+            }
             open_.push_back({path_here(), {}, {}, 0});
             break;
         case json::parse_event_t::object_end:
@@ -175,7 +184,14 @@
     try {
         auto parsed = json::parse(text.begin(), text.end(), follow,
                                   throw_errors, ignore_comments);
-        return problems.empty() ? parsed : json();
+        if (!problems.empty()) {
+            return nullptr;
+        }
+        return parsed;
+    } catch (const nested_too_deeply&) {
+        problems.add_syntax("expected at most " + std::to_string(depth_limit) +
+                            " levels of nesting");
+        return nullptr;
     } catch (const json::exception& failure) {
         // The library's text begins with its own error number.
         const std::string told = failure.what();
--- a/test/configuration/configuration_file_test.cpp
+++ b/test/configuration/configuration_file_test.cpp
@@ -126,3 +126,15 @@
     CHECK(parse_configuration(write_configuration(first), "b", 3).value() ==
           first);
 }
+
+TEST_CASE("a deeply nested file is refused before it takes memory") {
+    // A file of nothing but brackets, well under the size limit, is published.
+    // The path of each level is as long as the levels above it, so that
+    // memory would grow with the square of the depth until every
+    // waxwing-control is killed.
+    const std::string open(100, '[');
+    const std::string close(100, ']');
+    const auto errors = check_configuration(open + close, "live.json");
+    REQUIRE(errors.size() == 1);
+    CHECK(errors[0].detail == "expected at most 16 levels of nesting");
+}
