entry: a view counts as fresh only when it answers the last late wake-up

Cause: views that lay in the socket while the process was stopped call themselves fresh, and control resends none when nothing changed. Change: an entry process that wakes late makes an ask, and takes at-most-once work again only on a view made after control heard it. The wake hook notices before any event is handled.

--- a/include/waxwingvale/io/control_messages.hpp
+++ b/include/waxwingvale/io/control_messages.hpp
@@ -32,6 +32,9 @@
 // for those it gave out before.
 struct entry_life {
     std::uint64_t incarnation = 0;
+    // Grows each time that the entry process noticed a late wake-up: it then
+    // wants a view made after that, which names the number in view::answers.
+    std::uint64_t ask = 0;
 };
 
 // A revision taken over. Until it is reported on a link, each view carries the
--- a/include/waxwingvale/model/view.hpp
+++ b/include/waxwingvale/model/view.hpp
@@ -40,6 +40,10 @@
     std::vector<backend_belief> beliefs;
     std::vector<std::uint64_t> quarantined; // request fingerprints
     bool fresh = false; // false until word from platform or a peer has come
+    // The last of the entry process's asks that was heard before this view
+    // was made. A view that lay in a socket while the reader was stopped is
+    // old however fresh it calls itself.
+    std::uint64_t answers = 0;
 };
 
 using view_ptr = std::shared_ptr<const view>;
--- a/src/io/control_messages.cpp
+++ b/src/io/control_messages.cpp
@@ -7,7 +7,8 @@
 using nlohmann::json;
 
 message_bytes encode(const entry_life& message) {
-    return json::to_cbor({{"incarnation", message.incarnation}});
+    return json::to_cbor(
+        {{"incarnation", message.incarnation}, {"ask", message.ask}});
 }
 
 message_bytes encode(const in_force_report& message) {
@@ -36,7 +37,8 @@
 result<entry_life> decode_entry_life(const message_bytes& bytes) {
     return decode_guarded<entry_life>(
         bytes, "decode entry life", [](const json& from) {
-            return entry_life{from.at("incarnation").get<std::uint64_t>()};
+            return entry_life{from.at("incarnation").get<std::uint64_t>(),
+                              from.value("ask", std::uint64_t{0})};
         });
 }
 
--- a/src/io/view_codec.cpp
+++ b/src/io/view_codec.cpp
@@ -51,6 +51,7 @@
     value.quarantined =
         from.at("quarantined").get<std::vector<std::uint64_t>>();
     value.fresh = from.at("fresh").get<bool>();
+    value.answers = from.value("answers", std::uint64_t{0});
     value.published.revision = from.at("revision").get<std::uint64_t>();
     received.has_text = from.contains("text");
     if (received.has_text) {
@@ -70,6 +71,7 @@
                    {"beliefs", write_beliefs(value.beliefs, now)},
                    {"quarantined", value.quarantined},
                    {"fresh", value.fresh},
+                   {"answers", value.answers},
                    {"revision", value.published.revision}};
     if (part == configuration_part::included && value.published.revision > 0) {
         object["text"] = value.published.text;
--- a/src/waxwing_control/local_processes.cpp
+++ b/src/waxwing_control/local_processes.cpp
@@ -18,7 +18,8 @@
 bool same_content(const view& a, const view& b) {
     return a.self == b.self && a.published == b.published &&
            a.members == b.members && a.beliefs == b.beliefs &&
-           a.quarantined == b.quarantined && a.fresh == b.fresh;
+           a.quarantined == b.quarantined && a.fresh == b.fresh &&
+           a.answers == b.answers;
 }
 
 } // namespace
@@ -104,6 +105,7 @@
     entry_seen_ = true;
     known_.members.start_life(life.incarnation);
     known_.members.set_serving(true);
+    entry_ask_ = life.ask;
 }
 
 void local_processes::take_beliefs(const io::belief_report& report) {
@@ -151,6 +153,7 @@
     }
     made.quarantined = known_.quarantine.fingerprints();
     made.fresh = known_.fresh.fresh();
+    made.answers = entry_ask_;
     return made;
 }
 
--- a/src/waxwing_control/local_processes.hpp
+++ b/src/waxwing_control/local_processes.hpp
@@ -62,6 +62,7 @@
     time_point started_;
     bool entry_up_ = false;
     bool entry_seen_ = false;
+    std::uint64_t entry_ask_ = 0; // the last that it made
     time_point entry_lost_{};
     std::uint64_t malformed_ = 0;
 };
--- a/src/waxwing_entry/call_attempts.cpp
+++ b/src/waxwing_entry/call_attempts.cpp
@@ -182,7 +182,6 @@
                             decision::request_id attempt_id,
                             const std::string& service,
                             io::http_call_result ended) {
-    notice_late_wakeup();
     auto* call = find(id);
     if (call == nullptr) {
         return;
--- a/src/waxwing_entry/call_desk.cpp
+++ b/src/waxwing_entry/call_desk.cpp
@@ -70,27 +70,28 @@
       keys_(self, hub, timers, *this),
       crashes_(self.name, hub, timers),
       wakeups_(late_wakeup_limit) {
-    heartbeat_ = timers_.every(heartbeat_period,
-                               [this](time_point) { notice_late_wakeup(); });
+    // So that the loop wakes up often enough to notice.
+    heartbeat_ = timers_.every(heartbeat_period, [](time_point) {});
 }
 
 // A process that was stopped still believes its old view. Whatever event comes
 // first, nothing is dispatched on that view: what must run at most once waits
-// or is refused until fresh word has come.
-void call_desk::notice_late_wakeup() {
+// or is refused until a view has come that was made after the ask.
+std::uint64_t call_desk::notice_late_wakeup() {
     if (!wakeups_.noticed(timers_.now())) {
-        return;
+        return asks_;
     }
+    ++asks_;
     metrics_.late_wakeups.add();
     program::log_warning("late_wakeup");
     if (view_) {
         follow(*view_, false);
     }
-    outlet_.ask_for_fresh_view();
+    outlet_.ask_for_fresh_view(asks_);
+    return asks_;
 }
 
 void call_desk::take(io::http_request request, io::http_responder respond) {
-    notice_late_wakeup();
     if (!view_ || !view_->config) {
         own_answer answer;
         answer.reason = "no-configuration";
@@ -288,10 +289,9 @@
 }
 
 void call_desk::take(const view_ptr& view) {
-    notice_late_wakeup();
     view_ = view;
     keys_.change_members(view->members);
-    follow(*view, view->fresh);
+    follow(*view, view->fresh && view->answers >= asks_);
 }
 
 void call_desk::follow(const view& now, bool fresh) {
@@ -315,7 +315,6 @@
 }
 
 void call_desk::take(const incoming_grant_message& message) {
-    notice_late_wakeup();
     metrics_.grants_taken.add();
     const bool known = view_ && view_->config &&
                        find_service(*view_->config, message.service) != nullptr;
--- a/src/waxwing_entry/call_desk.hpp
+++ b/src/waxwing_entry/call_desk.hpp
@@ -33,8 +33,8 @@
     virtual void observe(const std::string& backend_server,
                          const backend_answer& answer) = 0;
     virtual void send_to_peer(const outgoing_grant_message& message) = 0;
-    // The process was stopped for long; fresh word is wanted from control.
-    virtual void ask_for_fresh_view() = 0;
+    // The process was stopped for long; control is to be told of this ask.
+    virtual void ask_for_fresh_view(std::uint64_t ask) = 0;
 };
 
 // Follows every caller's request from its arrival to its one answer: keys
@@ -54,6 +54,10 @@
     void take(const incoming_grant_message& message);
     void take(const decision::peer_reachability& reach);
 
+    // Called before any event is handled: notices that the process was
+    // stopped for long. Returns the number of times so far.
+    std::uint64_t notice_late_wakeup();
+
     // Calls that have no answer yet.
     std::size_t open_calls() const { return calls_.size(); }
     // From now on answers ask callers to close their connections.
@@ -81,7 +85,6 @@
     void admit(call_record& call, const caller_call& understood);
     void arm_deadline(call_record& call);
     void pass_deadline(decision::request_id id);
-    void notice_late_wakeup();
     void follow(const view& now, bool fresh);
 
     void queue_attempt(call_record& call);
@@ -122,6 +125,7 @@
     crash_guard crashes_;
     silence_watch silences_;
     decision::late_wakeup wakeups_;
+    std::uint64_t asks_ = 0; // for a fresh view
     kernel::timer_service::subscription heartbeat_;
     view_ptr view_;
     std::map<std::string, service_part> services_;
--- a/src/waxwing_entry/entry_program.cpp
+++ b/src/waxwing_entry/entry_program.cpp
@@ -59,7 +59,8 @@
       prober_(self_.name, environment.timers, backend_servers_, metrics_.probes,
               [this](const std::string& server, const backend_answer& answer) {
                   report(server, answer, belief_source::probe);
-              }) {}
+              }),
+      wake_(environment.loop, [this] { calls_.notice_late_wakeup(); }) {}
 
 entry_program::~entry_program() = default;
 
@@ -145,7 +146,7 @@
 
 void entry_program::follow_link(const std::string& peer, bool up) {
     if (peer == control_name_ && up) {
-        announce_self();
+        announce_self(calls_.notice_late_wakeup());
         return;
     }
     const auto instance = instance_of(peer);
@@ -163,9 +164,9 @@
 
 // This process alone remembers request keys, so its incarnation is the one
 // that keys must name: control makes it the member's.
-void entry_program::announce_self() {
+void entry_program::announce_self(std::uint64_t ask) {
     hub_.send(control_name_, io::entry_life_kind,
-              io::encode(io::entry_life{self_.incarnation}));
+              io::encode(io::entry_life{self_.incarnation, ask}));
 }
 
 void entry_program::observe(const std::string& backend_server,
@@ -217,8 +218,8 @@
     return other_life || known->state != seen;
 }
 
-void entry_program::ask_for_fresh_view() {
-    announce_self();
+void entry_program::ask_for_fresh_view(std::uint64_t ask) {
+    announce_self(ask);
 }
 
 void entry_program::send_to_peer(const outgoing_grant_message& message) {
--- a/src/waxwing_entry/entry_program.hpp
+++ b/src/waxwing_entry/entry_program.hpp
@@ -8,6 +8,7 @@
 #include <waxwingvale/io/http_server.hpp>
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/kernel/message_bus.hpp>
+#include <waxwingvale/kernel/wake_hook.hpp>
 #include <waxwingvale/program/program_frame.hpp>
 #include <waxwingvale/program/view_feed.hpp>
 
@@ -35,13 +36,13 @@
     bool is_change(const std::string& backend_server, std::uint64_t incarnation,
                    backend_state seen) const;
     void send_to_peer(const outgoing_grant_message& message) override;
-    void ask_for_fresh_view() override;
+    void ask_for_fresh_view(std::uint64_t ask) override;
 
     void wire_peers();
     void follow_members(const view& now);
     void limit_connections(const view& now);
     void follow_link(const std::string& peer, bool up);
-    void announce_self();
+    void announce_self(std::uint64_t ask);
     void check_drained();
 
     program::program_environment environment_;
@@ -56,6 +57,7 @@
     call_desk calls_;
     prober prober_;
     std::unique_ptr<program::metrics_endpoint> metrics_endpoint_;
+    kernel::wake_hook wake_;
     kernel::timer_service::subscription drain_check_;
     std::function<void()> stopped_;
 };
