--- a/src/decision/backend_health.cpp
+++ b/src/decision/backend_health.cpp
@@ -16,10 +16,6 @@
 
 } // namespace
 
-double backend_health::slowness() const {
-    return std::exp(relative_log_);
-}
-
 void backend_health::add(attempt_verdict verdict, double relative_log,
                          time_point now, const scheduling_policy& policy) {
     switch (verdict) {
@@ -52,9 +48,10 @@
                               const scheduling_policy& policy) {
     const double gain = straggler_ ? sampled_gain : policy.slowness_gain;
     relative_log_ += gain * (relative_log - relative_log_);
+    slowness_ = std::exp(relative_log_);
     const double limit =
         straggler_ ? policy.recovered_ratio : policy.straggler_ratio;
-    const bool slow = relative_log_ > std::log(limit);
+    const bool slow = slowness_ > limit;
     if (slow) {
         straggler_pause_ =
             std::clamp(straggler_pause_ * 2, policy.straggler_sample,
--- a/src/decision/backend_health.hpp
+++ b/src/decision/backend_health.hpp
@@ -15,7 +15,7 @@
 
     bool straggler() const { return straggler_; }
     // How much slower than usual: 1 is usual.
-    double slowness() const;
+    double slowness() const { return slowness_; }
     double failure_share() const { return failure_share_; }
 
     // Passed over since its attempts fail. Whether that is acted on is
@@ -34,6 +34,7 @@
                      const scheduling_policy& policy);
 
     double relative_log_ = 0;
+    double slowness_ = 1; // its exponential, which is dear
     double failure_share_ = 0;
     bool straggler_ = false;
     bool failing_ = false;
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -108,8 +108,7 @@
     }
     if (event.unused) {
         if (const auto place = table_.find(ended->backend_server)) {
-            table_.at(*place).finish(ended->given_at,
-                                     attempt_verdict::cancelled, now_, policy_);
+            table_.release(*place, ended->given_at, now_);
         }
         return;
     }
@@ -120,8 +119,7 @@
 void service_scheduler::impl::end_leases() {
     while (const auto ended = lender_.take_expired(now_)) {
         if (const auto place = table_.find(ended->backend_server)) {
-            table_.at(*place).finish(ended->given_at,
-                                     attempt_verdict::cancelled, now_, policy_);
+            table_.release(*place, ended->given_at, now_);
         }
     }
 }
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -15,6 +15,9 @@
 } // namespace
 
 void service_scheduler::impl::on(const request_arrived& event) {
+    if (queue_.contains(event.request) || running_.count(event.request) != 0) {
+        return; // it is still the former attempt's turn
+    }
     if (event.deadline <= now_) {
         actions_->emplace_back(expire_request{event.request});
         return;
@@ -67,8 +70,8 @@
 
 duration service_scheduler::impl::backlog() const {
     const unsigned slots = table_.working_slots();
-    if (slots == 0) {
-        return duration::zero(); // it depends on others
+    if (slots == 0 || queue_.empty()) {
+        return duration::zero(); // without slots it depends on others
     }
     return admission_.time_to_serve(static_cast<double>(queue_.size()), slots);
 }
@@ -190,13 +193,12 @@
     if (!place) {
         return;
     }
-    backend_slots& server = table_.at(*place);
-    server.finish(started_at, verdict, now_, policy_);
     const double relative =
         admission_.relative_log(request_class, service_time);
-    server.health().add(verdict, relative, now_, policy_);
+    table_.finish(*place, started_at, verdict, relative, now_);
     // What passed-over servers take must not become the usual time.
-    if (verdict == attempt_verdict::answered && !server.health().straggler()) {
+    const bool straggler = table_.at(*place).health().straggler();
+    if (verdict == attempt_verdict::answered && !straggler) {
         admission_.add_service_time(request_class, service_time);
     }
 }
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -122,6 +122,8 @@
         }
     }
     owned_.assign(servers_.size(), false);
+    near_.assign(servers_.size(), false);
+    working_slots_ = 0;
     usable_.clear();
     for (index place = 0; place < servers_.size(); ++place) {
         backend_slots& server = servers_[place];
@@ -137,6 +139,8 @@
             allowance = 0;
         }
         server.set_allowance(allowance);
+        near_[place] = server.data_centre() == self_data_centre_;
+        working_slots_ += working_share(place);
         if (allowance > 0) {
             usable_.push_back(place);
         }
@@ -165,10 +169,12 @@
     return failing * 2 <= serving;
 }
 
-double slot_table::slowness(const backend_slots& server, duration typical,
-                            time_point now) const {
-    double slow = server.health().slowness();
-    if (typical <= duration::zero() || server.in_flight() < 2) {
+double slot_table::slowness_of(const backend_slots& server, duration typical,
+                               time_point now) const {
+    const double slow = server.health().slowness();
+    const unsigned in_flight = server.in_flight();
+    if (typical <= duration::zero() || in_flight < 2 ||
+        in_flight * 2 < server.configured()) {
         return slow;
     }
     // Answers tell that a server became slow only when they come, which is
@@ -177,16 +183,13 @@
     const auto stuck_age = duration(static_cast<duration::rep>(
         policy_.stuck_ratio * static_cast<double>(typical.count())));
     const unsigned stuck = server.started_before(now - stuck_age);
-    if (stuck >= 2 && stuck * 2 >= server.configured()) {
-        slow = std::max(slow, policy_.stuck_ratio);
-    }
-    return slow;
+    const bool half_stuck = stuck >= 2 && stuck * 2 >= server.configured();
+    return half_stuck ? std::max(slow, policy_.stuck_ratio) : slow;
 }
 
-bool slot_table::passed_over(const backend_slots& server, duration typical,
-                             time_point now) const {
-    return server.health().straggler() ||
-           slowness(server, typical, now) >= policy_.straggler_ratio;
+bool slot_table::passed_over(const backend_slots& server,
+                             double slowness) const {
+    return server.health().straggler() || slowness >= policy_.straggler_ratio;
 }
 
 bool slot_table::sampled(const backend_slots& server, const slot_wish& wish,
@@ -196,11 +199,11 @@
 }
 
 bool slot_table::admits(const backend_slots& server, const slot_wish& wish,
-                        time_point now) const {
+                        double slowness, time_point now) const {
     if (server.health().failing()) {
         return sampled(server, wish, now);
     }
-    if (!passed_over(server, wish.typical, now)) {
+    if (!passed_over(server, slowness)) {
         return true;
     }
     if (server.health().straggler() && sampled(server, wish, now)) {
@@ -208,28 +211,28 @@
     }
     // A slow slot is worth its while once waiting for the others would take
     // longer than the slow answer.
-    const double extra = (slowness(server, wish.typical, now) - 1.0) *
-                         static_cast<double>(wish.typical.count());
+    const double extra =
+        (slowness - 1.0) * static_cast<double>(wish.typical.count());
     return static_cast<double>(wish.backlog.count()) > extra;
 }
 
-double slot_table::cost(const backend_slots& server, const slot_wish& wish,
-                        time_point now) const {
+double slot_table::cost(index place, const slot_wish& wish,
+                        double slowness) const {
+    const backend_slots& server = servers_[place];
     const double load = static_cast<double>(server.in_flight()) /
                         static_cast<double>(std::max(server.limit(), 1U));
-    const bool far = server.data_centre() != self_data_centre_;
     const auto typical = static_cast<double>(wish.typical.count());
-    return typical * slowness(server, wish.typical, now) *
-               (1.0 + policy_.load_cost * load) +
-           (far ? static_cast<double>(policy_.other_data_centre_cost.count())
-                : 0.0);
+    const auto way =
+        static_cast<double>(policy_.other_data_centre_cost.count());
+    return typical * slowness * (1.0 + policy_.load_cost * load) +
+           (near_[place] ? 0.0 : way);
 }
 
 bool slot_table::only_passed_over(time_point now, duration typical) const {
     return std::none_of(usable_.begin(), usable_.end(), [&](index place) {
         const backend_slots& server = servers_[place];
         return server.limit() > 0 && !server.health().failing() &&
-               !passed_over(server, typical, now);
+               !passed_over(server, slowness_of(server, typical, now));
     });
 }
 
@@ -245,8 +248,9 @@
         if (server.free(now) == 0 || !alone || excludes(wish, server.name())) {
             continue;
         }
-        const double price = cost(server, wish, now);
-        const bool admitted = admits(server, wish, now);
+        const double slowness = slowness_of(server, wish.typical, now);
+        const double price = cost(place, wish, slowness);
+        const bool admitted = admits(server, wish, slowness, now);
         if (admitted && price < best_cost) {
             best = place;
             best_cost = price;
@@ -287,15 +291,29 @@
     server.start(now, isolated);
 }
 
-unsigned slot_table::working_slots() const {
-    unsigned sum = 0;
-    for (const index place : usable_) {
-        const backend_slots& server = servers_[place];
-        if (!server.health().failing() && !server.health().straggler()) {
-            sum += server.limit();
-        }
-    }
-    return sum;
+void slot_table::finish(index place, time_point started_at,
+                        attempt_verdict verdict, double relative_log,
+                        time_point now) {
+    working_slots_ -= working_share(place);
+    backend_slots& server = servers_[place];
+    server.finish(started_at, verdict, now, policy_);
+    server.health().add(verdict, relative_log, now, policy_);
+    working_slots_ += working_share(place);
+}
+
+void slot_table::release(index place, time_point started_at, time_point now) {
+    servers_[place].finish(started_at, attempt_verdict::cancelled, now,
+                           policy_);
+}
+
+// What the server adds to the working slots; their sum is kept up to date,
+// since counting it anew for each request would take time in proportion to
+// the servers.
+unsigned slot_table::working_share(index place) const {
+    const backend_slots& server = servers_[place];
+    const bool works =
+        !server.health().failing() && !server.health().straggler();
+    return works ? server.limit() : 0;
 }
 
 unsigned slot_table::idle_slots(time_point now) const {
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -33,7 +33,6 @@
                const std::unordered_set<std::string>& reachable);
 
     std::optional<index> find(const std::string& backend_server) const;
-    backend_slots& at(index place) { return servers_[place]; }
     const backend_slots& at(index place) const { return servers_[place]; }
     const std::vector<backend_slots>& all() const { return servers_; }
     bool owned(index place) const { return owned_[place]; }
@@ -47,9 +46,15 @@
     bool may_start(index place, const slot_wish& wish) const;
 
     void start(index place, time_point now, bool isolated);
+    // An attempt that was started there ended; relative_log compares its
+    // time with the usual.
+    void finish(index place, time_point started_at, attempt_verdict verdict,
+                double relative_log, time_point now);
+    // A slot was given back without an attempt.
+    void release(index place, time_point started_at, time_point now);
 
     // Slots that serve at the usual pace, and free ones among them.
-    unsigned working_slots() const;
+    unsigned working_slots() const { return working_slots_; }
     unsigned idle_slots(time_point now) const;
     // The next moment at which a pause or a sample makes a slot free.
     std::optional<time_point> next_change(time_point now) const;
@@ -59,16 +64,15 @@
     void apply_ownership(const view_changed& view,
                          const std::unordered_set<std::string>& reachable);
     void configure_servers(const service& of);
-    bool passed_over(const backend_slots& server, duration typical,
-                     time_point now) const;
+    bool passed_over(const backend_slots& server, double slowness) const;
     bool sampled(const backend_slots& server, const slot_wish& wish,
                  time_point now) const;
     bool admits(const backend_slots& server, const slot_wish& wish,
-                time_point now) const;
-    double slowness(const backend_slots& server, duration typical,
-                    time_point now) const;
-    double cost(const backend_slots& server, const slot_wish& wish,
-                time_point now) const;
+                double slowness, time_point now) const;
+    double slowness_of(const backend_slots& server, duration typical,
+                       time_point now) const;
+    double cost(index place, const slot_wish& wish, double slowness) const;
+    unsigned working_share(index place) const;
     bool only_passed_over(time_point now, duration typical) const;
     bool shuts_out_failing() const;
 
@@ -78,6 +82,8 @@
     bool configured_before_ = false;
     std::vector<backend_slots> servers_;
     std::vector<bool> owned_;
+    std::vector<bool> near_; // in the data centre of this instance
+    unsigned working_slots_ = 0;
     std::vector<index> usable_; // servers with an allowance
     std::unordered_map<std::string, index> by_name_;
 };
--- a/src/waxwing_replay/waxwing_policy.cpp
+++ b/src/waxwing_replay/waxwing_policy.cpp
@@ -23,6 +23,10 @@
 
 } // namespace
 
+member_id member_id_of(std::size_t instance) {
+    return {"entry-" + std::to_string(instance), 1};
+}
+
 waxwing_policy::waxwing_policy(const scheduling_policy& knobs, bool hedging,
                                event_listener listener)
     : knobs_(knobs), hedging_(hedging), listener_(std::move(listener)) {}
@@ -31,7 +35,7 @@
     const service_size& size = world_->load().size;
     for (unsigned i = 0; i < size.entry_instances; ++i) {
         member made;
-        made.id = {"entry-" + std::to_string(i), 1};
+        made.id = member_id_of(i);
         made.data_centre = size.data_centres[i % size.data_centres.size()];
         instance_places_[made.id.name] = members_.size();
         members_.push_back(made);
--- a/src/waxwing_replay/waxwing_policy.hpp
+++ b/src/waxwing_replay/waxwing_policy.hpp
@@ -14,6 +14,9 @@
 
 namespace waxwingvale::replay {
 
+// The name and life of the entry instance with that number.
+member_id member_id_of(std::size_t instance);
+
 // Sees every event that an instance's scheduler is given, and the actions
 // that it returned.
 using event_listener = std::function<void(
--- a/src/waxwing_replay/workload.cpp
+++ b/src/waxwing_replay/workload.cpp
@@ -176,7 +176,8 @@
           {"brisbane-a", "brisbane-b", "goldcoast", "toowoomba"},
           10,
           2,
-          18}}};
+          18}},
+        {"small", {"small", {"sea", "pdx"}, 4, 2, 4}}};
     return sizes.at(user);
 }
 
@@ -190,7 +191,8 @@
 
 workload make_workload(const std::string& scenario, const service_size& size,
                        std::uint64_t seed, duration length) {
-    constexpr duration warm_up{2000000};
+    constexpr duration longest_warm_up{2000000};
+    const duration warm_up = std::min(longest_warm_up, length);
     workload load;
     load.scenario = scenario;
     load.size = size;
--- a/src/waxwing_replay/workload.hpp
+++ b/src/waxwing_replay/workload.hpp
@@ -67,7 +67,8 @@
     duration length{}; // warm-up included
 };
 
-// The sizes "cooperative" and "bramblewood"; throws std::out_of_range for
+// The sizes "cooperative", "bramblewood" and "small", the last for traces
+// that people can read; throws std::out_of_range for
 // another name.
 service_size size_of(const std::string& user);
 
