--- a/src/waxwing_load/load_run.cpp
+++ b/src/waxwing_load/load_run.cpp
@@ -198,8 +198,7 @@
     request.connect_timeout = left;
     const auto left_ms = std::chrono::ceil<milliseconds>(left).count();
     request.headers = {{request_id_header, call.told.request},
-                       {"Waxwing-Deadline-Ms", std::to_string(left_ms)},
-                       {"Waxwing-Attempt", std::to_string(call.attempts)}};
+                       {"Waxwing-Deadline-Ms", std::to_string(left_ms)}};
     if (!options_.tenant.empty()) {
         request.headers.push_back({"Waxwing-Tenant", options_.tenant});
     }
--- /dev/null
+++ b/test/failures/control_and_platform_test.cpp
@@ -0,0 +1,162 @@
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+#include "standin/fleet.hpp"
+
+using namespace waxwingvale;
+using namespace waxwingvale::standin;
+using nlohmann::json;
+
+namespace {
+
+const std::string second_service = "desk-two";
+
+// The fleet's configuration with its service a second time, under another
+// name: whether it is in force shows by calling that.
+json with_second_service(const fleet& of) {
+    auto changed = of.configuration();
+    auto copy = changed["services"][0];
+    copy["name"] = second_service;
+    for (auto& server : copy["backend_servers"]) {
+        server["name"] = "two-" + server["name"].get<std::string>();
+    }
+    changed["services"].push_back(copy);
+    return changed;
+}
+
+unsigned second_service_status(const fleet& of, std::size_t instance) {
+    auto call = of.read_call(instance);
+    call.target = "/" + second_service + "/";
+    return status_of(http_request_once(std::move(call)));
+}
+
+bool second_service_everywhere(const fleet& of) {
+    for (std::size_t i = 0; i < of.instance_count(); ++i) {
+        if (second_service_status(of, i) != 200) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::uint64_t runs_begun(fleet& of) {
+    return of.backend(0).runs().at("begun").get<std::uint64_t>() +
+           of.backend(1).runs().at("begun").get<std::uint64_t>();
+}
+
+bool wait_for_runs(fleet& of, std::uint64_t count) {
+    return wait_until([&] { return runs_begun(of) >= count; });
+}
+
+} // namespace
+
+TEST_CASE("killing waxwing-control under load loses no request") {
+    // The control process of every entry instance is killed while callers are
+    // served, and started again later. Callers must not notice; were entry
+    // and steer to need it for each call, all would be refused until then.
+    fleet running({});
+    running.start();
+    auto load = running.start_load(
+        {"--calls=900", "--rate=300", "--write-fraction=0.3"});
+    REQUIRE(wait_for_runs(running, 200));
+    running.instance(0).control().kill();
+    running.instance(1).control().kill();
+    REQUIRE(wait_for_runs(running, 500));
+    running.instance(0).start_control();
+    running.instance(1).start_control();
+    running.publish(with_second_service(running));
+    CHECK(wait_until([&] { return second_service_everywhere(running); }));
+    const auto report = finish_load(load);
+    INFO(report.through.dump(2));
+    CHECK(report.exit_code == 0);
+    CHECK(report.ended("answered") == 900);
+    CHECK(running.history().most_runs_of_a_key() == 1);
+}
+
+TEST_CASE("while the platform is down calls go on") {
+    // The platform's service is down for long. Callers must not notice, and
+    // what is published after it came back must come into force.
+    fleet running({});
+    running.start();
+    running.platform().fault("down");
+    auto load = running.start_load(
+        {"--calls=300", "--rate=300", "--write-fraction=0.3"});
+    const auto report = finish_load(load);
+    INFO(report.through.dump(2));
+    CHECK(report.ended("answered") == 300);
+    running.platform().fault("up");
+    running.publish(with_second_service(running));
+    CHECK(wait_until([&] { return second_service_everywhere(running); }));
+}
+
+TEST_CASE("a stale platform never takes a configuration back") {
+    // The platform answers an older revision than the one in force, also to a
+    // control process that has just started and knows nothing. A user would
+    // see a service that was there disappear again.
+    fleet running({});
+    running.start();
+    running.publish(with_second_service(running));
+    REQUIRE(wait_until([&] { return second_service_everywhere(running); }));
+    running.platform().fault("stale");
+    auto calls =
+        running.start_load({"--service=" + second_service, "--calls=600",
+                            "--rate=300", "--attempts=1"});
+    REQUIRE(wait_for_runs(running, 100));
+    running.instance(0).control().kill();
+    running.instance(0).start_control();
+    REQUIRE(wait_for_runs(running, 300));
+    // The stale list of instances names nobody new either.
+    const auto report = finish_load(calls);
+    INFO(report.through.dump(2));
+    CHECK(report.ended("answered") == 600);
+    CHECK(second_service_everywhere(running));
+}
+
+TEST_CASE("an older revision that is published last does not come into force") {
+    // Somebody restores the platform from a copy, and it gives out an old
+    // revision as its newest. What was accepted must stay.
+    fleet running({});
+    running.start();
+    const auto revision = running.publish(with_second_service(running));
+    REQUIRE(wait_until([&] { return second_service_everywhere(running); }));
+    const auto calls_before =
+        running.platform().counts().at("calls").get<std::uint64_t>();
+    running.platform().publish("configuration", running.configuration().dump(),
+                               revision - 1);
+    // Every reader of both instances has read it once more.
+    REQUIRE(wait_until([&] {
+        return running.platform().counts().at("calls") >= calls_before + 4;
+    }));
+    CHECK(second_service_everywhere(running));
+    running.instance(0).control().kill();
+    running.instance(0).start_control();
+    REQUIRE(wait_until([&] {
+        return running.platform().counts().at("calls") >= calls_before + 8;
+    }));
+    CHECK(second_service_everywhere(running));
+}
+
+TEST_CASE("a file with a mistake changes nothing, and a later good one does") {
+    // An operator publishes a file with a mistake while callers are served.
+    // Callers must not notice, and the operator must be able to see it.
+    fleet running({});
+    running.start();
+    auto load = running.start_load(
+        {"--calls=600", "--rate=300", "--write-fraction=0.3"});
+    REQUIRE(wait_for_runs(running, 100));
+    auto broken = with_second_service(running);
+    broken["services"][0]["backend_servers"][0]["slots"] = -1;
+    const auto refused = running.publish(broken);
+    CHECK(wait_until([&] {
+        const auto status = running.instance(0).admin("/v1/status");
+        const json::json_pointer revision("/configuration/refused/revision");
+        return status.contains(revision) && status.at(revision) == refused;
+    }));
+    CHECK(second_service_status(running, 0) == 404);
+    running.publish(with_second_service(running));
+    CHECK(wait_until([&] { return second_service_everywhere(running); }));
+    const auto report = finish_load(load);
+    INFO(report.through.dump(2));
+    CHECK(report.ended("answered") == 600);
+}
--- /dev/null
+++ b/test/failures/lateness_test.cpp
@@ -0,0 +1,113 @@
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "standin/fleet.hpp"
+
+using namespace waxwingvale;
+using namespace waxwingvale::standin;
+
+namespace {
+
+// Longer than any lease and than the limit at which a process notices that it
+// was stopped. The length is the failure itself, not a wait for something.
+constexpr std::chrono::milliseconds long_stop{3000};
+
+void signal_all(entry_instance_processes& to, int number) {
+    to.control().signal(number);
+    to.entry().signal(number);
+    to.steer().signal(number);
+}
+
+std::uint64_t runs_begun(backend_process& on) {
+    return on.runs().at("begun").get<std::uint64_t>();
+}
+
+std::uint64_t leaving_refusals(backend_process& by) {
+    return by.runs().at("refused").value("leaving", std::uint64_t{0});
+}
+
+} // namespace
+
+TEST_CASE("an entry instance that wakes late runs no booking twice") {
+    // An entry instance stands still for seconds, as a machine under a noisy
+    // neighbour does, and goes on with the view it had. Meanwhile its callers
+    // went elsewhere and a backend server began to leave. A booking run by
+    // both instances would be paid twice; one sent to the leaving backend
+    // server would be work that it was promised not to get.
+    fleet_options options;
+    options.entry_instances = 3;
+    options.backend_options = {"--service-ms=20"};
+    fleet running(options);
+    running.start();
+    auto load =
+        running.start_load({"--calls=900", "--rate=150", "--write-fraction=1",
+                            "--attempts=10", "--deadline-ms=8000"});
+    REQUIRE(wait_until([&] { return runs_begun(running.backend(0)) >= 50; }));
+    auto& sleeper = running.instance(0);
+    signal_all(sleeper, SIGSTOP);
+    running.backend(0).fault("drain=1");
+    std::this_thread::sleep_for(long_stop);
+    const auto refused_before = leaving_refusals(running.backend(0));
+    signal_all(sleeper, SIGCONT);
+    const auto report = finish_load(load);
+    INFO(report.through.dump(2));
+    CHECK(report.ended("foreign") == 0);
+    CHECK(report.ended("lost") == 0);
+    CHECK(running.history().most_runs_of_a_key() == 1);
+    CHECK(leaving_refusals(running.backend(0)) == refused_before);
+}
+
+TEST_CASE("silent connections are given up while new ones work") {
+    // Something between entry instances and a backend server loses track of
+    // all open connections: what is sent on them is never answered, while new
+    // connections work. Reads must be answered all the same.
+    fleet running({});
+    running.start();
+    auto load = running.start_load({"--calls=600", "--rate=150"});
+    REQUIRE(wait_until([&] { return runs_begun(running.backend(0)) >= 50; }));
+    running.backend(0).fault("silent=1");
+    const auto report = finish_load(load);
+    INFO(report.through.dump(2));
+    CHECK(report.exit_code == 0);
+    CHECK(report.ended("answered") == 600);
+}
+
+TEST_CASE("bookings after connections went silent still run once") {
+    // As above with bookings. Only those that were in flight when the
+    // connections went silent may be "unknown"; a later one goes out on a
+    // connection that is known to work.
+    fleet running({});
+    running.start();
+    auto load =
+        running.start_load({"--calls=600", "--rate=150", "--write-fraction=1"});
+    REQUIRE(wait_until([&] { return runs_begun(running.backend(0)) >= 50; }));
+    running.backend(0).fault("silent=1");
+    const auto report = finish_load(load);
+    INFO(report.through.dump(2));
+    CHECK(report.exit_code == 0);
+    CHECK(report.ended("answered") + report.ended("unknown") == 600);
+    CHECK(report.ended("unknown") <= 2 * 4);
+    CHECK(running.history().most_runs_of_a_key() == 1);
+}
+
+TEST_CASE("answers that come late and out of order reach their own callers") {
+    // A backend server becomes ten times slower without warning, so that its
+    // answers come late, some after the caller's request was hedged or given
+    // up. A caller that got another's answer would see somebody else's
+    // booking.
+    fleet_options options;
+    options.backend_options = {"--service-ms=20"};
+    fleet running(options);
+    running.start();
+    running.backend(0).fault("straggle=10");
+    auto load = running.start_load(
+        {"--calls=500", "--rate=100", "--write-fraction=0.3", "--attempts=8"});
+    const auto report = finish_load(load);
+    INFO(report.through.dump(2));
+    CHECK(report.ended("foreign") == 0);
+    CHECK(report.ended("lost") == 0);
+    CHECK(report.ended("failed") == 0);
+    CHECK(running.history().most_runs_of_a_key() == 1);
+}
