--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -23,6 +23,7 @@
 
     // Slots after a refusal or a start.
     double shed_decrease = 0.7;
+    unsigned caution_max = 64; // rounds of answers before one more slot
     duration shed_pause_min{5000};
     duration shed_pause_max{200000};
 
--- a/src/decision/backend_health.cpp
+++ b/src/decision/backend_health.cpp
@@ -49,18 +49,17 @@
     const double gain = straggler_ ? sampled_gain : policy.slowness_gain;
     relative_log_ += gain * (relative_log - relative_log_);
     slowness_ = std::exp(relative_log_);
-    const double limit =
-        straggler_ ? policy.recovered_ratio : policy.straggler_ratio;
-    const bool slow = slowness_ > limit;
-    if (slow) {
+    slow_ = slowness_ > policy.recovered_ratio;
+    straggler_ = slow_ && (straggler_ || slowness_ > policy.straggler_ratio);
+    if (straggler_) {
         straggler_pause_ =
             std::clamp(straggler_pause_ * 2, policy.straggler_sample,
                        policy.straggler_sample_max);
         next_sample_ = now + straggler_pause_;
     } else {
         straggler_pause_ = duration::zero();
+        next_sample_ = now + policy.straggler_sample;
     }
-    straggler_ = slow;
 }
 
 void backend_health::add_failure(bool failed, bool unreachable, time_point now,
--- a/src/decision/backend_health.hpp
+++ b/src/decision/backend_health.hpp
@@ -14,6 +14,10 @@
              const scheduling_policy& policy);
 
     bool straggler() const { return straggler_; }
+    // Slower than usual, by more than chance: used last.
+    bool slow() const { return slow_; }
+    // Gets a request now and then to see whether it recovered.
+    bool watched() const { return failing_ || slow_; }
     // How much slower than usual: 1 is usual.
     double slowness() const { return slowness_; }
     double failure_share() const { return failure_share_; }
@@ -21,8 +25,6 @@
     // Passed over since its attempts fail. Whether that is acted on is
     // decided by who knows the other servers.
     bool failing() const { return failing_; }
-    // A failing or straggling server gets single requests to see whether it
-    // recovered.
     bool sample_due(time_point now) const { return now >= next_sample_; }
     void sample_taken(time_point now, const scheduling_policy& policy);
     time_point next_sample() const { return next_sample_; }
@@ -36,6 +38,7 @@
     double relative_log_ = 0;
     double slowness_ = 1; // its exponential, which is dear
     double failure_share_ = 0;
+    bool slow_ = false;
     bool straggler_ = false;
     bool failing_ = false;
     duration failing_pause_{};   // doubles with every failed sample
--- a/src/decision/backend_slots.cpp
+++ b/src/decision/backend_slots.cpp
@@ -64,9 +64,14 @@
 
 void backend_slots::grow() {
     pause_ = duration::zero();
-    if (usable_ < configured_ && ++answers_ >= usable_) {
-        answers_ = 0;
+    if (++answers_ < usable_ * caution_) {
+        return;
+    }
+    answers_ = 0;
+    if (usable_ < configured_) {
         ++usable_;
+    } else {
+        caution_ = std::max(caution_ / 2, 1U);
     }
 }
 
@@ -78,6 +83,7 @@
     const auto kept = static_cast<unsigned>(usable_ * policy.shed_decrease);
     usable_ = std::max(kept, 1U);
     answers_ = 0;
+    caution_ = std::min(caution_ * 2, policy.caution_max);
     pause_ =
         std::clamp(pause_ * 2, policy.shed_pause_min, policy.shed_pause_max);
     paused_until_ = now + pause_;
--- a/src/decision/backend_slots.hpp
+++ b/src/decision/backend_slots.hpp
@@ -55,6 +55,9 @@
     unsigned usable_ = 0;
     unsigned allowance_ = 0;
     unsigned answers_ = 0; // since usable_ last changed
+    // Rounds of answers before one more slot is tried: doubles when that slot
+    // turns out to be taken, or every second round would be a refusal.
+    unsigned caution_ = 1;
     bool vetoed_ = false;
     bool isolated_ = false;
     duration pause_{};
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -125,6 +125,7 @@
     near_.assign(servers_.size(), false);
     working_slots_ = 0;
     usable_.clear();
+    turn_ = 0;
     for (index place = 0; place < servers_.size(); ++place) {
         backend_slots& server = servers_[place];
         const slot_owner* owner = find_owner_of(view.owners, server.name());
@@ -171,7 +172,7 @@
 
 double slot_table::slowness_of(const backend_slots& server, duration typical,
                                time_point now) const {
-    const double slow = server.health().slowness();
+    const double slow = server.health().slow() ? server.health().slowness() : 1;
     const unsigned in_flight = server.in_flight();
     if (typical <= duration::zero() || in_flight < 2 ||
         in_flight * 2 < server.configured()) {
@@ -216,9 +217,12 @@
     return static_cast<double>(wish.backlog.count()) > extra;
 }
 
-double slot_table::cost(index place, const slot_wish& wish,
-                        double slowness) const {
+double slot_table::cost(index place, const slot_wish& wish, double slowness,
+                        time_point now) const {
     const backend_slots& server = servers_[place];
+    if (server.health().watched() && sampled(server, wish, now)) {
+        return 0; // first choice, or it would never be seen to recover
+    }
     const double load = static_cast<double>(server.in_flight()) /
                         static_cast<double>(std::max(server.limit(), 1U));
     const auto typical = static_cast<double>(wish.typical.count());
@@ -242,14 +246,19 @@
     std::optional<index> fallback;
     double best_cost = std::numeric_limits<double>::max();
     double fallback_cost = std::numeric_limits<double>::max();
-    for (const index place : usable_) {
+    for (std::size_t i = 0; i < usable_.size(); ++i) {
+        // From the next one on: were the first server always preferred among
+        // equals, nothing would be learned of the others while load is low.
+        const std::size_t turn = turn_ + i;
+        const index place =
+            usable_[turn < usable_.size() ? turn : turn - usable_.size()];
         const backend_slots& server = servers_[place];
         const bool alone = !wish.isolated || server.in_flight() == 0;
         if (server.free(now) == 0 || !alone || excludes(wish, server.name())) {
             continue;
         }
         const double slowness = slowness_of(server, wish.typical, now);
-        const double price = cost(place, wish, slowness);
+        const double price = cost(place, wish, slowness, now);
         const bool admitted = admits(server, wish, slowness, now);
         if (admitted && price < best_cost) {
             best = place;
@@ -283,12 +292,11 @@
 
 void slot_table::start(index place, time_point now, bool isolated) {
     backend_slots& server = servers_[place];
-    const bool watched =
-        server.health().failing() || server.health().straggler();
-    if (watched && server.health().sample_due(now)) {
+    if (server.health().watched() && server.health().sample_due(now)) {
         server.health().sample_taken(now, policy_);
     }
     server.start(now, isolated);
+    turn_ = turn_ + 1 < usable_.size() ? turn_ + 1 : 0;
 }
 
 void slot_table::finish(index place, time_point started_at,
@@ -340,7 +348,7 @@
             continue;
         }
         consider(server.paused_until());
-        if (server.health().failing() || server.health().straggler()) {
+        if (server.health().watched()) {
             consider(server.health().next_sample());
         }
     }
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -71,7 +71,8 @@
                 double slowness, time_point now) const;
     double slowness_of(const backend_slots& server, duration typical,
                        time_point now) const;
-    double cost(index place, const slot_wish& wish, double slowness) const;
+    double cost(index place, const slot_wish& wish, double slowness,
+                time_point now) const;
     unsigned working_share(index place) const;
     bool only_passed_over(time_point now, duration typical) const;
     bool shuts_out_failing() const;
@@ -85,6 +86,7 @@
     std::vector<bool> near_; // in the data centre of this instance
     unsigned working_slots_ = 0;
     std::vector<index> usable_; // servers with an allowance
+    std::size_t turn_ = 0;      // where among them the next choice begins
     std::unordered_map<std::string, index> by_name_;
 };
 
--- a/src/waxwing_replay/backend_model.cpp
+++ b/src/waxwing_replay/backend_model.cpp
@@ -25,6 +25,15 @@
     });
 }
 
+unsigned backend_model::open_slots() const {
+    return has(fault_kind::crowded) ? slots_ / 2 : slots_;
+}
+
+// Whoever crowds the server fills its queue too.
+unsigned backend_model::queue_room() const {
+    return has(fault_kind::crowded) ? 0 : queue_limit_;
+}
+
 void backend_model::submit(std::uint64_t attempt, duration service_time,
                            time_point deadline, done when_done) {
     if (has(fault_kind::draining)) {
@@ -38,9 +47,9 @@
         return;
     }
     job made{attempt, service_time, deadline, std::move(when_done)};
-    if (in_service_ < slots_) {
+    if (in_service_ < open_slots()) {
         run(std::move(made));
-    } else if (waiting_.size() < queue_limit_) {
+    } else if (waiting_.size() < queue_room()) {
         waiting_.push_back(std::move(made));
     } else {
         made.when_done({attempt_verdict::shed, false});
@@ -70,7 +79,7 @@
 }
 
 void backend_model::next_job() {
-    while (!waiting_.empty() && in_service_ < slots_) {
+    while (!waiting_.empty() && in_service_ < open_slots()) {
         job next = std::move(waiting_.front());
         waiting_.pop_front();
         if (next.deadline > times_.now()) {
--- a/src/waxwing_replay/backend_model.hpp
+++ b/src/waxwing_replay/backend_model.hpp
@@ -44,6 +44,8 @@
     };
 
     bool has(fault_kind kind) const;
+    unsigned open_slots() const;
+    unsigned queue_room() const;
     void run(job next);
     void finish(std::uint64_t attempt);
     void next_job();
--- a/src/waxwing_replay/workload.cpp
+++ b/src/waxwing_replay/workload.cpp
@@ -125,6 +125,7 @@
         {"draining", [](workload& w) { with_fault(w, fault_kind::draining); }},
         {"failing-fast",
          [](workload& w) { with_fault(w, fault_kind::failing_fast); }},
+        {"crowded", [](workload& w) { with_fault(w, fault_kind::crowded); }},
         {"two-at-once", two_at_once},
         {"owner-lost",
          [](workload& w) { with_fault(w, fault_kind::owner_lost); }},
--- a/src/waxwing_replay/workload.hpp
+++ b/src/waxwing_replay/workload.hpp
@@ -21,7 +21,13 @@
 };
 
 // What is wrong with a backend server, or with an entry instance.
-enum class fault_kind { straggling, draining, failing_fast, owner_lost };
+enum class fault_kind {
+    straggling,
+    draining,
+    failing_fast,
+    crowded, // half of its slots are taken by somebody we know nothing of
+    owner_lost
+};
 
 struct fault {
     fault_kind kind = fault_kind::straggling;
--- /dev/null
+++ b/test/scheduling/grants_test.cpp
@@ -0,0 +1,166 @@
+#include <catch2/catch.hpp>
+
+#include "scheduler_fixture.hpp"
+
+using namespace std::chrono_literals;
+using namespace waxwingvale;
+using namespace waxwingvale::decision;
+
+namespace {
+
+// An owner of one slot that is taken, with one more request waiting.
+scheduler_fixture busy_owner() {
+    scheduler_fixture f(2, 1, 1);
+    f.link_peer();
+    f.arrive(1);
+    f.arrive(2);
+    return f;
+}
+
+grant_received grant_of(const std::string& server) {
+    return {"entry-1", 7, server, 1s};
+}
+
+} // namespace
+
+TEST_CASE("an owner whose slots are taken asks the other owner") {
+    const scheduler_fixture f = busy_owner();
+    REQUIRE(f.all<ask_grants>().size() == 1);
+    CHECK(f.all<ask_grants>()[0].peer == "entry-1");
+    CHECK(f.all<ask_grants>()[0].count == 1);
+}
+
+TEST_CASE("a granted slot is used, and given back when the request ends") {
+    scheduler_fixture f = busy_owner();
+    f.now += 2ms;
+    f.send(grant_of("b"));
+    REQUIRE(f.all<start_request>().size() == 1);
+    CHECK(f.all<start_request>()[0].backend_server == "b");
+    CHECK(f.all<start_request>()[0].grant == 7);
+    f.now += 20ms;
+    f.finish(2);
+    REQUIRE(f.all<return_grant>().size() == 1);
+    CHECK(f.all<return_grant>()[0].grant == 7);
+    CHECK(!f.all<return_grant>()[0].unused);
+}
+
+TEST_CASE("a grant that nobody needs goes back at once") {
+    scheduler_fixture f = busy_owner();
+    f.finish(1);
+    f.now += 2ms;
+    f.send(grant_of("b"));
+    CHECK(f.all<start_request>().empty());
+    REQUIRE(f.all<return_grant>().size() == 1);
+    CHECK(f.all<return_grant>()[0].unused);
+}
+
+TEST_CASE("a grant read after a late wake-up is void") {
+    // The process is stopped while its ask is under way, and reads the grant
+    // a second later. The owner may have given the slot to somebody else
+    // since; started there, the request would be shed.
+    scheduler_fixture f = busy_owner();
+    f.now += 500ms;
+    f.send(grant_of("b"));
+    CHECK(f.all<start_request>().empty());
+    REQUIRE(f.all<return_grant>().size() == 1);
+    CHECK(f.all<return_grant>()[0].unused);
+}
+
+TEST_CASE("an owner gives an idle slot, once") {
+    scheduler_fixture f(2, 1, 1);
+    f.link_peer();
+    f.send(grants_asked{"entry-1", 2, 100ms});
+    REQUIRE(f.all<give_grant>().size() == 1);
+    CHECK(f.all<give_grant>()[0].backend_server == "a");
+    REQUIRE(f.all<answer_ask>().size() == 1);
+    CHECK(f.all<answer_ask>()[0].idle == 0);
+    f.arrive(1);
+    CHECK(f.all<start_request>().empty());
+}
+
+TEST_CASE("the slot of a peer that died comes back when its lease ends") {
+    // A peer stops with a granted slot in use. Without an end to the lease
+    // the slot would be lost until the owner itself is restarted.
+    scheduler_fixture f(1, 1, 1);
+    f.link_peer();
+    f.send(grants_asked{"entry-1", 1, 100ms});
+    REQUIRE(f.all<give_grant>().size() == 1);
+    const give_grant given = f.all<give_grant>()[0];
+    f.now += given.lease;
+    f.arrive(1);
+    CHECK(f.all<start_request>().size() == 1);
+    f.finish(1);
+    f.send(grant_returned{"entry-1", given.grant, false,
+                          attempt_verdict::answered, "reads", 20ms});
+    CHECK(f.scheduler().slots()[0].in_flight == 0);
+}
+
+TEST_CASE("a standing ask gets the next slot when nothing waits here") {
+    scheduler_fixture f(1, 1, 1);
+    f.link_peer();
+    f.arrive(1);
+    f.send(grants_asked{"entry-1", 1, 100ms});
+    CHECK(f.all<give_grant>().empty());
+    f.now += 20ms;
+    f.finish(1);
+    CHECK(f.all<give_grant>().size() == 1);
+}
+
+TEST_CASE("a withdrawn or forgotten ask gets nothing") {
+    scheduler_fixture f(1, 1, 1);
+    f.link_peer();
+    f.arrive(1);
+    f.send(grants_asked{"entry-1", 1, 10s});
+    f.now += 200ms;
+    f.finish(1);
+    CHECK(f.all<give_grant>().empty());
+}
+
+TEST_CASE("an owner without a word is replaced by a share of its slots") {
+    // All owners are stopped or cut off, and their links still look open.
+    // Requests at an instance without slots would wait for ever.
+    scheduler_fixture f(2, 4, 0);
+    f.view.owners.owners.erase(f.view.owners.owners.begin());
+    f.apply_view();
+    f.link_peer();
+    f.arrive(1);
+    REQUIRE(f.all<ask_grants>().size() == 1);
+    CHECK(f.all<start_request>().empty());
+    for (int i = 0; i < 10; ++i) {
+        f.now += 15ms;
+        f.send(time_passed{});
+        if (!f.all<start_request>().empty()) {
+            break;
+        }
+    }
+    CHECK(f.all<start_request>().size() == 1);
+    // Two members share four slots of each server.
+    CHECK(f.scheduler().slots()[0].usable == 2);
+    f.send(ask_answered{"entry-1", 0, 0, {}, {}});
+    CHECK(f.scheduler().slots()[0].usable == 0);
+}
+
+TEST_CASE("without a link to the owner its slots are shared at once") {
+    scheduler_fixture f(1, 4, 0);
+    f.arrive(1);
+    CHECK(f.all<start_request>().size() == 1);
+    f.arrive(2);
+    f.arrive(3);
+    CHECK(f.all<start_request>().empty());
+}
+
+TEST_CASE("what all owners decline is refused at once with a moment") {
+    // A caller reaches an instance without slots while the service is above
+    // capacity. Held until its deadline, it would hear far too late that it
+    // should come back.
+    scheduler_fixture f(1, 1, 0);
+    f.link_peer();
+    f.arrive(1);
+    f.arrive(2);
+    f.now += 2ms;
+    f.send(ask_answered{"entry-1", 0, 2, 700ms, 20ms});
+    const auto refused = f.all<refuse_request>();
+    REQUIRE(refused.size() == 2);
+    CHECK(refused[0].come_back_in == 700ms);
+    CHECK(refused[1].come_back_in == 720ms);
+}
