--- a/src/decision/backend_health.cpp
+++ b/src/decision/backend_health.cpp
@@ -16,10 +16,6 @@
 
 } // namespace
 
-double backend_health::slowness() const {
-    return std::exp(relative_log_);
-}
-
 void backend_health::add(attempt_verdict verdict, double relative_log,
                          time_point now, const scheduling_policy& policy) {
     switch (verdict) {
@@ -52,11 +48,17 @@
                               const scheduling_policy& policy) {
     const double gain = straggler_ ? sampled_gain : policy.slowness_gain;
     relative_log_ += gain * (relative_log - relative_log_);
+    slowness_ = std::exp(relative_log_);
     const double limit =
         straggler_ ? policy.recovered_ratio : policy.straggler_ratio;
-    const bool slow = relative_log_ > std::log(limit);
-    if (slow && !straggler_) {
-        next_sample_ = now + policy.straggler_sample;
+    const bool slow = slowness_ > limit;
+    if (slow) {
+        straggler_pause_ =
+            std::clamp(straggler_pause_ * 2, policy.straggler_sample,
+                       policy.straggler_sample_max);
+        next_sample_ = now + straggler_pause_;
+    } else {
+        straggler_pause_ = duration::zero();
     }
     straggler_ = slow;
 }
@@ -85,7 +87,7 @@
 void backend_health::sample_taken(time_point now,
                                   const scheduling_policy& policy) {
     // Until the sample's verdict is known no second one is sent.
-    next_sample_ = now + std::max(failing_pause_, policy.straggler_sample);
+    next_sample_ = now + std::max(failing_pause_, policy.straggler_sample_max);
 }
 
 } // namespace waxwingvale::decision
--- a/src/waxwing_load/load_options.cpp
+++ b/src/waxwing_load/load_options.cpp
@@ -9,7 +9,7 @@
     R"(waxwing-load: an open-loop load and experiment tool.
 
 Usage:
-  waxwing-load --steer=LIST --service=NAME [options]
+  waxwing-load --steer=LIST --service=NAME [--direct=LIST] [options]
   waxwing-load --direct=LIST [options]
   waxwing-load (--help | --version)
 
@@ -118,7 +118,7 @@
     }
 
     std::string path(const std::string& name) {
-        const auto value = text(name);
+        auto value = text(name);
         if (value.empty() || value.front() != '/') {
             complain(name, "a path that begins with '/'");
         }
