--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <waxwingvale/io/http_client.hpp>
@@ -67,6 +68,8 @@
     void stop();
 
     bool answers() const { return answers_; }
+    // When it answered last, if ever.
+    std::optional<time_point> last_answer() const { return last_answer_; }
     const platform_counters& counters() const { return counters_; }
 
 private:
@@ -95,6 +98,7 @@
     state_handler on_state_;
     std::uint64_t epoch_ = 0;
     bool answers_ = false;
+    std::optional<time_point> last_answer_;
     bool stopped_ = false;
     platform_counters counters_;
 };
--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -30,6 +30,9 @@
     duration reconnect_grace = std::chrono::milliseconds(500);
     // A planned link that never opened.
     duration connect_grace = std::chrono::seconds(3);
+    // A peer that refuted is accused again after this, if its link is still
+    // missing.
+    duration accuse_again = std::chrono::seconds(30);
 };
 
 struct exchange_counters {
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -158,6 +158,9 @@
 }
 
 void platform_client::set_answers(bool answers, const error& why) {
+    if (answers) {
+        last_answer_ = timers_.now();
+    }
     if (answers_ != answers) {
         answers_ = answers;
         if (on_state_) {
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -250,15 +250,15 @@
     send_due_digest(now);
 }
 
-// Once for each time a link is missed: a member that others still reach
-// refutes, and is not accused again for the same broken link.
+// A member that others still reach refutes, and is not accused again for the
+// same broken link until long after. It is accused again at last because its
+// refutation may have been its last word, still on its way when it ended.
+// Before its word has come there is nobody to accuse; the next tick looks
+// again.
 void peer_exchange::accuse_silent(time_point now) {
     for (auto& [peer, deadline] : awaited_) {
-        if (now < deadline) {
-            continue;
-        }
-        deadline = time_point::max();
-        if (state_.members.accuse(peer, now)) {
+        if (now >= deadline && state_.members.accuse(peer, now)) {
+            deadline = now + timing_.accuse_again;
             ++counters_.accusations;
         }
     }
@@ -291,9 +291,7 @@
 void peer_exchange::woke_late(time_point now) {
     state_.members.restart_suspicions(now);
     for (auto& [peer, deadline] : awaited_) {
-        if (deadline != time_point::max()) {
-            deadline = now + timing_.connect_grace;
-        }
+        deadline = now + timing_.connect_grace;
     }
     for (const auto& peer : linked_) {
         send_digest(peer, fresh_.epoch(), 0);
--- a/src/waxwing_control/control_process.cpp
+++ b/src/waxwing_control/control_process.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "waxwing_control/snapshot.hpp"
 #include <waxwingvale/model/configuration_file.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
@@ -113,9 +114,11 @@
                                           settings.peers.seeds, random_seed());
     metrics_ = std::make_unique<control_metrics>(
         environment_.metrics, hub_, platform_, *known_, *local_, *peers_);
-    admin_ = std::make_unique<program::metrics_endpoint>(
-        environment_.loop, environment_.metrics, settings.control.admin_host,
-        settings.control.admin_port);
+    admin_ = std::make_unique<administration::admin_server>(
+        environment_.loop, settings.control, environment_.metrics, [this] {
+            return take_snapshot(*known_, *local_, hub_, platform_,
+                                 environment_.timers.now());
+        });
     const auto serving = admin_->start();
     if (!serving) {
         return serving.error();
--- a/src/waxwing_control/control_process.hpp
+++ b/src/waxwing_control/control_process.hpp
@@ -9,6 +9,7 @@
 #include "waxwing_control/knowledge.hpp"
 #include "waxwing_control/local_processes.hpp"
 #include "waxwing_control/peer_links.hpp"
+#include <waxwingvale/administration/admin_api.hpp>
 #include <waxwingvale/io/http_client.hpp>
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/io/platform_client.hpp>
@@ -48,7 +49,7 @@
     std::unique_ptr<local_processes> local_;
     std::unique_ptr<peer_links> peers_;
     std::unique_ptr<control_metrics> metrics_;
-    std::unique_ptr<program::metrics_endpoint> admin_;
+    std::unique_ptr<administration::admin_server> admin_;
     std::unique_ptr<kernel::wake_hook> wake_;
     kernel::timer_service::subscription ticking_;
     kernel::timer_service::subscription flushing_;
--- /dev/null
+++ b/src/waxwing_control/snapshot.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "waxwing_control/knowledge.hpp"
+#include "waxwing_control/local_processes.hpp"
+#include <waxwingvale/administration/control_snapshot.hpp>
+#include <waxwingvale/io/message_hub.hpp>
+#include <waxwingvale/io/platform_client.hpp>
+
+namespace waxwingvale::control {
+
+// What the administration API shows of this process now.
+administration::control_snapshot
+take_snapshot(const knowledge& known, const local_processes& local,
+              const io::message_hub& hub, const io::platform_client& platform,
+              time_point now);
+
+} // namespace waxwingvale::control
