--- a/test/standin/control_fleet.hpp
+++ b/test/standin/control_fleet.hpp
@@ -61,6 +61,7 @@
     // For a failed check: what that view says, in one line.
     std::string describe(unsigned instance) const;
     time_point view_time(unsigned instance) const;
+    const io::message_hub_counters& listener_counters(unsigned instance) const;
     void report(unsigned instance, const char* kind, io::message_bytes message);
 
     // Runs the loop until the condition holds; false when it does not within
