--- a/src/waxwing_load/call_tally.cpp
+++ b/src/waxwing_load/call_tally.cpp
@@ -18,8 +18,12 @@
     }
 }
 
-void call_tally::answer(unsigned status, const std::string& outcome) {
+void call_tally::answer(unsigned status, const std::string& outcome,
+                        const std::string& reason) {
     ++statuses_[status];
+    if (!reason.empty()) {
+        ++reasons_[reason];
+    }
     ++outcomes_[outcome.empty() ? "none" : outcome];
 }
 
--- a/src/waxwing_load/call_tally.hpp
+++ b/src/waxwing_load/call_tally.hpp
@@ -27,7 +27,10 @@
 public:
     void ended(call_end how, duration since_due);
     void attempt() { ++attempts_; }
-    void answer(unsigned status, const std::string& outcome);
+    // What one answer states; the reason is a word of waxwing-entry's own
+    // answers, else empty.
+    void answer(unsigned status, const std::string& outcome,
+                const std::string& reason);
     void not_sent() { ++not_sent_; }
     void sent_late_by(duration lag) { lag_.record(lag); }
 
@@ -40,6 +43,9 @@
     const std::map<std::string, std::uint64_t>& outcomes() const {
         return outcomes_;
     }
+    const std::map<std::string, std::uint64_t>& reasons() const {
+        return reasons_;
+    }
     std::uint64_t count(call_end how) const;
     std::uint64_t calls() const;
     std::uint64_t attempts() const { return attempts_; }
@@ -51,6 +57,7 @@
     std::map<call_end, std::uint64_t> ends_;
     std::map<unsigned, std::uint64_t> statuses_;
     std::map<std::string, std::uint64_t> outcomes_;
+    std::map<std::string, std::uint64_t> reasons_;
     std::uint64_t attempts_ = 0;
     std::uint64_t not_sent_ = 0;
 };
--- a/src/waxwing_load/load_report.cpp
+++ b/src/waxwing_load/load_report.cpp
@@ -57,6 +57,7 @@
         found["statuses"][std::to_string(each.first)] = each.second;
     }
     found["outcomes"] = tally.outcomes();
+    found["reasons"] = tally.reasons();
     found["latency_ms"] = latencies(tally.latency());
     found["send_lag_ms"] = latencies(tally.lag());
     return found;
--- a/src/waxwing_load/load_run.cpp
+++ b/src/waxwing_load/load_run.cpp
@@ -243,7 +243,8 @@
     }
     const auto outcome = header_text(answer, "Waxwing-Outcome");
     history_.attempt(timers_.now(), call.told, seen.status, outcome);
-    tally_of(call).answer(seen.status, outcome);
+    tally_of(call).answer(seen.status, outcome,
+                          header_text(answer, "Waxwing-Reason"));
     return seen;
 }
 
--- a/test/failures/control_and_platform_test.cpp
+++ b/test/failures/control_and_platform_test.cpp
@@ -12,18 +12,25 @@
 
 const std::string second_service = "desk-two";
 
-// The fleet's configuration with its service a second time, under another
-// name: whether it is in force shows by calling that.
-json with_second_service(const fleet& of) {
-    auto changed = of.configuration();
-    auto copy = changed["services"][0];
-    copy["name"] = second_service;
-    for (auto& server : copy["backend_servers"]) {
-        server["name"] = "two-" + server["name"].get<std::string>();
+// A fleet, and the backend server of a second service, which its first
+// configuration does not name: whether a later one is in force shows by
+// calling that service.
+struct two_service_fleet : fleet {
+    two_service_fleet() : fleet({}) {}
+    backend_process second_backend{"two-1", {"--service-ms=5"}, ""};
+
+    json with_second_service() const {
+        auto changed = configuration();
+        auto copy = changed["services"][0];
+        copy["name"] = second_service;
+        auto& servers = copy["backend_servers"];
+        servers = json::array({servers[0]});
+        servers[0]["name"] = second_backend.name();
+        servers[0]["port"] = second_backend.port();
+        changed["services"].push_back(copy);
+        return changed;
     }
-    changed["services"].push_back(copy);
-    return changed;
-}
+};
 
 unsigned second_service_status(const fleet& of, std::size_t instance) {
     auto call = of.read_call(instance);
@@ -55,7 +62,7 @@
     // The control process of every entry instance is killed while callers are
     // served, and started again later. Callers must not notice; were entry
     // and steer to need it for each call, all would be refused until then.
-    fleet running({});
+    two_service_fleet running;
     running.start();
     auto load = running.start_load(
         {"--calls=900", "--rate=300", "--write-fraction=0.3"});
@@ -65,7 +72,7 @@
     REQUIRE(wait_for_runs(running, 500));
     running.instance(0).start_control();
     running.instance(1).start_control();
-    running.publish(with_second_service(running));
+    running.publish(running.with_second_service());
     CHECK(wait_until([&] { return second_service_everywhere(running); }));
     const auto report = finish_load(load);
     INFO(report.through.dump(2));
@@ -77,7 +84,7 @@
 TEST_CASE("while the platform is down calls go on") {
     // The platform's service is down for long. Callers must not notice, and
     // what is published after it came back must come into force.
-    fleet running({});
+    two_service_fleet running;
     running.start();
     running.platform().fault("down");
     auto load = running.start_load(
@@ -86,7 +93,7 @@
     INFO(report.through.dump(2));
     CHECK(report.ended("answered") == 300);
     running.platform().fault("up");
-    running.publish(with_second_service(running));
+    running.publish(running.with_second_service());
     CHECK(wait_until([&] { return second_service_everywhere(running); }));
 }
 
@@ -94,18 +101,21 @@
     // The platform answers an older revision than the one in force, also to a
     // control process that has just started and knows nothing. A user would
     // see a service that was there disappear again.
-    fleet running({});
+    two_service_fleet running;
     running.start();
-    running.publish(with_second_service(running));
+    running.publish(running.with_second_service());
     REQUIRE(wait_until([&] { return second_service_everywhere(running); }));
     running.platform().fault("stale");
     auto calls =
         running.start_load({"--service=" + second_service, "--calls=600",
                             "--rate=300", "--attempts=1"});
-    REQUIRE(wait_for_runs(running, 100));
+    const auto served = [&] {
+        return running.second_backend.runs().at("begun").get<int>();
+    };
+    REQUIRE(wait_until([&] { return served() >= 100; }));
     running.instance(0).control().kill();
     running.instance(0).start_control();
-    REQUIRE(wait_for_runs(running, 300));
+    REQUIRE(wait_until([&] { return served() >= 300; }));
     // The stale list of instances names nobody new either.
     const auto report = finish_load(calls);
     INFO(report.through.dump(2));
@@ -116,9 +126,9 @@
 TEST_CASE("an older revision that is published last does not come into force") {
     // Somebody restores the platform from a copy, and it gives out an old
     // revision as its newest. What was accepted must stay.
-    fleet running({});
+    two_service_fleet running;
     running.start();
-    const auto revision = running.publish(with_second_service(running));
+    const auto revision = running.publish(running.with_second_service());
     REQUIRE(wait_until([&] { return second_service_everywhere(running); }));
     const auto calls_before =
         running.platform().counts().at("calls").get<std::uint64_t>();
@@ -140,12 +150,12 @@
 TEST_CASE("a file with a mistake changes nothing, and a later good one does") {
     // An operator publishes a file with a mistake while callers are served.
     // Callers must not notice, and the operator must be able to see it.
-    fleet running({});
+    two_service_fleet running;
     running.start();
     auto load = running.start_load(
         {"--calls=600", "--rate=300", "--write-fraction=0.3"});
     REQUIRE(wait_for_runs(running, 100));
-    auto broken = with_second_service(running);
+    auto broken = running.with_second_service();
     broken["services"][0]["backend_servers"][0]["slots"] = -1;
     const auto refused = running.publish(broken);
     CHECK(wait_until([&] {
@@ -154,7 +164,7 @@
         return status.contains(revision) && status.at(revision) == refused;
     }));
     CHECK(second_service_status(running, 0) == 404);
-    running.publish(with_second_service(running));
+    running.publish(running.with_second_service());
     CHECK(wait_until([&] { return second_service_everywhere(running); }));
     const auto report = finish_load(load);
     INFO(report.through.dump(2));
--- a/test/standin/fleet.cpp
+++ b/test/standin/fleet.cpp
@@ -246,7 +246,8 @@
     throw std::runtime_error("no caller is sent to " + wanted);
 }
 
-child_process fleet::start_load(const std::vector<std::string>& options) const {
+child_process fleet::start_load(const std::vector<std::string>& options,
+                                const std::string& service) const {
     std::string steers;
     for (const auto& each : instances_) {
         steers += (steers.empty() ? "127.0.0.1:" : ",127.0.0.1:") +
--- a/test/standin/fleet.hpp
+++ b/test/standin/fleet.hpp
@@ -153,7 +153,8 @@
     std::string key_of(std::size_t instance, const std::string& suffix) const;
 
     // waxwing-load on this fleet, begun; options are added to the usual ones.
-    child_process start_load(const std::vector<std::string>& options) const;
+    child_process start_load(const std::vector<std::string>& options,
+                             const std::string& service = "desk") const;
 
 private:
     fleet_options options_;
