fuzz: refuse nested and out-of-range messages between processes

Cause: the fixed-seed mutation run ended with SIGSEGV at once on control_message: nlohmann's CBOR parser calls itself for each level, and a message of nothing but array heads overflows the stack. Link frames are parsed the same way before a peer has proved itself. Numbers were cut down silently to the type asked for (port 65536 became 0), and a lease below zero or without bound went through to the scheduler. Change: io/cbor_reading bounds the depth by a first pass of the library's own SAX parser and checks every number and wait; all five codecs use it. Excluded: a hand-written DOM builder to save the first pass; messages are small, and the view's largest part is one text.

--- /dev/null
+++ b/src/io/cbor_reading.cpp
@@ -0,0 +1,93 @@
+#include "io/cbor_reading.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace waxwingvale::io {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t depth_limit = 16; // containers within one another
+constexpr int bad_value = 501;          // the library's number for such errors
+
+// Walks through a message and keeps nothing but how deep it is nested.
+class depth_check : public nlohmann::json_sax<json> {
+public:
+    bool too_deep() const { return depth_ > depth_limit; }
+
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t&) override { return true; }
+    bool string(string_t&) override { return true; }
+    bool binary(binary_t&) override { return true; }
+    bool key(string_t&) override { return true; }
+    bool start_object(std::size_t) override { return open(); }
+    bool end_object() override { return close(); }
+    bool start_array(std::size_t) override { return open(); }
+    bool end_array() override { return close(); }
+    bool parse_error(std::size_t, const std::string&,
+                     const json::exception&) override {
+        return false;
+    }
+
+private:
+    bool open() {
+        ++depth_;
+        return !too_deep();
+    }
+    bool close() {
+        --depth_;
+        return true;
+    }
+
+    std::size_t depth_ = 0;
+};
+
+[[noreturn]] void refuse(const std::string& expected) {
+    throw json::other_error::create(bad_value, "expected " + expected, nullptr);
+}
+
+} // namespace
+
+json parse_cbor(const std::uint8_t* bytes, std::size_t size) {
+    depth_check check;
+    json::sax_parse(bytes, bytes + size, &check, json::input_format_t::cbor);
+    if (check.too_deep()) {
+        refuse("at most " + std::to_string(depth_limit) + " levels of nesting");
+    }
+    return json::from_cbor(bytes, bytes + size);
+}
+
+std::uint64_t read_unsigned(const json& from, std::uint64_t most) {
+    if (!from.is_number_unsigned() || from.get<std::uint64_t>() > most) {
+        refuse("a whole number from 0 to " + std::to_string(most));
+    }
+    return from.get<std::uint64_t>();
+}
+
+duration read_wait(const json& from) {
+    return duration(
+        read_unsigned(from, static_cast<std::uint64_t>(wait_limit.count())));
+}
+
+std::int64_t read_age(const json& from) {
+    constexpr auto most = std::numeric_limits<std::int64_t>::max();
+    const bool negative =
+        from.is_number_integer() && !from.is_number_unsigned();
+    return negative ? 0
+                    : static_cast<std::int64_t>(read_unsigned(
+                          from, static_cast<std::uint64_t>(most)));
+}
+
+duration read_urgency(const json& from) {
+    const bool negative =
+        from.is_number_integer() && !from.is_number_unsigned();
+    return negative ? std::max(duration(from.get<std::int64_t>()), -wait_limit)
+                    : read_wait(from);
+}
+
+} // namespace waxwingvale::io
--- a/src/io/control_messages.cpp
+++ b/src/io/control_messages.cpp
@@ -36,14 +36,16 @@
 result<entry_life> decode_entry_life(const message_bytes& bytes) {
     return decode_guarded<entry_life>(
         bytes, "decode entry life", [](const json& from) {
-            return entry_life{from.at("incarnation").get<std::uint64_t>()};
+            return entry_life{
+                read_number<std::uint64_t>(from.at("incarnation"))};
         });
 }
 
 result<in_force_report> decode_in_force(const message_bytes& bytes) {
     return decode_guarded<in_force_report>(
         bytes, "decode revision in force", [](const json& from) {
-            return in_force_report{from.at("revision").get<std::uint64_t>()};
+            return in_force_report{
+                read_number<std::uint64_t>(from.at("revision"))};
         });
 }
 
@@ -63,10 +65,12 @@
     return decode_guarded<suspect_report>(
         bytes, "decode suspect", [](const json& from) {
             suspect_report report;
-            report.fingerprint = from.at("fingerprint").get<std::uint64_t>();
+            report.fingerprint =
+                read_number<std::uint64_t>(from.at("fingerprint"));
             report.backend_server =
                 from.at("backend_server").get<std::string>();
-            report.incarnation = from.at("incarnation").get<std::uint64_t>();
+            report.incarnation =
+                read_number<std::uint64_t>(from.at("incarnation"));
             report.alone = from.at("alone").get<bool>();
             return report;
         });
@@ -76,7 +80,7 @@
     return decode_guarded<quarantine_report>(
         bytes, "decode quarantine", [](const json& from) {
             return quarantine_report{
-                from.at("fingerprint").get<std::uint64_t>()};
+                read_number<std::uint64_t>(from.at("fingerprint"))};
         });
 }
 
--- a/src/io/link_frame.cpp
+++ b/src/io/link_frame.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "io/cbor_reading.hpp"
+
 namespace waxwingvale::io {
 
 namespace {
@@ -17,7 +19,7 @@
 constexpr const char* name_field = "n";
 constexpr const char* nonce_field = "r";
 
-error malformed(const char* detail) {
+error malformed(const std::string& detail) {
     return {error_code::malformed, "decode link frame", "", detail};
 }
 
@@ -49,7 +51,12 @@
 
 result<link_frame> decode_link_frame(const std::uint8_t* bytes,
                                      std::size_t size) {
-    auto object = json::from_cbor(bytes, bytes + size, true, false);
+    json object;
+    try {
+        object = parse_cbor(bytes, size);
+    } catch (const json::exception& problem) {
+        return malformed(problem.what());
+    }
     if (!object.is_object()) {
         return malformed("not a CBOR map");
     }
--- a/src/io/model_codec.cpp
+++ b/src/io/model_codec.cpp
@@ -11,7 +11,8 @@
 }
 
 member_id read_member_id(const json& from) {
-    return {from.at(0).get<std::string>(), from.at(1).get<std::uint64_t>()};
+    return {from.at(0).get<std::string>(),
+            read_number<std::uint64_t>(from.at(1))};
 }
 
 json write_member(const member& value) {
@@ -26,10 +27,10 @@
     value.id = read_member_id(from);
     value.data_centre = from.at(2).get<std::string>();
     value.addresses.host = from.at(3).get<std::string>();
-    value.addresses.caller_port = from.at(4).get<std::uint16_t>();
-    value.addresses.steer_port = from.at(5).get<std::uint16_t>();
-    value.addresses.control_port = from.at(6).get<std::uint16_t>();
-    value.addresses.entry_port = from.at(7).get<std::uint16_t>();
+    value.addresses.caller_port = read_number<std::uint16_t>(from.at(4));
+    value.addresses.steer_port = read_number<std::uint16_t>(from.at(5));
+    value.addresses.control_port = read_number<std::uint16_t>(from.at(6));
+    value.addresses.entry_port = read_number<std::uint16_t>(from.at(7));
     value.state = read_enum(from.at(8), member_state::gone);
     return value;
 }
@@ -44,11 +45,11 @@
 backend_belief read_belief(const json& from, time_point now) {
     backend_belief value;
     value.backend_server = from.at(0).get<std::string>();
-    value.incarnation = from.at(1).get<std::uint64_t>();
+    value.incarnation = read_number<std::uint64_t>(from.at(1));
     value.state = read_enum(from.at(2), backend_state::dead);
     value.source = read_enum(from.at(3), belief_source::peer);
     value.observer = from.at(4).get<std::string>();
-    value.since = moment_of(from.at(5).get<std::int64_t>(), now);
+    value.since = moment_of(read_age(from.at(5)), now);
     return value;
 }
 
--- a/src/io/model_codec.hpp
+++ b/src/io/model_codec.hpp
@@ -8,6 +8,8 @@
 #include <waxwingvale/model/member.hpp>
 #include <waxwingvale/model/time.hpp>
 
+#include "io/cbor_reading.hpp"
+
 // Values of the model as they travel between our processes. Each is an array,
 // which is the shortest form in CBOR; a newer version adds elements at the
 // end, which an older reader passes over. Readers throw nlohmann's exception,
@@ -32,7 +34,7 @@
 // An enumerator from its number; throws on one that is not known.
 template <typename Enum>
 Enum read_enum(const nlohmann::json& from, Enum last) {
-    const auto number = from.get<unsigned>();
+    const auto number = read_number<unsigned>(from);
     if (number > static_cast<unsigned>(last)) {
         throw nlohmann::json::other_error::create(
             501, "enumerator out of range", &from);
@@ -45,7 +47,7 @@
 result<Value> decode_guarded(const std::vector<std::uint8_t>& bytes,
                              const char* step, Reader read) {
     try {
-        return read(nlohmann::json::from_cbor(bytes));
+        return read(parse_cbor(bytes.data(), bytes.size()));
     } catch (const nlohmann::json::exception& problem) {
         return error{error_code::malformed, step, "", problem.what()};
     }
--- a/src/io/view_codec.cpp
+++ b/src/io/view_codec.cpp
@@ -39,8 +39,8 @@
     received_view received;
     auto& value = received.value;
     value.control_incarnation =
-        from.at("control_incarnation").get<std::uint64_t>();
-    value.serial = from.at("serial").get<std::uint64_t>();
+        read_number<std::uint64_t>(from.at("control_incarnation"));
+    value.serial = read_number<std::uint64_t>(from.at("serial"));
     value.self = read_member(from.at("self"));
     for (const auto& each : from.at("members")) {
         value.members.push_back(read_member(each));
@@ -48,10 +48,11 @@
     for (const auto& each : from.at("beliefs")) {
         value.beliefs.push_back(read_belief(each, now));
     }
-    value.quarantined =
-        from.at("quarantined").get<std::vector<std::uint64_t>>();
+    for (const auto& each : from.at("quarantined")) {
+        value.quarantined.push_back(read_number<std::uint64_t>(each));
+    }
     value.fresh = from.at("fresh").get<bool>();
-    value.published.revision = from.at("revision").get<std::uint64_t>();
+    value.published.revision = read_number<std::uint64_t>(from.at("revision"));
     received.has_text = from.contains("text");
     if (received.has_text) {
         value.published.text = from.at("text").get<std::string>();
--- a/src/waxwing_entry/grant_message.cpp
+++ b/src/waxwing_entry/grant_message.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "io/cbor_reading.hpp"
+
 namespace waxwingvale::entry {
 
 namespace {
@@ -12,12 +14,8 @@
 
 constexpr const char* step = "decode grant message";
 
-duration read_duration(const json& from, const char* field) {
-    return duration(from.at(field).get<std::int64_t>());
-}
-
 decision::attempt_verdict read_verdict(const json& from) {
-    const auto number = from.at("verdict").get<unsigned>();
+    const auto number = io::read_number<unsigned>(from.at("verdict"));
     constexpr auto last =
         static_cast<unsigned>(decision::attempt_verdict::cancelled);
     return number > last ? decision::attempt_verdict::cancelled
@@ -56,32 +54,35 @@
 };
 
 decision::scheduler_event read_ask(const std::string& peer, const json& from) {
-    return decision::grants_asked{peer, from.at("count").get<unsigned>(),
-                                  read_duration(from, "urgency_us")};
+    return decision::grants_asked{peer,
+                                  io::read_number<unsigned>(from.at("count")),
+                                  io::read_urgency(from.at("urgency_us"))};
 }
 
 decision::scheduler_event read_answer(const std::string& peer,
                                       const json& from) {
-    return decision::ask_answered{peer, from.at("idle").get<unsigned>(),
-                                  from.at("declined").get<unsigned>(),
-                                  read_duration(from, "come_back_us")};
+    return decision::ask_answered{
+        peer, io::read_number<unsigned>(from.at("idle")),
+        io::read_number<unsigned>(from.at("declined")),
+        io::read_wait(from.at("come_back_us"))};
 }
 
 decision::scheduler_event read_give(const std::string& peer, const json& from) {
     return decision::grant_received{
-        peer, from.at("grant").get<decision::grant_id>(),
+        peer, io::read_number<decision::grant_id>(from.at("grant")),
         from.at("backend_server").get<std::string>(),
-        read_duration(from, "lease_us")};
+        io::read_wait(from.at("lease_us"))};
 }
 
 decision::scheduler_event read_return(const std::string& peer,
                                       const json& from) {
-    return decision::grant_returned{peer,
-                                    from.at("grant").get<decision::grant_id>(),
-                                    from.at("unused").get<bool>(),
-                                    read_verdict(from),
-                                    from.at("class").get<std::string>(),
-                                    read_duration(from, "service_us")};
+    return decision::grant_returned{
+        peer,
+        io::read_number<decision::grant_id>(from.at("grant")),
+        from.at("unused").get<bool>(),
+        read_verdict(from),
+        from.at("class").get<std::string>(),
+        io::read_wait(from.at("service_us"))};
 }
 
 struct event_reader {
@@ -114,7 +115,7 @@
 decode_grant_message(const std::string& peer,
                      const std::vector<std::uint8_t>& bytes) {
     try {
-        const auto read = json::from_cbor(bytes);
+        const auto read = io::parse_cbor(bytes.data(), bytes.size());
         const auto type = read.at("type").get<std::string>();
         for (const auto& reader : event_readers) {
             if (type == reader.type) {
--- a/src/waxwing_entry/key_message_codec.cpp
+++ b/src/waxwing_entry/key_message_codec.cpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <utility>
 
+#include "io/cbor_reading.hpp"
+
 namespace waxwingvale::entry {
 
 namespace {
@@ -21,7 +23,7 @@
 
 member_id read_member(const json& from) {
     return {from.at("name").get<std::string>(),
-            from.at("incarnation").get<std::uint64_t>()};
+            io::read_number<std::uint64_t>(from.at("incarnation"))};
 }
 
 json write(const decision::whole_answer& answer) {
@@ -38,7 +40,7 @@
 
 decision::answer_ptr read_answer(const json& from) {
     decision::whole_answer answer;
-    answer.status = from.at("status").get<unsigned>();
+    answer.status = io::read_number<unsigned>(from.at("status"));
     for (const auto& header : from.at("headers")) {
         answer.headers.push_back(
             {header.at(0).get<std::string>(), header.at(1).get<std::string>()});
@@ -78,8 +80,8 @@
         read_member(from.at("from")),
         read_member(from.at("to")),
         from.at("key").get<std::string>(),
-        {from.at("fingerprint").get<std::uint64_t>()},
-        from.at("ask_id").get<std::uint64_t>()};
+        {io::read_number<std::uint64_t>(from.at("fingerprint"))},
+        io::read_number<std::uint64_t>(from.at("ask_id"))};
 }
 
 constexpr std::array<decision::hand_over_kind, 7> kinds = {
@@ -103,7 +105,7 @@
     reply.from = read_member(from.at("from"));
     reply.to = read_member(from.at("to"));
     reply.key = from.at("key").get<std::string>();
-    reply.ask_id = from.at("ask_id").get<std::uint64_t>();
+    reply.ask_id = io::read_number<std::uint64_t>(from.at("ask_id"));
     reply.kind = read_kind(from);
     if (from.contains("answer")) {
         reply.answer = read_answer(from.at("answer"));
@@ -124,7 +126,7 @@
 result<decision::key_message>
 decode_key_message(const std::vector<std::uint8_t>& bytes) {
     try {
-        const auto read = json::from_cbor(bytes);
+        const auto read = io::parse_cbor(bytes.data(), bytes.size());
         const auto type = read.at("type").get<std::string>();
         if (type == "request") {
             return read_request(read);
--- a/src/waxwing_entry/suspicion_codec.cpp
+++ b/src/waxwing_entry/suspicion_codec.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "io/cbor_reading.hpp"
+
 namespace waxwingvale::entry {
 
 namespace {
@@ -23,16 +25,18 @@
 
 suspicion_word read(const json& from) {
     suspicion_word word;
-    word.fingerprint.value = from.at("fingerprint").get<std::uint64_t>();
-    const auto state = from.at("state").get<unsigned>();
+    word.fingerprint.value =
+        io::read_number<std::uint64_t>(from.at("fingerprint"));
+    const auto state = io::read_number<unsigned>(from.at("state"));
     constexpr auto last = static_cast<unsigned>(suspicion_state::quarantined);
     // A state of a later release: suspicion is the careful reading of it.
     word.state = state > last ? suspicion_state::suspect
                               : static_cast<suspicion_state>(state);
     word.tester = from.at("tester").get<std::string>();
     word.died.backend_server = from.at("backend_server").get<std::string>();
-    word.died.incarnation = from.at("incarnation").get<std::uint64_t>();
-    word.age = duration(from.at("age_us").get<std::int64_t>());
+    word.died.incarnation =
+        io::read_number<std::uint64_t>(from.at("incarnation"));
+    word.age = io::read_wait(from.at("age_us"));
     return word;
 }
 
@@ -50,7 +54,7 @@
 decode_suspicions(const std::vector<std::uint8_t>& bytes) {
     try {
         std::vector<suspicion_word> words;
-        const auto message = json::from_cbor(bytes);
+        const auto message = io::parse_cbor(bytes.data(), bytes.size());
         for (const auto& item : message.at("words")) {
             words.push_back(read(item));
         }
--- /dev/null
+++ b/test/fuzz/fuzz_target.cpp
@@ -0,0 +1,47 @@
+#include "fuzz_target.hpp"
+
+#include <stdexcept>
+
+#include "document_targets.hpp"
+#include "message_targets.hpp"
+#include "request_targets.hpp"
+
+const std::vector<fuzz_target>& fuzz_targets() {
+    static const std::vector<fuzz_target> table{
+        {"configuration", run_configuration, configuration_seeds},
+        {"settings", run_settings, settings_seeds},
+        {"view", run_view, view_seeds},
+        {"link_frame", run_link_frame, link_frame_seeds},
+        {"control_message", run_control_message, control_message_seeds},
+        {"key_message", run_key_message, key_message_seeds},
+        {"grant_message", run_grant_message, grant_message_seeds},
+        {"suspicion", run_suspicion, suspicion_seeds},
+        {"caller_headers", run_caller_headers, caller_headers_seeds},
+        {"request_key", run_request_key, request_key_seeds},
+        {"admin_request", run_admin_request, admin_request_seeds},
+    };
+    return table;
+}
+
+const fuzz_target& find_fuzz_target(const std::string& name) {
+    for (const auto& target : fuzz_targets()) {
+        if (target.name == name) {
+            return target;
+        }
+    }
+    throw std::out_of_range("no fuzz target " + name);
+}
+
+void must_hold(bool condition, const char* what) {
+    if (!condition) {
+        throw std::logic_error(what);
+    }
+}
+
+byte_string to_bytes(const std::string& text) {
+    return {text.begin(), text.end()};
+}
+
+std::string to_text(const byte_string& bytes) {
+    return {bytes.begin(), bytes.end()};
+}
--- /dev/null
+++ b/test/fuzz/message_targets.cpp
@@ -0,0 +1,203 @@
+#include "message_targets.hpp"
+
+#include <memory>
+#include <variant>
+#include <waxwingvale/io/control_messages.hpp>
+#include <waxwingvale/io/view_codec.hpp>
+#include <waxwingvale/model/configuration_file.hpp>
+
+#include "administration/sample_snapshot.hpp"
+#include "fuzz_target.hpp"
+#include "io/link_frame.hpp"
+#include "waxwing_entry/grant_message.hpp"
+#include "waxwing_entry/key_message_codec.hpp"
+#include "waxwing_entry/suspicion_codec.hpp"
+
+using namespace waxwingvale;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point now{1h};
+constexpr duration longest_wait = 24h;
+
+void must_be_a_wait(duration value, const char* what) {
+    must_hold(value >= duration::zero() && value <= longest_wait, what);
+}
+
+// Decodes, and for what is accepted, that it is sent on as it was taken.
+template <typename Decode, typename Encode>
+void must_be_stable(const byte_string& bytes, Decode decode, Encode encode) {
+    const auto first = decode(bytes);
+    if (!first) {
+        must_hold(!first.error().step.empty(), "an error names its step");
+        return;
+    }
+    const byte_string sent = encode(first.value());
+    const auto second = decode(sent);
+    must_hold(second.has_value(), "what was accepted can be sent on");
+    must_hold(encode(second.value()) == sent, "and arrives as it was sent");
+}
+
+template <typename Message>
+void must_be_stable(const byte_string& bytes,
+                    result<Message> (*decode)(const byte_string&)) {
+    must_be_stable(bytes, decode,
+                   [](const Message& m) { return io::encode(m); });
+}
+
+void must_be_sound(const view& value) {
+    for (const auto& one : value.beliefs) {
+        must_hold(one.since <= now, "a belief began in the past");
+    }
+    if (value.config) {
+        must_hold(value.config->revision == value.published.revision,
+                  "a view's configuration is the one that was published");
+    }
+}
+
+// What a peer's scheduler is given must be such that it can compute with it.
+struct event_check {
+    void operator()(const decision::grants_asked& e) const {
+        must_hold(e.urgency >= -longest_wait && e.urgency <= longest_wait,
+                  "an ask's urgency has a bound");
+    }
+    void operator()(const decision::ask_answered& e) const {
+        must_be_a_wait(e.come_back_in, "an appointment is a wait");
+    }
+    void operator()(const decision::grant_received& e) const {
+        must_be_a_wait(e.lease, "a lease is a wait");
+    }
+    void operator()(const decision::grant_returned& e) const {
+        must_be_a_wait(e.service_time, "a service time is a wait");
+    }
+    template <typename Other>
+    void operator()(const Other&) const {
+        must_hold(false, "a peer sends events about grants only");
+    }
+};
+
+} // namespace
+
+void run_view(const std::string& input) {
+    const auto decode = [](const byte_string& bytes) {
+        return io::view_decoder(parse_configuration).decode(bytes, now);
+    };
+    const auto encode = [](const view_ptr& value) {
+        must_be_sound(*value);
+        return io::encode_view(*value, io::configuration_part::included, now);
+    };
+    must_be_stable(to_bytes(input), decode, encode);
+}
+
+std::vector<std::string> view_seeds() {
+    auto seen = *sample_snapshot().seen;
+    seen.beliefs[0].since = now - 1s;
+    const auto part = io::configuration_part::included;
+    const auto whole = to_text(io::encode_view(seen, part, now));
+    seen.published = {};
+    return {whole, to_text(io::encode_view(seen, part, now))};
+}
+
+void run_link_frame(const std::string& input) {
+    const auto decode = [](const byte_string& bytes) {
+        return io::decode_link_frame(bytes.data(), bytes.size());
+    };
+    must_be_stable(to_bytes(input), decode, io::encode_link_frame);
+}
+
+std::vector<std::string> link_frame_seeds() {
+    return {
+        to_text(io::encode_link_frame({"hello", 0, {1, 2}, "a/entry", "n"})),
+        to_text(io::encode_link_frame({"view", 7, {1, 2, 3}, "", ""})),
+    };
+}
+
+void run_control_message(const std::string& input) {
+    const auto bytes = to_bytes(input);
+    must_be_stable(bytes, io::decode_entry_life);
+    must_be_stable(bytes, io::decode_in_force);
+    must_be_stable(bytes, io::decode_suspect);
+    must_be_stable(bytes, io::decode_quarantine);
+    must_be_stable(
+        bytes,
+        [](const byte_string& from) { return io::decode_beliefs(from, now); },
+        [](const io::belief_report& m) { return io::encode(m, now); });
+}
+
+std::vector<std::string> control_message_seeds() {
+    const auto beliefs = sample_snapshot().seen->beliefs;
+    return {to_text(io::encode(io::entry_life{1'700'000'000'000'000})),
+            to_text(io::encode(io::in_force_report{42})),
+            to_text(io::encode(io::suspect_report{7, "desk-1", 3, true})),
+            to_text(io::encode(io::quarantine_report{8})),
+            to_text(io::encode(io::belief_report{beliefs}, now))};
+}
+
+void run_key_message(const std::string& input) {
+    must_be_stable(
+        to_bytes(input), entry::decode_key_message,
+        [](const decision::key_message& m) { return entry::encode(m); });
+}
+
+std::vector<std::string> key_message_seeds() {
+    decision::hand_over_request ask;
+    ask.from = {"sea-1", 100};
+    ask.to = {"pdx-1", 90};
+    ask.key = "pdx-1.90-3.phone.1";
+    ask.ask_id = 5;
+    decision::hand_over_reply reply;
+    reply.from = ask.to;
+    reply.to = ask.from;
+    reply.key = ask.key;
+    reply.kind = decision::hand_over_kind::answered;
+    reply.answer = std::make_shared<const decision::whole_answer>(
+        decision::whole_answer{200, {{"A", "b"}}, "body"});
+    return {to_text(entry::encode(ask)), to_text(entry::encode(reply))};
+}
+
+void run_grant_message(const std::string& input) {
+    const auto decoded = entry::decode_grant_message("pdx-1", to_bytes(input));
+    if (decoded) {
+        std::visit(event_check(), decoded.value().event);
+    } else {
+        must_hold(decoded.error().peer == "pdx-1", "an error names the peer");
+    }
+}
+
+std::vector<std::string> grant_message_seeds() {
+    decision::ask_grants ask;
+    ask.count = 2;
+    ask.urgency = 5ms;
+    decision::give_grant give;
+    give.grant = 9;
+    give.backend_server = "desk-1";
+    give.lease = 2s;
+    decision::return_grant back;
+    back.grant = 9;
+    back.request_class = "look";
+    back.service_time = 12ms;
+    return {to_text(entry::encode({"desk", ask})),
+            to_text(entry::encode({"desk", decision::answer_ask{}})),
+            to_text(entry::encode({"desk", give})),
+            to_text(entry::encode({"desk", back}))};
+}
+
+void run_suspicion(const std::string& input) {
+    const auto bytes = to_bytes(input);
+    must_be_stable(bytes, entry::decode_suspicions, [](const auto& words) {
+        for (const auto& word : words) {
+            must_be_a_wait(word.age, "the age of a death is a wait");
+        }
+        return entry::encode(words);
+    });
+}
+
+std::vector<std::string> suspicion_seeds() {
+    decision::suspicion_word word;
+    word.fingerprint.value = 77;
+    word.tester = "sea-1";
+    word.died = {"desk-1", 3};
+    word.age = 1s;
+    return {to_text(entry::encode({word, word}))};
+}
