--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -80,6 +80,8 @@
     // All messages to be sent by now, changes included.
     std::vector<addressed_message> take_messages(time_point now);
     const std::set<std::string>& linked() const { return linked_; }
+    // Whether some peer has told all that it knows and we did not.
+    bool introduced() const { return introduced_; }
     const exchange_counters& counters() const { return counters_; }
 
 private:
@@ -127,6 +129,7 @@
     std::optional<wanted_configuration> wanted_;
     revision_message announced_;
     bool platform_answers_ = false;
+    bool introduced_ = false;
     // Who told us what is waiting to be passed on.
     std::map<std::string, std::string> member_origin_;
     std::map<std::string, std::string> belief_origin_;
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -110,15 +110,27 @@
     MHD_Daemon* daemon = nullptr;
     ev_io readable{};
     ev_timer timeout{};
+    bool resumed = false; // since the library was run last
     // Alive as long as the server; responders that outlive it see it expire.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::shared_ptr<std::size_t> pending = std::make_shared<std::size_t>(0);
     std::set<exchange_ptr> suspended;
 
-    void run_soon() { ev_feed_event(loop, &timeout, EV_TIMER); }
+    // A connection was resumed; the library sends its answer when run next.
+    void run_soon() {
+        resumed = true;
+        ev_feed_event(loop, &timeout, EV_TIMER);
+    }
 
     void run() {
-        MHD_run(daemon);
+        // Handlers run in here, and may answer other requests than their own.
+        // Stopping the timer below takes back the event that this feeds, and
+        // the answers would wait for whatever wakes the server next, so the
+        // library is run until nothing was resumed any more.
+        do {
+            resumed = false;
+            MHD_run(daemon);
+        } while (resumed);
         MHD_UNSIGNED_LONG_LONG wait_ms = 0;
         ev_timer_stop(loop, &timeout);
         if (MHD_get_timeout(daemon, &wait_ms) == MHD_YES) {
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -118,6 +118,7 @@
     const bool same = records.member_buckets.empty() &&
                       records.belief_buckets.empty() &&
                       !records.whole_quarantine;
+    introduced_ = introduced_ || records.member_buckets.empty();
     if (same) {
         return;
     }
@@ -138,6 +139,7 @@
 void peer_exchange::take(const std::string& peer,
                          const records_message& message, time_point now) {
     counters_.records_received += count_of(message);
+    introduced_ = introduced_ || !message.member_buckets.empty();
     merge_records(peer, message, now);
     auto answer = newer_than(message);
     if (!is_empty(answer)) {
--- a/src/waxwing_control/control_process.cpp
+++ b/src/waxwing_control/control_process.cpp
@@ -194,7 +194,7 @@
                          {{"epoch", std::to_string(known_->fresh.epoch())}});
     // Entry first: until somebody has been heard nothing that must not run
     // twice may go out on what was known before.
-    local_->publish();
+    local_->publish(peers_->exchange().introduced());
     platform_.set_epoch(known_->fresh.epoch());
     platform_.read_again();
     peers_->woke_late(now);
@@ -224,7 +224,7 @@
 
 void control_process::flush() {
     flush_planned_ = false;
-    local_->publish();
+    local_->publish(peers_->exchange().introduced());
     peers_->send_waiting();
     log_turns();
 }
--- a/src/waxwing_control/local_processes.cpp
+++ b/src/waxwing_control/local_processes.cpp
@@ -11,6 +11,8 @@
 // An entry process that goes on after waxwing-control was restarted has this
 // long to name its life; after that the instance is announced without one.
 constexpr duration entry_wait = std::chrono::seconds(3);
+// Peers have this long to tell what they know before the first view.
+constexpr duration introduction_wait = std::chrono::seconds(1);
 // An entry process may be out of reach for this long before the instance is
 // announced as gone.
 constexpr duration entry_silence = std::chrono::seconds(3);
@@ -157,7 +159,20 @@
     return made;
 }
 
-void local_processes::publish() {
+// A waxwing-control that was started again knows nobody at first. Entry and
+// steer go on with what the former told them, and a view from before the
+// introduction would take it away: instances named in request keys would count
+// as gone, and their callers get "unknown" although nothing happened to them.
+bool local_processes::knows_enough(bool introduced) const {
+    const bool named = known_.members.self().id.incarnation != 0;
+    return named &&
+           (introduced || timers_.now() - started_ >= introduction_wait);
+}
+
+void local_processes::publish(bool introduced) {
+    if (!last_ && !knows_enough(introduced)) {
+        return;
+    }
     auto made = make_view();
     if (last_ && same_content(made, *last_)) {
         return;
--- a/src/waxwing_control/local_processes.hpp
+++ b/src/waxwing_control/local_processes.hpp
@@ -25,8 +25,9 @@
         on_report_ = std::move(handler);
     }
 
-    // Sends a new view if anything differs from the last one.
-    void publish();
+    // Sends a new view if anything differs from the last one. The first one
+    // waits until a peer has told what it knows, or for a bounded time.
+    void publish(bool introduced);
     // Looks whether entry is there.
     void tick(time_point now);
 
@@ -41,6 +42,7 @@
     void on_link(const std::string& process, bool up);
     void send_view(const std::string& process);
     view make_view() const;
+    bool knows_enough(bool introduced) const;
     bool is_local(const std::string& process) const;
     template <typename Report, typename Taker>
     void take(const result<Report>& report, Taker taker);
--- a/src/waxwing_control/snapshot.cpp
+++ b/src/waxwing_control/snapshot.cpp
@@ -16,6 +16,7 @@
     names.insert(process_name(self, entry_role));
     names.insert(process_name(self, steer_role));
     std::vector<administration::peer_link> links;
+    links.reserve(names.size());
     for (const auto& name : names) {
         links.push_back({name, hub.connected(name)});
     }
--- a/test/configuration_fencing/fencing_model_test.cpp
+++ b/test/configuration_fencing/fencing_model_test.cpp
@@ -47,7 +47,9 @@
 
 namespace waxwingvale {
 
-void showValue(const fencing_event& event, std::ostream& out) {
+// The name is the library's.
+void showValue( // NOLINT(readability-identifier-naming)
+    const fencing_event& event, std::ostream& out) {
     out << "step " << static_cast<int>(event.step) << " at " << event.instance
         << " choice " << event.choice;
 }
--- a/test/membership/membership_model_test.cpp
+++ b/test/membership/membership_model_test.cpp
@@ -49,7 +49,9 @@
 
 namespace waxwingvale {
 
-void showValue(const world_event& event, std::ostream& out) {
+// The name is the library's.
+void showValue( // NOLINT(readability-identifier-naming)
+    const world_event& event, std::ostream& out) {
     out << "step " << static_cast<int>(event.step) << " at " << event.instance
         << " choice " << event.choice;
 }
--- a/test/standin/control_fleet.cpp
+++ b/test/standin/control_fleet.cpp
@@ -138,7 +138,7 @@
 }
 
 std::string control_fleet::settings_file(unsigned instance) const {
-    const auto name = folder_ + "/" + name_of(instance) + ".json";
+    auto name = folder_ + "/" + name_of(instance) + ".json";
     std::ofstream(name) << settings_of(instance);
     return name;
 }
--- a/test/standin/fleet/measurements.cpp
+++ b/test/standin/fleet/measurements.cpp
@@ -1,6 +1,7 @@
 #include "standin/fleet/measurements.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -36,7 +37,7 @@
     std::sort(values.begin(), values.end());
     const auto at = [&](double fraction) {
         const auto last = static_cast<double>(values.size() - 1);
-        return values[static_cast<std::size_t>(last * fraction + 0.5)];
+        return values[static_cast<std::size_t>(std::lround(last * fraction))];
     };
     return {{"samples", values.size()},
             {"p50_ms", at(0.5)},
