decision: lend what waiting requests can't use, forget unnamed tenants

Cause: an idle slot was kept for a waiting request that excludes its server; tenants named by callers alone stayed in memory for good; a suspect at an instance without slots waited for half its time to be refused. Change: a second round of lending after dispatch, tenants that the file does not name are dropped when empty, the suspect is refused at once. The replay has a partition (split).

--- a/src/decision/request_queue.cpp
+++ b/src/decision/request_queue.cpp
@@ -17,11 +17,13 @@
     : fairness_window_(fairness_window) {}
 
 void request_queue::set_tenants(const std::vector<tenant>& tenants) {
-    for (auto& named : tenants_) {
-        named.second.weight = 1;
+    for (auto& known : tenants_) {
+        known.second.weight = 1;
+        known.second.named = false;
     }
     for (const tenant& named : tenants) {
         tenants_[named.name].weight = std::max(named.share, 1U);
+        tenants_[named.name].named = true;
     }
 }
 
@@ -82,7 +84,13 @@
 
 void request_queue::restore(queued_request entry) {
     tenant_queue& queue = queue_of(entry.arrival.tenant);
-    queue.served -= 1.0 / queue.weight;
+    if (queue.ranks.empty()) {
+        // It may have been forgotten meanwhile, and would begin at nothing:
+        // far behind, it would hold all others back.
+        queue.served = std::max(queue.served, served_floor_);
+    } else {
+        queue.served -= 1.0 / queue.weight;
+    }
     insert(std::move(entry));
 }
 
@@ -94,6 +102,10 @@
     ranks_.erase(found->second.place);
     --class_sizes_[entry.arrival.request_class];
     entries_.erase(found);
+    if (queue.ranks.empty() && !queue.named) {
+        // Callers choose the name: kept, each would take memory for good.
+        tenants_.erase(entry.arrival.tenant);
+    }
     return entry;
 }
 
--- a/src/decision/request_queue.hpp
+++ b/src/decision/request_queue.hpp
@@ -61,6 +61,7 @@
         std::set<rank> ranks;
         double served = 0; // requests served, divided by the weight
         double weight = 1;
+        bool named = false; // by the file; others are forgotten when empty
     };
     struct stored {
         queued_request entry;
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -17,14 +17,14 @@
 void service_scheduler::impl::on(const grants_asked& event) {
     hear(event.peer);
     lender_.ask(event, now_);
-    lend();
+    lend(work_waiting::first);
     if (event.count > 0) {
         answer(event);
     }
 }
 
-void service_scheduler::impl::lend() {
-    while (lend_one()) {
+void service_scheduler::impl::lend(work_waiting waiting) {
+    while (lend_one(waiting)) {
     }
 }
 
@@ -39,12 +39,12 @@
 }
 
 // Gives the most urgent asker a slot, unless work of our own is as urgent.
-bool service_scheduler::impl::lend_one() {
+bool service_scheduler::impl::lend_one(work_waiting waiting) {
     const standing_ask* ask = lender_.most_urgent(now_);
     if (ask == nullptr) {
         return false;
     }
-    if (ours_first(*ask)) {
+    if (waiting == work_waiting::first && ours_first(*ask)) {
         return false;
     }
     slot_wish wish;
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -51,6 +51,11 @@
         refuse(request.request, refusal_reason::no_backend_server);
         return true;
     }
+    if (request.isolated && !table_.owns_any()) {
+        // Only an owner knows what else runs on a backend server.
+        refuse(request.request, refusal_reason::no_spare_slot);
+        return true;
+    }
     return false;
 }
 
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -84,9 +84,9 @@
 // What follows from every event: waiting requests get the slots there are,
 // then peers are given or asked for slots.
 void service_scheduler::impl::settle() {
-    lend();
+    lend(work_waiting::first);
     dispatch();
-    lend();
+    lend(work_waiting::cannot_use);
     borrow();
     wake();
 }
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -70,8 +70,11 @@
                duration service_time, time_point started_at);
 
     // scheduler_grants.cpp
-    void lend();
-    bool lend_one();
+    // What requests that wait here mean for lending: they go first, unless a
+    // peer's are far more urgent, or no free slot suits them anyhow.
+    enum class work_waiting { first, cannot_use };
+    void lend(work_waiting waiting);
+    bool lend_one(work_waiting waiting);
     bool ours_first(const standing_ask& ask) const;
     void answer(const grants_asked& asked);
     unsigned beyond_capacity(const grants_asked& asked) const;
--- a/src/waxwing_replay/replay_world.cpp
+++ b/src/waxwing_replay/replay_world.cpp
@@ -23,7 +23,9 @@
         backends_.emplace_back(times_, load.size.slots, queue);
     }
     for (const fault& known : load.faults) {
-        if (known.kind != fault_kind::owner_lost) {
+        const bool of_entry_instances = known.kind == fault_kind::owner_lost ||
+                                        known.kind == fault_kind::split;
+        if (!of_entry_instances) {
             backends_[known.place].add_fault(known);
         }
     }
--- a/src/waxwing_replay/waxwing_policy.cpp
+++ b/src/waxwing_replay/waxwing_policy.cpp
@@ -33,13 +33,16 @@
 
 void waxwing_policy::make_members() {
     const service_size& size = world_->load().size;
+    side_view everybody;
     for (unsigned i = 0; i < size.entry_instances; ++i) {
         member made;
         made.id = member_id_of(i);
         made.data_centre = size.data_centres[i % size.data_centres.size()];
-        instance_places_[made.id.name] = members_.size();
-        members_.push_back(made);
+        instance_places_[made.id.name] = i;
+        everybody.members.push_back(made);
     }
+    everybody.owners = compute_ownership(service_, everybody.members);
+    sides_ = {everybody, everybody};
 }
 
 void waxwing_policy::begin(replay_world& world) {
@@ -52,38 +55,87 @@
         server_places_[service_.backend_servers[i].name] = i;
     }
     make_members();
-    owners_ = compute_ownership(service_, members_);
-    for (const member& made : members_) {
+    for (const member& made : sides_[0].members) {
         entry_instance instance;
         instance.scheduler =
             std::make_unique<service_scheduler>(service_.name, made.id, knobs_);
         instances_.push_back(std::move(instance));
     }
+    link_all();
+    plan_faults();
+}
+
+void waxwing_policy::link_all() {
     for (std::size_t i = 0; i < instances_.size(); ++i) {
-        for (const member& peer : members_) {
-            if (peer.id.name != members_[i].id.name) {
-                send_event(i, peer_reachability{peer.id.name, true});
+        for (std::size_t peer = 0; peer < instances_.size(); ++peer) {
+            if (peer != i) {
+                send_event(i, peer_reachability{member_id_of(peer).name, true});
             }
         }
         send_view(i);
     }
-    for (const fault& known : world.load().faults) {
+}
+
+void waxwing_policy::plan_faults() {
+    for (const fault& known : world_->load().faults) {
         if (known.kind == fault_kind::owner_lost) {
             const std::size_t rank = known.place;
-            world.times().at(known.from, [this, rank] { lose_owner(rank); });
+            world_->times().at(known.from, [this, rank] { lose_owner(rank); });
+        } else if (known.kind == fault_kind::split) {
+            world_->times().at(known.from, [this] { split_in_two(); });
         }
     }
 }
 
+std::size_t waxwing_policy::side_of(std::size_t instance) const {
+    return split_ ? instance % 2 : 0;
+}
+
+bool waxwing_policy::apart(std::size_t one, std::size_t other) const {
+    return side_of(one) != side_of(other);
+}
+
+// Each half loses its links to the other, and later holds it to be gone and
+// takes all backend servers for its own. Callers reach both.
+void waxwing_policy::split_in_two() {
+    split_ = true;
+    world_->times().after(link_loss_noticed, [this] {
+        for (std::size_t i = 0; i < instances_.size(); ++i) {
+            for (std::size_t peer = 0; peer < instances_.size(); ++peer) {
+                if (apart(i, peer)) {
+                    send_event(
+                        i, peer_reachability{member_id_of(peer).name, false});
+                }
+            }
+        }
+    });
+    world_->times().after(ownership_moves_after,
+                          [this] { move_ownership_apart(); });
+}
+
+void waxwing_policy::move_ownership_apart() {
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        side_view& other = sides_[1 - side_of(i)];
+        other.members[i].state = member_state::gone;
+    }
+    for (side_view& side : sides_) {
+        side.owners = compute_ownership(service_, side.members);
+    }
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        send_view(i);
+    }
+}
+
 void waxwing_policy::send_view(std::size_t instance) {
-    send_event(instance,
-               view_changed{config_, members_, owners_, beliefs_, true});
+    const side_view& side = sides_[side_of(instance)];
+    send_event(instance, view_changed{config_, side.members, side.owners,
+                                      beliefs_, true});
 }
 
 // The instance stops with all it had; its peers see their links break, and
 // ownership moves once it is held to be gone.
 void waxwing_policy::lose_owner(std::size_t rank) {
-    const std::string name = owners_.owners.at(rank).member.name;
+    const std::string name = sides_[0].owners.owners.at(rank).member.name;
     const std::size_t lost = instance_places_.at(name);
     instances_[lost].lost = true;
     std::vector<call> cut_off;
@@ -111,8 +163,9 @@
 }
 
 void waxwing_policy::move_ownership(std::size_t lost) {
-    members_[lost].state = member_state::gone;
-    owners_ = compute_ownership(service_, members_);
+    side_view& all = sides_[0];
+    all.members[lost].state = member_state::gone;
+    all.owners = compute_ownership(service_, all.members);
     for (std::size_t i = 0; i < instances_.size(); ++i) {
         send_view(i);
     }
@@ -128,8 +181,9 @@
             return place;
         }
     }
+    const side_view& side = sides_[split_ ? combine_hashes(hash, 7) % 2 : 0];
     const steering_answer answer =
-        steer_caller(*config_, owners_, members_, {hash, {}, 0});
+        steer_caller(*config_, side.owners, side.members, {hash, {}, 0});
     for (const steering_address& address : answer.addresses) {
         const std::size_t place = instance_places_.at(address.member.name);
         if (!instances_[place].lost) {
@@ -185,7 +239,7 @@
         world_->statistics().message_sent();
     }
     const std::size_t to = instance_places_.at(peer);
-    if (instances_[from].lost) {
+    if (instances_[from].lost || apart(from, to)) {
         return;
     }
     world_->times().after(peer_hop, [this, to, event = std::move(event)] {
@@ -276,7 +330,7 @@
         return;
     }
     beliefs_.push_back({server, 1, backend_state::leaving,
-                        belief_source::traffic, members_[observer].id.name,
+                        belief_source::traffic, member_id_of(observer).name,
                         world_->times().now()});
     send_view(observer);
     world_->times().after(belief_spreads_in, [this, observer] {
@@ -306,27 +360,27 @@
 }
 
 void waxwing_policy::act(std::size_t instance, const ask_grants& action) {
-    send_to_peer(
-        instance, action.peer,
-        grants_asked{members_[instance].id.name, action.count, action.urgency});
+    send_to_peer(instance, action.peer,
+                 grants_asked{member_id_of(instance).name, action.count,
+                              action.urgency});
 }
 
 void waxwing_policy::act(std::size_t instance, const answer_ask& action) {
     send_to_peer(instance, action.peer,
-                 ask_answered{members_[instance].id.name, action.idle,
+                 ask_answered{member_id_of(instance).name, action.idle,
                               action.declined, action.come_back_in,
                               action.come_back_interval});
 }
 
 void waxwing_policy::act(std::size_t instance, const give_grant& action) {
     send_to_peer(instance, action.peer,
-                 grant_received{members_[instance].id.name, action.grant,
+                 grant_received{member_id_of(instance).name, action.grant,
                                 action.backend_server, action.lease});
 }
 
 void waxwing_policy::act(std::size_t instance, const return_grant& action) {
     send_to_peer(instance, action.peer,
-                 grant_returned{members_[instance].id.name, action.grant,
+                 grant_returned{member_id_of(instance).name, action.grant,
                                 action.unused, action.verdict,
                                 action.request_class, action.service_time});
 }
--- a/src/waxwing_replay/waxwing_policy.hpp
+++ b/src/waxwing_replay/waxwing_policy.hpp
@@ -52,7 +52,20 @@
         bool lost = false;
     };
 
+    // What one side of a partition believes of the members; without one all
+    // instances are on side 0.
+    struct side_view {
+        std::vector<member> members;
+        decision::ownership owners;
+    };
+
     void make_members();
+    void link_all();
+    void plan_faults();
+    void split_in_two();
+    void move_ownership_apart();
+    std::size_t side_of(std::size_t instance) const;
+    bool apart(std::size_t one, std::size_t other) const;
     void lose_owner(std::size_t rank);
     void move_ownership(std::size_t lost);
     std::size_t instance_for(const call& arrived) const;
@@ -96,8 +109,8 @@
     replay_world* world_ = nullptr;
     service service_;
     configuration_ptr config_;
-    std::vector<member> members_;
-    decision::ownership owners_;
+    std::vector<side_view> sides_;
+    bool split_ = false;
     std::vector<backend_belief> beliefs_;
     std::vector<entry_instance> instances_;
     std::unordered_map<std::string, std::size_t> instance_places_;
--- a/src/waxwing_replay/workload.cpp
+++ b/src/waxwing_replay/workload.cpp
@@ -129,6 +129,7 @@
         {"two-at-once", two_at_once},
         {"owner-lost",
          [](workload& w) { with_fault(w, fault_kind::owner_lost); }},
+        {"split", [](workload& w) { with_fault(w, fault_kind::split); }},
     };
     return all;
 }
--- a/src/waxwing_replay/workload.hpp
+++ b/src/waxwing_replay/workload.hpp
@@ -26,7 +26,8 @@
     draining,
     failing_fast,
     crowded, // half of its slots are taken by somebody we know nothing of
-    owner_lost
+    owner_lost,
+    split // half of the entry instances can't reach the other half
 };
 
 struct fault {
--- a/test/scheduling/grants_test.cpp
+++ b/test/scheduling/grants_test.cpp
@@ -106,6 +106,19 @@
     CHECK(f.all<give_grant>().size() == 1);
 }
 
+TEST_CASE("a slot that no waiting request here may use is lent") {
+    // The request that waits has just failed on this server and must not go
+    // there again. Kept for it, the slot would stand idle.
+    scheduler_fixture f(2, 1, 1);
+    f.link_peer();
+    request_arrived again = f.request(1, 100ms);
+    again.excluded = {"a"};
+    f.send(again);
+    CHECK(f.scheduler().queued() == 1);
+    f.send(grants_asked{"entry-1", 1, 900ms});
+    CHECK(f.all<give_grant>().size() == 1);
+}
+
 TEST_CASE("a withdrawn or forgotten ask gets nothing") {
     scheduler_fixture f(1, 1, 1);
     f.link_peer();
