--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -13,7 +13,6 @@
     double recovered_ratio = 1.5;      // and back again
     duration straggler_sample{500000}; // until one read goes to a straggler
     duration straggler_sample_max{4000000}; // while it stays slow
-    double stuck_ratio = 3.0; // a request in flight that long is stuck
 
     // Recognising backend servers that fail.
     double failure_gain = 0.125;
--- a/src/decision/backend_slots.cpp
+++ b/src/decision/backend_slots.cpp
@@ -89,10 +89,4 @@
     paused_until_ = now + pause_;
 }
 
-unsigned backend_slots::started_before(time_point moment) const {
-    return static_cast<unsigned>(
-        std::count_if(started_.begin(), started_.end(),
-                      [&](time_point at) { return at < moment; }));
-}
-
 } // namespace waxwingvale::decision
--- a/src/decision/backend_slots.hpp
+++ b/src/decision/backend_slots.hpp
@@ -41,8 +41,6 @@
     void start(time_point now, bool isolated);
     void finish(time_point started_at, attempt_verdict verdict, time_point now,
                 const scheduling_policy& policy);
-    // How many in flight were started before that moment.
-    unsigned started_before(time_point moment) const;
 
 private:
     void grow();
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -170,29 +170,6 @@
     return failing * 2 <= serving;
 }
 
-double slot_table::slowness_of(const backend_slots& server, duration typical,
-                               time_point now) const {
-    const double slow = server.health().slow() ? server.health().slowness() : 1;
-    const unsigned in_flight = server.in_flight();
-    if (typical <= duration::zero() || in_flight < 2 ||
-        in_flight * 2 < server.configured()) {
-        return slow;
-    }
-    // Answers tell that a server became slow only when they come, which is
-    // late by the very slowness; requests that stay away tell sooner. One
-    // slow request says nothing, half of them do.
-    const auto stuck_age = duration(static_cast<duration::rep>(
-        policy_.stuck_ratio * static_cast<double>(typical.count())));
-    const unsigned stuck = server.started_before(now - stuck_age);
-    const bool half_stuck = stuck >= 2 && stuck * 2 >= server.configured();
-    return half_stuck ? std::max(slow, policy_.stuck_ratio) : slow;
-}
-
-bool slot_table::passed_over(const backend_slots& server,
-                             double slowness) const {
-    return server.health().straggler() || slowness >= policy_.straggler_ratio;
-}
-
 bool slot_table::sampled(const backend_slots& server, const slot_wish& wish,
                          time_point now) const {
     return server.health().sample_due(
@@ -200,24 +177,21 @@
 }
 
 bool slot_table::admits(const backend_slots& server, const slot_wish& wish,
-                        double slowness, time_point now) const {
+                        time_point now) const {
     if (server.health().failing()) {
         return sampled(server, wish, now);
     }
-    if (!passed_over(server, slowness)) {
-        return true;
-    }
-    if (server.health().straggler() && sampled(server, wish, now)) {
+    if (!server.health().straggler() || sampled(server, wish, now)) {
         return true;
     }
     // A slow slot is worth its while once waiting for the others would take
     // longer than the slow answer.
-    const double extra =
-        (slowness - 1.0) * static_cast<double>(wish.typical.count());
+    const double extra = (server.health().slowness() - 1.0) *
+                         static_cast<double>(wish.typical.count());
     return static_cast<double>(wish.backlog.count()) > extra;
 }
 
-double slot_table::cost(index place, const slot_wish& wish, double slowness,
+double slot_table::cost(index place, const slot_wish& wish,
                         time_point now) const {
     const backend_slots& server = servers_[place];
     if (server.health().watched() && sampled(server, wish, now)) {
@@ -225,6 +199,8 @@
     }
     const double load = static_cast<double>(server.in_flight()) /
                         static_cast<double>(std::max(server.limit(), 1U));
+    const double slowness =
+        server.health().slow() ? server.health().slowness() : 1.0;
     const auto typical = static_cast<double>(wish.typical.count());
     const auto way =
         static_cast<double>(policy_.other_data_centre_cost.count());
@@ -232,12 +208,8 @@
            (near_[place] ? 0.0 : way);
 }
 
-bool slot_table::only_passed_over(time_point now, duration typical) const {
-    return std::none_of(usable_.begin(), usable_.end(), [&](index place) {
-        const backend_slots& server = servers_[place];
-        return server.limit() > 0 && !server.health().failing() &&
-               !passed_over(server, slowness_of(server, typical, now));
-    });
+bool slot_table::only_passed_over() const {
+    return working_slots_ == 0;
 }
 
 std::optional<slot_table::index> slot_table::choose(const slot_wish& wish,
@@ -257,9 +229,8 @@
         if (server.free(now) == 0 || !alone || excludes(wish, server.name())) {
             continue;
         }
-        const double slowness = slowness_of(server, wish.typical, now);
-        const double price = cost(place, wish, slowness, now);
-        const bool admitted = admits(server, wish, slowness, now);
+        const double price = cost(place, wish, now);
+        const bool admitted = admits(server, wish, now);
         if (admitted && price < best_cost) {
             best = place;
             best_cost = price;
@@ -271,8 +242,7 @@
     if (best || !fallback) {
         return best;
     }
-    const bool nothing_better =
-        !shuts_out_failing() || only_passed_over(now, wish.typical);
+    const bool nothing_better = !shuts_out_failing() || only_passed_over();
     return nothing_better ? fallback : std::nullopt;
 }
 
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -64,17 +64,13 @@
     void apply_ownership(const view_changed& view,
                          const std::unordered_set<std::string>& reachable);
     void configure_servers(const service& of);
-    bool passed_over(const backend_slots& server, double slowness) const;
     bool sampled(const backend_slots& server, const slot_wish& wish,
                  time_point now) const;
     bool admits(const backend_slots& server, const slot_wish& wish,
-                double slowness, time_point now) const;
-    double slowness_of(const backend_slots& server, duration typical,
-                       time_point now) const;
-    double cost(index place, const slot_wish& wish, double slowness,
                 time_point now) const;
+    double cost(index place, const slot_wish& wish, time_point now) const;
     unsigned working_share(index place) const;
-    bool only_passed_over(time_point now, duration typical) const;
+    bool only_passed_over() const;
     bool shuts_out_failing() const;
 
     member_id self_;
--- a/src/waxwing_replay/knob_table.cpp
+++ b/src/waxwing_replay/knob_table.cpp
@@ -24,7 +24,6 @@
     {"recovered_ratio", &scheduling_policy::recovered_ratio},
     {"straggler_sample", &scheduling_policy::straggler_sample},
     {"straggler_sample_max", &scheduling_policy::straggler_sample_max},
-    {"stuck_ratio", &scheduling_policy::stuck_ratio},
     {"failure_gain", &scheduling_policy::failure_gain},
     {"failing_share", &scheduling_policy::failing_share},
     {"failing_pause_min", &scheduling_policy::failing_pause_min},
