keys: the model asks again and changes lifetimes

Cause: askers now repeat themselves, and a newer configuration may change the lifetime while keys are remembered; neither was explored. Change: two more events in the model. Excluded: nothing. Conclusion: a longer lifetime makes no forgotten key good again.

--- a/test/request_keys/key_fault.hpp
+++ b/test/request_keys/key_fault.hpp
@@ -14,7 +14,8 @@
     waxwingvale::member_id id;
     waxwingvale::time_point started{};
     std::unique_ptr<waxwingvale::decision::key_store> store;
-    std::map<std::string, std::uint64_t> last_asked; // ask id by key
+    // The latest asking, by key.
+    std::map<std::string, waxwingvale::decision::hand_over_request> last_asked;
 
     void start(waxwingvale::time_point now,
                const waxwingvale::decision::key_limits& limits);
--- a/test/request_keys/key_protocol_test.cpp
+++ b/test/request_keys/key_protocol_test.cpp
@@ -72,7 +72,7 @@
     effects on_hand_over_reply(key_node& node, const reply& of,
                                time_point now) const override {
         auto relabelled = of;
-        relabelled.ask_id = node.last_asked[of.key];
+        relabelled.ask_id = node.last_asked[of.key].ask_id;
         return key_fault::on_hand_over_reply(node, relabelled, now);
     }
 };
--- a/test/request_keys/key_world.cpp
+++ b/test/request_keys/key_world.cpp
@@ -30,6 +30,7 @@
         &key_world::refuse_attempt,  &key_world::answer_attempt,
         &key_world::silence_attempt, &key_world::restart_node,
         &key_world::pass_time,       &key_world::caller_goes,
+        &key_world::ask_again,       &key_world::change_lifetime,
     };
     return all;
 }
@@ -87,7 +88,7 @@
         parked_[waiter] = {node, nodes_[node].id.incarnation, key, body};
     } else if (const auto* ask = std::get_if<ask_peer>(&made)) {
         parked_[waiter] = {node, nodes_[node].id.incarnation, key, body};
-        nodes_[node].last_asked[key] = ask->request.ask_id;
+        nodes_[node].last_asked[key] = ask->request;
         network_.emplace_back(ask->request);
     } else if (const auto* replay = std::get_if<replay_answer>(&made)) {
         const auto expected = answer_for(key);
@@ -135,7 +136,7 @@
     }
     for (const auto& message : effects.messages) {
         if (const auto* ask = std::get_if<hand_over_request>(&message)) {
-            nodes_[node].last_asked[key] = ask->ask_id;
+            nodes_[node].last_asked[key] = *ask;
         }
         network_.push_back(message);
     }
@@ -194,6 +195,20 @@
     return nodes_[attempt.node].id.incarnation == attempt.incarnation;
 }
 
+void key_world::ask_again(const standin::step& of) {
+    const auto& node = nodes_[of.a % node_count];
+    const auto& key = keys_[of.b % keys_.size()];
+    if (node.store->asking(key)) {
+        network_.emplace_back(node.last_asked.at(key));
+    }
+}
+
+void key_world::change_lifetime(const standin::step& of) {
+    auto limits = key_fault::small_limits();
+    limits.lifetime = std::chrono::seconds(of.b % 2 == 0 ? 10 : 40);
+    nodes_[of.a % node_count].store->change_limits(limits);
+}
+
 void key_world::start_attempt(const standin::step& of) {
     if (attempts_.empty()) {
         return;
--- a/test/request_keys/key_world.hpp
+++ b/test/request_keys/key_world.hpp
@@ -64,6 +64,8 @@
     void deliver_copy(const standin::step& of);
     void lose(const standin::step& of);
     void fail_asking(const standin::step& of);
+    void ask_again(const standin::step& of);
+    void change_lifetime(const standin::step& of);
     void start_attempt(const standin::step& of);
     void refuse_attempt(const standin::step& of);
     void answer_attempt(const standin::step& of);
