--- a/src/io/control_messages.cpp
+++ b/src/io/control_messages.cpp
@@ -7,7 +7,8 @@
 using nlohmann::json;
 
 message_bytes encode(const entry_life& message) {
-    return json::to_cbor({{"incarnation", message.incarnation}});
+    return json::to_cbor(
+        {{"incarnation", message.incarnation}, {"ask", message.ask}});
 }
 
 message_bytes encode(const in_force_report& message) {
@@ -37,7 +38,8 @@
     return decode_guarded<entry_life>(
         bytes, "decode entry life", [](const json& from) {
             return entry_life{
-                read_number<std::uint64_t>(from.at("incarnation"))};
+                read_number<std::uint64_t>(from.at("incarnation")),
+                read_number_or<std::uint64_t>(from, "ask", 0)};
         });
 }
 
--- a/src/io/view_codec.cpp
+++ b/src/io/view_codec.cpp
@@ -52,6 +52,7 @@
         value.quarantined.push_back(read_number<std::uint64_t>(each));
     }
     value.fresh = from.at("fresh").get<bool>();
+    value.answers = read_number_or<std::uint64_t>(from, "answers", 0);
     value.published.revision = read_number<std::uint64_t>(from.at("revision"));
     received.has_text = from.contains("text");
     if (received.has_text) {
@@ -71,6 +72,7 @@
                    {"beliefs", write_beliefs(value.beliefs, now)},
                    {"quarantined", value.quarantined},
                    {"fresh", value.fresh},
+                   {"answers", value.answers},
                    {"revision", value.published.revision}};
     if (part == configuration_part::included && value.published.revision > 0) {
         object["text"] = value.published.text;
--- a/test/fuzz/message_targets.cpp
+++ b/test/fuzz/message_targets.cpp
@@ -3,11 +3,13 @@
 #include <memory>
 #include <variant>
 #include <waxwingvale/io/control_messages.hpp>
+#include <waxwingvale/io/platform_client.hpp>
 #include <waxwingvale/io/view_codec.hpp>
 #include <waxwingvale/model/configuration_file.hpp>
 
 #include "administration/sample_snapshot.hpp"
 #include "fuzz_target.hpp"
+#include "io/exchange_codec.hpp"
 #include "io/link_frame.hpp"
 #include "waxwing_entry/grant_message.hpp"
 #include "waxwing_entry/key_message_codec.hpp"
@@ -201,3 +203,59 @@
     word.age = 1s;
     return {to_text(entry::encode({word, word}))};
 }
+
+void run_exchange(const std::string& input) {
+    const auto bytes = to_bytes(input);
+    for (const std::string kind : io::exchange_kinds) {
+        must_be_stable(
+            bytes,
+            [&](const byte_string& from) {
+                return io::decode_exchange(kind, from, now);
+            },
+            [](const membership::exchange_message& m) {
+                return io::encode_exchange(m, now);
+            });
+    }
+}
+
+std::vector<std::string> exchange_seeds() {
+    membership::records_message records;
+    records.members.resize(1);
+    records.members[0].id = {"pdx-1", 90};
+    records.beliefs.resize(1);
+    records.beliefs[0].since = now - 1s;
+    records.quarantine.resize(1);
+    records.quarantine[0].since = now - 1s;
+    const auto seed = [](const membership::exchange_message& message) {
+        return to_text(io::encode_exchange(message, now));
+    };
+    return {seed(membership::digest_message{}), seed(records),
+            seed(membership::revision_message{7, 8}),
+            seed(membership::configuration_request{}),
+            seed(membership::configuration_message{{7, "{}"}})};
+}
+
+void run_platform_list(const std::string& input) {
+    io::platform_reading reading;
+    reading.value_name = "instances";
+    reading.revision = 4;
+    reading.body = input;
+    const auto list = io::parse_platform_list(reading);
+    if (!list) {
+        must_hold(list.error().peer == "instances", "an error names the value");
+        return;
+    }
+    for (const auto& one : list.value().members) {
+        must_hold(one.name.find_first_of("./") == std::string::npos &&
+                      !one.name.empty(),
+                  "an instance's name can stand in a request key");
+    }
+}
+
+std::vector<std::string> platform_list_seeds() {
+    return {R"({"entry_instances": [
+  {"name": "sea-1", "data_centre": "sea", "host": "127.0.0.1",
+   "caller_port": 7180, "steer_port": 7181, "control_port": 7102,
+   "entry_port": 7103, "state": "leaving"}],
+ "backend_servers": [{"name": "desk-1", "incarnation": 3, "state": "live"}]})"};
+}
--- a/test/fuzz/message_targets.hpp
+++ b/test/fuzz/message_targets.hpp
@@ -17,3 +17,7 @@
 std::vector<std::string> grant_message_seeds();
 void run_suspicion(const std::string& input);
 std::vector<std::string> suspicion_seeds();
+void run_exchange(const std::string& input);
+std::vector<std::string> exchange_seeds();
+void run_platform_list(const std::string& input);
+std::vector<std::string> platform_list_seeds();
