--- a/src/io/view_codec.cpp
+++ b/src/io/view_codec.cpp
@@ -52,9 +52,7 @@
         value.quarantined.push_back(read_number<std::uint64_t>(each));
     }
     value.fresh = from.at("fresh").get<bool>();
-    if (from.contains("answers")) {
-        value.answers = read_number<std::uint64_t>(from.at("answers"));
-    }
+    value.answers = read_number_or<std::uint64_t>(from, "answers", 0);
     value.published.revision = read_number<std::uint64_t>(from.at("revision"));
     received.has_text = from.contains("text");
     if (received.has_text) {
