decision: an owner of failing servers only asks other owners first

Change: while other owners can lend, a request waits up to failing_patience (50 ms) for their slot before it is run on a failing server. Excluded: never falling back, which would refuse all when every server fails.

--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -19,6 +19,9 @@
     double failing_share = 0.4; // of attempts, before it is passed over
     duration failing_pause_min{250000};
     duration failing_pause_max{30000000};
+    // How long a request waits for another owner's slot rather than be run on
+    // a backend server that fails.
+    duration failing_patience{50000};
 
     // Slots after a refusal or a start.
     double shed_decrease = 0.7;
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -154,7 +154,7 @@
         // The owner may run other work beside it, which a suspect must not
         // meet.
         started = !request.isolated && !runs_stale(request) &&
-                  table_.may_start(*place, wish_of(request));
+                  table_.may_start(*place, wish_of(request, entry.arrived_at));
         if (started) {
             start(request, *place, grant.peer, grant.grant);
         } else {
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -26,7 +26,7 @@
         return;
     }
     if (queue_.empty()) {
-        if (const auto place = table_.choose(wish_of(event), now_)) {
+        if (const auto place = table_.choose(wish_of(event, now_), now_)) {
             start(event, *place, {}, 0);
             return;
         }
@@ -93,12 +93,14 @@
     return admission_.time_to_serve(ahead, slots);
 }
 
-slot_wish
-service_scheduler::impl::wish_of(const request_arrived& request) const {
+slot_wish service_scheduler::impl::wish_of(const request_arrived& request,
+                                           time_point arrived_at) const {
     slot_wish wish;
     wish.excluded = &request.excluded;
     wish.isolated = request.isolated;
     wish.may_sample = request.nature == request_nature::retriable;
+    wish.patient =
+        borrower_.has_lenders() && now_ - arrived_at < policy_.failing_patience;
     wish.typical = admission_.typical(request.request_class);
     wish.backlog = backlog();
     return wish;
@@ -158,7 +160,8 @@
         refuse(entry.arrival.request, refusal_reason::stale_view);
         return true;
     }
-    if (const auto place = table_.choose(wish_of(entry.arrival), now_)) {
+    if (const auto place =
+            table_.choose(wish_of(entry.arrival, entry.arrived_at), now_)) {
         start(entry.arrival, *place, {}, 0);
         return true;
     }
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -64,7 +64,8 @@
     duration backlog() const;
     duration expected_wait(const request_arrived& request,
                            time_point latest_start) const;
-    slot_wish wish_of(const request_arrived& request) const;
+    slot_wish wish_of(const request_arrived& request,
+                      time_point arrived_at) const;
     void learn(const std::string& backend_server,
                const std::string& request_class, attempt_verdict verdict,
                duration service_time, time_point started_at);
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -242,6 +242,11 @@
     if (best || !fallback) {
         return best;
     }
+    // An owner whose servers all fail would take every error for itself while
+    // other owners' servers are well.
+    if (wish.patient && servers_[*fallback].health().failing()) {
+        return std::nullopt;
+    }
     const bool nothing_better = !shuts_out_failing() || only_passed_over();
     return nothing_better ? fallback : std::nullopt;
 }
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -16,6 +16,7 @@
     const std::vector<std::string>* excluded = nullptr; // null: none
     bool isolated = false;
     bool may_sample = false; // it does no harm if it is slow or fails
+    bool patient = false;    // other owners may yet lend it a better slot
     duration typical{};      // usual service time of the request's class
     duration backlog{};      // until the queue is worked off
 };
--- a/src/waxwing_replay/knob_table.cpp
+++ b/src/waxwing_replay/knob_table.cpp
@@ -28,6 +28,7 @@
     {"failing_share", &scheduling_policy::failing_share},
     {"failing_pause_min", &scheduling_policy::failing_pause_min},
     {"failing_pause_max", &scheduling_policy::failing_pause_max},
+    {"failing_patience", &scheduling_policy::failing_patience},
     {"shed_decrease", &scheduling_policy::shed_decrease},
     {"caution_max", &scheduling_policy::caution_max},
     {"shed_pause_min", &scheduling_policy::shed_pause_min},
--- a/test/scheduling/health_test.cpp
+++ b/test/scheduling/health_test.cpp
@@ -70,6 +70,23 @@
     }
 }
 
+TEST_CASE("an owner of failing servers only asks the other owners first") {
+    // The one backend server that this instance owns answers 500 at once.
+    // Were it used because nothing else is owned here, half of all callers
+    // would see an error while the other owner's servers are well.
+    scheduler_fixture f(2, 2, 1);
+    one_at_a_time failing(f);
+    failing.run(10, attempt_verdict::failed, 1ms);
+    REQUIRE(f.scheduler().slots()[0].failing);
+    f.link_peer();
+    f.arrive(1000);
+    CHECK(f.all<start_request>().empty());
+    CHECK(f.all<ask_grants>().size() == 1);
+    // Nobody lends: then an error is better than no answer.
+    f.pass(60ms);
+    CHECK(f.all<start_request>().size() == 1);
+}
+
 TEST_CASE("a straggler is passed over and found again when well") {
     scheduler_fixture f(3, 2, 3);
     one_at_a_time slow(f);
