decision: the owners that are left share a lost owner's slots

Change: owners that are left divide them; instances without slots ask those; only without any owner do all members share. The number of owners is an option of the replay.

--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -17,6 +17,30 @@
            candidate.state == member_state::suspect;
 }
 
+// How many instances divide the slots of an owner out of reach: the owners
+// that are left, whom the others ask and callers are steered to; without any,
+// all members. 0 when this instance is to ask an owner instead.
+unsigned sharers_of_lost_slots(const view_changed& view,
+                               const std::unordered_set<std::string>& reachable,
+                               const member_id& self) {
+    unsigned owners = 0;
+    bool self_owns = false;
+    for (const slot_owner& owner : view.owners.owners) {
+        if (owner.slots == 0) {
+            continue; // named as an owner, but no server fell to it
+        }
+        const bool is_self = owner.member.name == self.name;
+        self_owns = self_owns || is_self;
+        owners += is_self || reachable.count(owner.member.name) != 0 ? 1 : 0;
+    }
+    if (owners > 0) {
+        return self_owns ? owners : 0;
+    }
+    const auto members =
+        std::count_if(view.members.begin(), view.members.end(), serves);
+    return std::max(1U, static_cast<unsigned>(members));
+}
+
 bool excludes(const slot_wish& wish, const std::string& name) {
     return wish.excluded != nullptr &&
            std::find(wish.excluded->begin(), wish.excluded->end(), name) !=
@@ -114,8 +138,7 @@
 void slot_table::apply_ownership(
     const view_changed& view,
     const std::unordered_set<std::string>& reachable) {
-    const auto members = static_cast<unsigned>(
-        std::count_if(view.members.begin(), view.members.end(), serves));
+    const unsigned sharers = sharers_of_lost_slots(view, reachable, self_);
     for (const member& known : view.members) {
         if (known.id == self_) {
             self_data_centre_ = known.data_centre;
@@ -130,7 +153,7 @@
         backend_slots& server = servers_[place];
         const slot_owner* owner = find_owner_of(view.owners, server.name());
         const unsigned share =
-            std::max(1U, server.configured() / std::max(members, 1U));
+            sharers == 0 ? 0 : std::max(1U, server.configured() / sharers);
         unsigned allowance = share;
         if (owner != nullptr && owner->member.name == self_.name) {
             allowance = server.configured();
--- a/src/waxwing_replay/comparison.cpp
+++ b/src/waxwing_replay/comparison.cpp
@@ -62,8 +62,10 @@
     std::vector<run_figures> runs;
     for (const std::string& user : plan.users) {
         for (const std::string& scenario : plan.scenarios) {
+            service_size size = size_of(user);
+            size.owners = plan.owners;
             const workload load =
-                make_workload(scenario, size_of(user), plan.seed, plan.length);
+                make_workload(scenario, size, plan.seed, plan.length);
             for (const std::string& policy : plan.policies) {
                 runs.push_back(run_one(load, policy, plan.knobs));
             }
--- a/src/waxwing_replay/comparison.hpp
+++ b/src/waxwing_replay/comparison.hpp
@@ -23,6 +23,7 @@
     std::vector<std::string> policies;
     std::uint64_t seed = 1;
     duration length{};
+    unsigned owners = 0; // of the service; 0: derived
     decision::scheduling_policy knobs;
 };
 
--- a/src/waxwing_replay/decision_bench.cpp
+++ b/src/waxwing_replay/decision_bench.cpp
@@ -21,11 +21,9 @@
 constexpr double steady_share = 0.7;
 
 view_changed make_view(unsigned members, unsigned backend_servers) {
-    const service_size size{"bench",
-                            {"sea", "pdx", "spk", "boi"},
-                            backend_servers,
-                            slots_per_server,
-                            members};
+    const service_size size{"bench",         {"sea", "pdx", "spk", "boi"},
+                            backend_servers, slots_per_server,
+                            members,         0};
     configuration config;
     config.services = {service_of(size)};
     view_changed view;
--- a/src/waxwing_replay/main.cpp
+++ b/src/waxwing_replay/main.cpp
@@ -21,7 +21,7 @@
     R"(waxwing-replay: drives the decision library and measures it.
 
 Usage:
-  waxwing-replay compare [--user=NAME]... [--scenario=NAME]... [--policy=NAME]... [--seed=N] [--seconds=N] [--knob=SETTING]... [--json]
+  waxwing-replay compare [--user=NAME]... [--scenario=NAME]... [--policy=NAME]... [--seed=N] [--seconds=N] [--owners=N] [--knob=SETTING]... [--json]
   waxwing-replay record FILE [--user=NAME]... [--scenario=NAME]... [--seed=N] [--seconds=N] [--knob=SETTING]...
   waxwing-replay replay FILE [--knob=SETTING]...
   waxwing-replay bench [--requests=N]
@@ -33,6 +33,7 @@
   --policy=NAME    A policy by name [default: all].
   --seed=N         Seed of all generated numbers [default: 1].
   --seconds=N      Measured model seconds of each run [default: 20].
+  --owners=N       Owners of the service; 0 derives them [default: 0].
   --knob=SETTING   A knob of the decision library, as name=value.
   --requests=N     Requests decided on for each figure [default: 200000].
   --json           JSON in place of a table.
@@ -86,6 +87,7 @@
     plan.policies = chosen(arguments.at("--policy"), "all", policy_names());
     plan.seed = seed_in(arguments);
     plan.length = length_in(arguments);
+    plan.owners = static_cast<unsigned>(arguments.at("--owners").asLong());
     plan.knobs = knobs_in(arguments);
     const auto runs = run_comparison(plan);
     if (arguments.at("--json").asBool()) {
--- a/src/waxwing_replay/workload.cpp
+++ b/src/waxwing_replay/workload.cpp
@@ -172,14 +172,15 @@
 service_size size_of(const std::string& user) {
     static const std::map<std::string, service_size> sizes = {
         {"cooperative",
-         {"cooperative", {"sea", "pdx", "spk", "boi"}, 15, 6, 18}},
+         {"cooperative", {"sea", "pdx", "spk", "boi"}, 15, 6, 18, 0}},
         {"bramblewood",
          {"bramblewood",
           {"brisbane-a", "brisbane-b", "goldcoast", "toowoomba"},
           10,
           2,
-          18}},
-        {"small", {"small", {"sea", "pdx"}, 4, 2, 4}}};
+          18,
+          0}},
+        {"small", {"small", {"sea", "pdx"}, 4, 2, 4, 0}}};
     return sizes.at(user);
 }
 
@@ -215,6 +216,7 @@
     service of;
     of.name = "replayed";
     of.typical_time = usual_service_time;
+    of.owners = size.owners;
     of.classes = {{"reads",
                    {"GET"},
                    "/",
--- a/src/waxwing_replay/workload.hpp
+++ b/src/waxwing_replay/workload.hpp
@@ -47,6 +47,7 @@
     unsigned backend_servers = 0;
     unsigned slots = 0;
     unsigned entry_instances = 18;
+    unsigned owners = 0; // 0: derived
 };
 
 // The mean of the lognormal part, its spread, and the rare slow calls.
--- a/test/scheduling/grants_test.cpp
+++ b/test/scheduling/grants_test.cpp
@@ -162,6 +162,21 @@
     CHECK(f.all<start_request>().empty());
 }
 
+TEST_CASE("the owner that is left takes the lost owner's slots whole") {
+    // One of two owners fails. Were its slots divided among all instances,
+    // most would stand idle, since callers now come to the other owner.
+    scheduler_fixture f(2, 4, 1);
+    for (int i = 2; i < 18; ++i) {
+        member other;
+        other.id = {"entry-" + std::to_string(i), 1};
+        f.view.members.push_back(other);
+    }
+    f.apply_view();
+    CHECK(f.scheduler().slots()[1].usable == 4);
+    f.link_peer();
+    CHECK(f.scheduler().slots()[1].usable == 0);
+}
+
 TEST_CASE("what all owners decline is refused at once with a moment") {
     // A caller reaches an instance without slots while the service is above
     // capacity. Held until its deadline, it would hear far too late that it
