probe budget: the same rate told again does not begin the wait anew

Cause: the entry tells the rate with every view, and each time what was saved was dropped, so that with frequent views nobody ever probed. Change: an unchanged rate changes nothing; two tests, the first seen red. Excluded: nothing. Conclusion: probes go out at the configured rate again.

--- a/src/decision/probe_budget.cpp
+++ b/src/decision/probe_budget.cpp
@@ -89,6 +89,10 @@
 }
 
 void probe_budget::change_rate(double rate, time_point now) {
+    // Told again with every view; starting over each time would end probing.
+    if (rate == limits_.rate) {
+        return;
+    }
     limits_.rate = rate;
     for (auto& [name, of] : buckets_) {
         of = bucket{0, std::max(of.counted, now)};
--- a/test/probe_budget/probe_budget_test.cpp
+++ b/test/probe_budget/probe_budget_test.cpp
@@ -74,3 +74,33 @@
     REQUIRE_FALSE(budget.try_probe("b0", time_point{} + seconds(1000)));
     REQUIRE(budget.next_probe("b0", time_point{}) == time_point::max());
 }
+
+// Every view of the members brings the configuration along. If the same rate
+// told again began the wait anew, nobody would ever probe.
+TEST_CASE("The same rate told again changes nothing") {
+    probe_limits limits;
+    limits.rate = 0.5;
+    limits.settle = seconds(3);
+    probe_budget budget(limits);
+    const time_point start{};
+    budget.on_share(1, start);
+    budget.on_owned("b0", start);
+    for (int second = 0; second < 5; ++second) {
+        budget.change_rate(0.5, start + seconds(second));
+        budget.on_share(1, start + seconds(second));
+    }
+    REQUIRE(budget.try_probe("b0", start + milliseconds(5001)));
+}
+
+TEST_CASE("A new rate counts from nothing") {
+    probe_limits limits;
+    limits.rate = 0.5;
+    limits.settle = seconds(0);
+    probe_budget budget(limits);
+    const time_point start{};
+    budget.on_share(1, start);
+    budget.on_owned("b0", start);
+    budget.change_rate(0.1, start + seconds(10));
+    REQUIRE_FALSE(budget.try_probe("b0", start + seconds(19)));
+    REQUIRE(budget.try_probe("b0", start + milliseconds(20001)));
+}
