--- a/src/io/cbor_reading.hpp
+++ b/src/io/cbor_reading.hpp
@@ -27,6 +27,14 @@
         read_unsigned(from, std::numeric_limits<Number>::max()));
 }
 
+// The same for a field that an older release does not send.
+template <typename Number>
+Number read_number_or(const nlohmann::json& object, const char* field,
+                      Number otherwise) {
+    const auto found = object.find(field);
+    return found == object.end() ? otherwise : read_number<Number>(*found);
+}
+
 // Longest wait that a message may name.
 constexpr duration wait_limit = std::chrono::hours(24);
 
