--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -80,8 +80,9 @@
     // All messages to be sent by now, changes included.
     std::vector<addressed_message> take_messages(time_point now);
     const std::set<std::string>& linked() const { return linked_; }
-    // Whether some peer has told all that it knows and we did not.
-    bool introduced() const { return introduced_; }
+    // Whether some peer has told all that it knows and we did not, the newest
+    // configuration that peers named included.
+    bool introduced() const;
     const exchange_counters& counters() const { return counters_; }
 
 private:
@@ -130,6 +131,7 @@
     revision_message announced_;
     bool platform_answers_ = false;
     bool introduced_ = false;
+    std::uint64_t named_revision_ = 0; // the newest that a peer had in force
     // Who told us what is waiting to be passed on.
     std::map<std::string, std::string> member_origin_;
     std::map<std::string, std::string> belief_origin_;
--- a/src/io/link_socket.hpp
+++ b/src/io/link_socket.hpp
@@ -36,6 +36,8 @@
     std::uint64_t bytes_in() const { return bytes_in_; }
     std::uint64_t bytes_out() const { return bytes_out_; }
     void close();
+    // Neither reads nor writes any more; the connection stays open.
+    void stop_watching() { ev_io_stop(loop_, &watcher_); }
 
 private:
     void on_ready(int events);
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -215,12 +215,19 @@
     if (!newer || wanted_) {
         return;
     }
+    // One that has just started may have read an old file; what peers have in
+    // force counts before its first word to anybody.
+    const bool platform_will_tell = platform_answers_ && introduced_;
     const auto wait =
-        platform_answers_ ? timing_.configuration_wait : duration::zero();
+        platform_will_tell ? timing_.configuration_wait : duration::zero();
     wanted_ = wanted_configuration{peer, now + wait};
     ask_for_configuration(now);
 }
 
+bool peer_exchange::introduced() const {
+    return introduced_ && state_.configurations.revision() >= named_revision_;
+}
+
 revision_message peer_exchange::own_revision() const {
     return {state_.configurations.revision(),
             state_.configurations.refused_revision()};
--- /dev/null
+++ b/test/membership/tables_test.cpp
@@ -0,0 +1,234 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <waxwingvale/membership/belief_table.hpp>
+#include <waxwingvale/membership/link_plan.hpp>
+#include <waxwingvale/membership/member_table.hpp>
+#include <waxwingvale/membership/quarantine_table.hpp>
+#include <waxwingvale/membership/read_budget.hpp>
+
+using namespace waxwingvale;
+using namespace waxwingvale::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{1h};
+
+member_record record_of(const std::string& name, std::uint64_t incarnation,
+                        std::uint16_t port = 1) {
+    member_record record;
+    record.id = {name, incarnation};
+    record.addresses.host = "127.0.0.1";
+    record.addresses.control_port = port;
+    return record;
+}
+
+member_table table_of_self() {
+    member_table table(record_of("sea-1", 0), {}, start);
+    table.start_life(100);
+    return table;
+}
+
+backend_belief seen(backend_state state, belief_source source,
+                    std::uint64_t incarnation, duration after = 0s) {
+    return {"slate-1", incarnation, state, source, "sea-1", start + after};
+}
+
+backend_state state_in(const belief_table& table) {
+    return to_belief(*table.find("slate-1")).state;
+}
+
+} // namespace
+
+TEST_CASE("an empty or old list of the platform forgets nobody") {
+    // The platform's list lags, or is empty after its own fault. Were members
+    // dropped with it, callers would lose instances that serve them well.
+    auto table = table_of_self();
+    table.merge(record_of("pdx-1", 50, 2), start);
+    table.take_platform_list({}, start);
+    REQUIRE(table.find("pdx-1") != nullptr);
+    CHECK(table.find("pdx-1")->life == liveness::alive);
+}
+
+TEST_CASE("silence moves ownership after a bounded time, unless refuted") {
+    // One instance loses another, perhaps only by its own fault. The other has
+    // some seconds to say that it lives; if it does not, its slots go over.
+    auto table = table_of_self();
+    table.merge(record_of("pdx-1", 50, 2), start);
+    CHECK(table.accuse("pdx-1", start));
+    CHECK(table.find("pdx-1")->life == liveness::suspect);
+    SECTION("it refutes") {
+        auto word = record_of("pdx-1", 50, 2);
+        word.assertion = 1;
+        CHECK(table.merge(word, start + 1s));
+        table.tick(start + 1h);
+        CHECK(table.find("pdx-1")->life == liveness::alive);
+    }
+    SECTION("it says nothing") {
+        table.tick(start + 2s);
+        CHECK(table.find("pdx-1")->life == liveness::suspect);
+        table.tick(start + 3s);
+        CHECK(table.find("pdx-1")->life == liveness::gone);
+    }
+}
+
+TEST_CASE("a restarted instance replaces its former life at once") {
+    // An instance is replaced by a new one at the same address. Callers that
+    // hold keys of the former must not be told that the new one knows them.
+    auto table = table_of_self();
+    table.merge(record_of("pdx-1", 50, 2), start);
+    SECTION("under the same name") {
+        table.merge(record_of("pdx-1", 51, 2), start);
+        CHECK(table.find("pdx-1")->id.incarnation == 51);
+        CHECK_FALSE(table.merge(record_of("pdx-1", 50, 2), start));
+    }
+    SECTION("under another name") {
+        table.merge(record_of("pdx-9", 51, 2), start);
+        CHECK(table.find("pdx-1")->life == liveness::gone);
+        CHECK(table.find("pdx-9")->life == liveness::alive);
+    }
+}
+
+TEST_CASE("a clock set back does not make a new life look like an old one") {
+    auto table = table_of_self();
+    table.merge(record_of("sea-1", 500), start + 1s);
+    CHECK(table.self().id.incarnation == 501);
+}
+
+TEST_CASE("an instance that was replaced while it slept stands down") {
+    // A paused process wakes after another one has taken its name. Both
+    // asserting themselves would pull the slots to and fro without end.
+    auto table = table_of_self();
+    table.merge(record_of("sea-1", 500), start + 1min);
+    CHECK(table.replaced());
+    CHECK(table.self().life == liveness::gone);
+    CHECK(table.self().id.incarnation == 100);
+}
+
+TEST_CASE("control alone restarted goes on with the entry's life") {
+    member_table table(record_of("sea-1", 0), {}, start);
+    auto word = record_of("sea-1", 100);
+    word.assertion = 7;
+    word.life = liveness::suspect;
+    table.merge(word, start);
+    table.start_life(100);
+    CHECK(table.self().id.incarnation == 100);
+    CHECK(table.self().assertion == 8);
+    CHECK(table.self().life == liveness::alive);
+}
+
+TEST_CASE("leaving is never taken back within an incarnation") {
+    // A backend server drains; its health still looks well and old word of it
+    // arrives late. Work sent to it would be cut off when it stops.
+    belief_table table(10);
+    table.observe(seen(backend_state::leaving, belief_source::traffic, 3));
+    table.observe(seen(backend_state::serving, belief_source::probe, 3, 1s));
+    CHECK(state_in(table) == backend_state::leaving);
+    belief_record word;
+    word.backend_server = "slate-1";
+    word.incarnation = 3;
+    word.version = 5;
+    table.merge(word);
+    CHECK(state_in(table) == backend_state::leaving);
+    table.observe(seen(backend_state::serving, belief_source::traffic, 4, 2s));
+    CHECK(state_in(table) == backend_state::serving);
+    CHECK_FALSE(
+        table.observe(seen(backend_state::dead, belief_source::traffic, 3)));
+}
+
+TEST_CASE("a dead backend server comes back by an answer, not by a list") {
+    belief_table table(10);
+    table.observe(seen(backend_state::dead, belief_source::traffic, 3, 1s));
+    table.observe(
+        seen(backend_state::serving, belief_source::platform_list, 3, 2s));
+    CHECK(state_in(table) == backend_state::dead);
+    // An answer that was under way when it died.
+    table.observe(seen(backend_state::serving, belief_source::traffic, 3));
+    CHECK(state_in(table) == backend_state::dead);
+    table.observe(seen(backend_state::serving, belief_source::traffic, 3, 3s));
+    CHECK(state_in(table) == backend_state::serving);
+}
+
+TEST_CASE("beliefs are bounded") {
+    belief_table table(2);
+    for (const auto* name : {"a", "b", "c"}) {
+        auto word = seen(backend_state::dead, belief_source::traffic, 1);
+        word.backend_server = name;
+        table.observe(word);
+    }
+    CHECK(table.records().size() == 2);
+    CHECK(table.counters().over_limit == 1);
+}
+
+TEST_CASE("two deaths condemn a request only if one of them was its alone") {
+    // A request crashes whatever runs it, and others share the server when it
+    // dies. Condemned with it, popular pages would be refused everywhere.
+    quarantine_table table({});
+    table.add_death({1, "slate-1", 1, false, start});
+    table.add_death({2, "slate-1", 1, false, start});
+    table.add_death({2, "slate-2", 1, false, start});
+    CHECK_FALSE(table.contains(2));
+    table.add_death({1, "slate-2", 1, true, start});
+    CHECK(table.contains(1));
+    CHECK(table.expire(start + 1h));
+    CHECK_FALSE(table.contains(1));
+}
+
+TEST_CASE("planned links join all members, with few at each") {
+    std::vector<placed_member> members;
+    for (unsigned each = 0; each < 320; ++each) {
+        const auto centre = each % 8;
+        members.push_back({"i-" + std::to_string(each),
+                           "dc-" + std::to_string(centre),
+                           "region-" + std::to_string(centre % 2)});
+    }
+    std::map<std::string, std::set<std::string>> links;
+    std::size_t most = 0;
+    for (const auto& each : members) {
+        links[each.name] = plan_links(each.name, members);
+        most = std::max(most, links[each.name].size());
+    }
+    CHECK(most <= 12);
+    std::set<std::string> reached = {"i-0"};
+    std::vector<std::string> next = {"i-0"};
+    unsigned hops = 0;
+    for (; reached.size() < members.size() && !next.empty(); ++hops) {
+        std::vector<std::string> further;
+        for (const auto& from : next) {
+            for (const auto& to : links[from]) {
+                // Both ends plan the same link.
+                CHECK(links[to].count(from) == 1);
+                if (reached.insert(to).second) {
+                    further.push_back(to);
+                }
+            }
+        }
+        next = std::move(further);
+    }
+    CHECK(reached.size() == members.size());
+    CHECK(hops <= 12);
+}
+
+TEST_CASE("all readers together stay within what the platform answers") {
+    // The platform comes back after an outage and every instance reads it in
+    // the same second. More than it answers would bring it down again.
+    for (const std::size_t readers : {1U, 18U, 320U, 900U}) {
+        const auto share = share_of(readers);
+        std::size_t reads = 0;
+        for (std::size_t each = 0; each < readers; ++each) {
+            read_budget budget(share, each, start);
+            for (auto now = start; now < start + 1s; now += 10ms) {
+                if (budget.wait_before_read(now) == 0s) {
+                    budget.take(now);
+                    ++reads;
+                }
+            }
+        }
+        CHECK(static_cast<double>(reads) <= platform_reads_per_second);
+    }
+}
