--- a/src/waxwing_load/caller_policy.cpp
+++ b/src/waxwing_load/caller_policy.cpp
@@ -12,6 +12,18 @@
 // Where an answer does not say when to come back.
 constexpr duration default_wait = std::chrono::milliseconds(20);
 
+// Where nobody answers the pauses double up to this: the addresses' next
+// answer, which leaves a dead instance out, takes a while to come.
+constexpr duration longest_wait = std::chrono::milliseconds(640);
+
+duration pause_after(unsigned attempts) {
+    auto wait = default_wait;
+    for (unsigned i = 1; i < attempts && wait < longest_wait; ++i) {
+        wait *= 2;
+    }
+    return wait;
+}
+
 bool is_success(unsigned status) {
     return status >= 200 && status < 300;
 }
@@ -49,7 +61,8 @@
 
 caller_decision after_silence(const attempt_result& result,
                               const call_progress& progress) {
-    auto decision = again_or(call_end::lost, default_wait, progress);
+    auto decision =
+        again_or(call_end::lost, pause_after(progress.attempts), progress);
     decision.other_address = true;
     // A key that may have arrived stays: with a new one the call could run
     // twice. One that never left may go, and the new one names an instance
--- a/src/waxwing_load/caller_policy.hpp
+++ b/src/waxwing_load/caller_policy.hpp
@@ -22,6 +22,7 @@
 // How far a call has come.
 struct call_progress {
     bool write = false;
+    unsigned attempts = 1; // made so far, this one included
     unsigned attempts_left = 0;
     duration time_left{};   // until the caller's deadline
     bool ever_sent = false; // some attempt may have arrived
--- a/src/waxwing_load/load_run.cpp
+++ b/src/waxwing_load/load_run.cpp
@@ -213,6 +213,7 @@
     const auto seen = read_result(call, ended);
     call_progress progress;
     progress.write = call.told.write;
+    progress.attempts = call.attempts;
     progress.attempts_left = options_.attempts - call.attempts;
     progress.time_left = call.due + options_.deadline - timers_.now();
     progress.ever_sent = call.ever_sent;
--- a/test/load/caller_policy_test.cpp
+++ b/test/load/caller_policy_test.cpp
@@ -72,6 +72,17 @@
     CHECK_FALSE(decide(answer(504, run_outcome::unknown), progress(false)).end);
 }
 
+TEST_CASE("pauses grow while nobody answers") {
+    // An entry instance has died and stays in the addresses' answers for a
+    // while. A caller that tried again at once would use up its attempts.
+    auto so_far = progress(true);
+    CHECK(decide(silence(false), so_far).wait == milliseconds(20));
+    so_far.attempts = 3;
+    CHECK(decide(silence(false), so_far).wait == milliseconds(80));
+    so_far.attempts = 30;
+    CHECK(decide(silence(false), so_far).wait == milliseconds(640));
+}
+
 TEST_CASE("ends are told apart") {
     CHECK(decide(answer(200, run_outcome::ran), progress(true)).end ==
           call_end::answered);
