entry: what passed lately is no suspect when a backend server dies

Cause: found by the failure test "reads of a killed backend server are answered by another": after one death 406 of 500 reads were refused, since identical popular reads share one fingerprint and all counted as the suspect. Change: a fixed table of requests that ran to their end within 60 s; they are not reported as suspects, nor taken for such on a peer's word. Measured: that test and "a killed backend server that comes back is used again" fail before and pass after. Excluded: letting several copies of a suspect run, which could end more than two backend servers.

--- a/src/waxwing_entry/crash_guard.cpp
+++ b/src/waxwing_entry/crash_guard.cpp
@@ -1,5 +1,7 @@
 #include "waxwing_entry/crash_guard.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <waxwingvale/program/state_log.hpp>
 
 #include "waxwing_entry/peer_name.hpp"
@@ -12,12 +14,17 @@
 using namespace std::chrono_literals;
 
 constexpr duration forgetting_period = 1s;
+// How long it speaks for a request that it ran to its end.
+constexpr duration pass_counts_for = 60s;
 
 } // namespace
 
 crash_guard::crash_guard(const std::string& self, io::message_hub& hub,
                          kernel::timer_service& timers)
-    : hub_(hub), timers_(timers), quarantine_(self, {}) {
+    : hub_(hub),
+      timers_(timers),
+      quarantine_(self, {}),
+      passes_(pass_counts_for) {
     hub_.on_message(
         suspicion_kind,
         [this](const std::string&, const std::vector<std::uint8_t>& bytes) {
@@ -57,15 +64,25 @@
     const std::vector<decision::request_fingerprint>& in_flight) {
     auto& sight = backend_servers_[backend_server];
     sight.dead = true;
+    const auto now = timers_.now();
+    std::vector<decision::request_fingerprint> suspects;
+    std::copy_if(
+        in_flight.begin(), in_flight.end(), std::back_inserter(suspects),
+        [&](const auto& one) { return !passes_.passed_lately(one, now); });
     const auto words = quarantine_.on_backend_died(
-        {backend_server, sight.incarnation}, in_flight, timers_.now());
+        {backend_server, sight.incarnation}, suspects, now);
     program::log_warning("backend_server_died",
                          {{"backend_server", backend_server},
-                          {"in_flight", std::to_string(in_flight.size())}});
+                          {"in_flight", std::to_string(in_flight.size())},
+                          {"suspects", std::to_string(suspects.size())}});
     tell_all(words);
 }
 
 void crash_guard::on_passed(decision::request_fingerprint of) {
+    passes_.note(of, timers_.now());
+    if (!watching()) {
+        return;
+    }
     const auto word = quarantine_.on_passed(of, timers_.now());
     if (word) {
         tell_all({*word});
@@ -93,6 +110,10 @@
     for (const auto& word : words.value()) {
         // Every entry process hears the first teller itself; passing it on
         // would only multiply it.
+        if (word.state == decision::suspicion_state::suspect &&
+            passes_.passed_lately(word.fingerprint, timers_.now())) {
+            continue;
+        }
         quarantine_.merge(word, timers_.now());
     }
 }
--- a/src/waxwing_entry/crash_guard.hpp
+++ b/src/waxwing_entry/crash_guard.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <waxwingvale/decision/quarantine.hpp>
+#include <waxwingvale/decision/recent_passes.hpp>
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 
@@ -19,8 +20,7 @@
     crash_guard(const std::string& self, io::message_hub& hub,
                 kernel::timer_service& timers);
 
-    // False while no request is under suspicion: then fingerprints need not
-    // even be computed.
+    // False while no request is under suspicion.
     bool watching() const { return quarantine_.size() > 0; }
 
     decision::quarantine_decision admit(decision::request_fingerprint of);
@@ -31,6 +31,7 @@
     bool is_news(const std::string& backend_server) const;
     void on_died(const std::string& backend_server,
                  const std::vector<decision::request_fingerprint>& in_flight);
+    // A request ran to its end.
     void on_passed(decision::request_fingerprint of);
     // A request that may only run alone was sent to that backend server.
     void on_trial_placed(decision::request_fingerprint of,
@@ -49,6 +50,7 @@
     io::message_hub& hub_;
     kernel::timer_service& timers_;
     decision::quarantine quarantine_;
+    decision::recent_passes passes_;
     std::map<std::string, backend_sight> backend_servers_;
     kernel::timer_service::subscription forgetting_;
 };
