quarantine: known by headers too, and what just passed is no suspect

Cause: the failure test of a crashing request went red: the crash came from a header, and every other read of the same target was refused with it. Reads of a killed backend server were refused during the trial of a read that had worked for everyone a moment before. Change: the crash fingerprint counts headers that stay the same on every copy; requests that passed in the last 10 to 20 s are not suspected, here or on a peer's word. Fingerprints are now taken of every request that passes. Excluded: a crash from a header that differs on each copy is not recognised. Conclusion: a popular read is neither shut out nor made to wait.

--- a/include/waxwingvale/decision/fingerprint.hpp
+++ b/include/waxwingvale/decision/fingerprint.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace waxwingvale::decision {
 
@@ -30,4 +31,20 @@
                                    const std::string& target,
                                    const std::string& body);
 
+// A header line that may be part of what crashes a backend server.
+struct fingerprint_header {
+    std::string name;
+    std::string value;
+};
+
+// The fingerprint by which crashing requests are known: as above, and with the
+// headers, since a crash may come from one of them and a popular read without
+// it must not be shut out in its place. Left out are headers that differ
+// between the copies of one request (Waxwing-*, Idempotency-Key, request and
+// trace ids, Date), or each copy would pass for a new request.
+request_fingerprint
+crash_fingerprint_of(const std::string& service, const std::string& method,
+                     const std::string& target, const std::string& body,
+                     const std::vector<fingerprint_header>& headers);
+
 } // namespace waxwingvale::decision
--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <waxwingvale/decision/fingerprint.hpp>
+#include <waxwingvale/decision/recent_passes.hpp>
 #include <waxwingvale/model/time.hpp>
 
 namespace waxwingvale::decision {
@@ -71,6 +72,8 @@
     // How long the trial of a suspect is left to its tester.
     duration reserved_for = std::chrono::seconds(10);
     duration come_back_in = std::chrono::milliseconds(500);
+    // For how long a request that passed is no suspect at all.
+    duration trusted_for = std::chrono::seconds(10);
     std::size_t fingerprints = 4096;
 };
 
@@ -96,6 +99,8 @@
                     time_point now);
 
     // A request got its whole answer; word for the peers when it was suspect.
+    // Told of every request: what passed a moment ago, as popular reads do, is
+    // no suspect when its backend server dies, and nobody has to wait for it.
     std::optional<suspicion_word> on_passed(request_fingerprint fingerprint,
                                             time_point now);
 
@@ -140,6 +145,7 @@
     std::string self_;
     quarantine_limits limits_;
     std::map<request_fingerprint, entry> entries_;
+    recent_passes passed_;
 };
 
 } // namespace waxwingvale::decision
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -6,7 +6,9 @@
 namespace waxwingvale::decision {
 
 quarantine::quarantine(std::string self, const quarantine_limits& limits)
-    : self_(std::move(self)), limits_(limits) {}
+    : self_(std::move(self)),
+      limits_(limits),
+      passed_(limits.trusted_for, limits.fingerprints) {}
 
 bool quarantine::expired(const entry& of, time_point now) const {
     return now - of.since >= limits_.kept_for;
@@ -51,6 +53,9 @@
     std::vector<suspicion_word> words;
     for (const auto& fingerprint : in_flight) {
         auto* known = find(fingerprint, now);
+        if (known == nullptr && passed_.contains(fingerprint, now)) {
+            continue;
+        }
         const bool alone =
             known != nullptr && known->trial && known->trial_on == died;
         if (alone) {
@@ -93,6 +98,7 @@
 
 std::optional<suspicion_word>
 quarantine::on_passed(request_fingerprint fingerprint, time_point now) {
+    passed_.add(fingerprint, now);
     auto* known = find(fingerprint, now);
     if (known == nullptr || known->state != suspicion_state::suspect) {
         return std::nullopt;
@@ -129,6 +135,10 @@
     }
     auto* known = find(word.fingerprint, now);
     if (known == nullptr) {
+        const bool mere_suspicion = word.state == suspicion_state::suspect;
+        if (mere_suspicion && passed_.contains(word.fingerprint, now)) {
+            return false;
+        }
         if (!make_room(now)) {
             return false;
         }
--- a/src/waxwing_entry/call_attempts.cpp
+++ b/src/waxwing_entry/call_attempts.cpp
@@ -35,8 +35,13 @@
 }
 
 decision::request_fingerprint fingerprint(const call_record& call) {
-    return decision::fingerprint_of(call.labels.service, call.request.method,
-                                    call.path, call.request.body);
+    std::vector<decision::fingerprint_header> headers;
+    for (const auto& header : io::end_to_end_headers(call.request.headers)) {
+        headers.push_back({header.name, header.value});
+    }
+    return decision::crash_fingerprint_of(call.labels.service,
+                                          call.request.method, call.path,
+                                          call.request.body, headers);
 }
 
 // Why the request went where it did, for operators; `waxwingctl explain`
@@ -237,8 +242,6 @@
     }
     if (answer.outcome == run_outcome::ran) {
         crashes_.on_alive(attempt.backend_server, answer.incarnation);
-    }
-    if (crashes_.watching() && answer.outcome == run_outcome::ran) {
         crashes_.on_passed(fingerprint(call));
     } else if (call.alone && answer.end != attempt_end::broken) {
         crashes_.on_trial_abandoned(fingerprint(call));
--- a/test/quarantine/quarantine_test.cpp
+++ b/test/quarantine/quarantine_test.cpp
@@ -102,6 +102,27 @@
         other.admit(killer, start + seconds(10))));
 }
 
+// Everyone looks at the same slate when one of the backend servers that show
+// it dies. Nobody should wait for a trial of what has just worked for all.
+TEST_CASE("What passed a moment ago is no suspect, here or at a peer") {
+    quarantine entry("e0", {});
+    quarantine other("e1", {});
+    entry.on_passed(beside, start);
+    other.on_passed(beside, start);
+    const auto died = start + seconds(5);
+    const auto words = entry.on_backend_died({"b0", 1}, {beside, killer}, died);
+    REQUIRE(words.size() == 1);
+    REQUIRE(words[0].fingerprint == killer);
+    REQUIRE(std::holds_alternative<run_normally>(entry.admit(beside, died)));
+
+    quarantine stranger("e2", {});
+    const auto suspected = stranger.on_backend_died({"b0", 1}, {beside}, died);
+    REQUIRE_FALSE(other.merge(suspected.at(0), died));
+    REQUIRE(std::holds_alternative<run_normally>(other.admit(beside, died)));
+    // Long afterwards it is as unknown as any other.
+    REQUIRE(other.merge(suspected.at(0), start + seconds(60)));
+}
+
 // A caller invents ever new requests that all die with their backend servers.
 // The list stays bounded, and what is proved outlives mere suspicion.
 TEST_CASE("A full quarantine forgets suspicions before proofs") {
--- a/test/request_keys/fingerprint_test.cpp
+++ b/test/request_keys/fingerprint_test.cpp
@@ -2,6 +2,7 @@
 
 #include <waxwingvale/decision/fingerprint.hpp>
 
+using waxwingvale::decision::crash_fingerprint_of;
 using waxwingvale::decision::fingerprint_of;
 
 // Two entry instances of different releases must agree, or a quarantined
@@ -17,3 +18,20 @@
     REQUIRE(fingerprint_of("a", "POST", "/x", "1:b") !=
             fingerprint_of("a", "POST", "/x1", ":b"));
 }
+
+// One caller's odd header crashes backend servers. Everyone else who asks for
+// the same thing must not be shut out with it, but the same caller's resend,
+// with its new trace id and deadline, must be known again.
+TEST_CASE("A crash is known by its headers, but not by those of one copy") {
+    const auto with = [](const std::string& name, const std::string& value) {
+        return crash_fingerprint_of("a", "GET", "/x", "",
+                                    {{"Accept", "*/*"}, {name, value}});
+    };
+    REQUIRE(with("Cookie", "odd") != with("Cookie", "plain"));
+    REQUIRE(with("cookie", "odd") == with("Cookie", "odd"));
+    REQUIRE(with("X-Request-Id", "1") == with("traceparent", "2"));
+    REQUIRE(with("Waxwing-Deadline-Ms", "50") == with("Idempotency-Key", "k"));
+    REQUIRE(
+        crash_fingerprint_of("a", "GET", "/x", "", {{"A", "1"}, {"B", "2"}}) ==
+        crash_fingerprint_of("a", "GET", "/x", "", {{"B", "2"}, {"A", "1"}}));
+}
