--- a/include/waxwingvale/decision/recent_passes.hpp
+++ b/include/waxwingvale/decision/recent_passes.hpp
@@ -1,44 +1,33 @@
 #pragma once
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <unordered_set>
 
 #include <waxwingvale/decision/fingerprint.hpp>
 #include <waxwingvale/model/time.hpp>
 
 namespace waxwingvale::decision {
 
-// Remembers which requests ran to their end lately. A request that crashes
-// every backend server that runs it never does, so what passed a moment ago
-// is no suspect when a backend server dies. Without this the death of one
-// server would put the most popular read under suspicion, and every caller of
-// it would be refused until a trial had passed.
-//
-// A fixed table where a later request may take an earlier one's place:
-// forgetting only makes a suspect of an innocent, never the other way round.
+// Fingerprints of requests that ran to their end a short while ago, bounded in
+// number and age: remembered for one to two periods, and not beyond the limit.
 class recent_passes {
 public:
-    explicit recent_passes(duration counts_for) : counts_for_(counts_for) {}
+    recent_passes(duration period, std::size_t limit);
 
-    void note(request_fingerprint passed, time_point now);
-    bool passed_lately(request_fingerprint asked, time_point now) const;
+    void add(request_fingerprint fingerprint, time_point now);
+    bool contains(request_fingerprint fingerprint, time_point now);
 
 private:
-    struct pass {
-        request_fingerprint fingerprint;
-        time_point at{};
-        bool used = false;
-    };
+    using generation = std::unordered_set<std::uint64_t>;
 
-    static constexpr std::size_t places = 4096;
+    void turn_over(time_point now);
 
-    static std::size_t place_of(request_fingerprint of) {
-        return static_cast<std::size_t>(of.value % places);
-    }
-
-    duration counts_for_;
-    std::array<pass, places> passes_{};
+    duration period_;
+    std::size_t limit_;
+    time_point began_{}; // of the present generation
+    generation present_;
+    generation former_;
 };
 
 } // namespace waxwingvale::decision
