--- a/src/decision/key_protocol.cpp
+++ b/src/decision/key_protocol.cpp
@@ -19,6 +19,14 @@
     return report_ran{};
 }
 
+// Whoever waits asks again now and then, and needs only one reply.
+void remember_asker(key_links& links, const key_asker& asker) {
+    auto& askers = links.askers;
+    if (std::find(askers.begin(), askers.end(), asker) == askers.end()) {
+        askers.push_back(asker);
+    }
+}
+
 } // namespace
 
 key_protocol::key_protocol(member_id self, time_point started,
@@ -159,7 +167,7 @@
     } else if (outcome == run_outcome::not_run) {
         record->state = key_state::idle;
         settle_all(key, *record, report_not_run{memory_.limits().come_back_in},
-                   hand_over_kind::not_run, effects);
+                   hand_over_kind::unknown, effects);
     } else {
         record->state = key_state::unknown;
         settle_all(key, *record, unknown_for_now(), hand_over_kind::unknown,
@@ -178,6 +186,11 @@
                   waiters.end());
 }
 
+bool key_protocol::asking(const std::string& key) const {
+    const auto* record = memory_.find(key);
+    return record != nullptr && record->state == key_state::asking;
+}
+
 hand_over_reply
 key_protocol::on_hand_over_request(const hand_over_request& request,
                                    time_point now) {
@@ -203,7 +216,7 @@
         return hand_over_kind::expired;
     }
     if (!memory_.has_room_for_key()) {
-        return hand_over_kind::full;
+        return hand_over_kind::unknown;
     }
     auto& record = memory_.insert_own(request.key, parsed->issued_s);
     record.fingerprint = request.fingerprint;
@@ -233,7 +246,7 @@
         if (record.linked().askers.size() >= max_askers) {
             return hand_over_kind::unknown;
         }
-        record.linked().askers.push_back(asker);
+        remember_asker(record.linked(), asker);
         return hand_over_kind::in_flight;
     case key_state::answered:
         reply.answer = record.answer;
@@ -309,7 +322,7 @@
     if (links.waiters.empty() || !memory_.has_room_for_attempt()) {
         record.state = key_state::idle;
         settle_all(key, record, report_not_run{memory_.limits().come_back_in},
-                   hand_over_kind::not_run, effects);
+                   hand_over_kind::unknown, effects);
         return effects;
     }
     const auto first = links.waiters.front();
@@ -337,14 +350,7 @@
 
 key_effects key_protocol::on_refused(const hand_over_reply& reply,
                                      key_record& record) {
-    const auto again = memory_.limits().come_back_in;
     switch (reply.kind) {
-    case hand_over_kind::not_run:
-        return end_asking(reply.key, record, report_not_run{again},
-                          hand_over_kind::not_run);
-    case hand_over_kind::full:
-        return end_asking(reply.key, record, refuse_full{again},
-                          hand_over_kind::full);
     case hand_over_kind::mismatch:
         return end_asking(reply.key, record, refuse_mismatch{},
                           hand_over_kind::mismatch);
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -9,10 +9,7 @@
     : self_(std::move(self)), limits_(limits) {}
 
 bool quarantine::expired(const entry& of, time_point now) const {
-    const auto kept = of.state == suspicion_state::quarantined
-                          ? limits_.quarantined_for
-                          : limits_.suspect_for;
-    return now - of.since >= kept;
+    return now - of.since >= limits_.kept_for;
 }
 
 quarantine::entry* quarantine::find(request_fingerprint fingerprint,
@@ -34,12 +31,16 @@
         return refuse_quarantined{};
     }
     // One trial at a time, by one entry instance: two trials of a request that
-    // does kill would cost one backend server more.
-    if (known->trial || known->tester != self_) {
-        const auto left = known->since + limits_.suspect_for - now;
+    // does kill would cost one backend server more. The tester may be gone
+    // itself, so after a while whoever gets a copy may try it.
+    const auto reserved_until = known->since + limits_.reserved_for;
+    const bool reserved = known->tester != self_ && now < reserved_until;
+    if (known->trial || reserved) {
+        const auto left = std::max(reserved_until - now, limits_.come_back_in);
         return refuse_suspect{known->tester, left};
     }
     known->trial = true;
+    known->trial_on = backend_life{};
     return run_alone{known->died.backend_server};
 }
 
@@ -51,8 +52,8 @@
     for (const auto& fingerprint : in_flight) {
         auto* known = find(fingerprint, now);
         const bool alone =
-            known != nullptr && known->trial && in_flight.size() == 1;
-        if (known != nullptr) {
+            known != nullptr && known->trial && known->trial_on == died;
+        if (alone) {
             known->trial = false;
         }
         entry death;
@@ -77,12 +78,12 @@
         entries_[fingerprint] = death;
         return;
     }
-    if (known->state == suspicion_state::quarantined ||
-        known->died == death.died) {
+    // Several entry instances tell of one death, each in its own words.
+    const bool same_death = !alone && known->died == death.died;
+    if (known->state == suspicion_state::quarantined || same_death) {
         return;
     }
-    const bool later = death.since - known->since >= limits_.same_event;
-    if (alone || later) {
+    if (alone) {
         known->state = suspicion_state::quarantined;
     }
     known->tester = std::min(known->tester, death.tester);
@@ -102,6 +103,14 @@
     return word_for(fingerprint, *known, now);
 }
 
+void quarantine::on_trial_placed(request_fingerprint fingerprint,
+                                 const backend_life& on) {
+    const auto found = entries_.find(fingerprint);
+    if (found != entries_.end() && found->second.trial) {
+        found->second.trial_on = on;
+    }
+}
+
 void quarantine::on_trial_abandoned(request_fingerprint fingerprint) {
     const auto found = entries_.find(fingerprint);
     if (found != entries_.end()) {
