--- a/test/standin/fleet.cpp
+++ b/test/standin/fleet.cpp
@@ -240,7 +240,7 @@
                                 .at("key_prefix")
                                 .get<std::string>();
         if (prefix.compare(0, wanted.size() + 1, wanted + ".") == 0) {
-            return prefix + ".test." + suffix;
+            return std::string(prefix).append(".test.").append(suffix);
         }
     }
     throw std::runtime_error("no caller is sent to " + wanted);
--- a/test/standin/temporary_folder.cpp
+++ b/test/standin/temporary_folder.cpp
@@ -26,7 +26,7 @@
 
 std::string temporary_folder::write(const std::string& name,
                                     const std::string& text) const {
-    const auto full = file(name);
+    auto full = file(name);
     std::ofstream(full) << text;
     return full;
 }
