--- a/src/waxwing_entry/call_attempts.cpp
+++ b/src/waxwing_entry/call_attempts.cpp
@@ -13,8 +13,10 @@
 using namespace std::chrono_literals;
 
 constexpr duration come_back_default = 1s;
-// How many times longer than a slow answer means a silent connection.
+// How many times longer than a slow answer means a silent connection, and the
+// shortest time that does.
 constexpr int silence_factor = 8;
+constexpr duration silence_min = 200ms;
 
 decision::attempt_verdict verdict_of(attempt_end end) {
     switch (end) {
@@ -173,6 +175,10 @@
         return;
     }
     call.running = attempt;
+    call.silence_timer.cancel();
+    if (choice == connection_choice::kept_or_new) {
+        arm_silence(call);
+    }
     if (call.alone) {
         crashes_.on_trial_placed(fingerprint(call), action.backend_server);
     }
@@ -217,6 +223,42 @@
     end_with(*call, attempt, answer, std::move(ended));
 }
 
+// A read on a kept connection that has gone silent would wait for its whole
+// deadline; hedges alone do not help, since their budget is soon used up when
+// many connections go silent together.
+void call_desk::arm_silence(call_record& call) {
+    if (call.nature != request_nature::retriable || call.nested) {
+        return;
+    }
+    const auto slow = part_of(call.labels.service)
+                          .policies.hedges(call.labels.request_class)
+                          .delay();
+    const auto wait = std::max<duration>(slow * silence_factor, silence_min);
+    call.silence_timer = timers_.after(
+        wait, [this, id = call.id](time_point) { give_up_silent(id); });
+}
+
+void call_desk::give_up_silent(decision::request_id id) {
+    auto* call = find(id);
+    if (call == nullptr || !call->running || call->hedge || call->alone) {
+        return;
+    }
+    const auto service = call->labels.service;
+    if (!part_of(service).policies.retries().budget().can_spend()) {
+        return; // an answer may still come, and nothing better can be done
+    }
+    const auto attempt = *call->running;
+    call->running.reset();
+    client_.cancel(attempt.call);
+    silences_.on_silent(attempt.backend_server, timers_.now());
+    backend_answer silent;
+    silent.end = attempt_end::timed_out;
+    report_end(*call, attempt, silent);
+    if (!try_again(*call, attempt, silent)) {
+        finish(id, lost_answer(silent));
+    }
+}
+
 // A copy that lost its race was slow, or its connection is silent for good;
 // only a far longer wait than slow answers take speaks for the latter. Were
 // every lost race taken for it, hedging would end the use of kept connections.
--- a/src/waxwing_entry/call_desk.hpp
+++ b/src/waxwing_entry/call_desk.hpp
@@ -95,6 +95,8 @@
                      const std::string& service, io::http_call_result ended);
     void report_end(const call_record& call, const running_attempt& attempt,
                     const backend_answer& answer);
+    void arm_silence(call_record& call);
+    void give_up_silent(decision::request_id id);
     void note_lost_race(const call_record& call, const running_attempt& loser);
     void report_death(const std::string& backend_server);
     void end_with(call_record& call, const running_attempt& attempt,
--- a/src/waxwing_entry/call_record.hpp
+++ b/src/waxwing_entry/call_record.hpp
@@ -60,6 +60,7 @@
     std::optional<running_attempt> running;
     std::optional<running_attempt> hedge;
     kernel::timer_service::subscription hedge_timer;
+    kernel::timer_service::subscription silence_timer;
     kernel::timer_service::subscription deadline_timer;
     // What earlier attempts leave open: a read that got lost once is not
     // "not run" when its next attempt is refused.
