--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -13,13 +13,15 @@
     double recovered_ratio = 1.5;      // and back again
     duration straggler_sample{500000}; // until one read goes to a straggler
     duration straggler_sample_max{4000000}; // while it stays slow
-    double stuck_ratio = 3.0; // a request in flight that long is stuck
 
     // Recognising backend servers that fail.
     double failure_gain = 0.125;
     double failing_share = 0.4; // of attempts, before it is passed over
     duration failing_pause_min{250000};
     duration failing_pause_max{30000000};
+    // How long a request waits for another owner's slot rather than be run on
+    // a backend server that fails.
+    duration failing_patience{50000};
 
     // Slots after a refusal or a start.
     double shed_decrease = 0.7;
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -64,14 +64,18 @@
     duration backlog() const;
     duration expected_wait(const request_arrived& request,
                            time_point latest_start) const;
-    slot_wish wish_of(const request_arrived& request) const;
+    slot_wish wish_of(const request_arrived& request,
+                      time_point arrived_at) const;
     void learn(const std::string& backend_server,
                const std::string& request_class, attempt_verdict verdict,
                duration service_time, time_point started_at);
 
     // scheduler_grants.cpp
-    void lend();
-    bool lend_one();
+    // What requests that wait here mean for lending: they go first, unless a
+    // peer's are far more urgent, or no free slot suits them anyhow.
+    enum class work_waiting { first, cannot_use };
+    void lend(work_waiting waiting);
+    bool lend_one(work_waiting waiting);
     bool ours_first(const standing_ask& ask) const;
     void answer(const grants_asked& asked);
     unsigned beyond_capacity(const grants_asked& asked) const;
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -17,6 +17,30 @@
            candidate.state == member_state::suspect;
 }
 
+// How many instances divide the slots of an owner out of reach: the owners
+// that are left, whom the others ask and callers are steered to; without any,
+// all members. 0 when this instance is to ask an owner instead.
+unsigned sharers_of_lost_slots(const view_changed& view,
+                               const std::unordered_set<std::string>& reachable,
+                               const member_id& self) {
+    unsigned owners = 0;
+    bool self_owns = false;
+    for (const slot_owner& owner : view.owners.owners) {
+        if (owner.slots == 0) {
+            continue; // named as an owner, but no server fell to it
+        }
+        const bool is_self = owner.member.name == self.name;
+        self_owns = self_owns || is_self;
+        owners += is_self || reachable.count(owner.member.name) != 0 ? 1 : 0;
+    }
+    if (owners > 0) {
+        return self_owns ? owners : 0;
+    }
+    const auto members =
+        std::count_if(view.members.begin(), view.members.end(), serves);
+    return std::max(1U, static_cast<unsigned>(members));
+}
+
 bool excludes(const slot_wish& wish, const std::string& name) {
     return wish.excluded != nullptr &&
            std::find(wish.excluded->begin(), wish.excluded->end(), name) !=
@@ -114,8 +138,7 @@
 void slot_table::apply_ownership(
     const view_changed& view,
     const std::unordered_set<std::string>& reachable) {
-    const auto members = static_cast<unsigned>(
-        std::count_if(view.members.begin(), view.members.end(), serves));
+    const unsigned sharers = sharers_of_lost_slots(view, reachable, self_);
     for (const member& known : view.members) {
         if (known.id == self_) {
             self_data_centre_ = known.data_centre;
@@ -130,7 +153,7 @@
         backend_slots& server = servers_[place];
         const slot_owner* owner = find_owner_of(view.owners, server.name());
         const unsigned share =
-            std::max(1U, server.configured() / std::max(members, 1U));
+            sharers == 0 ? 0 : std::max(1U, server.configured() / sharers);
         unsigned allowance = share;
         if (owner != nullptr && owner->member.name == self_.name) {
             allowance = server.configured();
@@ -170,29 +193,6 @@
     return failing * 2 <= serving;
 }
 
-double slot_table::slowness_of(const backend_slots& server, duration typical,
-                               time_point now) const {
-    const double slow = server.health().slow() ? server.health().slowness() : 1;
-    const unsigned in_flight = server.in_flight();
-    if (typical <= duration::zero() || in_flight < 2 ||
-        in_flight * 2 < server.configured()) {
-        return slow;
-    }
-    // Answers tell that a server became slow only when they come, which is
-    // late by the very slowness; requests that stay away tell sooner. One
-    // slow request says nothing, half of them do.
-    const auto stuck_age = duration(static_cast<duration::rep>(
-        policy_.stuck_ratio * static_cast<double>(typical.count())));
-    const unsigned stuck = server.started_before(now - stuck_age);
-    const bool half_stuck = stuck >= 2 && stuck * 2 >= server.configured();
-    return half_stuck ? std::max(slow, policy_.stuck_ratio) : slow;
-}
-
-bool slot_table::passed_over(const backend_slots& server,
-                             double slowness) const {
-    return server.health().straggler() || slowness >= policy_.straggler_ratio;
-}
-
 bool slot_table::sampled(const backend_slots& server, const slot_wish& wish,
                          time_point now) const {
     return server.health().sample_due(
@@ -200,24 +200,21 @@
 }
 
 bool slot_table::admits(const backend_slots& server, const slot_wish& wish,
-                        double slowness, time_point now) const {
+                        time_point now) const {
     if (server.health().failing()) {
         return sampled(server, wish, now);
     }
-    if (!passed_over(server, slowness)) {
-        return true;
-    }
-    if (server.health().straggler() && sampled(server, wish, now)) {
+    if (!server.health().straggler() || sampled(server, wish, now)) {
         return true;
     }
     // A slow slot is worth its while once waiting for the others would take
     // longer than the slow answer.
-    const double extra =
-        (slowness - 1.0) * static_cast<double>(wish.typical.count());
+    const double extra = (server.health().slowness() - 1.0) *
+                         static_cast<double>(wish.typical.count());
     return static_cast<double>(wish.backlog.count()) > extra;
 }
 
-double slot_table::cost(index place, const slot_wish& wish, double slowness,
+double slot_table::cost(index place, const slot_wish& wish,
                         time_point now) const {
     const backend_slots& server = servers_[place];
     if (server.health().watched() && sampled(server, wish, now)) {
@@ -225,6 +222,8 @@
     }
     const double load = static_cast<double>(server.in_flight()) /
                         static_cast<double>(std::max(server.limit(), 1U));
+    const double slowness =
+        server.health().slow() ? server.health().slowness() : 1.0;
     const auto typical = static_cast<double>(wish.typical.count());
     const auto way =
         static_cast<double>(policy_.other_data_centre_cost.count());
@@ -232,12 +231,8 @@
            (near_[place] ? 0.0 : way);
 }
 
-bool slot_table::only_passed_over(time_point now, duration typical) const {
-    return std::none_of(usable_.begin(), usable_.end(), [&](index place) {
-        const backend_slots& server = servers_[place];
-        return server.limit() > 0 && !server.health().failing() &&
-               !passed_over(server, slowness_of(server, typical, now));
-    });
+bool slot_table::only_passed_over() const {
+    return working_slots_ == 0;
 }
 
 std::optional<slot_table::index> slot_table::choose(const slot_wish& wish,
@@ -257,9 +252,8 @@
         if (server.free(now) == 0 || !alone || excludes(wish, server.name())) {
             continue;
         }
-        const double slowness = slowness_of(server, wish.typical, now);
-        const double price = cost(place, wish, slowness, now);
-        const bool admitted = admits(server, wish, slowness, now);
+        const double price = cost(place, wish, now);
+        const bool admitted = admits(server, wish, now);
         if (admitted && price < best_cost) {
             best = place;
             best_cost = price;
@@ -271,8 +265,12 @@
     if (best || !fallback) {
         return best;
     }
-    const bool nothing_better =
-        !shuts_out_failing() || only_passed_over(now, wish.typical);
+    // An owner whose servers all fail would take every error for itself while
+    // other owners' servers are well.
+    if (wish.patient && servers_[*fallback].health().failing()) {
+        return std::nullopt;
+    }
+    const bool nothing_better = !shuts_out_failing() || only_passed_over();
     return nothing_better ? fallback : std::nullopt;
 }
 
--- a/src/io/control_messages.cpp
+++ b/src/io/control_messages.cpp
@@ -39,9 +39,7 @@
         bytes, "decode entry life", [](const json& from) {
             return entry_life{
                 read_number<std::uint64_t>(from.at("incarnation")),
-                from.contains("ask")
-                    ? read_number<std::uint64_t>(from.at("ask"))
-                    : 0};
+                read_number_or<std::uint64_t>(from, "ask", 0)};
         });
 }
 
--- a/src/io/exchange_codec.cpp
+++ b/src/io/exchange_codec.cpp
@@ -39,7 +39,7 @@
     value.id = base.id;
     value.data_centre = base.data_centre;
     value.addresses = base.addresses;
-    value.assertion = from.at(9).get<std::uint64_t>();
+    value.assertion = read_number<std::uint64_t>(from.at(9));
     value.life = read_enum(from.at(10), membership::liveness::gone);
     value.leaving = from.at(11).get<bool>();
 }
@@ -53,13 +53,13 @@
 
 void read(const json& from, time_point now, belief_record& value) {
     value.backend_server = from.at(0).get<std::string>();
-    value.incarnation = from.at(1).get<std::uint64_t>();
-    value.version = from.at(2).get<std::uint64_t>();
+    value.incarnation = read_number<std::uint64_t>(from.at(1));
+    value.version = read_number<std::uint64_t>(from.at(2));
     value.dead = from.at(3).get<bool>();
     value.leaving = from.at(4).get<bool>();
     value.source = read_enum(from.at(5), belief_source::peer);
     value.observer = from.at(6).get<std::string>();
-    value.since = moment_of(from.at(7).get<std::int64_t>(), now);
+    value.since = moment_of(read_age(from.at(7)), now);
 }
 
 json write(const quarantine_record& value, time_point now) {
@@ -68,9 +68,9 @@
 }
 
 void read(const json& from, time_point now, quarantine_record& value) {
-    value.fingerprint = from.at(0).get<std::uint64_t>();
+    value.fingerprint = read_number<std::uint64_t>(from.at(0));
     value.observer = from.at(1).get<std::string>();
-    value.since = moment_of(from.at(2).get<std::int64_t>(), now);
+    value.since = moment_of(read_age(from.at(2)), now);
 }
 
 json write(const death_record& value, time_point now) {
@@ -80,11 +80,11 @@
 }
 
 void read(const json& from, time_point now, death_record& value) {
-    value.fingerprint = from.at(0).get<std::uint64_t>();
+    value.fingerprint = read_number<std::uint64_t>(from.at(0));
     value.backend_server = from.at(1).get<std::string>();
-    value.incarnation = from.at(2).get<std::uint64_t>();
+    value.incarnation = read_number<std::uint64_t>(from.at(2));
     value.alone = from.at(3).get<bool>();
-    value.since = moment_of(from.at(4).get<std::int64_t>(), now);
+    value.since = moment_of(read_age(from.at(4)), now);
 }
 
 // Empty lists are left out: most messages hold one record of one table.
@@ -153,13 +153,13 @@
 
 exchange_message read_digest(const json& from, time_point) {
     digest_message value;
-    value.asks = from.at("a").get<std::uint64_t>();
-    value.answers = from.at("w").get<std::uint64_t>();
-    value.revision = from.at("r").get<std::uint64_t>();
-    value.refused = from.at("x").get<std::uint64_t>();
+    value.asks = read_number<std::uint64_t>(from.at("a"));
+    value.answers = read_number<std::uint64_t>(from.at("w"));
+    value.revision = read_number<std::uint64_t>(from.at("r"));
+    value.refused = read_number<std::uint64_t>(from.at("x"));
     value.members = from.at("m").get<digest_buckets>();
     value.beliefs = from.at("b").get<digest_buckets>();
-    value.quarantine = from.at("q").get<std::uint64_t>();
+    value.quarantine = read_number<std::uint64_t>(from.at("q"));
     return value;
 }
 
@@ -188,18 +188,18 @@
 }
 
 exchange_message read_revision(const json& from, time_point) {
-    return revision_message{from.at("r").get<std::uint64_t>(),
-                            from.at("x").get<std::uint64_t>()};
+    return revision_message{read_number<std::uint64_t>(from.at("r")),
+                            read_number<std::uint64_t>(from.at("x"))};
 }
 
 exchange_message read_request(const json& from, time_point) {
-    return configuration_request{from.at("r").get<std::uint64_t>(),
-                                 from.at("x").get<std::uint64_t>()};
+    return configuration_request{read_number<std::uint64_t>(from.at("r")),
+                                 read_number<std::uint64_t>(from.at("x"))};
 }
 
 exchange_message read_file(const json& from, time_point) {
-    return configuration_message{
-        {from.at("r").get<std::uint64_t>(), from.at("t").get<std::string>()}};
+    return configuration_message{{read_number<std::uint64_t>(from.at("r")),
+                                  from.at("t").get<std::string>()}};
 }
 
 using message_reader = exchange_message (*)(const json&, time_point);
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -118,6 +118,7 @@
     const bool same = records.member_buckets.empty() &&
                       records.belief_buckets.empty() &&
                       !records.whole_quarantine;
+    introduced_ = introduced_ || records.member_buckets.empty();
     if (same) {
         return;
     }
@@ -138,6 +139,7 @@
 void peer_exchange::take(const std::string& peer,
                          const records_message& message, time_point now) {
     counters_.records_received += count_of(message);
+    introduced_ = introduced_ || !message.member_buckets.empty();
     merge_records(peer, message, now);
     auto answer = newer_than(message);
     if (!is_empty(answer)) {
@@ -213,12 +215,19 @@
     if (!newer || wanted_) {
         return;
     }
+    // One that has just started may have read an old file; what peers have in
+    // force counts before its first word to anybody.
+    const bool platform_will_tell = platform_answers_ && introduced_;
     const auto wait =
-        platform_answers_ ? timing_.configuration_wait : duration::zero();
+        platform_will_tell ? timing_.configuration_wait : duration::zero();
     wanted_ = wanted_configuration{peer, now + wait};
     ask_for_configuration(now);
 }
 
+bool peer_exchange::introduced() const {
+    return introduced_ && state_.configurations.revision() >= named_revision_;
+}
+
 revision_message peer_exchange::own_revision() const {
     return {state_.configurations.revision(),
             state_.configurations.refused_revision()};
--- a/src/waxwing_replay/workload.cpp
+++ b/src/waxwing_replay/workload.cpp
@@ -129,6 +129,7 @@
         {"two-at-once", two_at_once},
         {"owner-lost",
          [](workload& w) { with_fault(w, fault_kind::owner_lost); }},
+        {"split", [](workload& w) { with_fault(w, fault_kind::split); }},
     };
     return all;
 }
@@ -171,14 +172,15 @@
 service_size size_of(const std::string& user) {
     static const std::map<std::string, service_size> sizes = {
         {"cooperative",
-         {"cooperative", {"sea", "pdx", "spk", "boi"}, 15, 6, 18}},
+         {"cooperative", {"sea", "pdx", "spk", "boi"}, 15, 6, 18, 0}},
         {"bramblewood",
          {"bramblewood",
           {"brisbane-a", "brisbane-b", "goldcoast", "toowoomba"},
           10,
           2,
-          18}},
-        {"small", {"small", {"sea", "pdx"}, 4, 2, 4}}};
+          18,
+          0}},
+        {"small", {"small", {"sea", "pdx"}, 4, 2, 4, 0}}};
     return sizes.at(user);
 }
 
@@ -214,6 +216,7 @@
     service of;
     of.name = "replayed";
     of.typical_time = usual_service_time;
+    of.owners = size.owners;
     of.classes = {{"reads",
                    {"GET"},
                    "/",
--- a/src/waxwing_replay/workload.hpp
+++ b/src/waxwing_replay/workload.hpp
@@ -26,7 +26,8 @@
     draining,
     failing_fast,
     crowded, // half of its slots are taken by somebody we know nothing of
-    owner_lost
+    owner_lost,
+    split // half of the entry instances can't reach the other half
 };
 
 struct fault {
@@ -46,6 +47,7 @@
     unsigned backend_servers = 0;
     unsigned slots = 0;
     unsigned entry_instances = 18;
+    unsigned owners = 0; // 0: derived
 };
 
 // The mean of the lognormal part, its spread, and the rare slow calls.
--- a/test/fuzz/fuzz_target.cpp
+++ b/test/fuzz/fuzz_target.cpp
@@ -16,6 +16,8 @@
         {"key_message", run_key_message, key_message_seeds},
         {"grant_message", run_grant_message, grant_message_seeds},
         {"suspicion", run_suspicion, suspicion_seeds},
+        {"exchange", run_exchange, exchange_seeds},
+        {"platform_list", run_platform_list, platform_list_seeds},
         {"caller_headers", run_caller_headers, caller_headers_seeds},
         {"request_key", run_request_key, request_key_seeds},
         {"admin_request", run_admin_request, admin_request_seeds},
--- a/test/scheduling/grants_test.cpp
+++ b/test/scheduling/grants_test.cpp
@@ -106,6 +106,19 @@
     CHECK(f.all<give_grant>().size() == 1);
 }
 
+TEST_CASE("a slot that no waiting request here may use is lent") {
+    // The request that waits has just failed on this server and must not go
+    // there again. Kept for it, the slot would stand idle.
+    scheduler_fixture f(2, 1, 1);
+    f.link_peer();
+    request_arrived again = f.request(1, 100ms);
+    again.excluded = {"a"};
+    f.send(again);
+    CHECK(f.scheduler().queued() == 1);
+    f.send(grants_asked{"entry-1", 1, 900ms});
+    CHECK(f.all<give_grant>().size() == 1);
+}
+
 TEST_CASE("a withdrawn or forgotten ask gets nothing") {
     scheduler_fixture f(1, 1, 1);
     f.link_peer();
@@ -149,6 +162,21 @@
     CHECK(f.all<start_request>().empty());
 }
 
+TEST_CASE("the owner that is left takes the lost owner's slots whole") {
+    // One of two owners fails. Were its slots divided among all instances,
+    // most would stand idle, since callers now come to the other owner.
+    scheduler_fixture f(2, 4, 1);
+    for (int i = 2; i < 18; ++i) {
+        member other;
+        other.id = {"entry-" + std::to_string(i), 1};
+        f.view.members.push_back(other);
+    }
+    f.apply_view();
+    CHECK(f.scheduler().slots()[1].usable == 4);
+    f.link_peer();
+    CHECK(f.scheduler().slots()[1].usable == 0);
+}
+
 TEST_CASE("what all owners decline is refused at once with a moment") {
     // A caller reaches an instance without slots while the service is above
     // capacity. Held until its deadline, it would hear far too late that it
