steer: a key prefix for each address

Cause: noticed by the failure tests: with one prefix, that of the first address, a caller of a dead instance has no key that the next one remembers. Change: each address carries its instance's prefix; the field key_prefix stays.

--- a/src/waxwing_steer/address_desk.cpp
+++ b/src/waxwing_steer/address_desk.cpp
@@ -88,11 +88,16 @@
         return problem(status_unavailable, "no entry instance is alive");
     }
     json addresses = json::array();
+    // A prefix for each: when the first instance is gone, a caller that goes
+    // to the next one must not use a key that the first would have to answer
+    // for.
     for (const auto& address : steered.addresses) {
-        addresses.push_back({{"instance", address.member.name},
-                             {"host", address.host},
-                             {"port", address.port},
-                             {"weight", address.weight}});
+        addresses.push_back(
+            {{"instance", address.member.name},
+             {"host", address.host},
+             {"port", address.port},
+             {"weight", address.weight},
+             {"key_prefix", prefix_for(address.member, wall_us)}});
     }
     const auto keep_ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(steered.keep);
