control: test that a stopped process tells entry before it goes on

A paused waxwing-control must call its view old before anything else, and fresh again when the platform or a peer has answered.

--- a/test/control/fleet_test.cpp
+++ b/test/control/fleet_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <string>
 #include <vector>
 
@@ -107,3 +108,22 @@
         }));
     }
 }
+
+TEST_CASE("a control that was stopped says so before it goes on") {
+    // The process is paused and wakes with the view it had. Bookings would go
+    // to backend servers that left meanwhile; entry must hear first that the
+    // view is old, and then, when somebody was heard, that it is not.
+    control_fleet fleet({});
+    fleet.start_all();
+    const auto settled = [](const view& seen) {
+        return seen.fresh && alive_in(seen) == 3;
+    };
+    REQUIRE(fleet.run_until_all(settled));
+    const auto before = fleet.views_not_fresh(0);
+    fleet.process(0).signal(SIGSTOP);
+    // The pause itself; nothing is waited for.
+    fleet.run_for(std::chrono::milliseconds(1500));
+    fleet.process(0).signal(SIGCONT);
+    REQUIRE(fleet.run_until([&] { return fleet.views_not_fresh(0) > before; }));
+    CHECK(fleet.run_until_all(settled));
+}
--- a/test/standin/control_fleet.cpp
+++ b/test/standin/control_fleet.cpp
@@ -37,6 +37,7 @@
     io::view_decoder decoder{parse_configuration};
     view_ptr last;
     time_point received{};
+    unsigned not_fresh = 0;
     std::uint64_t incarnation;
     std::unique_ptr<io::message_hub> hub;
     std::string control;
@@ -67,6 +68,7 @@
         }
         last = got.value();
         received = fleet.now();
+        not_fresh += last->fresh ? 0 : 1;
         incarnation = last->self.id.incarnation != 0 ? last->self.id.incarnation
                                                      : incarnation;
         hub->send(control, io::in_force_kind,
@@ -215,6 +217,10 @@
     return found == listeners_.end() ? nullptr : found->second->last;
 }
 
+unsigned control_fleet::views_not_fresh(unsigned instance) const {
+    return listeners_.at(instance)->not_fresh;
+}
+
 std::string control_fleet::describe(unsigned instance) const {
     const auto seen = view_at(instance);
     if (!seen) {
--- a/test/standin/control_fleet.hpp
+++ b/test/standin/control_fleet.hpp
@@ -58,6 +58,8 @@
 
     // The view that the instance's listener received last, or null.
     view_ptr view_at(unsigned instance) const;
+    // How many views were received that called themselves not fresh.
+    unsigned views_not_fresh(unsigned instance) const;
     // For a failed check: what that view says, in one line.
     std::string describe(unsigned instance) const;
     time_point view_time(unsigned instance) const;
