io: two servers cannot listen on one port

Cause: noticed in the failure tests: the library option for reusing addresses means SO_REUSEPORT, so two processes given one port share it silently.

--- a/test/fuzz/libfuzzer/main.cpp
+++ b/test/fuzz/libfuzzer/main.cpp
@@ -23,6 +23,8 @@
 
 } // namespace
 
+// The names are the fuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerInitialize(int*, char***) {
     const std::string folder = from_environment("WAXWING_FUZZ_SEEDS");
     int number = 0;
@@ -32,6 +34,7 @@
     return 0;
 }
 
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
     chosen().run(std::string(reinterpret_cast<const char*>(data), size));
--- a/test/io/http_round_trip_test.cpp
+++ b/test/io/http_round_trip_test.cpp
@@ -161,3 +161,18 @@
     (*kept)({200, {}, "too late"});
     CHECK(kept->abandoned());
 }
+
+TEST_CASE("two servers cannot listen on one port") {
+    // Two processes are given the same port by mistake. Were both to listen,
+    // callers' requests would be divided between them at random.
+    kernel::event_loop loop;
+    io::http_server first(loop, {});
+    const auto answer = [](io::http_request, io::http_responder respond) {
+        respond({200, {}, ""});
+    };
+    REQUIRE(first.start(answer));
+    io::http_server_options options;
+    options.port = first.port();
+    io::http_server second(loop, options);
+    CHECK(second.start(answer).error().code == error_code::unavailable);
+}
