entry: an owner's answer keeps the interval of its moments to come back

Cause: noticed by reading: the field was added to the decision and not to the message, so that all declined requests were told the same moment. Measured: a test of the codec, red without the field by construction (the reader had no such field).

--- a/src/waxwing_entry/grant_message.cpp
+++ b/src/waxwing_entry/grant_message.cpp
@@ -36,6 +36,7 @@
         into["idle"] = a.idle;
         into["declined"] = a.declined;
         into["come_back_us"] = a.come_back_in.count();
+        into["interval_us"] = a.come_back_interval.count();
     }
     void operator()(const decision::give_grant& a) const {
         into["type"] = "give";
@@ -64,7 +65,9 @@
     return decision::ask_answered{
         peer, io::read_number<unsigned>(from.at("idle")),
         io::read_number<unsigned>(from.at("declined")),
-        io::read_wait(from.at("come_back_us"))};
+        io::read_wait(from.at("come_back_us")),
+        from.contains("interval_us") ? io::read_wait(from.at("interval_us"))
+                                     : duration::zero()};
 }
 
 decision::scheduler_event read_give(const std::string& peer, const json& from) {
--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -21,6 +21,25 @@
     CHECK(event.lease == 250ms);
 }
 
+TEST_CASE("an owner's answer to an ask keeps both of its times") {
+    // Without the second time all declined requests would be told to come
+    // back at the same moment, and be refused together again.
+    decision::answer_ask answer;
+    answer.peer = "pdx-1";
+    answer.idle = 1;
+    answer.declined = 2;
+    answer.come_back_in = 30ms;
+    answer.come_back_interval = 4ms;
+    const auto taken = entry::decode_grant_message(
+        "sea-1", entry::encode({"slate-view", answer}));
+    REQUIRE(taken.has_value());
+    const auto& event = std::get<decision::ask_answered>(taken.value().event);
+    CHECK(event.idle == 1);
+    CHECK(event.declined == 2);
+    CHECK(event.come_back_in == 30ms);
+    CHECK(event.come_back_interval == 4ms);
+}
+
 TEST_CASE("a key's whole answer survives the way between instances") {
     auto answer = std::make_shared<decision::whole_answer>();
     answer->status = 201;
