io, program: one query reader, one way to serve metrics, one name for waking late

Cause: logic and names that stood twice in steer, administration, entry. Change: query_value moves to io, serve_metrics to the program frame, and waking late is one metric and one log event in both programs.

--- a/include/waxwingvale/program/program_frame.hpp
+++ b/include/waxwingvale/program/program_frame.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <waxwingvale/kernel/event_loop.hpp>
@@ -42,6 +43,13 @@
 // "peers", "admin", "metrics"); told by the ready line.
 using port_map = std::map<std::string, std::uint16_t>;
 
+// Serves the program's metrics at the port of its settings, if they name one,
+// and adds that to the ports told by the ready line. Fails like
+// http_server::start.
+result<std::unique_ptr<metrics_endpoint>>
+serve_metrics(const program_environment& environment,
+              std::optional<std::uint16_t> port, port_map& ports);
+
 // A program that runs until it is told to stop.
 class server_program {
 public:
--- a/src/administration/admin_api.cpp
+++ b/src/administration/admin_api.cpp
@@ -11,7 +11,7 @@
 
 #include "administration/admin_documents.hpp"
 #include "administration/explanation.hpp"
-#include "administration/query.hpp"
+#include "io/query.hpp"
 
 namespace waxwingvale::administration {
 
@@ -69,15 +69,16 @@
 
 admin_document explain(const control_snapshot& of,
                        const io::http_request& request) {
-    return explanation_document(of, {query_value(request.target, "service"),
-                                     query_value(request.target, "method"),
-                                     query_value(request.target, "path"),
-                                     query_value(request.target, "tenant")});
+    return explanation_document(of,
+                                {io::query_value(request.target, "service"),
+                                 io::query_value(request.target, "method"),
+                                 io::query_value(request.target, "path"),
+                                 io::query_value(request.target, "tenant")});
 }
 
 admin_document check(const control_snapshot& of,
                      const io::http_request& request) {
-    const auto name = query_value(request.target, "file");
+    const auto name = io::query_value(request.target, "file");
     return check_document(of, request.body,
                           name.empty() ? default_check_name : name);
 }
--- a/src/administration/query.cpp
+++ b/src/io/query.cpp
@@ -1,9 +1,9 @@
-#include "administration/query.hpp"
+#include "io/query.hpp"
 
 #include <curl/curl.h>
 #include <memory>
 
-namespace waxwingvale::administration {
+namespace waxwingvale::io {
 
 namespace {
 
@@ -33,4 +33,4 @@
     return "";
 }
 
-} // namespace waxwingvale::administration
+} // namespace waxwingvale::io
--- a/src/administration/query.hpp
+++ b/src/io/query.hpp
@@ -2,10 +2,10 @@
 
 #include <string>
 
-namespace waxwingvale::administration {
+namespace waxwingvale::io {
 
 // The value of a query parameter of an HTTP target, percent-decoded; empty
 // when it is absent.
 std::string query_value(const std::string& target, const std::string& name);
 
-} // namespace waxwingvale::administration
+} // namespace waxwingvale::io
--- a/src/program/program_frame.cpp
+++ b/src/program/program_frame.cpp
@@ -157,6 +157,24 @@
     return WAXWING_VERSION;
 }
 
+result<std::unique_ptr<metrics_endpoint>>
+serve_metrics(const program_environment& environment,
+              std::optional<std::uint16_t> port, port_map& ports) {
+    std::unique_ptr<metrics_endpoint> endpoint;
+    if (!port) {
+        return endpoint;
+    }
+    endpoint = std::make_unique<metrics_endpoint>(
+        environment.loop, environment.metrics,
+        environment.settings.instance.host, *port);
+    auto started = endpoint->start();
+    if (!started) {
+        return started.error();
+    }
+    ports["metrics"] = endpoint->port();
+    return endpoint;
+}
+
 std::string ready_line(const std::string& program, const port_map& ports) {
     return nlohmann::ordered_json{
         {"ready", true}, {"program", program}, {"ports", ports}}
--- a/src/waxwing_control/control_metrics.cpp
+++ b/src/waxwing_control/control_metrics.cpp
@@ -162,7 +162,7 @@
          [&known] { return known.quarantine.fingerprints().size(); });
     show("waxwing_view_fresh", "1: heard of since the last wake-up.",
          [&known] { return known.fresh.fresh() ? 1U : 0U; });
-    count("waxwing_late_wakes_total", "Times the process had been stopped.",
+    count("waxwing_late_wakeups_total", "Times the process had been stopped.",
           [&known] { return known.fresh.late_wakes(); });
     count("waxwing_belief_changes_total", "Changes of backend beliefs.",
           [&known] { return known.beliefs.counters().changes; });
--- a/src/waxwing_control/control_process.cpp
+++ b/src/waxwing_control/control_process.cpp
@@ -190,7 +190,7 @@
     if (!known_->fresh.beat(now)) {
         return;
     }
-    program::log_warning("woke_late",
+    program::log_warning("late_wakeup",
                          {{"epoch", std::to_string(known_->fresh.epoch())}});
     // Entry first: until somebody has been heard nothing that must not run
     // twice may go out on what was known before.
--- a/src/waxwing_steer/address_desk.cpp
+++ b/src/waxwing_steer/address_desk.cpp
@@ -6,6 +6,8 @@
 #include <waxwingvale/decision/stable_hash.hpp>
 #include <waxwingvale/decision/steering.hpp>
 
+#include "io/query.hpp"
+
 namespace waxwingvale::steer {
 
 namespace {
@@ -29,21 +31,6 @@
     return response;
 }
 
-// The value of a query parameter, or empty. Names of services and data
-// centres need no escapes.
-std::string query_value(const std::string& target, const std::string& name) {
-    auto begin = target.find('?');
-    while (begin != std::string::npos) {
-        const auto end = target.find('&', begin + 1);
-        const auto part = target.substr(begin + 1, end - begin - 1);
-        if (part.compare(0, name.size() + 1, name + "=") == 0) {
-            return part.substr(name.size() + 1);
-        }
-        begin = end;
-    }
-    return "";
-}
-
 // A caller is known by the name it gives itself, or else by its address.
 std::string caller_of(const io::http_request& request) {
     const auto* named = io::find_header(request.headers, caller_header);
@@ -66,7 +53,7 @@
     if (path != addresses_path || request.method != "GET") {
         return problem(status_not_found, "expected GET /v1/addresses");
     }
-    const auto name = query_value(request.target, "service");
+    const auto name = io::query_value(request.target, "service");
     if (name.empty()) {
         return problem(status_bad_request, "service: expected a name");
     }
@@ -79,7 +66,7 @@
     }
     decision::steering_caller caller;
     caller.hash = decision::stable_hash(caller_of(request));
-    caller.data_centre = query_value(request.target, "data_centre");
+    caller.data_centre = io::query_value(request.target, "data_centre");
     caller.window = asked;
     const auto steered = decision::steer_caller(
         *view_->config, decision::compute_ownership(*of, view_->members),
--- a/src/waxwing_steer/steer_program.cpp
+++ b/src/waxwing_steer/steer_program.cpp
@@ -64,16 +64,12 @@
         return serving.error();
     }
     ports["steer"] = callers_.port();
-    if (settings.steer.metrics_port) {
-        metrics_endpoint_ = std::make_unique<program::metrics_endpoint>(
-            environment_.loop, environment_.metrics, settings.instance.host,
-            *settings.steer.metrics_port);
-        auto metrics = metrics_endpoint_->start();
-        if (!metrics) {
-            return metrics.error();
-        }
-        ports["metrics"] = metrics_endpoint_->port();
+    auto metrics = program::serve_metrics(environment_,
+                                          settings.steer.metrics_port, ports);
+    if (!metrics) {
+        return metrics.error();
     }
+    metrics_endpoint_ = std::move(metrics.value());
     return ports;
 }
 
