--- a/src/waxwing_steer/address_desk.cpp
+++ b/src/waxwing_steer/address_desk.cpp
@@ -46,6 +46,18 @@
 
 } // namespace
 
+void address_desk::take(const view_ptr& view) {
+    view_ = view;
+    owners_.clear();
+    if (!view->config) {
+        return;
+    }
+    for (const auto& of : view->config->services) {
+        owners_.emplace(of.name,
+                        decision::compute_ownership(of, view->members));
+    }
+}
+
 io::http_response address_desk::answer(const io::http_request& request,
                                        std::uint64_t asked,
                                        std::uint64_t wall_us) const {
@@ -60,8 +72,7 @@
     if (!view_ || !view_->config) {
         return problem(status_unavailable, "no configuration yet");
     }
-    const auto* of = find_service(*view_->config, name);
-    if (of == nullptr) {
+    if (owners_.count(name) == 0) {
         return problem(status_not_found, "service: none is called " + name);
     }
     decision::steering_caller caller;
@@ -69,8 +80,7 @@
     caller.data_centre = io::query_value(request.target, "data_centre");
     caller.window = asked;
     const auto steered = decision::steer_caller(
-        *view_->config, decision::compute_ownership(*of, view_->members),
-        view_->members, caller);
+        *view_->config, owners_.at(name), view_->members, caller);
     if (steered.addresses.empty()) {
         return problem(status_unavailable, "no entry instance is alive");
     }
--- a/src/waxwing_steer/address_desk.hpp
+++ b/src/waxwing_steer/address_desk.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include <waxwingvale/decision/ownership.hpp>
@@ -12,7 +13,8 @@
 // Answers "which of your addresses for this service?" from the last view.
 class address_desk {
 public:
-    void take(const view_ptr& view) { view_ = view; }
+    // Works out the owners of every service once, not with each asking.
+    void take(const view_ptr& view);
 
     // GET /v1/addresses?service=S[&data_centre=D]. `asked` counts askings and
     // varies how long the answer is to be kept; `wall_us` is the wall clock in
@@ -22,6 +24,7 @@
 
 private:
     view_ptr view_;
+    std::map<std::string, decision::ownership> owners_; // by service
 };
 
 } // namespace waxwingvale::steer
