--- a/include/waxwingvale/kernel/service_registry.hpp
+++ b/include/waxwingvale/kernel/service_registry.hpp
@@ -30,6 +30,13 @@
         return static_cast<Service*>(found.value());
     }
 
+    // For wiring at the start of a program, where a part that is missing is a
+    // fault of the program: throws boost::outcome_v2::bad_result_access.
+    template <typename Service>
+    Service& need(const std::string& name) const {
+        return *find<Service>(name).value();
+    }
+
 private:
     struct entry {
         std::type_index type;
--- a/include/waxwingvale/program/view_feed.hpp
+++ b/include/waxwingvale/program/view_feed.hpp
@@ -7,6 +7,7 @@
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/io/view_codec.hpp>
 #include <waxwingvale/kernel/message_bus.hpp>
+#include <waxwingvale/kernel/service_registry.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/view.hpp>
 #include <waxwingvale/program/settings.hpp>
@@ -22,8 +23,8 @@
 // sent. When that process is gone the last view stays: calls go on.
 class view_feed {
 public:
-    view_feed(io::message_hub& hub, kernel::timer_service& timers,
-              kernel::message_bus& bus, const settings& from);
+    // Finds the peers, the timers and the bus by their names.
+    view_feed(const kernel::service_registry& services, const settings& from);
 
     // The last view, or null before the first came.
     const view_ptr& current() const { return current_; }
--- a/src/program/program_frame.cpp
+++ b/src/program/program_frame.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <waxwingvale/kernel/clock.hpp>
+#include <waxwingvale/program/service_name.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
 namespace waxwingvale::program {
@@ -92,6 +93,7 @@
         : program_(program), settings_(given) {}
 
     exit_code run() {
+        services_.provide(service_name::timers, timers_).value();
         environment_metrics_
             .add_gauge("waxwing_build_info", "Version of this program.",
                        {{"version", version()}, {"program", program_.name}})
--- a/src/program/view_feed.cpp
+++ b/src/program/view_feed.cpp
@@ -3,15 +3,16 @@
 #include <utility>
 #include <waxwingvale/io/control_messages.hpp>
 #include <waxwingvale/model/configuration_file.hpp>
+#include <waxwingvale/program/service_name.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
 namespace waxwingvale::program {
 
-view_feed::view_feed(io::message_hub& hub, kernel::timer_service& timers,
-                     kernel::message_bus& bus, const settings& from)
-    : hub_(hub),
-      timers_(timers),
-      bus_(bus),
+view_feed::view_feed(const kernel::service_registry& services,
+                     const settings& from)
+    : hub_(services.need<io::message_hub>(service_name::peers)),
+      timers_(services.need<kernel::timer_service>(service_name::timers)),
+      bus_(services.need<kernel::message_bus>(service_name::bus)),
       control_name_(from.instance.name + "/control"),
       decoder_(parse_configuration) {
     hub_.on_message(
--- a/src/waxwing_entry/entry_program.cpp
+++ b/src/waxwing_entry/entry_program.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <waxwingvale/io/control_messages.hpp>
 #include <waxwingvale/program/incarnation.hpp>
+#include <waxwingvale/program/service_name.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
 #include "waxwing_entry/peer_name.hpp"
@@ -53,10 +54,10 @@
            hub_options(environment.settings)),
       callers_(environment.loop, caller_options(environment.settings)),
       backend_servers_(environment.loop, client_limits(environment.settings)),
-      feed_(hub_, environment.timers, bus_, environment.settings),
+      feed_(provide_parts(), environment.settings),
       calls_(self_, environment.timers, backend_servers_, hub_, metrics_,
              *this),
-      prober_(self_.name, environment.timers, backend_servers_, metrics_.probes,
+      prober_(self_.name, environment.services, metrics_.probes,
               [this](const std::string& server, const backend_answer& answer) {
                   report(server, answer, belief_source::probe);
               }),
@@ -64,6 +65,15 @@
 
 entry_program::~entry_program() = default;
 
+const kernel::service_registry& entry_program::provide_parts() {
+    auto& services = environment_.services;
+    services.provide(program::service_name::bus, bus_).value();
+    services.provide(program::service_name::peers, hub_).value();
+    services.provide(program::service_name::backend_client, backend_servers_)
+        .value();
+    return services;
+}
+
 result<program::port_map> entry_program::start() {
     const auto& settings = environment_.settings;
     program::port_map ports;
--- a/src/waxwing_entry/entry_program.hpp
+++ b/src/waxwing_entry/entry_program.hpp
@@ -38,6 +38,8 @@
     void send_to_peer(const outgoing_grant_message& message) override;
     void ask_for_fresh_view(std::uint64_t ask) override;
 
+    // Makes the parts known by name before the others look for them.
+    const kernel::service_registry& provide_parts();
     void wire_peers();
     void follow_members(const view& now);
     void limit_connections(const view& now);
--- a/src/waxwing_entry/prober.cpp
+++ b/src/waxwing_entry/prober.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 #include <waxwingvale/decision/ownership.hpp>
+#include <waxwingvale/program/service_name.hpp>
 
 namespace waxwingvale::entry {
 
@@ -16,12 +17,13 @@
 
 } // namespace
 
-prober::prober(std::string self, kernel::timer_service& timers,
-               io::http_client& client, program::counter probes,
-               report on_answer)
+prober::prober(std::string self, const kernel::service_registry& services,
+               program::counter probes, report on_answer)
     : self_(std::move(self)),
-      timers_(timers),
-      client_(client),
+      timers_(
+          services.need<kernel::timer_service>(program::service_name::timers)),
+      client_(services.need<io::http_client>(
+          program::service_name::backend_client)),
       probes_(probes),
       on_answer_(std::move(on_answer)) {
     due_ = timers_.every(due_check_period,
--- a/src/waxwing_entry/prober.hpp
+++ b/src/waxwing_entry/prober.hpp
@@ -8,6 +8,7 @@
 
 #include <waxwingvale/decision/probe_budget.hpp>
 #include <waxwingvale/io/http_client.hpp>
+#include <waxwingvale/kernel/service_registry.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/view.hpp>
 #include <waxwingvale/program/metrics.hpp>
@@ -24,8 +25,9 @@
     using report = std::function<void(const std::string& backend_server,
                                       const backend_answer& answer)>;
 
-    prober(std::string self, kernel::timer_service& timers,
-           io::http_client& client, program::counter probes, report on_answer);
+    // Finds the timers and the client for backend servers by their names.
+    prober(std::string self, const kernel::service_registry& services,
+           program::counter probes, report on_answer);
 
     void take(const view_ptr& view);
     // How many entry instances this one has a link to.
--- a/src/waxwing_steer/steer_program.cpp
+++ b/src/waxwing_steer/steer_program.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 #include <waxwingvale/program/incarnation.hpp>
+#include <waxwingvale/program/service_name.hpp>
 
 namespace waxwingvale::steer {
 
@@ -38,13 +39,20 @@
       hub_(environment.loop, environment.timers,
            hub_options(environment.settings)),
       callers_(environment.loop, caller_options(environment.settings)),
-      feed_(hub_, environment.timers, bus_, environment.settings) {
+      feed_(provide_parts(), environment.settings) {
     bus_.subscribe<program::view_arrived>(
         [this](const program::view_arrived& arrived) {
             desk_.take(arrived.now);
         });
 }
 
+const kernel::service_registry& steer_program::provide_parts() {
+    auto& services = environment_.services;
+    services.provide(program::service_name::bus, bus_).value();
+    services.provide(program::service_name::peers, hub_).value();
+    return services;
+}
+
 result<program::port_map> steer_program::start() {
     const auto& settings = environment_.settings;
     program::port_map ports;
--- a/src/waxwing_steer/steer_program.hpp
+++ b/src/waxwing_steer/steer_program.hpp
@@ -23,6 +23,9 @@
     void stop(std::function<void()> stopped) override;
 
 private:
+    // Makes the parts known by name before the others look for them.
+    const kernel::service_registry& provide_parts();
+
     program::program_environment environment_;
     program::counter asked_;
     kernel::message_bus bus_;
