membership: fresh means a peer's records are here, not only its answer

The platform's list, which lags, made the view fresh, and so did a peer's digest before the records that it announced. The test also publishes the leaving, since it could pick a server that nobody but the sleeping instance had talked to. Excluded: waiting for peers without bound, which would stop at-most-once work in an instance that is cut off.

--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -104,6 +104,7 @@
     void merge_records(const std::string& peer, const records_message& message,
                        time_point now);
     records_message newer_than(const records_message& theirs) const;
+    void take_answer(const std::string& peer, const digest_message& answer);
     void send_differing(const std::string& peer, const digest_message& theirs);
     void want_configuration(const std::string& peer,
                             const revision_message& theirs, time_point now);
@@ -126,6 +127,8 @@
     std::set<std::string> linked_;
     // Planned peers without a link, and when they will be accused.
     std::map<std::string, time_point> awaited_;
+    // Epochs whose answers are whole once the peer's records have come.
+    std::map<std::string, std::uint64_t> records_awaited_;
     std::set<std::string> planned_;
     std::optional<wanted_configuration> wanted_;
     revision_message announced_;
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -84,6 +84,7 @@
 
 void peer_exchange::link_down(const std::string& peer, time_point now) {
     linked_.erase(peer);
+    records_awaited_.erase(peer);
     if (planned_.count(peer) > 0) {
         awaited_[peer] = now + timing_.reconnect_grace;
     }
@@ -97,7 +98,7 @@
 void peer_exchange::take(const std::string& peer, const digest_message& message,
                          time_point now) {
     if (message.answers != 0) {
-        fresh_.hear(message.answers);
+        take_answer(peer, message);
     }
     if (message.asks != 0) {
         send_digest(peer, 0, message.asks);
@@ -106,6 +107,21 @@
     send_differing(peer, message);
 }
 
+// The answer to what was asked after a late wake-up. When the peer knows other
+// things, its records follow: until they are here the view is still old, and
+// work would go to a backend server that has left meanwhile.
+void peer_exchange::take_answer(const std::string& peer,
+                                const digest_message& answer) {
+    const auto mine = own_digest();
+    const bool same = differing(mine.members, answer.members).empty() &&
+                      differing(mine.beliefs, answer.beliefs).empty();
+    if (same) {
+        fresh_.hear(answer.answers);
+    } else {
+        records_awaited_[peer] = answer.answers;
+    }
+}
+
 // What we have in the buckets that differ; the peer answers with what is
 // newer there.
 void peer_exchange::send_differing(const std::string& peer,
@@ -141,6 +157,11 @@
     counters_.records_received += count_of(message);
     introduced_ = introduced_ || !message.member_buckets.empty();
     merge_records(peer, message, now);
+    const auto awaited = records_awaited_.find(peer);
+    if (awaited != records_awaited_.end()) {
+        fresh_.hear(awaited->second);
+        records_awaited_.erase(awaited);
+    }
     auto answer = newer_than(message);
     if (!is_empty(answer)) {
         send(peer, std::move(answer));
--- a/src/waxwing_control/control_process.cpp
+++ b/src/waxwing_control/control_process.cpp
@@ -152,10 +152,16 @@
 }
 
 void control_process::hear_platform(const io::platform_reading& reading) {
-    known_->fresh.hear(reading.epoch);
+    known_->fresh.hear_platform(reading.epoch);
+    settle_freshness();
     changed();
 }
 
+void control_process::settle_freshness() {
+    const bool has_peers = known_->members.members().size() > 1;
+    known_->fresh.settle(has_peers, environment_.timers.now());
+}
+
 void control_process::take_configuration(const io::platform_reading& reading) {
     if (reading.changed) {
         known_->configurations.offer({reading.revision, reading.body});
@@ -203,6 +209,7 @@
 
 void control_process::on_tick(time_point now) {
     peers_->tick(now);
+    settle_freshness();
     local_->tick(now);
     platform_.set_share(membership::share_of(known_->members.members().size()));
     if (const auto config = known_->configurations.in_force()) {
--- a/src/waxwing_control/control_process.hpp
+++ b/src/waxwing_control/control_process.hpp
@@ -31,6 +31,7 @@
     void watch_platform();
     void take_configuration(const io::platform_reading& reading);
     void take_instances(const io::platform_reading& reading);
+    void settle_freshness();
     void hear_platform(const io::platform_reading& reading);
     void on_wake();
     void on_tick(time_point now);
--- a/test/failures/lateness_test.cpp
+++ b/test/failures/lateness_test.cpp
@@ -48,6 +48,8 @@
     auto& sleeper = running.instance(0);
     signal_all(sleeper, SIGSTOP);
     running.backend(0).fault("drain=1");
+    // Nobody else may have talked to it: the platform's list says so as well.
+    running.publish_instances({running.backend(0).name()});
     std::this_thread::sleep_for(long_stop);
     const auto refused_before = leaving_refusals(running.backend(0));
     signal_all(sleeper, SIGCONT);
