--- a/src/waxwing_entry/call_attempts.cpp
+++ b/src/waxwing_entry/call_attempts.cpp
@@ -12,12 +12,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration come_back_default = 1s;
-// How many times longer than a slow answer means a silent connection, and the
-// shortest time that does.
-constexpr int silence_factor = 8;
-constexpr duration silence_min = 200ms;
-
 decision::attempt_verdict verdict_of(attempt_end end) {
     switch (end) {
     case attempt_end::answered:
@@ -46,8 +40,7 @@
                                           call.request.body, headers);
 }
 
-// Why the request went where it did, for operators; `waxwingctl explain`
-// reads it.
+// Why the request went where it did, for operators: the header Waxwing-Route.
 std::string route_of(const std::string& self, const call_record& call,
                      const running_attempt& attempt) {
     const auto waited = attempt.started - call.arrived;
@@ -58,20 +51,6 @@
            " waited_us=" + std::to_string(waited.count());
 }
 
-own_answer lost_answer(const backend_answer& answer) {
-    own_answer lost;
-    lost.outcome = answer.outcome;
-    lost.reason = "backend-server-refused";
-    lost.come_back_in = come_back_default;
-    if (answer.outcome != run_outcome::unknown) {
-        return lost;
-    }
-    const bool late = answer.end == attempt_end::timed_out;
-    lost.status = late ? status::gateway_timeout : status::bad_gateway;
-    lost.reason = "answer-lost";
-    return lost;
-}
-
 } // namespace
 
 void call_desk::queue_attempt(call_record& call) {
@@ -223,56 +202,6 @@
     end_with(*call, attempt, answer, std::move(ended));
 }
 
-// A read on a kept connection that has gone silent would wait for its whole
-// deadline; hedges alone do not help, since their budget is soon used up when
-// many connections go silent together.
-void call_desk::arm_silence(call_record& call) {
-    if (call.nature != request_nature::retriable || call.nested) {
-        return;
-    }
-    const auto slow = part_of(call.labels.service)
-                          .policies.hedges(call.labels.request_class)
-                          .delay();
-    const auto wait = std::max<duration>(slow * silence_factor, silence_min);
-    call.silence_timer = timers_.after(
-        wait, [this, id = call.id](time_point) { give_up_silent(id); });
-}
-
-void call_desk::give_up_silent(decision::request_id id) {
-    auto* call = find(id);
-    if (call == nullptr || !call->running || call->hedge || call->alone) {
-        return;
-    }
-    const auto service = call->labels.service;
-    if (!part_of(service).policies.retries().budget().can_spend()) {
-        return; // an answer may still come, and nothing better can be done
-    }
-    const auto attempt = *call->running;
-    call->running.reset();
-    client_.cancel(attempt.call);
-    silences_.on_silent(attempt.backend_server, timers_.now());
-    backend_answer silent;
-    silent.end = attempt_end::timed_out;
-    report_end(*call, attempt, silent);
-    if (!try_again(*call, attempt, silent)) {
-        finish(id, lost_answer(silent));
-    }
-}
-
-// A copy that lost its race was slow, or its connection is silent for good;
-// only a far longer wait than slow answers take speaks for the latter. Were
-// every lost race taken for it, hedging would end the use of kept connections.
-void call_desk::note_lost_race(const call_record& call,
-                               const running_attempt& loser) {
-    const auto now = timers_.now();
-    const auto slow = part_of(call.labels.service)
-                          .policies.hedges(call.labels.request_class)
-                          .delay();
-    if (now - loser.started > slow * silence_factor) {
-        silences_.on_silent(loser.backend_server, now);
-    }
-}
-
 void call_desk::report_end(const call_record& call,
                            const running_attempt& attempt,
                            const backend_answer& answer) {
@@ -359,53 +288,6 @@
     return true;
 }
 
-void call_desk::arm_hedge(call_record& call, duration delay) {
-    call.hedge_timer = timers_.after(
-        delay, [this, id = call.id](time_point) { consider_hedge(id); });
-}
-
-void call_desk::consider_hedge(decision::request_id id) {
-    auto* call = find(id);
-    if (call == nullptr || !call->running || call->alone) {
-        return;
-    }
-    auto& part = part_of(call->labels.service);
-    const auto& scheduler = part.desk->scheduler();
-    decision::hedge_candidate candidate;
-    candidate.nature = call->nature;
-    candidate.nested = call->nested;
-    candidate.hedged = call->hedged;
-    candidate.sent = call->running->started;
-    candidate.deadline = call->deadline;
-    candidate.free_slots = scheduler.has_spare_slot() ? 1 : 0;
-    candidate.waiting = static_cast<unsigned>(scheduler.queued());
-    const auto now = timers_.now();
-    const auto decided = part.policies.hedges(call->labels.request_class)
-                             .on_slow(candidate, now);
-    if (const auto* later = std::get_if<decision::hedge_later>(&decided)) {
-        arm_hedge(*call, std::max<duration>(later->at - now, 1ms));
-        return;
-    }
-    if (!std::holds_alternative<decision::hedge_now>(decided)) {
-        return;
-    }
-    call->hedged = true;
-    metrics_.hedges.add(call->labels);
-    const auto hedge_id = next_id_++;
-    hedges_.emplace(hedge_id, id);
-    decision::request_arrived second;
-    second.request = hedge_id;
-    second.tenant = call->labels.tenant;
-    second.request_class = call->labels.request_class;
-    second.nature = call->nature;
-    second.deadline = call->deadline;
-    second.attempt = call->attempts_here;
-    second.excluded = call->excluded;
-    second.excluded.push_back(call->running->backend_server);
-    second.only_if_spare = true;
-    part.desk->handle(second);
-}
-
 void call_desk::cancel_attempt(const std::string& service,
                                const running_attempt& attempt) {
     client_.cancel(attempt.call);
--- a/src/waxwing_entry/call_desk.cpp
+++ b/src/waxwing_entry/call_desk.cpp
@@ -11,8 +11,6 @@
 
 using namespace std::chrono_literals;
 
-// When nothing better is known of when an answer will be possible.
-constexpr duration come_back_default = 1s;
 // How often the process shows itself that it runs, and what gap means that it
 // was stopped: far longer than any pass of the loop, shorter than a lease.
 constexpr duration heartbeat_period = 50ms;
--- a/src/waxwing_entry/caller_answer.cpp
+++ b/src/waxwing_entry/caller_answer.cpp
@@ -43,6 +43,20 @@
     return rendered;
 }
 
+own_answer lost_answer(const backend_answer& answer) {
+    own_answer lost;
+    lost.outcome = answer.outcome;
+    lost.reason = "backend-server-refused";
+    lost.come_back_in = come_back_default;
+    if (answer.outcome != run_outcome::unknown) {
+        return lost;
+    }
+    const bool late = answer.end == attempt_end::timed_out;
+    lost.status = late ? status::gateway_timeout : status::bad_gateway;
+    lost.reason = "answer-lost";
+    return lost;
+}
+
 io::http_response pass_on(io::http_response answer) {
     answer.headers = io::end_to_end_headers(answer.headers);
     answer.headers.push_back({header::outcome, to_string(run_outcome::ran)});
--- a/src/waxwing_entry/caller_answer.hpp
+++ b/src/waxwing_entry/caller_answer.hpp
@@ -7,6 +7,8 @@
 #include <waxwingvale/model/outcome.hpp>
 #include <waxwingvale/model/time.hpp>
 
+#include "waxwing_entry/backend_answer.hpp"
+
 namespace waxwingvale::entry {
 
 // HTTP status codes of answers that waxwing-entry itself gives.
@@ -22,6 +24,9 @@
 constexpr unsigned gateway_timeout = 504;
 } // namespace status
 
+// When nothing better is known of when an answer will be possible.
+constexpr duration come_back_default = std::chrono::seconds(1);
+
 // An answer that no backend server gave.
 struct own_answer {
     unsigned status = status::service_unavailable;
@@ -33,6 +38,9 @@
 
 io::http_response render(const own_answer& answer);
 
+// What the caller is told of an attempt that brought no answer.
+own_answer lost_answer(const backend_answer& answer);
+
 // A backend server's answer as the caller gets it: whole and unaltered but
 // for hop-by-hop headers and the outcome.
 io::http_response pass_on(io::http_response answer);
--- a/src/waxwing_entry/caller_call.cpp
+++ b/src/waxwing_entry/caller_call.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <chrono>
 
+#include <waxwingvale/decision/request_key.hpp>
+
 namespace waxwingvale::entry {
 
 namespace {
@@ -29,6 +31,16 @@
     return std::optional<std::uint64_t>(value);
 }
 
+// A plain key names no holder; with the prefix that its caller sends beside it
+// it does.
+std::string named_key(const io::http_request& request, const std::string& key) {
+    const auto* prefix = io::find_header(request.headers, header::key_prefix);
+    if (prefix == nullptr || decision::parse_request_key(key)) {
+        return key;
+    }
+    return decision::join_key(*prefix, key);
+}
+
 result<void> read_headers(const io::http_request& request, caller_call& into) {
     auto deadline = number_header(request, header::deadline);
     if (!deadline) {
@@ -57,7 +69,7 @@
                      std::string(header::key) + ": expected 1 to " +
                          std::to_string(key_length_limit) + " characters"};
     }
-    into.key = *key;
+    into.key = named_key(request, *key);
     return success();
 }
 
--- a/src/waxwing_entry/caller_call.hpp
+++ b/src/waxwing_entry/caller_call.hpp
@@ -16,6 +16,7 @@
 constexpr const char* deadline = "Waxwing-Deadline-Ms";
 constexpr const char* attempt = "Waxwing-Attempt";
 constexpr const char* key = "Idempotency-Key";
+constexpr const char* key_prefix = "Waxwing-Key-Prefix";
 constexpr const char* outcome = "Waxwing-Outcome";
 constexpr const char* reason = "Waxwing-Reason";
 constexpr const char* route = "Waxwing-Route";
--- a/test/entry/caller_call_test.cpp
+++ b/test/entry/caller_call_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <waxwingvale/decision/request_key.hpp>
+
 #include "waxwing_entry/caller_call.hpp"
 
 using namespace std::chrono_literals;
@@ -51,6 +53,24 @@
     CHECK(bare.value().path == "/?q=1");
 }
 
+TEST_CASE("a plain key is named by the prefix sent beside it") {
+    const auto config = one_service();
+    const auto key_of = [&](const std::string& key) {
+        return *entry::understand(
+                    config, request("POST", "/assign-desk/confirm",
+                                    {{"Waxwing-Tenant", "assignors"},
+                                     {"Idempotency-Key", key},
+                                     {"Waxwing-Key-Prefix", "sea-1.7-3"}}))
+                    .value()
+                    .key;
+    };
+    const auto named = decision::parse_request_key(key_of("order 12"));
+    REQUIRE(named);
+    CHECK(named->holder == member_id{"sea-1", 7});
+    CHECK(key_of("order 12") != key_of("order_20 12"));
+    CHECK(key_of("pdx-1.9-1.phone.4") == "pdx-1.9-1.phone.4");
+}
+
 TEST_CASE("what is not understood is refused with the header named") {
     const auto config = one_service();
     const auto code = [&](const io::http_request& r) {
