--- a/include/waxwingvale/kernel/event_loop.hpp
+++ b/include/waxwingvale/kernel/event_loop.hpp
@@ -25,6 +25,12 @@
     // Runs the function on the loop's thread, soon. Safe from any thread.
     void post(std::function<void()> work);
 
+    // Runs the function once the handlers of this turn are done, before the
+    // loop waits again. For the loop's own thread only, and cheaper than
+    // post(): nothing is told to the kernel. What is destroyed here may still
+    // be further up the stack of the caller.
+    void defer(std::function<void()> work);
+
     // Calls the handler once when SIGTERM or SIGINT arrives.
     void on_termination(std::function<void()> handler);
 
--- /dev/null
+++ b/src/forwarding/answer_reader.cpp
@@ -0,0 +1,186 @@
+#include "forwarding/answer_reader.hpp"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <limits>
+#include <optional>
+
+namespace waxwingvale::forwarding {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::string_view;
+using parse_result = boost::beast::error_code;
+
+// Bytes of status line and headers: more than any real server sends.
+constexpr std::uint32_t head_limit = 64 * 1024;
+constexpr unsigned first_final_status = 200;
+constexpr unsigned switching_protocols = 101;
+
+std::string text(string_view view) {
+    return std::string(view.data(), view.size());
+}
+
+} // namespace
+
+// The library's parser; what it finds is kept as the product's own types.
+class answer_parser : public http::basic_parser<false> {
+public:
+    io::http_response answer;
+    bool body_grew = false;
+    bool head_done = false;
+
+private:
+    void on_request_impl(http::verb, string_view, string_view, int,
+                         parse_result&) override {}
+    void on_response_impl(int status, string_view, int,
+                          parse_result&) override {
+        answer.status = static_cast<unsigned>(status);
+    }
+    void on_field_impl(http::field, string_view name, string_view value,
+                       parse_result&) override {
+        if (!head_done) {
+            answer.headers.push_back({text(name), text(value)});
+        }
+    }
+    void on_header_impl(parse_result&) override { head_done = true; }
+    void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                           parse_result&) override {}
+    std::size_t on_body_impl(string_view bytes, parse_result&) override {
+        return take(bytes);
+    }
+    void on_chunk_header_impl(std::uint64_t, string_view,
+                              parse_result&) override {}
+    std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes,
+                                   parse_result&) override {
+        return take(bytes);
+    }
+    void on_finish_impl(parse_result&) override {}
+
+    std::size_t take(string_view bytes) {
+        answer.body.append(bytes.data(), bytes.size());
+        body_grew = body_grew || !bytes.empty();
+        return bytes.size();
+    }
+};
+
+struct answer_reader::state {
+    std::optional<answer_parser> parser;
+    std::string fault;
+    bool without_body = false; // it answers a HEAD
+    bool head_told = false;
+    bool complete_told = false;
+
+    void begin() {
+        parser.emplace();
+        parser->header_limit(head_limit);
+        // Without a value the library, at 1.74, refuses every length.
+        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        parser->skip(without_body);
+        parser->eager(false);
+        head_told = false;
+        complete_told = false;
+    }
+
+    step refuse(std::string detail) {
+        fault = std::move(detail);
+        return step::faulty;
+    }
+
+    step read_some(std::string& input) {
+        parser->body_grew = false;
+        parser->eager(head_told);
+        parse_result why;
+        const auto used =
+            parser->put(boost::asio::buffer(input.data(), input.size()), why);
+        input.erase(0, used);
+        if (why && why != http::error::need_more) {
+            return refuse(why.message());
+        }
+        return step::need_more;
+    }
+
+    step after_reading() {
+        if (!head_told && parser->is_header_done()) {
+            head_told = true;
+            return step::head;
+        }
+        if (head_told && parser->is_done()) {
+            complete_told = true;
+            return step::complete;
+        }
+        return parser->body_grew ? step::body : step::need_more;
+    }
+
+    bool is_interim() const {
+        return parser->is_done() &&
+               parser->answer.status < first_final_status &&
+               parser->answer.status != switching_protocols;
+    }
+};
+
+answer_reader::answer_reader() : state_(std::make_unique<state>()) {}
+answer_reader::~answer_reader() = default;
+
+void answer_reader::expect(const std::string& method) {
+    state_->without_body = method == "HEAD";
+    state_->begin();
+}
+
+answer_reader::step answer_reader::read(std::string& input) {
+    if (state_->complete_told) {
+        return step::need_more;
+    }
+    while (true) {
+        const bool may_finish = state_->head_told && state_->parser->is_done();
+        if (!may_finish) {
+            if (input.empty()) {
+                return step::need_more;
+            }
+            if (state_->read_some(input) == step::faulty) {
+                return step::faulty;
+            }
+        }
+        if (!state_->head_told && state_->is_interim()) {
+            state_->begin();
+            continue;
+        }
+        return state_->after_reading();
+    }
+}
+
+answer_reader::step answer_reader::read_end() {
+    if (!state_->head_told || state_->complete_told) {
+        return state_->refuse("the connection ended before the answer");
+    }
+    parse_result why;
+    state_->parser->put_eof(why);
+    if (why) {
+        return state_->refuse("the answer was cut short");
+    }
+    state_->complete_told = true;
+    return step::complete;
+}
+
+io::http_response& answer_reader::answer() {
+    return state_->parser->answer;
+}
+
+const io::http_response& answer_reader::answer() const {
+    return state_->parser->answer;
+}
+
+std::optional<std::uint64_t> answer_reader::body_length() const {
+    const auto named = state_->parser->content_length();
+    return named ? std::optional<std::uint64_t>(*named) : std::nullopt;
+}
+
+const std::string& answer_reader::fault() const {
+    return state_->fault;
+}
+
+bool answer_reader::keep_alive() const {
+    return state_->parser->keep_alive();
+}
+
+} // namespace waxwingvale::forwarding
--- /dev/null
+++ b/src/forwarding/backend_connection.cpp
@@ -0,0 +1,274 @@
+#include "forwarding/backend_connection.hpp"
+
+#include <charconv>
+#include <utility>
+
+#include "forwarding/wire_text.hpp"
+
+namespace waxwingvale::forwarding {
+
+namespace {
+
+// An answer up to this size is waited for whole: one that is cut short can
+// then be asked for again elsewhere, where the caller would else get a broken
+// one. 540 KB is the longest download of both users today.
+constexpr std::size_t whole_answer_limit = 1024 * 1024; // bytes
+
+// "timeout=5, max=100" names seconds.
+std::optional<duration> kept_by(const io::http_response& answer) {
+    const auto* text = io::find_header(answer.headers, "Keep-Alive");
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    const std::string field = "timeout=";
+    const auto at = text->find(field);
+    if (at == text->npos) {
+        return std::nullopt;
+    }
+    unsigned seconds = 0;
+    const auto* begin = text->data() + at + field.size();
+    const auto parsed =
+        std::from_chars(begin, text->data() + text->size(), seconds);
+    if (parsed.ec != std::errc()) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+body_plan plan_of(const backend_call& call) {
+    if (call.more_body && !call.body_length) {
+        return {body_framing::chunks, 0};
+    }
+    if (call.body_length) {
+        return {body_framing::length, *call.body_length};
+    }
+    if (call.body) {
+        return {body_framing::length, call.body->size()};
+    }
+    return {};
+}
+
+} // namespace
+
+backend_connection::backend_connection(kernel::event_loop& loop, int descriptor,
+                                       std::string backend_server,
+                                       std::string address,
+                                       backend_connection_handlers handlers)
+    : backend_server_(std::move(backend_server)),
+      address_(std::move(address)),
+      handlers_(std::move(handlers)),
+      socket_(loop, descriptor, true,
+              {[this] { on_connected(); },
+               [this](const char* bytes, std::size_t size) {
+                   on_bytes(bytes, size);
+               },
+               [this] { on_end(); }, [this] { send_more(); }}) {}
+
+void backend_connection::send(backend_call call, long_answer_handlers on_long) {
+    call_ = std::move(call);
+    on_long_ = std::move(on_long);
+    head_seen_ = false;
+    passing_over_ = false;
+    long_begun_ = false;
+    sent_before_ = socket_.bytes_out();
+    reader_.expect(call_->method);
+    const auto plan = plan_of(*call_);
+    const auto head =
+        request_head(call_->method, call_->target, call_->headers, plan);
+    const bool chunked = plan.framing == body_framing::chunks;
+    body_sent_ = call_->more_body == nullptr;
+    if (!call_->body || call_->body->empty()) {
+        socket_.write(head, {});
+    } else if (chunked) {
+        socket_.write(head, chunk(*call_->body));
+    } else {
+        socket_.write(head, *call_->body);
+    }
+    if (call_->more_body) {
+        call_->more_body->on_more([this] { send_more(); });
+        send_more();
+    }
+}
+
+// The rest of a long body, as fast as the server takes it.
+void backend_connection::send_more() {
+    if (!call_ || !call_->more_body || body_sent_ || socket_.waiting() > 0) {
+        return;
+    }
+    const bool chunked = !call_->body_length;
+    const auto bytes = call_->more_body->take();
+    if (!bytes.empty()) {
+        if (chunked) {
+            socket_.write(chunk(bytes), {});
+        } else {
+            socket_.write(bytes, {});
+        }
+    }
+    if (call_->more_body->complete() && bytes.empty()) {
+        body_sent_ = true;
+        if (chunked) {
+            socket_.write(last_chunk(), {});
+        }
+    } else if (!bytes.empty() && socket_.waiting() == 0) {
+        send_more();
+    }
+}
+
+void backend_connection::on_connected() {
+    connected_ = true;
+}
+
+void backend_connection::on_bytes(const char* bytes, std::size_t size) {
+    if (!call_) {
+        // Whatever this is, it answers nothing; the next call must not be
+        // given it.
+        usable_ = false;
+        ++stray_answers_;
+        handlers_.on_lost();
+        return;
+    }
+    input_.append(bytes, size);
+    read_on();
+}
+
+void backend_connection::read_on() {
+    while (call_ && take_step(reader_.read(input_))) {
+    }
+}
+
+void backend_connection::resume() {
+    socket_.resume_reading();
+}
+
+bool backend_connection::take_step(answer_reader::step step) {
+    switch (step) {
+    case answer_reader::step::need_more:
+        return false;
+    case answer_reader::step::faulty:
+        usable_ = false;
+        finish(make_error(error_code::malformed, reader_.fault()));
+        return false;
+    case answer_reader::step::head:
+        take_head();
+        return true;
+    case answer_reader::step::body:
+        take_body();
+        return true;
+    case answer_reader::step::complete:
+        take_complete();
+        return true;
+    }
+    return false;
+}
+
+// An answer without the header is taken as ours: servers that refuse a request
+// before they read it do not repeat what it said.
+bool backend_connection::belongs_to_call() const {
+    if (!call_->echo) {
+        return true;
+    }
+    const auto* echoed =
+        io::find_header(reader_.answer().headers, call_->echo->name);
+    return echoed == nullptr || *echoed == call_->echo->value;
+}
+
+void backend_connection::take_head() {
+    passing_over_ = !belongs_to_call();
+    if (passing_over_) {
+        // A second answer to an earlier request, come late. Ours is still to
+        // come, but the connection is not to be trusted with another call.
+        ++stray_answers_;
+        usable_ = false;
+        return;
+    }
+    head_seen_ = true;
+    kept_by_server_ = kept_by(reader_.answer());
+}
+
+void backend_connection::take_body() {
+    auto& answer = reader_.answer();
+    if (passing_over_) {
+        answer.body.clear();
+        return;
+    }
+    const bool is_long = answer.body.size() > whole_answer_limit;
+    if (!on_long_.on_begin || (!is_long && !long_begun_)) {
+        return;
+    }
+    if (!long_begun_) {
+        long_begun_ = true;
+        on_long_.on_begin(answer, reader_.body_length());
+    }
+    on_long_.on_bytes(std::exchange(answer.body, {}));
+}
+
+void backend_connection::take_complete() {
+    if (passing_over_) {
+        passing_over_ = false;
+        reader_.expect(call_->method);
+        return;
+    }
+    if (long_begun_ && !reader_.answer().body.empty()) {
+        on_long_.on_bytes(std::exchange(reader_.answer().body, {}));
+    }
+    // Bytes after the answer belong to no request, and an answer that comes
+    // before the whole request was sent leaves the rest of it on the wire.
+    usable_ = usable_ && reader_.keep_alive() && input_.empty() && body_sent_ &&
+              socket_.waiting() == 0;
+    stray_answers_ += input_.empty() ? 0 : 1;
+    finish(std::move(reader_.answer()));
+}
+
+void backend_connection::on_end() {
+    usable_ = false;
+    if (!call_) {
+        handlers_.on_lost();
+        return;
+    }
+    const bool closed_in_order = socket_.end_reason() == 0;
+    if (closed_in_order && head_seen_ &&
+        reader_.read_end() == answer_reader::step::complete) {
+        take_complete();
+        return;
+    }
+    const auto code =
+        head_seen_ ? error_code::malformed : error_code::unavailable;
+    finish(make_error(code, head_seen_ ? "the answer was cut short"
+                                       : "the connection ended"));
+}
+
+void backend_connection::give_up(error_code code, const std::string& detail) {
+    usable_ = false;
+    if (call_) {
+        finish(make_error(code, detail));
+    }
+}
+
+error backend_connection::make_error(error_code code,
+                                     const std::string& detail) const {
+    return {code, sent() ? "await answer" : "connect", address_, detail};
+}
+
+void backend_connection::finish(result<io::http_response> response) {
+    backend_result ended{std::move(response), sent(), std::nullopt};
+    if (!ended.response && head_seen_) {
+        ended.partial = std::move(reader_.answer());
+    }
+    if (call_->more_body) {
+        call_->more_body->on_more({});
+    }
+    call_.reset();
+    on_long_ = {};
+    handlers_.on_done(std::move(ended));
+}
+
+void backend_connection::close() {
+    if (call_ && call_->more_body) {
+        call_->more_body->on_more({});
+    }
+    call_.reset();
+    usable_ = false;
+    socket_.close();
+}
+
+} // namespace waxwingvale::forwarding
--- /dev/null
+++ b/src/forwarding/backend_connection.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <waxwingvale/forwarding/backend_call.hpp>
+#include <waxwingvale/kernel/event_loop.hpp>
+
+#include "forwarding/answer_reader.hpp"
+#include "io/stream_socket.hpp"
+
+namespace waxwingvale::forwarding {
+
+// What a connection tells its pool. None is called from within a call of the
+// pool's.
+struct backend_connection_handlers {
+    // The call ended; the connection is kept or closed as usable() says.
+    std::function<void(backend_result)> on_done;
+    // An idle connection ended, or brought bytes that nobody asked for.
+    std::function<void()> on_lost;
+};
+
+// One connection to a backend server, with at most one call on it at a time.
+class backend_connection {
+public:
+    backend_connection(kernel::event_loop& loop, int descriptor,
+                       std::string backend_server, std::string address,
+                       backend_connection_handlers handlers);
+    backend_connection(const backend_connection&) = delete;
+    backend_connection& operator=(const backend_connection&) = delete;
+
+    const std::string& backend_server() const { return backend_server_; }
+    void send(backend_call call, long_answer_handlers on_long);
+    // Ends the call with that error, unless it ended before.
+    void give_up(error_code code, const std::string& detail);
+    void close();
+    void pause() { socket_.pause_reading(); }
+    void resume();
+
+    bool connected() const { return connected_; }
+    // Whether a further call may go out on it.
+    bool usable() const { return usable_; }
+    bool idle() const { return !call_; }
+    // How long the server keeps it open when nothing is sent; nothing when it
+    // did not say.
+    std::optional<duration> kept_by_server() const { return kept_by_server_; }
+    std::uint64_t stray_answers() const { return stray_answers_; }
+
+private:
+    void on_connected();
+    void on_bytes(const char* bytes, std::size_t size);
+    void on_end();
+    void send_more();
+    void read_on();
+    bool take_step(answer_reader::step step);
+    void take_head();
+    bool belongs_to_call() const;
+    void take_body();
+    void take_complete();
+    void finish(result<io::http_response> response);
+    bool sent() const { return socket_.bytes_out() > sent_before_; }
+    error make_error(error_code code, const std::string& detail) const;
+
+    std::string backend_server_;
+    std::string address_;
+    backend_connection_handlers handlers_;
+    std::optional<backend_call> call_;
+    long_answer_handlers on_long_;
+    answer_reader reader_;
+    std::string input_;
+    bool connected_ = false;
+    bool usable_ = true;
+    bool head_seen_ = false; // of the answer to this call
+    bool passing_over_ = false;
+    bool long_begun_ = false;
+    bool body_sent_ = true;
+    std::uint64_t sent_before_ = 0; // bytes, when this call began
+    std::uint64_t stray_answers_ = 0;
+    std::optional<duration> kept_by_server_;
+    io::stream_socket socket_;
+};
+
+} // namespace waxwingvale::forwarding
--- /dev/null
+++ b/src/forwarding/caller_connection.cpp
@@ -0,0 +1,329 @@
+#include "forwarding/caller_connection.hpp"
+
+#include <utility>
+
+namespace waxwingvale::forwarding {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A body up to this size is waited for before its request is handed over: so
+// it can be sent a second time, and no slot is held while it comes in.
+constexpr std::size_t whole_body_limit = 256 * 1024; // bytes
+// Bytes that a caller may send ahead of its turn before it is held back.
+constexpr std::size_t read_ahead_limit = 256 * 1024;
+// After the last answer the caller has this long to close its side. Closed at
+// once, with bytes of the caller unread, the connection would be reset, and
+// the answer that is on its way lost.
+constexpr duration linger_limit = 1s;
+
+constexpr unsigned status_request_timeout = 408;
+
+} // namespace
+
+caller_connection::caller_connection(kernel::event_loop& loop, int descriptor,
+                                     std::string peer,
+                                     caller_connection_frame& frame)
+    : frame_(frame),
+      peer_(std::move(peer)),
+      since_(frame.now()),
+      socket_(loop, descriptor, false,
+              {{},
+               [this](const char* bytes, std::size_t size) {
+                   on_bytes(bytes, size);
+               },
+               [this] { on_end(); },
+               [this] { on_drained(); }}) {}
+
+caller_connection::~caller_connection() = default;
+
+void caller_connection::on_bytes(const char* bytes, std::size_t size) {
+    if (phase_ == phase::closing) {
+        return; // read only so that the connection ends in order
+    }
+    input_.append(bytes, size);
+    if (phase_ == phase::reading && !head_begun_) {
+        head_begun_ = true;
+        since_ = frame_.now();
+    }
+    read_on();
+}
+
+void caller_connection::read_on() {
+    if (reading_on_) {
+        return; // an answer was given at once; the loop below goes on
+    }
+    reading_on_ = true;
+    read_steps();
+    reading_on_ = false;
+}
+
+void caller_connection::read_steps() {
+    while (!closed_ && phase_ != phase::closing) {
+        const bool body_coming = exchange_ && !exchange_->body_complete();
+        if (phase_ == phase::answering && !body_coming) {
+            hold_back();
+            return;
+        }
+        if (!take_step(reader_.read(input_, frame_.limits))) {
+            return;
+        }
+    }
+}
+
+// Bytes ahead of their turn are kept up to a bound; the rest stays with the
+// caller.
+void caller_connection::hold_back() {
+    const bool too_much =
+        input_.size() > read_ahead_limit ||
+        (exchange_ && exchange_->later_body_.size() > read_ahead_limit);
+    if (too_much) {
+        socket_.pause_reading();
+    }
+}
+
+bool caller_connection::take_step(request_reader::step step) {
+    switch (step) {
+    case request_reader::step::need_more:
+        hold_back();
+        return false;
+    case request_reader::step::faulty:
+        ++frame_.counters.faulty;
+        refuse(reader_.fault().status, reader_.fault().detail);
+        return false;
+    case request_reader::step::head:
+        return take_head();
+    case request_reader::step::body:
+        if (exchange_) {
+            exchange_->later_body_ += std::exchange(reader_.request().body, {});
+            if (exchange_->on_body_) {
+                exchange_->on_body_();
+            }
+            hold_back();
+        } else if (reader_.request().body.size() > whole_body_limit) {
+            hand_over(false);
+        }
+        return true;
+    case request_reader::step::complete:
+        if (exchange_) {
+            exchange_->later_body_ += std::exchange(reader_.request().body, {});
+            exchange_->body_complete_ = true;
+            if (exchange_->on_body_) {
+                exchange_->on_body_();
+            }
+        } else {
+            hand_over(true);
+        }
+        return true;
+    }
+    return false;
+}
+
+bool caller_connection::take_head() {
+    const auto length = reader_.content_length();
+    const bool has_body = !length || *length > 0;
+    if (has_body && reader_.expects_continue()) {
+        const std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        socket_.write(go_on, {});
+    }
+    return true;
+}
+
+void caller_connection::hand_over(bool complete) {
+    auto request = std::move(reader_.request());
+    request.peer = peer_;
+    phase_ = phase::answering;
+    head_begun_ = false;
+    head_request_ = request.method == "HEAD";
+    http_1_0_ = reader_.is_http_1_0();
+    chunked_answer_ = false;
+    close_after_ = !reader_.keep_alive();
+    exchange_ =
+        std::make_shared<caller_exchange>(weak_from_this(), std::move(request));
+    exchange_->body_complete_ = complete;
+    exchange_->body_length_ = reader_.content_length();
+    ++frame_.counters.requests;
+    ++frame_.pending;
+    frame_.on_request(exchange_);
+}
+
+// An answer to bytes that never became a request.
+void caller_connection::refuse(unsigned status, const std::string& detail) {
+    if (exchange_) {
+        // The fault lies in the rest of a body whose request is under way.
+        abandon_exchange();
+        socket_.reset();
+        close();
+        return;
+    }
+    const auto body = detail + "\n";
+    socket_.write(answer_head(status, {{"Content-Type", "text/plain"}},
+                              {body_framing::length, body.size()}, true),
+                  body);
+    begin_closing();
+}
+
+bool caller_connection::closes_after_answer() const {
+    // What is left of a body that nobody reads would be taken for the next
+    // request.
+    return close_after_ || frame_.ask_to_close || !exchange_->body_complete();
+}
+
+body_plan
+caller_connection::plan_of(unsigned status,
+                           std::optional<std::uint64_t> length) const {
+    if (!may_have_body(status)) {
+        return {};
+    }
+    if (length) {
+        return {body_framing::length, *length};
+    }
+    return {http_1_0_ ? body_framing::until_end : body_framing::chunks, 0};
+}
+
+void caller_connection::answer(io::http_response whole) {
+    const auto plan = plan_of(whole.status, whole.body.size());
+    const bool with_body =
+        plan.framing == body_framing::length && !head_request_;
+    close_after_ = closes_after_answer();
+    socket_.write(answer_head(whole.status, whole.headers, plan, close_after_),
+                  with_body ? std::string_view(whole.body)
+                            : std::string_view());
+    finish_exchange();
+}
+
+void caller_connection::begin_answer(const io::http_response& head,
+                                     std::optional<std::uint64_t> length) {
+    const auto plan = plan_of(head.status, length);
+    chunked_answer_ = plan.framing == body_framing::chunks;
+    close_after_ =
+        closes_after_answer() || plan.framing == body_framing::until_end;
+    socket_.write(answer_head(head.status, head.headers, plan, close_after_),
+                  {});
+}
+
+void caller_connection::add(std::string_view body) {
+    if (body.empty() || head_request_) {
+        return;
+    }
+    if (chunked_answer_) {
+        socket_.write(chunk(body), {});
+    } else {
+        socket_.write(body, {});
+    }
+}
+
+void caller_connection::end_answer() {
+    if (chunked_answer_ && !head_request_) {
+        socket_.write(last_chunk(), {});
+    }
+    finish_exchange();
+}
+
+// The answer is written; the next request's turn comes, or the end.
+void caller_connection::finish_exchange() {
+    exchange_->finished_ = true;
+    exchange_.reset();
+    --frame_.pending;
+    since_ = frame_.now();
+    if (close_after_) {
+        begin_closing();
+        return;
+    }
+    reader_.next();
+    phase_ = phase::reading;
+    head_begun_ = !input_.empty();
+    socket_.resume_reading();
+    if (head_begun_) {
+        read_on();
+    }
+}
+
+void caller_connection::begin_closing() {
+    phase_ = phase::closing;
+    since_ = frame_.now();
+    input_.clear();
+    socket_.resume_reading();
+    if (socket_.waiting() == 0) {
+        socket_.end_writing();
+    }
+}
+
+void caller_connection::break_off() {
+    exchange_->finished_ = true;
+    exchange_.reset();
+    --frame_.pending;
+    socket_.reset();
+    close();
+}
+
+void caller_connection::body_taken() {
+    if (phase_ == phase::answering) {
+        socket_.resume_reading();
+    }
+}
+
+void caller_connection::on_drained() {
+    if (phase_ == phase::closing) {
+        since_ = frame_.now();
+        socket_.end_writing();
+    } else if (exchange_ && exchange_->on_drained_) {
+        exchange_->on_drained_();
+    }
+}
+
+void caller_connection::abandon_exchange() {
+    if (!exchange_) {
+        return;
+    }
+    ++frame_.counters.abandoned;
+    --frame_.pending;
+    const auto left = std::exchange(exchange_, nullptr);
+    left->abandoned_ = true;
+    if (left->on_abandoned_) {
+        left->on_abandoned_();
+    }
+}
+
+void caller_connection::on_end() {
+    abandon_exchange();
+    close();
+}
+
+void caller_connection::close() {
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    socket_.close();
+    frame_.on_closed(*this);
+}
+
+void caller_connection::close_if_idle() {
+    const bool idle = phase_ == phase::reading && input_.empty() &&
+                      !reader_.reading(input_) && socket_.waiting() == 0;
+    if (idle) {
+        begin_closing();
+    }
+}
+
+void caller_connection::look_at_time(time_point now) {
+    const auto passed = now - since_;
+    if (phase_ == phase::closing) {
+        // What waits to go out is bounded by the limit of silence.
+        if (socket_.waiting() == 0 && passed >= linger_limit) {
+            close();
+        }
+    } else if (phase_ == phase::reading && head_begun_) {
+        if (passed >= frame_.limits.head_time) {
+            ++frame_.counters.too_slow;
+            refuse(status_request_timeout, "the request did not come in time");
+        }
+    } else if (phase_ == phase::reading && passed >= frame_.limits.idle_time) {
+        ++frame_.counters.idle;
+        begin_closing();
+    }
+}
+
+} // namespace waxwingvale::forwarding
--- /dev/null
+++ b/src/forwarding/caller_connection.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <waxwingvale/forwarding/caller_exchange.hpp>
+#include <waxwingvale/forwarding/caller_server.hpp>
+#include <waxwingvale/forwarding/message_limits.hpp>
+
+#include "forwarding/request_reader.hpp"
+#include "forwarding/wire_text.hpp"
+#include "io/stream_socket.hpp"
+
+namespace waxwingvale::forwarding {
+
+// What the connections of one server share.
+struct caller_connection_frame {
+    message_limits limits;
+    bool ask_to_close = false;
+    std::size_t pending = 0; // requests without a complete answer
+    caller_server_counters counters;
+    std::function<time_point()> now;
+    std::function<void(caller_exchange_ptr)> on_request;
+    std::function<void(caller_connection&)> on_closed;
+};
+
+// One connection of a caller: requests are read and answered one at a time, in
+// order, whatever the caller sends ahead.
+class caller_connection
+    : public std::enable_shared_from_this<caller_connection> {
+public:
+    caller_connection(kernel::event_loop& loop, int descriptor,
+                      std::string peer, caller_connection_frame& frame);
+    ~caller_connection();
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
+
+    // Closes it if its head or its next request did not come in time, or if
+    // the caller does not close its side after our last answer.
+    void look_at_time(time_point now);
+    void close_if_idle();
+
+    // For the exchange.
+    void answer(io::http_response whole);
+    void begin_answer(const io::http_response& head,
+                      std::optional<std::uint64_t> length);
+    void add(std::string_view body);
+    void end_answer();
+    void break_off();
+    void body_taken();
+    std::size_t waiting() const { return socket_.waiting(); }
+
+private:
+    enum class phase {
+        reading,   // a request, or waiting for one
+        answering, // a request was handed over
+        closing    // all is said; the caller is to close its side
+    };
+
+    void on_bytes(const char* bytes, std::size_t size);
+    void on_end();
+    void on_drained();
+    void read_on();
+    void read_steps();
+    // Each tells whether to go on reading.
+    bool take_step(request_reader::step step);
+    bool take_head();
+    void hand_over(bool complete);
+    void refuse(unsigned status, const std::string& detail);
+    body_plan plan_of(unsigned status,
+                      std::optional<std::uint64_t> length) const;
+    bool closes_after_answer() const;
+    void finish_exchange();
+    void abandon_exchange();
+    void begin_closing();
+    void close();
+    void hold_back();
+
+    caller_connection_frame& frame_;
+    std::string peer_;
+    phase phase_ = phase::reading;
+    request_reader reader_;
+    std::string input_;
+    caller_exchange_ptr exchange_;
+    bool head_request_ = false; // HEAD: answers have no body
+    bool http_1_0_ = false;
+    bool chunked_answer_ = false;
+    bool close_after_ = false;
+    bool closed_ = false;
+    bool head_begun_ = false;
+    bool reading_on_ = false;
+    time_point since_{}; // of the phase, or of the head's first byte
+    io::stream_socket socket_;
+};
+
+} // namespace waxwingvale::forwarding
--- a/src/io/link.cpp
+++ b/src/io/link.cpp
@@ -40,13 +40,13 @@
                      ? websockets.dial(origin_.address, websocket_handlers())
                      : websockets.accept(websocket_handlers());
     websocket_->limit_messages(opening_limit);
-    link_socket_handlers on_socket;
+    stream_socket_handlers on_socket;
     on_socket.on_connected = [this] { websocket_->start(); };
     on_socket.on_bytes = [this](const char* bytes, std::size_t size) {
         on_bytes(bytes, size);
     };
     on_socket.on_end = [this] { close(); };
-    socket_ = std::make_unique<link_socket>(
+    socket_ = std::make_unique<stream_socket>(
         loop, origin_.descriptor, origin_.dialed, std::move(on_socket));
 }
 
--- a/src/io/link.hpp
+++ b/src/io/link.hpp
@@ -8,7 +8,7 @@
 
 #include "io/link_authentication.hpp"
 #include "io/link_frame.hpp"
-#include "io/link_socket.hpp"
+#include "io/stream_socket.hpp"
 #include "io/link_websocket.hpp"
 #include <waxwingvale/io/message_hub.hpp>
 
@@ -111,7 +111,7 @@
     time_point pinged_{};
     time_point opened_{};
     std::unique_ptr<link_websocket> websocket_;
-    std::unique_ptr<link_socket> socket_;
+    std::unique_ptr<stream_socket> socket_;
 };
 
 } // namespace waxwingvale::io
--- a/src/io/message_hub.cpp
+++ b/src/io/message_hub.cpp
@@ -204,8 +204,8 @@
         std::find_if(links.begin(), links.end(),
                      [&](const auto& each) { return each.get() == &of; });
     if (held != links.end()) {
-        // Its code is still on the stack: freed from the loop.
-        loop.post([kept = *held] {});
+        // Its code is still on the stack.
+        loop.defer([kept = *held] {});
         links.erase(held);
     }
     const auto open = by_peer.find(of.peer());
--- a/src/io/link_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -1,4 +1,4 @@
-#include "io/link_socket.hpp"
+#include "io/stream_socket.hpp"
 
 #include <arpa/inet.h>
 #include <array>
@@ -51,6 +51,18 @@
                  "not an IP number"};
 }
 
+std::string ip_number(const socket_address& of) {
+    char text[INET6_ADDRSTRLEN] = {};
+    const void* number = nullptr;
+    if (of.generic()->sa_family == AF_INET) {
+        number = &reinterpret_cast<const sockaddr_in*>(&of.storage)->sin_addr;
+    } else {
+        number = &reinterpret_cast<const sockaddr_in6*>(&of.storage)->sin6_addr;
+    }
+    inet_ntop(of.generic()->sa_family, number, text, sizeof(text));
+    return text;
+}
+
 void set_no_delay(int descriptor) {
     const int on = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -62,6 +74,23 @@
 
 } // namespace
 
+void limit_silence(int descriptor, duration limit) {
+    const auto milliseconds = static_cast<unsigned>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
+               sizeof(milliseconds));
+    // The option above acts only while something is unconfirmed; probes of
+    // the system see to that on a connection that waits.
+    const int on = 1;
+    const int idle_seconds = 1;
+    const int probe_seconds = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle_seconds,
+               sizeof(idle_seconds));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &probe_seconds,
+               sizeof(probe_seconds));
+}
+
 result<int> start_connect(const std::string& host, std::uint16_t port) {
     const auto address = to_address(host, port);
     if (!address) {
@@ -119,17 +148,24 @@
     return ntohs(reinterpret_cast<sockaddr_in*>(generic)->sin_port);
 }
 
-int accept_connection(int listener) {
+int accept_connection(int listener, std::string* peer) {
+    socket_address from;
+    from.size = sizeof(from.storage);
+    auto* generic = reinterpret_cast<sockaddr*>(&from.storage);
     const int descriptor =
-        ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (descriptor >= 0) {
-        set_no_delay(descriptor);
+        ::accept4(listener, generic, &from.size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+        return descriptor;
+    }
+    set_no_delay(descriptor);
+    if (peer != nullptr) {
+        *peer = ip_number(from);
     }
     return descriptor;
 }
 
-link_socket::link_socket(kernel::event_loop& loop, int descriptor,
-                         bool connecting, link_socket_handlers handlers)
+stream_socket::stream_socket(kernel::event_loop& loop, int descriptor,
+                             bool connecting, stream_socket_handlers handlers)
     : loop_(loop.native()),
       descriptor_(descriptor),
       connecting_(connecting),
@@ -137,18 +173,27 @@
     ev_io_init(
         &watcher_,
         [](struct ev_loop*, ev_io* w, int events) {
-            static_cast<link_socket*>(w->data)->on_ready(events);
+            static_cast<stream_socket*>(w->data)->on_ready(events);
         },
         descriptor_, connecting_ ? EV_WRITE : EV_READ);
     watcher_.data = this;
     ev_io_start(loop_, &watcher_);
 }
 
-link_socket::~link_socket() {
+stream_socket::~stream_socket() {
     close();
 }
 
-void link_socket::close() {
+void stream_socket::reset() {
+    if (descriptor_ >= 0) {
+        const linger at_once{1, 0};
+        setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &at_once,
+                   sizeof(at_once));
+        close();
+    }
+}
+
+void stream_socket::close() {
     if (descriptor_ >= 0) {
         ev_io_stop(loop_, &watcher_);
         ::close(descriptor_);
@@ -156,55 +201,84 @@
     }
 }
 
-void link_socket::write(const char* bytes, std::size_t size) {
+void stream_socket::write(const char* bytes, std::size_t size) {
+    write(std::string_view(bytes, size), {});
+}
+
+void stream_socket::write(std::string_view first, std::string_view second) {
     if (descriptor_ < 0) {
         return;
     }
     const bool was_idle = waiting() == 0;
-    outgoing_.append(bytes, size);
+    outgoing_.append(first);
+    outgoing_.append(second);
     if (was_idle && !connecting_) {
         flush();
     }
 }
 
-void link_socket::on_ready(int events) {
+void stream_socket::pause_reading() {
+    reading_ = false;
+    watch();
+}
+
+void stream_socket::resume_reading() {
+    reading_ = true;
+    watch();
+}
+
+void stream_socket::end_writing() {
+    if (descriptor_ >= 0) {
+        ::shutdown(descriptor_, SHUT_WR);
+    }
+}
+
+void stream_socket::on_ready(int events) {
     if (connecting_) {
         finish_connect();
         return;
     }
     if ((events & EV_WRITE) != 0) {
         flush();
+        if (waiting() == 0 && handlers_.on_drained) {
+            handlers_.on_drained();
+        }
     }
-    if ((events & EV_READ) != 0) {
+    // The handler before may have closed the socket, or paused reading.
+    if ((events & EV_READ) != 0 && descriptor_ >= 0 && reading_) {
         read_some();
     }
 }
 
-void link_socket::finish_connect() {
+void stream_socket::finish_connect() {
     int number = 0;
     socklen_t size = sizeof(number);
     getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &number, &size);
     if (number != 0) {
-        end();
+        end(number);
         return;
     }
     connecting_ = false;
-    watch();
-    handlers_.on_connected();
+    flush();
+    if (handlers_.on_connected) {
+        handlers_.on_connected();
+    }
 }
 
-void link_socket::read_some() {
+void stream_socket::read_some() {
     std::array<char, read_chunk> buffer;
     const auto got = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
     if (got > 0) {
         bytes_in_ += static_cast<std::uint64_t>(got);
         handlers_.on_bytes(buffer.data(), static_cast<std::size_t>(got));
-    } else if (got == 0 || !is_transient(errno)) {
-        end();
+    } else if (got == 0) {
+        end(0);
+    } else if (!is_transient(errno)) {
+        end(errno);
     }
 }
 
-void link_socket::flush() {
+void stream_socket::flush() {
     while (waiting() > 0) {
         const auto sent =
             ::send(descriptor_, outgoing_.data() + outgoing_begin_, waiting(),
@@ -223,8 +297,12 @@
     watch();
 }
 
-void link_socket::watch() {
-    const int wanted = EV_READ | (waiting() > 0 ? EV_WRITE : 0);
+void stream_socket::watch() {
+    if (descriptor_ < 0 || connecting_) {
+        return;
+    }
+    const int wanted =
+        (reading_ ? EV_READ : 0) | (waiting() > 0 ? EV_WRITE : 0);
     if (wanted != (watcher_.events & (EV_READ | EV_WRITE))) {
         ev_io_stop(loop_, &watcher_);
         ev_io_set(&watcher_, descriptor_, wanted);
@@ -232,9 +310,12 @@
     }
 }
 
-void link_socket::end() {
+void stream_socket::end(int reason) {
+    end_reason_ = reason;
     ev_io_stop(loop_, &watcher_);
-    handlers_.on_end();
+    if (handlers_.on_end) {
+        handlers_.on_end();
+    }
 }
 
 } // namespace waxwingvale::io
--- /dev/null
+++ b/src/io/stream_socket.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <ev.h>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include <waxwingvale/kernel/event_loop.hpp>
+#include <waxwingvale/model/error.hpp>
+#include <waxwingvale/model/time.hpp>
+
+namespace waxwingvale::io {
+
+// What a socket tells its owner. None is called from within a call of the
+// owner's; on_end comes once. Handlers that are empty are not called.
+struct stream_socket_handlers {
+    std::function<void()> on_connected;
+    std::function<void(const char* bytes, std::size_t size)> on_bytes;
+    std::function<void()> on_end;
+    // All that waited to go out has been handed to the kernel.
+    std::function<void()> on_drained;
+};
+
+// A non-blocking TCP connection on libev, without Nagle's delay, and what
+// waits to go out on it.
+class stream_socket {
+public:
+    // Takes over the descriptor. `connecting` says that its connect() is still
+    // under way.
+    stream_socket(kernel::event_loop& loop, int descriptor, bool connecting,
+                  stream_socket_handlers handlers);
+    ~stream_socket();
+    stream_socket(const stream_socket&) = delete;
+    stream_socket& operator=(const stream_socket&) = delete;
+
+    void write(const char* bytes, std::size_t size);
+    // Two pieces that go out together: a head and the body after it.
+    void write(std::string_view first, std::string_view second);
+    std::size_t waiting() const { return outgoing_.size() - outgoing_begin_; }
+    std::uint64_t bytes_in() const { return bytes_in_; }
+    std::uint64_t bytes_out() const { return bytes_out_; }
+    // The system's number for what ended the connection; 0 when the peer closed
+    // it in order.
+    int end_reason() const { return end_reason_; }
+    // Takes no more bytes until reading is resumed, so that a peer that sends
+    // faster than its bytes are used is held back by its own window. The
+    // peer's close goes unnoticed meanwhile.
+    void pause_reading();
+    void resume_reading();
+    // Tells the peer that nothing more will be written.
+    void end_writing();
+    // Drops what waits and ends the connection with a reset, so that the peer
+    // cannot take what it got for the whole.
+    void reset();
+    void close();
+    // Neither reads nor writes any more; the connection stays open.
+    void stop_watching() { ev_io_stop(loop_, &watcher_); }
+
+private:
+    void on_ready(int events);
+    void finish_connect();
+    void read_some();
+    void flush();
+    void watch();
+    void end(int reason);
+
+    struct ev_loop* loop_;
+    ev_io watcher_{};
+    int descriptor_;
+    bool connecting_;
+    bool reading_ = true;
+    int end_reason_ = 0;
+    stream_socket_handlers handlers_;
+    std::string outgoing_;
+    std::size_t outgoing_begin_ = 0;
+    std::uint64_t bytes_in_ = 0;
+    std::uint64_t bytes_out_ = 0;
+};
+
+// Ends a connection whose peer no longer confirms what was sent to it, or does
+// not answer the system's own probes, after so long. Without this a connection
+// to an instance that lost its power is open for many minutes.
+void limit_silence(int descriptor, duration limit);
+
+// Starts connecting to an IP number; the descriptor, or why it cannot be.
+result<int> start_connect(const std::string& host, std::uint16_t port);
+
+// A listening socket at an IP number.
+result<int> open_listener(const std::string& address, std::uint16_t port);
+
+// The port a socket is bound to.
+std::uint16_t bound_port(int descriptor);
+
+// The next waiting connection, or -1. The peer's IP number is told when asked
+// for.
+int accept_connection(int listener, std::string* peer = nullptr);
+
+} // namespace waxwingvale::io
--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -13,9 +13,11 @@
     ev_async wake_up{};
     ev_signal terminate{};
     ev_signal interrupt{};
+    ev_prepare before_wait{};
     std::function<void()> termination_handler;
     std::mutex guard;
     std::vector<std::function<void()>> posted;
+    std::vector<std::function<void()>> deferred;
 };
 
 namespace {
@@ -31,6 +33,17 @@
     }
 }
 
+// What is deferred may defer more.
+void run_deferred(std::vector<std::function<void()>>& deferred) {
+    while (!deferred.empty()) {
+        std::vector<std::function<void()>> batch;
+        batch.swap(deferred);
+        for (auto& work : batch) {
+            work();
+        }
+    }
+}
+
 } // namespace
 
 event_loop::event_loop() : state_(std::make_unique<state>()) {
@@ -42,9 +55,17 @@
     });
     state_->wake_up.data = state_.get();
     ev_async_start(state_->loop, &state_->wake_up);
+    ev_prepare_init(&state_->before_wait,
+                    [](struct ev_loop*, ev_prepare* w, int) {
+                        run_deferred(static_cast<state*>(w->data)->deferred);
+                    });
+    state_->before_wait.data = state_.get();
+    ev_prepare_start(state_->loop, &state_->before_wait);
 }
 
 event_loop::~event_loop() {
+    run_deferred(state_->deferred);
+    ev_prepare_stop(state_->loop, &state_->before_wait);
     ev_async_stop(state_->loop, &state_->wake_up);
     ev_signal_stop(state_->loop, &state_->terminate);
     ev_signal_stop(state_->loop, &state_->interrupt);
@@ -71,6 +92,10 @@
     ev_async_send(state_->loop, &state_->wake_up);
 }
 
+void event_loop::defer(std::function<void()> work) {
+    state_->deferred.push_back(std::move(work));
+}
+
 void event_loop::on_termination(std::function<void()> handler) {
     state_->termination_handler = std::move(handler);
     const auto start = [this](ev_signal& watcher, int signal_number) {
--- /dev/null
+++ b/test/forwarding/answer_reader_test.cpp
@@ -0,0 +1,103 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "forwarding/answer_reader.hpp"
+
+using namespace waxwingvale;
+using forwarding::answer_reader;
+using step = answer_reader::step;
+
+namespace {
+
+step read_all(answer_reader& reader, std::string& input) {
+    auto last = reader.read(input);
+    while (last == step::head || last == step::body) {
+        last = reader.read(input);
+    }
+    return last;
+}
+
+const std::string ok = "HTTP/1.1 200 OK\r\n";
+
+} // namespace
+
+TEST_CASE("an answer is read whole however its bytes come in") {
+    const std::string text =
+        ok + "X-Tag: one\r\nContent-Length: 5\r\n\r\nhello";
+    for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+        answer_reader reader;
+        reader.expect("GET");
+        std::string input;
+        auto last = step::need_more;
+        for (std::size_t at = 0; at < text.size(); at += piece) {
+            input += text.substr(at, piece);
+            last = read_all(reader, input);
+        }
+        REQUIRE(last == step::complete);
+        CHECK(reader.answer().status == 200);
+        CHECK(reader.answer().body == "hello");
+        CHECK(*io::find_header(reader.answer().headers, "x-tag") == "one");
+        CHECK(reader.keep_alive());
+    }
+}
+
+TEST_CASE("interim answers are passed over") {
+    std::string input = "HTTP/1.1 100 Continue\r\n\r\n"
+                        "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n" +
+                        ok + "Content-Length: 0\r\n\r\n";
+    answer_reader reader;
+    reader.expect("POST");
+    REQUIRE(read_all(reader, input) == step::complete);
+    CHECK(reader.answer().status == 200);
+    CHECK(io::find_header(reader.answer().headers, "X-A") == nullptr);
+}
+
+TEST_CASE("an answer to HEAD has no body whatever its length says") {
+    std::string input = ok + "Content-Length: 500\r\n\r\n";
+    answer_reader reader;
+    reader.expect("HEAD");
+    CHECK(read_all(reader, input) == step::complete);
+}
+
+TEST_CASE("an answer without a length ends with its connection") {
+    std::string input = ok + "\r\nsome bytes";
+    answer_reader reader;
+    reader.expect("GET");
+    REQUIRE(read_all(reader, input) == step::need_more);
+    REQUIRE(reader.read_end() == step::complete);
+    CHECK(reader.answer().body == "some bytes");
+    CHECK(!reader.keep_alive());
+}
+
+TEST_CASE("an answer that is cut short is not taken for a whole one") {
+    for (const auto& text :
+         {std::string(), ok, ok + "Content-Length: 5\r\n\r\nhell",
+          ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"}) {
+        INFO(text);
+        answer_reader reader;
+        reader.expect("GET");
+        std::string input = text;
+        REQUIRE(read_all(reader, input) == step::need_more);
+        CHECK(reader.read_end() == step::faulty);
+    }
+}
+
+TEST_CASE("bytes that are no answer are faulty") {
+    for (const std::string text :
+         {"garbage that is no answer\r\n\r\n", "HTTP/1.1 abc OK\r\n\r\n",
+          "\x01\x02\x03\x04\r\n\r\n", "ICY 200 OK\r\n\r\n"}) {
+        INFO(text);
+        answer_reader reader;
+        reader.expect("GET");
+        std::string input = text;
+        CHECK(read_all(reader, input) == step::faulty);
+    }
+}
+
+TEST_CASE("bytes after a whole answer are left over") {
+    std::string input = ok + "Content-Length: 2\r\n\r\nok" + ok;
+    answer_reader reader;
+    reader.expect("GET");
+    REQUIRE(read_all(reader, input) == step::complete);
+    CHECK(input == ok);
+}
--- /dev/null
+++ b/test/forwarding/backend_pool_test.cpp
@@ -0,0 +1,251 @@
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <waxwingvale/forwarding/backend_pool.hpp>
+
+#include "forwarding/raw_peer.hpp"
+
+using namespace std::chrono_literals;
+using namespace waxwingvale;
+using forwarding::backend_call;
+using forwarding::backend_result;
+
+namespace {
+
+const std::string ok = "HTTP/1.1 200 OK\r\n";
+
+// A pool, and a backend server whose bytes the test writes by hand.
+struct pooled : standin::loop_fixture {
+    standin::raw_listener server{loop};
+    forwarding::backend_pool pool{loop, timers};
+    std::optional<backend_result> ended;
+
+    backend_call call(const std::string& target = "/") {
+        backend_call made;
+        made.backend_server = "one";
+        made.host = "127.0.0.1";
+        made.port = server.port();
+        made.target = target;
+        made.headers = {{"Host", "h"}};
+        made.kept_for = 5s;
+        return made;
+    }
+    forwarding::backend_pool::call_id send(backend_call made) {
+        ended.reset();
+        return pool.send(std::move(made),
+                         [this](backend_result r) { ended = std::move(r); });
+    }
+    bool await_request(std::size_t connection, const std::string& text) {
+        return run_until([&] {
+            return server.count() > connection &&
+                   server.at(connection).received_contains(text);
+        });
+    }
+    bool await_end() {
+        return run_until([&] { return ended.has_value(); });
+    }
+    // One call that is answered, so that its connection is kept.
+    void warm_up() {
+        send(call("/warm"));
+        REQUIRE(await_request(0, "\r\n\r\n"));
+        server.at(0).send(ok + "Content-Length: 0\r\n\r\n");
+        REQUIRE(await_end());
+        server.at(0).take_received();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a call goes out as it was given and brings the answer back") {
+    pooled fixture;
+    auto call = fixture.call("/p?q=%20");
+    call.method = "POST";
+    call.body = std::make_shared<const std::string>("hello");
+    fixture.send(call);
+    REQUIRE(fixture.await_request(0, "hello"));
+    CHECK(
+        fixture.server.at(0).received() ==
+        "POST /p?q=%20 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello");
+    fixture.server.at(0).send(ok +
+                              "X-A: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "3\r\nabc\r\n0\r\n\r\n");
+    REQUIRE(fixture.await_end());
+    CHECK(fixture.ended->sent);
+    CHECK(fixture.ended->response.value().body == "abc");
+    CHECK(*io::find_header(fixture.ended->response.value().headers, "X-A") ==
+          "1");
+}
+
+TEST_CASE("a connection is used again, but not after it was idle for long") {
+    pooled fixture;
+    fixture.warm_up();
+    fixture.send(fixture.call("/again"));
+    REQUIRE(fixture.await_request(0, "/again"));
+    fixture.server.at(0).send(ok + "Content-Length: 0\r\n\r\n");
+    REQUIRE(fixture.await_end());
+    fixture.run_for(30ms);
+    auto careful = fixture.call("/careful");
+    careful.kept_for = 10ms;
+    fixture.send(careful);
+    REQUIRE(fixture.await_request(1, "/careful"));
+    CHECK(fixture.pool.counters().reused == 1);
+}
+
+TEST_CASE("a request lost on a kept connection is not sent again") {
+    // The backend server closes a kept connection just as a booking goes out
+    // on it, or runs the booking and dies. Nobody can tell which, so sending
+    // it again could book a referee twice.
+    pooled fixture;
+    fixture.warm_up();
+    fixture.send(fixture.call("/book"));
+    REQUIRE(fixture.await_request(0, "/book"));
+    fixture.server.at(0).close();
+    REQUIRE(fixture.await_end());
+    CHECK(!fixture.ended->response);
+    CHECK(fixture.ended->sent);
+    fixture.run_for(20ms);
+    CHECK(fixture.server.count() == 1);
+}
+
+TEST_CASE("a refused connection proves that nothing was sent") {
+    pooled fixture;
+    auto call = fixture.call();
+    std::uint16_t closed = 0;
+    {
+        standin::raw_listener gone(fixture.loop);
+        closed = gone.port();
+    }
+    call.port = closed;
+    fixture.send(call);
+    REQUIRE(fixture.await_end());
+    CHECK(!fixture.ended->response);
+    CHECK(!fixture.ended->sent);
+}
+
+TEST_CASE("a second answer that comes late is given to nobody else") {
+    // A faulty backend server answers a request twice. The second answer
+    // arrives on the kept connection after the next caller's request went out
+    // there; that caller would get the order of a stranger.
+    pooled fixture;
+    auto first = fixture.call("/first");
+    first.echo = forwarding::echoed_header{"X-Id", "1"};
+    fixture.send(first);
+    REQUIRE(fixture.await_request(0, "/first"));
+    fixture.server.at(0).send(ok + "X-Id: 1\r\nContent-Length: 3\r\n\r\none");
+    REQUIRE(fixture.await_end());
+    auto second = fixture.call("/second");
+    second.echo = forwarding::echoed_header{"X-Id", "2"};
+    fixture.send(second);
+    REQUIRE(fixture.await_request(0, "/second"));
+    fixture.server.at(0).send(ok + "X-Id: 1\r\nContent-Length: 3\r\n\r\none");
+    fixture.server.at(0).send(ok + "X-Id: 2\r\nContent-Length: 3\r\n\r\ntwo");
+    REQUIRE(fixture.await_end());
+    CHECK(fixture.ended->response.value().body == "two");
+    CHECK(fixture.pool.counters().stray_answers == 1);
+    fixture.send(fixture.call("/third"));
+    CHECK(fixture.await_request(1, "/third"));
+}
+
+TEST_CASE("a connection with bytes nobody asked for is not used again") {
+    pooled fixture;
+    fixture.send(fixture.call("/first"));
+    REQUIRE(fixture.await_request(0, "/first"));
+    fixture.server.at(0).send(ok + "Content-Length: 0\r\n\r\n" + ok);
+    REQUIRE(fixture.await_end());
+    fixture.send(fixture.call("/second"));
+    REQUIRE(fixture.await_request(1, "/second"));
+    fixture.server.at(1).send(ok + "Content-Length: 0\r\n\r\n");
+    REQUIRE(fixture.await_end());
+    fixture.server.at(1).send("noise");
+    REQUIRE(fixture.run_until(
+        [&] { return fixture.pool.counters().stray_answers == 2; }));
+    fixture.send(fixture.call("/third"));
+    CHECK(fixture.await_request(2, "/third"));
+}
+
+TEST_CASE("an answer that comes before the body was sent ends the connection") {
+    // The backend server refuses a long request before it has read it, and
+    // reads on later. Were the connection kept, the next caller's request
+    // would be read as the rest of this body.
+    class endless : public forwarding::body_stream {
+    public:
+        std::string take() override { return {}; }
+        bool complete() const override { return false; }
+        void on_more(std::function<void()>) override {}
+    };
+    pooled fixture;
+    auto call = fixture.call("/upload");
+    call.method = "POST";
+    call.body = std::make_shared<const std::string>("first part");
+    call.body_length = 1000;
+    call.more_body = std::make_shared<endless>();
+    fixture.send(call);
+    REQUIRE(fixture.await_request(0, "first part"));
+    fixture.server.at(0).send("HTTP/1.1 413 Too Large\r\n"
+                              "Content-Length: 0\r\n\r\n");
+    REQUIRE(fixture.await_end());
+    CHECK(fixture.ended->response.value().status == 413);
+    fixture.send(fixture.call("/next"));
+    CHECK(fixture.await_request(1, "/next"));
+}
+
+TEST_CASE("an answer that is reset on the way is not complete") {
+    pooled fixture;
+    fixture.send(fixture.call());
+    REQUIRE(fixture.await_request(0, "\r\n\r\n"));
+    fixture.server.at(0).send(ok + "\r\nhalf");
+    fixture.run_for(10ms);
+    fixture.server.at(0).reset();
+    REQUIRE(fixture.await_end());
+    CHECK(!fixture.ended->response);
+    REQUIRE(fixture.ended->partial);
+    CHECK(fixture.ended->partial->status == 200);
+}
+
+TEST_CASE("a cancelled call ends its connection and tells nobody") {
+    pooled fixture;
+    const auto id = fixture.send(fixture.call());
+    REQUIRE(fixture.await_request(0, "\r\n\r\n"));
+    fixture.pool.cancel(id);
+    REQUIRE(fixture.run_until([&] { return fixture.server.at(0).ended(); }));
+    fixture.run_for(10ms);
+    CHECK(!fixture.ended);
+    CHECK(fixture.pool.open_calls() == 0);
+}
+
+TEST_CASE("a long answer comes in pieces") {
+    pooled fixture;
+    std::string got;
+    std::optional<std::uint64_t> told;
+    forwarding::long_answer_handlers pieces;
+    pieces.on_begin = [&](const io::http_response& head,
+                          std::optional<std::uint64_t> length) {
+        CHECK(head.status == 200);
+        told = length;
+    };
+    pieces.on_bytes = [&](std::string bytes) { got += bytes; };
+    fixture.pool.send(
+        fixture.call(), [&](backend_result r) { fixture.ended = std::move(r); },
+        pieces);
+    REQUIRE(fixture.await_request(0, "\r\n\r\n"));
+    const std::string body(3 * 1024 * 1024, 'x');
+    fixture.server.at(0).send(ok + "Content-Length: " +
+                              std::to_string(body.size()) + "\r\n\r\n" + body);
+    REQUIRE(fixture.await_end());
+    CHECK(told == body.size());
+    CHECK(got == body);
+    CHECK(fixture.ended->response.value().body.empty());
+}
+
+TEST_CASE("the limit of connections to a server is kept") {
+    pooled fixture;
+    fixture.pool.limit_connections(1);
+    fixture.pool.send(fixture.call("/a"), [](backend_result) {});
+    REQUIRE(fixture.await_request(0, "/a"));
+    fixture.send(fixture.call("/b"));
+    REQUIRE(fixture.await_end());
+    CHECK(!fixture.ended->sent);
+    CHECK(fixture.ended->response.error().code ==
+          error_code::resource_exhausted);
+    CHECK(fixture.server.count() == 1);
+}
--- /dev/null
+++ b/test/forwarding/caller_server_test.cpp
@@ -0,0 +1,239 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+#include <waxwingvale/forwarding/caller_server.hpp>
+
+#include "forwarding/raw_peer.hpp"
+
+using namespace std::chrono_literals;
+using namespace waxwingvale;
+using forwarding::caller_exchange_ptr;
+
+namespace {
+
+// A server whose requests the test answers by hand.
+struct served : standin::loop_fixture {
+    forwarding::caller_server server{loop, timers, {}};
+    std::vector<caller_exchange_ptr> requests;
+
+    served() {
+        REQUIRE(server.start([this](caller_exchange_ptr request) {
+            requests.push_back(std::move(request));
+        }));
+    }
+
+    std::unique_ptr<standin::raw_connection> caller() {
+        return standin::connect_to(loop, server.port());
+    }
+    bool await_requests(std::size_t count) {
+        return run_until([&] { return requests.size() == count; });
+    }
+};
+
+std::string get(const std::string& target) {
+    return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE("requests of one connection are answered in order") {
+    served fixture;
+    auto caller = fixture.caller();
+    caller->send(get("/1") + get("/2"));
+    REQUIRE(fixture.await_requests(1));
+    fixture.run_for(20ms);
+    CHECK(fixture.requests.size() == 1);
+    fixture.requests[0]->answer({200, {{"X-A", "1"}}, "one"});
+    REQUIRE(fixture.await_requests(2));
+    CHECK(fixture.requests[1]->request().target == "/2");
+    fixture.requests[1]->answer({404, {}, "two"});
+    REQUIRE(
+        fixture.run_until([&] { return caller->received_contains("two"); }));
+    CHECK(caller->received() ==
+          "HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 3\r\n\r\none"
+          "HTTP/1.1 404 Not Found\r\nContent-Length: 3\r\n\r\ntwo");
+    CHECK(fixture.server.pending() == 0);
+}
+
+TEST_CASE("thousands of requests sent ahead and answered at once are served") {
+    served fixture;
+    std::size_t answered = 0;
+    forwarding::caller_server server(fixture.loop, fixture.timers, {});
+    REQUIRE(server.start([&](caller_exchange_ptr request) {
+        ++answered;
+        request->answer({204, {}, ""});
+    }));
+    auto caller = standin::connect_to(fixture.loop, server.port());
+    std::string ahead;
+    for (int i = 0; i < 20000; ++i) {
+        ahead += get("/");
+    }
+    caller->send(ahead);
+    CHECK(fixture.run_until([&] { return answered == 20000; }));
+}
+
+TEST_CASE("a caller that leaves is noticed while its request waits") {
+    // A caller gives up and closes its connection while its request waits for
+    // a backend server. Unnoticed, the request would still be run, and take a
+    // slot from somebody who waits.
+    served fixture;
+    auto caller = fixture.caller();
+    caller->send(get("/"));
+    REQUIRE(fixture.await_requests(1));
+    bool abandoned = false;
+    fixture.requests[0]->on_abandoned([&] { abandoned = true; });
+    caller->close();
+    CHECK(fixture.run_until([&] { return abandoned; }));
+    CHECK(fixture.requests[0]->abandoned());
+    CHECK(fixture.server.pending() == 0);
+    fixture.requests[0]->answer({200, {}, "for nobody"});
+    fixture.run_for(10ms);
+    CHECK(fixture.server.connections() == 0);
+}
+
+TEST_CASE("an answer in pieces is complete only when it is ended") {
+    served fixture;
+    auto caller = fixture.caller();
+    caller->send(get("/"));
+    REQUIRE(fixture.await_requests(1));
+    fixture.requests[0]->begin_answer({200, {}, ""}, std::nullopt);
+    fixture.requests[0]->add("hello");
+    REQUIRE(
+        fixture.run_until([&] { return caller->received_contains("hello"); }));
+    CHECK(caller->received() == "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                "chunked\r\n\r\n5\r\nhello\r\n");
+    fixture.requests[0]->end_answer();
+    CHECK(fixture.run_until(
+        [&] { return caller->received_contains("\r\n0\r\n\r\n"); }));
+}
+
+TEST_CASE("an answer that breaks off ends with a reset") {
+    // The backend server dies in the middle of a long answer. Were the
+    // connection closed in order, a caller that reads to the end of the
+    // connection would take the half for the whole.
+    served fixture;
+    auto caller = fixture.caller();
+    caller->send("GET / HTTP/1.0\r\n\r\n");
+    REQUIRE(fixture.await_requests(1));
+    fixture.requests[0]->begin_answer({200, {}, ""}, std::nullopt);
+    fixture.requests[0]->add("half");
+    REQUIRE(
+        fixture.run_until([&] { return caller->received_contains("half"); }));
+    fixture.requests[0]->break_off();
+    REQUIRE(fixture.run_until([&] { return caller->ended(); }));
+    CHECK(caller->ended_by_reset());
+}
+
+TEST_CASE("a long body is handed over before all of it has come") {
+    served fixture;
+    auto caller = fixture.caller();
+    const std::size_t size = 3 * 1024 * 1024;
+    std::string body(size, 'x');
+    body.back() = 'y';
+    caller->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                 std::to_string(size) + "\r\n\r\n" + body);
+    REQUIRE(fixture.await_requests(1));
+    auto& request = *fixture.requests[0];
+    CHECK(!request.body_complete());
+    CHECK(request.body_length() == size);
+    fixture.run_for(50ms);
+    std::string taken = request.request().body;
+    CHECK(taken.size() < size / 2);
+    REQUIRE(fixture.run_until([&] {
+        taken += request.take_body();
+        return request.body_complete();
+    }));
+    taken += request.take_body();
+    CHECK(taken == body);
+    request.answer({200, {}, "got it"});
+    CHECK(
+        fixture.run_until([&] { return caller->received_contains("got it"); }));
+}
+
+TEST_CASE("a caller that asked whether to go on is told so") {
+    served fixture;
+    auto caller = fixture.caller();
+    caller->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                 "Expect: 100-continue\r\n\r\n");
+    REQUIRE(fixture.run_until(
+        [&] { return caller->received_contains("100 Continue"); }));
+    caller->send("ok");
+    REQUIRE(fixture.await_requests(1));
+    CHECK(fixture.requests[0]->request().body == "ok");
+}
+
+TEST_CASE("bytes that are no request are refused and the connection ends") {
+    served fixture;
+    auto caller = fixture.caller();
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    REQUIRE(fixture.run_until([&] { return caller->ended(); }));
+    CHECK(caller->received_contains("HTTP/1.1 400 "));
+    CHECK(caller->received_contains("Connection: close"));
+    CHECK(fixture.requests.empty());
+}
+
+TEST_CASE("a head that does not come in time is given up") {
+    served fixture;
+    forwarding::message_limits limits;
+    limits.head_time = 100ms;
+    fixture.server.change_limits(limits);
+    auto caller = fixture.caller();
+    caller->send("GET / HT");
+    REQUIRE(fixture.run_until([&] { return caller->ended(); }));
+    CHECK(caller->received_contains("HTTP/1.1 408 "));
+}
+
+TEST_CASE("a connection that stays idle is closed in order") {
+    served fixture;
+    forwarding::message_limits limits;
+    limits.idle_time = 100ms;
+    fixture.server.change_limits(limits);
+    auto caller = fixture.caller();
+    REQUIRE(fixture.run_until([&] { return caller->ended(); }));
+    CHECK(!caller->ended_by_reset());
+    CHECK(caller->received().empty());
+}
+
+TEST_CASE("a stop cuts no request and closes connections after their answer") {
+    // The process is told to stop while one caller waits for its answer and
+    // another has an idle connection. Neither may be cut in the middle.
+    served fixture;
+    auto busy = fixture.caller();
+    auto idle = fixture.caller();
+    busy->send(get("/"));
+    REQUIRE(fixture.await_requests(1));
+    REQUIRE(
+        fixture.run_until([&] { return fixture.server.connections() == 2; }));
+    fixture.server.ask_to_close();
+    fixture.server.stop_accepting();
+    fixture.server.close_idle();
+    REQUIRE(fixture.run_until([&] { return idle->ended(); }));
+    CHECK(!busy->ended());
+    fixture.requests[0]->answer({200, {}, "done"});
+    REQUIRE(fixture.run_until([&] { return busy->ended(); }));
+    CHECK(busy->received() == "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                              "Connection: close\r\n\r\ndone");
+    CHECK(!busy->ended_by_reset());
+}
+
+TEST_CASE("a caller that does not read its answer holds back the sender") {
+    served fixture;
+    auto caller = fixture.caller();
+    caller->send(get("/"));
+    REQUIRE(fixture.await_requests(1));
+    caller->pause();
+    auto& request = *fixture.requests[0];
+    const std::string piece(1024 * 1024, 'z');
+    request.begin_answer({200, {}, ""}, 64 * piece.size());
+    for (int i = 0; i < 64; ++i) {
+        request.add(piece);
+    }
+    fixture.run_for(20ms);
+    CHECK(request.waiting() > 0);
+    bool drained = false;
+    request.on_drained([&] { drained = true; });
+    caller->resume();
+    CHECK(fixture.run_until([&] { return drained; }));
+    request.end_answer();
+}
--- a/test/links/hostile_peer_test.cpp
+++ b/test/links/hostile_peer_test.cpp
@@ -5,7 +5,7 @@
 #include "hub_pair.hpp"
 #include "io/link_authentication.hpp"
 #include "io/link_frame.hpp"
-#include "io/link_socket.hpp"
+#include "io/stream_socket.hpp"
 #include "io/link_websocket.hpp"
 
 using namespace waxwingvale;
@@ -26,13 +26,13 @@
         };
         handlers.on_failed = [](bool) {};
         websocket = factory.dial("127.0.0.1", std::move(handlers));
-        io::link_socket_handlers on_socket;
+        io::stream_socket_handlers on_socket;
         on_socket.on_connected = [this] { websocket->start(); };
         on_socket.on_bytes = [this](const char* bytes, std::size_t size) {
             websocket->feed(bytes, size);
         };
         on_socket.on_end = [this] { ended = true; };
-        socket = std::make_unique<io::link_socket>(
+        socket = std::make_unique<io::stream_socket>(
             bench.loop, io::start_connect("127.0.0.1", port).value(), true,
             std::move(on_socket));
     }
@@ -80,7 +80,7 @@
     std::string dialer;
     io::link_websocket_factory factory;
     std::unique_ptr<io::link_websocket> websocket;
-    std::unique_ptr<io::link_socket> socket;
+    std::unique_ptr<io::stream_socket> socket;
     std::string last;
     bool open = false;
     bool ended = false;
