--- a/cmake/waxwing_targets.cmake
+++ b/cmake/waxwing_targets.cmake
@@ -46,7 +46,7 @@
         get_filename_component(folder ${main} DIRECTORY)
         get_filename_component(folder_name ${folder} NAME)
         waxwing_library(${folder_name}
-            DEPENDS waxwing_program waxwing_administration)
+            DEPENDS waxwing_node)
         string(REPLACE "_" "-" program ${folder_name})
         add_executable(${program} ${main})
         target_link_libraries(${program} PRIVATE
--- a/include/waxwingvale/administration/control_snapshot.hpp
+++ b/include/waxwingvale/administration/control_snapshot.hpp
@@ -25,27 +25,20 @@
     std::uint64_t failures = 0;
 };
 
-// A link with another process, by its peer name ("sea-1/entry").
+// A link with another entry instance, by its name.
 struct peer_link {
     std::string peer;
     bool connected = false;
 };
 
-// The revision that a process beside this one has reported to be in force.
-struct process_revision {
-    std::string process; // "sea-1/entry"
-    std::uint64_t revision = 0;
-};
-
-// All that the administration API shows, at one moment of waxwing-control.
+// All that the administration API shows, at one moment of its instance.
 struct control_snapshot {
     time_point now{};
-    view_ptr seen; // as entry and steer get it; null at the very start
+    view_ptr seen; // as callers are served by it; null at the very start
     std::uint64_t newest_revision_seen = 0;
     std::optional<refused_file> refused;
     platform_word platform;
     std::vector<peer_link> links;
-    std::vector<process_revision> processes;
 };
 
 } // namespace waxwingvale::administration
--- a/src/waxwing_entry/backend_answer.hpp
+++ b/include/waxwingvale/entry/backend_answer.hpp
@@ -2,9 +2,10 @@
 
 #include <cstdint>
 #include <optional>
+#include <tuple>
 
-#include <waxwingvale/io/http_client.hpp>
 #include <waxwingvale/model/backend_belief.hpp>
+#include <waxwingvale/model/backend_load.hpp>
 #include <waxwingvale/model/outcome.hpp>
 
 namespace waxwingvale::entry {
@@ -16,7 +17,8 @@
     not_started, // the backend server refused before it began
     not_sent,    // no byte of the request left this process
     timed_out,   // sent, and no answer within the time left
-    broken       // sent, and the connection ended without a whole answer
+    broken,      // sent, and the connection ended without a whole answer
+    misdirected  // another backend server has the address; it did not begin
 };
 
 // What an attempt tells about the request and about the backend server.
@@ -25,9 +27,7 @@
     run_outcome outcome = run_outcome::unknown;
     std::optional<backend_state> state; // what the server says of itself
     std::uint64_t incarnation = 0;      // 0 when it did not say
+    std::optional<backend_load> load;   // as it said in this answer
 };
 
-// Reads the protocol's headers off a finished call.
-backend_answer classify(const io::http_call_result& ended);
-
 } // namespace waxwingvale::entry
--- a/src/waxwing_entry/caller_answer.hpp
+++ b/include/waxwingvale/entry/caller_answer.hpp
@@ -3,15 +3,12 @@
 #include <optional>
 #include <string>
 
-#include <waxwingvale/io/http_message.hpp>
 #include <waxwingvale/model/outcome.hpp>
 #include <waxwingvale/model/time.hpp>
 
-#include "waxwing_entry/backend_answer.hpp"
-
 namespace waxwingvale::entry {
 
-// HTTP status codes of answers that waxwing-entry itself gives.
+// HTTP status codes of answers that an entry instance itself gives.
 namespace status {
 constexpr unsigned bad_request = 400;
 constexpr unsigned forbidden = 403;
@@ -31,18 +28,9 @@
 struct own_answer {
     unsigned status = status::service_unavailable;
     run_outcome outcome = run_outcome::not_run;
-    std::string reason; // a fixed word, in the header Waxwing-Reason
+    std::string reason; // a fixed word, also for logs
     std::string detail; // for people, in the body
     std::optional<duration> come_back_in;
 };
 
-io::http_response render(const own_answer& answer);
-
-// What the caller is told of an attempt that brought no answer.
-own_answer lost_answer(const backend_answer& answer);
-
-// A backend server's answer as the caller gets it: whole and unaltered but
-// for hop-by-hop headers and the outcome.
-io::http_response pass_on(io::http_response answer);
-
 } // namespace waxwingvale::entry
--- /dev/null
+++ b/include/waxwingvale/entry/caller_call.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <waxwingvale/model/request_class.hpp>
+#include <waxwingvale/model/route.hpp>
+#include <waxwingvale/model/time.hpp>
+
+namespace waxwingvale::entry {
+
+// A caller's request, understood: which services may run it, of which class it
+// is, and how long its caller waits for it.
+struct caller_call {
+    std::vector<route_target> targets; // at least one
+    request_class kind;
+    std::string target; // path and query that the backend server is asked for
+    std::string tenant;
+    std::string id; // names the request in log lines
+    std::optional<std::string> key;
+    duration time_left{};
+    // The attempt of the level above, when the caller is itself serving a
+    // call: that level alone retries.
+    std::optional<unsigned> attempt;
+};
+
+// The tenant of callers that name none.
+constexpr const char* default_tenant = "default";
+
+} // namespace waxwingvale::entry
--- a/include/waxwingvale/forwarding/caller_exchange.hpp
+++ b/include/waxwingvale/forwarding/caller_exchange.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <waxwingvale/io/http_message.hpp>
 
@@ -25,6 +26,8 @@
     caller_exchange& operator=(const caller_exchange&) = delete;
 
     const io::http_request& request() const { return request_; }
+    // Moves it out, for one who keeps it; request() is empty afterwards.
+    io::http_request take_request() { return std::move(request_); }
 
     // The request is handed over with its whole body, or with the first part
     // of a long one. The rest comes by take_body(), and the caller is held
--- a/include/waxwingvale/forwarding/caller_server.hpp
+++ b/include/waxwingvale/forwarding/caller_server.hpp
@@ -7,9 +7,9 @@
 #include <string>
 
 #include <waxwingvale/forwarding/caller_exchange.hpp>
-#include <waxwingvale/forwarding/message_limits.hpp>
 #include <waxwingvale/kernel/event_loop.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
+#include <waxwingvale/model/caller_limits.hpp>
 #include <waxwingvale/model/error.hpp>
 
 namespace waxwingvale::forwarding {
@@ -53,7 +53,7 @@
     result<void> start(handler on_request);
     std::uint16_t port() const;
 
-    void change_limits(const message_limits& limits);
+    void change_limits(const caller_limits& limits);
     // From now on every answer asks its caller to close the connection.
     void ask_to_close();
     // Takes no new connections; those open are served on.
--- a/include/waxwingvale/io/message_hub.hpp
+++ b/include/waxwingvale/io/message_hub.hpp
@@ -78,6 +78,11 @@
     // same name replaces the address.
     void connect(const std::string& peer_name, const std::string& host,
                  std::uint16_t port);
+    // The same for a peer that is known by its address only, until
+    // disconnect_address(). It proves that it holds the shared key; its name
+    // is learnt.
+    void connect_address(const std::string& host, std::uint16_t port);
+    void disconnect_address(const std::string& host, std::uint16_t port);
     // Ends that and closes the links we opened to the peer.
     void disconnect(const std::string& peer_name);
 
--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -6,8 +6,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <waxwingvale/io/http_client.hpp>
+#include <waxwingvale/io/platform_dialect.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/membership/platform_list.hpp>
 #include <waxwingvale/membership/read_budget.hpp>
@@ -15,13 +17,16 @@
 
 namespace waxwingvale::io {
 
-// One answer of the platform about one value.
+// What was read of one topic.
 struct platform_reading {
-    std::string value_name;
-    std::uint64_t revision = 0;
-    bool changed = false; // body holds the value; else it is as it was
-    std::string body;
-    std::uint64_t epoch = 0; // in which it was asked for, see set_epoch()
+    std::string topic;
+    // All that is published on it, so that what is not among the items is
+    // gone; else only what changed.
+    bool whole = false;
+    std::vector<published_item> items;
+    std::vector<published_change> changes;
+    std::uint64_t revision = 0; // of the platform, or of the value
+    std::uint64_t epoch = 0;    // in which it was asked for, see set_epoch()
 };
 
 struct platform_counters {
@@ -29,11 +34,12 @@
     std::uint64_t values = 0;
     std::uint64_t unchanged = 0;
     std::uint64_t unpublished = 0;
+    std::uint64_t relists = 0; // the changes asked for were forgotten
     std::uint64_t failed = 0;
     std::uint64_t malformed = 0;
 };
 
-// Where the platform's values are read, and how.
+// Where the platform is read, and how.
 struct platform_client_options {
     std::string host; // IP number
     std::uint16_t port = 0;
@@ -42,7 +48,7 @@
     std::uint64_t seed = 0; // of the backoff's jitter
 };
 
-// Reads and watches values of the platform by long polls, one for each value.
+// Reads and watches topics of the platform by long polls, one for each topic.
 // Reads are bounded by a budget whatever the platform answers; it is only
 // ever read.
 class platform_client {
@@ -51,10 +57,11 @@
     using state_handler = std::function<void(bool answers, const error& why)>;
 
     platform_client(http_client& client, kernel::timer_service& timers,
+                    const platform_dialect& dialect,
                     platform_client_options options);
 
-    // Reads the value and goes on watching it.
-    void watch(const std::string& value_name, reading_handler on_reading);
+    // Reads the topic and goes on watching it.
+    void watch(const std::string& topic, reading_handler on_reading);
     // Told when the platform begins or ceases to answer.
     void on_state(state_handler handler) { on_state_ = std::move(handler); }
 
@@ -64,8 +71,10 @@
     // Ends the watches and asks anew at once, without waiting for a change:
     // answers to what was asked before a late wake-up prove nothing.
     void read_again();
-    // Reads no more.
-    void stop();
+    // Reads no more until resume(), which reads everything anew.
+    void pause();
+    void resume();
+    bool paused() const { return paused_; }
 
     bool answers() const { return answers_; }
     // When it answered last, if ever.
@@ -73,10 +82,11 @@
     const platform_counters& counters() const { return counters_; }
 
 private:
-    struct watched_value {
+    struct watched_topic {
         reading_handler on_reading;
-        std::uint64_t revision = 0; // last read
-        bool wait_for_change = false;
+        std::uint64_t revision = 0; // to watch from
+        bool listed = false; // changes are watched; else it is read whole
+        std::vector<published_item> pages; // read so far
         http_client::call_id call = 0;
         kernel::timer_service::subscription next;
     };
@@ -85,27 +95,32 @@
     void read(const std::string& name);
     void finish(const std::string& name, std::uint64_t asked_in,
                 http_call_result got);
-    void take_answer(const std::string& name, std::uint64_t asked_in,
-                     const http_response& response);
+    void take_page(const std::string& name, std::uint64_t asked_in,
+                   const http_response& response);
+    void take_changes(const std::string& name, std::uint64_t asked_in,
+                      const http_response& response);
+    void succeed();
     void fail(const std::string& name, const error& why);
     void set_answers(bool answers, const error& why);
 
     http_client& client_;
     kernel::timer_service& timers_;
+    const platform_dialect& dialect_;
     platform_client_options options_;
     membership::read_budget budget_;
-    std::map<std::string, watched_value> values_;
+    std::map<std::string, watched_topic> topics_;
     state_handler on_state_;
     std::uint64_t epoch_ = 0;
     bool answers_ = false;
+    bool told_state_ = false;
     std::optional<time_point> last_answer_;
-    bool stopped_ = false;
+    bool paused_ = false;
     platform_counters counters_;
 };
 
 // Reads the platform's list of instances. Fails with malformed naming the
 // place; the list is then not used at all.
 result<membership::platform_list>
-parse_platform_list(const platform_reading& reading);
+parse_platform_list(const published_item& published);
 
 } // namespace waxwingvale::io
--- /dev/null
+++ b/include/waxwingvale/io/platform_dialect.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <waxwingvale/io/http_client.hpp>
+#include <waxwingvale/io/http_message.hpp>
+#include <waxwingvale/model/error.hpp>
+#include <waxwingvale/model/time.hpp>
+
+namespace waxwingvale::io {
+
+// One thing that the platform has published.
+struct published_item {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0; // of its last change
+};
+
+// A change of one of them: what it is now, or that it is gone.
+struct published_change {
+    published_item item;
+    bool removed = false;
+};
+
+// One page of all that is published on a topic.
+struct published_page {
+    std::vector<published_item> items;
+    bool more = false; // the next page begins after the last key of this one
+    std::uint64_t revision = 0; // of the platform, when it answered
+};
+
+// What changed on a topic after the revision that was asked for.
+struct published_changes {
+    std::vector<published_change> changes;
+    std::uint64_t revision = 0; // to go on from
+};
+
+// How the platform is asked and how its answers are read. Both readers fail
+// with not_found when nothing is published, with stale when the changes asked
+// for are no longer known and everything has to be read anew, with unavailable
+// when the platform declines, and with malformed otherwise.
+class platform_dialect {
+public:
+    virtual ~platform_dialect() = default;
+    // The path and query of a read; `after` is the last key of the page
+    // before, or empty.
+    virtual std::string list_target(const std::string& topic,
+                                    const std::string& after) const = 0;
+    virtual std::string watch_target(const std::string& topic,
+                                     std::uint64_t revision,
+                                     duration wait) const = 0;
+    virtual result<published_page>
+    read_list(const std::string& topic, const http_response& answer) const = 0;
+    virtual result<published_changes>
+    read_watch(const std::string& topic, std::uint64_t revision,
+               const http_response& answer) const = 0;
+};
+
+// The product's own dialect: a topic is one value under /v1/values/, whose
+// revision is a header.
+class value_dialect : public platform_dialect {
+public:
+    std::string list_target(const std::string& topic,
+                            const std::string& after) const override;
+    std::string watch_target(const std::string& topic, std::uint64_t revision,
+                             duration wait) const override;
+    result<published_page>
+    read_list(const std::string& topic,
+              const http_response& answer) const override;
+    result<published_changes>
+    read_watch(const std::string& topic, std::uint64_t revision,
+               const http_response& answer) const override;
+};
+
+} // namespace waxwingvale::io
--- a/include/waxwingvale/membership/exchange_message.hpp
+++ b/include/waxwingvale/membership/exchange_message.hpp
@@ -9,10 +9,10 @@
 #include <waxwingvale/membership/digest.hpp>
 #include <waxwingvale/membership/member_record.hpp>
 #include <waxwingvale/membership/quarantine_table.hpp>
+#include <waxwingvale/membership/registry_table.hpp>
 #include <waxwingvale/model/view.hpp>
 
-// What waxwing-control processes of different entry instances say to each
-// other.
+// What entry instances say to each other of what they know.
 namespace waxwingvale::membership {
 
 // All that the sender knows, in a few numbers. Sent when a link opens, now
@@ -24,6 +24,7 @@
     std::uint64_t refused = 0;  // a newer file that was refused, or 0
     digest_buckets members{};
     digest_buckets beliefs{};
+    digest_buckets registry{};
     std::uint64_t quarantine = 0;
 };
 
@@ -31,11 +32,13 @@
 struct records_message {
     std::vector<member_record> members;
     std::vector<belief_record> beliefs;
+    std::vector<registry_record> registry;
     std::vector<quarantine_record> quarantine;
     std::vector<death_record> deaths;
     // The sender has sent all it has of these, and wants what is newer.
     std::vector<unsigned> member_buckets;
     std::vector<unsigned> belief_buckets;
+    std::vector<unsigned> registry_buckets;
     bool whole_quarantine = false;
 };
 
@@ -58,9 +61,19 @@
     configuration_text file;
 };
 
+// How old the newest word of the platform is that the sender has, who read it,
+// and what the sender holds of it: a receiver that holds other things has
+// missed a message.
+struct platform_word {
+    std::string reader;
+    duration age{};
+    std::uint64_t registry = 0; // fingerprint of the sender's table
+    std::uint64_t revision = 0; // configuration in force at the sender
+};
+
 using exchange_message =
     std::variant<digest_message, records_message, revision_message,
-                 configuration_request, configuration_message>;
+                 configuration_request, configuration_message, platform_word>;
 
 // A message and the entry instance that it goes to.
 struct addressed_message {
--- a/include/waxwingvale/membership/member_table.hpp
+++ b/include/waxwingvale/membership/member_table.hpp
@@ -78,7 +78,7 @@
     // This member's own changes. Its incarnation is 0, and nobody is told of
     // it, until its entry process has named one. A proposal that is not above
     // all that was heard for the own name is raised, unless it goes on with
-    // the life that was heard: waxwing-control alone was restarted.
+    // the life that was heard.
     bool start_life(std::uint64_t proposed);
     bool leave();                   // stops in an orderly way
     bool set_serving(bool serving); // entry answers or does not
--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -14,6 +14,8 @@
 #include <waxwingvale/membership/freshness.hpp>
 #include <waxwingvale/membership/member_table.hpp>
 #include <waxwingvale/membership/quarantine_table.hpp>
+#include <waxwingvale/membership/reader_duty.hpp>
+#include <waxwingvale/membership/registry_table.hpp>
 
 namespace waxwingvale::membership {
 
@@ -33,6 +35,11 @@
     // A peer that refuted is accused again after this, if its link is still
     // missing.
     duration accuse_again = std::chrono::seconds(30);
+    // Word of the platform is passed on when it is newer by so much.
+    duration word_step = std::chrono::milliseconds(150);
+    // A peer that holds another registry is asked for its records at most
+    // this often.
+    duration resync_wait = std::chrono::milliseconds(300);
 };
 
 struct exchange_counters {
@@ -44,12 +51,14 @@
     std::uint64_t accusations = 0;
 };
 
-// What all the tables of one waxwing-control are.
+// All the tables of one entry instance.
 struct known_state {
     configuration_register& configurations;
     member_table& members;
     belief_table& beliefs;
+    registry_table& registry;
     quarantine_table& quarantine;
+    reader_duty& readers;
 };
 
 // Exchanges what this entry instance knows with its peers: every change is
@@ -101,6 +110,8 @@
               time_point now);
     void take(const std::string& peer, const configuration_message& message,
               time_point now);
+    void take(const std::string& peer, const platform_word& message,
+              time_point now);
     void merge_records(const std::string& peer, const records_message& message,
                        time_point now);
     records_message newer_than(const records_message& theirs) const;
@@ -115,6 +126,7 @@
     void send(const std::string& peer, exchange_message message);
     void pass_on_changes();
     void pass_on_revision();
+    void pass_on_word(time_point now);
     void accuse_silent(time_point now);
     void ask_for_configuration(time_point now);
     void send_due_digest(time_point now);
@@ -138,6 +150,10 @@
     // Who told us what is waiting to be passed on.
     std::map<std::string, std::string> member_origin_;
     std::map<std::string, std::string> belief_origin_;
+    std::map<std::string, std::string> registry_origin_;
+    // How new the word was that each peer has told, or was told.
+    std::map<std::string, time_point> word_of_peer_;
+    std::map<std::string, time_point> resynced_;
     std::vector<addressed_message> outgoing_;
     exchange_counters counters_;
 };
--- a/include/waxwingvale/membership/read_budget.hpp
+++ b/include/waxwingvale/membership/read_budget.hpp
@@ -8,13 +8,10 @@
 
 namespace waxwingvale::membership {
 
-// The platform answers about this many reads a second over all its readers.
-constexpr double platform_reads_per_second = 2000;
-
 // One reader's share of the platform's reads: a bucket of tokens.
 struct read_share {
-    double per_second = 2;
-    double burst = 2;
+    double per_second = 4;
+    double burst = 12;
 
     friend bool operator==(const read_share& a, const read_share& b) {
         return a.per_second == b.per_second && a.burst == b.burst;
@@ -24,7 +21,7 @@
 // The share of each of that many readers. All of them may spend their whole
 // burst and one second's reads in the same second, as when the platform comes
 // back for everybody at once, and still stay under half of what it answers.
-read_share share_of(std::size_t readers);
+read_share share_of(double reads_per_second, std::size_t readers);
 
 // Decides when the platform may be read: by tokens, so that whatever goes
 // wrong here the platform is not read more often than the share; and by a
--- /dev/null
+++ b/include/waxwingvale/membership/registry_table.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include <waxwingvale/membership/digest.hpp>
+#include <waxwingvale/model/time.hpp>
+
+namespace waxwingvale::membership {
+
+// A backend server as it has registered itself with the platform.
+struct registered_backend {
+    std::string service;
+    std::string host; // IP number
+    std::uint16_t port = 0;
+    std::string data_centre;
+    std::string version; // of its software
+    unsigned slots = 1;
+    bool leaving = false;
+    duration cold_for{}; // slower than usual for so long, when it was written
+
+    friend bool operator==(const registered_backend& a,
+                           const registered_backend& b) {
+        return std::tie(a.service, a.host, a.port, a.data_centre, a.version,
+                        a.slots, a.leaving, a.cold_for) ==
+               std::tie(b.service, b.host, b.port, b.data_centre, b.version,
+                        b.slots, b.leaving, b.cold_for);
+    }
+};
+
+// What the platform last said of one of them, as the entry instances tell
+// each other of it.
+struct registry_record {
+    std::string name;
+    std::uint64_t revision = 0; // of the platform, at the last change
+    bool present = true;        // false: its entry is gone
+    registered_backend entry;
+
+    friend bool operator==(const registry_record& a, const registry_record& b) {
+        return std::tie(a.name, a.revision, a.present, a.entry) ==
+               std::tie(b.name, b.revision, b.present, b.entry);
+    }
+};
+
+// The backend servers that have registered themselves. The platform's revision
+// orders all word of one of them, whoever brings it and however late.
+class registry_table {
+public:
+    // Holds at most `limit` records; word of more is not taken.
+    explicit registry_table(std::size_t limit) : limit_(limit) {}
+
+    // Takes the word if it is newer. Returns whether it changed anything.
+    bool merge(const registry_record& word, time_point now);
+
+    // Takes the whole list that the platform had at a revision: what it does
+    // not name is gone.
+    void take_list(const std::vector<registry_record>& list,
+                   std::uint64_t revision, time_point now);
+    // Takes a change that the platform told.
+    void take_change(const registry_record& change, time_point now);
+
+    // The platform was away until now. Entries that lapsed meanwhile come back
+    // within a while, if their servers live; until then what is missing in a
+    // list, or said to be gone, stays. Without this an outage of the platform
+    // would take every backend server from callers for that while.
+    void hold_removals(time_point until) { hold_until_ = until; }
+    // Carries out removals that were held and were not taken back, and forgets
+    // those of long ago.
+    void tick(time_point now);
+
+    // Those that are there, sorted by name.
+    const std::map<std::string, registry_record>& records() const {
+        return records_;
+    }
+    std::vector<registry_record> take_changes();
+    std::vector<registry_record> in_bucket(unsigned bucket) const;
+    digest_buckets digest() const;
+    // One number over all that are there.
+    std::uint64_t fingerprint() const { return fingerprint_; }
+    // Rises with every change.
+    std::uint64_t version() const { return version_; }
+
+private:
+    struct removal {
+        std::uint64_t revision = 0;
+        time_point since{};
+    };
+
+    void remove(const std::string& name, std::uint64_t revision,
+                time_point now);
+    void changed(const std::string& name);
+
+    std::size_t limit_;
+    std::map<std::string, registry_record> records_;
+    std::map<std::string, removal> removed_;
+    std::map<std::string, std::uint64_t> held_; // removals not yet carried out
+    time_point hold_until_{};
+    std::set<std::string> changed_;
+    std::uint64_t fingerprint_ = 0;
+    std::uint64_t version_ = 0;
+};
+
+} // namespace waxwingvale::membership
--- a/include/waxwingvale/program/program_frame.hpp
+++ b/include/waxwingvale/program/program_frame.hpp
@@ -66,16 +66,15 @@
 
 // What a main says of its program.
 struct program_description {
-    std::string name;    // "waxwing-entry"
+    std::string name;    // "waxwing-node"
     std::string summary; // one sentence for --help
-    duration (*drain_timeout)(const settings&);
     std::function<std::unique_ptr<server_program>(const program_environment&)>
         create;
 };
 
 // The whole of a main: usage by docopt (--settings FILE, --check-settings,
 // --version, --help), settings, log, loop, one ready line on standard output
-// `{"ready":true,"program":"waxwing-entry","ports":{"callers":1234}}`, and a
+// `{"ready":true,"program":"waxwing-node","ports":{"callers":1234}}`, and a
 // graceful stop. Returns the process's exit code.
 int run_program(int argc, char** argv, const program_description& program);
 
--- a/include/waxwingvale/program/settings.hpp
+++ b/include/waxwingvale/program/settings.hpp
@@ -8,67 +8,70 @@
 #include <vector>
 
 #include <waxwingvale/model/error.hpp>
+#include <waxwingvale/model/member.hpp>
 #include <waxwingvale/model/time.hpp>
 
 namespace waxwingvale::program {
 
-// Which entry instance this is, and where its programs listen.
+// Which entry instance this is, where it listens and what its machine can do.
 struct instance_settings {
     std::string name;
     std::string data_centre;
     std::string host; // IP number
+    member_capacity capacity;
+    duration drain_timeout{}; // most time for requests in flight to finish
+    std::optional<std::uint16_t> metrics_port; // none: not served
 };
 
 // Where the platform's service of values is read.
 struct platform_settings {
     std::string host; // IP number
     std::uint16_t port = 0;
+    // Reads a second that it answers, over all readers.
+    double reads_per_second = 0;
+    // Entry instances that read it for all; 0: each for itself.
+    unsigned readers = 0;
+    duration watch{};         // longest wait for a change
+    duration answer_within{}; // beyond which it counts as lost
 };
 
-// Another entry instance's waxwing-control, asked before the platform's list
-// of instances is known.
+// Another entry instance, asked before any other is known.
 struct seed_settings {
-    std::string name; // entry instance
     std::string host; // IP number
     std::uint16_t control_port = 0;
 };
 
-// How the system's own processes find and prove themselves to one another.
+// How entry instances find and prove themselves to one another.
 struct peer_settings {
     std::string shared_key;      // same on all entry instances
     std::string shared_key_file; // where load_settings() reads it instead
     std::vector<seed_settings> seeds;
 };
 
-// waxwing-entry. Ports may be 0: any free one, told by the ready line.
+// The request path. Ports may be 0: any free one, told by the ready line.
 struct entry_settings {
     std::uint16_t caller_port = 0;
-    std::uint16_t entry_port = 0;
     std::size_t body_limit = 0; // bytes of a caller's or a backend's body
     unsigned connection_limit = 0;
-    duration drain_timeout{}; // most time for requests in flight to finish
-    std::optional<std::uint16_t> metrics_port; // none: not served
 };
 
-// waxwing-steer.
+// Telling callers which address to use.
 struct steer_settings {
     std::uint16_t steer_port = 0;
     unsigned connection_limit = 0;
-    duration drain_timeout{};
-    std::optional<std::uint16_t> metrics_port;
 };
 
-// waxwing-control. Its metrics are served by the administration API.
+// What instances know together, and the administration API.
 struct control_settings {
     std::uint16_t control_port = 0;
+    bool administration = true; // false: no administration API is served
     std::uint16_t admin_port = 0;
     std::string admin_host;       // IP number
     std::string admin_token;      // bearer token
     std::string admin_token_file; // where load_settings() reads it instead
-    duration drain_timeout{};
 };
 
-// One settings file serves the three programs of an entry instance.
+// One settings file serves one entry instance.
 struct settings {
     instance_settings instance;
     platform_settings platform;
--- /dev/null
+++ b/include/waxwingvale/steer/steering_protocol.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+
+#include <waxwingvale/io/http_message.hpp>
+#include <waxwingvale/model/view.hpp>
+
+namespace waxwingvale::steer {
+
+// When and as which asking a caller's question came.
+struct asking {
+    // Counts askings; varies how long the answers are to be kept, so that
+    // callers who once asked together do not return together.
+    std::uint64_t number = 0;
+    std::uint64_t wall_us = 0; // the wall clock in microseconds
+};
+
+// How callers ask which addresses to use, and how they are told.
+class steering_protocol {
+public:
+    virtual ~steering_protocol() = default;
+    // A newer view; later answers are made from it.
+    virtual void take(const view_ptr& view) = 0;
+    virtual io::http_response answer(const io::http_request& request,
+                                     const asking& when) const = 0;
+};
+
+} // namespace waxwingvale::steer
--- a/src/administration/admin_documents.cpp
+++ b/src/administration/admin_documents.cpp
@@ -54,15 +54,6 @@
     return written;
 }
 
-json processes_document(const control_snapshot& of) {
-    auto written = json::array();
-    for (const auto& process : of.processes) {
-        written.push_back(
-            {{"process", process.process}, {"revision", process.revision}});
-    }
-    return written;
-}
-
 json member_counts(const view& seen) {
     json counts = {{"alive", 0}, {"suspect", 0}, {"leaving", 0}, {"gone", 0}};
     for (const auto& one : seen.members) {
@@ -80,8 +71,7 @@
             {"host", of.addresses.host},
             {"caller_port", of.addresses.caller_port},
             {"steer_port", of.addresses.steer_port},
-            {"control_port", of.addresses.control_port},
-            {"entry_port", of.addresses.entry_port}};
+            {"control_port", of.addresses.control_port}};
 }
 
 // What is believed of the server, or null when nothing was heard of it.
@@ -146,7 +136,6 @@
              {{"revision_in_force", revision_in_force(of)},
               {"newest_revision_seen", of.newest_revision_seen},
               {"refused", refused_document(of.refused)}}},
-            {"processes", processes_document(of)},
             {"members", member_counts(seen)},
             {"quarantined", seen.quarantined.size()},
             {"platform", platform_document(of)},
--- a/src/waxwing_control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -1,4 +1,4 @@
-#include "waxwing_control/control_metrics.hpp"
+#include "control/control_metrics.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -54,6 +54,8 @@
      &io::platform_counters::unchanged},
     {"waxwing_platform_unpublished_total", "Reads of unpublished values.",
      &io::platform_counters::unpublished},
+    {"waxwing_platform_relists_total", "Reads anew: changes were forgotten.",
+     &io::platform_counters::relists},
     {"waxwing_platform_failed_total", "Reads that failed.",
      &io::platform_counters::failed},
     {"waxwing_platform_malformed_total", "Answers not understood.",
@@ -102,13 +104,13 @@
                                  const io::message_hub& hub,
                                  const io::platform_client& platform,
                                  const knowledge& known,
-                                 const local_processes& local,
+                                 const view_publisher& views,
                                  const peer_links& peers)
     : metrics_(to) {
     add_link_metrics(hub);
     add_platform_metrics(platform);
     add_knowledge_metrics(known);
-    add_exchange_metrics(local, peers);
+    add_exchange_metrics(views, peers);
 }
 
 void control_metrics::count(const char* name, const char* help, reading from) {
@@ -124,7 +126,7 @@
         count(each.name, each.help,
               [&hub, from = each.from] { return hub.counters().*from; });
     }
-    show("waxwing_links", "Processes linked with.",
+    show("waxwing_links", "Entry instances linked with.",
          [&hub] { return hub.connected_peers().size(); });
 }
 
@@ -160,6 +162,8 @@
          [&known] { return members_in(known, member_state::gone); });
     show("waxwing_quarantined", "Fingerprints in quarantine.",
          [&known] { return known.quarantine.fingerprints().size(); });
+    show("waxwing_backend_servers_registered", "Found in the registry.",
+         [&known] { return known.registry.records().size(); });
     show("waxwing_view_fresh", "1: heard of since the last wake-up.",
          [&known] { return known.fresh.fresh() ? 1U : 0U; });
     count("waxwing_late_wakeups_total", "Times the process had been stopped.",
@@ -170,7 +174,7 @@
           [&known] { return known.beliefs.counters().over_limit; });
 }
 
-void control_metrics::add_exchange_metrics(const local_processes& local,
+void control_metrics::add_exchange_metrics(const view_publisher& views,
                                            const peer_links& peers) {
     for (const auto& each : exchange_counts) {
         count(each.name, each.help, [&peers, from = each.from] {
@@ -178,10 +182,10 @@
         });
     }
     count("waxwing_messages_malformed_total",
-          "Messages of authenticated processes not understood.",
-          [&local, &peers] { return local.malformed() + peers.malformed(); });
-    show("waxwing_view_serial", "Serial of the last view.", [&local] {
-        return local.last_view() ? local.last_view()->serial : 0;
+          "Messages of authenticated peers not understood.",
+          [&peers] { return peers.malformed(); });
+    show("waxwing_view_serial", "Serial of the last view.", [&views] {
+        return views.last_view() ? views.last_view()->serial : 0;
     });
 }
 
--- a/src/waxwing_control/control_metrics.hpp
+++ b/src/control/control_metrics.hpp
@@ -4,9 +4,9 @@
 #include <functional>
 #include <vector>
 
-#include "waxwing_control/knowledge.hpp"
-#include "waxwing_control/local_processes.hpp"
-#include "waxwing_control/peer_links.hpp"
+#include "control/knowledge.hpp"
+#include "control/peer_links.hpp"
+#include "control/view_publisher.hpp"
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/io/platform_client.hpp>
 #include <waxwingvale/program/metrics.hpp>
@@ -19,7 +19,7 @@
 public:
     control_metrics(program::metrics& to, const io::message_hub& hub,
                     const io::platform_client& platform, const knowledge& known,
-                    const local_processes& local, const peer_links& peers);
+                    const view_publisher& views, const peer_links& peers);
 
     void update();
 
@@ -40,7 +40,7 @@
     void add_link_metrics(const io::message_hub& hub);
     void add_platform_metrics(const io::platform_client& platform);
     void add_knowledge_metrics(const knowledge& known);
-    void add_exchange_metrics(const local_processes& local,
+    void add_exchange_metrics(const view_publisher& views,
                               const peer_links& peers);
 
     program::metrics& metrics_;
--- /dev/null
+++ b/src/control/control_service.cpp
@@ -0,0 +1,321 @@
+#include "control/control_service.hpp"
+
+#include <chrono>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "control/snapshot.hpp"
+#include <waxwingvale/entry/backend_seen.hpp>
+#include <waxwingvale/model/configuration_file.hpp>
+#include <waxwingvale/program/service_name.hpp>
+#include <waxwingvale/program/state_log.hpp>
+
+namespace waxwingvale::control {
+
+namespace {
+
+constexpr duration flush_delay = std::chrono::milliseconds(2);
+// Word of backend servers that no configuration names is kept this long: the
+// configuration may be on its way.
+constexpr duration unnamed_belief_keep = std::chrono::minutes(10);
+// After "I am leaving" the links stay open so that it gets out.
+constexpr duration leave_wait = std::chrono::milliseconds(300);
+// The platform's values, and files that peers pass on, are as large as this.
+constexpr std::size_t value_limit = 4 * configuration_size_limit;
+// Entries that lapsed while the platform was away are back about two seconds
+// after its return, if their servers live.
+constexpr duration lapse_grace = std::chrono::milliseconds(2200);
+
+std::uint64_t random_seed() {
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+io::platform_client_options
+platform_options(const program::settings& settings) {
+    io::platform_client_options options;
+    options.host = settings.platform.host;
+    options.port = settings.platform.port;
+    options.watch = settings.platform.watch;
+    options.answer_within = settings.platform.answer_within;
+    options.seed = random_seed();
+    return options;
+}
+
+io::http_client::limits client_limits() {
+    io::http_client::limits limits;
+    limits.response_body = value_limit;
+    return limits;
+}
+
+std::set<std::string> named_backend_servers(const configuration& config) {
+    std::set<std::string> names;
+    for (const auto& each : config.services) {
+        for (const auto& server : each.backend_servers) {
+            names.insert(server.name);
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+control_service::control_service(
+    const program::program_environment& environment,
+    membership::member_record self, std::uint64_t incarnation,
+    const published_state& published)
+    : environment_(environment),
+      published_(published),
+      hub_(environment.services.need<io::message_hub>(
+          program::service_name::peers)),
+      client_(environment.loop, client_limits()),
+      platform_(client_, environment.timers, published.dialect(),
+                platform_options(environment.settings)),
+      known_(
+          self, environment.settings.platform.readers,
+          [&published](const configuration_text& file) {
+              return published.parse(file);
+          },
+          environment.timers.now()),
+      views_(environment.services.need<kernel::message_bus>(
+                 program::service_name::bus),
+             environment.timers, known_),
+      peers_(hub_, environment.timers, known_, environment.settings.peers.seeds,
+             random_seed()),
+      metrics_(environment.metrics, hub_, platform_, known_, views_, peers_) {
+    known_.members.start_life(incarnation);
+}
+
+result<program::port_map> control_service::start() {
+    const auto& settings = environment_.settings;
+    auto& timers = environment_.timers;
+    program::port_map ports;
+    if (settings.control.administration) {
+        admin_ = std::make_unique<administration::admin_server>(
+            environment_.loop, settings.control, environment_.metrics, [this] {
+                return take_snapshot(known_, views_, hub_, platform_,
+                                     environment_.timers.now());
+            });
+        const auto serving = admin_->start();
+        if (!serving) {
+            return serving.error();
+        }
+        ports["admin"] = admin_->port();
+    }
+    environment_.services.need<kernel::message_bus>(program::service_name::bus)
+        .subscribe<entry::backend_seen>(
+            [this](const entry::backend_seen& seen) {
+                if (known_.beliefs.observe(seen.belief)) {
+                    changed();
+                }
+            });
+    peers_.on_heard([this] { changed(); });
+    wake_ = std::make_unique<kernel::wake_hook>(environment_.loop,
+                                                [this] { on_wake(); });
+    ticking_ =
+        timers.every(tick_period, [this](time_point now) { on_tick(now); });
+    watch_platform();
+    changed();
+    return ports;
+}
+
+void control_service::watch_platform() {
+    platform_.set_epoch(known_.fresh.epoch());
+    platform_.on_state([this](bool answers, const error& why) {
+        on_platform_state(answers, why);
+    });
+    for (const auto& topic : published_.topics()) {
+        platform_.watch(topic, [this](const io::platform_reading& reading) {
+            take_reading(reading);
+        });
+    }
+}
+
+void control_service::on_platform_state(bool answers, const error& why) {
+    peers_.set_platform_answers(answers);
+    if (!answers) {
+        platform_failed_ = true;
+        program::log_warning("platform_lost", {{"error", to_string(why)}});
+        return;
+    }
+    if (platform_failed_) {
+        known_.registry.hold_removals(environment_.timers.now() + lapse_grace);
+    }
+    platform_failed_ = false;
+    program::log_change("platform_answers");
+}
+
+void control_service::take_reading(const io::platform_reading& reading) {
+    const auto now = environment_.timers.now();
+    take_facts(reading);
+    known_.readers.hear(known_.members.self().id.name, duration::zero(), now);
+    known_.fresh.hear_platform(reading.epoch);
+    settle_freshness();
+    changed();
+}
+
+void control_service::take_facts(const io::platform_reading& reading) {
+    std::vector<membership::registry_record> registered;
+    const auto take_item = [&](const io::published_item& item) {
+        const auto fact = published_.decode(item);
+        if (!fact) {
+            program::log_warning(
+                "published_item_refused",
+                {{"key", item.key}, {"error", to_string(fact.error())}});
+            return;
+        }
+        const auto* record =
+            std::get_if<membership::registry_record>(&fact.value());
+        if (reading.whole && record != nullptr) {
+            registered.push_back(*record);
+            return;
+        }
+        std::visit([this](const auto& typed) { take(typed); }, fact.value());
+    };
+    for (const auto& item : reading.items) {
+        take_item(item);
+    }
+    for (const auto& change : reading.changes) {
+        if (change.removed) {
+            const auto fact = published_.decode_removal(change.item.key,
+                                                        change.item.revision);
+            std::visit([this](const auto& typed) { take(typed); }, fact);
+        } else {
+            take_item(change.item);
+        }
+    }
+    if (reading.whole && published_.lists_backend_servers(reading.topic)) {
+        known_.registry.take_list(registered, reading.revision,
+                                  environment_.timers.now());
+    }
+}
+
+void control_service::take(const unrelated_item&) {}
+
+void control_service::take(const configuration_text& file) {
+    known_.configurations.offer(file);
+}
+
+void control_service::take(const membership::registry_record& record) {
+    known_.registry.take_change(record, environment_.timers.now());
+}
+
+void control_service::take(const membership::platform_list& list) {
+    const auto now = environment_.timers.now();
+    known_.members.take_platform_list(list.members, now);
+    for (const auto& each : list.backend_servers) {
+        known_.beliefs.observe(
+            {each.name, each.incarnation,
+             each.leaving ? backend_state::leaving : backend_state::serving,
+             belief_source::platform_list, known_.members.self().id.name, now});
+    }
+}
+
+void control_service::settle_freshness() {
+    const bool has_peers = known_.members.members().size() > 1;
+    known_.fresh.settle(has_peers, environment_.timers.now());
+}
+
+// A process that was stopped still believes its old view. Whatever event comes
+// first, nothing is dispatched on that view: what must run at most once waits
+// or is refused until somebody was heard who knows better.
+void control_service::on_wake() {
+    const auto now = environment_.timers.now();
+    if (!known_.fresh.beat(now)) {
+        return;
+    }
+    program::log_warning("late_wakeup",
+                         {{"epoch", std::to_string(known_.fresh.epoch())}});
+    views_.publish(peers_.exchange().introduced());
+    platform_.set_epoch(known_.fresh.epoch());
+    platform_.read_again();
+    peers_.woke_late(now);
+    peers_.send_waiting();
+}
+
+void control_service::on_tick(time_point now) {
+    peers_.tick(now);
+    known_.registry.tick(now);
+    settle_freshness();
+    follow_reader_duty(now);
+    if (const auto config = known_.configurations.in_force()) {
+        known_.beliefs.retain(named_backend_servers(*config),
+                              unnamed_belief_keep, now);
+    }
+    metrics_.update();
+    flush();
+}
+
+void control_service::follow_reader_duty(time_point now) {
+    const auto members = known_.members.members();
+    known_.readers.take_members(members);
+    platform_.set_share(membership::share_of(
+        environment_.settings.platform.reads_per_second, members.size()));
+    const bool read = known_.readers.should_read(now);
+    if (read == !platform_.paused()) {
+        return;
+    }
+    if (read) {
+        program::log_change(
+            "reads_platform",
+            {{"word_age_ms", std::to_string(known_.readers.age(now) /
+                                            std::chrono::milliseconds(1))}});
+        platform_.resume();
+    } else {
+        program::log_change("hears_of_platform");
+        platform_.pause();
+    }
+}
+
+void control_service::changed() {
+    if (flush_planned_) {
+        return;
+    }
+    flush_planned_ = true;
+    flushing_ =
+        environment_.timers.after(flush_delay, [this](time_point) { flush(); });
+}
+
+void control_service::flush() {
+    flush_planned_ = false;
+    views_.publish(peers_.exchange().introduced());
+    peers_.send_waiting();
+    log_turns();
+}
+
+void control_service::log_turns() {
+    const auto& configurations = known_.configurations;
+    if (configurations.revision() != logged_revision_) {
+        logged_revision_ = configurations.revision();
+        program::log_change("configuration_in_force",
+                            {{"revision", std::to_string(logged_revision_)}});
+    }
+    if (configurations.refused_revision() > logged_refused_) {
+        logged_refused_ = configurations.refused_revision();
+        program::log_warning(
+            "configuration_refused",
+            {{"revision", std::to_string(logged_refused_)},
+             {"error", to_string(configurations.refused()->reason)}});
+    }
+    if (known_.members.replaced() && !logged_replaced_) {
+        logged_replaced_ = true;
+        program::log_warning("replaced",
+                             {{"name", known_.members.self().id.name}});
+    }
+}
+
+void control_service::leave() {
+    known_.members.leave();
+    flush();
+}
+
+void control_service::stop(std::function<void()> stopped) {
+    flush();
+    platform_.pause();
+    ticking_.cancel();
+    stopping_ = environment_.timers.after(
+        leave_wait, [stopped = std::move(stopped)](time_point) { stopped(); });
+}
+
+} // namespace waxwingvale::control
--- /dev/null
+++ b/src/control/control_service.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "control/control_metrics.hpp"
+#include "control/knowledge.hpp"
+#include "control/peer_links.hpp"
+#include "control/view_publisher.hpp"
+#include <waxwingvale/administration/admin_api.hpp>
+#include <waxwingvale/control/published_state.hpp>
+#include <waxwingvale/io/http_client.hpp>
+#include <waxwingvale/io/message_hub.hpp>
+#include <waxwingvale/io/platform_client.hpp>
+#include <waxwingvale/kernel/wake_hook.hpp>
+#include <waxwingvale/program/program_frame.hpp>
+
+namespace waxwingvale::control {
+
+// Reads the platform, exchanges with the other entry instances what is known,
+// and tells the other parts of the process.
+class control_service {
+public:
+    // Finds the bus and the peers by their names. `self` tells where the
+    // instance listens, `incarnation` names this life of it.
+    control_service(const program::program_environment& environment,
+                    membership::member_record self, std::uint64_t incarnation,
+                    const published_state& published);
+
+    result<program::port_map> start();
+    // Tells the peers that this instance leaves.
+    void leave();
+    // What is to be done once nothing is served any more.
+    void stop(std::function<void()> stopped);
+
+private:
+    void watch_platform();
+    void take_reading(const io::platform_reading& reading);
+    void take_facts(const io::platform_reading& reading);
+    void take(const unrelated_item& item);
+    void take(const configuration_text& file);
+    void take(const membership::platform_list& list);
+    void take(const membership::registry_record& record);
+    void on_platform_state(bool answers, const error& why);
+    void settle_freshness();
+    void on_wake();
+    void on_tick(time_point now);
+    void follow_reader_duty(time_point now);
+    // Something may have changed: views and messages follow within a moment,
+    // several changes together.
+    void changed();
+    void flush();
+    void log_turns();
+
+    program::program_environment environment_;
+    const published_state& published_;
+    io::message_hub& hub_;
+    io::http_client client_;
+    io::platform_client platform_;
+    knowledge known_;
+    view_publisher views_;
+    peer_links peers_;
+    control_metrics metrics_;
+    std::unique_ptr<administration::admin_server> admin_;
+    std::unique_ptr<kernel::wake_hook> wake_;
+    kernel::timer_service::subscription ticking_;
+    kernel::timer_service::subscription flushing_;
+    kernel::timer_service::subscription stopping_;
+    bool flush_planned_ = false;
+    bool platform_failed_ = false;
+    std::uint64_t logged_revision_ = 0;
+    std::uint64_t logged_refused_ = 0;
+    bool logged_replaced_ = false;
+};
+
+} // namespace waxwingvale::control
--- a/src/waxwing_control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -1,5 +1,6 @@
-#include "waxwing_control/peer_links.hpp"
+#include "control/peer_links.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "io/exchange_codec.hpp"
@@ -15,6 +16,9 @@
 // Links that the plan gave up stay open this long, so that they do not come
 // and go with every passing suspicion.
 constexpr duration unwanted_limit = std::chrono::seconds(5);
+// Up to so many instances each is linked with every other, which makes every
+// word one hop; beyond, links grow with the logarithm of their number.
+constexpr std::size_t full_mesh_limit = 24;
 
 std::string region_of(const configuration_ptr& config,
                       const std::string& data_centre) {
@@ -40,20 +44,16 @@
       seeds_(std::move(seeds)),
       exchange_(known.tables(), known.fresh, {}, seed, timers.now()) {
     hub_.on_link_change(
-        [this](const std::string& process, bool up) { on_link(process, up); });
+        [this](const std::string& peer, bool up) { on_link(peer, up); });
     for (const auto* kind : io::exchange_kinds) {
         hub_.on_message(
-            kind, [this, kind](const std::string& process, const auto& body) {
-                on_message(kind, process, body);
+            kind, [this, kind](const std::string& peer, const auto& body) {
+                on_message(kind, peer, body);
             });
     }
 }
 
-void peer_links::on_link(const std::string& process, bool up) {
-    const auto peer = instance_of(process, control_role);
-    if (peer.empty()) {
-        return;
-    }
+void peer_links::on_link(const std::string& peer, bool up) {
     if (up) {
         exchange_.link_up(peer, timers_.now());
     } else {
@@ -62,12 +62,8 @@
     send_waiting();
 }
 
-void peer_links::on_message(const std::string& kind, const std::string& process,
+void peer_links::on_message(const std::string& kind, const std::string& peer,
                             const io::message_hub::payload& body) {
-    const auto peer = instance_of(process, control_role);
-    if (peer.empty()) {
-        return;
-    }
     const auto now = timers_.now();
     const auto message = io::decode_exchange(kind, body, now);
     if (!message) {
@@ -81,8 +77,7 @@
 void peer_links::send_waiting() {
     const auto now = timers_.now();
     for (const auto& each : exchange_.take_messages(now)) {
-        hub_.send(process_name(each.peer, control_role),
-                  io::kind_of(each.message),
+        hub_.send(each.peer, io::kind_of(each.message),
                   io::encode_exchange(each.message, now));
     }
 }
@@ -105,8 +100,17 @@
 // back: a partition's end is noticed only by those who go on dialing.
 std::set<std::string> peer_links::wanted_links() const {
     const auto& self = known_.members.self().id.name;
-    auto wanted = membership::plan_links(self, placed(false));
-    const auto with_gone = membership::plan_links(self, placed(true));
+    const auto all = placed(true);
+    std::set<std::string> wanted;
+    if (all.size() <= full_mesh_limit) {
+        for (const auto& each : all) {
+            wanted.insert(each.name);
+        }
+        wanted.erase(self);
+        return wanted;
+    }
+    wanted = membership::plan_links(self, placed(false));
+    const auto with_gone = membership::plan_links(self, all);
     wanted.insert(with_gone.begin(), with_gone.end());
     return wanted;
 }
@@ -145,23 +149,26 @@
     }
     link.address = address;
     link.dialing = true;
-    hub_.connect(process_name(peer, control_role), address.host,
-                 address.control_port);
+    hub_.connect(peer, address.host, address.control_port);
 }
 
 // Seeds are only for finding anybody at all; kept, they would hold a link with
 // every instance that names them.
 void peer_links::dial_seeds() {
-    if (!exchange_.linked().empty()) {
-        return;
-    }
+    // Whoever is linked but no member can tell nothing of others.
+    const auto& linked = exchange_.linked();
+    const auto members =
+        std::count_if(linked.begin(), linked.end(), [&](const auto& peer) {
+            return known_.members.find(peer) != nullptr;
+        });
     for (const auto& seed : seeds_) {
-        const bool is_self = seed.name == known_.members.self().id.name;
-        if (!is_self && links_.count(seed.name) == 0) {
-            member_addresses address;
-            address.host = seed.host;
-            address.control_port = seed.control_port;
-            dial(seed.name, address);
+        const auto& self = known_.members.self().addresses;
+        const bool is_self =
+            seed.host == self.host && seed.control_port == self.control_port;
+        if (members == 0 && !is_self) {
+            hub_.connect_address(seed.host, seed.control_port);
+        } else if (members > 1) {
+            hub_.disconnect_address(seed.host, seed.control_port);
         }
     }
 }
@@ -179,7 +186,7 @@
         const bool drop = !is_wanted && link.unwanted != time_point() &&
                           now - link.unwanted >= unwanted_limit;
         if (drop) {
-            hub_.disconnect(process_name(at->first, control_role));
+            hub_.disconnect(at->first);
         }
         at = drop ? links_.erase(at) : std::next(at);
     }
--- a/src/waxwing_control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "waxwing_control/knowledge.hpp"
+#include "control/knowledge.hpp"
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/membership/link_plan.hpp>
@@ -49,8 +49,8 @@
         time_point unwanted{}; // since when, if it is not
     };
 
-    void on_link(const std::string& process, bool up);
-    void on_message(const std::string& kind, const std::string& process,
+    void on_link(const std::string& peer, bool up);
+    void on_message(const std::string& kind, const std::string& peer,
                     const io::message_hub::payload& body);
     std::set<std::string> wanted_links() const;
     std::vector<membership::placed_member> placed(bool with_gone) const;
--- a/src/waxwing_control/snapshot.cpp
+++ b/src/control/snapshot.cpp
@@ -1,24 +1,16 @@
-#include "waxwing_control/snapshot.hpp"
+#include "control/snapshot.hpp"
 
 #include <algorithm>
-#include <set>
 #include <string>
 
 namespace waxwingvale::control {
 
 namespace {
 
-// Linked processes, and the two beside this one also when they are not.
-std::vector<administration::peer_link> links_of(const io::message_hub& hub,
-                                                const std::string& self) {
-    const auto connected = hub.connected_peers();
-    std::set<std::string> names(connected.begin(), connected.end());
-    names.insert(process_name(self, entry_role));
-    names.insert(process_name(self, steer_role));
+std::vector<administration::peer_link> links_of(const io::message_hub& hub) {
     std::vector<administration::peer_link> links;
-    links.reserve(names.size());
-    for (const auto& name : names) {
-        links.push_back({name, hub.connected(name)});
+    for (const auto& name : hub.connected_peers()) {
+        links.push_back({name, true});
     }
     return links;
 }
@@ -35,13 +27,13 @@
 } // namespace
 
 administration::control_snapshot
-take_snapshot(const knowledge& known, const local_processes& local,
+take_snapshot(const knowledge& known, const view_publisher& views,
               const io::message_hub& hub, const io::platform_client& platform,
               time_point now) {
     const auto& configurations = known.configurations;
     administration::control_snapshot taken;
     taken.now = now;
-    taken.seen = local.last_view();
+    taken.seen = views.last_view();
     taken.newest_revision_seen =
         std::max(configurations.revision(), configurations.refused_revision());
     if (const auto& refused = configurations.refused()) {
@@ -49,10 +41,7 @@
             administration::refused_file{refused->revision, refused->reason};
     }
     taken.platform = word_of(platform);
-    taken.links = links_of(hub, known.members.self().id.name);
-    for (const auto& [process, revision] : local.in_force()) {
-        taken.processes.push_back({process, revision});
-    }
+    taken.links = links_of(hub);
     return taken;
 }
 
--- a/src/waxwing_control/snapshot.hpp
+++ b/src/control/snapshot.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "waxwing_control/knowledge.hpp"
-#include "waxwing_control/local_processes.hpp"
+#include "control/knowledge.hpp"
+#include "control/view_publisher.hpp"
 #include <waxwingvale/administration/control_snapshot.hpp>
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/io/platform_client.hpp>
@@ -10,7 +10,7 @@
 
 // What the administration API shows of this process now.
 administration::control_snapshot
-take_snapshot(const knowledge& known, const local_processes& local,
+take_snapshot(const knowledge& known, const view_publisher& views,
               const io::message_hub& hub, const io::platform_client& platform,
               time_point now);
 
--- /dev/null
+++ b/src/control/view_publisher.cpp
@@ -0,0 +1,103 @@
+#include "control/view_publisher.hpp"
+
+#include <utility>
+
+#include <waxwingvale/program/view_published.hpp>
+
+namespace waxwingvale::control {
+
+namespace {
+
+// Peers have this long to tell what they know before the first view.
+constexpr duration introduction_wait = std::chrono::seconds(1);
+
+bool same_content(const view& a, const view& b) {
+    return a.self == b.self && a.config == b.config && a.members == b.members &&
+           a.beliefs == b.beliefs && a.quarantined == b.quarantined &&
+           a.fresh == b.fresh;
+}
+
+backend_server server_of(const membership::registry_record& record,
+                         const service& of) {
+    backend_server made;
+    made.name = record.name;
+    made.host = record.entry.host;
+    made.port = record.entry.port;
+    made.data_centre = record.entry.data_centre;
+    made.slots = record.entry.slots;
+    made.connections = of.connections;
+    made.cold_for = record.entry.cold_for;
+    return made;
+}
+
+} // namespace
+
+view_publisher::view_publisher(kernel::message_bus& bus,
+                               kernel::timer_service& timers, knowledge& known)
+    : bus_(bus), timers_(timers), known_(known), started_(timers.now()) {}
+
+// Backend servers that registered themselves stand beside those that the file
+// names; those that are leaving get no new work and are left out.
+configuration_ptr view_publisher::with_registry() {
+    const auto from = known_.configurations.in_force();
+    const auto version = known_.registry.version();
+    if (!from || version == 0) {
+        return from;
+    }
+    if (from == combined_from_ && version == combined_version_) {
+        return combined_;
+    }
+    auto combined = *from;
+    for (const auto& entry : known_.registry.records()) {
+        const auto& record = entry.second;
+        for (auto& each : combined.services) {
+            if (each.name == record.entry.service && !record.entry.leaving) {
+                each.backend_servers.push_back(server_of(record, each));
+            }
+        }
+    }
+    combined_from_ = from;
+    combined_version_ = version;
+    combined_ = std::make_shared<const configuration>(std::move(combined));
+    return combined_;
+}
+
+view view_publisher::make_view() {
+    view made;
+    made.serial = last_ ? last_->serial + 1 : 1;
+    made.self = membership::to_member(known_.members.self());
+    made.config = with_registry();
+    made.published = known_.configurations.published();
+    made.members = known_.members.members();
+    for (const auto& record : known_.beliefs.records()) {
+        auto belief = membership::to_belief(record);
+        if (belief.observer != made.self.id.name) {
+            belief.source = belief_source::peer;
+        }
+        made.beliefs.push_back(std::move(belief));
+    }
+    made.quarantined = known_.quarantine.fingerprints();
+    made.fresh = known_.fresh.fresh();
+    return made;
+}
+
+// An instance that has just started knows nobody. Served by what it knows
+// then, callers would get "unknown" for keys that name instances it has not
+// heard of, and perhaps an old configuration.
+bool view_publisher::knows_enough(bool introduced) const {
+    return introduced || timers_.now() - started_ >= introduction_wait;
+}
+
+void view_publisher::publish(bool introduced) {
+    if (!last_ && !knows_enough(introduced)) {
+        return;
+    }
+    auto made = make_view();
+    if (last_ && same_content(made, *last_)) {
+        return;
+    }
+    last_ = std::make_shared<const view>(std::move(made));
+    bus_.publish(program::view_published{last_});
+}
+
+} // namespace waxwingvale::control
--- /dev/null
+++ b/src/control/view_publisher.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+
+#include "control/knowledge.hpp"
+#include <waxwingvale/kernel/message_bus.hpp>
+#include <waxwingvale/kernel/timer_service.hpp>
+#include <waxwingvale/model/view.hpp>
+
+namespace waxwingvale::control {
+
+// Tells the other parts of the process what is known: every change as a whole
+// view on the bus.
+class view_publisher {
+public:
+    view_publisher(kernel::message_bus& bus, kernel::timer_service& timers,
+                   knowledge& known);
+
+    // Publishes a new view if anything differs from the last one. The first
+    // one waits until a peer has told what it knows, or for a bounded time.
+    void publish(bool introduced);
+
+    const view_ptr& last_view() const { return last_; }
+
+private:
+    view make_view();
+    configuration_ptr with_registry();
+    bool knows_enough(bool introduced) const;
+
+    kernel::message_bus& bus_;
+    kernel::timer_service& timers_;
+    knowledge& known_;
+    view_ptr last_;
+    time_point started_;
+    // The configuration with the servers registered at that version.
+    configuration_ptr combined_from_;
+    std::uint64_t combined_version_ = 0;
+    configuration_ptr combined_;
+};
+
+} // namespace waxwingvale::control
--- a/src/waxwing_entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -3,8 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "waxwing_entry/backend_call.hpp"
-#include "waxwing_entry/call_desk.hpp"
+#include <waxwingvale/entry/lost_attempt.hpp>
+
+#include "entry/call_desk.hpp"
 
 namespace waxwingvale::entry {
 
@@ -19,6 +20,7 @@
     case attempt_end::failed:
         return decision::attempt_verdict::failed;
     case attempt_end::not_started:
+    case attempt_end::misdirected:
         return decision::attempt_verdict::shed;
     case attempt_end::not_sent:
         return decision::attempt_verdict::connect_refused;
@@ -32,15 +34,22 @@
 
 decision::request_fingerprint fingerprint(const call_record& call) {
     std::vector<decision::fingerprint_header> headers;
-    for (const auto& header : io::end_to_end_headers(call.request.headers)) {
+    for (const auto& header : call.content.headers) {
         headers.push_back({header.name, header.value});
     }
-    return decision::crash_fingerprint_of(call.labels.service,
-                                          call.request.method, call.path,
-                                          call.request.body, headers);
+    static const std::string no_body;
+    return decision::crash_fingerprint_of(
+        call.labels.service, call.content.method, call.content.target,
+        call.content.body ? *call.content.body : no_body, headers);
 }
 
-// Why the request went where it did, for operators: the header Waxwing-Route.
+// A kept connection may carry a request that must not run twice only while it
+// was proven to work a moment ago: lost on a connection that the other end has
+// forgotten, nobody could say whether it ran. Reads are sent again.
+constexpr duration at_most_once_kept_for = 200ms;
+constexpr duration retriable_kept_for = 10s;
+
+// Why the request went where it did, for operators.
 std::string route_of(const std::string& self, const call_record& call,
                      const running_attempt& attempt) {
     const auto waited = attempt.started - call.arrived;
@@ -67,7 +76,7 @@
     arrived.request = call.id;
     arrived.tenant = call.labels.tenant;
     arrived.request_class = call.labels.request_class;
-    arrived.nature = call.nature;
+    arrived.nature = call.kind.nature;
     arrived.deadline = call.deadline;
     arrived.attempt = call.attempts_here;
     arrived.excluded = call.excluded;
@@ -137,16 +146,15 @@
     const auto& server = *find_backend(service, action.backend_server);
     const auto id = call.id;
     const auto attempt_id = action.request;
-    // A hedge must not share the fate of the connection that it makes up for.
-    const bool new_only =
-        attempt_id != id || silences_.doubtful(action.backend_server, now);
-    const auto choice =
-        new_only ? connection_choice::new_only : connection_choice::kept_or_new;
-    const auto sent = client_.send(
-        make_backend_call(call, server, choice, now),
-        [this, id, attempt_id, service](io::http_call_result ended) {
+    const auto kept_for = call.kind.nature == request_nature::at_most_once
+                              ? at_most_once_kept_for
+                              : retriable_kept_for;
+    const auto sent = pool_.send(
+        make_backend_call(call, server, kept_for),
+        [this, id, attempt_id, service](forwarding::backend_result ended) {
             take_result(id, attempt_id, service, std::move(ended));
-        });
+        },
+        relay_handlers(id, attempt_id));
     const running_attempt attempt{attempt_id, action.backend_server, sent, now,
                                   action.from_peer};
     if (attempt_id != id) {
@@ -155,23 +163,50 @@
     }
     call.running = attempt;
     call.silence_timer.cancel();
-    if (choice == connection_choice::kept_or_new) {
-        arm_silence(call);
-    }
+    arm_silence(call);
     if (call.alone) {
         crashes_.on_trial_placed(fingerprint(call), action.backend_server);
     }
-    if (call.nature == request_nature::retriable && !call.hedged) {
+    if (call.may_run_again() && !call.hedged) {
         arm_hedge(call, part_of(service)
                             .policies.hedges(call.labels.request_class)
                             .delay());
     }
 }
 
+forwarding::backend_call call_desk::make_backend_call(const call_record& call,
+                                                      const backend_server& to,
+                                                      duration kept_for) const {
+    attempt_facts facts;
+    facts.request_id = call.request_id;
+    facts.backend_server = to.name;
+    facts.time_left = std::max<duration>(call.deadline - timers_.now(), 1ms);
+    facts.attempt = call.attempts_above + call.attempts_here;
+    forwarding::backend_call made;
+    made.backend_server = to.name;
+    made.host = to.host;
+    made.port = to.port;
+    made.method = call.content.method;
+    made.target = call.content.target;
+    if (!call.content.host.empty()) {
+        made.headers.push_back({"Host", call.content.host});
+    }
+    for (auto& header :
+         protocol_.backend_headers(call.content.headers, facts)) {
+        made.headers.push_back(std::move(header));
+    }
+    made.body = call.content.body;
+    made.more_body = call.content.more_body;
+    made.body_length = call.content.body_length;
+    made.echo = protocol_.echo_of(facts);
+    made.kept_for = kept_for;
+    return made;
+}
+
 void call_desk::take_result(decision::request_id id,
                             decision::request_id attempt_id,
                             const std::string& service,
-                            io::http_call_result ended) {
+                            forwarding::backend_result ended) {
     auto* call = find(id);
     if (call == nullptr) {
         return;
@@ -180,16 +215,17 @@
     auto& ours = was_hedge ? call->hedge : call->running;
     auto& other = was_hedge ? call->running : call->hedge;
     const auto attempt = *ours;
-    const auto answer = classify(ended);
+    const auto answer = protocol_.classify(ended);
     if (answer.end == attempt_end::broken) {
         report_death(attempt.backend_server);
     }
-    if (answer.end == attempt_end::timed_out) {
-        silences_.on_silent(attempt.backend_server, timers_.now());
-    }
     ours.reset();
     hedges_.erase(attempt_id);
     report_end(*call, attempt, answer);
+    if (call->answering) {
+        end_relay(*call, answer);
+        return;
+    }
     if (other && answer.end != attempt_end::answered) {
         return; // the other copy may still bring the answer
     }
@@ -249,16 +285,15 @@
 
 void call_desk::end_with(call_record& call, const running_attempt& attempt,
                          const backend_answer& answer,
-                         io::http_call_result ended) {
+                         forwarding::backend_result ended) {
     if (answer.end != attempt_end::answered &&
         try_again(call, attempt, answer)) {
         return;
     }
     if (answer.outcome == run_outcome::ran) {
-        auto response = pass_on(std::move(ended.response.value()));
-        response.headers.push_back(
-            {header::route, route_of(self_.name, call, attempt)});
-        finish(call.id, run_outcome::ran, std::move(response));
+        finish(call.id, run_outcome::ran,
+               protocol_.pass_on(std::move(ended.response.value()),
+                                 route_of(self_.name, call, attempt)));
         return;
     }
     finish(call.id, lost_answer(answer));
@@ -268,7 +303,8 @@
                           const backend_answer& answer) {
     auto& part = part_of(call.labels.service);
     decision::failed_attempt failed;
-    failed.nature = call.nature;
+    failed.nature = call.content.more_body ? request_nature::at_most_once
+                                           : call.kind.nature;
     failed.outcome = answer.outcome;
     failed.nested = call.nested;
     failed.attempts = call.attempts_here;
@@ -290,7 +326,7 @@
 
 void call_desk::cancel_attempt(const std::string& service,
                                const running_attempt& attempt) {
-    client_.cancel(attempt.call);
+    pool_.cancel(attempt.call);
     hedges_.erase(attempt.id);
     decision::request_finished ended;
     ended.request = attempt.id;
@@ -298,4 +334,18 @@
     desk_of(service).handle(ended);
 }
 
+void call_desk::cancel_attempts(call_record& call) {
+    const auto& service = call.labels.service;
+    if (call.running) {
+        cancel_attempt(service, *call.running);
+        call.running.reset();
+    } else {
+        desk_of(service).handle(decision::request_cancelled{call.id});
+    }
+    if (call.hedge) {
+        cancel_attempt(service, *call.hedge);
+        call.hedge.reset();
+    }
+}
+
 } // namespace waxwingvale::entry
--- a/src/waxwing_entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -1,4 +1,4 @@
-#include "waxwing_entry/call_desk.hpp"
+#include "entry/call_desk.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -9,13 +9,6 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-
-// How often the process shows itself that it runs, and what gap means that it
-// was stopped: far longer than any pass of the loop, shorter than a lease.
-constexpr duration heartbeat_period = 50ms;
-constexpr duration late_wakeup_limit = 500ms;
-
 own_answer not_understood(const error& why) {
     own_answer answer;
     answer.detail = why.detail;
@@ -55,110 +48,158 @@
     return answer;
 }
 
+// The part of a long body that is still to come, from the caller's connection.
+class caller_body : public forwarding::body_stream {
+public:
+    explicit caller_body(forwarding::caller_exchange_ptr from)
+        : from_(std::move(from)) {}
+
+    std::string take() override { return from_->take_body(); }
+    bool complete() const override { return from_->body_complete(); }
+    void on_more(std::function<void()> handler) override {
+        from_->on_body(std::move(handler));
+    }
+
+private:
+    forwarding::caller_exchange_ptr from_;
+};
+
+request_content content_of(const forwarding::caller_exchange_ptr& caller,
+                           const std::string& target) {
+    auto request = caller->take_request();
+    request_content content;
+    content.method = std::move(request.method);
+    content.target = target;
+    if (const auto* host = io::find_header(request.headers, "Host")) {
+        content.host = *host;
+    }
+    content.headers = io::end_to_end_headers(request.headers);
+    const bool names_length =
+        io::find_header(request.headers, "Content-Length") != nullptr;
+    if (!request.body.empty() || names_length || !caller->body_complete()) {
+        content.body =
+            std::make_shared<const std::string>(std::move(request.body));
+    }
+    if (!caller->body_complete()) {
+        content.more_body = std::make_shared<caller_body>(caller);
+        content.body_length = caller->body_length();
+    }
+    return content;
+}
+
 } // namespace
 
-call_desk::call_desk(member_id self, kernel::timer_service& timers,
-                     io::http_client& client, io::message_hub& hub,
+call_desk::call_desk(member_id self, const request_protocol& protocol,
+                     kernel::timer_service& timers,
+                     forwarding::backend_pool& pool, io::message_hub& hub,
                      entry_metrics& metrics, call_desk_outlet& outlet)
     : self_(self),
+      protocol_(protocol),
       timers_(timers),
-      client_(client),
+      pool_(pool),
       metrics_(metrics),
       outlet_(outlet),
       keys_(self, hub, timers, *this),
-      crashes_(self.name, hub, timers),
-      wakeups_(late_wakeup_limit) {
-    // So that the loop wakes up often enough to notice.
-    heartbeat_ = timers_.every(heartbeat_period, [](time_point) {});
-}
-
-// A process that was stopped still believes its old view. Whatever event comes
-// first, nothing is dispatched on that view: what must run at most once waits
-// or is refused until a view has come that was made after the ask.
-std::uint64_t call_desk::notice_late_wakeup() {
-    if (!wakeups_.noticed(timers_.now())) {
-        return asks_;
-    }
-    ++asks_;
-    metrics_.late_wakeups.add();
-    program::log_warning("late_wakeup");
-    if (view_) {
-        follow(*view_, false);
-    }
-    outlet_.ask_for_fresh_view(asks_);
-    return asks_;
-}
+      crashes_(self.name, hub, timers) {}
 
-void call_desk::take(io::http_request request, io::http_responder respond) {
+void call_desk::take(forwarding::caller_exchange_ptr caller) {
     if (!view_ || !view_->config) {
         own_answer answer;
         answer.reason = "no-configuration";
         answer.come_back_in = come_back_default;
-        this->answer(respond, render(answer));
+        caller->answer(protocol_.render(answer));
         return;
     }
-    const auto understood = understand(*view_->config, request);
+    const auto understood =
+        protocol_.understand(*view_->config, caller->request());
     if (!understood) {
         metrics_.not_understood.add();
-        this->answer(respond, render(not_understood(understood.error())));
+        caller->answer(protocol_.render(not_understood(understood.error())));
         return;
     }
     const auto id = next_id_++;
     auto& call =
         calls_
             .emplace(std::piecewise_construct, std::forward_as_tuple(id),
-                     std::forward_as_tuple(id, std::move(request),
-                                           std::move(respond)))
+                     std::forward_as_tuple(id, std::move(caller)))
             .first->second;
     admit(call, understood.value());
 }
 
 void call_desk::admit(call_record& call, const caller_call& understood) {
-    call.labels = {understood.tenant, understood.of->name,
-                   understood.kind->name};
-    call.nature = understood.kind->nature;
-    call.path = understood.path;
+    call.kind = understood.kind;
+    call.request_id = understood.id;
+    call.labels = {understood.tenant,
+                   targets_.next(understood.kind.name, understood.targets),
+                   understood.kind.name};
+    call.content = content_of(call.caller, understood.target);
     call.arrived = timers_.now();
     call.deadline = call.arrived + understood.time_left;
     call.nested = understood.attempt.has_value();
     call.attempts_above = understood.attempt.value_or(0);
     metrics_.calls.add(call.labels);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
-    const bool keyed =
-        call.nature == request_nature::at_most_once && understood.key;
+    call.caller->on_abandoned([this, id = call.id] { abandon(id); });
+    arm_deadline(call);
+    const bool keyed = call.kind.nature == request_nature::at_most_once &&
+                       understood.key && call.content.more_body == nullptr;
     if (!keyed) {
         queue_attempt(call);
         return;
     }
+    static const std::string no_body;
+    const auto& body = call.content.body ? *call.content.body : no_body;
     call.fingerprint = decision::fingerprint_of(
-        call.labels.service, call.request.method, call.path, call.request.body);
+        call.labels.service, call.content.method, call.content.target, body);
     call.key = held_key{*understood.key, 0};
-    arm_deadline(call);
     keys_.on_request(call.key->key, call.fingerprint, call.id);
 }
 
-// A parked call would wait for ever if the instance that it waits for went
-// away; its caller learns "unknown" when its time is over.
 void call_desk::arm_deadline(call_record& call) {
     const auto wait = std::max(call.deadline - timers_.now(), duration::zero());
     call.deadline_timer = timers_.after(
         wait, [this, id = call.id](time_point) { pass_deadline(id); });
 }
 
+// The caller, or the operator's limit for its class, waits no longer.
 void call_desk::pass_deadline(decision::request_id id) {
-    const auto* call = find(id);
+    auto* call = find(id);
     if (call == nullptr) {
         return;
     }
-    keys_.on_waiter_gone(call->key->key, id);
+    const bool waits_for_key = call->key && call->key->attempt == 0;
+    if (waits_for_key) {
+        keys_.on_waiter_gone(call->key->key, id);
+    }
+    const bool sent = call->running || call->hedge || waits_for_key;
+    cancel_attempts(*call);
     own_answer late;
-    late.status = status::gateway_timeout;
-    late.outcome = run_outcome::unknown;
     late.reason = "deadline-passed";
     late.come_back_in = come_back_default;
+    if (sent) {
+        late.status = status::gateway_timeout;
+        late.outcome = run_outcome::unknown;
+    }
     finish(id, late);
 }
 
+// The caller has left: whatever is still to be done for it is in vain, but
+// for work that must not be broken off half done.
+void call_desk::abandon(decision::request_id id) {
+    auto* call = find(id);
+    if (call == nullptr) {
+        return;
+    }
+    metrics_.abandoned.add(call->labels);
+    const bool runs_once = call->kind.nature == request_nature::at_most_once &&
+                           (call->running || call->key);
+    if (runs_once && !call->answering) {
+        return;
+    }
+    cancel_attempts(*call);
+    close_record(*call, run_outcome::unknown, nullptr);
+}
+
 void call_desk::refuse(const decision::refuse_request& action) {
     if (hedges_.erase(action.request) > 0) {
         return;
@@ -186,18 +227,31 @@
     const auto* call = find(id);
     if (call != nullptr && stated.outcome == run_outcome::not_run) {
         stated.outcome = call->earlier;
+        if (stated.outcome != run_outcome::not_run &&
+            stated.status == status::service_unavailable) {
+            stated.status = status::bad_gateway;
+        }
     }
-    finish(id, stated.outcome, render(stated));
+    finish(id, stated.outcome, protocol_.render(stated));
 }
 
 void call_desk::finish(decision::request_id id, run_outcome outcome,
                        io::http_response answer) {
-    const auto found = calls_.find(id);
-    if (found == calls_.end()) {
+    auto* call = find(id);
+    if (call == nullptr) {
         return;
     }
-    auto call = std::move(found->second);
-    calls_.erase(found);
+    const auto caller = call->caller;
+    const bool kept = call->key && outcome == run_outcome::ran;
+    close_record(*call, outcome, kept ? keepable(answer) : nullptr);
+    caller->answer(std::move(answer));
+}
+
+// The call has ended, however; `answer` is what its key is to keep.
+void call_desk::close_record(call_record& ended, run_outcome outcome,
+                             decision::answer_ptr answer) {
+    const auto call = std::move(ended);
+    calls_.erase(call.id);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
     metrics_.call_time.observe(call.labels, timers_.now() - call.arrived);
     if (outcome == run_outcome::not_run) {
@@ -208,18 +262,8 @@
     const bool holds_key = call.key && call.key->attempt != 0;
     if (holds_key) {
         keys_.on_finished(call.key->key, call.key->attempt, outcome,
-                          outcome == run_outcome::ran ? keepable(answer)
-                                                      : nullptr);
-    }
-    this->answer(call.respond, std::move(answer));
-}
-
-void call_desk::answer(const io::http_responder& respond,
-                       io::http_response response) const {
-    if (stopping_) {
-        response.headers.push_back({"Connection", "close"});
+                          std::move(answer));
     }
-    respond(std::move(response));
 }
 
 call_record* call_desk::find(decision::request_id id) {
@@ -241,8 +285,6 @@
 
     void operator()(const decision::run_here& run) const {
         call.key->attempt = run.attempt;
-        // From here on the scheduler watches the deadline.
-        call.deadline_timer.cancel();
         desk.queue_attempt(call);
     }
     void operator()(const decision::join_attempt&) const {}
@@ -289,10 +331,10 @@
 void call_desk::take(const view_ptr& view) {
     view_ = view;
     keys_.change_members(view->members);
-    follow(*view, view->fresh && view->answers >= asks_);
+    follow(*view);
 }
 
-void call_desk::follow(const view& now, bool fresh) {
+void call_desk::follow(const view& now) {
     if (!now.config) {
         return;
     }
@@ -306,7 +348,7 @@
         changed.members = now.members;
         changed.owners = decision::compute_ownership(of, now.members);
         changed.beliefs = now.beliefs;
-        changed.fresh = fresh;
+        changed.fresh = now.fresh;
         part_of(of.name).policies.follow(of.budgets);
         desk_of(of.name).handle(changed);
     }
--- a/src/waxwing_entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -6,22 +6,19 @@
 #include <string>
 #include <unordered_map>
 
-#include <waxwingvale/decision/late_wakeup.hpp>
-#include <waxwingvale/io/http_client.hpp>
-#include <waxwingvale/io/http_server.hpp>
+#include <waxwingvale/entry/request_protocol.hpp>
+#include <waxwingvale/forwarding/backend_pool.hpp>
+#include <waxwingvale/forwarding/caller_exchange.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/view.hpp>
 
-#include "waxwing_entry/backend_answer.hpp"
-#include "waxwing_entry/call_record.hpp"
-#include "waxwing_entry/caller_answer.hpp"
-#include "waxwing_entry/caller_call.hpp"
-#include "waxwing_entry/crash_guard.hpp"
-#include "waxwing_entry/entry_metrics.hpp"
-#include "waxwing_entry/key_desk.hpp"
-#include "waxwing_entry/service_desk.hpp"
-#include "waxwing_entry/service_policies.hpp"
-#include "waxwing_entry/silence_watch.hpp"
+#include "entry/call_record.hpp"
+#include "entry/crash_guard.hpp"
+#include "entry/entry_metrics.hpp"
+#include "entry/key_desk.hpp"
+#include "entry/service_desk.hpp"
+#include "entry/service_policies.hpp"
+#include "entry/target_choice.hpp"
 
 namespace waxwingvale::entry {
 
@@ -33,8 +30,6 @@
     virtual void observe(const std::string& backend_server,
                          const backend_answer& answer) = 0;
     virtual void send_to_peer(const outgoing_grant_message& message) = 0;
-    // The process was stopped for long; control is to be told of this ask.
-    virtual void ask_for_fresh_view(std::uint64_t ask) = 0;
 };
 
 // Follows every caller's request from its arrival to its one answer: keys
@@ -42,26 +37,21 @@
 // retries and hedges where they are allowed, and the answer.
 class call_desk : public scheduler_outlet, public key_outlet {
 public:
-    call_desk(member_id self, kernel::timer_service& timers,
-              io::http_client& client, io::message_hub& hub,
-              entry_metrics& metrics, call_desk_outlet& outlet);
+    call_desk(member_id self, const request_protocol& protocol,
+              kernel::timer_service& timers, forwarding::backend_pool& pool,
+              io::message_hub& hub, entry_metrics& metrics,
+              call_desk_outlet& outlet);
 
     // A caller's request.
-    void take(io::http_request request, io::http_responder respond);
+    void take(forwarding::caller_exchange_ptr caller);
     // A newer view: every service's scheduler and the keys follow it.
     void take(const view_ptr& view);
     // A peer's scheduler message.
     void take(const incoming_grant_message& message);
     void take(const decision::peer_reachability& reach);
 
-    // Called before any event is handled: notices that the process was
-    // stopped for long. Returns the number of times so far.
-    std::uint64_t notice_late_wakeup();
-
     // Calls that have no answer yet.
     std::size_t open_calls() const { return calls_.size(); }
-    // From now on answers ask callers to close their connections.
-    void begin_stop() { stopping_ = true; }
 
     void start(const std::string& service,
                const decision::start_request& action) override;
@@ -81,54 +71,71 @@
         service_policies policies;
     };
 
+    // call_desk.cpp: from arrival to answer
     call_record* find(decision::request_id id);
     void admit(call_record& call, const caller_call& understood);
     void arm_deadline(call_record& call);
     void pass_deadline(decision::request_id id);
-    void follow(const view& now, bool fresh);
+    void abandon(decision::request_id id);
+    void follow(const view& now);
+    void finish(decision::request_id id, run_outcome outcome,
+                io::http_response answer);
+    void finish(decision::request_id id, const own_answer& answer);
+    void close_record(call_record& call, run_outcome outcome,
+                      decision::answer_ptr answer);
+    service_part& part_of(const std::string& service);
+    service_desk& desk_of(const std::string& service);
+    const backend_server* find_backend(const std::string& service,
+                                       const std::string& name) const;
 
+    // call_attempts.cpp: attempts on backend servers
     void queue_attempt(call_record& call);
     bool pass_crash_guard(call_record& call);
     void dispatch(call_record& call, const std::string& service,
                   const decision::start_request& action);
+    forwarding::backend_call make_backend_call(const call_record& call,
+                                               const backend_server& to,
+                                               duration kept_for) const;
     void take_result(decision::request_id id, decision::request_id attempt_id,
-                     const std::string& service, io::http_call_result ended);
+                     const std::string& service,
+                     forwarding::backend_result ended);
     void report_end(const call_record& call, const running_attempt& attempt,
                     const backend_answer& answer);
-    void arm_silence(call_record& call);
-    void give_up_silent(decision::request_id id);
-    void note_lost_race(const call_record& call, const running_attempt& loser);
     void report_death(const std::string& backend_server);
     void end_with(call_record& call, const running_attempt& attempt,
-                  const backend_answer& answer, io::http_call_result ended);
+                  const backend_answer& answer,
+                  forwarding::backend_result ended);
     bool try_again(call_record& call, const running_attempt& attempt,
                    const backend_answer& answer);
-    void arm_hedge(call_record& call, duration delay);
-    void consider_hedge(decision::request_id id);
     void cancel_attempt(const std::string& service,
                         const running_attempt& attempt);
+    void cancel_attempts(call_record& call);
 
-    void finish(decision::request_id id, run_outcome outcome,
-                io::http_response answer);
-    void finish(decision::request_id id, const own_answer& answer);
-    service_part& part_of(const std::string& service);
-    service_desk& desk_of(const std::string& service);
-    const backend_server* find_backend(const std::string& service,
-                                       const std::string& name) const;
-    void answer(const io::http_responder& respond,
-                io::http_response response) const;
+    // call_slowness.cpp: answers that are slow to come
+    void arm_silence(call_record& call);
+    void give_up_silent(decision::request_id id);
+    void note_lost_race(const call_record& call, const running_attempt& loser);
+    void arm_hedge(call_record& call, duration delay);
+    void consider_hedge(decision::request_id id);
+
+    // call_relay.cpp: answers that are passed on while they come
+    forwarding::long_answer_handlers
+    relay_handlers(decision::request_id id, decision::request_id attempt_id);
+    void begin_relay(decision::request_id id, decision::request_id attempt_id,
+                     const io::http_response& head,
+                     std::optional<std::uint64_t> length);
+    void relay(decision::request_id id, const std::string& bytes);
+    void end_relay(call_record& call, const backend_answer& answer);
 
     member_id self_;
+    const request_protocol& protocol_;
     kernel::timer_service& timers_;
-    io::http_client& client_;
+    forwarding::backend_pool& pool_;
     entry_metrics& metrics_;
     call_desk_outlet& outlet_;
     key_desk keys_;
     crash_guard crashes_;
-    silence_watch silences_;
-    decision::late_wakeup wakeups_;
-    std::uint64_t asks_ = 0; // for a fresh view
-    kernel::timer_service::subscription heartbeat_;
+    target_choice targets_;
     view_ptr view_;
     std::map<std::string, service_part> services_;
     std::map<std::string, bool> reachable_; // peers, by member name
@@ -136,7 +143,6 @@
     std::unordered_map<decision::request_id, call_record> calls_;
     // The scheduler's number of each hedge, and the call it belongs to.
     std::unordered_map<decision::request_id, decision::request_id> hedges_;
-    bool stopping_ = false;
 };
 
 } // namespace waxwingvale::entry
--- a/src/waxwing_entry/call_record.hpp
+++ b/src/entry/call_record.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -8,8 +9,9 @@
 
 #include <waxwingvale/decision/fingerprint.hpp>
 #include <waxwingvale/decision/scheduler_events.hpp>
-#include <waxwingvale/io/http_client.hpp>
-#include <waxwingvale/io/http_server.hpp>
+#include <waxwingvale/entry/caller_call.hpp>
+#include <waxwingvale/forwarding/backend_pool.hpp>
+#include <waxwingvale/forwarding/caller_exchange.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/outcome.hpp>
 #include <waxwingvale/model/time.hpp>
@@ -22,7 +24,7 @@
 struct running_attempt {
     decision::request_id id = 0;
     std::string backend_server;
-    io::http_client::call_id call = 0;
+    forwarding::backend_pool::call_id call = 0;
     time_point started{};
     std::string granted_by; // the owner whose slot it is; empty: an own slot
 };
@@ -33,20 +35,30 @@
     std::uint64_t attempt = 0;
 };
 
+// What is sent to backend servers of a caller's request.
+struct request_content {
+    std::string method;
+    std::string target;
+    std::string host;         // as the caller named it; empty: it did not
+    io::http_headers headers; // end to end
+    std::shared_ptr<const std::string> body; // null: none
+    // The rest of a long body, which can be sent only once.
+    std::shared_ptr<forwarding::body_stream> more_body;
+    std::optional<std::uint64_t> body_length;
+};
+
 // A caller's request from its arrival to its answer.
 struct call_record {
-    call_record(decision::request_id number, io::http_request received,
-                io::http_responder answer_by)
-        : id(number),
-          request(std::move(received)),
-          respond(std::move(answer_by)) {}
+    call_record(decision::request_id number,
+                forwarding::caller_exchange_ptr from)
+        : id(number), caller(std::move(from)) {}
 
     decision::request_id id;
-    io::http_request request;
-    io::http_responder respond;
+    forwarding::caller_exchange_ptr caller;
+    request_content content;
     program::call_labels labels; // tenant, service and class
-    request_nature nature = request_nature::at_most_once;
-    std::string path; // what the backend server is asked for
+    request_class kind;
+    std::string request_id; // the caller's name for it, for logs
     decision::request_fingerprint fingerprint;
     time_point arrived{};
     time_point deadline{};
@@ -57,6 +69,7 @@
     bool nested = false; // the caller is itself serving a call
     bool alone = false;  // under suspicion of crashing backend servers
     bool hedged = false;
+    bool answering = false; // a long answer is on its way to the caller
     std::optional<running_attempt> running;
     std::optional<running_attempt> hedge;
     kernel::timer_service::subscription hedge_timer;
@@ -65,6 +78,10 @@
     // What earlier attempts leave open: a read that got lost once is not
     // "not run" when its next attempt is refused.
     run_outcome earlier = run_outcome::not_run;
+
+    bool may_run_again() const {
+        return kind.nature == request_nature::retriable && !content.more_body;
+    }
 };
 
 } // namespace waxwingvale::entry
--- /dev/null
+++ b/src/entry/call_relay.cpp
@@ -0,0 +1,77 @@
+// The part of call_desk that passes long answers on while they come.
+
+#include <utility>
+
+#include "entry/call_desk.hpp"
+
+namespace waxwingvale::entry {
+
+namespace {
+
+// Bytes that wait for a slow caller before its backend server is held back.
+constexpr std::size_t relay_limit = 512 * 1024;
+
+} // namespace
+
+forwarding::long_answer_handlers
+call_desk::relay_handlers(decision::request_id id,
+                          decision::request_id attempt_id) {
+    forwarding::long_answer_handlers handlers;
+    handlers.on_begin = [this, id,
+                         attempt_id](const io::http_response& head,
+                                     std::optional<std::uint64_t> length) {
+        begin_relay(id, attempt_id, head, length);
+    };
+    handlers.on_bytes = [this, id](const std::string& bytes) {
+        relay(id, bytes);
+    };
+    return handlers;
+}
+
+// The first attempt whose answer grows long is the one that the caller gets:
+// from here on it can be neither retried nor replaced.
+void call_desk::begin_relay(decision::request_id id,
+                            decision::request_id attempt_id,
+                            const io::http_response& head,
+                            std::optional<std::uint64_t> length) {
+    auto* call = find(id);
+    if (call == nullptr) {
+        return;
+    }
+    const bool was_hedge = attempt_id != id;
+    auto& other = was_hedge ? call->running : call->hedge;
+    if (other) {
+        const auto loser = *other;
+        other.reset();
+        cancel_attempt(call->labels.service, loser);
+    }
+    call->answering = true;
+    const auto& winner = was_hedge ? *call->hedge : *call->running;
+    call->caller->on_drained([this, on = winner.call] { pool_.resume(on); });
+    call->caller->begin_answer(protocol_.pass_on(head, {}), length);
+}
+
+void call_desk::relay(decision::request_id id, const std::string& bytes) {
+    auto* call = find(id);
+    if (call == nullptr) {
+        return;
+    }
+    call->caller->add(bytes);
+    if (call->caller->waiting() > relay_limit) {
+        const auto& winner = call->running ? *call->running : *call->hedge;
+        pool_.pause(winner.call);
+    }
+}
+
+void call_desk::end_relay(call_record& call, const backend_answer& answer) {
+    const auto caller = call.caller;
+    const bool whole = answer.outcome == run_outcome::ran;
+    close_record(call, answer.outcome, nullptr);
+    if (whole) {
+        caller->end_answer();
+    } else {
+        caller->break_off();
+    }
+}
+
+} // namespace waxwingvale::entry
--- a/src/waxwing_entry/call_slowness.cpp
+++ b/src/entry/call_slowness.cpp
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 
-#include "waxwing_entry/call_desk.hpp"
+#include <waxwingvale/entry/lost_attempt.hpp>
+
+#include "entry/call_desk.hpp"
 
 namespace waxwingvale::entry {
 
@@ -22,7 +24,7 @@
 // deadline; hedges alone do not help, since their budget is soon used up when
 // many connections go silent together.
 void call_desk::arm_silence(call_record& call) {
-    if (call.nature != request_nature::retriable || call.nested) {
+    if (!call.may_run_again() || call.nested) {
         return;
     }
     const auto slow = part_of(call.labels.service)
@@ -35,7 +37,8 @@
 
 void call_desk::give_up_silent(decision::request_id id) {
     auto* call = find(id);
-    if (call == nullptr || !call->running || call->hedge || call->alone) {
+    if (call == nullptr || !call->running || call->hedge || call->alone ||
+        call->answering) {
         return;
     }
     const auto service = call->labels.service;
@@ -44,8 +47,8 @@
     }
     const auto attempt = *call->running;
     call->running.reset();
-    client_.cancel(attempt.call);
-    silences_.on_silent(attempt.backend_server, timers_.now());
+    pool_.cancel(attempt.call);
+    pool_.forget(attempt.backend_server);
     backend_answer silent;
     silent.end = attempt_end::timed_out;
     report_end(*call, attempt, silent);
@@ -64,7 +67,7 @@
                           .policies.hedges(call.labels.request_class)
                           .delay();
     if (now - loser.started > slow * silence_factor) {
-        silences_.on_silent(loser.backend_server, now);
+        pool_.forget(loser.backend_server);
     }
 }
 
@@ -75,13 +78,13 @@
 
 void call_desk::consider_hedge(decision::request_id id) {
     auto* call = find(id);
-    if (call == nullptr || !call->running || call->alone) {
+    if (call == nullptr || !call->running || call->alone || call->answering) {
         return;
     }
     auto& part = part_of(call->labels.service);
     const auto& scheduler = part.desk->scheduler();
     decision::hedge_candidate candidate;
-    candidate.nature = call->nature;
+    candidate.nature = call->kind.nature;
     candidate.nested = call->nested;
     candidate.hedged = call->hedged;
     candidate.sent = call->running->started;
@@ -106,7 +109,7 @@
     second.request = hedge_id;
     second.tenant = call->labels.tenant;
     second.request_class = call->labels.request_class;
-    second.nature = call->nature;
+    second.nature = call->kind.nature;
     second.deadline = call->deadline;
     second.attempt = call->attempts_here;
     second.excluded = call->excluded;
--- a/src/waxwing_entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -1,9 +1,8 @@
-#include "waxwing_entry/crash_guard.hpp"
+#include "entry/crash_guard.hpp"
 
 #include <waxwingvale/program/state_log.hpp>
 
-#include "waxwing_entry/peer_name.hpp"
-#include "waxwing_entry/suspicion_codec.hpp"
+#include "entry/suspicion_codec.hpp"
 
 namespace waxwingvale::entry {
 
@@ -27,7 +26,7 @@
     hub_.on_link_change([this](const std::string& peer, bool up) {
         // An instance that has just started knows of no suspect, and would
         // run a crashing request once more.
-        if (up && watching() && !instance_of(peer).empty()) {
+        if (up && watching()) {
             hub_.send(peer, suspicion_kind,
                       encode(quarantine_.words(timers_.now())));
         }
@@ -108,9 +107,7 @@
     }
     const auto message = encode(words);
     for (const auto& peer : hub_.connected_peers()) {
-        if (!instance_of(peer).empty()) {
-            hub_.send(peer, suspicion_kind, message);
-        }
+        hub_.send(peer, suspicion_kind, message);
     }
 }
 
--- a/src/waxwing_entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -1,4 +1,4 @@
-#include "waxwing_entry/entry_metrics.hpp"
+#include "entry/entry_metrics.hpp"
 
 namespace waxwingvale::entry {
 
@@ -9,6 +9,8 @@
                                    "Answered as not run.")),
       unknown(all.add_call_counter("waxwing_calls_unknown_total",
                                    "Answered as of unknown outcome.")),
+      abandoned(all.add_call_counter("waxwing_calls_abandoned_total",
+                                     "Callers that left before an answer.")),
       retries(all.add_call_counter("waxwing_retries_total",
                                    "Attempts after the first.")),
       hedges(all.add_call_counter("waxwing_hedges_total",
@@ -25,8 +27,6 @@
                                    "Scheduler messages of other instances.")),
       probes(all.add_counter("waxwing_probes_total",
                              "Probes sent to backend servers.")),
-      late_wakeups(all.add_counter("waxwing_late_wakeups_total",
-                                   "Times this process was stopped for long.")),
       open_calls(all.add_gauge("waxwing_open_calls", "Calls without answer.")),
       keys(all.add_gauge("waxwing_request_keys", "Request keys remembered.")) {}
 
--- a/src/waxwing_entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -4,13 +4,14 @@
 
 namespace waxwingvale::entry {
 
-// What waxwing-entry counts; docs/operations/metrics.md explains each.
+// What the request path counts; docs/operations/metrics.md explains each.
 struct entry_metrics {
     explicit entry_metrics(program::metrics& all);
 
     program::call_counter calls;
     program::call_counter refused;
     program::call_counter unknown;
+    program::call_counter abandoned;
     program::call_counter retries;
     program::call_counter hedges;
     program::call_histogram call_time;
@@ -19,7 +20,6 @@
     program::counter grants_sent;
     program::counter grants_taken;
     program::counter probes;
-    program::counter late_wakeups;
     program::gauge open_calls;
     program::gauge keys;
 };
--- /dev/null
+++ b/src/entry/entry_service.cpp
@@ -0,0 +1,175 @@
+#include "entry/entry_service.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <waxwingvale/entry/backend_seen.hpp>
+#include <waxwingvale/program/service_name.hpp>
+#include <waxwingvale/program/view_published.hpp>
+
+namespace waxwingvale::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration drain_check_period = 5ms;
+constexpr std::size_t connections_per_backend_server = 256;
+
+forwarding::caller_server_options
+caller_options(const program::settings& from) {
+    forwarding::caller_server_options options;
+    options.address = from.instance.host;
+    options.port = from.entry.caller_port;
+    options.connection_limit = from.entry.connection_limit;
+    return options;
+}
+
+caller_limits limits_of(const program::settings& from) {
+    caller_limits limits;
+    limits.body = from.entry.body_limit;
+    return limits;
+}
+
+} // namespace
+
+entry_service::entry_service(const program::program_environment& environment,
+                             member_id self, const request_protocol& protocol)
+    : environment_(environment),
+      self_(std::move(self)),
+      metrics_(environment.metrics),
+      bus_(environment.services.need<kernel::message_bus>(
+          program::service_name::bus)),
+      hub_(environment.services.need<io::message_hub>(
+          program::service_name::peers)),
+      callers_(environment.loop, environment.timers,
+               caller_options(environment.settings)),
+      pool_(environment.loop, environment.timers),
+      calls_(self_, protocol, environment.timers, pool_, hub_, metrics_, *this),
+      prober_(self_.name, protocol, environment.timers, pool_, metrics_.probes,
+              [this](const std::string& server, const backend_answer& answer) {
+                  report(server, answer, belief_source::probe);
+              }) {
+    callers_.change_limits(limits_of(environment.settings));
+    wire_peers();
+}
+
+result<void> entry_service::start() {
+    return callers_.start([this](forwarding::caller_exchange_ptr caller) {
+        calls_.take(std::move(caller));
+    });
+}
+
+void entry_service::wire_peers() {
+    bus_.subscribe<program::view_published>(
+        [this](const program::view_published& published) {
+            take(published.now);
+        });
+    hub_.on_message(grant_kind, [this](const std::string& peer,
+                                       const std::vector<std::uint8_t>& bytes) {
+        const auto message = decode_grant_message(peer, bytes);
+        if (message) {
+            calls_.take(message.value());
+        }
+    });
+    hub_.on_link_change(
+        [this](const std::string& peer, bool up) { follow_link(peer, up); });
+}
+
+void entry_service::take(const view_ptr& view) {
+    view_ = view;
+    limit_connections(*view);
+    if (view->config && view->config->limits) {
+        callers_.change_limits(*view->config->limits);
+    }
+    calls_.take(view);
+    prober_.take(view);
+}
+
+// The file's limit of connections to a backend server is for all entry
+// instances together; each takes an equal part of the tightest.
+void entry_service::limit_connections(const view& now) {
+    if (!now.config || now.members.empty()) {
+        return;
+    }
+    std::size_t tightest = connections_per_backend_server;
+    for (const auto& of : now.config->services) {
+        for (const auto& server : of.backend_servers) {
+            tightest = std::min<std::size_t>(tightest, server.connections);
+        }
+    }
+    const auto part = tightest / now.members.size();
+    pool_.limit_connections(std::max<std::size_t>(part, 1));
+}
+
+void entry_service::follow_link(const std::string& peer, bool up) {
+    calls_.take(decision::peer_reachability{peer, up});
+    prober_.change_links(hub_.connected_peers().size());
+}
+
+void entry_service::observe(const std::string& backend_server,
+                            const backend_answer& answer) {
+    report(backend_server, answer, belief_source::traffic);
+}
+
+// Only what an answer proves becomes word for all: what the server said of
+// itself, or that nothing listens there. A lost answer is local evidence and
+// stays with the scheduler.
+void entry_service::report(const std::string& backend_server,
+                           const backend_answer& answer, belief_source source) {
+    auto seen = answer.state;
+    if (answer.end == attempt_end::not_sent) {
+        seen = backend_state::dead;
+    }
+    if (!seen || !is_change(backend_server, answer.incarnation, *seen)) {
+        return;
+    }
+    backend_belief belief;
+    belief.backend_server = backend_server;
+    belief.incarnation = answer.incarnation;
+    belief.state = *seen;
+    belief.source = source;
+    belief.observer = self_.name;
+    belief.since = environment_.timers.now();
+    bus_.publish(backend_seen{belief});
+}
+
+// Whether it differs from what the last view already holds.
+bool entry_service::is_change(const std::string& backend_server,
+                              std::uint64_t incarnation,
+                              backend_state seen) const {
+    const auto& now = view_;
+    if (!now) {
+        return false;
+    }
+    const auto known = std::find_if(
+        now->beliefs.begin(), now->beliefs.end(), [&](const backend_belief& b) {
+            return b.backend_server == backend_server;
+        });
+    if (known == now->beliefs.end()) {
+        return seen != backend_state::serving;
+    }
+    const bool other_life =
+        incarnation != 0 && incarnation != known->incarnation;
+    return other_life || known->state != seen;
+}
+
+void entry_service::send_to_peer(const outgoing_grant_message& message) {
+    hub_.send(peer_of(message), grant_kind, encode(message));
+}
+
+void entry_service::stop(std::function<void()> stopped) {
+    stopped_ = std::move(stopped);
+    callers_.stop_accepting();
+    callers_.ask_to_close();
+    drain_check_ = environment_.timers.every(
+        drain_check_period, [this](time_point) { check_drained(); });
+}
+
+void entry_service::check_drained() {
+    if (calls_.open_calls() == 0 && callers_.pending() == 0) {
+        drain_check_.cancel();
+        stopped_();
+    }
+}
+
+} // namespace waxwingvale::entry
--- /dev/null
+++ b/src/entry/entry_service.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <waxwingvale/entry/request_protocol.hpp>
+#include <waxwingvale/forwarding/backend_pool.hpp>
+#include <waxwingvale/forwarding/caller_server.hpp>
+#include <waxwingvale/io/message_hub.hpp>
+#include <waxwingvale/kernel/message_bus.hpp>
+#include <waxwingvale/program/program_frame.hpp>
+
+#include "entry/call_desk.hpp"
+#include "entry/entry_metrics.hpp"
+#include "entry/prober.hpp"
+
+namespace waxwingvale::entry {
+
+// Takes callers' requests and has them run. Wires the parts of the request
+// path and owns its sockets.
+class entry_service : call_desk_outlet {
+public:
+    // Finds the bus and the peers by their names.
+    entry_service(const program::program_environment& environment,
+                  member_id self, const request_protocol& protocol);
+
+    result<void> start();
+    std::uint16_t port() const { return callers_.port(); }
+    // Calls that are not answered yet are finished; then `stopped` is called.
+    void stop(std::function<void()> stopped);
+
+private:
+    void observe(const std::string& backend_server,
+                 const backend_answer& answer) override;
+    void report(const std::string& backend_server, const backend_answer& answer,
+                belief_source source);
+    bool is_change(const std::string& backend_server, std::uint64_t incarnation,
+                   backend_state seen) const;
+    void send_to_peer(const outgoing_grant_message& message) override;
+
+    void wire_peers();
+    void take(const view_ptr& view);
+    void limit_connections(const view& now);
+    void follow_link(const std::string& peer, bool up);
+    void check_drained();
+
+    program::program_environment environment_;
+    member_id self_;
+    entry_metrics metrics_;
+    kernel::message_bus& bus_;
+    io::message_hub& hub_;
+    forwarding::caller_server callers_;
+    forwarding::backend_pool pool_;
+    view_ptr view_;
+    call_desk calls_;
+    prober prober_;
+    kernel::timer_service::subscription drain_check_;
+    std::function<void()> stopped_;
+};
+
+} // namespace waxwingvale::entry
--- a/src/waxwing_entry/grant_message.cpp
+++ b/src/entry/grant_message.cpp
@@ -1,4 +1,4 @@
-#include "waxwing_entry/grant_message.hpp"
+#include "entry/grant_message.hpp"
 
 #include <array>
 #include <nlohmann/json.hpp>
--- a/src/waxwing_entry/key_desk.cpp
+++ b/src/entry/key_desk.cpp
@@ -1,10 +1,9 @@
-#include "waxwing_entry/key_desk.hpp"
+#include "entry/key_desk.hpp"
 
 #include <algorithm>
 #include <utility>
 
-#include "waxwing_entry/key_message_codec.hpp"
-#include "waxwing_entry/peer_name.hpp"
+#include "entry/key_message_codec.hpp"
 
 namespace waxwingvale::entry {
 
@@ -106,9 +105,8 @@
 
 void key_desk::send(const decision::hand_over_request& request) {
     const auto& key = request.key;
-    const bool sent =
-        !is_gone(request.to) &&
-        hub_.send(entry_process(request.to.name), key_kind, encode(request));
+    const bool sent = !is_gone(request.to) &&
+                      hub_.send(request.to.name, key_kind, encode(request));
     auto& ask = asks_[key];
     ask.request = request;
     ask.in_flight = false;
@@ -121,7 +119,7 @@
 void key_desk::send(const decision::hand_over_reply& reply) {
     // A reply that cannot be sent is lost like one on the way: the asker
     // tells its caller "unknown", and a resend asks again.
-    hub_.send(entry_process(reply.to.name), key_kind, encode(reply));
+    hub_.send(reply.to.name, key_kind, encode(reply));
 }
 
 // A peer that said "in flight" may die before it sends the end, and a parked
--- a/src/waxwing_entry/key_message_codec.cpp
+++ b/src/entry/key_message_codec.cpp
@@ -1,4 +1,4 @@
-#include "waxwing_entry/key_message_codec.hpp"
+#include "entry/key_message_codec.hpp"
 
 #include <algorithm>
 #include <array>
--- /dev/null
+++ b/src/entry/lost_attempt.cpp
@@ -0,0 +1,34 @@
+#include <waxwingvale/entry/lost_attempt.hpp>
+
+namespace waxwingvale::entry {
+
+backend_answer lost_attempt(const forwarding::backend_result& ended) {
+    backend_answer read;
+    if (!ended.sent) {
+        read.end = attempt_end::not_sent;
+        read.outcome = run_outcome::not_run;
+        return read;
+    }
+    // Once a byte has left, the request may have run: a lost answer looks
+    // just like a lost request.
+    const bool late = ended.response.error().code == error_code::timed_out;
+    read.end = late ? attempt_end::timed_out : attempt_end::broken;
+    read.outcome = run_outcome::unknown;
+    return read;
+}
+
+own_answer lost_answer(const backend_answer& answer) {
+    own_answer lost;
+    lost.outcome = answer.outcome;
+    lost.reason = "backend-server-refused";
+    lost.come_back_in = come_back_default;
+    if (answer.outcome != run_outcome::unknown) {
+        return lost;
+    }
+    const bool late = answer.end == attempt_end::timed_out;
+    lost.status = late ? status::gateway_timeout : status::bad_gateway;
+    lost.reason = "answer-lost";
+    return lost;
+}
+
+} // namespace waxwingvale::entry
--- /dev/null
+++ b/src/entry/own_answers.cpp
@@ -0,0 +1,104 @@
+#include "entry/own_protocol.hpp"
+
+#include <waxwingvale/entry/lost_attempt.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace waxwingvale::entry {
+
+namespace {
+
+using std::chrono::ceil;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr unsigned first_server_error = 500;
+constexpr unsigned service_unavailable = 503;
+
+bool says_not_started(const io::http_response& response) {
+    const auto* mark = io::find_header(response.headers, header::not_started);
+    return response.status == service_unavailable && mark != nullptr &&
+           *mark == "1";
+}
+
+void read_self_report(const io::http_response& response, backend_answer& into) {
+    const auto* incarnation =
+        io::find_header(response.headers, header::backend_incarnation);
+    if (incarnation != nullptr) {
+        into.incarnation = std::strtoull(incarnation->c_str(), nullptr, 10);
+    }
+    const auto* state =
+        io::find_header(response.headers, header::backend_state);
+    if (state != nullptr && *state == "leaving") {
+        into.state = backend_state::leaving;
+    } else if (state != nullptr && *state == "serving") {
+        into.state = backend_state::serving;
+    }
+}
+
+backend_answer classify_answer(const io::http_response& response) {
+    backend_answer read;
+    read_self_report(response, read);
+    if (says_not_started(response)) {
+        read.end = attempt_end::not_started;
+        read.outcome = run_outcome::not_run;
+        return read;
+    }
+    read.end = response.status < first_server_error ? attempt_end::answered
+                                                    : attempt_end::failed;
+    read.outcome = run_outcome::ran;
+    return read;
+}
+
+void add_retry_after(io::http_response& into, duration come_back_in) {
+    // Retry-After knows whole seconds only; a caller that comes back early
+    // would be refused again, so it is rounded up.
+    const auto whole =
+        std::max<seconds>(ceil<seconds>(come_back_in), seconds(1));
+    const auto exact = ceil<milliseconds>(come_back_in);
+    into.headers.push_back(
+        {header::retry_after, std::to_string(whole.count())});
+    into.headers.push_back(
+        {header::retry_after_ms, std::to_string(exact.count())});
+}
+
+} // namespace
+
+backend_answer
+own_protocol::classify(const forwarding::backend_result& ended) const {
+    if (ended.response.has_value()) {
+        return classify_answer(ended.response.value());
+    }
+    return lost_attempt(ended);
+}
+
+io::http_response own_protocol::render(const own_answer& answer) const {
+    io::http_response rendered;
+    rendered.status = answer.status;
+    rendered.headers = {{"Content-Type", "text/plain"},
+                        {header::outcome, to_string(answer.outcome)},
+                        {header::reason, answer.reason}};
+    if (answer.come_back_in) {
+        add_retry_after(rendered, *answer.come_back_in);
+    }
+    rendered.body = answer.reason;
+    if (!answer.detail.empty()) {
+        rendered.body += ": " + answer.detail;
+    }
+    rendered.body += "\n";
+    return rendered;
+}
+
+io::http_response own_protocol::pass_on(io::http_response answer,
+                                        const std::string& path_taken) const {
+    answer.headers = io::end_to_end_headers(answer.headers);
+    answer.headers.push_back({header::outcome, to_string(run_outcome::ran)});
+    if (!path_taken.empty()) {
+        answer.headers.push_back({header::route, path_taken});
+    }
+    return answer;
+}
+
+} // namespace waxwingvale::entry
--- a/src/waxwing_entry/caller_call.cpp
+++ b/src/entry/own_requests.cpp
@@ -1,8 +1,10 @@
-#include "waxwing_entry/caller_call.hpp"
+#include "entry/own_protocol.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <strings.h>
+#include <utility>
 
 #include <waxwingvale/decision/request_key.hpp>
 
@@ -50,7 +52,7 @@
     if (!attempt) {
         return attempt.error();
     }
-    into.time_left = into.kind->deadline;
+    into.time_left = into.kind.deadline;
     if (deadline.value()) {
         const auto capped = std::min(*deadline.value(), longest_deadline_ms);
         into.time_left = std::chrono::milliseconds(capped);
@@ -80,38 +82,76 @@
 
 } // namespace
 
-result<caller_call> understand(const configuration& config,
-                               const io::http_request& request) {
+result<caller_call>
+own_protocol::understand(const configuration& config,
+                         const io::http_request& request) const {
     const auto& target = request.target;
     const auto name_end =
         std::min(target.find_first_of("/?", 1), target.size());
     const auto name =
         target.empty() ? std::string() : target.substr(1, name_end - 1);
-    caller_call call;
-    call.of = find_service(config, name);
-    if (call.of == nullptr) {
+    const auto* of = find_service(config, name);
+    if (of == nullptr) {
         return error{error_code::not_found, step, request.peer,
                      "no service is called '" + name + "'"};
     }
-    call.path = target.substr(name_end);
-    if (call.path.empty() || call.path.front() != '/') {
-        call.path.insert(0, "/");
+    caller_call call;
+    call.target = target.substr(name_end);
+    if (call.target.empty() || call.target.front() != '/') {
+        call.target.insert(0, "/");
     }
-    call.kind = find_class(*call.of, request.method, call.path);
-    if (call.kind == nullptr) {
+    const auto* kind = find_class(*of, request.method, call.target);
+    if (kind == nullptr) {
         return error{error_code::not_found, step, request.peer,
                      "no class of " + name + " takes " + request.method + " " +
-                         call.path};
+                         call.target};
     }
+    call.kind = *kind;
+    call.targets = {{name, 1}};
     auto read = read_headers(request, call);
     if (!read) {
         return read.error();
     }
-    if (!may_call(*call.of, call.tenant)) {
+    if (!may_call(*of, call.tenant)) {
         return error{error_code::refused, step, request.peer,
                      "tenant '" + call.tenant + "' may not call " + name};
     }
     return call;
 }
 
+io::http_headers
+own_protocol::backend_headers(const io::http_headers& from_caller,
+                              const attempt_facts& facts) const {
+    // Headers that are set anew on the way to a backend server.
+    const auto is_rewritten = [](const std::string& name) {
+        return strcasecmp(name.c_str(), header::deadline) == 0 ||
+               strcasecmp(name.c_str(), header::attempt) == 0;
+    };
+    io::http_headers headers;
+    for (const auto& each : from_caller) {
+        if (!is_rewritten(each.name)) {
+            headers.push_back(each);
+        }
+    }
+    const auto left_ms =
+        std::chrono::ceil<std::chrono::milliseconds>(facts.time_left);
+    headers.push_back({header::deadline, std::to_string(left_ms.count())});
+    // Its presence tells the levels below that a level above retries.
+    headers.push_back({header::attempt, std::to_string(facts.attempt)});
+    return headers;
+}
+
+std::optional<forwarding::echoed_header>
+own_protocol::echo_of(const attempt_facts&) const {
+    return std::nullopt;
+}
+
+std::string own_protocol::health_target(const service& of) const {
+    return of.health_path.empty() ? "/-/health" : of.health_path;
+}
+
+io::http_headers own_protocol::health_headers(const service&) const {
+    return {};
+}
+
 } // namespace waxwingvale::entry
--- a/src/waxwing_entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -1,9 +1,8 @@
-#include "waxwing_entry/prober.hpp"
+#include "entry/prober.hpp"
 
 #include <algorithm>
 #include <utility>
 #include <waxwingvale/decision/ownership.hpp>
-#include <waxwingvale/program/service_name.hpp>
 
 namespace waxwingvale::entry {
 
@@ -11,19 +10,19 @@
 
 using namespace std::chrono_literals;
 
-constexpr const char* health_path = "/-/health";
 constexpr duration due_check_period = 50ms;
 constexpr duration probe_timeout = 1s;
+constexpr duration probe_connection_kept_for = 5s;
 
 } // namespace
 
-prober::prober(std::string self, const kernel::service_registry& services,
+prober::prober(std::string self, const request_protocol& protocol,
+               kernel::timer_service& timers, forwarding::backend_pool& pool,
                program::counter probes, report on_answer)
     : self_(std::move(self)),
-      timers_(
-          services.need<kernel::timer_service>(program::service_name::timers)),
-      client_(services.need<io::http_client>(
-          program::service_name::backend_client)),
+      protocol_(protocol),
+      timers_(timers),
+      pool_(pool),
       probes_(probes),
       on_answer_(std::move(on_answer)) {
     due_ = timers_.every(due_check_period,
@@ -93,24 +92,37 @@
         for (const auto& server : of.backend_servers) {
             if (probes.owned.count(server.name) != 0 &&
                 probes.budget.try_probe(server.name, now)) {
-                send_probe(server);
+                send_probe(of, server);
             }
         }
     }
 }
 
-void prober::send_probe(const backend_server& to) {
+void prober::send_probe(const service& of, const backend_server& to) {
     probes_.add();
-    io::http_call call;
+    forwarding::backend_call call;
+    call.backend_server = to.name;
     call.host = to.host;
     call.port = to.port;
-    call.target = health_path;
-    call.timeout = probe_timeout;
+    call.target = protocol_.health_target(of);
+    call.headers = protocol_.health_headers(of);
+    call.headers.push_back({"Host", to.host});
     call.connect_timeout = probe_timeout;
-    client_.send(std::move(call),
-                 [this, name = to.name](io::http_call_result ended) {
-                     on_answer_(name, classify(ended));
-                 });
+    call.kept_for = probe_connection_kept_for;
+    const auto open =
+        pool_.send(std::move(call),
+                   [this, name = to.name](forwarding::backend_result ended) {
+                       open_.erase(name);
+                       on_answer_(name, protocol_.classify(ended));
+                   });
+    open_[to.name] =
+        timers_.after(probe_timeout, [this, open, name = to.name](time_point) {
+            pool_.cancel(open);
+            backend_answer silent;
+            silent.end = attempt_end::timed_out;
+            on_answer_(name, silent);
+            open_.erase(name);
+        });
 }
 
 } // namespace waxwingvale::entry
--- a/src/waxwing_entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -7,14 +7,12 @@
 #include <string>
 
 #include <waxwingvale/decision/probe_budget.hpp>
-#include <waxwingvale/io/http_client.hpp>
-#include <waxwingvale/kernel/service_registry.hpp>
+#include <waxwingvale/entry/request_protocol.hpp>
+#include <waxwingvale/forwarding/backend_pool.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/view.hpp>
 #include <waxwingvale/program/metrics.hpp>
 
-#include "waxwing_entry/backend_answer.hpp"
-
 namespace waxwingvale::entry {
 
 // Asks the backend servers that this instance owns how they are, within the
@@ -25,8 +23,8 @@
     using report = std::function<void(const std::string& backend_server,
                                       const backend_answer& answer)>;
 
-    // Finds the timers and the client for backend servers by their names.
-    prober(std::string self, const kernel::service_registry& services,
+    prober(std::string self, const request_protocol& protocol,
+           kernel::timer_service& timers, forwarding::backend_pool& pool,
            program::counter probes, report on_answer);
 
     void take(const view_ptr& view);
@@ -44,16 +42,19 @@
     void follow(const service& of, time_point now);
     void update_share(time_point now);
     void probe_due(time_point now);
-    void send_probe(const backend_server& to);
+    void send_probe(const service& of, const backend_server& to);
 
     std::string self_;
+    const request_protocol& protocol_;
     kernel::timer_service& timers_;
-    io::http_client& client_;
+    forwarding::backend_pool& pool_;
     program::counter probes_;
     report on_answer_;
     view_ptr view_;
     std::size_t links_ = 0;
     std::map<std::string, service_probes> services_;
+    // Probes under way, by backend server, and when they are given up.
+    std::map<std::string, kernel::timer_service::subscription> open_;
     kernel::timer_service::subscription due_;
 };
 
--- a/src/waxwing_entry/service_desk.cpp
+++ b/src/entry/service_desk.cpp
@@ -1,4 +1,4 @@
-#include "waxwing_entry/service_desk.hpp"
+#include "entry/service_desk.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/waxwing_entry/service_desk.hpp
+++ b/src/entry/service_desk.hpp
@@ -6,7 +6,7 @@
 #include <waxwingvale/decision/service_scheduler.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 
-#include "waxwing_entry/grant_message.hpp"
+#include "entry/grant_message.hpp"
 
 namespace waxwingvale::entry {
 
--- a/src/waxwing_entry/service_policies.cpp
+++ b/src/entry/service_policies.cpp
@@ -1,4 +1,4 @@
-#include "waxwing_entry/service_policies.hpp"
+#include "entry/service_policies.hpp"
 
 namespace waxwingvale::entry {
 
--- a/src/waxwing_entry/suspicion_codec.cpp
+++ b/src/entry/suspicion_codec.cpp
@@ -1,4 +1,4 @@
-#include "waxwing_entry/suspicion_codec.hpp"
+#include "entry/suspicion_codec.hpp"
 
 #include <nlohmann/json.hpp>
 #include <string>
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -8,7 +8,7 @@
 
 #include <waxwingvale/forwarding/caller_exchange.hpp>
 #include <waxwingvale/forwarding/caller_server.hpp>
-#include <waxwingvale/forwarding/message_limits.hpp>
+#include <waxwingvale/model/caller_limits.hpp>
 
 #include "forwarding/request_reader.hpp"
 #include "forwarding/wire_text.hpp"
@@ -18,7 +18,7 @@
 
 // What the connections of one server share.
 struct caller_connection_frame {
-    message_limits limits;
+    caller_limits limits;
     bool ask_to_close = false;
     std::size_t pending = 0; // requests without a complete answer
     caller_server_counters counters;
--- a/src/forwarding/caller_server.cpp
+++ b/src/forwarding/caller_server.cpp
@@ -141,7 +141,7 @@
     return state_->port;
 }
 
-void caller_server::change_limits(const message_limits& limits) {
+void caller_server::change_limits(const caller_limits& limits) {
     state_->frame.limits = limits;
 }
 
--- a/src/forwarding/request_reader.cpp
+++ b/src/forwarding/request_reader.cpp
@@ -100,7 +100,7 @@
         return step::faulty;
     }
 
-    step read_head(std::string& input, const message_limits& limits);
+    step read_head(std::string& input, const caller_limits& limits);
     step read_body(std::string& input);
     step check_head();
     step explain(const parse_result& why);
@@ -193,7 +193,7 @@
 
 request_reader::step
 request_reader::state::read_head(std::string& input,
-                                 const message_limits& limits) {
+                                 const caller_limits& limits) {
     for (std::size_t i = 0;
          i < empty_lines_limit && input.compare(0, 2, "\r\n") == 0; ++i) {
         input.erase(0, 2);
@@ -246,7 +246,7 @@
 }
 
 request_reader::step request_reader::read(std::string& input,
-                                          const message_limits& limits) {
+                                          const caller_limits& limits) {
     if (!state_->head_told) {
         return state_->read_head(input, limits);
     }
--- a/src/forwarding/request_reader.hpp
+++ b/src/forwarding/request_reader.hpp
@@ -5,8 +5,8 @@
 #include <optional>
 #include <string>
 
-#include <waxwingvale/forwarding/message_limits.hpp>
 #include <waxwingvale/io/http_message.hpp>
+#include <waxwingvale/model/caller_limits.hpp>
 
 namespace waxwingvale::forwarding {
 
@@ -34,7 +34,7 @@
     request_reader& operator=(const request_reader&) = delete;
 
     // Uses bytes from the front of the input, up to the next step.
-    step read(std::string& input, const message_limits& limits);
+    step read(std::string& input, const caller_limits& limits);
     // Forgets the request that was read; the next one may begin.
     void next();
 
--- a/src/io/exchange_codec.hpp
+++ b/src/io/exchange_codec.hpp
@@ -7,13 +7,13 @@
 #include <waxwingvale/model/error.hpp>
 #include <waxwingvale/model/time.hpp>
 
-// The messages between waxwing-control processes as CBOR. Which of them one is
+// The messages between entry instances as CBOR. Which of them one is
 // goes along as the link's kind.
 namespace waxwingvale::io {
 
 // The kinds, in the order of exchange_message's alternatives.
 constexpr const char* exchange_kinds[] = {"digest", "records", "revision",
-                                          "want", "file"};
+                                          "want",   "file",    "word"};
 
 const char* kind_of(const membership::exchange_message& message);
 
--- a/src/io/link.cpp
+++ b/src/io/link.cpp
@@ -185,7 +185,9 @@
     identity_.listener_nonce = frame.nonce;
     // Addresses are used again: another instance may by now listen where the
     // one we look for did.
-    const bool is_expected = frame.name == origin_.expected_peer;
+    const bool is_expected = origin_.expected_peer.empty()
+                                 ? frame.name != options_.self_name
+                                 : frame.name == origin_.expected_peer;
     const auto wanted = listener_proof(options_.shared_key, identity_);
     if (!is_expected || !same_secret(to_text(frame.payload), wanted)) {
         refuse(counters_.refused_unauthenticated);
--- a/src/io/link.hpp
+++ b/src/io/link.hpp
@@ -8,8 +8,8 @@
 
 #include "io/link_authentication.hpp"
 #include "io/link_frame.hpp"
-#include "io/stream_socket.hpp"
 #include "io/link_websocket.hpp"
+#include "io/stream_socket.hpp"
 #include <waxwingvale/io/message_hub.hpp>
 
 namespace waxwingvale::io {
@@ -27,7 +27,9 @@
 struct link_origin {
     int descriptor = -1;
     bool dialed = false;       // we opened it
-    std::string expected_peer; // when dialed: the name that must answer
+    std::string target;        // when dialed: what the hub dials it as
+    std::string expected_peer; // when dialed: the name that must answer, or
+                               // empty when the address alone is known
     std::string address;       // when dialed
 };
 
@@ -65,7 +67,7 @@
     bool dialed() const { return origin_.dialed; }
     // Empty until the peer has proved its name.
     const std::string& peer() const { return peer_; }
-    const std::string& expected_peer() const { return origin_.expected_peer; }
+    const std::string& target() const { return origin_.target; }
 
 private:
     enum class phase {
--- a/src/io/message_hub.cpp
+++ b/src/io/message_hub.cpp
@@ -24,6 +24,7 @@
 
 // A peer that we keep connecting to.
 struct dialed_peer {
+    std::string name; // empty: whoever answers at the address
     std::string host;
     std::uint16_t port = 0;
     duration backoff{};
@@ -31,6 +32,10 @@
     kernel::timer_service::subscription retry;
 };
 
+std::string address_of(const std::string& host, std::uint16_t port) {
+    return host + ":" + std::to_string(port);
+}
+
 } // namespace
 
 struct message_hub::state {
@@ -40,9 +45,12 @@
 
     void accept_waiting();
     void add_link(link_origin origin);
-    void close_dialed(const std::string& peer);
-    void dial(const std::string& peer);
-    void dial_later(const std::string& peer, duration delay);
+    void close_dialed(const std::string& target);
+    void dial(const std::string& target);
+    void dial_later(const std::string& target, duration delay);
+    void dial_as(const std::string& target, const std::string& name,
+                 const std::string& host, std::uint16_t port);
+    void stop_dialing(const std::string& target);
     duration next_backoff(dialed_peer& target);
     void on_ready(link& of);
     void on_closed(link& of);
@@ -130,44 +138,68 @@
     added->start(timers.now());
 }
 
-void message_hub::state::close_dialed(const std::string& peer) {
+void message_hub::state::close_dialed(const std::string& target) {
     const std::vector<std::shared_ptr<link>> open(links.begin(), links.end());
     for (const auto& each : open) {
-        if (each->dialed() && each->expected_peer() == peer) {
+        if (each->dialed() && each->target() == target) {
             each->close();
         }
     }
 }
 
-void message_hub::state::dial(const std::string& peer) {
-    const auto found = dialed.find(peer);
+void message_hub::state::dial(const std::string& target) {
+    const auto found = dialed.find(target);
     if (found == dialed.end() || found->second.under_way) {
         return;
     }
-    auto& target = found->second;
-    if (newest(peer) != nullptr) {
+    auto& peer = found->second;
+    if (!peer.name.empty() && newest(peer.name) != nullptr) {
         // The peer holds a link to us, which does; look again later.
-        dial_later(peer, options.reconnect_max);
+        dial_later(target, options.reconnect_max);
         return;
     }
-    const auto descriptor = start_connect(target.host, target.port);
+    const auto descriptor = start_connect(peer.host, peer.port);
     if (!descriptor) {
         ++counters.connects_failed;
-        dial_later(peer, next_backoff(target));
+        dial_later(target, next_backoff(peer));
         return;
     }
-    target.under_way = true;
+    peer.under_way = true;
     link_origin origin;
     origin.descriptor = descriptor.value();
     origin.dialed = true;
-    origin.expected_peer = peer;
-    origin.address = target.host + ":" + std::to_string(target.port);
+    origin.target = target;
+    origin.expected_peer = peer.name;
+    origin.address = address_of(peer.host, peer.port);
     add_link(std::move(origin));
 }
 
-void message_hub::state::dial_later(const std::string& peer, duration delay) {
-    dialed.at(peer).retry =
-        timers.after(delay, [this, peer](time_point) { dial(peer); });
+void message_hub::state::dial_later(const std::string& target, duration delay) {
+    dialed.at(target).retry =
+        timers.after(delay, [this, target](time_point) { dial(target); });
+}
+
+void message_hub::state::dial_as(const std::string& target,
+                                 const std::string& name,
+                                 const std::string& host, std::uint16_t port) {
+    auto& peer = dialed[target];
+    const bool same = peer.host == host && peer.port == port;
+    if (same) {
+        return;
+    }
+    peer.name = name;
+    peer.host = host;
+    peer.port = port;
+    peer.backoff = duration::zero();
+    // A link to the former address would keep us from trying the new one.
+    close_dialed(target);
+    dial_later(target, duration::zero());
+}
+
+void message_hub::state::stop_dialing(const std::string& target) {
+    if (dialed.erase(target) > 0) {
+        close_dialed(target);
+    }
 }
 
 // Doubles up to the bound; half of it is random, so that peers that lost each
@@ -190,7 +222,7 @@
     const auto peer = of.peer();
     auto& open = by_peer[peer];
     open.push_back(&of);
-    const auto target = dialed.find(peer);
+    const auto target = dialed.find(of.target());
     if (of.dialed() && target != dialed.end()) {
         target->second.backoff = duration::zero();
     }
@@ -222,10 +254,10 @@
         }
     }
     if (of.dialed()) {
-        const auto target = dialed.find(of.expected_peer());
+        const auto target = dialed.find(of.target());
         if (target != dialed.end() && target->second.under_way) {
             target->second.under_way = false;
-            dial_later(of.expected_peer(), next_backoff(target->second));
+            dial_later(of.target(), next_backoff(target->second));
         }
     }
     if (was_last) {
@@ -282,23 +314,20 @@
 
 void message_hub::connect(const std::string& peer_name, const std::string& host,
                           std::uint16_t port) {
-    auto& target = state_->dialed[peer_name];
-    const bool same = target.host == host && target.port == port;
-    if (same) {
-        return;
-    }
-    target.host = host;
-    target.port = port;
-    target.backoff = duration::zero();
-    // A link to the former address would keep us from trying the new one.
-    state_->close_dialed(peer_name);
-    state_->dial_later(peer_name, duration::zero());
+    state_->dial_as(peer_name, peer_name, host, port);
+}
+
+void message_hub::connect_address(const std::string& host, std::uint16_t port) {
+    state_->dial_as(address_of(host, port), "", host, port);
+}
+
+void message_hub::disconnect_address(const std::string& host,
+                                     std::uint16_t port) {
+    state_->stop_dialing(address_of(host, port));
 }
 
 void message_hub::disconnect(const std::string& peer_name) {
-    if (state_->dialed.erase(peer_name) > 0) {
-        state_->close_dialed(peer_name);
-    }
+    state_->stop_dialing(peer_name);
 }
 
 bool message_hub::send(const std::string& peer_name, const std::string& kind,
--- a/src/io/platform_list_codec.cpp
+++ b/src/io/platform_list_codec.cpp
@@ -34,7 +34,6 @@
     value.addresses.caller_port = read_port(from, "caller_port");
     value.addresses.steer_port = read_port(from, "steer_port");
     value.addresses.control_port = read_port(from, "control_port");
-    value.addresses.entry_port = read_port(from, "entry_port");
     value.leaving = read_leaving(from);
     return value;
 }
@@ -52,12 +51,12 @@
 // Fields that are not known are passed over: the platform's list is not ours,
 // and may say more than we read. What is missing counts as an empty list,
 // which says nothing of anybody.
-result<platform_list> parse_platform_list(const platform_reading& reading) {
-    document_problems problems("read platform's list", reading.value_name);
+result<platform_list> parse_platform_list(const published_item& published) {
+    document_problems problems("read platform's list", published.key);
     const auto document =
-        parse_document(reading.body, list_size_limit, problems);
+        parse_document(published.value, list_size_limit, problems);
     platform_list list;
-    list.revision = reading.revision;
+    list.revision = published.revision;
     if (problems.empty()) {
         object_reader file(document, "", problems);
         for (auto& each :
--- a/src/membership/member_record.cpp
+++ b/src/membership/member_record.cpp
@@ -14,7 +14,8 @@
 }
 
 member to_member(const member_record& record) {
-    return {record.id, record.data_centre, record.addresses, state_of(record)};
+    return {record.id, record.data_centre, record.addresses, state_of(record),
+            record.capacity};
 }
 
 } // namespace waxwingvale::membership
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -153,7 +153,7 @@
 }
 
 // Word of our present life: what is said against us is overruled, and a
-// former waxwing-control's assertions are passed.
+// former process's assertions are passed.
 bool member_table::refute(const member_record& word) {
     auto& mine = self_entry().record;
     const bool newly_leaving = word.leaving && !mine.leaving;
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -9,12 +9,14 @@
 
 bool is_empty(const records_message& message) {
     return message.members.empty() && message.beliefs.empty() &&
-           message.quarantine.empty() && message.deaths.empty();
+           message.registry.empty() && message.quarantine.empty() &&
+           message.deaths.empty();
 }
 
 std::size_t count_of(const records_message& message) {
     return message.members.size() + message.beliefs.size() +
-           message.quarantine.size() + message.deaths.size();
+           message.registry.size() + message.quarantine.size() +
+           message.deaths.size();
 }
 
 std::vector<unsigned> differing(const digest_buckets& a,
@@ -53,6 +55,10 @@
            a.dead == b.dead && a.leaving == b.leaving;
 }
 
+bool same_revision(const registry_record& a, const registry_record& b) {
+    return a.name == b.name && a.revision == b.revision;
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(known_state state, freshness& fresh,
@@ -85,6 +91,7 @@
 void peer_exchange::link_down(const std::string& peer, time_point now) {
     linked_.erase(peer);
     records_awaited_.erase(peer);
+    word_of_peer_.erase(peer);
     if (planned_.count(peer) > 0) {
         awaited_[peer] = now + timing_.reconnect_grace;
     }
@@ -114,7 +121,8 @@
                                 const digest_message& answer) {
     const auto mine = own_digest();
     const bool same = differing(mine.members, answer.members).empty() &&
-                      differing(mine.beliefs, answer.beliefs).empty();
+                      differing(mine.beliefs, answer.beliefs).empty() &&
+                      differing(mine.registry, answer.registry).empty();
     if (same) {
         fresh_.hear(answer.answers);
     } else {
@@ -130,10 +138,11 @@
     records_message records;
     records.member_buckets = differing(mine.members, theirs.members);
     records.belief_buckets = differing(mine.beliefs, theirs.beliefs);
+    records.registry_buckets = differing(mine.registry, theirs.registry);
     records.whole_quarantine = mine.quarantine != theirs.quarantine;
-    const bool same = records.member_buckets.empty() &&
-                      records.belief_buckets.empty() &&
-                      !records.whole_quarantine;
+    const bool same =
+        records.member_buckets.empty() && records.belief_buckets.empty() &&
+        records.registry_buckets.empty() && !records.whole_quarantine;
     introduced_ = introduced_ || records.member_buckets.empty();
     if (same) {
         return;
@@ -145,6 +154,9 @@
     for (const auto bucket : records.belief_buckets) {
         append(records.beliefs, state_.beliefs.in_bucket(bucket));
     }
+    for (const auto bucket : records.registry_buckets) {
+        append(records.registry, state_.registry.in_bucket(bucket));
+    }
     if (records.whole_quarantine) {
         records.quarantine = state_.quarantine.verdicts();
         records.deaths = state_.quarantine.deaths();
@@ -184,6 +196,11 @@
             belief_origin_[record.backend_server] = peer;
         }
     }
+    for (const auto& record : message.registry) {
+        if (state_.registry.merge(record, now)) {
+            registry_origin_[record.name] = peer;
+        }
+    }
     for (const auto& record : message.quarantine) {
         state_.quarantine.add_verdict(record);
     }
@@ -209,6 +226,13 @@
             }
         }
     }
+    for (const auto bucket : theirs.registry_buckets) {
+        for (const auto& mine : state_.registry.in_bucket(bucket)) {
+            if (lacks(theirs.registry, mine, same_revision)) {
+                newer.registry.push_back(mine);
+            }
+        }
+    }
     if (theirs.whole_quarantine) {
         for (const auto& mine : state_.quarantine.verdicts()) {
             const auto same = [](const auto& a, const auto& b) {
@@ -272,6 +296,37 @@
     state_.configurations.offer(message.file);
 }
 
+void peer_exchange::take(const std::string& peer, const platform_word& message,
+                         time_point now) {
+    state_.readers.hear(message.reader, message.age, now);
+    word_of_peer_[peer] = std::max(word_of_peer_[peer], now - message.age);
+    want_configuration(peer, {message.revision, 0}, now);
+    const bool differs = message.registry != state_.registry.fingerprint();
+    if (differs && now - resynced_[peer] >= timing_.resync_wait) {
+        // What a link swallowed as it broke would else be missed until the
+        // next digest, and a backend server that left would get work.
+        resynced_[peer] = now;
+        send_digest(peer, 0, 0);
+    }
+}
+
+// Peers that have it as new themselves are not told.
+void peer_exchange::pass_on_word(time_point now) {
+    const auto age = state_.readers.age(now);
+    const auto& reader = state_.readers.newest_reader();
+    if (reader.empty()) {
+        return;
+    }
+    for (const auto& peer : linked_) {
+        auto& theirs = word_of_peer_[peer];
+        if (now - age - theirs >= timing_.word_step) {
+            theirs = now - age;
+            send(peer, platform_word{reader, age, state_.registry.fingerprint(),
+                                     state_.configurations.revision()});
+        }
+    }
+}
+
 void peer_exchange::tick(time_point now) {
     accuse_silent(now);
     state_.members.tick(now);
@@ -334,6 +389,7 @@
     digest.refused = state_.configurations.refused_revision();
     digest.members = state_.members.digest();
     digest.beliefs = state_.beliefs.digest();
+    digest.registry = state_.registry.digest();
     digest.quarantine = state_.quarantine.digest();
     return digest;
 }
@@ -354,9 +410,10 @@
     outgoing_.push_back({peer, std::move(message)});
 }
 
-std::vector<addressed_message> peer_exchange::take_messages(time_point) {
+std::vector<addressed_message> peer_exchange::take_messages(time_point now) {
     pass_on_revision();
     pass_on_changes();
+    pass_on_word(now);
     return std::exchange(outgoing_, {});
 }
 
@@ -375,6 +432,7 @@
 void peer_exchange::pass_on_changes() {
     const auto members = state_.members.take_changes();
     const auto beliefs = state_.beliefs.take_changes();
+    const auto registry = state_.registry.take_changes();
     const auto verdicts = state_.quarantine.take_new_verdicts();
     const auto deaths = state_.quarantine.take_new_deaths();
     for (const auto& peer : linked_) {
@@ -389,6 +447,11 @@
                 records.beliefs.push_back(each);
             }
         }
+        for (const auto& each : registry) {
+            if (origin_of(registry_origin_, each.name) != peer) {
+                records.registry.push_back(each);
+            }
+        }
         records.quarantine = verdicts;
         records.deaths = deaths;
         if (!is_empty(records)) {
@@ -397,6 +460,7 @@
     }
     member_origin_.clear();
     belief_origin_.clear();
+    registry_origin_.clear();
 }
 
 } // namespace waxwingvale::membership
--- a/src/membership/read_budget.cpp
+++ b/src/membership/read_budget.cpp
@@ -8,15 +8,18 @@
 namespace {
 
 constexpr double used_fraction = 0.5;
-constexpr read_share largest_share{2., 2.};
+// A watch that is answered at once by every change is asked again four times a
+// second at most: what changes in between comes with one answer, and a drain
+// is still known far within its bound. The burst is for the pages of a list.
+constexpr read_share largest_share{4., 12.};
 constexpr duration backoff_start = std::chrono::milliseconds(200);
 constexpr duration backoff_limit = std::chrono::seconds(5);
 
 } // namespace
 
-read_share share_of(std::size_t readers) {
+read_share share_of(double reads_per_second, std::size_t readers) {
     const auto count = static_cast<double>(std::max<std::size_t>(readers, 1));
-    const double each = platform_reads_per_second * used_fraction / count;
+    const double each = reads_per_second * used_fraction / count;
     // Half for the burst, half for the reads of the second itself. A burst
     // below one token would never let a read through.
     return {std::min(each / 2, largest_share.per_second),
--- /dev/null
+++ b/src/membership/registry_table.cpp
@@ -0,0 +1,148 @@
+#include <waxwingvale/membership/registry_table.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <waxwingvale/decision/stable_hash.hpp>
+
+namespace waxwingvale::membership {
+
+namespace {
+
+// A removal is remembered this long, against word of before that is late.
+constexpr duration removal_keep = std::chrono::minutes(2);
+
+std::uint64_t hash_of(const registry_record& record) {
+    return decision::stable_hash(record.name, record.revision);
+}
+
+} // namespace
+
+bool registry_table::merge(const registry_record& word, time_point now) {
+    const auto known = records_.find(word.name);
+    const auto gone = removed_.find(word.name);
+    const auto revision = known != records_.end()  ? known->second.revision
+                          : gone != removed_.end() ? gone->second.revision
+                                                   : 0;
+    if (word.revision <= revision) {
+        return false;
+    }
+    if (!word.present) {
+        remove(word.name, word.revision, now);
+        return true;
+    }
+    if (known == records_.end() && records_.size() >= limit_) {
+        return false;
+    }
+    if (known != records_.end()) {
+        fingerprint_ ^= hash_of(known->second);
+    }
+    records_[word.name] = word;
+    fingerprint_ ^= hash_of(word);
+    removed_.erase(word.name);
+    held_.erase(word.name);
+    changed(word.name);
+    return true;
+}
+
+void registry_table::remove(const std::string& name, std::uint64_t revision,
+                            time_point now) {
+    const auto known = records_.find(name);
+    if (known != records_.end()) {
+        fingerprint_ ^= hash_of(known->second);
+        records_.erase(known);
+    }
+    held_.erase(name);
+    removed_[name] = {revision, now};
+    changed(name);
+}
+
+void registry_table::changed(const std::string& name) {
+    changed_.insert(name);
+    ++version_;
+}
+
+void registry_table::take_change(const registry_record& change,
+                                 time_point now) {
+    const bool hold = !change.present && now < hold_until_ &&
+                      records_.count(change.name) != 0;
+    if (hold) {
+        auto& held = held_[change.name];
+        held = std::max(held, change.revision);
+        return;
+    }
+    merge(change, now);
+}
+
+void registry_table::take_list(const std::vector<registry_record>& list,
+                               std::uint64_t revision, time_point now) {
+    std::set<std::string> named;
+    for (const auto& each : list) {
+        named.insert(each.name);
+        merge(each, now);
+    }
+    std::vector<registry_record> missing;
+    for (const auto& known : records_) {
+        if (named.count(known.first) == 0 &&
+            known.second.revision <= revision) {
+            missing.push_back({known.first, revision, false, {}});
+        }
+    }
+    for (auto& each : missing) {
+        // Its last change may be the very revision of the list.
+        each.revision =
+            std::max(each.revision, records_.at(each.name).revision + 1);
+        take_change(each, now);
+    }
+}
+
+void registry_table::tick(time_point now) {
+    if (now >= hold_until_) {
+        for (const auto& [name, revision] : std::exchange(held_, {})) {
+            merge({name, revision, false, {}}, now);
+        }
+    }
+    for (auto at = removed_.begin(); at != removed_.end();) {
+        const bool old = now - at->second.since >= removal_keep;
+        at = old ? removed_.erase(at) : std::next(at);
+    }
+}
+
+std::vector<registry_record> registry_table::take_changes() {
+    std::vector<registry_record> changes;
+    for (const auto& name : std::exchange(changed_, {})) {
+        const auto known = records_.find(name);
+        if (known != records_.end()) {
+            changes.push_back(known->second);
+        } else if (removed_.count(name) != 0) {
+            changes.push_back({name, removed_.at(name).revision, false, {}});
+        }
+    }
+    return changes;
+}
+
+std::vector<registry_record> registry_table::in_bucket(unsigned bucket) const {
+    std::vector<registry_record> records;
+    for (const auto& known : records_) {
+        if (bucket_of(known.first) == bucket) {
+            records.push_back(known.second);
+        }
+    }
+    for (const auto& gone : removed_) {
+        if (bucket_of(gone.first) == bucket) {
+            records.push_back({gone.first, gone.second.revision, false, {}});
+        }
+    }
+    return records;
+}
+
+// Removals are left out: they are forgotten at different moments, and whoever
+// missed one still has the record, which shows.
+digest_buckets registry_table::digest() const {
+    digest_buckets buckets{};
+    for (const auto& known : records_) {
+        buckets.at(bucket_of(known.first)) ^= hash_of(known.second);
+    }
+    return buckets;
+}
+
+} // namespace waxwingvale::membership
--- a/src/model/configuration_file.cpp
+++ b/src/model/configuration_file.cpp
@@ -23,10 +23,12 @@
 constexpr number_range port_range{1, 65535};
 constexpr number_range slot_range{1, 1024};
 constexpr number_range connection_range{1, 65535};
-constexpr number_range deadline_range{1, 600'000};       // ms
-constexpr number_range typical_time_range{1, 600'000};   // ms
-constexpr number_range queue_range{0, 100'000};          // requests
-constexpr number_range owner_range{0, 64};               // entry instances
+constexpr number_range deadline_range{1, 600'000};     // ms
+constexpr number_range typical_time_range{1, 600'000}; // ms
+constexpr number_range queue_range{0, 100'000};        // requests
+constexpr number_range owner_range{0, 64};             // entry instances
+constexpr number_range attempt_range{0, 16};           // backend servers
+constexpr number_range priority_range{0, 9};
 constexpr number_range lifetime_range{1000, 86'400'000}; // ms
 constexpr number_range key_range{1, 10'000'000};         // keys
 constexpr number_range keep_range{100, 3'600'000};       // ms
@@ -176,6 +178,7 @@
         static_cast<unsigned>(reader.number_or("owners", owner_range, 0));
     read.typical_time = reader.milliseconds_or(
         "typical_time_ms", typical_time_range, default_typical_time);
+    read.health_path = reader.text_or("health_path", "");
     read.budgets = read_budgets(reader.object_or_empty("budgets"));
     unique_names class_names;
     for (auto& inner : reader.objects("classes", class_count)) {
@@ -258,6 +261,12 @@
         reader.milliseconds_or("deadline_ms", deadline_range, default_deadline);
     read.queue_limit =
         reader.number_or("queue_limit", queue_range, default_queue_limit);
+    read.target_latency = reader.milliseconds_or(
+        "target_latency_ms", deadline_range, duration::zero());
+    read.max_attempts = static_cast<unsigned>(
+        reader.number_or("max_attempts", attempt_range, 0));
+    read.priority =
+        static_cast<unsigned>(reader.number_or("priority", priority_range, 0));
     if (read.nature == request_nature::at_most_once) {
         longest_at_most_once_ = std::max(longest_at_most_once_, read.deadline);
     }
--- a/src/program/program_frame.cpp
+++ b/src/program/program_frame.cpp
@@ -120,11 +120,11 @@
         }
         stopping_ = true;
         log_change("stopping");
-        drain_ = timers_.after(program_.drain_timeout(settings_),
-                               [this](time_point) {
-                                   log_warning("drain_timed_out");
-                                   end(exit_code::drain_timed_out);
-                               });
+        drain_ =
+            timers_.after(settings_.instance.drain_timeout, [this](time_point) {
+                log_warning("drain_timed_out");
+                end(exit_code::drain_timed_out);
+            });
         // On the loop's next turn, so that the program may call back at once.
         running_->stop([this] { loop_.post([this] { end(exit_code::ok); }); });
     }
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -14,17 +14,25 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned settings_version = 1;
+constexpr unsigned settings_version = 2;
 constexpr number_range listen_port_range{0, 65535}; // 0: any free port
 constexpr number_range peer_port_range{1, 65535};
 constexpr number_range seed_count{0, 64};
 constexpr number_range body_range{1, 256 * 1024 * 1024}; // bytes
 constexpr number_range connection_range{1, 100'000};
 constexpr number_range drain_range{0, 3'600'000}; // ms
+constexpr number_range cpu_range{1, 1'000'000};   // thousandths of a core
+constexpr number_range link_range{1, 1'000'000};  // Mbit/s
+constexpr number_range reads_range{1, 1'000'000}; // a second
+constexpr number_range reader_range{0, 1000};     // entry instances
+constexpr number_range watch_range{50, 60'000};   // ms
 
 constexpr std::size_t default_body_limit = 16 * 1024 * 1024; // bytes
 constexpr unsigned default_connection_limit = 8192;
 constexpr duration default_drain_timeout = 30s;
+constexpr std::uint64_t default_reads_per_second = 2000;
+constexpr duration default_watch = 10s;
+constexpr duration default_answer_within = 3s;
 constexpr std::size_t secret_least = 16;             // characters
 constexpr std::size_t secret_file_limit = 64 * 1024; // bytes
 
@@ -72,16 +80,19 @@
         "connection_limit", connection_range, default_connection_limit));
 }
 
-duration drain_timeout(object_reader& reader) {
-    return reader.milliseconds_or("drain_timeout_ms", drain_range,
-                                  default_drain_timeout);
-}
-
 instance_settings read_instance(object_reader reader) {
     instance_settings read;
     read.name = reader.name("name");
     read.data_centre = reader.name("data_centre");
     read.host = reader.ip_number("host");
+    const member_capacity usual;
+    read.capacity.cpu_permille = static_cast<unsigned>(
+        reader.number_or("cpu_permille", cpu_range, usual.cpu_permille));
+    read.capacity.link_mbps = static_cast<unsigned>(
+        reader.number_or("link_mbps", link_range, usual.link_mbps));
+    read.drain_timeout = reader.milliseconds_or("drain_timeout_ms", drain_range,
+                                                default_drain_timeout);
+    read.metrics_port = metrics_port(reader);
     reader.finish();
     return read;
 }
@@ -91,13 +102,19 @@
     read.host = reader.ip_number("host");
     read.port =
         static_cast<std::uint16_t>(reader.number("port", peer_port_range));
+    read.reads_per_second = static_cast<double>(reader.number_or(
+        "reads_per_second", reads_range, default_reads_per_second));
+    read.readers =
+        static_cast<unsigned>(reader.number_or("readers", reader_range, 0));
+    read.watch = reader.milliseconds_or("watch_ms", watch_range, default_watch);
+    read.answer_within = reader.milliseconds_or("answer_within_ms", watch_range,
+                                                default_answer_within);
     reader.finish();
     return read;
 }
 
 seed_settings read_seed(object_reader reader) {
     seed_settings read;
-    read.name = reader.name("name");
     read.host = reader.ip_number("host");
     read.control_port = static_cast<std::uint16_t>(
         reader.number("control_port", peer_port_range));
@@ -119,12 +136,9 @@
 entry_settings read_entry(object_reader reader) {
     entry_settings read;
     read.caller_port = listen_port(reader, "caller_port");
-    read.entry_port = listen_port(reader, "entry_port");
     read.body_limit =
         reader.number_or("body_limit_bytes", body_range, default_body_limit);
     read.connection_limit = connection_limit(reader);
-    read.drain_timeout = drain_timeout(reader);
-    read.metrics_port = metrics_port(reader);
     reader.finish();
     return read;
 }
@@ -133,8 +147,6 @@
     steer_settings read;
     read.steer_port = listen_port(reader, "steer_port");
     read.connection_limit = connection_limit(reader);
-    read.drain_timeout = drain_timeout(reader);
-    read.metrics_port = metrics_port(reader);
     reader.finish();
     return read;
 }
@@ -143,11 +155,13 @@
                               const std::string& instance_host) {
     control_settings read;
     read.control_port = listen_port(reader, "control_port");
-    read.admin_port = listen_port(reader, "admin_port");
-    read.admin_host = reader.ip_number_or("admin_host", instance_host);
-    read_secret(reader, admin_token_fields, read.admin_token,
-                read.admin_token_file);
-    read.drain_timeout = drain_timeout(reader);
+    read.administration = reader.flag_or("administration", true);
+    if (read.administration) {
+        read.admin_port = listen_port(reader, "admin_port");
+        read.admin_host = reader.ip_number_or("admin_host", instance_host);
+        read_secret(reader, admin_token_fields, read.admin_token,
+                    read.admin_token_file);
+    }
     reader.finish();
     return read;
 }
