--- a/src/waxwing_steer/address_desk.cpp
+++ b/src/steer/address_desk.cpp
@@ -1,4 +1,4 @@
-#include "waxwing_steer/address_desk.hpp"
+#include "steer/address_desk.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -59,8 +59,7 @@
 }
 
 io::http_response address_desk::answer(const io::http_request& request,
-                                       std::uint64_t asked,
-                                       std::uint64_t wall_us) const {
+                                       const asking& when) const {
     const auto path = request.target.substr(0, request.target.find('?'));
     if (path != addresses_path || request.method != "GET") {
         return problem(status_not_found, "expected GET /v1/addresses");
@@ -78,7 +77,7 @@
     decision::steering_caller caller;
     caller.hash = decision::stable_hash(caller_of(request));
     caller.data_centre = io::query_value(request.target, "data_centre");
-    caller.window = asked;
+    caller.window = when.number;
     const auto steered = decision::steer_caller(
         *view_->config, owners_.at(name), view_->members, caller);
     if (steered.addresses.empty()) {
@@ -94,7 +93,7 @@
              {"host", address.host},
              {"port", address.port},
              {"weight", address.weight},
-             {"key_prefix", prefix_for(address.member, wall_us)}});
+             {"key_prefix", prefix_for(address.member, when.wall_us)}});
     }
     const auto keep_ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(steered.keep);
@@ -102,7 +101,8 @@
         {"service", name},
         {"addresses", addresses},
         {"keep_ms", keep_ms.count()},
-        {"key_prefix", prefix_for(steered.addresses.front().member, wall_us)}};
+        {"key_prefix",
+         prefix_for(steered.addresses.front().member, when.wall_us)}};
     io::http_response response;
     response.headers = {{"Content-Type", "application/json"}};
     response.body = answer.dump() + "\n";
--- a/src/waxwing_load/call_tally.hpp
+++ b/src/waxwing_load/call_tally.hpp
@@ -27,7 +27,7 @@
 public:
     void ended(call_end how, duration since_due);
     void attempt() { ++attempts_; }
-    // What one answer states; the reason is a word of waxwing-entry's own
+    // What one answer states; the reason is a word of the entry instance's own
     // answers, else empty.
     void answer(unsigned status, const std::string& outcome,
                 const std::string& reason);
--- a/src/waxwing_load/load_caller.hpp
+++ b/src/waxwing_load/load_caller.hpp
@@ -13,8 +13,8 @@
 
 namespace waxwingvale::load {
 
-// One caller: asks waxwing-steer for addresses, keeps the answer as long as it
-// was told to and uses it on when nobody answers. It asks again in good time
+// One caller: asks an entry instance for addresses, keeps the answer as long as
+// it was told to and uses it on when nobody answers. It asks again in good time
 // so that no call waits for an address.
 class load_caller {
 public:
--- a/src/waxwing_load/load_options.cpp
+++ b/src/waxwing_load/load_options.cpp
@@ -14,7 +14,7 @@
   waxwing-load (--help | --version)
 
 Options:
-  --steer=LIST          waxwing-steer addresses, HOST:PORT with commas.
+  --steer=LIST          Where to ask for addresses, HOST:PORT with commas.
   --service=NAME        Service to call through the entry instances.
   --direct=LIST         Backend servers; with --steer every other call goes
                         straight to one of them, for comparison.
@@ -23,7 +23,7 @@
   --write-fraction=F    Part of the calls that are at-most-once [default: 0].
   --body-bytes=N        Body of an at-most-once call [default: 64].
   --tenant=NAME         Tenant that the callers belong to.
-  --data-centre=NAME    Data centre that the callers tell waxwing-steer.
+  --data-centre=NAME    Data centre that the callers tell when they ask.
   --callers=N           Callers, each with kept addresses [default: 50].
   --schedule=KIND       fixed, poisson or burst [default: poisson].
   --rate=R              Calls a second of all callers [default: 100].
--- a/src/waxwing_load/load_run.hpp
+++ b/src/waxwing_load/load_run.hpp
@@ -24,7 +24,7 @@
 struct load_result {
     call_tally through;        // by way of the entry instances
     call_tally direct;         // straight to backend servers
-    std::uint64_t askings = 0; // of waxwing-steer
+    std::uint64_t askings = 0; // for addresses
 };
 
 // One run from the callers' first question to the last answer.
--- a/src/waxwing_load/steer_answer.hpp
+++ b/src/waxwing_load/steer_answer.hpp
@@ -10,7 +10,7 @@
 
 namespace waxwingvale::load {
 
-// What waxwing-steer told a caller.
+// What a caller was told of addresses.
 struct steer_answer {
     std::vector<endpoint> addresses; // in order of preference
     duration keep{};
--- a/test/configuration/configuration_file_test.cpp
+++ b/test/configuration/configuration_file_test.cpp
@@ -131,7 +131,7 @@
     // A file of nothing but brackets, well under the size limit, is published.
     // The path of each level is as long as the levels above it, so that
     // memory would grow with the square of the depth until every
-    // waxwing-control is killed.
+    // an instance is killed.
     const std::string open(100, '[');
     const std::string close(100, ']');
     const auto errors = check_configuration(open + close, "live.json");
--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
-#include "waxwing_entry/grant_message.hpp"
-#include "waxwing_entry/key_message_codec.hpp"
-#include "waxwing_entry/suspicion_codec.hpp"
+#include "entry/grant_message.hpp"
+#include "entry/key_message_codec.hpp"
+#include "entry/suspicion_codec.hpp"
 
 using namespace std::chrono_literals;
 using namespace waxwingvale;
--- a/test/fuzz/found_test.cpp
+++ b/test/fuzz/found_test.cpp
@@ -1,9 +1,9 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "entry/grant_message.hpp"
 #include "fuzz_target.hpp"
 #include "io/link_frame.hpp"
-#include "waxwing_entry/grant_message.hpp"
 
 using namespace waxwingvale;
 
--- a/test/links/hostile_peer_test.cpp
+++ b/test/links/hostile_peer_test.cpp
@@ -5,8 +5,8 @@
 #include "hub_pair.hpp"
 #include "io/link_authentication.hpp"
 #include "io/link_frame.hpp"
-#include "io/stream_socket.hpp"
 #include "io/link_websocket.hpp"
+#include "io/stream_socket.hpp"
 
 using namespace waxwingvale;
 
--- a/test/load/load_run_test.cpp
+++ b/test/load/load_run_test.cpp
@@ -33,7 +33,7 @@
     int code;
 };
 
-// Answers as waxwing-steer does and as an entry instance, on one loop with the
+// Answers askings for addresses, and as an entry instance, on one loop with the
 // run under test.
 struct fake_entry {
     kernel::event_loop loop;
--- a/test/membership/membership_world.hpp
+++ b/test/membership/membership_world.hpp
@@ -34,7 +34,7 @@
     unsigned choice;
 };
 
-// Entry instances with all that waxwing-control knows, and a network between
+// Entry instances with all that they know of each other, and a network between
 // them that reorders, doubles and loses.
 class membership_world {
 public:
--- a/test/standin/process.hpp
+++ b/test/standin/process.hpp
@@ -25,7 +25,7 @@
 // from which the machine takes ports for outgoing connections.
 std::uint16_t free_port();
 
-// The full path of a program of the build: "waxwing-entry", or a stand-in
+// The full path of a program of the build: "waxwing-node", or a stand-in
 // ("standin-backend"). Reads the folder from WAXWING_BIN.
 std::string program_path(const std::string& name);
 
--- a/tools/fleet.bash
+++ b/tools/fleet.bash
@@ -141,7 +141,7 @@
 }{\"name\": \"${instance_names[$i]}\",
  \"data_centre\": \"${instance_names[$i]%-*}\", \"host\": \"127.0.0.1\",
  \"caller_port\": $port, \"steer_port\": $((port + 1)),
- \"control_port\": $((port + 2)), \"entry_port\": $((port + 3)),
+ \"control_port\": $((port + 2)),
  \"state\": \"live\"}"
     done
     write_configuration >"$work/configuration.json"
@@ -160,13 +160,12 @@
     local name=${instance_names[$1]} port=$((instance_port + 6 * $1))
     cat <<EOF
 {
-  "settings_version": 1,
+  "settings_version": 2,
   "instance": {"name": "$name", "data_centre": "${name%-*}",
-               "host": "127.0.0.1"},
+               "host": "127.0.0.1", "metrics_port": $((port + 5))},
   "platform": {"host": "127.0.0.1", "port": $platform},
   "peers": {"shared_key": "a key for this machine only"},
-  "entry": {"caller_port": $port, "entry_port": $((port + 3)),
-            "metrics_port": $((port + 5))},
+  "entry": {"caller_port": $port},
   "steer": {"steer_port": $((port + 1))},
   "control": {"control_port": $((port + 2)), "admin_port": $((port + 4)),
               "admin_token": "a token for this machine only"}
@@ -174,17 +173,12 @@
 EOF
 }
 
-# add_instance INDEX: starts the three programs of one entry instance and
-# remembers their process ids as "CONTROL STEER ENTRY".
+# add_instance INDEX: starts an entry instance and remembers its process id.
 add_instance() {
-    local name=${instance_names[$1]} role started=""
+    local name=${instance_names[$1]}
     write_settings "$1" >"$work/$name.json"
-    for role in control steer entry; do
-        start "$name-$role" "$build/waxwing-$role" \
-            --settings="$work/$name.json"
-        started+="${started:+ }$started_pid"
-    done
-    instance_pids+=("$started")
+    start "$name" "$build/waxwing-node" --settings="$work/$name.json"
+    instance_pids+=("$started_pid")
     local port=$((instance_port + 6 * $1))
     steer_list+="${steer_list:+,}127.0.0.1:$((port + 1))"
     admin_list+="${admin_list:+ }127.0.0.1:$((port + 4))"
