--- a/cmake/waxwing_targets.cmake
+++ b/cmake/waxwing_targets.cmake
@@ -53,3 +53,20 @@
             waxwing_${folder_name} waxwing_warnings)
     endforeach()
 endfunction()
+
+# waxwing_platform_program()
+#
+# The library waxwing_platform from the sources in platform/ but main.cpp, and
+# the program waxwing-platform-node.
+function(waxwing_platform_program)
+    file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/platform/*.cpp)
+    list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
+    add_library(waxwing_platform STATIC ${sources})
+    target_include_directories(waxwing_platform PUBLIC ${PROJECT_SOURCE_DIR})
+    target_link_libraries(waxwing_platform PUBLIC waxwing_node)
+    target_link_libraries(waxwing_platform PRIVATE waxwing_warnings)
+    add_executable(waxwing-platform-node
+        ${PROJECT_SOURCE_DIR}/platform/main.cpp)
+    target_link_libraries(waxwing-platform-node PRIVATE
+        waxwing_platform waxwing_warnings)
+endfunction()
--- a/include/waxwingvale/entry/caller_call.hpp
+++ b/include/waxwingvale/entry/caller_call.hpp
@@ -19,7 +19,9 @@
     std::string tenant;
     std::string id; // names the request in log lines
     std::optional<std::string> key;
-    duration time_left{};
+    duration time_left{}; // until caller or operator waits no longer
+    // How long the caller said that it waits, where it said so.
+    std::optional<duration> caller_waits;
     // The attempt of the level above, when the caller is itself serving a
     // call: that level alone retries.
     std::optional<unsigned> attempt;
--- a/include/waxwingvale/entry/request_protocol.hpp
+++ b/include/waxwingvale/entry/request_protocol.hpp
@@ -55,9 +55,12 @@
     virtual io::http_response pass_on(io::http_response answer,
                                       const std::string& path_taken) const = 0;
 
-    // How a backend server of that service is asked for its health.
+    // How a backend server of that service is asked for its health, and what
+    // its answer tells.
     virtual std::string health_target(const service& of) const = 0;
-    virtual io::http_headers health_headers(const service& of) const = 0;
+    virtual backend_answer
+    classify_health(const forwarding::backend_result& ended,
+                    const std::string& backend_server) const = 0;
 };
 
 } // namespace waxwingvale::entry
--- a/include/waxwingvale/node/node_protocols.hpp
+++ b/include/waxwingvale/node/node_protocols.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 
 #include <waxwingvale/control/published_state.hpp>
 #include <waxwingvale/entry/request_protocol.hpp>
@@ -16,6 +17,8 @@
     std::unique_ptr<entry::request_protocol> requests;
     std::unique_ptr<steer::steering_protocol> steering;
     std::unique_ptr<control::published_state> published;
+    // Where the instance is asked whether it is ready.
+    std::string ready_path = "/ready";
 };
 
 // The product's own.
--- a/include/waxwingvale/program/settings.hpp
+++ b/include/waxwingvale/program/settings.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <waxwingvale/model/error.hpp>
+#include <waxwingvale/model/configuration.hpp>
 #include <waxwingvale/model/member.hpp>
 #include <waxwingvale/model/time.hpp>
 
@@ -21,6 +22,8 @@
     member_capacity capacity;
     duration drain_timeout{}; // most time for requests in flight to finish
     std::optional<std::uint16_t> metrics_port; // none: not served
+    // Where it is asked whether it is ready; none: not served.
+    std::optional<std::uint16_t> ready_port;
 };
 
 // Where the platform's service of values is read.
@@ -59,6 +62,15 @@
 struct steer_settings {
     std::uint16_t steer_port = 0;
     unsigned connection_limit = 0;
+    duration keep{}; // callers keep an answer so long, where the configuration
+                     // does not say
+};
+
+// What holds for every service where the configuration has no budgets and
+// names no data centres.
+struct deployment_settings {
+    std::vector<data_centre> data_centres;
+    service_budgets budgets;
 };
 
 // What instances know together, and the administration API.
@@ -79,6 +91,7 @@
     entry_settings entry;
     steer_settings steer;
     control_settings control;
+    deployment_settings deployment;
 };
 
 // Most bytes of a settings file.
--- a/src/decision/steering.cpp
+++ b/src/decision/steering.cpp
@@ -90,4 +90,73 @@
     return answer;
 }
 
+namespace {
+
+// An instance with less than this part of the strongest one's processor time
+// or bandwidth is left to those who cannot reach a better one.
+constexpr double weak_part = 0.4;
+
+std::string region_of(const std::vector<data_centre>& data_centres,
+                      const std::string& name) {
+    const auto found =
+        std::find_if(data_centres.begin(), data_centres.end(),
+                     [&](const data_centre& each) { return each.name == name; });
+    return found == data_centres.end() ? std::string() : found->region;
+}
+
+std::vector<member> without_weak(const std::vector<member>& all) {
+    unsigned cpu = 0;
+    unsigned link = 0;
+    for (const auto& each : all) {
+        cpu = std::max(cpu, each.capacity.cpu_permille);
+        link = std::max(link, each.capacity.link_mbps);
+    }
+    std::vector<member> strong;
+    for (const auto& each : all) {
+        if (each.capacity.cpu_permille >= weak_part * cpu &&
+            each.capacity.link_mbps >= weak_part * link) {
+            strong.push_back(each);
+        }
+    }
+    return strong.empty() ? all : strong;
+}
+
+} // namespace
+
+std::vector<member>
+nearby_instances(const std::vector<member>& members,
+                 const std::vector<data_centre>& data_centres,
+                 const std::string& data_centre_of_caller,
+                 std::uint64_t caller_hash, std::size_t most) {
+    const auto region = region_of(data_centres, data_centre_of_caller);
+    std::vector<member> here;
+    std::vector<member> in_region;
+    std::vector<member> all;
+    for (const auto& each : members) {
+        if (each.state != member_state::alive) {
+            continue;
+        }
+        all.push_back(each);
+        if (each.data_centre == data_centre_of_caller) {
+            here.push_back(each);
+        }
+        if (!region.empty() &&
+            region_of(data_centres, each.data_centre) == region) {
+            in_region.push_back(each);
+        }
+    }
+    auto chosen = without_weak(!here.empty()        ? here
+                               : !in_region.empty() ? in_region
+                                                    : all);
+    std::sort(chosen.begin(), chosen.end(),
+              [&](const member& a, const member& b) {
+                  return stable_hash(a.id.name, caller_hash) <
+                         stable_hash(b.id.name, caller_hash);
+              });
+    if (chosen.size() > most) {
+        chosen.resize(most);
+    }
+    return chosen;
+}
+
 } // namespace waxwingvale::decision
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -27,6 +27,8 @@
 
     result<void> start();
     std::uint16_t port() const { return callers_.port(); }
+    // Whether requests can be understood: a configuration is in force.
+    bool ready() const { return view_ && view_->config; }
     // Calls that are not answered yet are finished; then `stopped` is called.
     void stop(std::function<void()> stopped);
 
--- a/src/entry/own_protocol.hpp
+++ b/src/entry/own_protocol.hpp
@@ -39,7 +39,9 @@
     io::http_response pass_on(io::http_response answer,
                               const std::string& path_taken) const override;
     std::string health_target(const service& of) const override;
-    io::http_headers health_headers(const service& of) const override;
+    backend_answer
+    classify_health(const forwarding::backend_result& ended,
+                    const std::string& backend_server) const override;
 };
 
 } // namespace waxwingvale::entry
--- a/src/entry/own_requests.cpp
+++ b/src/entry/own_requests.cpp
@@ -150,8 +150,10 @@
     return of.health_path.empty() ? "/-/health" : of.health_path;
 }
 
-io::http_headers own_protocol::health_headers(const service&) const {
-    return {};
+backend_answer
+own_protocol::classify_health(const forwarding::backend_result& ended,
+                              const std::string&) const {
+    return classify(ended);
 }
 
 } // namespace waxwingvale::entry
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -105,7 +105,6 @@
     call.host = to.host;
     call.port = to.port;
     call.target = protocol_.health_target(of);
-    call.headers = protocol_.health_headers(of);
     call.headers.push_back({"Host", to.host});
     call.connect_timeout = probe_timeout;
     call.kept_for = probe_connection_kept_for;
@@ -113,7 +112,7 @@
         pool_.send(std::move(call),
                    [this, name = to.name](forwarding::backend_result ended) {
                        open_.erase(name);
-                       on_answer_(name, protocol_.classify(ended));
+                       on_answer_(name, protocol_.classify_health(ended, name));
                    });
     open_[to.name] =
         timers_.after(probe_timeout, [this, open, name = to.name](time_point) {
--- a/src/model/configuration.cpp
+++ b/src/model/configuration.cpp
@@ -26,8 +26,9 @@
 }
 
 bool operator==(const service_budgets& a, const service_budgets& b) {
-    return std::tie(a.retries, a.hedges, a.probes) ==
-           std::tie(b.retries, b.hedges, b.probes);
+    return std::tie(a.retries, a.retry_window, a.retry_extra, a.hedges,
+                    a.probes) == std::tie(b.retries, b.retry_window,
+                                          b.retry_extra, b.hedges, b.probes);
 }
 
 bool operator==(const service& a, const service& b) {
--- a/src/model/document_reader.cpp
+++ b/src/model/document_reader.cpp
@@ -1,6 +1,9 @@
 #include "model/document_reader.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <optional>
 #include <arpa/inet.h>
 #include <utility>
 
@@ -134,19 +137,38 @@
     return value->get<std::string>();
 }
 
+namespace {
+
+// 6, 6.0 and 6e3 are whole numbers; what fills in settings may write either.
+std::optional<std::uint64_t> whole_number(const json& value) {
+    if (value.is_number_unsigned()) {
+        return value.get<std::uint64_t>();
+    }
+    constexpr double largest = 9007199254740992.; // beyond, not all are exact
+    if (!value.is_number_float()) {
+        return std::nullopt;
+    }
+    const auto number = value.get<double>();
+    const bool whole =
+        number >= 0 && number <= largest && std::floor(number) == number;
+    return whole ? std::optional<std::uint64_t>(
+                       static_cast<std::uint64_t>(number))
+                 : std::nullopt;
+}
+
+} // namespace
+
 std::uint64_t object_reader::number_in(const char* field, const json* value,
                                        number_range range) {
     if (value == nullptr) {
         return range.least;
     }
-    const bool fits = value->is_number_unsigned() &&
-                      value->get<std::uint64_t>() >= range.least &&
-                      value->get<std::uint64_t>() <= range.most;
-    if (!fits) {
+    const auto whole = whole_number(*value);
+    if (!whole || *whole < range.least || *whole > range.most) {
         complain_of(field, "a whole number " + range_text(range), *value);
         return range.least;
     }
-    return value->get<std::uint64_t>();
+    return *whole;
 }
 
 std::string object_reader::name(const char* field) {
@@ -169,6 +191,38 @@
     return found == nullptr ? otherwise : text_in(field, found);
 }
 
+std::optional<ip_endpoint> parse_endpoint(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == text.npos) {
+        return std::nullopt;
+    }
+    ip_endpoint read;
+    read.host = text.substr(0, colon);
+    const auto* end = text.data() + text.size();
+    const auto port =
+        std::from_chars(text.data() + colon + 1, end, read.port);
+    const bool whole = port.ec == std::errc() && port.ptr == end;
+    return whole && is_ip_number(read.host) ? std::optional<ip_endpoint>(read)
+                                            : std::nullopt;
+}
+
+ip_endpoint object_reader::endpoint(const char* field) {
+    constexpr const char* expected =
+        "an IP number and a port such as 127.0.0.1:7180";
+    const auto* value = require(field, expected);
+    if (value == nullptr) {
+        return {};
+    }
+    const auto read = value->is_string()
+                          ? parse_endpoint(value->get<std::string>())
+                          : std::nullopt;
+    if (!read) {
+        complain_of(field, expected, *value);
+        return {};
+    }
+    return *read;
+}
+
 std::string object_reader::ip_number(const char* field) {
     return ip_number_in(field, require(field, "an IP number"));
 }
--- a/src/model/document_reader.hpp
+++ b/src/model/document_reader.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -48,6 +49,15 @@
     double most;
 };
 
+// Where something listens.
+struct ip_endpoint {
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+// The endpoint that a text such as 127.0.0.1:7180 names.
+std::optional<ip_endpoint> parse_endpoint(const std::string& text);
+
 // A word that a field accepts and the value that it stands for.
 template <typename Value>
 struct word_meaning {
@@ -77,6 +87,9 @@
     std::string ip_number(const char* field);
     std::string ip_number_or(const char* field, const std::string& otherwise);
 
+    // An IP number and a port, such as 127.0.0.1:7180.
+    ip_endpoint endpoint(const char* field);
+
     std::uint64_t number(const char* field, number_range range);
     std::uint64_t number_or(const char* field, number_range range,
                             std::uint64_t otherwise);
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -1,6 +1,7 @@
 #include <waxwingvale/program/settings.hpp>
 
 #include <cerrno>
+#include <cmath>
 #include <cstdio>
 #include <cstring>
 #include <memory>
@@ -21,11 +22,18 @@
 constexpr number_range body_range{1, 256 * 1024 * 1024}; // bytes
 constexpr number_range connection_range{1, 100'000};
 constexpr number_range drain_range{0, 3'600'000}; // ms
-constexpr number_range cpu_range{1, 1'000'000};   // thousandths of a core
+constexpr fraction_range cores_range{0.001, 1000.}; // times a usual core
+constexpr fraction_range share_range{0.001, 1000.}; // of them
 constexpr number_range link_range{1, 1'000'000};  // Mbit/s
 constexpr number_range reads_range{1, 1'000'000}; // a second
 constexpr number_range reader_range{0, 1000};     // entry instances
 constexpr number_range watch_range{50, 60'000};   // ms
+constexpr number_range keep_range{100, 3'600'000};  // ms
+constexpr number_range data_centre_count{0, 256};
+constexpr fraction_range budget_range{0., 1.};     // of first attempts
+constexpr number_range window_range{100, 600'000}; // ms
+constexpr number_range extra_range{0, 100'000};    // attempts
+constexpr fraction_range probe_range{0., 1000.};   // a second and server
 
 constexpr std::size_t default_body_limit = 16 * 1024 * 1024; // bytes
 constexpr unsigned default_connection_limit = 8192;
@@ -33,6 +41,7 @@
 constexpr std::uint64_t default_reads_per_second = 2000;
 constexpr duration default_watch = 10s;
 constexpr duration default_answer_within = 3s;
+constexpr duration default_keep = 5s;
 constexpr std::size_t secret_least = 16;             // characters
 constexpr std::size_t secret_file_limit = 64 * 1024; // bytes
 
@@ -63,11 +72,28 @@
     }
 }
 
+// A port at the instance's host, or the whole address under another name: what
+// fills in settings may know only one of the two forms.
+struct listen_fields {
+    const char* port;
+    const char* address;
+};
+
+constexpr listen_fields caller_fields{"caller_port", "caller_address"};
+constexpr listen_fields steer_fields{"steer_port", "steer_address"};
+constexpr listen_fields control_fields{"control_port", "control_address"};
+constexpr listen_fields ready_fields{"ready_port", "ready_address"};
+
 std::uint16_t listen_port(object_reader& reader, const char* field) {
     return static_cast<std::uint16_t>(
         reader.number_or(field, listen_port_range, 0));
 }
 
+std::uint16_t listen_port(object_reader& reader, const listen_fields& fields) {
+    return reader.has(fields.address) ? reader.endpoint(fields.address).port
+                                      : listen_port(reader, fields.port);
+}
+
 std::optional<std::uint16_t> metrics_port(object_reader& reader) {
     if (!reader.has("metrics_port")) {
         return std::nullopt;
@@ -75,6 +101,13 @@
     return listen_port(reader, "metrics_port");
 }
 
+std::optional<std::uint16_t> ready_port(object_reader& reader) {
+    if (!reader.has(ready_fields.port) && !reader.has(ready_fields.address)) {
+        return std::nullopt;
+    }
+    return listen_port(reader, ready_fields);
+}
+
 unsigned connection_limit(object_reader& reader) {
     return static_cast<unsigned>(reader.number_or(
         "connection_limit", connection_range, default_connection_limit));
@@ -86,22 +119,37 @@
     read.data_centre = reader.name("data_centre");
     read.host = reader.ip_number("host");
     const member_capacity usual;
-    read.capacity.cpu_permille = static_cast<unsigned>(
-        reader.number_or("cpu_permille", cpu_range, usual.cpu_permille));
+    const auto cores = reader.fraction_or("cpu_cores", cores_range, 1) *
+                       reader.fraction_or("cpu_share", share_range, 1);
+    read.capacity.cpu_permille =
+        static_cast<unsigned>(std::lround(cores * usual.cpu_permille));
     read.capacity.link_mbps = static_cast<unsigned>(
         reader.number_or("link_mbps", link_range, usual.link_mbps));
     read.drain_timeout = reader.milliseconds_or("drain_timeout_ms", drain_range,
                                                 default_drain_timeout);
     read.metrics_port = metrics_port(reader);
+    read.ready_port = ready_port(reader);
     reader.finish();
     return read;
 }
 
-platform_settings read_platform(object_reader reader) {
-    platform_settings read;
+// An address in one field, or in two.
+ip_endpoint read_endpoint(object_reader& reader, const char* port_field) {
+    if (reader.has("address")) {
+        return reader.endpoint("address");
+    }
+    ip_endpoint read;
     read.host = reader.ip_number("host");
     read.port =
-        static_cast<std::uint16_t>(reader.number("port", peer_port_range));
+        static_cast<std::uint16_t>(reader.number(port_field, peer_port_range));
+    return read;
+}
+
+platform_settings read_platform(object_reader reader) {
+    platform_settings read;
+    const auto at = read_endpoint(reader, "port");
+    read.host = at.host;
+    read.port = at.port;
     read.reads_per_second = static_cast<double>(reader.number_or(
         "reads_per_second", reads_range, default_reads_per_second));
     read.readers =
@@ -114,12 +162,9 @@
 }
 
 seed_settings read_seed(object_reader reader) {
-    seed_settings read;
-    read.host = reader.ip_number("host");
-    read.control_port = static_cast<std::uint16_t>(
-        reader.number("control_port", peer_port_range));
+    const auto at = read_endpoint(reader, "control_port");
     reader.finish();
-    return read;
+    return {at.host, at.port};
 }
 
 peer_settings read_peers(object_reader reader) {
@@ -135,7 +180,7 @@
 
 entry_settings read_entry(object_reader reader) {
     entry_settings read;
-    read.caller_port = listen_port(reader, "caller_port");
+    read.caller_port = listen_port(reader, caller_fields);
     read.body_limit =
         reader.number_or("body_limit_bytes", body_range, default_body_limit);
     read.connection_limit = connection_limit(reader);
@@ -145,8 +190,39 @@
 
 steer_settings read_steer(object_reader reader) {
     steer_settings read;
-    read.steer_port = listen_port(reader, "steer_port");
+    read.steer_port = listen_port(reader, steer_fields);
     read.connection_limit = connection_limit(reader);
+    read.keep =
+        reader.milliseconds_or("keep_ms", keep_range, default_keep);
+    reader.finish();
+    return read;
+}
+
+data_centre read_data_centre(object_reader reader) {
+    data_centre read;
+    read.name = reader.name("name");
+    read.region = reader.name("region");
+    reader.finish();
+    return read;
+}
+
+deployment_settings read_deployment(object_reader reader) {
+    deployment_settings read;
+    for (const auto& each :
+         reader.objects_or_none("data_centres", data_centre_count)) {
+        read.data_centres.push_back(read_data_centre(each));
+    }
+    auto& budgets = read.budgets;
+    budgets.retries =
+        reader.fraction_or("retries", budget_range, budgets.retries);
+    budgets.retry_window = reader.milliseconds_or(
+        "retry_window_ms", window_range, budgets.retry_window);
+    budgets.retry_extra = static_cast<unsigned>(
+        reader.number_or("retry_extra", extra_range, budgets.retry_extra));
+    budgets.hedges =
+        reader.fraction_or("hedges", budget_range, budgets.hedges);
+    budgets.probes = reader.fraction_or("probes_per_second", probe_range,
+                                        budgets.probes);
     reader.finish();
     return read;
 }
@@ -154,7 +230,7 @@
 control_settings read_control(object_reader reader,
                               const std::string& instance_host) {
     control_settings read;
-    read.control_port = listen_port(reader, "control_port");
+    read.control_port = listen_port(reader, control_fields);
     read.administration = reader.flag_or("administration", true);
     if (read.administration) {
         read.admin_port = listen_port(reader, "admin_port");
@@ -180,6 +256,7 @@
     read.entry = read_entry(file.object_or_empty("entry"));
     read.steer = read_steer(file.object_or_empty("steer"));
     read.control = read_control(file.object("control"), read.instance.host);
+    read.deployment = read_deployment(file.object_or_empty("deployment"));
     file.finish();
     return read;
 }
--- a/src/waxwing_node/main.cpp
+++ b/src/waxwing_node/main.cpp
@@ -1,4 +1,4 @@
-#include "node/node_program.hpp"
+#include <waxwingvale/node/node_program.hpp>
 
 using namespace waxwingvale;
 
