--- a/include/waxwingvale/model/configuration.hpp
+++ b/include/waxwingvale/model/configuration.hpp
@@ -34,13 +34,13 @@
 // Budgets that bound extra work on behalf of a service.
 struct service_budgets {
     double retries = 0.1; // retries as a fraction of first attempts
+    double hedges = 0.05; // hedges as a fraction of first attempts
+    double probes = 0.1;  // probes a second to one backend server, from all
+                          // entry instances together; 0 turns probing off
     // In any window as long as this, so many attempts after the first may be
     // made beyond the fraction, over all entry instances.
     duration retry_window = std::chrono::seconds(10);
     unsigned retry_extra = 10;
-    double hedges = 0.05; // hedges as a fraction of first attempts
-    double probes = 0.1;  // probes a second to one backend server, from all
-                          // entry instances together; 0 turns probing off
 };
 
 // A service: its classes in match order (first wins) and backend servers.
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -167,7 +167,7 @@
     if (call.alone) {
         crashes_.on_trial_placed(fingerprint(call), action.backend_server);
     }
-    if (call.may_run_again() && !call.hedged) {
+    if (call.may_run_again() && call.may_reach_another() && !call.hedged) {
         arm_hedge(call, part_of(service)
                             .policies.hedges(call.labels.request_class)
                             .delay());
@@ -301,6 +301,9 @@
 
 bool call_desk::try_again(call_record& call, const running_attempt& attempt,
                           const backend_answer& answer) {
+    if (!call.may_reach_another()) {
+        return false;
+    }
     auto& part = part_of(call.labels.service);
     decision::failed_attempt failed;
     failed.nature = call.content.more_body ? request_nature::at_most_once
--- a/src/entry/call_record.hpp
+++ b/src/entry/call_record.hpp
@@ -63,7 +63,7 @@
     time_point arrived{};
     time_point deadline{};
     unsigned attempts_above = 0; // retries that callers of the caller made
-    unsigned attempts_here = 0;
+    unsigned attempts_here = 0;  // hedges not counted
     std::vector<std::string> excluded; // backend servers that failed it
     std::optional<held_key> key;
     bool nested = false; // the caller is itself serving a call
@@ -79,6 +79,12 @@
     // "not run" when its next attempt is refused.
     run_outcome earlier = run_outcome::not_run;
 
+    // Whether its class allows one more backend server. Each is counted that
+    // was sent the request, hedges too.
+    bool may_reach_another() const {
+        const auto reached = attempts_here + (hedged ? 1U : 0U);
+        return kind.max_attempts == 0 || reached < kind.max_attempts;
+    }
     bool may_run_again() const {
         return kind.nature == request_nature::retriable && !content.more_body;
     }
--- a/src/entry/call_slowness.cpp
+++ b/src/entry/call_slowness.cpp
@@ -24,7 +24,7 @@
 // deadline; hedges alone do not help, since their budget is soon used up when
 // many connections go silent together.
 void call_desk::arm_silence(call_record& call) {
-    if (!call.may_run_again() || call.nested) {
+    if (!call.may_run_again() || !call.may_reach_another() || call.nested) {
         return;
     }
     const auto slow = part_of(call.labels.service)
@@ -81,6 +81,9 @@
     if (call == nullptr || !call->running || call->alone || call->answering) {
         return;
     }
+    if (!call->may_reach_another()) {
+        return; // a retry has taken the last backend server it may reach
+    }
     auto& part = part_of(call->labels.service);
     const auto& scheduler = part.desk->scheduler();
     decision::hedge_candidate candidate;
