node: a stop takes callers for a while and ends with no connection open; SIGHUP reloads

Change: callers are taken for leave_notice_ms more, answers ask them to go, then the listener closes, idle connections are closed in order, and the process ends when no connection is left. SIGHUP, or a settings file that changed, is read anew; a file that is not valid changes nothing.

Excluded: the backend servers' side, which answered in every case.

--- a/include/waxwingvale/control/published_state.hpp
+++ b/include/waxwingvale/control/published_state.hpp
@@ -10,6 +10,7 @@
 #include <waxwingvale/model/configuration.hpp>
 #include <waxwingvale/model/error.hpp>
 #include <waxwingvale/model/view.hpp>
+#include <waxwingvale/program/settings.hpp>
 
 namespace waxwingvale::control {
 
@@ -37,6 +38,11 @@
                                           std::uint64_t revision) const = 0;
     // Whether all backend servers that exist are among what is read of it.
     virtual bool lists_backend_servers(const std::string& topic) const = 0;
+    // Settings that may change while the process runs; configurations that
+    // are read from here on follow them.
+    virtual void reload(const program::settings& changed) {
+        static_cast<void>(changed);
+    }
     // Reads a configuration, whole or not at all.
     virtual result<configuration>
     parse(const configuration_text& file) const = 0;
--- a/include/waxwingvale/kernel/event_loop.hpp
+++ b/include/waxwingvale/kernel/event_loop.hpp
@@ -34,6 +34,9 @@
     // Calls the handler once when SIGTERM or SIGINT arrives.
     void on_termination(std::function<void()> handler);
 
+    // Calls the handler whenever SIGHUP arrives.
+    void on_hangup(std::function<void()> handler);
+
     // For code that registers libev watchers of its own.
     struct ev_loop* native() const;
 
--- a/include/waxwingvale/node/node_program.hpp
+++ b/include/waxwingvale/node/node_program.hpp
@@ -18,6 +18,7 @@
 
     result<program::port_map> start() override;
     void stop(std::function<void()> stopped) override;
+    void reload(const program::settings& changed) override;
 
 private:
     struct state;
--- a/include/waxwingvale/program/program_frame.hpp
+++ b/include/waxwingvale/program/program_frame.hpp
@@ -62,6 +62,10 @@
     // finish and then calls `stopped`, at once or later. When that takes
     // longer than its drain timeout the process ends without.
     virtual void stop(std::function<void()> stopped) = 0;
+
+    // The settings file has changed, and its new content is valid. Takes over
+    // what can change while it runs; addresses cannot.
+    virtual void reload(const settings& changed) { static_cast<void>(changed); }
 };
 
 // What a main says of its program.
--- a/include/waxwingvale/program/settings.hpp
+++ b/include/waxwingvale/program/settings.hpp
@@ -21,6 +21,7 @@
     std::string host; // IP number
     member_capacity capacity;
     duration drain_timeout{}; // most time for requests in flight to finish
+    duration leave_notice{};  // callers are still taken so long while it leaves
     std::optional<std::uint16_t> metrics_port; // none: not served
     // Where it is asked whether it is ready; none: not served.
     std::optional<std::uint16_t> ready_port;
--- a/include/waxwingvale/steer/steering_protocol.hpp
+++ b/include/waxwingvale/steer/steering_protocol.hpp
@@ -4,6 +4,7 @@
 
 #include <waxwingvale/io/http_message.hpp>
 #include <waxwingvale/model/view.hpp>
+#include <waxwingvale/program/settings.hpp>
 
 namespace waxwingvale::steer {
 
@@ -21,6 +22,10 @@
     virtual ~steering_protocol() = default;
     // A newer view; later answers are made from it.
     virtual void take(const view_ptr& view) = 0;
+    // Settings that may change while the process runs.
+    virtual void reload(const program::settings& changed) {
+        static_cast<void>(changed);
+    }
     virtual io::http_response answer(const io::http_request& request,
                                      const asking& when) const = 0;
 };
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -305,6 +305,10 @@
     }
 }
 
+void control_service::reload(const program::settings& changed) {
+    peers_.change_seeds(changed.peers.seeds);
+}
+
 void control_service::leave() {
     known_.members.leave();
     flush();
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -30,6 +30,8 @@
                     const published_state& published);
 
     result<program::port_map> start();
+    // Takes over the seeds and the pace of reading.
+    void reload(const program::settings& changed);
     // Tells the peers that this instance leaves.
     void leave();
     // What is to be done once nothing is served any more.
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "control/knowledge.hpp"
@@ -23,6 +24,10 @@
                knowledge& known, std::vector<program::seed_settings> seeds,
                std::uint64_t seed);
 
+    void change_seeds(std::vector<program::seed_settings> seeds) {
+        seeds_ = std::move(seeds);
+    }
+
     // Called whenever something a peer said may have changed what is known.
     void on_heard(std::function<void()> handler) {
         on_heard_ = std::move(handler);
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -12,7 +12,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration drain_check_period = 5ms;
+constexpr duration drain_check_period = 20ms;
 constexpr std::size_t connections_per_backend_server = 256;
 
 forwarding::caller_server_options
@@ -159,14 +159,21 @@
 
 void entry_service::stop(std::function<void()> stopped) {
     stopped_ = std::move(stopped);
-    callers_.stop_accepting();
     callers_.ask_to_close();
-    drain_check_ = environment_.timers.every(
-        drain_check_period, [this](time_point) { check_drained(); });
+    leave_notice_ = environment_.timers.after(
+        environment_.settings.instance.leave_notice, [this](time_point) {
+            callers_.stop_accepting();
+            drain_check_ = environment_.timers.every(
+                drain_check_period, [this](time_point) { check_drained(); });
+        });
 }
 
+// An end with a connection still open would cut whatever its caller sends at
+// that moment.
 void entry_service::check_drained() {
-    if (calls_.open_calls() == 0 && callers_.pending() == 0) {
+    callers_.close_idle();
+    if (calls_.open_calls() == 0 && callers_.pending() == 0 &&
+        callers_.connections() == 0) {
         drain_check_.cancel();
         stopped_();
     }
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -29,7 +29,9 @@
     std::uint16_t port() const { return callers_.port(); }
     // Whether requests can be understood: a configuration is in force.
     bool ready() const { return view_ && view_->config; }
-    // Calls that are not answered yet are finished; then `stopped` is called.
+    // Callers that hold this address are served for a while yet, and asked to
+    // go elsewhere; then no more is taken, what is under way is finished, and
+    // `stopped` is called.
     void stop(std::function<void()> stopped);
 
 private:
@@ -57,6 +59,7 @@
     view_ptr view_;
     call_desk calls_;
     prober prober_;
+    kernel::timer_service::subscription leave_notice_;
     kernel::timer_service::subscription drain_check_;
     std::function<void()> stopped_;
 };
--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -17,6 +17,8 @@
 // once, with bytes of the caller unread, the connection would be reset, and
 // the answer that is on its way lost.
 constexpr duration linger_limit = 1s;
+// Beyond the time that callers need to send what they opened a connection for.
+constexpr duration idle_before_closing = 100ms;
 
 constexpr unsigned status_request_timeout = 408;
 
@@ -303,7 +305,9 @@
 void caller_connection::close_if_idle() {
     const bool idle = phase_ == phase::reading && input_.empty() &&
                       !reader_.reading(input_) && socket_.waiting() == 0;
-    if (idle) {
+    // A request may be on its way on a connection that was just opened, or
+    // whose answer has just gone out.
+    if (idle && frame_.now() - since_ >= idle_before_closing) {
         begin_closing();
     }
 }
--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -13,8 +13,10 @@
     ev_async wake_up{};
     ev_signal terminate{};
     ev_signal interrupt{};
+    ev_signal hangup{};
     ev_prepare before_wait{};
     std::function<void()> termination_handler;
+    std::function<void()> hangup_handler;
     std::mutex guard;
     std::vector<std::function<void()>> posted;
     std::vector<std::function<void()>> deferred;
@@ -69,6 +71,7 @@
     ev_async_stop(state_->loop, &state_->wake_up);
     ev_signal_stop(state_->loop, &state_->terminate);
     ev_signal_stop(state_->loop, &state_->interrupt);
+    ev_signal_stop(state_->loop, &state_->hangup);
     ev_loop_destroy(state_->loop);
 }
 
@@ -112,6 +115,18 @@
     start(state_->interrupt, SIGINT);
 }
 
+void event_loop::on_hangup(std::function<void()> handler) {
+    state_->hangup_handler = std::move(handler);
+    ev_signal_init(
+        &state_->hangup,
+        [](struct ev_loop*, ev_signal* w, int) {
+            static_cast<state*>(w->data)->hangup_handler();
+        },
+        SIGHUP);
+    state_->hangup.data = state_.get();
+    ev_signal_start(state_->loop, &state_->hangup);
+}
+
 struct ev_loop* event_loop::native() const {
     return state_->loop;
 }
--- a/src/node/node_program.cpp
+++ b/src/node/node_program.cpp
@@ -144,6 +144,12 @@
     return ports;
 }
 
+void node_program::reload(const program::settings& changed) {
+    state_->protocols.steering->reload(changed);
+    state_->protocols.published->reload(changed);
+    state_->control->reload(changed);
+}
+
 // Callers are told first, by the peers that answer for us, then what is in
 // flight is finished, then the links go.
 void node_program::stop(std::function<void()> stopped) {
--- a/src/program/program_frame.cpp
+++ b/src/program/program_frame.cpp
@@ -4,6 +4,8 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <sys/stat.h>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -86,11 +88,42 @@
     return as_int(exit_code::ok);
 }
 
+// The settings file may change without a signal; it is looked at this often.
+constexpr duration file_check_period = std::chrono::seconds(1);
+
+// A file, and whether it was replaced or written since it was last looked at.
+class watched_file {
+public:
+    explicit watched_file(std::string name) : name_(std::move(name)) {
+        changed();
+    }
+
+    const std::string& name() const { return name_; }
+
+    bool changed() {
+        struct stat found {};
+        if (::stat(name_.c_str(), &found) != 0) {
+            return false; // it may be on its way; what was read stays
+        }
+        const auto seen = std::make_tuple(found.st_ino, found.st_size,
+                                          found.st_mtim.tv_sec,
+                                          found.st_mtim.tv_nsec);
+        const bool differs = seen != seen_;
+        seen_ = seen;
+        return differs;
+    }
+
+private:
+    std::string name_;
+    std::tuple<ino_t, off_t, time_t, long> seen_{};
+};
+
 // Runs one program on one loop from start to stop.
 class program_run {
 public:
-    program_run(const program_description& program, const settings& given)
-        : program_(program), settings_(given) {}
+    program_run(const program_description& program, settings given,
+                const std::string& file_name)
+        : program_(program), settings_(std::move(given)), file_(file_name) {}
 
     exit_code run() {
         services_.provide(service_name::timers, timers_).value();
@@ -108,12 +141,32 @@
         std::cout << ready_line(program_.name, ports.value()) << std::endl;
         log_change("started", {{"version", version()}});
         loop_.on_termination([this] { begin_stop(); });
+        loop_.on_hangup([this] { reload(); });
+        file_check_ = timers_.every(file_check_period, [this](time_point) {
+            if (file_.changed()) {
+                reload();
+            }
+        });
         loop_.run();
         running_.reset();
         return code_;
     }
 
 private:
+    // A file that is not valid changes nothing: the process goes on as it is.
+    void reload() {
+        file_.changed(); // what is read now needs no second reading
+        const auto loaded = load_settings(file_.name());
+        if (!loaded) {
+            log_warning("settings_refused",
+                        {{"error", to_string(loaded.error())}});
+            return;
+        }
+        settings_ = loaded.value();
+        log_change("settings_reloaded");
+        running_->reload(settings_);
+    }
+
     void begin_stop() {
         if (stopping_) {
             return;
@@ -140,7 +193,8 @@
     }
 
     const program_description& program_;
-    const settings& settings_;
+    settings settings_;
+    watched_file file_;
     kernel::event_loop loop_;
     kernel::monotonic_clock clock_;
     kernel::timer_service timers_{clock_, loop_};
@@ -148,6 +202,7 @@
     metrics environment_metrics_;
     std::unique_ptr<server_program> running_;
     kernel::timer_service::subscription drain_;
+    kernel::timer_service::subscription file_check_;
     bool stopping_ = false;
     bool ended_ = false;
     exit_code code_ = exit_code::ok;
@@ -198,7 +253,7 @@
         return as_int(exit_code::settings);
     }
     start_log(program.name);
-    return as_int(program_run(program, loaded.value()).run());
+    return as_int(program_run(program, loaded.value(), file_name).run());
 }
 
 } // namespace waxwingvale::program
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -22,6 +22,7 @@
 constexpr number_range body_range{1, 256 * 1024 * 1024}; // bytes
 constexpr number_range connection_range{1, 100'000};
 constexpr number_range drain_range{0, 3'600'000}; // ms
+constexpr number_range notice_range{0, 60'000};     // ms
 constexpr fraction_range cores_range{0.001, 1000.}; // times a usual core
 constexpr fraction_range share_range{0.001, 1000.}; // of them
 constexpr number_range link_range{1, 1'000'000};  // Mbit/s
@@ -127,6 +128,8 @@
         reader.number_or("link_mbps", link_range, usual.link_mbps));
     read.drain_timeout = reader.milliseconds_or("drain_timeout_ms", drain_range,
                                                 default_drain_timeout);
+    read.leave_notice = reader.milliseconds_or("leave_notice_ms", notice_range,
+                                               duration::zero());
     read.metrics_port = metrics_port(reader);
     read.ready_port = ready_port(reader);
     reader.finish();
