--- a/include/waxwingvale/decision/ownership.hpp
+++ b/include/waxwingvale/decision/ownership.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include <waxwingvale/model/configuration.hpp>
@@ -20,6 +22,8 @@
 struct ownership {
     std::string service;
     std::vector<slot_owner> owners; // by rank; empty: no member can own
+    // Who takes an owner's place while it is out of reach, by rank.
+    std::vector<slot_owner> standbys; // without backend servers
 };
 
 bool operator==(const slot_owner& a, const slot_owner& b);
@@ -29,15 +33,26 @@
 // many owners there are. See docs/design/ownership-and-steering.md.
 inline constexpr unsigned slots_per_owner = 32;
 
+// How many instances stand by for the owners. Each is asked only when all
+// before it are out of reach.
+inline constexpr std::size_t standbys_per_service = 3;
+
 // The owners of the service among members that are alive or suspect: a pure
 // function of its arguments, so that instances with the same view agree
-// without talking. Two owners at least when two such members exist, so that
-// the loss of one never leaves a service without owner; in different data
-// centres while there are enough. Changes of the member list move as few
-// backend servers as the balance between owners allows.
+// without talking. Two owners at least when two such members exist and the
+// file does not say otherwise. Owners and standbys are in different data
+// centres while there are enough, and weak machines only when there are no
+// others. Changes of the member list move as few backend servers as the balance
+// between owners allows.
 ownership compute_ownership(const service& of,
                             const std::vector<member>& members);
 
+// The ownership as one instance has to act on it: each owner that it neither
+// is nor reaches is replaced by the first standby that it is or reaches. An
+// owner without such a standby stays.
+ownership with_standbys(const ownership& planned, const std::string& self,
+                        const std::unordered_set<std::string>& reachable);
+
 // The owner of that backend server, or null.
 const slot_owner* find_owner_of(const ownership& owners,
                                 const std::string& backend_server);
--- a/include/waxwingvale/decision/scheduler_actions.hpp
+++ b/include/waxwingvale/decision/scheduler_actions.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <waxwingvale/decision/scheduler_events.hpp>
 #include <waxwingvale/model/time.hpp>
@@ -15,7 +17,8 @@
     queue_full,        // its class has as many waiting as the file allows
     too_late,          // it would complete past its deadline
     stale_view,        // must not run twice, and the view is not fresh
-    no_spare_slot      // a hedge, and no slot is spare
+    no_spare_slot,     // a hedge, and no slot is spare
+    retry_budget       // the service has had its share of repeated attempts
 };
 
 // The lower-case word for a reason, as it appears in metrics.
@@ -42,26 +45,27 @@
     request_id request = 0;
 };
 
-// To a peer: grants_asked.
-struct ask_grants {
+// To a peer: slots_asked.
+struct ask_slots {
     std::string peer;
-    unsigned count = 0;
-    duration urgency{};
+    std::vector<waiting_request> waiting;
+    std::vector<request_id> withdrawn;
+    bool whole = false;
 };
 
 // To a peer: ask_answered.
 struct answer_ask {
     std::string peer;
     unsigned idle = 0;
-    unsigned declined = 0;
-    duration come_back_in{};
-    duration come_back_interval{};
+    bool is_owner = true;
+    std::vector<declined_request> declined;
 };
 
 // To a peer: grant_received.
 struct give_grant {
     std::string peer;
     grant_id grant = 0;
+    request_id request = 0;
     std::string backend_server;
     duration lease{};
 };
@@ -70,10 +74,7 @@
 struct return_grant {
     std::string peer;
     grant_id grant = 0;
-    bool unused = false;
-    attempt_verdict verdict = attempt_verdict::answered;
-    std::string request_class;
-    duration service_time{};
+    std::optional<grant_use> use;
 };
 
 // Send time_passed at that moment; replaces an earlier wish.
@@ -82,13 +83,13 @@
 };
 
 using scheduler_action =
-    std::variant<start_request, refuse_request, expire_request, ask_grants,
+    std::variant<start_request, refuse_request, expire_request, ask_slots,
                  answer_ask, give_grant, return_grant, wake_at>;
 
 bool operator==(const start_request& a, const start_request& b);
 bool operator==(const refuse_request& a, const refuse_request& b);
 bool operator==(const expire_request& a, const expire_request& b);
-bool operator==(const ask_grants& a, const ask_grants& b);
+bool operator==(const ask_slots& a, const ask_slots& b);
 bool operator==(const answer_ask& a, const answer_ask& b);
 bool operator==(const give_grant& a, const give_grant& b);
 bool operator==(const return_grant& a, const return_grant& b);
--- a/include/waxwingvale/decision/scheduler_events.hpp
+++ b/include/waxwingvale/decision/scheduler_events.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include <waxwingvale/decision/ownership.hpp>
 #include <waxwingvale/model/backend_belief.hpp>
+#include <waxwingvale/model/backend_load.hpp>
 #include <waxwingvale/model/configuration.hpp>
 #include <waxwingvale/model/member.hpp>
 #include <waxwingvale/model/time.hpp>
@@ -50,28 +53,45 @@
     bool reachable = false;
 };
 
-// A request, or a further attempt of one that finished, wants a slot.
-struct request_arrived {
-    request_id request = 0;
+// What a request wants of a slot, wherever it waits.
+struct request_needs {
     std::string tenant;
     std::string request_class;
     request_nature nature = request_nature::at_most_once;
-    time_point deadline{};
+    unsigned priority = 0; // 0 goes first when slots are short
     unsigned attempt = 1;
     std::vector<std::string> excluded; // backend servers not to be used
     // True for a suspect of having crashed a backend server: it runs only
-    // where nothing else of the owner's runs.
+    // where nothing else runs.
     bool isolated = false;
     // True for a hedge: it starts now on a slot that nobody waits for, or is
     // refused.
     bool only_if_spare = false;
 };
 
+// A request, or a further attempt of one that finished, wants a slot.
+struct request_arrived : request_needs {
+    request_id request = 0;
+    time_point deadline{};
+    // Until then an answer is worth most; none: at any time before the
+    // deadline alike.
+    std::optional<time_point> target;
+};
+
+// A request that waits at a peer, as the peer tells of it.
+struct waiting_request : request_needs {
+    request_id request = 0; // the peer's number
+    duration time_left{};   // until the deadline
+    std::optional<duration> target_left;
+};
+
 // A started request ended; its slot is free.
 struct request_finished {
     request_id request = 0;
     attempt_verdict verdict = attempt_verdict::answered;
     duration service_time{}; // from sent to answered; zero when not answered
+    std::optional<backend_load> load; // as the answer told it
+    std::size_t answer_bytes = 0;
 };
 
 // The caller went away. A waiting request is dropped without an action; one
@@ -80,40 +100,59 @@
     request_id request = 0;
 };
 
-// A peer has work for which it has no slots; count replaces what it asked
-// for before, and 0 withdraws.
-struct grants_asked {
+// A peer has requests for which it has no slots.
+struct slots_asked {
     std::string peer;
-    unsigned count = 0;
-    duration urgency{}; // until the deadline of its most urgent request
+    std::vector<waiting_request> waiting;
+    std::vector<request_id> withdrawn;
+    // True: what the peer named before and does not name now waits no longer.
+    bool whole = false;
+};
+
+// A request that an owner will not find a slot for in time.
+struct declined_request {
+    request_id request = 0;
+    duration come_back_in{}; // when it may be tried again
 };
 
-// An owner's answer to an ask, also when it gave grants at once.
+// An owner's answer to an ask that it met with no grant.
 struct ask_answered {
     std::string peer;
-    unsigned idle = 0;       // free slots it has left
-    unsigned declined = 0;   // requests it will not find a slot for in time
-    duration come_back_in{}; // when the first of those may be tried again
-    duration come_back_interval{}; // and how far apart the others
+    unsigned idle = 0;   // free slots it has left
+    bool is_owner = true; // false: it hands out no slots
+    std::vector<declined_request> declined;
 };
 
-// An owner lets us use one slot, once, until the lease ends.
+// An owner lets us use one slot for that request, once, until the lease ends.
 struct grant_received {
     std::string peer;
     grant_id grant = 0;
+    request_id request = 0;
     std::string backend_server;
     duration lease{};
 };
 
-// A peer no longer needs the slot. The verdict tells how its request ended;
-// unused is true when nothing was started.
+// How a granted slot was used.
+struct grant_use {
+    attempt_verdict verdict = attempt_verdict::answered;
+    duration service_time{};
+    std::optional<backend_load> load;
+    std::size_t answer_bytes = 0;
+};
+
+// A peer no longer needs the slot: its request ended, or, without a use,
+// nothing was started.
 struct grant_returned {
     std::string peer;
     grant_id grant = 0;
-    bool unused = false;
-    attempt_verdict verdict = attempt_verdict::answered;
-    std::string request_class; // what the service time is to be compared with
-    duration service_time{};
+    std::optional<grant_use> use;
+};
+
+// A probe of a backend server ended.
+struct probe_ended {
+    std::string backend_server;
+    bool answered = false;            // false: silent, or not reached
+    std::optional<backend_load> load; // as the answer told it
 };
 
 // Time passed; sent at the moment asked for by wake_at, or whenever.
@@ -121,7 +160,11 @@
 
 using scheduler_event =
     std::variant<view_changed, peer_reachability, request_arrived,
-                 request_finished, request_cancelled, grants_asked,
-                 ask_answered, grant_received, grant_returned, time_passed>;
+                 request_finished, request_cancelled, slots_asked, ask_answered,
+                 grant_received, grant_returned, probe_ended, time_passed>;
+
+bool operator==(const waiting_request& a, const waiting_request& b);
+bool operator==(const declined_request& a, const declined_request& b);
+bool operator==(const grant_use& a, const grant_use& b);
 
 } // namespace waxwingvale::decision
--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -32,24 +32,60 @@
     // Choice among free slots.
     duration other_data_centre_cost{2000}; // round trip
     double load_cost = 0.25; // of the usual time, when all slots are busy
+    // For requests with a target: what work in another data centre loses of an
+    // answer's worth, whatever its size and by size; and what a server loses
+    // that is busy for twice the usual time. The size counts so much that a
+    // download of 90 kB stays near unless that costs it its target.
+    double crossing_loss = 0.003;
+    double crossing_loss_per_kilobyte = 0.01;
+    double longer_work_loss = 0.02;
+    // A request with a target waits for a better slot rather than start where
+    // an answer in time is less likely than that.
+    double start_chance = 0.7;
 
     // Admission.
     double admission_quantile = 0.98; // of service time, kept before deadlines
     double wait_share = 0.5; // of the time to spare, spent waiting at most
+    // Requests with a target are started so many deviations of their service
+    // time before it. Later, more of the slots' time goes into answers that
+    // miss it: at three times the capacity 2.0 answers 40% of all calls in
+    // time, 1.3 answers 37% and 1.0 36%, in waxwing-replay's
+    // cooperative-shared surge-3x.
+    double in_time_deviations = 2.0;
+    // What a request and its answer take between caller and instance, which
+    // the target includes and nobody tells us.
+    duration caller_travel{8000};
+    // A less urgent class goes as far behind, for each rank.
+    duration priority_step{10000};
+    // Of the slots' time, what late requests and come-backs may count on even
+    // when those in time need it all.
+    double least_spare_share = 0.05;
     duration appointment_horizon{30000000}; // latest time to come back
     unsigned fairness_window = 8;           // requests a tenant may run ahead
 
+    // Repeated attempts: an owner that has just taken over does not know what
+    // the former one allowed, so each allows a part.
+    double repeat_extra_share = 0.5;
+
+    // Probes of servers of which nothing is heard: of those that were last
+    // seen slowed down, and of others.
+    duration slowed_probe_after{50000};
+    duration idle_probe_after{150000};
+
+    // How often requests are looked at that wait although slots are free,
+    // because the servers are too slow: word of these ages meanwhile.
+    duration recheck{10000};
+
     // Grants.
-    duration ask_refresh{50000};    // a standing ask is repeated
+    duration ask_refresh{50000};    // all that waits is named again
+    unsigned ask_limit = 64;        // most requests that an owner names at once
     duration ask_lifetime{150000};  // an ask not repeated is forgotten
     duration silence_limit{100000}; // an unanswered ask means out of reach
     duration lease_min{1000000};
     duration lease_max{10000000};
-    // With work of its own waiting, an owner gives a slot only to work that
-    // is so much more urgent: of an instance without slots, of an owner.
-    duration urgency_margin{5000};
+    // With work of its own waiting, an owner gives another owner a slot only
+    // for work that is so much more urgent.
     duration owner_urgency_margin{100000};
-    unsigned ask_limit = 64; // most requests asked for at once
 };
 
 } // namespace waxwingvale::decision
--- a/include/waxwingvale/decision/service_scheduler.hpp
+++ b/include/waxwingvale/decision/service_scheduler.hpp
@@ -48,10 +48,13 @@
 
     std::size_t queued() const;
     std::size_t in_flight() const;
-    // True when a slot owned here is free and nothing waits for it: only then
-    // may a hedge be sent.
+    // True when nothing waits and a slot may be free, here or with an owner:
+    // only then may a hedge be sent.
     bool has_spare_slot() const;
     std::vector<slot_report> slots() const;
+    // Backend servers with slots owned here, of which so little was heard
+    // lately that a probe is worth its while.
+    std::vector<std::string> unheard(time_point now) const;
 
 private:
     class impl;
--- a/include/waxwingvale/entry/backend_answer.hpp
+++ b/include/waxwingvale/entry/backend_answer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <tuple>
@@ -28,6 +29,7 @@
     std::optional<backend_state> state; // what the server says of itself
     std::uint64_t incarnation = 0;      // 0 when it did not say
     std::optional<backend_load> load;   // as it said in this answer
+    std::size_t bytes = 0;              // of the answer's body
 };
 
 } // namespace waxwingvale::entry
--- a/include/waxwingvale/model/configuration.hpp
+++ b/include/waxwingvale/model/configuration.hpp
@@ -37,10 +37,12 @@
     double hedges = 0.05; // hedges as a fraction of first attempts
     double probes = 0.1;  // probes a second to one backend server, from all
                           // entry instances together; 0 turns probing off
-    // In any window as long as this, so many attempts after the first may be
-    // made beyond the fraction, over all entry instances.
-    duration retry_window = std::chrono::seconds(10);
-    unsigned retry_extra = 10;
+    // Retries and hedges together, over all entry instances: in any window as
+    // long as this at most that fraction of the requests, and so many more. A
+    // fraction of 0 stands for the two above together.
+    double repeats = 0;
+    duration repeat_window = std::chrono::seconds(10);
+    unsigned repeat_extra = 20;
 };
 
 // A service: its classes in match order (first wins) and backend servers.
--- a/include/waxwingvale/program/settings.hpp
+++ b/include/waxwingvale/program/settings.hpp
@@ -72,6 +72,7 @@
 struct deployment_settings {
     std::vector<data_centre> data_centres;
     service_budgets budgets;
+    unsigned owners = 0; // of the slots of each service; 0: derived
 };
 
 // What instances know together, and the administration API.
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -13,6 +13,16 @@
 // Without any slot there is no rate; then one a second may come back.
 constexpr duration interval_without_slots{1000000};
 
+// Weight of one more answer's size, and how many answers make a service time
+// known.
+constexpr double size_gain = 0.05;
+constexpr unsigned known_after = 20;
+constexpr double microseconds_per_second = 1e6;
+
+// Configurations name some dozens of classes for a service; with routes that
+// come and go all day it is some hundreds.
+constexpr std::size_t most_classes = 1000;
+
 } // namespace
 
 admission::admission(const scheduling_policy& policy)
@@ -25,18 +35,32 @@
     if (classes_.empty()) {
         all_ = latency_estimator(prior, policy_.admission_quantile);
     }
-    auto former = std::move(classes_);
-    classes_.clear();
+    for (auto& known : classes_) {
+        known.second.queue_limit = 0;
+    }
     for (const request_class& named : of.classes) {
-        const auto found = former.find(named.name);
-        const latency_estimator time =
-            found != former.end()
-                ? found->second.time
-                : latency_estimator(prior, policy_.admission_quantile);
-        classes_.emplace(named.name, class_record{named.queue_limit, time});
+        if (class_record* record = record_of(named.name)) {
+            record->queue_limit = named.queue_limit;
+        }
     }
 }
 
+// Classes are learned of from their answers, too: requests that are routed by
+// host and path name them without any in the service. Until a class has
+// answers of its own, it is taken to be like the others.
+class_record* admission::record_of(const std::string& request_class) {
+    const auto found = classes_.find(request_class);
+    if (found != classes_.end()) {
+        return &found->second;
+    }
+    if (classes_.size() >= most_classes) {
+        return nullptr;
+    }
+    const class_record fresh{
+        0, latency_estimator(all_.typical(), policy_.admission_quantile), 0};
+    return &classes_.emplace(request_class, fresh).first->second;
+}
+
 const latency_estimator& admission::estimator(const std::string& name) const {
     const auto found = classes_.find(name);
     return found == classes_.end() ? all_ : found->second.time;
@@ -44,13 +68,54 @@
 
 void admission::add_service_time(const std::string& request_class,
                                  duration sample) {
+    if (class_record* record = record_of(request_class)) {
+        record->time.add(sample);
+    }
     all_.add(sample);
-    const auto found = classes_.find(request_class);
-    if (found != classes_.end()) {
-        found->second.time.add(sample);
+}
+
+void admission::add_answer_size(const std::string& request_class,
+                                std::size_t bytes) {
+    if (class_record* record = record_of(request_class)) {
+        double& known = record->answer_bytes;
+        const auto size = static_cast<double>(bytes);
+        known = known == 0 ? size : known + size_gain * (size - known);
     }
 }
 
+bool admission::unknown(const std::string& request_class) const {
+    return estimator(request_class).samples() < known_after;
+}
+
+double admission::crossing_loss(const std::string& request_class) const {
+    const auto found = classes_.find(request_class);
+    const double bytes =
+        found == classes_.end() ? 0 : found->second.answer_bytes;
+    constexpr double bytes_per_kilobyte = 1000;
+    return policy_.crossing_loss + policy_.crossing_loss_per_kilobyte * bytes /
+                                       bytes_per_kilobyte;
+}
+
+work_forecast admission::forecast(const std::string& request_class,
+                                  duration left) const {
+    const latency_estimator& time = estimator(request_class);
+    work_forecast made;
+    made.typical_log = time.typical_log();
+    made.log_spread = time.log_spread();
+    made.left_log =
+        std::log(static_cast<double>(std::max(left, duration(1)).count()));
+    return made;
+}
+
+time_point admission::in_time_until(const std::string& request_class,
+                                    time_point target) const {
+    const latency_estimator& time = estimator(request_class);
+    const double kept =
+        std::exp(time.typical_log() +
+                 policy_.in_time_deviations * time.log_spread());
+    return target - duration(static_cast<duration::rep>(kept));
+}
+
 duration admission::typical(const std::string& request_class) const {
     return estimator(request_class).typical();
 }
@@ -77,8 +142,13 @@
     return found == classes_.end() ? 0 : found->second.queue_limit;
 }
 
-duration admission::time_to_serve(double requests, unsigned slots) const {
-    if (slots == 0) {
+double admission::slots_needed(double arrivals_per_second) const {
+    return arrivals_per_second * static_cast<double>(all_.mean().count()) /
+           microseconds_per_second;
+}
+
+duration admission::time_to_serve(double requests, double slots) const {
+    if (slots <= 0) {
         return policy_.appointment_horizon;
     }
     const double time = static_cast<double>(all_.mean().count());
@@ -96,10 +166,10 @@
         fraction * static_cast<double>(interval.count())));
 }
 
-duration admission::next_appointment(duration backlog, unsigned slots,
+duration admission::next_appointment(duration backlog, double slots,
                                      time_point now) {
     const duration interval =
-        slots == 0 ? interval_without_slots
+        slots <= 0 ? interval_without_slots
                    : std::max(time_to_serve(1.0, slots), duration(1));
     const time_point earliest = now + backlog + interval;
     appointments_until_ = std::max(appointments_until_ + interval, earliest);
--- a/src/decision/admission.hpp
+++ b/src/decision/admission.hpp
@@ -6,6 +6,7 @@
 
 #include "decision/latency_estimator.hpp"
 #include "decision/request_queue.hpp"
+#include "decision/work_forecast.hpp"
 #include <waxwingvale/decision/scheduling_policy.hpp>
 
 namespace waxwingvale::decision {
@@ -13,7 +14,8 @@
 // What the file says of one class, and what its answers showed.
 struct class_record {
     std::size_t queue_limit = 0; // 0: none
-    latency_estimator time;
+    latency_estimator time; // of work at the usual pace
+    double answer_bytes = 0;
 };
 
 // Estimates when a waiting request would complete, and hands out moments for
@@ -23,11 +25,23 @@
     explicit admission(const scheduling_policy& policy);
 
     void configure(const service& of);
+    // An answer came; sample is what its work took at the usual pace.
     void add_service_time(const std::string& request_class, duration sample);
+    void add_answer_size(const std::string& request_class, std::size_t bytes);
 
     duration typical(const std::string& request_class) const;
     double relative_log(const std::string& request_class,
                         duration sample) const;
+    // Whether too few answers of the class were seen to say how long it takes.
+    bool unknown(const std::string& request_class) const;
+    // What an answer of the class that crosses between data centres costs, in
+    // parts of its worth.
+    double crossing_loss(const std::string& request_class) const;
+    work_forecast forecast(const std::string& request_class,
+                           duration left) const;
+    // The last moment at which most servers still answer within the target.
+    time_point in_time_until(const std::string& request_class,
+                             time_point target) const;
     // The last moment at which starting such a request is useful.
     time_point latest_start(const request_arrived& request,
                             time_point now) const;
@@ -35,13 +49,16 @@
     std::size_t queue_limit(const std::string& request_class) const;
 
     // How long slots need for that many requests.
-    duration time_to_serve(double requests, unsigned slots) const;
+    duration time_to_serve(double requests, double slots) const;
+    // What the arrivals of one second take of a slot's time.
+    double slots_needed(double arrivals_per_second) const;
 
     // The next free moment for a refused request, as a delay: one request
     // for each that the slots serve, the first when the backlog is done.
-    duration next_appointment(duration backlog, unsigned slots, time_point now);
+    duration next_appointment(duration backlog, double slots, time_point now);
 
 private:
+    class_record* record_of(const std::string& request_class);
     const latency_estimator& estimator(const std::string& name) const;
     duration next_round_offset(duration interval);
 
--- a/src/decision/backend_slots.cpp
+++ b/src/decision/backend_slots.cpp
@@ -24,6 +24,8 @@
         // its caches are cold.
         health_ = backend_health();
         paused_until_ = time_point{};
+        seen_.reset();
+        silent_ = false;
         start_cold();
     }
 }
@@ -40,15 +42,28 @@
     return most - in_flight();
 }
 
-void backend_slots::start(time_point now, bool isolated) {
-    started_.push_back(now);
+void backend_slots::start(attempt_ref attempt, time_point now, bool isolated) {
+    attempt_start begun;
+    begun.ref = attempt;
+    begun.at = now;
+    begun.running = in_flight() + 1;
+    if (seen_) {
+        begun.slowness = seen_->load.slowness;
+        begun.told_before = now - seen_->at;
+    }
+    started_.push_back(begun);
     isolated_ = isolated_ || isolated;
 }
 
-void backend_slots::finish(time_point started_at, attempt_verdict verdict,
-                           time_point now, const scheduling_policy& policy) {
-    const auto found = std::find(started_.begin(), started_.end(), started_at);
+std::optional<attempt_start>
+backend_slots::finish(attempt_ref attempt, attempt_verdict verdict,
+                      time_point now, const scheduling_policy& policy) {
+    std::optional<attempt_start> ended;
+    const auto found = std::find_if(
+        started_.begin(), started_.end(),
+        [&](const attempt_start& each) { return each.ref == attempt; });
     if (found != started_.end()) {
+        ended = *found;
         *found = started_.back();
         started_.pop_back();
     }
@@ -60,6 +75,7 @@
     } else if (verdict == attempt_verdict::shed) {
         shrink(now, policy);
     }
+    return ended;
 }
 
 void backend_slots::grow() {
--- a/src/decision/backend_slots.hpp
+++ b/src/decision/backend_slots.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -8,6 +9,25 @@
 
 namespace waxwingvale::decision {
 
+// Names one attempt on one backend server.
+using attempt_ref = std::uint64_t;
+
+// What was known when an attempt began.
+struct attempt_start {
+    attempt_ref ref = 0;
+    time_point at{};
+    unsigned running = 1; // requests on that server, this one included
+    double slowness = 1;  // as the server last told
+    // How old that word was; none: the server had told nothing.
+    std::optional<duration> told_before;
+};
+
+// What a backend server last told of its load.
+struct load_sighting {
+    backend_load load;
+    time_point at{};
+};
+
 // The slots of one backend server: how many there are, how many may be used
 // now, and what is in flight.
 class backend_slots {
@@ -20,6 +40,13 @@
     unsigned in_flight() const {
         return static_cast<unsigned>(started_.size());
     }
+    const std::optional<load_sighting>& seen() const { return seen_; }
+    void see(const backend_load& load, time_point now) {
+        seen_ = load_sighting{load, now};
+    }
+    // Asked for its health it gave no answer, and has not been heard since.
+    bool silent() const { return silent_; }
+    void set_silent(bool silent) { silent_ = silent; }
     const backend_health& health() const { return health_; }
     backend_health& health() { return health_; }
 
@@ -38,9 +65,11 @@
     unsigned free(time_point now) const;
     time_point paused_until() const { return paused_until_; }
 
-    void start(time_point now, bool isolated);
-    void finish(time_point started_at, attempt_verdict verdict, time_point now,
-                const scheduling_policy& policy);
+    void start(attempt_ref attempt, time_point now, bool isolated);
+    // Ends the attempt; none when it is not known.
+    std::optional<attempt_start> finish(attempt_ref attempt,
+                                        attempt_verdict verdict, time_point now,
+                                        const scheduling_policy& policy);
 
 private:
     void grow();
@@ -60,7 +89,9 @@
     bool isolated_ = false;
     duration pause_{};
     time_point paused_until_{};
-    std::vector<time_point> started_;
+    bool silent_ = false;
+    std::optional<load_sighting> seen_;
+    std::vector<attempt_start> started_;
     backend_health health_;
 };
 
--- /dev/null
+++ b/src/decision/crowding_profile.cpp
@@ -0,0 +1,76 @@
+#include "decision/crowding_profile.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace waxwingvale::decision {
+
+namespace {
+
+// Answers that stand for "no slower" at first: service times spread by a third
+// or more, so a few slow ones prove nothing.
+constexpr double prior_weight = 6;
+// Answers that count: later ones replace the oldest.
+constexpr double memory = 100;
+// What every answer leaves of the others' experience: a count that is no longer
+// used for being slow is tried again after some thousand answers.
+constexpr double fading = 0.9998;
+// Within the error of that many answers.
+constexpr double negligible_log = 0.12;
+
+} // namespace
+
+void crowding_profile::add(unsigned running, unsigned slots,
+                           double relative_log) {
+    if (running == 0 || running > slots) {
+        return;
+    }
+    profile& known = by_slots_[slots];
+    known.cells.resize(slots);
+    for (cell& each : known.cells) {
+        each.sum *= fading;
+        each.weight *= fading;
+    }
+    cell& at = known.cells[running - 1];
+    if (at.weight >= memory) {
+        at.sum -= at.sum / at.weight;
+        at.weight -= 1;
+    }
+    at.sum += relative_log;
+    at.weight += 1;
+    refresh(known);
+}
+
+void crowding_profile::refresh(profile& of) {
+    of.log_ratios.clear();
+    of.best = 1;
+    double most_done = 0;
+    double highest = 0;
+    for (std::size_t i = 0; i < of.cells.size(); ++i) {
+        const cell& at = of.cells[i];
+        const double mean = at.sum / (at.weight + prior_weight);
+        highest = std::max(highest, mean > negligible_log ? mean : 0.0);
+        of.log_ratios.push_back(highest);
+        const double done = static_cast<double>(i + 1) * std::exp(-highest);
+        if (done > most_done) {
+            most_done = done;
+            of.best = static_cast<unsigned>(i + 1);
+        }
+    }
+}
+
+double crowding_profile::log_ratio(unsigned running, unsigned slots) const {
+    const auto found = by_slots_.find(slots);
+    if (found == by_slots_.end() || running == 0) {
+        return 0;
+    }
+    const auto& ratios = found->second.log_ratios;
+    return ratios[std::min<std::size_t>(running, ratios.size()) - 1];
+}
+
+unsigned crowding_profile::best_count(unsigned slots) const {
+    const auto found = by_slots_.find(slots);
+    return found == by_slots_.end() ? slots : found->second.best;
+}
+
+} // namespace waxwingvale::decision
--- /dev/null
+++ b/src/decision/crowding_profile.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+namespace waxwingvale::decision {
+
+// How much longer work takes on a backend server the more of its slots are
+// busy, learned from service times. Some servers slow down when they are
+// nearly full: then more in flight is less done.
+class crowding_profile {
+public:
+    // An answer came from a server of that many slots, on which that many
+    // requests ran when this one started; relative_log compares its time with
+    // the usual on a server of that pace.
+    void add(unsigned running, unsigned slots, double relative_log);
+
+    // The logarithm of how much longer work takes there; never below 0.
+    double log_ratio(unsigned running, unsigned slots) const;
+    // How many requests at once make a server do the most work.
+    unsigned best_count(unsigned slots) const;
+
+private:
+    struct cell {
+        double sum = 0;
+        double weight = 0;
+    };
+    struct profile {
+        std::vector<cell> cells; // by running - 1
+        std::vector<double> log_ratios;
+        unsigned best = 1;
+    };
+
+    static void refresh(profile& of);
+
+    std::map<unsigned, profile> by_slots_;
+};
+
+} // namespace waxwingvale::decision
--- a/src/decision/grant_borrower.cpp
+++ b/src/decision/grant_borrower.cpp
@@ -1,6 +1,7 @@
 #include "decision/grant_borrower.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace waxwingvale::decision {
 
@@ -32,28 +33,93 @@
     return found == lenders_.end() ? nullptr : &*found;
 }
 
-void grant_borrower::ask(lender& at, unsigned want, duration urgency,
-                         time_point now,
-                         std::vector<scheduler_action>& actions) const {
-    at.outstanding = std::min(want, policy_.ask_limit);
+void grant_borrower::add(request_id request) {
+    waiting_.insert(request);
+    added_.insert(request);
+    removed_.erase(request);
+}
+
+void grant_borrower::remove(request_id request) {
+    waiting_.erase(request);
+    added_.erase(request);
+    removed_.insert(request);
+    come_back_.erase(request);
+    for (lender& at : lenders_) {
+        at.declined.erase(request);
+    }
+}
+
+void grant_borrower::tell(lender& at, ask_slots message, time_point now,
+                          std::vector<scheduler_action>& actions) {
     at.asked = true;
     at.asked_at = now;
     if (at.answered) {
         at.silent_since = now;
     }
     at.answered = false;
-    actions.emplace_back(ask_grants{at.name, at.outstanding, urgency});
+    for (const waiting_request& each : message.waiting) {
+        at.told.insert(each.request);
+    }
+    message.peer = at.name;
+    actions.emplace_back(std::move(message));
 }
 
+void grant_borrower::name_all(lender& at, const description& describe,
+                              time_point now,
+                              std::vector<scheduler_action>& actions) {
+    ask_slots message;
+    message.whole = true;
+    for (const request_id request : waiting_) {
+        if (!at_once_ && message.waiting.size() == policy_.ask_limit) {
+            break; // own slots serve the rest sooner
+        }
+        if (at.declined.count(request) == 0) {
+            message.waiting.push_back(describe(request));
+        }
+    }
+    at.named_all_at = now;
+    if (message.waiting.empty() && at.told.empty()) {
+        return; // it has declined all that waits
+    }
+    at.told.clear();
+    tell(at, std::move(message), now, actions);
+}
+
+void grant_borrower::name_changes(lender& at, const description& describe,
+                                  time_point now,
+                                  std::vector<scheduler_action>& actions) {
+    ask_slots message;
+    for (const request_id request : added_) {
+        if (at.told.count(request) == 0) {
+            message.waiting.push_back(describe(request));
+        }
+    }
+    for (const request_id request : removed_) {
+        if (at.told.erase(request) != 0) {
+            message.withdrawn.push_back(request);
+        }
+    }
+    if (!message.waiting.empty()) {
+        tell(at, std::move(message), now, actions);
+    } else if (!message.withdrawn.empty()) {
+        message.peer = at.name; // needs no answer
+        actions.emplace_back(std::move(message));
+    }
+}
+
+// Nothing waits any more: what lenders still hold of ours is taken back.
 void grant_borrower::withdraw(std::vector<scheduler_action>& actions) {
     for (lender& at : lenders_) {
-        if (at.asked && at.outstanding > 0) {
-            actions.emplace_back(ask_grants{at.name, 0, duration::zero()});
+        if (!at.told.empty()) {
+            ask_slots nothing;
+            nothing.peer = at.name;
+            nothing.whole = true;
+            actions.emplace_back(std::move(nothing));
         }
         at.asked = false;
         at.answered = true;
-        at.outstanding = 0;
-        at.last_answer = ask_answered();
+        at.told.clear();
+        at.declined.clear();
     }
 }
 
@@ -72,71 +138,69 @@
     return best;
 }
 
-void grant_borrower::update(unsigned want, duration urgency, time_point now,
+void grant_borrower::update(const description& describe, bool at_once,
+                            time_point now,
                             std::vector<scheduler_action>& actions) {
-    if (want == 0) {
+    at_once_ = at_once;
+    if (waiting_.empty()) {
         withdraw(actions);
-        return;
     }
     for (lender& at : lenders_) {
-        const unsigned capped = std::min(want, policy_.ask_limit);
-        const bool old = now - at.asked_at >= policy_.ask_refresh;
-        if (at.asked && (old || capped > 2 * at.outstanding)) {
-            ask(at, want, urgency, now, actions);
+        if (waiting_.empty() || !at.asked) {
+            continue;
+        }
+        if (now - at.named_all_at >= policy_.ask_refresh) {
+            name_all(at, describe, now, actions);
+        } else if (at_once) {
+            name_changes(at, describe, now, actions);
         }
     }
-    if (lender* next = next_to_ask()) {
-        ask(*next, want, urgency, now, actions);
+    added_.clear();
+    removed_.clear();
+    lender* next = waiting_.empty() ? nullptr : next_to_ask();
+    if (next != nullptr) {
+        name_all(*next, describe, now, actions);
+    }
+}
+
+void grant_borrower::heard(const std::string& peer) {
+    if (lender* from = find(peer)) {
+        from->answered = true;
     }
 }
 
 void grant_borrower::answered(const ask_answered& answer) {
     if (lender* from = find(answer.peer)) {
-        from->answered = true;
         from->idle = answer.idle;
-        from->last_answer = answer;
     }
 }
 
-bool grant_borrower::received(const std::string& peer, time_point now) {
-    lender* from = find(peer);
+bool grant_borrower::received(const grant_received& grant, time_point now) {
+    lender* from = find(grant.peer);
     if (from == nullptr) {
         return false;
     }
-    if (from->outstanding > 0 && --from->outstanding == 0) {
-        from->asked = false;
-    }
+    from->told.erase(grant.request);
     return now - from->asked_at <= policy_.ask_lifetime;
 }
 
-void grant_borrower::heard(const std::string& peer) {
-    if (lender* from = find(peer)) {
-        from->answered = true;
-    }
-}
-
-std::optional<ask_answered> grant_borrower::declined_by_all() const {
-    ask_answered all;
-    bool first = true;
-    for (const lender& at : lenders_) {
-        const ask_answered& answer = at.last_answer;
-        if (!at.asked || answer.declined == 0) {
-            return std::nullopt;
-        }
-        all.declined =
-            first ? answer.declined : std::min(all.declined, answer.declined);
-        all.come_back_in = std::max(all.come_back_in, answer.come_back_in);
-        all.come_back_interval =
-            std::max(all.come_back_interval, answer.come_back_interval);
-        first = false;
-    }
-    return first ? std::nullopt : std::optional<ask_answered>(all);
-}
-
-void grant_borrower::forget_declined() {
-    for (lender& at : lenders_) {
-        at.last_answer.declined = 0;
-    }
+std::optional<duration>
+grant_borrower::declined(const std::string& peer,
+                         const declined_request& declined) {
+    lender* from = find(peer);
+    const request_id request = declined.request;
+    if (from == nullptr || waiting_.count(request) == 0) {
+        return std::nullopt;
+    }
+    from->told.erase(request);
+    from->declined.insert(request);
+    duration& longest = come_back_[request];
+    longest = std::max(longest, declined.come_back_in);
+    const bool by_all =
+        std::all_of(lenders_.begin(), lenders_.end(), [&](const lender& each) {
+            return each.declined.count(request) != 0;
+        });
+    return by_all ? std::optional<duration>(longest) : std::nullopt;
 }
 
 std::optional<std::string> grant_borrower::silent(time_point now) const {
@@ -164,7 +228,7 @@
         if (!at.asked) {
             continue;
         }
-        consider(at.asked_at + policy_.ask_refresh);
+        consider(at.named_all_at + policy_.ask_refresh);
         if (!at.answered) {
             consider(at.silent_since + policy_.silence_limit);
         }
--- a/src/decision/grant_lender.cpp
+++ b/src/decision/grant_lender.cpp
@@ -1,6 +1,6 @@
 #include "decision/grant_lender.hpp"
 
-#include <algorithm>
+#include <utility>
 
 #include <waxwingvale/decision/stable_hash.hpp>
 
@@ -18,64 +18,26 @@
 
 } // namespace
 
-grant_lender::grant_lender(const member_id& self,
-                           const scheduling_policy& policy)
-    : policy_(policy), next_grant_(first_grant(self)) {}
+grant_lender::grant_lender(const member_id& self)
+    : next_grant_(first_grant(self)) {}
 
-void grant_lender::ask(const grants_asked& asked, time_point now) {
-    if (asked.count == 0) {
-        asks_.erase(asked.peer);
-        return;
-    }
-    const unsigned count = std::min(asked.count, policy_.ask_limit);
-    asks_[asked.peer] = {asked.peer, count, now + asked.urgency, now};
-}
-
-bool grant_lender::stands(const standing_ask& ask, time_point now) const {
-    return ask.count > 0 && now - ask.asked_at <= policy_.ask_lifetime &&
-           ask.urgent_at >= now;
-}
-
-const standing_ask* grant_lender::most_urgent(time_point now) const {
-    const standing_ask* best = nullptr;
-    for (const auto& named : asks_) {
-        const standing_ask& ask = named.second;
-        if (stands(ask, now) &&
-            (best == nullptr || ask.urgent_at < best->urgent_at)) {
-            best = &ask;
-        }
-    }
-    return best;
-}
-
-unsigned grant_lender::asked_by_others(const std::string& peer,
-                                       time_point now) const {
-    unsigned sum = 0;
-    for (const auto& named : asks_) {
-        if (named.first != peer && stands(named.second, now)) {
-            sum += named.second.count;
-        }
-    }
-    return sum;
-}
-
-grant_id grant_lender::give(const std::string& peer,
-                            const std::string& backend_server, time_point now,
-                            duration lease) {
-    const auto asked = asks_.find(peer);
-    if (asked != asks_.end() && --asked->second.count == 0) {
-        asks_.erase(asked);
-    }
+grant_id grant_lender::give(given_grant given) {
     const grant_id grant = next_grant_++;
-    given_[grant] = {peer, backend_server, now, now + lease};
-    expiries_.insert({now + lease, grant});
+    expiries_.insert({given.lease_end, grant});
+    origins_.insert(given.origin);
+    given_.emplace(grant, std::move(given));
     return grant;
 }
 
+bool grant_lender::holds(const request_origin& origin) const {
+    return origins_.count(origin) != 0;
+}
+
 given_grant grant_lender::end(grant_id grant) {
     const auto found = given_.find(grant);
     given_grant ended = std::move(found->second);
     expiries_.erase({ended.lease_end, grant});
+    origins_.erase(ended.origin);
     given_.erase(found);
     return ended;
 }
@@ -83,7 +45,7 @@
 std::optional<given_grant> grant_lender::take_back(const std::string& peer,
                                                    grant_id grant) {
     const auto found = given_.find(grant);
-    if (found == given_.end() || found->second.peer != peer) {
+    if (found == given_.end() || found->second.origin.peer != peer) {
         return std::nullopt;
     }
     return end(grant);
--- a/src/decision/grant_lender.hpp
+++ b/src/decision/grant_lender.hpp
@@ -1,48 +1,37 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
+#include <cstddef>
 #include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
+#include "decision/backend_slots.hpp"
+#include "decision/request_queue.hpp"
 #include <waxwingvale/decision/scheduler_events.hpp>
 #include <waxwingvale/decision/scheduling_policy.hpp>
 
 namespace waxwingvale::decision {
 
-// What a peer still asks for.
-struct standing_ask {
-    std::string peer;
-    unsigned count = 0;
-    time_point urgent_at{}; // latest start of its most urgent request
-    time_point asked_at{};
-};
-
-// A slot given to a peer.
+// A slot given to a peer for one of its requests.
 struct given_grant {
-    std::string peer;
+    request_origin origin;
+    std::string request_class;
     std::string backend_server;
-    time_point given_at{};
+    attempt_ref attempt = 0;
     time_point lease_end{};
 };
 
-// An owner's account of what peers ask for and which slots they hold.
+// An owner's account of the slots that peers hold.
 class grant_lender {
 public:
-    grant_lender(const member_id& self, const scheduling_policy& policy);
-
-    void ask(const grants_asked& asked, time_point now);
-    // The most urgent ask that still stands, or null.
-    const standing_ask* most_urgent(time_point now) const;
-    // How many requests other instances ask for, but that peer's.
-    unsigned asked_by_others(const std::string& peer, time_point now) const;
+    explicit grant_lender(const member_id& self);
 
-    grant_id give(const std::string& peer, const std::string& backend_server,
-                  time_point now, duration lease);
+    grant_id give(given_grant given);
+    // Whether the peer holds a slot for that request: it named the request
+    // again before the grant reached it.
+    bool holds(const request_origin& origin) const;
     // Ends the grant; none when it is unknown, another's, or ended before.
     std::optional<given_grant> take_back(const std::string& peer,
                                          grant_id grant);
@@ -53,13 +42,11 @@
     std::size_t given() const { return given_.size(); }
 
 private:
-    bool stands(const standing_ask& ask, time_point now) const;
     given_grant end(grant_id grant);
 
-    scheduling_policy policy_;
     grant_id next_grant_;
-    std::map<std::string, standing_ask> asks_;
     std::unordered_map<grant_id, given_grant> given_;
+    std::set<request_origin> origins_;
     std::set<std::pair<time_point, grant_id>> expiries_;
 };
 
--- a/src/decision/latency_estimator.hpp
+++ b/src/decision/latency_estimator.hpp
@@ -19,12 +19,18 @@
     duration high() const; // the quantile
     // log(sample / typical): 0 is usual, log(8) is eight times slower.
     double relative_log(duration sample) const;
+    // Natural logarithm of the typical time in microseconds, and by how much
+    // logarithms of samples deviate from it.
+    double typical_log() const { return typical_log_; }
+    double log_spread() const;
+    unsigned samples() const { return samples_; }
 
 private:
     double quantile_;
     double mean_;        // microseconds
     double typical_log_; // of microseconds
     double high_log_;    // of microseconds
+    double log_variance_;
     unsigned samples_ = 0;
 };
 
--- a/src/decision/ownership.cpp
+++ b/src/decision/ownership.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "decision/machine_strength.hpp"
 #include <waxwingvale/decision/stable_hash.hpp>
 
 namespace waxwingvale::decision {
@@ -25,32 +26,35 @@
 std::size_t owner_count(const service& of, std::size_t candidates) {
     const std::size_t derived =
         (total_slots(of) + slots_per_owner - 1) / slots_per_owner;
-    const std::size_t wanted = of.owners != 0 ? of.owners : derived;
-    return std::min(std::max<std::size_t>(wanted, 2), candidates);
+    const std::size_t wanted =
+        of.owners != 0 ? of.owners : std::max<std::size_t>(derived, 2);
+    return std::min(wanted, candidates);
 }
 
 struct scored_member {
-    std::uint64_t score;
-    const member* candidate;
+    bool strong = true;
+    std::uint64_t score = 0;
+    const member* candidate = nullptr;
 };
 
-// Members by falling score, one of each name: while an instance is replaced
+// Strong members first, then by falling score, one of each name: while an instance is replaced
 // the list may hold both of its incarnations, and the later one counts.
 std::vector<scored_member> ranked_members(const service& of,
                                           const std::vector<member>& members) {
     std::vector<scored_member> ranked;
+    const machine_strength strength(members);
     for (const member& candidate : members) {
         if (!may_own(candidate)) {
             continue;
         }
         const auto score = stable_hash(candidate.id.name, stable_hash(of.name));
-        ranked.push_back({score, &candidate});
+        ranked.push_back({strength.is_strong(candidate), score, &candidate});
     }
     std::sort(ranked.begin(), ranked.end(),
               [](const scored_member& a, const scored_member& b) {
-                  return std::tie(b.score, a.candidate->id.name,
+                  return std::tie(b.strong, b.score, a.candidate->id.name,
                                   b.candidate->id.incarnation) <
-                         std::tie(a.score, b.candidate->id.name,
+                         std::tie(a.strong, a.score, b.candidate->id.name,
                                   a.candidate->id.incarnation);
               });
     const auto same_name = [](const scored_member& a, const scored_member& b) {
@@ -138,17 +142,25 @@
 }
 
 bool operator==(const ownership& a, const ownership& b) {
-    return std::tie(a.service, a.owners) == std::tie(b.service, b.owners);
+    return std::tie(a.service, a.owners, a.standbys) ==
+           std::tie(b.service, b.owners, b.standbys);
 }
 
 ownership compute_ownership(const service& of,
                             const std::vector<member>& members) {
-    ownership result{of.name, {}};
+    ownership result{of.name, {}, {}};
     const auto ranked = ranked_members(of, members);
     if (ranked.empty()) {
         return result;
     }
-    result.owners = pick_owners(ranked, owner_count(of, ranked.size()));
+    const std::size_t count = owner_count(of, ranked.size());
+    const std::size_t with_standbys =
+        std::min(count + standbys_per_service, ranked.size());
+    auto picked = pick_owners(ranked, with_standbys);
+    const auto first_standby = picked.begin() + static_cast<long>(count);
+    result.standbys.assign(first_standby, picked.end());
+    picked.erase(first_standby, picked.end());
+    result.owners = std::move(picked);
     const auto owners = static_cast<unsigned>(result.owners.size());
     const unsigned room = (total_slots(of) + owners - 1) / owners;
     for (const backend_server* server : servers_by_hash(of)) {
@@ -165,6 +177,29 @@
     return result;
 }
 
+ownership with_standbys(const ownership& planned, const std::string& self,
+                        const std::unordered_set<std::string>& reachable) {
+    const auto at_hand = [&](const slot_owner& each) {
+        return each.member.name == self ||
+               reachable.count(each.member.name) != 0;
+    };
+    ownership acted = planned;
+    auto next = planned.standbys.begin();
+    for (slot_owner& owner : acted.owners) {
+        if (at_hand(owner)) {
+            continue;
+        }
+        next = std::find_if(next, planned.standbys.end(), at_hand);
+        if (next == planned.standbys.end()) {
+            break;
+        }
+        owner.member = next->member;
+        owner.data_centre = next->data_centre;
+        ++next;
+    }
+    return acted;
+}
+
 const slot_owner* find_owner_of(const ownership& owners,
                                 const std::string& backend_server) {
     for (const slot_owner& owner : owners.owners) {
--- a/src/decision/request_queue.cpp
+++ b/src/decision/request_queue.cpp
@@ -33,13 +33,13 @@
 }
 
 void request_queue::insert(queued_request entry) {
-    const request_id request = entry.arrival.request;
-    const rank place{entry.latest_start, next_sequence_++, request};
+    const request_origin origin = entry.origin();
+    const rank place{entry.latest_start, next_sequence_++, origin};
     tenant_queue& queue = queue_of(entry.arrival.tenant);
     queue.ranks.insert(place);
     ranks_.insert(place);
-    ++class_sizes_[entry.arrival.request_class];
-    entries_.emplace(request, stored{std::move(entry), place});
+    class_sizes_[entry.arrival.request_class] += entry.peer.empty() ? 1 : 0;
+    entries_.emplace(origin, stored{std::move(entry), place});
 }
 
 void request_queue::push(queued_request entry) {
@@ -79,7 +79,7 @@
 queued_request request_queue::pop() {
     auto chosen = next_tenant();
     chosen->second.served += 1.0 / chosen->second.weight;
-    return take(chosen->second.ranks.begin()->request);
+    return take(chosen->second.ranks.begin()->origin);
 }
 
 void request_queue::restore(queued_request entry) {
@@ -94,13 +94,14 @@
     insert(std::move(entry));
 }
 
-queued_request request_queue::take(request_id request) {
-    auto found = entries_.find(request);
+// By value: the name may be a part of what is erased.
+queued_request request_queue::take(request_origin origin) {
+    auto found = entries_.find(origin);
     queued_request entry = std::move(found->second.entry);
     tenant_queue& queue = queue_of(entry.arrival.tenant);
     queue.ranks.erase(found->second.place);
     ranks_.erase(found->second.place);
-    --class_sizes_[entry.arrival.request_class];
+    class_sizes_[entry.arrival.request_class] -= entry.peer.empty() ? 1 : 0;
     entries_.erase(found);
     if (queue.ranks.empty() && !queue.named) {
         // Callers choose the name: kept, each would take memory for good.
@@ -113,22 +114,45 @@
     if (ranks_.empty() || ranks_.begin()->latest_start > now) {
         return std::nullopt;
     }
-    return take(ranks_.begin()->request);
+    return take(ranks_.begin()->origin);
 }
 
-std::optional<queued_request> request_queue::remove(request_id request) {
-    if (!contains(request)) {
+std::optional<queued_request>
+request_queue::remove(const request_origin& origin) {
+    if (!contains(origin)) {
         return std::nullopt;
     }
-    return take(request);
+    return take(origin);
 }
 
-queued_request request_queue::pop_least_urgent() {
-    return take(std::prev(ranks_.end())->request);
+void request_queue::keep_only(const std::string& peer,
+                              const std::set<request_id>& kept) {
+    std::vector<request_origin> dropped;
+    for (const auto& entry : entries_) {
+        const request_origin& origin = entry.first;
+        if (origin.peer == peer && kept.count(origin.request) == 0) {
+            dropped.push_back(origin);
+        }
+    }
+    for (const request_origin& origin : dropped) {
+        take(origin);
+    }
+}
+
+bool request_queue::contains(const request_origin& origin) const {
+    return entries_.count(origin) != 0;
+}
+
+const queued_request* request_queue::find(const request_origin& origin) const {
+    const auto found = entries_.find(origin);
+    return found == entries_.end() ? nullptr : &found->second.entry;
 }
 
-bool request_queue::contains(request_id request) const {
-    return entries_.count(request) != 0;
+void request_queue::touch(const request_origin& origin, time_point now) {
+    const auto found = entries_.find(origin);
+    if (found != entries_.end()) {
+        found->second.entry.told_at = now;
+    }
 }
 
 std::size_t request_queue::class_size(const std::string& request_class) const {
--- a/src/decision/request_queue.hpp
+++ b/src/decision/request_queue.hpp
@@ -5,17 +5,36 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
+#include <vector>
 
 #include <waxwingvale/decision/scheduler_events.hpp>
 
 namespace waxwingvale::decision {
 
+// Where a waiting request came from, and its number there.
+struct request_origin {
+    std::string peer; // empty: this instance
+    request_id request = 0;
+
+    friend bool operator==(const request_origin& a, const request_origin& b) {
+        return a.request == b.request && a.peer == b.peer;
+    }
+    friend bool operator<(const request_origin& a, const request_origin& b) {
+        return std::tie(a.request, a.peer) < std::tie(b.request, b.peer);
+    }
+};
+
 // One waiting request, and the last moment at which starting it is useful.
 struct queued_request {
     request_arrived arrival;
     time_point arrived_at{};
     time_point latest_start{};
+    std::string peer;     // that holds it; empty: this instance
+    time_point told_at{}; // when the peer last said that it waits
+
+    request_origin origin() const { return {peer, arrival.request}; }
 };
 
 // The requests that wait for a slot. The most urgent goes first, but no
@@ -35,13 +54,17 @@
     void restore(queued_request entry);
     // Takes a request whose latest start is at or before that moment.
     std::optional<queued_request> pop_overdue(time_point now);
-    std::optional<queued_request> remove(request_id request);
-    // Takes the least urgent request; the queue must not be empty.
-    queued_request pop_least_urgent();
+    std::optional<queued_request> remove(const request_origin& origin);
+    // Drops all that a peer waits with, but for those named.
+    void keep_only(const std::string& peer, const std::set<request_id>& kept);
 
     bool empty() const { return entries_.empty(); }
     std::size_t size() const { return entries_.size(); }
-    bool contains(request_id request) const;
+    bool contains(const request_origin& origin) const;
+    const queued_request* find(const request_origin& origin) const;
+    // The peer said again that it waits.
+    void touch(const request_origin& origin, time_point now);
+    // Requests of the class that wait in this instance.
     std::size_t class_size(const std::string& request_class) const;
     // Earliest latest_start of all; the queue must not be empty.
     time_point most_urgent() const;
@@ -54,7 +77,7 @@
     struct rank {
         time_point latest_start;
         std::uint64_t sequence;
-        request_id request;
+        request_origin origin;
         bool operator<(const rank& other) const;
     };
     struct tenant_queue {
@@ -68,7 +91,7 @@
         rank place;
     };
 
-    queued_request take(request_id request);
+    queued_request take(request_origin origin);
     tenant_queue& queue_of(const std::string& tenant_name);
     void insert(queued_request entry);
     std::map<std::string, tenant_queue>::iterator next_tenant();
@@ -79,7 +102,7 @@
     double served_floor_ = 0; // what a tenant that was idle starts from
     std::map<std::string, tenant_queue> tenants_;
     std::set<rank> ranks_;
-    std::unordered_map<request_id, stored> entries_;
+    std::map<request_origin, stored> entries_;
     std::unordered_map<std::string, std::size_t> class_sizes_;
 };
 
--- a/src/decision/scheduler_actions.cpp
+++ b/src/decision/scheduler_actions.cpp
@@ -16,6 +16,8 @@
         return "stale-view";
     case refusal_reason::no_spare_slot:
         return "no-spare-slot";
+    case refusal_reason::retry_budget:
+        return "retry-budget";
     }
     return "too-late";
 }
@@ -34,28 +36,23 @@
     return a.request == b.request;
 }
 
-bool operator==(const ask_grants& a, const ask_grants& b) {
-    return std::tie(a.peer, a.count, a.urgency) ==
-           std::tie(b.peer, b.count, b.urgency);
+bool operator==(const ask_slots& a, const ask_slots& b) {
+    return std::tie(a.peer, a.waiting, a.withdrawn, a.whole) ==
+           std::tie(b.peer, b.waiting, b.withdrawn, b.whole);
 }
 
 bool operator==(const answer_ask& a, const answer_ask& b) {
-    return std::tie(a.peer, a.idle, a.declined, a.come_back_in,
-                    a.come_back_interval) ==
-           std::tie(b.peer, b.idle, b.declined, b.come_back_in,
-                    b.come_back_interval);
+    return std::tie(a.peer, a.idle, a.is_owner, a.declined) ==
+           std::tie(b.peer, b.idle, b.is_owner, b.declined);
 }
 
 bool operator==(const give_grant& a, const give_grant& b) {
-    return std::tie(a.peer, a.grant, a.backend_server, a.lease) ==
-           std::tie(b.peer, b.grant, b.backend_server, b.lease);
+    return std::tie(a.peer, a.grant, a.request, a.backend_server, a.lease) ==
+           std::tie(b.peer, b.grant, b.request, b.backend_server, b.lease);
 }
 
 bool operator==(const return_grant& a, const return_grant& b) {
-    return std::tie(a.peer, a.grant, a.unused, a.verdict, a.request_class,
-                    a.service_time) == std::tie(b.peer, b.grant, b.unused,
-                                                b.verdict, b.request_class,
-                                                b.service_time);
+    return std::tie(a.peer, a.grant, a.use) == std::tie(b.peer, b.grant, b.use);
 }
 
 bool operator==(const wake_at& a, const wake_at& b) {
--- /dev/null
+++ b/src/decision/scheduler_events.cpp
@@ -0,0 +1,32 @@
+#include <waxwingvale/decision/scheduler_events.hpp>
+
+#include <tuple>
+
+namespace waxwingvale::decision {
+
+namespace {
+
+auto fields(const request_needs& of) {
+    return std::tie(of.tenant, of.request_class, of.nature, of.priority,
+                    of.attempt, of.excluded, of.isolated, of.only_if_spare);
+}
+
+} // namespace
+
+bool operator==(const waiting_request& a, const waiting_request& b) {
+    return fields(a) == fields(b) &&
+           std::tie(a.request, a.time_left, a.target_left) ==
+               std::tie(b.request, b.time_left, b.target_left);
+}
+
+bool operator==(const declined_request& a, const declined_request& b) {
+    return std::tie(a.request, a.come_back_in) ==
+           std::tie(b.request, b.come_back_in);
+}
+
+bool operator==(const grant_use& a, const grant_use& b) {
+    return std::tie(a.verdict, a.service_time, a.load, a.answer_bytes) ==
+           std::tie(b.verdict, b.service_time, b.load, b.answer_bytes);
+}
+
+} // namespace waxwingvale::decision
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "decision/service_scheduler_impl.hpp"
@@ -12,92 +13,143 @@
 // request only when the peer has lost it.
 constexpr int lease_service_times = 20;
 
+std::set<request_id> numbers_of(const std::vector<waiting_request>& waiting) {
+    std::set<request_id> numbers;
+    for (const waiting_request& each : waiting) {
+        numbers.insert(each.request);
+    }
+    return numbers;
+}
+
 } // namespace
 
-void service_scheduler::impl::on(const grants_asked& event) {
+void service_scheduler::impl::on(const slots_asked& event) {
     hear(event.peer);
-    lender_.ask(event, now_);
-    lend(work_waiting::first);
-    if (event.count > 0) {
-        answer(event);
+    for (const request_id request : event.withdrawn) {
+        forget({event.peer, request});
+    }
+    if (event.whole) {
+        keep_only(event.peer, numbers_of(event.waiting));
+    }
+    if (event.waiting.empty()) {
+        return;
+    }
+    replies_[event.peer].asked = true;
+    if (!table_.owns_any()) {
+        return;
+    }
+    for (const waiting_request& waiting : event.waiting) {
+        admit_from_peer(event.peer, waiting);
     }
 }
 
-void service_scheduler::impl::lend(work_waiting waiting) {
-    while (lend_one(waiting)) {
-    }
+bool service_scheduler::impl::knows(const request_origin& origin) const {
+    return queue_.contains(origin) || late_.contains(origin) ||
+           of_owners_.contains(origin);
 }
 
-// Each slot given stands idle for a round trip between the instances. Above
-// capacity all owners have work waiting, and slots exchanged for little would
-// cost goodput; an instance without slots has no other way.
-bool service_scheduler::impl::ours_first(const standing_ask& ask) const {
-    const bool owner = find_owner(view_.owners, ask.peer) != nullptr;
-    const duration margin =
-        owner ? policy_.owner_urgency_margin : policy_.urgency_margin;
-    return !queue_.empty() && queue_.most_urgent() <= ask.urgent_at + margin;
+void service_scheduler::impl::forget(const request_origin& origin) {
+    queue_.remove(origin);
+    late_.remove(origin);
+    of_owners_.remove(origin);
 }
 
-// Gives the most urgent asker a slot, unless work of our own is as urgent.
-bool service_scheduler::impl::lend_one(work_waiting waiting) {
-    const standing_ask* ask = lender_.most_urgent(now_);
-    if (ask == nullptr) {
-        return false;
+void service_scheduler::impl::keep_only(const std::string& peer,
+                                        const std::set<request_id>& kept) {
+    queue_.keep_only(peer, kept);
+    late_.keep_only(peer, kept);
+    of_owners_.keep_only(peer, kept);
+}
+
+void service_scheduler::impl::admit_from_peer(const std::string& peer,
+                                              const waiting_request& waiting) {
+    const request_origin origin{peer, waiting.request};
+    if (lender_.holds(origin)) {
+        return; // the grant has crossed this message
     }
-    if (waiting == work_waiting::first && ours_first(*ask)) {
-        return false;
+    if (knows(origin)) {
+        queue_.touch(origin, now_);
+        late_.touch(origin, now_);
+        of_owners_.touch(origin, now_);
+        return;
     }
-    slot_wish wish;
-    wish.typical = admission_.typical({});
-    const auto place = table_.choose(wish, now_);
-    if (!place || !table_.owned(*place) ||
-        table_.at(*place).health().failing()) {
-        return false;
+    queued_request entry;
+    static_cast<request_needs&>(entry.arrival) = waiting;
+    entry.arrival.request = waiting.request;
+    entry.arrival.deadline = now_ + waiting.time_left;
+    if (waiting.target_left) {
+        entry.arrival.target = now_ + *waiting.target_left;
+    }
+    entry.arrived_at = now_;
+    entry.peer = peer;
+    entry.told_at = now_;
+    if (find_owner(view_.owners, peer) != nullptr) {
+        admit_from_owner(std::move(entry));
+    } else {
+        admit(std::move(entry));
     }
-    const duration lease = std::clamp(wish.typical * lease_service_times,
-                                      policy_.lease_min, policy_.lease_max);
-    const std::string server = table_.at(*place).name();
-    const std::string peer = ask->peer;
-    table_.start(*place, now_, false);
-    const grant_id grant = lender_.give(peer, server, now_, lease);
-    actions_->emplace_back(give_grant{peer, grant, server, lease});
-    return true;
 }
 
-void service_scheduler::impl::answer(const grants_asked& asked) {
-    answer_ask reply;
-    reply.peer = asked.peer;
-    reply.idle = queue_.empty() ? table_.idle_slots(now_) : 0;
-    reply.declined = beyond_capacity(asked);
-    if (reply.declined > 0) {
-        const unsigned slots = table_.working_slots();
-        reply.come_back_in =
-            admission_.next_appointment(backlog(), slots, now_);
-        for (unsigned i = 1; i < reply.declined; ++i) {
-            admission_.next_appointment(backlog(), slots, now_);
-        }
-        reply.come_back_interval = admission_.time_to_serve(1.0, slots);
+// An owner admits and refuses by its own queue, and has counted the request.
+void service_scheduler::impl::admit_from_owner(queued_request entry) {
+    const request_arrived& request = entry.arrival;
+    entry.latest_start = admission_.latest_start(request, now_);
+    if (request.target) {
+        entry.latest_start =
+            admission_.in_time_until(request.request_class, *request.target);
     }
-    actions_->emplace_back(std::move(reply));
+    of_owners_.push(std::move(entry));
+}
+
+// Whether the peer has not said for long that the request still waits: it has
+// ended, or is out of reach.
+bool service_scheduler::impl::forgotten(const queued_request& entry) const {
+    return !entry.peer.empty() &&
+           now_ - entry.told_at > policy_.ask_lifetime;
+}
+
+std::string
+service_scheduler::impl::data_centre_of(const std::string& peer) const {
+    const auto found = std::find_if(
+        view_.members.begin(), view_.members.end(),
+        [&](const member& each) { return each.id.name == peer; });
+    return found == view_.members.end() ? std::string() : found->data_centre;
+}
+
+void service_scheduler::impl::grant(const queued_request& entry,
+                                    slot_table::index at) {
+    const request_arrived& request = entry.arrival;
+    const duration lease = std::clamp(
+        admission_.typical(request.request_class) * lease_service_times,
+        policy_.lease_min, policy_.lease_max);
+    given_grant given;
+    given.origin = entry.origin();
+    given.request_class = request.request_class;
+    given.backend_server = table_.at(at).name();
+    given.attempt = table_.start(at, now_, request.isolated);
+    given.lease_end = now_ + lease;
+    replies_[entry.peer].granted = true;
+    const std::string server = given.backend_server;
+    const grant_id number = lender_.give(std::move(given));
+    actions_->emplace_back(
+        give_grant{entry.peer, number, request.request, server, lease});
 }
 
-// How many of the requests asked for won't get a slot in time. Owners decide
-// for themselves from their own queue; the others depend on this word, or
-// their callers would wait for their deadlines in vain.
-unsigned
-service_scheduler::impl::beyond_capacity(const grants_asked& asked) const {
-    const unsigned slots = table_.working_slots();
-    if (find_owner(view_.owners, asked.peer) != nullptr || slots == 0) {
-        return 0;
+// Every ask is answered, so that the peer knows that somebody is there.
+void service_scheduler::impl::answer_peers() {
+    for (auto& reply : replies_) {
+        const bool silent = reply.second.asked && !reply.second.granted;
+        if (!silent && reply.second.declined.empty()) {
+            continue;
+        }
+        answer_ask answer;
+        answer.peer = reply.first;
+        answer.idle = queue_.empty() ? table_.idle_slots(now_) : 0;
+        answer.is_owner = table_.owns_any();
+        answer.declined = std::move(reply.second.declined);
+        actions_->emplace_back(std::move(answer));
     }
-    const duration interval =
-        std::max(admission_.time_to_serve(1.0, slots), duration(1));
-    const auto served = asked.urgency / interval;
-    const auto before = static_cast<duration::rep>(
-        queue_.size() + lender_.asked_by_others(asked.peer, now_));
-    const auto fits = std::max<duration::rep>(served - before, 0);
-    const duration::rep excess = static_cast<duration::rep>(asked.count) - fits;
-    return static_cast<unsigned>(std::max<duration::rep>(excess, 0));
+    replies_.clear();
 }
 
 void service_scheduler::impl::on(const grant_returned& event) {
@@ -106,97 +158,126 @@
     if (!ended) {
         return; // its lease ran out before
     }
-    if (event.unused) {
-        if (const auto place = table_.find(ended->backend_server)) {
-            table_.release(*place, ended->given_at, now_);
-        }
-        return;
+    if (event.use) {
+        learn({ended->backend_server, ended->request_class, ended->attempt,
+               *event.use});
+    } else if (const auto at = table_.find(ended->backend_server)) {
+        table_.release(*at, ended->attempt, now_);
     }
-    learn(ended->backend_server, event.request_class, event.verdict,
-          event.service_time, ended->given_at);
 }
 
 void service_scheduler::impl::end_leases() {
     while (const auto ended = lender_.take_expired(now_)) {
-        if (const auto place = table_.find(ended->backend_server)) {
-            table_.release(*place, ended->given_at, now_);
+        if (const auto at = table_.find(ended->backend_server)) {
+            table_.release(*at, ended->attempt, now_);
         }
     }
 }
 
 void service_scheduler::impl::on(const grant_received& event) {
     hear(event.peer);
-    const bool in_time = borrower_.received(event.peer, now_);
+    const bool in_time = borrower_.received(event, now_);
     if (!in_time || !start_on_grant(event)) {
         return_unused(event);
     }
 }
 
 void service_scheduler::impl::return_unused(const grant_received& grant) {
-    return_grant unused;
-    unused.peer = grant.peer;
-    unused.grant = grant.grant;
-    unused.unused = true;
-    actions_->emplace_back(std::move(unused));
+    actions_->emplace_back(
+        return_grant{grant.peer, grant.grant, std::nullopt});
+}
+
+bool service_scheduler::impl::suits(const queued_request& entry,
+                                    const grant_received& grant) const {
+    const auto& excluded = entry.arrival.excluded;
+    return entry.peer.empty() && !runs_stale(entry.arrival) &&
+           std::find(excluded.begin(), excluded.end(), grant.backend_server) ==
+               excluded.end();
+}
+
+// The request for which the slot was given, if it still waits, and otherwise
+// the most urgent that may run there: the slot is as good for it. A suspect
+// runs alone, which only the owner can see to.
+std::optional<queued_request>
+service_scheduler::impl::take_for(const grant_received& grant) {
+    const request_origin origin{{}, grant.request};
+    request_queue& queue = late_.contains(origin) ? late_ : queue_;
+    if (const queued_request* named = queue.find(origin)) {
+        return suits(*named, grant) ? queue.remove(origin) : std::nullopt;
+    }
+    if (queue_.empty()) {
+        return std::nullopt;
+    }
+    queued_request first = queue_.pop();
+    if (suits(first, grant) && !first.arrival.isolated) {
+        return first;
+    }
+    queue_.restore(std::move(first));
+    return std::nullopt;
 }
 
-// Starts the first waiting request that may run on the granted slot.
 bool service_scheduler::impl::start_on_grant(const grant_received& grant) {
-    const auto place = table_.find(grant.backend_server);
-    if (!place) {
+    const auto at = table_.find(grant.backend_server);
+    if (!at || !table_.may_start(*at)) {
         return false;
     }
-    std::vector<queued_request> parked;
-    bool started = false;
-    while (!started && !queue_.empty()) {
-        queued_request entry = queue_.pop();
-        const request_arrived& request = entry.arrival;
-        // The owner may run other work beside it, which a suspect must not
-        // meet.
-        started = !request.isolated && !runs_stale(request) &&
-                  table_.may_start(*place, wish_of(request, entry.arrived_at));
-        if (started) {
-            start(request, *place, grant.peer, grant.grant);
-        } else {
-            parked.push_back(std::move(entry));
-        }
-    }
-    for (queued_request& entry : parked) {
-        queue_.restore(std::move(entry));
+    const auto taken = take_for(grant);
+    if (!taken) {
+        return false;
     }
-    return started;
+    const request_id request = taken->arrival.request;
+    running_request started;
+    started.request_class = taken->arrival.request_class;
+    started.backend_server = grant.backend_server;
+    started.started_at = now_;
+    started.from_peer = grant.peer;
+    started.grant = grant.grant;
+    running_[request] = std::move(started);
+    borrower_.remove(request);
+    actions_->emplace_back(start_request{request, grant.backend_server,
+                                         grant.peer, grant.grant});
+    return true;
 }
 
 void service_scheduler::impl::on(const ask_answered& event) {
     hear(event.peer);
-    borrower_.answered(event);
-    refuse_declined();
-}
-
-void service_scheduler::impl::refuse_declined() {
-    if (table_.owns_any()) {
-        return;
-    }
-    const auto declined = borrower_.declined_by_all();
-    if (!declined) {
+    if (!event.is_owner) {
+        // We hold the real owner to be out of reach, and this peer does not.
+        silent_.insert(event.peer);
+        apply_reachability();
         return;
     }
-    duration come_back_in = declined->come_back_in;
-    for (unsigned i = 0; i < declined->declined && !queue_.empty(); ++i) {
-        const queued_request entry = queue_.pop_least_urgent();
+    borrower_.answered(event);
+    for (const declined_request& declined : event.declined) {
+        const auto come_back_in = borrower_.declined(event.peer, declined);
+        if (!come_back_in || decides()) {
+            continue; // another owner may have a slot, or this one
+        }
+        forget({{}, declined.request});
+        borrower_.remove(declined.request);
         actions_->emplace_back(refuse_request{
-            entry.arrival.request, refusal_reason::too_late, come_back_in});
-        come_back_in += declined->come_back_interval;
+            declined.request, refusal_reason::too_late, *come_back_in});
+    }
+}
+
+waiting_request service_scheduler::impl::describe(request_id request) const {
+    const request_origin origin{{}, request};
+    const queued_request* entry = queue_.find(origin);
+    const request_arrived& known =
+        (entry != nullptr ? entry : late_.find(origin))->arrival;
+    waiting_request told;
+    static_cast<request_needs&>(told) = known;
+    told.request = request;
+    told.time_left = known.deadline - now_;
+    if (known.target) {
+        told.target_left = *known.target - now_;
     }
-    borrower_.forget_declined();
+    return told;
 }
 
 void service_scheduler::impl::borrow() {
-    const auto want = static_cast<unsigned>(
-        std::min<std::size_t>(queue_.size(), policy_.ask_limit));
-    const duration urgency =
-        want == 0 ? duration::zero() : queue_.most_urgent() - now_;
-    borrower_.update(want, urgency, now_, *actions_);
+    borrower_.update([this](request_id request) { return describe(request); },
+                     !decides(), now_, *actions_);
 }
 
 void service_scheduler::impl::on(const peer_reachability& event) {
@@ -204,6 +285,7 @@
         linked_.insert(event.peer);
     } else {
         linked_.erase(event.peer);
+        keep_only(event.peer, {});
     }
     silent_.erase(event.peer);
     apply_reachability();
@@ -221,16 +303,20 @@
     for (const std::string& peer : silent_) {
         reachable.erase(peer);
     }
-    borrower_.set_lenders(view_.owners.owners, self_.name, reachable);
+    view_changed acting = view_;
+    acting.owners = with_standbys(view_.owners, self_.name, reachable);
+    borrower_.set_lenders(acting.owners.owners, self_.name, reachable);
     const service* of =
         view_.config ? find_service(*view_.config, service_) : nullptr;
     static const service no_service;
-    table_.apply(of != nullptr ? *of : no_service, view_, reachable);
+    table_.apply(of != nullptr ? *of : no_service, acting, reachable);
+    limit_repeats();
 }
 
 // An owner that is stopped or cut off keeps its link for a while. Requests
 // that wait for its slots would be lost meanwhile, so after a short silence
-// it counts as out of reach and a share of its slots is used instead.
+// it counts as out of reach and a standby is asked, or a share of its slots
+// used instead.
 void service_scheduler::impl::watch_silence() {
     while (const auto peer = borrower_.silent(now_)) {
         silent_.insert(*peer);
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "decision/service_scheduler_impl.hpp"
@@ -12,10 +13,15 @@
 // those before it exclude the servers with free slots.
 constexpr std::size_t parked_limit = 8;
 
+bool is_repeat(const request_needs& of) {
+    return of.attempt > 1 || of.only_if_spare;
+}
+
 } // namespace
 
 void service_scheduler::impl::on(const request_arrived& event) {
-    if (queue_.contains(event.request) || running_.count(event.request) != 0) {
+    const request_origin origin{{}, event.request};
+    if (knows(origin) || running_.count(event.request) != 0) {
         return; // it is still the former attempt's turn
     }
     if (event.deadline <= now_) {
@@ -25,17 +31,14 @@
     if (refuse_at_once(event)) {
         return;
     }
-    if (queue_.empty()) {
-        if (const auto place = table_.choose(wish_of(event, now_), now_)) {
-            start(event, *place, {}, 0);
-            return;
-        }
-    }
-    if (event.only_if_spare) {
-        refuse(event.request, refusal_reason::no_spare_slot);
-        return;
+    queued_request entry;
+    entry.arrival = event;
+    if (event.target) {
+        entry.arrival.target =
+            std::min(*event.target - policy_.caller_travel, event.deadline);
     }
-    enqueue(event);
+    entry.arrived_at = now_;
+    admit(std::move(entry));
 }
 
 bool service_scheduler::impl::runs_stale(const request_arrived& request) const {
@@ -51,7 +54,8 @@
         refuse(request.request, refusal_reason::no_backend_server);
         return true;
     }
-    if (request.isolated && !table_.owns_any()) {
+    const bool no_owner = !table_.owns_any() && !borrower_.has_lenders();
+    if (request.isolated && no_owner) {
         // Only an owner knows what else runs on a backend server.
         refuse(request.request, refusal_reason::no_spare_slot);
         return true;
@@ -59,18 +63,100 @@
     return false;
 }
 
-void service_scheduler::impl::enqueue(const request_arrived& request) {
+// A request that arrived here, or that a peer has told of for the first time.
+void service_scheduler::impl::admit(queued_request entry) {
+    const request_arrived& request = entry.arrival;
+    if (is_repeat(request)) {
+        if (decides() && !repeats_.try_spend(now_)) {
+            turn_down(entry, refusal_reason::retry_budget);
+            return;
+        }
+    } else {
+        repeats_.on_request(now_);
+    }
+    if (request.target) {
+        in_time_arrivals_.add(now_);
+    }
+    if (queue_.empty()) {
+        if (const auto at = table_.choose(wish_of(entry), now_)) {
+            place(entry, *at);
+            return;
+        }
+    }
+    const bool may_borrow = !decides() && borrower_.has_lenders();
+    if (request.only_if_spare && !may_borrow) {
+        turn_down(entry, refusal_reason::no_spare_slot);
+        return;
+    }
+    enqueue(std::move(entry));
+}
+
+void service_scheduler::impl::enqueue(queued_request entry) {
+    const request_arrived& request = entry.arrival;
     const std::size_t limit = admission_.queue_limit(request.request_class);
-    if (limit != 0 && queue_.class_size(request.request_class) >= limit) {
-        refuse(request.request, refusal_reason::queue_full);
+    if (limit != 0 && entry.peer.empty() &&
+        queue_.class_size(request.request_class) >= limit) {
+        turn_down(entry, refusal_reason::queue_full);
+        return;
+    }
+    if (!decides()) {
+        // How long owners will take they say when asked.
+        entry.latest_start = admission_.latest_start(request, now_);
+        if (entry.latest_start < now_) {
+            turn_down(entry, refusal_reason::too_late);
+            return;
+        }
+        if (entry.peer.empty()) {
+            borrower_.add(request.request);
+        }
+        queue_.push(std::move(entry));
         return;
     }
-    const time_point latest_start = admission_.latest_start(request, now_);
-    if (now_ + expected_wait(request, latest_start) > latest_start) {
-        refuse(request.request, refusal_reason::too_late);
+    const bool has_target = request.target.has_value();
+    entry.latest_start =
+        has_target
+            ? admission_.in_time_until(request.request_class, *request.target)
+            : admission_.latest_start(request, now_);
+    const double slots = has_target ? table_.prompt_slots(now_)
+                                    : double(table_.working_slots());
+    const double ahead = queue_.ahead_of(request.tenant, entry.latest_start);
+    // Without slots that work nothing is known of how long it takes: other
+    // owners may lend some, or the servers recover.
+    const duration wait = slots > 0
+                              ? admission_.time_to_serve(ahead + 1.0, slots)
+                              : duration::zero();
+    const bool too_late = now_ + wait > entry.latest_start;
+    if (too_late && has_target) {
+        enqueue_late(std::move(entry));
         return;
     }
-    queue_.push({request, now_, latest_start});
+    if (too_late) {
+        turn_down(entry, refusal_reason::too_late);
+        return;
+    }
+    entry.latest_start =
+        std::min(entry.latest_start + request.priority * policy_.priority_step,
+                 request.deadline);
+    if (entry.peer.empty()) {
+        borrower_.add(request.request);
+    }
+    queue_.push(std::move(entry));
+}
+
+// It can no longer be answered within its target. Whoever can be answers more
+// for the same work, so it gets what slots are left, or is refused at once.
+void service_scheduler::impl::enqueue_late(queued_request entry) {
+    entry.latest_start = admission_.latest_start(entry.arrival, now_);
+    const auto ahead = static_cast<double>(queue_.size() + late_.size());
+    const duration wait = admission_.time_to_serve(ahead + 1.0, spare_slots());
+    if (now_ + wait > entry.latest_start) {
+        turn_down(entry, refusal_reason::too_late);
+        return;
+    }
+    if (entry.peer.empty()) {
+        borrower_.add(entry.arrival.request);
+    }
+    late_.push(std::move(entry));
 }
 
 duration service_scheduler::impl::backlog() const {
@@ -81,73 +167,153 @@
     return admission_.time_to_serve(static_cast<double>(queue_.size()), slots);
 }
 
-// An instance without slots can't tell how long owners will take: they say so
-// when asked.
-duration service_scheduler::impl::expected_wait(const request_arrived& request,
-                                                time_point latest_start) const {
-    const unsigned slots = table_.working_slots();
-    if (slots == 0) {
-        return duration::zero();
+// What requests that can be answered in time leave of the slots.
+double service_scheduler::impl::spare_slots() const {
+    const double all = table_.paced_slots(now_);
+    const double needed =
+        admission_.slots_needed(in_time_arrivals_.per_second(now_));
+    return std::max(all - needed, policy_.least_spare_share * all);
+}
+
+duration service_scheduler::impl::next_appointment() {
+    const bool by_target = in_time_arrivals_.per_second(now_) > 0;
+    const double slots = by_target
+                             ? spare_slots()
+                             : static_cast<double>(table_.working_slots());
+    return admission_.next_appointment(backlog(), slots, now_);
+}
+
+std::optional<work_forecast>
+service_scheduler::impl::forecast_of(const queued_request& entry) const {
+    const request_arrived& request = entry.arrival;
+    if (!request.target) {
+        return std::nullopt;
     }
-    const double ahead = queue_.ahead_of(request.tenant, latest_start) + 1.0;
-    return admission_.time_to_serve(ahead, slots);
+    const bool in_time = now_ <= admission_.in_time_until(
+                                     request.request_class, *request.target);
+    const time_point until = in_time ? *request.target : request.deadline;
+    return admission_.forecast(request.request_class, until - now_);
 }
 
-slot_wish service_scheduler::impl::wish_of(const request_arrived& request,
-                                           time_point arrived_at) const {
+slot_wish
+service_scheduler::impl::wish_of(const queued_request& entry) const {
+    const request_arrived& request = entry.arrival;
+    const bool ours = entry.peer.empty();
     slot_wish wish;
     wish.excluded = &request.excluded;
     wish.isolated = request.isolated;
     wish.may_sample = request.nature == request_nature::retriable;
-    wish.patient =
-        borrower_.has_lenders() && now_ - arrived_at < policy_.failing_patience;
+    const bool just_came = now_ - entry.arrived_at < policy_.failing_patience;
+    const bool of_owner = !ours && find_owner(view_.owners, entry.peer);
+    wish.patient = of_owner || (borrower_.has_lenders() && just_came);
     wish.typical = admission_.typical(request.request_class);
     wish.backlog = backlog();
+    wish.lent = !ours;
+    wish.data_centre = data_centre_of(ours ? self_.name : entry.peer);
+    wish.crossing_loss = admission_.crossing_loss(request.request_class);
+    wish.forecast = forecast_of(entry);
     return wish;
 }
 
+void service_scheduler::impl::place(const queued_request& entry,
+                                    slot_table::index at) {
+    if (entry.peer.empty()) {
+        start(entry.arrival, at);
+    } else {
+        grant(entry, at);
+    }
+}
+
 void service_scheduler::impl::start(const request_arrived& request,
-                                    slot_table::index place,
-                                    const std::string& from_peer,
-                                    grant_id grant) {
-    const std::string& server = table_.at(place).name();
-    table_.start(place, now_, request.isolated);
-    running_[request.request] = {request.request_class, server, now_, from_peer,
-                                 grant};
-    actions_->emplace_back(
-        start_request{request.request, server, from_peer, grant});
+                                    slot_table::index at) {
+    const std::string& server = table_.at(at).name();
+    running_request started;
+    started.request_class = request.request_class;
+    started.backend_server = server;
+    started.attempt = table_.start(at, now_, request.isolated);
+    started.started_at = now_;
+    running_[request.request] = std::move(started);
+    borrower_.remove(request.request);
+    actions_->emplace_back(start_request{request.request, server, {}, 0});
+}
+
+void service_scheduler::impl::turn_down(const queued_request& entry,
+                                        refusal_reason reason) {
+    if (entry.peer.empty()) {
+        refuse(entry.arrival.request, reason);
+        return;
+    }
+    replies_[entry.peer].declined.push_back(
+        {entry.arrival.request, next_appointment()});
 }
 
 void service_scheduler::impl::refuse(request_id request,
                                      refusal_reason reason) {
-    const duration come_back_in =
-        admission_.next_appointment(backlog(), table_.working_slots(), now_);
-    actions_->emplace_back(refuse_request{request, reason, come_back_in});
+    borrower_.remove(request);
+    actions_->emplace_back(
+        refuse_request{request, reason, next_appointment()});
 }
 
 void service_scheduler::impl::drop_overdue() {
     while (const auto overdue = queue_.pop_overdue(now_)) {
-        const request_id request = overdue->arrival.request;
-        if (overdue->arrival.deadline <= now_) {
-            actions_->emplace_back(expire_request{request});
+        const request_arrived& request = overdue->arrival;
+        if (request.deadline <= now_ && overdue->peer.empty()) {
+            borrower_.remove(request.request);
+            actions_->emplace_back(expire_request{request.request});
+        } else if (request.target && decides() && request.deadline > now_) {
+            enqueue_late(*overdue);
         } else {
-            refuse(request, refusal_reason::too_late);
+            turn_down(*overdue, refusal_reason::too_late);
         }
     }
+    drop_overdue_late();
+    while (of_owners_.pop_overdue(now_)) {
+        // Its own instance has refused it by now.
+    }
+}
+
+void service_scheduler::impl::drop_overdue_late() {
+    while (const auto overdue = late_.pop_overdue(now_)) {
+        const request_arrived& request = overdue->arrival;
+        if (request.deadline <= now_ && overdue->peer.empty()) {
+            borrower_.remove(request.request);
+            actions_->emplace_back(expire_request{request.request});
+        } else {
+            turn_down(*overdue, refusal_reason::too_late);
+        }
+    }
+}
+
+// Each slot given stands idle for a round trip between the instances. Above
+// capacity all owners have work waiting, and slots exchanged for little would
+// cost goodput.
+bool service_scheduler::impl::owners_are_more_urgent() const {
+    return !of_owners_.empty() && !queue_.empty() &&
+           of_owners_.most_urgent() + policy_.owner_urgency_margin <
+               queue_.most_urgent();
 }
 
 void service_scheduler::impl::dispatch() {
+    if (owners_are_more_urgent()) {
+        dispatch_from(of_owners_);
+    }
+    dispatch_from(queue_);
+    dispatch_from(of_owners_);
+    dispatch_from(late_);
+}
+
+void service_scheduler::impl::dispatch_from(request_queue& queue) {
     std::vector<queued_request> parked;
-    while (!queue_.empty() && dispatch_one(parked)) {
+    while (!queue.empty() && dispatch_one(queue, parked)) {
     }
     for (queued_request& entry : parked) {
-        queue_.restore(std::move(entry));
+        queue.restore(std::move(entry));
     }
 }
 
 // False when no further request can get a slot.
 bool service_scheduler::impl::dispatch_one(
-    std::vector<queued_request>& parked) {
+    request_queue& queue, std::vector<queued_request>& parked) {
     slot_wish anything;
     anything.may_sample = true;
     anything.typical = admission_.typical({});
@@ -155,14 +321,16 @@
     if (!table_.choose(anything, now_)) {
         return false;
     }
-    queued_request entry = queue_.pop();
-    if (runs_stale(entry.arrival)) {
+    queued_request entry = queue.pop();
+    if (forgotten(entry)) {
+        return true;
+    }
+    if (entry.peer.empty() && runs_stale(entry.arrival)) {
         refuse(entry.arrival.request, refusal_reason::stale_view);
         return true;
     }
-    if (const auto place =
-            table_.choose(wish_of(entry.arrival, entry.arrived_at), now_)) {
-        start(entry.arrival, *place, {}, 0);
+    if (const auto at = table_.choose(wish_of(entry), now_)) {
+        place(entry, *at);
         return true;
     }
     parked.push_back(std::move(entry));
@@ -170,7 +338,10 @@
 }
 
 void service_scheduler::impl::on(const request_cancelled& event) {
-    queue_.remove(event.request);
+    const request_origin origin{{}, event.request};
+    queue_.remove(origin);
+    late_.remove(origin);
+    borrower_.remove(event.request);
 }
 
 void service_scheduler::impl::on(const request_finished& event) {
@@ -180,34 +351,45 @@
     }
     const running_request ended = std::move(found->second);
     running_.erase(found);
-    const duration time = event.service_time > duration::zero()
-                              ? event.service_time
-                              : now_ - ended.started_at;
-    learn(ended.backend_server, ended.request_class, event.verdict, time,
-          ended.started_at);
+    grant_use use;
+    use.verdict = event.verdict;
+    use.service_time = event.service_time > duration::zero()
+                           ? event.service_time
+                           : now_ - ended.started_at;
+    use.load = event.load;
+    use.answer_bytes = event.answer_bytes;
+    learn({ended.backend_server, ended.request_class, ended.attempt, use});
     if (!ended.from_peer.empty()) {
-        actions_->emplace_back(return_grant{ended.from_peer, ended.grant, false,
-                                            event.verdict, ended.request_class,
-                                            time});
+        actions_->emplace_back(
+            return_grant{ended.from_peer, ended.grant, use});
     }
 }
 
-void service_scheduler::impl::learn(const std::string& backend_server,
-                                    const std::string& request_class,
-                                    attempt_verdict verdict,
-                                    duration service_time,
-                                    time_point started_at) {
-    const auto place = table_.find(backend_server);
-    if (!place) {
+// An attempt on a slot of a peer's has the number 0, which no attempt on an own
+// slot has: its server's pace when it began is not known here.
+void service_scheduler::impl::learn(const attempt_end& ended) {
+    const auto at = table_.find(ended.backend_server);
+    if (!at) {
         return;
     }
+    const grant_use& use = ended.use;
+    const ended_attempt expected =
+        table_.finish(*at, ended.attempt, use.verdict, use.load, now_);
+    const auto at_usual_pace = duration(static_cast<duration::rep>(
+        static_cast<double>(use.service_time.count()) *
+        std::exp(-expected.log_factor)));
     const double relative =
-        admission_.relative_log(request_class, service_time);
-    table_.finish(*place, started_at, verdict, relative, now_);
+        admission_.relative_log(ended.request_class, at_usual_pace);
+    table_.learn(*at, expected, use.verdict, relative, now_);
+    if (use.verdict != attempt_verdict::answered) {
+        return;
+    }
+    admission_.add_answer_size(ended.request_class, use.answer_bytes);
     // What passed-over servers take must not become the usual time.
-    const bool straggler = table_.at(*place).health().straggler();
-    if (verdict == attempt_verdict::answered && !straggler) {
-        admission_.add_service_time(request_class, service_time);
+    const bool usual = !table_.at(*at).health().straggler();
+    if (usual &&
+        (expected.certain || admission_.unknown(ended.request_class))) {
+        admission_.add_service_time(ended.request_class, at_usual_pace);
     }
 }
 
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -46,6 +46,10 @@
     return impl_->slots();
 }
 
+std::vector<std::string> service_scheduler::unheard(time_point now) const {
+    return impl_->unheard(now);
+}
+
 service_scheduler::impl::impl(std::string service, member_id self,
                               const scheduling_policy& policy)
     : service_(std::move(service)),
@@ -53,8 +57,11 @@
       policy_(policy),
       table_(self_, policy),
       queue_(policy.fairness_window),
+      late_(policy.fairness_window),
+      of_owners_(policy.fairness_window),
+      repeats_({}),
       admission_(policy),
-      lender_(self_, policy),
+      lender_(self_),
       borrower_(policy) {}
 
 void service_scheduler::impl::handle(const scheduler_event& event,
@@ -82,11 +89,10 @@
 }
 
 // What follows from every event: waiting requests get the slots there are,
-// then peers are given or asked for slots.
+// then peers are answered, and asked for slots.
 void service_scheduler::impl::settle() {
-    lend(work_waiting::first);
     dispatch();
-    lend(work_waiting::cannot_use);
+    answer_peers();
     borrow();
     wake();
 }
@@ -100,8 +106,16 @@
     };
     if (!queue_.empty()) {
         consider(queue_.most_urgent());
+    }
+    if (!late_.empty()) {
+        consider(late_.most_urgent());
+    }
+    if (queued() > 0) {
         consider(table_.next_change(now_));
         consider(borrower_.next_change());
+        if (table_.idle_slots(now_) > 0) {
+            consider(now_ + policy_.recheck);
+        }
     }
     const bool pending = wake_at_ && *wake_at_ > now_;
     if (!next || (pending && *wake_at_ <= *next)) {
@@ -124,12 +138,45 @@
     apply_reachability();
 }
 
+// Without an owner at hand every instance allows only its part, since none
+// knows what the others do.
+void service_scheduler::impl::limit_repeats() {
+    const service* of =
+        view_.config ? find_service(*view_.config, service_) : nullptr;
+    if (of == nullptr) {
+        return;
+    }
+    const double members = std::max<double>(view_.members.size(), 1);
+    repeat_limits limits;
+    limits.window = of->budgets.repeat_window;
+    limits.fraction = of->budgets.repeats > 0
+                          ? of->budgets.repeats
+                          : of->budgets.retries + of->budgets.hedges;
+    limits.extra = of->budgets.repeat_extra * policy_.repeat_extra_share /
+                   (table_.owns_any() ? 1 : members);
+    repeats_.change_limits(limits);
+}
+
+void service_scheduler::impl::on(const probe_ended& event) {
+    if (const auto at = table_.find(event.backend_server)) {
+        table_.probed(*at, event.answered, event.load, now_);
+    }
+}
+
 void service_scheduler::impl::on(const time_passed& /*event*/) {
     watch_silence();
 }
 
 bool service_scheduler::impl::has_spare_slot() const {
-    return queue_.empty() && table_.idle_slots(now_) > 0;
+    const bool may_borrow = !decides() && borrower_.has_lenders();
+    return queue_.empty() && (may_borrow || table_.idle_slots(now_) > 0);
+}
+
+// Probes pay only while there are requests to place.
+std::vector<std::string>
+service_scheduler::impl::unheard(time_point now) const {
+    const bool busy = in_time_arrivals_.per_second(now) >= 1.0;
+    return busy ? table_.unheard(now) : std::vector<std::string>();
 }
 
 std::vector<slot_report> service_scheduler::impl::slots() const {
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -1,16 +1,20 @@
 #pragma once
 
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
 #include "decision/admission.hpp"
+#include "decision/arrival_rate.hpp"
 #include "decision/grant_borrower.hpp"
 #include "decision/grant_lender.hpp"
 #include "decision/request_queue.hpp"
 #include "decision/slot_table.hpp"
+#include <waxwingvale/decision/repeat_budget.hpp>
 #include <waxwingvale/decision/service_scheduler.hpp>
 
 namespace waxwingvale::decision {
@@ -23,10 +27,11 @@
     void handle(const scheduler_event& event, time_point now,
                 std::vector<scheduler_action>& actions);
 
-    std::size_t queued() const { return queue_.size(); }
+    std::size_t queued() const { return queue_.size() + late_.size(); }
     std::size_t in_flight() const { return running_.size(); }
     bool has_spare_slot() const;
     std::vector<slot_report> slots() const;
+    std::vector<std::string> unheard(time_point now) const;
 
 private:
     using action_list = std::vector<scheduler_action>;
@@ -35,59 +40,88 @@
     struct running_request {
         std::string request_class;
         std::string backend_server;
+        attempt_ref attempt = 0; // on an own slot
         time_point started_at{};
         std::string from_peer;
         grant_id grant = 0;
     };
 
+    // How an attempt ended, here or at a peer.
+    struct attempt_end {
+        std::string backend_server;
+        std::string request_class;
+        attempt_ref attempt = 0;
+        grant_use use;
+    };
+
     void on(const view_changed& event);
     void on(const peer_reachability& event);
     void on(const request_arrived& event);
     void on(const request_finished& event);
     void on(const request_cancelled& event);
-    void on(const grants_asked& event);
+    void on(const slots_asked& event);
     void on(const ask_answered& event);
     void on(const grant_received& event);
     void on(const grant_returned& event);
+    void on(const probe_ended& event);
     void on(const time_passed& event);
 
     // scheduler_requests.cpp
     bool refuse_at_once(const request_arrived& request);
-    void enqueue(const request_arrived& request);
-    void start(const request_arrived& request, slot_table::index place,
-               const std::string& from_peer, grant_id grant);
+    void admit(queued_request entry);
+    void enqueue(queued_request entry);
+    void enqueue_late(queued_request entry);
+    void place(const queued_request& entry, slot_table::index at);
+    void start(const request_arrived& request, slot_table::index at);
+    void turn_down(const queued_request& entry, refusal_reason reason);
     void refuse(request_id request, refusal_reason reason);
     void drop_overdue();
+    void drop_overdue_late();
     void dispatch();
-    bool dispatch_one(std::vector<queued_request>& parked);
+    void dispatch_from(request_queue& queue);
+    bool owners_are_more_urgent() const;
+    bool dispatch_one(request_queue& queue,
+                      std::vector<queued_request>& parked);
     bool runs_stale(const request_arrived& request) const;
+    // Whether it is decided here when what waits here is started.
+    bool decides() const { return table_.has_slots(); }
     duration backlog() const;
-    duration expected_wait(const request_arrived& request,
-                           time_point latest_start) const;
-    slot_wish wish_of(const request_arrived& request,
-                      time_point arrived_at) const;
-    void learn(const std::string& backend_server,
-               const std::string& request_class, attempt_verdict verdict,
-               duration service_time, time_point started_at);
+    double spare_slots() const;
+    duration next_appointment();
+    slot_wish wish_of(const queued_request& entry) const;
+    std::optional<work_forecast> forecast_of(const queued_request& entry) const;
+    void learn(const attempt_end& ended);
 
     // scheduler_grants.cpp
-    // What requests that wait here mean for lending: they go first, unless a
-    // peer's are far more urgent, or no free slot suits them anyhow.
-    enum class work_waiting { first, cannot_use };
-    void lend(work_waiting waiting);
-    bool lend_one(work_waiting waiting);
-    bool ours_first(const standing_ask& ask) const;
-    void answer(const grants_asked& asked);
-    unsigned beyond_capacity(const grants_asked& asked) const;
+    void admit_from_peer(const std::string& peer,
+                         const waiting_request& waiting);
+    bool knows(const request_origin& origin) const;
+    void admit_from_owner(queued_request entry);
+    void keep_only(const std::string& peer, const std::set<request_id>& kept);
+    void forget(const request_origin& origin);
+    bool forgotten(const queued_request& entry) const;
+    std::string data_centre_of(const std::string& peer) const;
+    void grant(const queued_request& entry, slot_table::index at);
+    void answer_peers();
     bool start_on_grant(const grant_received& grant);
+    std::optional<queued_request> take_for(const grant_received& grant);
+    bool suits(const queued_request& entry, const grant_received& grant) const;
     void return_unused(const grant_received& grant);
     void end_leases();
     void borrow();
-    void refuse_declined();
+    waiting_request describe(request_id request) const;
     void hear(const std::string& peer);
     void apply_reachability();
     void watch_silence();
 
+    // What is to be told to a peer once the event is handled.
+    struct peer_reply {
+        bool asked = false;   // and is to hear something
+        bool granted = false; // and so has heard something
+        std::vector<declined_request> declined;
+    };
+
+    void limit_repeats();
     void settle();
     void wake();
 
@@ -97,13 +131,22 @@
     time_point now_{};
     action_list* actions_ = nullptr; // while an event is handled
     view_changed view_;
-    std::unordered_set<std::string> linked_; // peers with a working link
-    std::unordered_set<std::string> silent_; // of those, without answers
+    // Peers with a working link, and of those the ones without answers.
+    std::unordered_set<std::string> linked_;
+    std::unordered_set<std::string> silent_;
     slot_table table_;
+    // What is to be answered in time, and what can only be answered late: it
+    // gets the slots that nothing else needs.
     request_queue queue_;
+    request_queue late_;
+    // What other owners have no slots for at the moment.
+    request_queue of_owners_;
+    arrival_rate in_time_arrivals_;
+    repeat_budget repeats_;
     admission admission_;
     grant_lender lender_;
     grant_borrower borrower_;
+    std::map<std::string, peer_reply> replies_;
     std::unordered_map<request_id, running_request> running_;
     std::optional<time_point> wake_at_;
 };
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -1,16 +1,19 @@
 #include "decision/slot_table.hpp"
 
 #include <algorithm>
-#include <limits>
+#include <cmath>
 #include <utility>
 
 namespace waxwingvale::decision {
 
 namespace {
 
-// A request that must not run twice is the sample for a failing server only
-// when no harmless one came by for so long: it may end as unknown.
-constexpr duration write_sample_delay{2000000};
+// A server's pace at the start of an attempt must have been known with this
+// probability, or its service time would teach the wrong thing.
+constexpr double certain_enough = 0.6;
+// An answer that took many times longer says that there are such, and must not
+// alone make a number of requests look crowded.
+constexpr double farthest_deviation = 1.0;
 
 bool serves(const member& candidate) {
     return candidate.state == member_state::alive ||
@@ -41,12 +44,6 @@
     return std::max(1U, static_cast<unsigned>(members));
 }
 
-bool excludes(const slot_wish& wish, const std::string& name) {
-    return wish.excluded != nullptr &&
-           std::find(wish.excluded->begin(), wish.excluded->end(), name) !=
-               wish.excluded->end();
-}
-
 // What is believed of one backend server's latest incarnation.
 struct latest_belief {
     std::uint64_t incarnation = 0;
@@ -145,8 +142,7 @@
         }
     }
     owned_.assign(servers_.size(), false);
-    near_.assign(servers_.size(), false);
-    working_slots_ = 0;
+    owns_any_ = false;
     usable_.clear();
     turn_ = 0;
     for (index place = 0; place < servers_.size(); ++place) {
@@ -158,13 +154,12 @@
         if (owner != nullptr && owner->member.name == self_.name) {
             allowance = server.configured();
             owned_[place] = true;
+            owns_any_ = true;
         } else if (owner != nullptr &&
                    reachable.count(owner->member.name) != 0) {
             allowance = 0;
         }
         server.set_allowance(allowance);
-        near_[place] = server.data_centre() == self_data_centre_;
-        working_slots_ += working_share(place);
         if (allowance > 0) {
             usable_.push_back(place);
         }
@@ -180,100 +175,6 @@
     return found->second;
 }
 
-// Failing servers are shut out only while they are the minority: when most
-// fail, the fault is more likely in the requests or in what all depend on.
-bool slot_table::shuts_out_failing() const {
-    std::size_t failing = 0;
-    std::size_t serving = 0;
-    for (const index place : usable_) {
-        const backend_slots& server = servers_[place];
-        serving += server.vetoed() ? 0 : 1;
-        failing += !server.vetoed() && server.health().failing() ? 1 : 0;
-    }
-    return failing * 2 <= serving;
-}
-
-bool slot_table::sampled(const backend_slots& server, const slot_wish& wish,
-                         time_point now) const {
-    return server.health().sample_due(
-        wish.may_sample ? now : now - write_sample_delay);
-}
-
-bool slot_table::admits(const backend_slots& server, const slot_wish& wish,
-                        time_point now) const {
-    if (server.health().failing()) {
-        return sampled(server, wish, now);
-    }
-    if (!server.health().straggler() || sampled(server, wish, now)) {
-        return true;
-    }
-    // A slow slot is worth its while once waiting for the others would take
-    // longer than the slow answer.
-    const double extra = (server.health().slowness() - 1.0) *
-                         static_cast<double>(wish.typical.count());
-    return static_cast<double>(wish.backlog.count()) > extra;
-}
-
-double slot_table::cost(index place, const slot_wish& wish,
-                        time_point now) const {
-    const backend_slots& server = servers_[place];
-    if (server.health().watched() && sampled(server, wish, now)) {
-        return 0; // first choice, or it would never be seen to recover
-    }
-    const double load = static_cast<double>(server.in_flight()) /
-                        static_cast<double>(std::max(server.limit(), 1U));
-    const double slowness =
-        server.health().slow() ? server.health().slowness() : 1.0;
-    const auto typical = static_cast<double>(wish.typical.count());
-    const auto way =
-        static_cast<double>(policy_.other_data_centre_cost.count());
-    return typical * slowness * (1.0 + policy_.load_cost * load) +
-           (near_[place] ? 0.0 : way);
-}
-
-bool slot_table::only_passed_over() const {
-    return working_slots_ == 0;
-}
-
-std::optional<slot_table::index> slot_table::choose(const slot_wish& wish,
-                                                    time_point now) const {
-    std::optional<index> best;
-    std::optional<index> fallback;
-    double best_cost = std::numeric_limits<double>::max();
-    double fallback_cost = std::numeric_limits<double>::max();
-    for (std::size_t i = 0; i < usable_.size(); ++i) {
-        // From the next one on: were the first server always preferred among
-        // equals, nothing would be learned of the others while load is low.
-        const std::size_t turn = turn_ + i;
-        const index place =
-            usable_[turn < usable_.size() ? turn : turn - usable_.size()];
-        const backend_slots& server = servers_[place];
-        const bool alone = !wish.isolated || server.in_flight() == 0;
-        if (server.free(now) == 0 || !alone || excludes(wish, server.name())) {
-            continue;
-        }
-        const double price = cost(place, wish, now);
-        const bool admitted = admits(server, wish, now);
-        if (admitted && price < best_cost) {
-            best = place;
-            best_cost = price;
-        } else if (!admitted && price < fallback_cost) {
-            fallback = place;
-            fallback_cost = price;
-        }
-    }
-    if (best || !fallback) {
-        return best;
-    }
-    // An owner whose servers all fail would take every error for itself while
-    // other owners' servers are well.
-    if (wish.patient && servers_[*fallback].health().failing()) {
-        return std::nullopt;
-    }
-    const bool nothing_better = !shuts_out_failing() || only_passed_over();
-    return nothing_better ? fallback : std::nullopt;
-}
-
 bool slot_table::any_left(const std::vector<std::string>& excluded) const {
     return std::any_of(servers_.begin(), servers_.end(),
                        [&](const backend_slots& server) {
@@ -283,54 +184,102 @@
                        });
 }
 
-bool slot_table::may_start(index place, const slot_wish& wish) const {
-    const backend_slots& server = servers_[place];
-    return !server.vetoed() && !excludes(wish, server.name());
+bool slot_table::may_start(index place) const {
+    return !servers_[place].vetoed();
 }
 
-void slot_table::start(index place, time_point now, bool isolated) {
+attempt_ref slot_table::start(index place, time_point now, bool isolated) {
     backend_slots& server = servers_[place];
     if (server.health().watched() && server.health().sample_due(now)) {
         server.health().sample_taken(now, policy_);
     }
-    server.start(now, isolated);
+    server.start(++last_attempt_, now, isolated);
     turn_ = turn_ + 1 < usable_.size() ? turn_ + 1 : 0;
+    return last_attempt_;
 }
 
-void slot_table::finish(index place, time_point started_at,
-                        attempt_verdict verdict, double relative_log,
-                        time_point now) {
-    working_slots_ -= working_share(place);
+// What servers tell of one pace counts for how paces change only when little
+// time lies between.
+void slot_table::see(backend_slots& server, const backend_load& load,
+                     time_point now) {
+    if (server.seen()) {
+        pace_.see(server.seen()->load.slowness, load.slowness,
+                  now - server.seen()->at);
+    }
+    server.see(load, now);
+}
+
+ended_attempt slot_table::finish(index place, attempt_ref attempt,
+                                 attempt_verdict verdict,
+                                 const std::optional<backend_load>& load,
+                                 time_point now) {
     backend_slots& server = servers_[place];
-    server.finish(started_at, verdict, now, policy_);
+    const auto begun = server.finish(attempt, verdict, now, policy_);
+    if (verdict == attempt_verdict::answered ||
+        verdict == attempt_verdict::failed || load) {
+        server.set_silent(false);
+    }
+    ended_attempt ended;
+    ended.certain = false;
+    if (begun) {
+        ended.running = begun->running;
+        ended.crowding_log =
+            crowding_.log_ratio(begun->running, server.configured());
+        const double slowness =
+            begun->told_before || !load ? begun->slowness : load->slowness;
+        ended.log_factor = ended.crowding_log + std::log(slowness);
+        ended.certain = !begun->told_before ||
+                        pace_.holds(*begun->told_before) > certain_enough;
+    }
+    if (load) {
+        see(server, *load, now);
+    }
+    return ended;
+}
+
+void slot_table::learn(index place, const ended_attempt& ended,
+                       attempt_verdict verdict, double relative_log,
+                       time_point now) {
+    backend_slots& server = servers_[place];
+    if (verdict == attempt_verdict::answered && ended.certain &&
+        !server.health().slow()) {
+        crowding_.add(ended.running, server.configured(),
+                      std::clamp(relative_log + ended.crowding_log,
+                                 -farthest_deviation, farthest_deviation));
+    }
     server.health().add(verdict, relative_log, now, policy_);
-    working_slots_ += working_share(place);
 }
 
-void slot_table::release(index place, time_point started_at, time_point now) {
-    servers_[place].finish(started_at, attempt_verdict::cancelled, now,
-                           policy_);
+void slot_table::release(index place, attempt_ref attempt, time_point now) {
+    servers_[place].finish(attempt, attempt_verdict::cancelled, now, policy_);
 }
 
-// What the server adds to the working slots; their sum is kept up to date,
-// since counting it anew for each request would take time in proportion to
-// the servers.
-unsigned slot_table::working_share(index place) const {
-    const backend_slots& server = servers_[place];
-    const bool works =
-        !server.health().failing() && !server.health().straggler();
-    return works ? server.limit() : 0;
+void slot_table::probed(index place, bool answered,
+                        const std::optional<backend_load>& load,
+                        time_point now) {
+    backend_slots& server = servers_[place];
+    // One that tells its load answers probes at once; others may let them wait
+    // for a slot.
+    server.set_silent(!answered && server.seen());
+    if (load) {
+        see(server, *load, now);
+    }
 }
 
-unsigned slot_table::idle_slots(time_point now) const {
-    unsigned sum = 0;
+std::vector<std::string> slot_table::unheard(time_point now) const {
+    std::vector<std::string> names;
     for (const index place : usable_) {
         const backend_slots& server = servers_[place];
-        if (!server.health().failing() && !server.health().straggler()) {
-            sum += server.free(now);
+        const bool slowed =
+            server.seen() && server.seen()->load.slowness > prompt_slowness;
+        const duration wait =
+            slowed ? policy_.slowed_probe_after : policy_.idle_probe_after;
+        const bool heard = server.seen() && now - server.seen()->at < wait;
+        if (server.limit() > 0 && !heard) {
+            names.push_back(server.name());
         }
     }
-    return sum;
+    return names;
 }
 
 std::optional<time_point> slot_table::next_change(time_point now) const {
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -8,6 +8,9 @@
 #include <vector>
 
 #include "decision/backend_slots.hpp"
+#include "decision/crowding_profile.hpp"
+#include "decision/slowness_process.hpp"
+#include "decision/work_forecast.hpp"
 
 namespace waxwingvale::decision {
 
@@ -17,10 +20,29 @@
     bool isolated = false;
     bool may_sample = false; // it does no harm if it is slow or fails
     bool patient = false;    // other owners may yet lend it a better slot
+    bool lent = false;       // to a peer: of the slots owned here only
     duration typical{};      // usual service time of the request's class
     duration backlog{};      // until the queue is worked off
+    std::string data_centre; // of the instance that runs it
+    // What an answer from another data centre costs, in parts of its worth.
+    double crossing_loss = 0;
+    // Set for a request whose answer is worth most within a time.
+    std::optional<work_forecast> forecast;
 };
 
+// What was expected of an attempt that ended.
+struct ended_attempt {
+    unsigned running = 1;   // requests on that server when it began
+    double crowding_log = 0; // part of log_factor that is due to those
+    // By how much its work was expected to take longer than usual, as a
+    // logarithm, and whether that was known well enough to learn from.
+    double log_factor = 0;
+    bool certain = true;
+};
+
+// A pace up to this counts as not slowed down; the usual one varies a little.
+inline constexpr double prompt_slowness = 1.5;
+
 // All backend servers of one service as this instance may use them: servers
 // that it owns with all their slots, servers of an owner out of reach with a
 // share, others not at all.
@@ -30,6 +52,7 @@
 
     slot_table(member_id self, const scheduling_policy& policy);
 
+    // The view's owners are to be those that act, see with_standbys().
     void apply(const service& of, const view_changed& view,
                const std::unordered_set<std::string>& reachable);
 
@@ -37,26 +60,46 @@
     const backend_slots& at(index place) const { return servers_[place]; }
     const std::vector<backend_slots>& all() const { return servers_; }
     bool owned(index place) const { return owned_[place]; }
-    bool owns_any() const { return !usable_.empty(); }
+    // Whether slots are owned here, or at least a share of them may be used.
+    bool owns_any() const { return owns_any_; }
+    bool has_slots() const { return !usable_.empty(); }
+    const slowness_process& pace() const { return pace_; }
 
     // The best free slot, or none.
     std::optional<index> choose(const slot_wish& wish, time_point now) const;
     // Whether some server could ever take a request that excludes those.
     bool any_left(const std::vector<std::string>& excluded) const;
     // Whether that server may get a granted request.
-    bool may_start(index place, const slot_wish& wish) const;
+    bool may_start(index place) const;
 
-    void start(index place, time_point now, bool isolated);
-    // An attempt that was started there ended; relative_log compares its
-    // time with the usual.
-    void finish(index place, time_point started_at, attempt_verdict verdict,
-                double relative_log, time_point now);
+    // Takes a slot; the attempt is named to finish() or release().
+    attempt_ref start(index place, time_point now, bool isolated);
+    // An attempt that was started there ended.
+    ended_attempt finish(index place, attempt_ref attempt,
+                         attempt_verdict verdict,
+                         const std::optional<backend_load>& load,
+                         time_point now);
+    // What its service time showed; relative_log compares it with what was
+    // expected there.
+    void learn(index place, const ended_attempt& ended,
+               attempt_verdict verdict, double relative_log, time_point now);
     // A slot was given back without an attempt.
-    void release(index place, time_point started_at, time_point now);
+    void release(index place, attempt_ref attempt, time_point now);
+    // A probe of that server ended.
+    void probed(index place, bool answered,
+                const std::optional<backend_load>& load, time_point now);
 
-    // Slots that serve at the usual pace, and free ones among them.
-    unsigned working_slots() const { return working_slots_; }
+    // Slots that serve at the usual pace, as far as failures and answers tell,
+    // and free ones among them.
+    unsigned working_slots() const;
     unsigned idle_slots(time_point now) const;
+    // Of those, the share whose servers are believed not to be slowed down
+    // now; and all of them, each counted by the pace it works at.
+    double prompt_slots(time_point now) const;
+    double paced_slots(time_point now) const;
+    // Servers of which nothing was heard for so long that a probe is worth its
+    // while.
+    std::vector<std::string> unheard(time_point now) const;
     // The next moment at which a pause or a sample makes a slot free.
     std::optional<time_point> next_change(time_point now) const;
 
@@ -70,7 +113,16 @@
     bool admits(const backend_slots& server, const slot_wish& wish,
                 time_point now) const;
     double cost(index place, const slot_wish& wish, time_point now) const;
-    unsigned working_share(index place) const;
+    double time_cost(index place, const slot_wish& wish) const;
+    double loss(index place, const slot_wish& wish, double chance,
+                time_point now) const;
+    double chance(const backend_slots& server, const work_forecast& forecast,
+                  time_point now) const;
+    double expected_slowness(const backend_slots& server, time_point now) const;
+    double crowding_log(const backend_slots& server) const;
+    void see(backend_slots& server, const backend_load& load, time_point now);
+    unsigned room(const backend_slots& server, time_point now) const;
+    unsigned working_share(const backend_slots& server) const;
     bool only_passed_over() const;
     bool shuts_out_failing() const;
 
@@ -80,8 +132,10 @@
     bool configured_before_ = false;
     std::vector<backend_slots> servers_;
     std::vector<bool> owned_;
-    std::vector<bool> near_; // in the data centre of this instance
-    unsigned working_slots_ = 0;
+    bool owns_any_ = false;
+    slowness_process pace_;
+    crowding_profile crowding_;
+    attempt_ref last_attempt_ = 0;
     std::vector<index> usable_; // servers with an allowance
     std::size_t turn_ = 0;      // where among them the next choice begins
     std::unordered_map<std::string, index> by_name_;
--- a/src/decision/steering.cpp
+++ b/src/decision/steering.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "decision/machine_strength.hpp"
 #include <waxwingvale/decision/stable_hash.hpp>
 
 namespace waxwingvale::decision {
@@ -92,10 +93,6 @@
 
 namespace {
 
-// An instance with less than this part of the strongest one's processor time
-// or bandwidth is left to those who cannot reach a better one.
-constexpr double weak_part = 0.4;
-
 std::string region_of(const std::vector<data_centre>& data_centres,
                       const std::string& name) {
     const auto found =
@@ -104,17 +101,12 @@
     return found == data_centres.end() ? std::string() : found->region;
 }
 
+// Weak machines are left to those who cannot reach a better one.
 std::vector<member> without_weak(const std::vector<member>& all) {
-    unsigned cpu = 0;
-    unsigned link = 0;
-    for (const auto& each : all) {
-        cpu = std::max(cpu, each.capacity.cpu_permille);
-        link = std::max(link, each.capacity.link_mbps);
-    }
+    const machine_strength strength(all);
     std::vector<member> strong;
     for (const auto& each : all) {
-        if (each.capacity.cpu_permille >= weak_part * cpu &&
-            each.capacity.link_mbps >= weak_part * link) {
+        if (strength.is_strong(each)) {
             strong.push_back(each);
         }
     }
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -72,16 +72,25 @@
         part.policies.retries().on_first_attempt();
         part.policies.hedges(call.labels.request_class).on_first_attempt();
     }
+    auto arrived = slot_request(call);
+    arrived.isolated = call.alone;
+    part.desk->handle(arrived);
+}
+
+// A slot for the call's next attempt.
+decision::request_arrived
+call_desk::slot_request(const call_record& call) {
     decision::request_arrived arrived;
     arrived.request = call.id;
     arrived.tenant = call.labels.tenant;
     arrived.request_class = call.labels.request_class;
     arrived.nature = call.kind.nature;
+    arrived.priority = call.kind.priority;
     arrived.deadline = call.deadline;
+    arrived.target = call.target;
     arrived.attempt = call.attempts_here;
     arrived.excluded = call.excluded;
-    arrived.isolated = call.alone;
-    part.desk->handle(arrived);
+    return arrived;
 }
 
 // What the quarantine says of a request under suspicion; true: go on.
@@ -159,6 +168,7 @@
                                   action.from_peer};
     if (attempt_id != id) {
         call.hedge = attempt;
+        call.hedge_waiting = 0;
         return;
     }
     call.running = attempt;
@@ -215,7 +225,9 @@
     auto& ours = was_hedge ? call->hedge : call->running;
     auto& other = was_hedge ? call->running : call->hedge;
     const auto attempt = *ours;
-    const auto answer = protocol_.classify(ended);
+    auto answer = protocol_.classify(ended);
+    answer.bytes =
+        ended.response ? ended.response.value().body.size() : call->relayed;
     if (answer.end == attempt_end::broken) {
         report_death(attempt.backend_server);
     }
@@ -261,6 +273,8 @@
     finished.verdict = verdict_of(answer.end);
     finished.service_time =
         answer.outcome == run_outcome::ran ? took : duration::zero();
+    finished.load = answer.load;
+    finished.answer_bytes = answer.bytes;
     part.desk->handle(finished);
 }
 
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -135,6 +135,7 @@
     call.content = content_of(call.caller, understood.target);
     call.arrived = timers_.now();
     call.deadline = call.arrived + understood.time_left;
+    set_target(call, understood);
     call.nested = understood.attempt.has_value();
     call.attempts_above = understood.attempt.value_or(0);
     metrics_.calls.add(call.labels);
@@ -155,6 +156,18 @@
     keys_.on_request(call.key->key, call.fingerprint, call.id);
 }
 
+void call_desk::set_target(call_record& call, const caller_call& understood) {
+    if (call.kind.target_latency <= duration::zero()) {
+        return;
+    }
+    duration spent{};
+    if (understood.caller_waits) {
+        spent = patience_.spent_before(call.kind.name,
+                                       *understood.caller_waits, call.arrived);
+    }
+    call.target = call.arrived + call.kind.target_latency - spent;
+}
+
 void call_desk::arm_deadline(call_record& call) {
     const auto wait = std::max(call.deadline - timers_.now(), duration::zero());
     call.deadline_timer = timers_.after(
@@ -201,7 +214,12 @@
 }
 
 void call_desk::refuse(const decision::refuse_request& action) {
-    if (hedges_.erase(action.request) > 0) {
+    const auto hedge = hedges_.find(action.request);
+    if (hedge != hedges_.end()) {
+        if (auto* call = find(hedge->second)) {
+            call->hedge_waiting = 0;
+        }
+        hedges_.erase(hedge);
         return;
     }
     own_answer refusal;
@@ -250,6 +268,7 @@
 // The call has ended, however; `answer` is what its key is to keep.
 void call_desk::close_record(call_record& ended, run_outcome outcome,
                              decision::answer_ptr answer) {
+    drop_waiting_hedge(ended);
     const auto call = std::move(ended);
     calls_.erase(call.id);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
@@ -370,6 +389,21 @@
     }
 }
 
+void call_desk::take(const std::string& service,
+                     const decision::probe_ended& probe) {
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+        found->second.desk->handle(probe);
+    }
+}
+
+std::vector<std::string> call_desk::unheard(const std::string& service) const {
+    const auto found = services_.find(service);
+    return found == services_.end()
+               ? std::vector<std::string>()
+               : found->second.desk->scheduler().unheard(timers_.now());
+}
+
 call_desk::service_part& call_desk::part_of(const std::string& service) {
     auto& part = services_[service];
     if (!part.desk) {
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <waxwingvale/entry/request_protocol.hpp>
 #include <waxwingvale/forwarding/backend_pool.hpp>
@@ -13,6 +14,7 @@
 #include <waxwingvale/model/view.hpp>
 
 #include "entry/call_record.hpp"
+#include "entry/caller_patience.hpp"
 #include "entry/crash_guard.hpp"
 #include "entry/entry_metrics.hpp"
 #include "entry/key_desk.hpp"
@@ -49,6 +51,11 @@
     // A peer's scheduler message.
     void take(const incoming_grant_message& message);
     void take(const decision::peer_reachability& reach);
+    // A probe of one of the service's backend servers ended.
+    void take(const std::string& service, const decision::probe_ended& probe);
+
+    // What to probe, see service_scheduler::unheard().
+    std::vector<std::string> unheard(const std::string& service) const;
 
     // Calls that have no answer yet.
     std::size_t open_calls() const { return calls_.size(); }
@@ -74,6 +81,7 @@
     // call_desk.cpp: from arrival to answer
     call_record* find(decision::request_id id);
     void admit(call_record& call, const caller_call& understood);
+    void set_target(call_record& call, const caller_call& understood);
     void arm_deadline(call_record& call);
     void pass_deadline(decision::request_id id);
     void abandon(decision::request_id id);
@@ -90,6 +98,7 @@
 
     // call_attempts.cpp: attempts on backend servers
     void queue_attempt(call_record& call);
+    static decision::request_arrived slot_request(const call_record& call);
     bool pass_crash_guard(call_record& call);
     void dispatch(call_record& call, const std::string& service,
                   const decision::start_request& action);
@@ -117,6 +126,7 @@
     void note_lost_race(const call_record& call, const running_attempt& loser);
     void arm_hedge(call_record& call, duration delay);
     void consider_hedge(decision::request_id id);
+    void drop_waiting_hedge(call_record& call);
 
     // call_relay.cpp: answers that are passed on while they come
     forwarding::long_answer_handlers
@@ -136,6 +146,7 @@
     key_desk keys_;
     crash_guard crashes_;
     target_choice targets_;
+    caller_patience patience_;
     view_ptr view_;
     std::map<std::string, service_part> services_;
     std::map<std::string, bool> reachable_; // peers, by member name
--- a/src/entry/call_record.hpp
+++ b/src/entry/call_record.hpp
@@ -62,6 +62,7 @@
     decision::request_fingerprint fingerprint;
     time_point arrived{};
     time_point deadline{};
+    std::optional<time_point> target; // an answer is worth most until then
     unsigned attempts_above = 0; // retries that callers of the caller made
     unsigned attempts_here = 0;  // hedges not counted
     std::vector<std::string> excluded; // backend servers that failed it
@@ -70,8 +71,10 @@
     bool alone = false;  // under suspicion of crashing backend servers
     bool hedged = false;
     bool answering = false; // a long answer is on its way to the caller
+    std::size_t relayed = 0; // bytes of it so far
     std::optional<running_attempt> running;
     std::optional<running_attempt> hedge;
+    decision::request_id hedge_waiting = 0; // for a slot; 0: none is
     kernel::timer_service::subscription hedge_timer;
     kernel::timer_service::subscription silence_timer;
     kernel::timer_service::subscription deadline_timer;
--- a/src/entry/call_relay.cpp
+++ b/src/entry/call_relay.cpp
@@ -45,6 +45,7 @@
         other.reset();
         cancel_attempt(call->labels.service, loser);
     }
+    drop_waiting_hedge(*call);
     call->answering = true;
     const auto& winner = was_hedge ? *call->hedge : *call->running;
     call->caller->on_drained([this, on = winner.call] { pool_.resume(on); });
@@ -56,6 +57,7 @@
     if (call == nullptr) {
         return;
     }
+    call->relayed += bytes.size();
     call->caller->add(bytes);
     if (call->caller->waiting() > relay_limit) {
         const auto& winner = call->running ? *call->running : *call->hedge;
--- a/src/entry/call_slowness.cpp
+++ b/src/entry/call_slowness.cpp
@@ -2,6 +2,7 @@
 // hedges, and connections that have gone silent.
 
 #include <algorithm>
+#include <utility>
 
 #include <waxwingvale/entry/lost_attempt.hpp>
 
@@ -105,20 +106,25 @@
         return;
     }
     call->hedged = true;
+    call->hedge_waiting = next_id_++;
     metrics_.hedges.add(call->labels);
-    const auto hedge_id = next_id_++;
+    const auto hedge_id = call->hedge_waiting;
     hedges_.emplace(hedge_id, id);
-    decision::request_arrived second;
+    auto second = slot_request(*call);
     second.request = hedge_id;
-    second.tenant = call->labels.tenant;
-    second.request_class = call->labels.request_class;
-    second.nature = call->kind.nature;
-    second.deadline = call->deadline;
-    second.attempt = call->attempts_here;
-    second.excluded = call->excluded;
     second.excluded.push_back(call->running->backend_server);
     second.only_if_spare = true;
     part.desk->handle(second);
 }
 
+// The call needs its second copy no more, and it has not been sent.
+void call_desk::drop_waiting_hedge(call_record& call) {
+    if (call.hedge_waiting == 0) {
+        return;
+    }
+    const auto hedge_id = std::exchange(call.hedge_waiting, 0);
+    hedges_.erase(hedge_id);
+    desk_of(call.labels.service).handle(decision::request_cancelled{hedge_id});
+}
+
 } // namespace waxwingvale::entry
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -46,9 +46,7 @@
       pool_(environment.loop, environment.timers),
       calls_(self_, protocol, environment.timers, pool_, hub_, metrics_, *this),
       prober_(self_.name, protocol, environment.timers, pool_, metrics_.probes,
-              [this](const std::string& server, const backend_answer& answer) {
-                  report(server, answer, belief_source::probe);
-              }) {
+              *this) {
     callers_.change_limits(limits_of(environment.settings));
     wire_peers();
 }
@@ -111,6 +109,23 @@
     report(backend_server, answer, belief_source::traffic);
 }
 
+std::vector<std::string> entry_service::unheard(const std::string& service) {
+    return calls_.unheard(service);
+}
+
+void entry_service::on_probe(const std::string& service,
+                             const std::string& backend_server,
+                             const backend_answer& answer) {
+    report(backend_server, answer, belief_source::probe);
+    decision::probe_ended ended;
+    ended.backend_server = backend_server;
+    ended.answered = answer.end == attempt_end::answered ||
+                     answer.end == attempt_end::failed ||
+                     answer.end == attempt_end::not_started;
+    ended.load = answer.load;
+    calls_.take(service, ended);
+}
+
 // Only what an answer proves becomes word for all: what the server said of
 // itself, or that nothing listens there. A lost answer is local evidence and
 // stays with the scheduler.
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <waxwingvale/entry/request_protocol.hpp>
 #include <waxwingvale/forwarding/backend_pool.hpp>
@@ -19,7 +20,7 @@
 
 // Takes callers' requests and has them run. Wires the parts of the request
 // path and owns its sockets.
-class entry_service : call_desk_outlet {
+class entry_service : call_desk_outlet, probe_outlet {
 public:
     // Finds the bus and the peers by their names.
     entry_service(const program::program_environment& environment,
@@ -37,6 +38,9 @@
 private:
     void observe(const std::string& backend_server,
                  const backend_answer& answer) override;
+    std::vector<std::string> unheard(const std::string& service) override;
+    void on_probe(const std::string& service, const std::string& backend_server,
+                  const backend_answer& answer) override;
     void report(const std::string& backend_server, const backend_answer& answer,
                 belief_source source);
     bool is_change(const std::string& backend_server, std::uint64_t incarnation,
--- a/src/entry/grant_message.hpp
+++ b/src/entry/grant_message.hpp
@@ -17,7 +17,7 @@
 // A scheduler's action that is meant for a peer's scheduler of that service.
 struct outgoing_grant_message {
     std::string service;
-    std::variant<decision::ask_grants, decision::answer_ask,
+    std::variant<decision::ask_slots, decision::answer_ask,
                  decision::give_grant, decision::return_grant>
         action;
 };
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -10,24 +10,28 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration due_check_period = 50ms;
-constexpr duration probe_timeout = 1s;
+// A server that was slowed down is asked after 50 ms whether it still is; half
+// of that is as exact as word of it needs to be.
+constexpr duration due_check_period = 25ms;
+// Servers answer within milliseconds; packets that were lost come again after
+// 200 ms.
+constexpr duration probe_timeout = 300ms;
+// Every server is asked so often, if the budget allows, though nobody needs to
+// know how it is: that one is back or leaving is news for all.
+constexpr duration idle_probe_period = 2s;
 constexpr duration probe_connection_kept_for = 5s;
 
 } // namespace
 
 prober::prober(std::string self, const request_protocol& protocol,
                kernel::timer_service& timers, forwarding::backend_pool& pool,
-               program::counter probes, report on_answer)
+               program::counter probes, probe_outlet& outlet)
     : self_(std::move(self)),
       protocol_(protocol),
       timers_(timers),
       pool_(pool),
       probes_(probes),
-      on_answer_(std::move(on_answer)) {
-    due_ = timers_.every(due_check_period,
-                         [this](time_point now) { probe_due(now); });
-}
+      outlet_(outlet) {}
 
 void prober::take(const view_ptr& view) {
     view_ = view;
@@ -39,6 +43,20 @@
         follow(of, now);
     }
     update_share(now);
+    tick_while_owning();
+}
+
+// Most instances own nothing, and waking up for nothing costs them.
+void prober::tick_while_owning() {
+    const bool owns = std::any_of(
+        services_.begin(), services_.end(),
+        [](const auto& entry) { return !entry.second.owned.empty(); });
+    if (!owns) {
+        due_.reset();
+    } else if (!due_) {
+        due_ = timers_.every(due_check_period,
+                             [this](time_point now) { probe_due(now); });
+    }
 }
 
 void prober::follow(const service& of, time_point now) {
@@ -61,6 +79,7 @@
     for (const auto& name : probes.owned) {
         if (owned.count(name) == 0) {
             probes.budget.on_lost(name);
+            probes.last.erase(name);
         }
     }
     probes.owned = std::move(owned);
@@ -88,16 +107,36 @@
         return;
     }
     for (const auto& of : view_->config->services) {
-        auto& probes = services_.at(of.name);
-        for (const auto& server : of.backend_servers) {
-            if (probes.owned.count(server.name) != 0 &&
-                probes.budget.try_probe(server.name, now)) {
-                send_probe(of, server);
-            }
+        probe_due(of, now);
+    }
+}
+
+void prober::probe_due(const service& of, time_point now) {
+    auto& probes = services_.at(of.name);
+    if (probes.owned.empty()) {
+        return;
+    }
+    const auto unheard = outlet_.unheard(of.name);
+    const std::set<std::string> wanted(unheard.begin(), unheard.end());
+    for (const auto& server : of.backend_servers) {
+        const bool owned = probes.owned.count(server.name) != 0;
+        const bool due = wanted.count(server.name) != 0 ||
+                         now - probes.last[server.name] >= idle_probe_period;
+        if (owned && due && open_.count(server.name) == 0 &&
+            probes.budget.try_probe(server.name, now)) {
+            probes.last[server.name] = now;
+            send_probe(of, server);
         }
     }
 }
 
+// By value: with the probe's timer goes what its handler held.
+void prober::end_probe(std::string service, std::string server,
+                       const backend_answer& answer) {
+    open_.erase(server);
+    outlet_.on_probe(service, server, answer);
+}
+
 void prober::send_probe(const service& of, const backend_server& to) {
     probes_.add();
     forwarding::backend_call call;
@@ -108,19 +147,18 @@
     call.headers.push_back({"Host", to.host});
     call.connect_timeout = probe_timeout;
     call.kept_for = probe_connection_kept_for;
-    const auto open =
-        pool_.send(std::move(call),
-                   [this, name = to.name](forwarding::backend_result ended) {
-                       open_.erase(name);
-                       on_answer_(name, protocol_.classify_health(ended, name));
-                   });
-    open_[to.name] =
-        timers_.after(probe_timeout, [this, open, name = to.name](time_point) {
+    const auto open = pool_.send(
+        std::move(call), [this, service = of.name,
+                          name = to.name](forwarding::backend_result ended) {
+            end_probe(service, name, protocol_.classify_health(ended, name));
+        });
+    open_[to.name] = timers_.after(
+        probe_timeout,
+        [this, open, service = of.name, name = to.name](time_point) {
             pool_.cancel(open);
             backend_answer silent;
             silent.end = attempt_end::timed_out;
-            on_answer_(name, silent);
-            open_.erase(name);
+            end_probe(service, name, silent);
         });
 }
 
--- a/src/entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
 #include <cstddef>
-#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <waxwingvale/decision/probe_budget.hpp>
 #include <waxwingvale/entry/request_protocol.hpp>
@@ -15,17 +16,27 @@
 
 namespace waxwingvale::entry {
 
+// What a probe has to do with the service's requests.
+class probe_outlet {
+public:
+    virtual ~probe_outlet() = default;
+    // Backend servers of which too little was heard lately to place requests
+    // well.
+    virtual std::vector<std::string> unheard(const std::string& service) = 0;
+    virtual void on_probe(const std::string& service,
+                          const std::string& backend_server,
+                          const backend_answer& answer) = 0;
+};
+
 // Asks the backend servers that this instance owns how they are, within the
 // budget of the configuration file. Probes find out what no request tells: a
-// dead server that has come back, and a leaving one that nobody calls.
+// dead server that has come back, a leaving one that nobody calls, and, where
+// requests are to be placed, which server is slowed down at the moment.
 class prober {
 public:
-    using report = std::function<void(const std::string& backend_server,
-                                      const backend_answer& answer)>;
-
     prober(std::string self, const request_protocol& protocol,
            kernel::timer_service& timers, forwarding::backend_pool& pool,
-           program::counter probes, report on_answer);
+           program::counter probes, probe_outlet& outlet);
 
     void take(const view_ptr& view);
     // How many entry instances this one has a link to.
@@ -37,25 +48,30 @@
             : budget(limits) {}
         decision::probe_budget budget;
         std::set<std::string> owned;
+        std::map<std::string, time_point> last; // probe of each owned server
     };
 
     void follow(const service& of, time_point now);
     void update_share(time_point now);
+    void tick_while_owning();
     void probe_due(time_point now);
+    void probe_due(const service& of, time_point now);
     void send_probe(const service& of, const backend_server& to);
+    void end_probe(std::string service, std::string server,
+                   const backend_answer& answer);
 
     std::string self_;
     const request_protocol& protocol_;
     kernel::timer_service& timers_;
     forwarding::backend_pool& pool_;
     program::counter probes_;
-    report on_answer_;
+    probe_outlet& outlet_;
     view_ptr view_;
     std::size_t links_ = 0;
     std::map<std::string, service_probes> services_;
     // Probes under way, by backend server, and when they are given up.
     std::map<std::string, kernel::timer_service::subscription> open_;
-    kernel::timer_service::subscription due_;
+    std::optional<kernel::timer_service::subscription> due_; // while owning
 };
 
 } // namespace waxwingvale::entry
--- a/src/io/cbor_reading.cpp
+++ b/src/io/cbor_reading.cpp
@@ -90,4 +90,21 @@
                     : read_wait(from);
 }
 
+double read_factor(const json& from) {
+    constexpr double least = 0.01;
+    constexpr double most = 100.;
+    const double factor = from.is_number() ? from.get<double>() : 0.;
+    if (!(factor >= least && factor <= most)) {
+        refuse("a factor from 0.01 to 100");
+    }
+    return factor;
+}
+
+const json& read_list(const json& from, std::size_t most) {
+    if (!from.is_array() || from.size() > most) {
+        refuse("a list of at most " + std::to_string(most) + " items");
+    }
+    return from;
+}
+
 } // namespace waxwingvale::io
--- a/src/io/cbor_reading.hpp
+++ b/src/io/cbor_reading.hpp
@@ -45,6 +45,13 @@
 // The same for what may lie in the past: below zero it is cut off at the limit.
 duration read_urgency(const nlohmann::json& from);
 
+// By how many times something differs from the usual; throws unless it is
+// between a hundredth and a hundredfold.
+double read_factor(const nlohmann::json& from);
+
+// A list of at most that many items.
+const nlohmann::json& read_list(const nlohmann::json& from, std::size_t most);
+
 // How long ago something was, in microseconds; below zero counts as now.
 std::int64_t read_age(const nlohmann::json& from);
 
--- a/src/model/configuration.cpp
+++ b/src/model/configuration.cpp
@@ -26,9 +26,11 @@
 }
 
 bool operator==(const service_budgets& a, const service_budgets& b) {
-    return std::tie(a.retries, a.retry_window, a.retry_extra, a.hedges,
-                    a.probes) == std::tie(b.retries, b.retry_window,
-                                          b.retry_extra, b.hedges, b.probes);
+    const auto fields = [](const service_budgets& of) {
+        return std::tie(of.retries, of.hedges, of.probes, of.repeats,
+                        of.repeat_window, of.repeat_extra);
+    };
+    return fields(a) == fields(b);
 }
 
 bool operator==(const service& a, const service& b) {
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -25,6 +25,7 @@
 constexpr number_range notice_range{0, 60'000};     // ms
 constexpr fraction_range cores_range{0.001, 1000.}; // times a usual core
 constexpr fraction_range share_range{0.001, 1000.}; // of them
+constexpr number_range owner_range{0, 64}; // of one service
 constexpr number_range link_range{1, 1'000'000};  // Mbit/s
 constexpr number_range reads_range{1, 1'000'000}; // a second
 constexpr number_range reader_range{0, 1000};     // entry instances
@@ -218,14 +219,18 @@
     auto& budgets = read.budgets;
     budgets.retries =
         reader.fraction_or("retries", budget_range, budgets.retries);
-    budgets.retry_window = reader.milliseconds_or(
-        "retry_window_ms", window_range, budgets.retry_window);
-    budgets.retry_extra = static_cast<unsigned>(
-        reader.number_or("retry_extra", extra_range, budgets.retry_extra));
+    budgets.repeats =
+        reader.fraction_or("repeats", budget_range, budgets.repeats);
+    budgets.repeat_window = reader.milliseconds_or(
+        "repeat_window_ms", window_range, budgets.repeat_window);
+    budgets.repeat_extra = static_cast<unsigned>(
+        reader.number_or("repeat_extra", extra_range, budgets.repeat_extra));
     budgets.hedges =
         reader.fraction_or("hedges", budget_range, budgets.hedges);
     budgets.probes = reader.fraction_or("probes_per_second", probe_range,
                                         budgets.probes);
+    read.owners = static_cast<unsigned>(
+        reader.number_or("owners", owner_range, read.owners));
     reader.finish();
     return read;
 }
--- a/src/waxwing_replay/backend_model.cpp
+++ b/src/waxwing_replay/backend_model.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <waxwingvale/decision/stable_hash.hpp>
+
 namespace waxwingvale::replay {
 
 namespace {
@@ -34,15 +36,48 @@
     return has(fault_kind::crowded) ? 0 : queue_limit_;
 }
 
+void backend_model::stand_on(const machine_profile& machine,
+                             std::uint64_t seed) {
+    machine_ = machine;
+    machine_seed_ = seed;
+}
+
+// Each machine changes its pace at moments of its own.
+double backend_model::slowness() const {
+    if (machine_.slowed_share <= 0) {
+        return 1;
+    }
+    const auto step_us = static_cast<double>(machine_.slowed_step.count());
+    const double phase = decision::unit_interval(machine_seed_) * step_us;
+    const double since =
+        static_cast<double>(times_.now().time_since_epoch().count()) + phase;
+    const auto step = static_cast<std::uint64_t>(since / step_us);
+    const double drawn = decision::unit_interval(
+        decision::combine_hashes(machine_seed_, step));
+    return drawn < machine_.slowed_share ? machine_.slowed_factor : 1;
+}
+
+backend_load backend_model::told_load() const {
+    return {in_service_, static_cast<unsigned>(waiting_.size()), slots_,
+            slowness()};
+}
+
+attempt_result backend_model::with_load(attempt_result result) const {
+    if (!machine_.steady()) {
+        result.load = told_load();
+    }
+    return result;
+}
+
 void backend_model::submit(std::uint64_t attempt, duration service_time,
                            time_point deadline, done when_done) {
     if (has(fault_kind::draining)) {
-        when_done({attempt_verdict::shed, true});
+        when_done(with_load({attempt_verdict::shed, true, {}}));
         return;
     }
     if (has(fault_kind::failing_fast)) {
         times_.after(fast_failure, [when_done] {
-            when_done({attempt_verdict::failed, false});
+            when_done({attempt_verdict::failed, false, {}});
         });
         return;
     }
@@ -52,13 +87,17 @@
     } else if (waiting_.size() < queue_room()) {
         waiting_.push_back(std::move(made));
     } else {
-        made.when_done({attempt_verdict::shed, false});
+        made.when_done(with_load({attempt_verdict::shed, false, {}}));
     }
 }
 
 void backend_model::run(job next) {
     ++in_service_;
-    const double factor = has(fault_kind::straggling) ? straggler_factor : 1.0;
+    double factor = has(fault_kind::straggling) ? straggler_factor : 1.0;
+    factor *= slowness();
+    if (in_service_ >= machine_.crowded_from * slots_) {
+        factor *= machine_.crowded_factor;
+    }
     const duration takes(static_cast<std::int64_t>(
         static_cast<double>(next.service_time.count()) * factor));
     const std::uint64_t attempt = next.attempt;
@@ -75,7 +114,7 @@
     running_.erase(found);
     --in_service_;
     next_job();
-    when_done({attempt_verdict::answered, false});
+    when_done(with_load({attempt_verdict::answered, false, {}}));
 }
 
 void backend_model::next_job() {
--- a/src/waxwing_replay/backend_model.hpp
+++ b/src/waxwing_replay/backend_model.hpp
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 #include "waxwing_replay/calendar.hpp"
@@ -14,6 +15,7 @@
 struct attempt_result {
     decision::attempt_verdict verdict = decision::attempt_verdict::answered;
     bool leaving = false; // it said that it is leaving
+    std::optional<backend_load> load; // where the server tells it
 };
 
 // A fake of one backend server: slots, a short queue of its own, shedding
@@ -24,16 +26,21 @@
 
     backend_model(calendar& times, unsigned slots, unsigned queue_limit);
 
+    // The server stands on a machine of that kind. The seed tells its own
+    // course from that of other servers.
+    void stand_on(const machine_profile& machine, std::uint64_t seed);
+
     void add_fault(const fault& known) { faults_.push_back(known); }
     // Runs an attempt that takes that long when all is well.
     void submit(std::uint64_t attempt, duration service_time,
                 time_point deadline, done when_done);
     // The connection was closed: the slot or place is free at once.
     void cancel(std::uint64_t attempt);
-    // What its load endpoint says.
+    // What its load endpoint says: requests, and all that answers tell too.
     unsigned load() const {
         return in_service_ + static_cast<unsigned>(waiting_.size());
     }
+    backend_load told_load() const;
 
 private:
     struct job {
@@ -46,6 +53,8 @@
     bool has(fault_kind kind) const;
     unsigned open_slots() const;
     unsigned queue_room() const;
+    double slowness() const;
+    attempt_result with_load(attempt_result result) const;
     void run(job next);
     void finish(std::uint64_t attempt);
     void next_job();
@@ -57,6 +66,8 @@
     std::deque<job> waiting_;
     std::unordered_map<std::uint64_t, job> running_;
     std::vector<fault> faults_;
+    machine_profile machine_;
+    std::uint64_t machine_seed_ = 0;
 };
 
 } // namespace waxwingvale::replay
--- a/src/waxwing_replay/comparison.cpp
+++ b/src/waxwing_replay/comparison.cpp
@@ -24,6 +24,7 @@
     {"p99 ms", 8, 1, &run_figures::p99_ms},
     {"p99.9 ms", 9, 1, &run_figures::p999_ms},
     {"goodput", 8, 4, &run_figures::goodput},
+    {"in time", 8, 4, &run_figures::in_time},
     {"of capacity", 12, 3, &run_figures::of_capacity},
     {"refused", 8, 4, &run_figures::refused},
     {"failed", 8, 4, &run_figures::failed},
@@ -75,14 +76,14 @@
 }
 
 void print_table(std::ostream& out, const std::vector<run_figures>& runs) {
-    out << std::left << std::setw(12) << "user" << std::setw(14) << "scenario"
+    out << std::left << std::setw(20) << "user" << std::setw(14) << "scenario"
         << std::setw(18) << "policy" << std::right;
     for (const column& shown : columns) {
         out << std::setw(shown.width) << shown.title;
     }
     out << '\n' << std::fixed;
     for (const run_figures& run : runs) {
-        out << std::left << std::setw(12) << run.user << std::setw(14)
+        out << std::left << std::setw(20) << run.user << std::setw(14)
             << run.scenario << std::setw(18) << run.policy << std::right;
         for (const column& shown : columns) {
             out << std::setw(shown.width) << std::setprecision(shown.decimals)
--- a/src/waxwing_replay/decision_bench.cpp
+++ b/src/waxwing_replay/decision_bench.cpp
@@ -21,9 +21,12 @@
 constexpr double steady_share = 0.7;
 
 view_changed make_view(unsigned members, unsigned backend_servers) {
-    const service_size size{"bench",         {"sea", "pdx", "spk", "boi"},
-                            backend_servers, slots_per_server,
-                            members,         0};
+    service_size size;
+    size.user = "bench";
+    size.data_centres = {"sea", "pdx", "spk", "boi"};
+    size.backend_servers = backend_servers;
+    size.slots = slots_per_server;
+    size.entry_instances = members;
     configuration config;
     config.services = {service_of(size)};
     view_changed view;
@@ -68,8 +71,10 @@
             now_ += duration(100);
             const request_id ended = running_.front();
             running_.pop_front();
-            send(request_finished{ended, attempt_verdict::answered,
-                                  service_time});
+            request_finished finished;
+            finished.request = ended;
+            finished.service_time = service_time;
+            send(finished);
             arrive();
         }
     }
--- a/src/waxwing_replay/replay_world.cpp
+++ b/src/waxwing_replay/replay_world.cpp
@@ -1,8 +1,10 @@
 #include "waxwing_replay/replay_world.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "waxwing_replay/routing_policy.hpp"
+#include <waxwingvale/decision/stable_hash.hpp>
 
 namespace waxwingvale::replay {
 
@@ -21,6 +23,8 @@
     backends_.reserve(load.size.backend_servers);
     for (unsigned i = 0; i < load.size.backend_servers; ++i) {
         backends_.emplace_back(times_, load.size.slots, queue);
+        backends_.back().stand_on(load.size.machines,
+                                  decision::combine_hashes(load.seed, i + 1));
     }
     for (const fault& known : load.faults) {
         const bool of_entry_instances = known.kind == fault_kind::owner_lost ||
@@ -66,7 +70,7 @@
                                  std::size_t server, result_handler handler) {
     const std::uint64_t id = next_attempt_++;
     in_flight_[id] = {server, times_.now(), std::move(handler)};
-    const duration service_time = service_time_of(load_.seed, of.id, attempt);
+    const duration service_time = service_time_of(load_.size.work, load_.seed, of.id, attempt);
     const time_point deadline = deadline_of(of);
     times_.after(backend_hop, [this, id, server, service_time, deadline] {
         if (in_flight_.count(id) == 0) {
@@ -80,7 +84,7 @@
     times_.at(deadline, [this, id] {
         if (in_flight_.count(id) != 0) {
             const std::size_t at = in_flight_[id].server;
-            conclude(id, {decision::attempt_verdict::timed_out, false});
+            conclude(id, {decision::attempt_verdict::timed_out, false, {}});
             times_.after(backend_hop,
                          [this, id, at] { backends_[at].cancel(id); });
         }
@@ -117,7 +121,9 @@
     if (times_.now() > deadline_of(of)) {
         statistics_.ended(call_end::late);
     } else {
-        statistics_.answered(times_.now() - of.arrives_at);
+        const duration took = times_.now() - of.first_arrived_at;
+        const bool in_time = !has_target() || took <= load_.size.work.target;
+        statistics_.answered(times_.now() - of.arrives_at, in_time);
     }
 }
 
@@ -128,6 +134,12 @@
     }
 }
 
+// Callers with one deadline for all wait at most for a third of what is left.
+duration replay_world::patience(const call& of, duration come_back_in) const {
+    const duration most = (deadline_of(of) - times_.now()) / 3;
+    return has_target() ? std::min(come_back_in, most) : come_back_in;
+}
+
 void replay_world::refuse(const call& of, duration come_back_in) {
     const bool comes_back =
         of.returns < returns_limit && come_back_in > duration::zero();
@@ -139,7 +151,7 @@
     }
     call again = of;
     again.returns += 1;
-    again.arrives_at = times_.now() + come_back_in;
+    again.arrives_at = times_.now() + patience(of, come_back_in);
     if (measuring()) {
         statistics_.came_back_at(again.arrives_at);
     }
--- a/src/waxwing_replay/replay_world.hpp
+++ b/src/waxwing_replay/replay_world.hpp
@@ -38,12 +38,22 @@
     run_statistics& statistics() { return statistics_; }
     bool measuring() const;
     std::size_t backend_servers() const { return backends_.size(); }
+    // What a probe of the server brings.
+    backend_load told_load(std::size_t server) const {
+        return backends_[server].told_load();
+    }
     // The load report of a backend server, as of now.
     unsigned reported_load(std::size_t server) const {
         return backends_[server].load();
     }
+    // Callers who want an answer within a target have one deadline for all
+    // that they try; others start anew whenever they come back.
     time_point deadline_of(const call& of) const {
-        return of.arrives_at + of.allowed;
+        return (has_target() ? of.first_arrived_at : of.arrives_at) +
+               of.allowed;
+    }
+    bool has_target() const {
+        return load_.size.work.target > duration::zero();
     }
 
     // Sends an attempt; at the deadline it is cancelled as timed out. The
@@ -65,6 +75,7 @@
     };
 
     void arrive_next();
+    duration patience(const call& of, duration come_back_in) const;
     void conclude(std::uint64_t attempt_id, const attempt_result& result);
 
     const workload& load_;
--- a/src/waxwing_replay/run_statistics.cpp
+++ b/src/waxwing_replay/run_statistics.cpp
@@ -5,8 +5,9 @@
 
 namespace waxwingvale::replay {
 
-void run_statistics::answered(duration latency) {
+void run_statistics::answered(duration latency, bool in_time) {
     ended(call_end::answered);
+    in_time_ += in_time ? 1 : 0;
     latencies_.push_back(latency);
 }
 
@@ -54,6 +55,7 @@
         std::max(answered_calls + late + refused_calls + failed_calls, 1.0);
     const double seconds = static_cast<double>(measured.count()) / 1e6;
     figures.goodput = answered_calls / calls;
+    figures.in_time = static_cast<double>(in_time_) / calls;
     figures.of_capacity = answered_calls / (capacity * seconds);
     figures.refused = refused_calls / calls;
     figures.failed = (late + failed_calls) / calls;
--- a/src/waxwing_replay/run_statistics.hpp
+++ b/src/waxwing_replay/run_statistics.hpp
@@ -26,6 +26,7 @@
     double p99_ms = 0;
     double p999_ms = 0;
     double goodput = 0;     // answered, of all calls
+    double in_time = 0;     // answered within the target, of all calls
     double of_capacity = 0; // answered a second, of what the slots can serve
     double refused = 0;     // of all calls
     double failed = 0;      // late or failed, of all calls
@@ -39,7 +40,7 @@
 // Collects the ends of calls that arrived after the warm-up.
 class run_statistics {
 public:
-    void answered(duration latency);
+    void answered(duration latency, bool in_time);
     void ended(call_end end) { ++counts_[static_cast<int>(end)]; }
     void retried() { ++retries_; }
     void hedged() { ++hedges_; }
@@ -57,6 +58,7 @@
     double come_back_spread() const;
 
     std::uint64_t counts_[4] = {};
+    std::uint64_t in_time_ = 0;
     std::uint64_t retries_ = 0;
     std::uint64_t hedges_ = 0;
     std::uint64_t messages_ = 0;
--- a/src/waxwing_replay/trace_codec.cpp
+++ b/src/waxwing_replay/trace_codec.cpp
@@ -153,46 +153,95 @@
                              from.at("reachable").get<bool>()};
 }
 
+json encode_load(const std::optional<backend_load>& load) {
+    if (!load) {
+        return nullptr;
+    }
+    return json::array(
+        {load->running, load->waiting, load->slots, load->slowness});
+}
+
+std::optional<backend_load> decode_load(const json& from) {
+    if (from.is_null()) {
+        return std::nullopt;
+    }
+    return backend_load{
+        from.at(0).get<unsigned>(), from.at(1).get<unsigned>(),
+        from.at(2).get<unsigned>(), from.at(3).get<double>()};
+}
+
+json encode_needs(const request_needs& of) {
+    return {{"tenant", of.tenant},
+            {"class", of.request_class},
+            {"nature", static_cast<int>(of.nature)},
+            {"priority", of.priority},
+            {"attempt", of.attempt},
+            {"excluded", of.excluded},
+            {"isolated", of.isolated},
+            {"only_if_spare", of.only_if_spare}};
+}
+
+void decode_needs(const json& from, request_needs& into) {
+    from.at("tenant").get_to(into.tenant);
+    from.at("class").get_to(into.request_class);
+    into.nature = static_cast<request_nature>(from.at("nature").get<int>());
+    from.at("priority").get_to(into.priority);
+    from.at("attempt").get_to(into.attempt);
+    from.at("excluded").get_to(into.excluded);
+    from.at("isolated").get_to(into.isolated);
+    from.at("only_if_spare").get_to(into.only_if_spare);
+}
+
 json encode(const request_arrived& event) {
-    return {{"event", "request_arrived"},
-            {"request", event.request},
-            {"tenant", event.tenant},
-            {"class", event.request_class},
-            {"nature", static_cast<int>(event.nature)},
-            {"deadline", count(event.deadline)},
-            {"attempt", event.attempt},
-            {"excluded", event.excluded},
-            {"isolated", event.isolated},
-            {"only_if_spare", event.only_if_spare}};
+    json line = encode_needs(event);
+    line["event"] = "request_arrived";
+    line["request"] = event.request;
+    line["deadline"] = count(event.deadline);
+    if (event.target) {
+        line["target"] = count(*event.target);
+    }
+    return line;
 }
 
 scheduler_event decode_arrival(const json& from) {
     request_arrived made;
+    decode_needs(from, made);
     from.at("request").get_to(made.request);
-    from.at("tenant").get_to(made.tenant);
-    from.at("class").get_to(made.request_class);
-    made.nature = static_cast<request_nature>(from.at("nature").get<int>());
     made.deadline = time_in(from, "deadline");
-    from.at("attempt").get_to(made.attempt);
-    from.at("excluded").get_to(made.excluded);
-    from.at("isolated").get_to(made.isolated);
-    from.at("only_if_spare").get_to(made.only_if_spare);
+    if (from.contains("target")) {
+        made.target = time_in(from, "target");
+    }
     return made;
 }
 
+json encode_use(const grant_use& use) {
+    return {{"verdict", static_cast<int>(use.verdict)},
+            {"service_time", count(use.service_time)},
+            {"load", encode_load(use.load)},
+            {"bytes", use.answer_bytes}};
+}
+
+grant_use decode_use(const json& from) {
+    grant_use use;
+    use.verdict = static_cast<attempt_verdict>(from.at("verdict").get<int>());
+    use.service_time = duration_in(from, "service_time");
+    use.load = decode_load(from.at("load"));
+    from.at("bytes").get_to(use.answer_bytes);
+    return use;
+}
+
 json encode(const request_finished& event) {
-    return {{"event", "request_finished"},
-            {"request", event.request},
-            {"verdict", static_cast<int>(event.verdict)},
-            {"service_time", count(event.service_time)}};
+    json line = encode_use({event.verdict, event.service_time, event.load,
+                            event.answer_bytes});
+    line["event"] = "request_finished";
+    line["request"] = event.request;
+    return line;
 }
 
 scheduler_event decode_finish(const json& from) {
-    request_finished made;
-    from.at("request").get_to(made.request);
-    made.verdict = static_cast<attempt_verdict>(from.at("verdict").get<int>());
-    made.service_time = duration_in(from, "service_time");
-    return made;
+    const grant_use use = decode_use(from);
+    return request_finished{from.at("request").get<request_id>(), use.verdict,
+                            use.service_time, use.load, use.answer_bytes};
 }
 
 json encode(const request_cancelled& event) {
@@ -203,39 +252,80 @@
     return request_cancelled{from.at("request").get<request_id>()};
 }
 
-json encode(const grants_asked& event) {
-    return {{"event", "grants_asked"},
+json encode_waiting(const waiting_request& waiting) {
+    json line = encode_needs(waiting);
+    line["request"] = waiting.request;
+    line["time_left"] = count(waiting.time_left);
+    if (waiting.target_left) {
+        line["target_left"] = count(*waiting.target_left);
+    }
+    return line;
+}
+
+waiting_request decode_waiting(const json& from) {
+    waiting_request made;
+    decode_needs(from, made);
+    from.at("request").get_to(made.request);
+    made.time_left = duration_in(from, "time_left");
+    if (from.contains("target_left")) {
+        made.target_left = duration_in(from, "target_left");
+    }
+    return made;
+}
+
+json encode(const slots_asked& event) {
+    json waiting = json::array();
+    for (const waiting_request& each : event.waiting) {
+        waiting.push_back(encode_waiting(each));
+    }
+    return {{"event", "slots_asked"},
             {"peer", event.peer},
-            {"count", event.count},
-            {"urgency", count(event.urgency)}};
+            {"waiting", waiting},
+            {"withdrawn", event.withdrawn},
+            {"whole", event.whole}};
 }
 
 scheduler_event decode_ask(const json& from) {
-    return grants_asked{from.at("peer").get<std::string>(),
-                        from.at("count").get<unsigned>(),
-                        duration_in(from, "urgency")};
+    slots_asked made;
+    from.at("peer").get_to(made.peer);
+    for (const json& each : from.at("waiting")) {
+        made.waiting.push_back(decode_waiting(each));
+    }
+    from.at("withdrawn").get_to(made.withdrawn);
+    from.at("whole").get_to(made.whole);
+    return made;
 }
 
 json encode(const ask_answered& event) {
+    json declined = json::array();
+    for (const declined_request& each : event.declined) {
+        declined.push_back({{"request", each.request},
+                            {"come_back_in", count(each.come_back_in)}});
+    }
     return {{"event", "ask_answered"},
             {"peer", event.peer},
             {"idle", event.idle},
-            {"declined", event.declined},
-            {"come_back_in", count(event.come_back_in)},
-            {"come_back_interval", count(event.come_back_interval)}};
+            {"is_owner", event.is_owner},
+            {"declined", declined}};
 }
 
 scheduler_event decode_answer(const json& from) {
-    return ask_answered{
-        from.at("peer").get<std::string>(), from.at("idle").get<unsigned>(),
-        from.at("declined").get<unsigned>(), duration_in(from, "come_back_in"),
-        duration_in(from, "come_back_interval")};
+    ask_answered made;
+    from.at("peer").get_to(made.peer);
+    from.at("idle").get_to(made.idle);
+    from.at("is_owner").get_to(made.is_owner);
+    for (const json& each : from.at("declined")) {
+        made.declined.push_back({each.at("request").get<request_id>(),
+                                 duration_in(each, "come_back_in")});
+    }
+    return made;
 }
 
 json encode(const grant_received& event) {
     return {{"event", "grant_received"},
             {"peer", event.peer},
             {"grant", event.grant},
+            {"request", event.request},
             {"backend_server", event.backend_server},
             {"lease", count(event.lease)}};
 }
@@ -243,31 +333,42 @@
 scheduler_event decode_grant(const json& from) {
     return grant_received{from.at("peer").get<std::string>(),
                           from.at("grant").get<grant_id>(),
+                          from.at("request").get<request_id>(),
                           from.at("backend_server").get<std::string>(),
                           duration_in(from, "lease")};
 }
 
 json encode(const grant_returned& event) {
-    return {{"event", "grant_returned"},
-            {"peer", event.peer},
-            {"grant", event.grant},
-            {"unused", event.unused},
-            {"verdict", static_cast<int>(event.verdict)},
-            {"class", event.request_class},
-            {"service_time", count(event.service_time)}};
+    json line = event.use ? encode_use(*event.use) : json::object();
+    line["event"] = "grant_returned";
+    line["peer"] = event.peer;
+    line["grant"] = event.grant;
+    return line;
 }
 
 scheduler_event decode_return(const json& from) {
     grant_returned made;
     from.at("peer").get_to(made.peer);
     from.at("grant").get_to(made.grant);
-    from.at("unused").get_to(made.unused);
-    made.verdict = static_cast<attempt_verdict>(from.at("verdict").get<int>());
-    from.at("class").get_to(made.request_class);
-    made.service_time = duration_in(from, "service_time");
+    if (from.contains("verdict")) {
+        made.use = decode_use(from);
+    }
     return made;
 }
 
+json encode(const probe_ended& event) {
+    return {{"event", "probe_ended"},
+            {"backend_server", event.backend_server},
+            {"answered", event.answered},
+            {"load", encode_load(event.load)}};
+}
+
+scheduler_event decode_probe(const json& from) {
+    return probe_ended{from.at("backend_server").get<std::string>(),
+                       from.at("answered").get<bool>(),
+                       decode_load(from.at("load"))};
+}
+
 json encode(const time_passed& /*event*/) {
     return {{"event", "time_passed"}};
 }
@@ -285,10 +386,11 @@
         {"request_arrived", decode_arrival},
         {"request_finished", decode_finish},
         {"request_cancelled", decode_cancellation},
-        {"grants_asked", decode_ask},
+        {"slots_asked", decode_ask},
         {"ask_answered", decode_answer},
         {"grant_received", decode_grant},
         {"grant_returned", decode_return},
+        {"probe_ended", decode_probe},
         {"time_passed", decode_time}};
     return known;
 }
@@ -307,28 +409,42 @@
     return "expire " + std::to_string(a.request);
 }
 
-std::string text(const ask_grants& a) {
-    return "ask " + a.peer + ' ' + std::to_string(a.count) + ' ' +
-           std::to_string(count(a.urgency));
+std::string text(const ask_slots& a) {
+    std::string line = "ask " + a.peer + (a.whole ? " whole" : " more");
+    for (const waiting_request& each : a.waiting) {
+        line += ' ' + std::to_string(each.request) + '/' +
+                std::to_string(count(each.time_left));
+    }
+    for (const request_id each : a.withdrawn) {
+        line += " -" + std::to_string(each);
+    }
+    return line;
 }
 
 std::string text(const answer_ask& a) {
-    return "answer " + a.peer + ' ' + std::to_string(a.idle) + ' ' +
-           std::to_string(a.declined) + ' ' +
-           std::to_string(count(a.come_back_in)) + ' ' +
-           std::to_string(count(a.come_back_interval));
+    std::string line = "answer " + a.peer + ' ' + std::to_string(a.idle) +
+                       (a.is_owner ? " owner" : " other");
+    for (const declined_request& each : a.declined) {
+        line += ' ' + std::to_string(each.request) + '/' +
+                std::to_string(count(each.come_back_in));
+    }
+    return line;
 }
 
 std::string text(const give_grant& a) {
     return "give " + a.peer + ' ' + std::to_string(a.grant) + ' ' +
-           a.backend_server + ' ' + std::to_string(count(a.lease));
+           std::to_string(a.request) + ' ' + a.backend_server + ' ' +
+           std::to_string(count(a.lease));
 }
 
 std::string text(const return_grant& a) {
-    return "return " + a.peer + ' ' + std::to_string(a.grant) + ' ' +
-           (a.unused ? "unused" : "used") + ' ' +
-           std::to_string(static_cast<int>(a.verdict)) + ' ' + a.request_class +
-           ' ' + std::to_string(count(a.service_time));
+    std::string line = "return " + a.peer + ' ' + std::to_string(a.grant);
+    if (!a.use) {
+        return line + " unused";
+    }
+    return line + " used " +
+           std::to_string(static_cast<int>(a.use->verdict)) + ' ' +
+           std::to_string(count(a.use->service_time));
 }
 
 std::string text(const wake_at& a) {
--- a/src/waxwing_replay/waxwing_hedges.cpp
+++ b/src/waxwing_replay/waxwing_hedges.cpp
@@ -71,10 +71,16 @@
     }
     const pending_call loser = found->second;
     pending_.erase(found);
+    if (loser.attempt_id == 0) {
+        send_event(loser.instance, request_cancelled{partner});
+        return;
+    }
     world_->cancel(loser.attempt_id);
-    send_event(loser.instance,
-               request_finished{partner, attempt_verdict::cancelled,
-                                world_->times().now() - loser.sent});
+    request_finished ended;
+    ended.request = partner;
+    ended.verdict = attempt_verdict::cancelled;
+    ended.service_time = world_->times().now() - loser.sent;
+    send_event(loser.instance, ended);
 }
 
 bool waxwing_policy::partner_goes_on(std::uint64_t request) {
--- a/src/waxwing_replay/waxwing_policy.cpp
+++ b/src/waxwing_replay/waxwing_policy.cpp
@@ -18,6 +18,8 @@
 // From a link's end until its peer knows, and until owners are moved.
 constexpr duration link_loss_noticed{5000};
 constexpr duration ownership_moves_after{3000000};
+// How often owners look whether a probe is due.
+constexpr duration probe_check_period{25000};
 // Word of a leaving server reaches all entry instances after that time.
 constexpr duration belief_spreads_in{5000};
 
@@ -63,6 +65,41 @@
     }
     link_all();
     plan_faults();
+    if (!world.load().size.machines.steady()) {
+        probe_unheard();
+    }
+}
+
+// Owners look for servers to probe all the while; a probe takes a round trip.
+void waxwing_policy::probe_unheard() {
+    const time_point now = world_->times().now();
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        for (const auto& server : instances_[i].scheduler->unheard(now)) {
+            send_probe(i, server);
+        }
+    }
+    world_->times().after(probe_check_period, [this] { probe_unheard(); });
+}
+
+void waxwing_policy::send_probe(std::size_t instance,
+                                const std::string& server) {
+    ++probes_;
+    world_->times().after(backend_hop, [this, instance, server] {
+        probe_ended ended;
+        ended.backend_server = server;
+        ended.answered = true;
+        ended.load = world_->told_load(server_places_.at(server));
+        world_->times().after(backend_hop, [this, instance, ended] {
+            send_event(instance, ended);
+        });
+    });
+}
+
+double waxwing_policy::probe_rate() const {
+    const auto& load = world_->load();
+    const double seconds = static_cast<double>(load.length.count()) / 1e6;
+    return static_cast<double>(probes_) /
+           (seconds * load.size.backend_servers);
 }
 
 void waxwing_policy::link_all() {
@@ -211,6 +248,10 @@
     event.request_class =
         known.of.nature == request_nature::retriable ? "reads" : "writes";
     event.deadline = world_->deadline_of(known.of);
+    if (world_->has_target()) {
+        event.target =
+            known.of.first_arrived_at + world_->load().size.work.target;
+    }
     event.attempt = known.attempt;
     event.excluded = known.excluded;
     event.only_if_spare = known.is_hedge;
@@ -295,8 +336,12 @@
         instances_[instance].hedges.on_latency(service_time);
         cancel_partner(request);
     }
-    send_event(instance,
-               request_finished{request, result.verdict, service_time});
+    request_finished finished;
+    finished.request = request;
+    finished.verdict = result.verdict;
+    finished.service_time = service_time;
+    finished.load = result.load;
+    send_event(instance, finished);
     if (partner_goes_on(request)) {
         return;
     }
@@ -359,30 +404,29 @@
     world_->fail(expired);
 }
 
-void waxwing_policy::act(std::size_t instance, const ask_grants& action) {
+void waxwing_policy::act(std::size_t instance, const ask_slots& action) {
     send_to_peer(instance, action.peer,
-                 grants_asked{member_id_of(instance).name, action.count,
-                              action.urgency});
+                 slots_asked{member_id_of(instance).name, action.waiting,
+                             action.withdrawn, action.whole});
 }
 
 void waxwing_policy::act(std::size_t instance, const answer_ask& action) {
     send_to_peer(instance, action.peer,
                  ask_answered{member_id_of(instance).name, action.idle,
-                              action.declined, action.come_back_in,
-                              action.come_back_interval});
+                              action.is_owner, action.declined});
 }
 
 void waxwing_policy::act(std::size_t instance, const give_grant& action) {
     send_to_peer(instance, action.peer,
                  grant_received{member_id_of(instance).name, action.grant,
-                                action.backend_server, action.lease});
+                                action.request, action.backend_server,
+                                action.lease});
 }
 
 void waxwing_policy::act(std::size_t instance, const return_grant& action) {
     send_to_peer(instance, action.peer,
                  grant_returned{member_id_of(instance).name, action.grant,
-                                action.unused, action.verdict,
-                                action.request_class, action.service_time});
+                                action.use});
 }
 
 void waxwing_policy::act(std::size_t instance, const wake_at& action) {
--- a/src/waxwing_replay/waxwing_policy.hpp
+++ b/src/waxwing_replay/waxwing_policy.hpp
@@ -32,6 +32,7 @@
 
     void begin(replay_world& world) override;
     void arrive(const call& arrived) override;
+    double probe_rate() const override;
 
 private:
     struct pending_call {
@@ -59,6 +60,8 @@
         decision::ownership owners;
     };
 
+    void probe_unheard();
+    void send_probe(std::size_t instance, const std::string& server);
     void make_members();
     void link_all();
     void plan_faults();
@@ -79,7 +82,7 @@
     void act(std::size_t instance, const decision::start_request& action);
     void act(std::size_t instance, const decision::refuse_request& action);
     void act(std::size_t instance, const decision::expire_request& action);
-    void act(std::size_t instance, const decision::ask_grants& action);
+    void act(std::size_t instance, const decision::ask_slots& action);
     void act(std::size_t instance, const decision::answer_ask& action);
     void act(std::size_t instance, const decision::give_grant& action);
     void act(std::size_t instance, const decision::return_grant& action);
@@ -117,6 +120,7 @@
     std::unordered_map<std::string, std::size_t> server_places_;
     std::unordered_map<std::uint64_t, pending_call> pending_;
     std::uint64_t next_request_ = 1;
+    std::uint64_t probes_ = 0;
 };
 
 } // namespace waxwingvale::replay
--- a/src/waxwing_replay/workload.cpp
+++ b/src/waxwing_replay/workload.cpp
@@ -18,7 +18,6 @@
 constexpr double pi = 3.14159265358979323846;
 constexpr double microseconds_per_second = 1e6;
 constexpr std::uint64_t callers = 5000;
-constexpr duration read_time_allowed{1000000};
 constexpr duration burst_width{3000};
 constexpr duration burst_time_allowed{2000000};
 // Calls of one burst, in seconds of all slots' work.
@@ -54,7 +53,7 @@
         made.arrives_at = time_point(duration(static_cast<std::int64_t>(at)));
         made.caller = numbers.below(callers);
         made.tenant = numbers.next() < 0.5 ? "leagues" : "desks";
-        made.allowed = read_time_allowed;
+        made.allowed = load.size.work.allowed;
         load.calls.push_back(made);
     }
 }
@@ -142,45 +141,105 @@
     std::uint64_t next = 1;
     for (call& made : load.calls) {
         made.id = next++;
+        made.first_arrived_at = made.arrives_at;
     }
 }
 
 } // namespace
 
-double mean_service_time_us() {
-    return static_cast<double>(usual_service_time.count()) *
-           (1.0 + slow_share * (slow_factor - 1.0));
+double mean_service_time_us(const work_profile& work) {
+    return static_cast<double>(work.mean.count()) *
+           (1.0 + work.slow_share * (work.slow_factor - 1.0));
 }
 
-duration service_time_of(std::uint64_t seed, std::uint64_t call_id,
-                         unsigned attempt) {
+duration service_time_of(const work_profile& work, std::uint64_t seed,
+                         std::uint64_t call_id, unsigned attempt) {
     const auto key = combine_hashes(combine_hashes(seed, call_id), attempt);
     const double radius =
         std::sqrt(-2.0 * std::log(unit_interval(combine_hashes(key, 1))));
     const double normal =
         radius * std::cos(2.0 * pi * unit_interval(combine_hashes(key, 2)));
-    const double mean = static_cast<double>(usual_service_time.count());
-    const double mu =
-        std::log(mean) - service_time_sigma * service_time_sigma / 2.0;
-    double time = std::exp(mu + service_time_sigma * normal);
-    if (unit_interval(combine_hashes(key, 3)) < slow_share) {
-        time *= slow_factor;
+    const double mean = static_cast<double>(work.mean.count());
+    const double mu = std::log(mean) - work.sigma * work.sigma / 2.0;
+    double time = std::exp(mu + work.sigma * normal);
+    if (unit_interval(combine_hashes(key, 3)) < work.slow_share) {
+        time *= work.slow_factor;
     }
     return duration(static_cast<std::int64_t>(time));
 }
 
+namespace {
+
+const std::vector<std::string> cooperative_centres{"sea", "pdx", "spk", "boi"};
+const std::vector<std::string> bramblewood_centres{
+    "brisbane-a", "brisbane-b", "goldcoast", "toowoomba"};
+
+service_size steady_size(const std::string& user,
+                         const std::vector<std::string>& centres,
+                         unsigned servers, unsigned slots) {
+    service_size size;
+    size.user = user;
+    size.data_centres = centres;
+    size.backend_servers = servers;
+    size.slots = slots;
+    return size;
+}
+
+service_size small_size() {
+    service_size size = steady_size("small", {"sea", "pdx"}, 4, 2);
+    size.entry_instances = 4;
+    return size;
+}
+
+// The pace of the users' machines as measured there: four times slower for a
+// part of the time, drawn anew every 300 ms, and 1.7 times slower for what
+// begins with four fifths of the slots busy.
+service_size shared_size(service_size size, double slowed_share,
+                         const work_profile& work) {
+    size.user += "-shared";
+    size.work = work;
+    size.machines.slowed_share = slowed_share;
+    size.machines.slowed_factor = 4.0;
+    size.machines.crowded_from = 0.8;
+    size.machines.crowded_factor = 1.7;
+    return size;
+}
+
+service_size cooperative_shared() {
+    work_profile work;
+    work.mean = duration(81000);
+    work.sigma = 0.3;
+    work.slow_share = 0;
+    work.allowed = duration(1500000);
+    work.target = duration(250000);
+    service_size size =
+        steady_size("cooperative", cooperative_centres, 15, 6);
+    size.entry_instances = 12;
+    return shared_size(size, 0.25, work);
+}
+
+service_size bramblewood_shared() {
+    work_profile work;
+    work.mean = duration(60000);
+    work.sigma = 0.3;
+    work.slow_share = 0;
+    work.allowed = duration(800000);
+    work.target = duration(200000);
+    return shared_size(steady_size("bramblewood", bramblewood_centres, 20, 2),
+                       0.35, work);
+}
+
+} // namespace
+
 service_size size_of(const std::string& user) {
     static const std::map<std::string, service_size> sizes = {
         {"cooperative",
-         {"cooperative", {"sea", "pdx", "spk", "boi"}, 15, 6, 18, 0}},
+         steady_size("cooperative", cooperative_centres, 15, 6)},
         {"bramblewood",
-         {"bramblewood",
-          {"brisbane-a", "brisbane-b", "goldcoast", "toowoomba"},
-          10,
-          2,
-          18,
-          0}},
-        {"small", {"small", {"sea", "pdx"}, 4, 2, 4, 0}}};
+         steady_size("bramblewood", bramblewood_centres, 10, 2)},
+        {"cooperative-shared", cooperative_shared()},
+        {"bramblewood-shared", bramblewood_shared()},
+        {"small", small_size()}};
     return sizes.at(user);
 }
 
@@ -215,20 +274,20 @@
 service service_of(const service_size& size) {
     service of;
     of.name = "replayed";
-    of.typical_time = usual_service_time;
+    of.typical_time = size.work.mean;
     of.owners = size.owners;
-    of.classes = {{"reads",
-                   {"GET"},
-                   "/",
-                   request_nature::retriable,
-                   read_time_allowed,
-                   0},
-                  {"writes",
-                   {"POST"},
-                   "/",
-                   request_nature::at_most_once,
-                   read_time_allowed,
-                   0}};
+    request_class reads;
+    reads.name = "reads";
+    reads.methods = {"GET"};
+    reads.path_prefix = "/";
+    reads.nature = request_nature::retriable;
+    reads.deadline = size.work.allowed;
+    reads.target_latency = size.work.target;
+    request_class writes = reads;
+    writes.name = "writes";
+    writes.methods = {"POST"};
+    writes.nature = request_nature::at_most_once;
+    of.classes = {reads, writes};
     for (unsigned i = 0; i < size.backend_servers; ++i) {
         backend_server server;
         server.name = size.user + "-" + std::to_string(i);
@@ -240,8 +299,17 @@
 }
 
 double capacity_of(const service_size& size) {
-    return size.backend_servers * size.slots * microseconds_per_second /
-           mean_service_time_us();
+    const machine_profile& machines = size.machines;
+    double most_at_once = 0; // in work at the usual pace
+    for (unsigned busy = 1; busy <= size.slots; ++busy) {
+        const bool crowded = busy >= machines.crowded_from * size.slots;
+        const double pace = crowded ? 1.0 / machines.crowded_factor : 1.0;
+        most_at_once = std::max(most_at_once, busy * pace);
+    }
+    const double slowness =
+        1.0 + machines.slowed_share * (machines.slowed_factor - 1.0);
+    return size.backend_servers * most_at_once * microseconds_per_second /
+           (mean_service_time_us(size.work) * slowness);
 }
 
 } // namespace waxwingvale::replay
--- a/src/waxwing_replay/workload.hpp
+++ b/src/waxwing_replay/workload.hpp
@@ -13,6 +13,7 @@
 struct call {
     std::uint64_t id = 0;
     time_point arrives_at{};
+    time_point first_arrived_at{}; // before any refusal
     std::uint64_t caller = 0;
     std::string tenant;
     request_nature nature = request_nature::retriable;
@@ -40,7 +41,30 @@
 // How much a straggler is slower.
 inline constexpr double straggler_factor = 8.0;
 
-// How a user's service looks: the sizes of the brief.
+// How long calls take: lognormal around the mean, and a few far longer.
+struct work_profile {
+    duration mean{20000}; // of the lognormal part
+    double sigma = 0.6;
+    double slow_share = 0.02;
+    double slow_factor = 8.0;
+    duration allowed{1000000};
+    duration target{}; // an answer is worth most within it; zero: none
+};
+
+// What the machines below the backend servers do to them: others on the same
+// machine slow a server down for a while, and one whose slots are nearly all
+// busy takes longer for what it begins.
+struct machine_profile {
+    double slowed_share = 0; // of the time
+    double slowed_factor = 1;
+    duration slowed_step{300000}; // the pace is drawn anew after each
+    double crowded_from = 2;      // share of busy slots, 2: never
+    double crowded_factor = 1;
+
+    bool steady() const { return slowed_share <= 0 && crowded_from > 1; }
+};
+
+// How a user's service looks.
 struct service_size {
     std::string user;
     std::vector<std::string> data_centres;
@@ -48,21 +72,17 @@
     unsigned slots = 0;
     unsigned entry_instances = 18;
     unsigned owners = 0; // 0: derived
+    work_profile work;
+    machine_profile machines;
 };
 
-// The mean of the lognormal part, its spread, and the rare slow calls.
-inline constexpr duration usual_service_time{20000};
-inline constexpr double service_time_sigma = 0.6;
-inline constexpr double slow_share = 0.02;
-inline constexpr double slow_factor = 8.0;
-
-// What all calls take on average, slow ones included.
-double mean_service_time_us();
+// What all calls take on average, slow ones included, in microseconds.
+double mean_service_time_us(const work_profile& work);
 
 // The service time of one attempt: the same for every policy, since it
 // depends on nothing but the seed, the call and the attempt.
-duration service_time_of(std::uint64_t seed, std::uint64_t call_id,
-                         unsigned attempt);
+duration service_time_of(const work_profile& work, std::uint64_t seed,
+                         std::uint64_t call_id, unsigned attempt);
 
 // Calls, faults and the time that is measured.
 struct workload {
@@ -75,9 +95,10 @@
     duration length{}; // warm-up included
 };
 
-// The sizes "cooperative", "bramblewood" and "small", the last for traces
-// that people can read; throws std::out_of_range for
-// another name.
+// The sizes of the brief, "cooperative" and "bramblewood"; the same on machines
+// that others use too, "cooperative-shared" and "bramblewood-shared"; and
+// "small", for traces that people can read. Throws std::out_of_range for another
+// name.
 service_size size_of(const std::string& user);
 
 // The names of all scenarios, in the order of the table.
@@ -90,7 +111,7 @@
 // The service as its configuration would describe it.
 service service_of(const service_size& size);
 
-// Calls a second that the slots can serve at most.
+// Calls a second that the slots can serve at most, whatever machine they meet.
 double capacity_of(const service_size& size);
 
 } // namespace waxwingvale::replay
