--- a/test/fuzz/found_test.cpp
+++ b/test/fuzz/found_test.cpp
@@ -25,6 +25,7 @@
         const nlohmann::json message = {{"service", "desk"},
                                         {"type", "give"},
                                         {"grant", 9},
+                                        {"request", 3},
                                         {"backend_server", "desk-1"},
                                         {"lease_us", lease}};
         return entry::decode_grant_message("pdx-1",
