control: look at everything once a second, and at what changed at once

Change: the members have a version; plan, views, reader order follow it; metrics and what changes with time alone follow once a second. Timers that are armed early enough stay armed.

--- a/include/waxwingvale/membership/member_table.hpp
+++ b/include/waxwingvale/membership/member_table.hpp
@@ -90,6 +90,8 @@
     const member_record* find(const std::string& name) const;
     // All that are known, for views; sorted by id.
     std::vector<member> members() const;
+    // Rises whenever anything that members() tells may have changed.
+    std::uint64_t version() const { return version_; }
     // How many are not gone, this one included.
     std::size_t present() const;
     // Records that were changed since the last call, for passing on.
@@ -132,6 +134,7 @@
     bool list_seen_ = false;
     member_record heard_self_; // the latest word of this name from others
     std::uint64_t refutations_ = 0;
+    std::uint64_t version_ = 0;
 };
 
 } // namespace waxwingvale::membership
--- a/include/waxwingvale/membership/registry_table.hpp
+++ b/include/waxwingvale/membership/registry_table.hpp
@@ -70,7 +70,8 @@
     void hold_removals(time_point until) { hold_until_ = until; }
     // Carries out removals that were held and were not taken back, and forgets
     // those of long ago.
-    void tick(time_point now);
+    // Returns whether anything has changed.
+    bool tick(time_point now);
 
     // Those that are there, sorted by name.
     const std::map<std::string, registry_record>& records() const {
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -19,6 +19,9 @@
 // Word of backend servers that no configuration names is kept this long: the
 // configuration may be on its way.
 constexpr duration unnamed_belief_keep = std::chrono::minutes(10);
+// What changes with time alone and shows nowhere else is looked at after so
+// many ticks: gathering all of it costs a small machine too much for every one.
+constexpr unsigned ticks_between_looks = 10;
 // After "I am leaving" the links stay open so that it gets out.
 constexpr duration leave_wait = std::chrono::milliseconds(300);
 // The platform's values, and files that peers pass on, are as large as this.
@@ -213,7 +216,7 @@
 }
 
 void control_service::settle_freshness() {
-    const bool has_peers = known_.members.members().size() > 1;
+    const bool has_peers = known_.members.present() > 1;
     known_.fresh.settle(has_peers, environment_.timers.now());
 }
 
@@ -235,23 +238,46 @@
 }
 
 void control_service::on_tick(time_point now) {
-    peers_.tick(now);
-    known_.registry.tick(now);
+    const bool look = ++ticks_ % ticks_between_looks == 0;
+    const auto members_before = known_.members.version();
+    const bool was_fresh = known_.fresh.fresh();
+    peers_.tick(now, look);
+    const bool registry_changed = known_.registry.tick(now);
     settle_freshness();
     follow_reader_duty(now);
+    if (look) {
+        forget_unnamed(now);
+        metrics_.update();
+    }
+    const bool news = registry_changed || was_fresh != known_.fresh.fresh() ||
+                      members_before != known_.members.version();
+    if (look || news) {
+        flush();
+    } else {
+        peers_.send_waiting();
+    }
+}
+
+void control_service::forget_unnamed(time_point now) {
     if (const auto config = known_.configurations.in_force()) {
         known_.beliefs.retain(named_backend_servers(*config),
                               unnamed_belief_keep, now);
     }
-    metrics_.update();
-    flush();
 }
 
-void control_service::follow_reader_duty(time_point now) {
+void control_service::follow_members() {
+    if (members_followed_ == known_.members.version()) {
+        return;
+    }
+    members_followed_ = known_.members.version();
     const auto members = known_.members.members();
     known_.readers.take_members(members);
     platform_.set_share(membership::share_of(
         environment_.settings.platform.reads_per_second, members.size()));
+}
+
+void control_service::follow_reader_duty(time_point now) {
+    follow_members();
     const bool read = known_.readers.should_read(now);
     if (read == !platform_.paused()) {
         return;
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -49,6 +49,8 @@
     void settle_freshness();
     void on_wake();
     void on_tick(time_point now);
+    void forget_unnamed(time_point now);
+    void follow_members();
     void follow_reader_duty(time_point now);
     // Something may have changed: views and messages follow within a moment,
     // several changes together.
@@ -70,6 +72,8 @@
     kernel::timer_service::subscription ticking_;
     kernel::timer_service::subscription flushing_;
     kernel::timer_service::subscription stopping_;
+    unsigned ticks_ = 0;
+    std::uint64_t members_followed_ = 0; // their version
     bool flush_planned_ = false;
     bool platform_failed_ = false;
     std::uint64_t logged_revision_ = 0;
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -119,6 +119,12 @@
     const auto now = timers_.now();
     const auto wanted = wanted_links();
     exchange_.plan(wanted, now);
+    planned_for_ = known_.members.version();
+    const auto& linked = exchange_.linked();
+    missing_links_ =
+        linked.empty() ||
+        !std::includes(linked.begin(), linked.end(), wanted.begin(),
+                       wanted.end());
     for (const auto& peer : wanted) {
         want(peer, known_.members.find(peer)->addresses, now);
     }
@@ -192,9 +198,12 @@
     }
 }
 
-void peer_links::tick(time_point now) {
+void peer_links::tick(time_point now, bool anyhow) {
     exchange_.tick(now);
-    plan();
+    if (anyhow || missing_links_ ||
+        planned_for_ != known_.members.version()) {
+        plan();
+    }
 }
 
 } // namespace waxwingvale::control
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -35,7 +35,8 @@
 
     // Computes the links anew and dials, or gives up, what changed.
     void plan();
-    void tick(time_point now);
+    // Also plans, when members have changed, a link is missing, or `anyhow`.
+    void tick(time_point now, bool anyhow);
     void woke_late(time_point now) { exchange_.woke_late(now); }
     void set_platform_answers(bool answers) {
         exchange_.set_platform_answers(answers);
@@ -71,6 +72,8 @@
     std::vector<program::seed_settings> seeds_;
     membership::peer_exchange exchange_;
     std::map<std::string, dialed_link> links_;
+    std::uint64_t planned_for_ = 0; // version of the members
+    bool missing_links_ = true;
     std::function<void()> on_heard_;
     std::uint64_t malformed_ = 0;
 };
--- a/src/decision/grant_borrower.hpp
+++ b/src/decision/grant_borrower.hpp
@@ -31,8 +31,8 @@
 
     // Asks for, names again or withdraws what has to be. `describe` tells of a
     // request that waits. An owner, whose own slots serve most of what waits,
-    // names only now and then what does; `at_once` is true for the others,
-    // which depend on lenders for each request.
+    // names only now and then what does; `at_once` is true for those that
+    // depend on lenders for each request, having no slots that work.
     using description = std::function<waiting_request(request_id)>;
     void update(const description& describe, bool at_once, time_point now,
                 std::vector<scheduler_action>& actions);
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -277,8 +277,9 @@
 }
 
 void service_scheduler::impl::borrow() {
+    const bool depends_on_lenders = table_.working_slots() == 0;
     borrower_.update([this](request_id request) { return describe(request); },
-                     !decides(), now_, *actions_);
+                     depends_on_lenders, now_, *actions_);
 }
 
 void service_scheduler::impl::on(const peer_reachability& event) {
--- a/src/kernel/timer_service.cpp
+++ b/src/kernel/timer_service.cpp
@@ -15,6 +15,7 @@
 struct timer_service::loop_timer {
     struct ev_loop* loop;
     ev_timer watcher{};
+    time_point armed_for{};
 };
 
 timer_service::subscription::subscription(timer_service& of,
@@ -121,14 +122,20 @@
     rearm();
 }
 
+// A timer that is armed for too early stays: it fires for nothing at most once,
+// while reading the clock and arming anew for every subscription that comes and
+// goes would be paid with every request.
 void timer_service::rearm() {
     if (!loop_timer_) {
         return;
     }
-    ev_timer_stop(loop_timer_->loop, &loop_timer_->watcher);
-    if (due_.empty()) {
+    const bool armed = ev_is_active(&loop_timer_->watcher) != 0;
+    if (due_.empty() ||
+        (armed && loop_timer_->armed_for <= due_.begin()->first)) {
         return;
     }
+    ev_timer_stop(loop_timer_->loop, &loop_timer_->watcher);
+    loop_timer_->armed_for = due_.begin()->first;
     const auto wait =
         std::max(due_.begin()->first - clock_.now(), duration::zero());
     ev_now_update(loop_timer_->loop);
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -200,6 +200,7 @@
         changed = take_listed(listed, now) || changed;
     }
     list_seen_ = true;
+    version_ += changed ? 1 : 0;
     return changed;
 }
 
@@ -263,6 +264,7 @@
                             known.record.life == liveness::gone &&
                             now - known.gone >= timing_.forget_after;
         at = forget ? entries_.erase(at) : std::next(at);
+        version_ += forget ? 1 : 0;
         changed = changed || forget;
     }
     return changed;
@@ -346,6 +348,7 @@
 }
 
 void member_table::mark_changed(const std::string& name) {
+    ++version_;
     if (std::find(changed_.begin(), changed_.end(), name) == changed_.end()) {
         changed_.push_back(name);
     }
--- a/src/membership/registry_table.cpp
+++ b/src/membership/registry_table.cpp
@@ -95,7 +95,8 @@
     }
 }
 
-void registry_table::tick(time_point now) {
+bool registry_table::tick(time_point now) {
+    const auto before = version();
     if (now >= hold_until_) {
         for (const auto& [name, revision] : std::exchange(held_, {})) {
             merge({name, revision, false, {}}, now);
@@ -105,6 +106,7 @@
         const bool old = now - at->second.since >= removal_keep;
         at = old ? removed_.erase(at) : std::next(at);
     }
+    return version() != before;
 }
 
 std::vector<registry_record> registry_table::take_changes() {
