scheduling: probe only where too few prompt slots are known

Change: in each data centre servers are asked only until as many free slots are known to be prompt as half of those in use, four at least.

--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -73,8 +73,8 @@
 
     // Probes of servers of which nothing is heard: of those that were last
     // seen slowed down, and of others.
-    duration slowed_probe_after{50000};
-    duration idle_probe_after{150000};
+    duration slowed_probe_after{60000};
+    duration idle_probe_after{200000};
 
     // How often requests are looked at that wait although slots are free,
     // because the servers are too slow: word of these ages meanwhile.
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -268,7 +268,38 @@
     }
 }
 
+// Free slots that just told that they are not slowed down, and slots in use, in
+// one data centre.
+struct slot_table::known_slots {
+    unsigned prompt = 0;
+    unsigned busy = 0;
+
+    // Enough for what comes until more is heard: each answer brings word of
+    // its server, so that the more runs the less has to be asked.
+    bool enough() const {
+        constexpr unsigned least = 4;
+        return prompt >= std::max(least, busy / 2);
+    }
+};
+
+std::map<std::string, slot_table::known_slots>
+slot_table::known_by_centre(time_point now) const {
+    std::map<std::string, known_slots> known;
+    for (const index place : usable_) {
+        const backend_slots& server = servers_[place];
+        known_slots& here = known[server.data_centre()];
+        here.busy += server.in_flight();
+        const bool told = server.seen() &&
+                          now - server.seen()->at < policy_.idle_probe_after;
+        if (told && server.seen()->load.slowness <= prompt_slowness) {
+            here.prompt += room(server, now);
+        }
+    }
+    return known;
+}
+
 std::vector<std::string> slot_table::unheard(time_point now) const {
+    const auto known = known_by_centre(now);
     std::vector<std::string> names;
     for (const index place : usable_) {
         const backend_slots& server = servers_[place];
@@ -277,7 +308,8 @@
         const duration wait =
             slowed ? policy_.slowed_probe_after : policy_.idle_probe_after;
         const bool heard = server.seen() && now - server.seen()->at < wait;
-        if (server.limit() > 0 && !heard) {
+        if (server.limit() > 0 && !heard &&
+            !known.at(server.data_centre()).enough()) {
             names.push_back(server.name());
         }
     }
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -131,6 +132,8 @@
                   time_point now) const;
     double expected_slowness(const backend_slots& server, time_point now) const;
     double crowding_log(const backend_slots& server) const;
+    struct known_slots;
+    std::map<std::string, known_slots> known_by_centre(time_point now) const;
     void see(backend_slots& server, const backend_load& load, time_point now);
     bool any_near(const std::string& data_centre) const;
     unsigned room(const backend_slots& server, time_point now) const;
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -10,7 +10,7 @@
 
 using namespace std::chrono_literals;
 
-// A server that was slowed down is asked after 50 ms whether it still is; half
+// A server that was slowed down is asked after 60 ms whether it still is; half
 // of that is as exact as word of it needs to be.
 constexpr duration due_check_period = 25ms;
 // Servers answer within milliseconds; packets that were lost come again after
