--- a/include/waxwingvale/membership/reader_duty.hpp
+++ b/include/waxwingvale/membership/reader_duty.hpp
@@ -40,6 +40,8 @@
 
     bool should_read(time_point now);
 
+    // Who reads while all is well; empty when each reads for itself.
+    std::vector<std::string> readers() const;
     // How old the newest word is.
     duration age(time_point now) const { return now - verified_; }
     const std::string& newest_reader() const { return newest_reader_; }
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -84,8 +84,8 @@
       views_(environment.services.need<kernel::message_bus>(
                  program::service_name::bus),
              environment.timers, known_),
-      peers_(hub_, environment.timers, known_, environment.settings.peers.seeds,
-             random_seed()),
+      peers_(hub_, environment.timers, known_, views_,
+             environment.settings.peers.seeds, random_seed()),
       metrics_(environment.metrics, hub_, platform_, known_, views_, peers_) {
     known_.members.start_life(incarnation);
 }
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "control/central_instances.hpp"
 #include "io/exchange_codec.hpp"
 
 namespace waxwingvale::control {
@@ -17,7 +18,8 @@
 // and go with every passing suspicion.
 constexpr duration unwanted_limit = std::chrono::seconds(5);
 // Up to so many instances each is linked with every other, which makes every
-// word one hop; beyond, links grow with the logarithm of their number.
+// word one hop; beyond, each is linked with those in the middle of things, and
+// its other links grow with the logarithm of their number.
 constexpr std::size_t full_mesh_limit = 24;
 
 std::string region_of(const configuration_ptr& config,
@@ -35,12 +37,13 @@
 } // namespace
 
 peer_links::peer_links(io::message_hub& hub, kernel::timer_service& timers,
-                       knowledge& known,
+                       knowledge& known, const view_publisher& views,
                        std::vector<program::seed_settings> seeds,
                        std::uint64_t seed)
     : hub_(hub),
       timers_(timers),
       known_(known),
+      views_(views),
       seeds_(std::move(seeds)),
       exchange_(known.tables(), known.fresh, {}, seed, timers.now()) {
     hub_.on_link_change(
@@ -109,12 +112,26 @@
         wanted.erase(self);
         return wanted;
     }
-    wanted = membership::plan_links(self, placed(false));
+    const auto present = placed(false);
+    wanted = membership::plan_links(self, present);
     const auto with_gone = membership::plan_links(self, all);
     wanted.insert(with_gone.begin(), with_gone.end());
+    const auto in_the_middle = central();
+    for (const auto& each : present) {
+        if (in_the_middle.count(self) + in_the_middle.count(each.name) > 0) {
+            wanted.insert(each.name);
+        }
+    }
+    wanted.erase(self);
     return wanted;
 }
 
+std::set<std::string> peer_links::central() const {
+    const auto& view = views_.last_view();
+    return central_instances(view ? view->config : nullptr,
+                             known_.members.members(), known_.readers);
+}
+
 void peer_links::plan() {
     const auto now = timers_.now();
     const auto wanted = wanted_links();
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "control/knowledge.hpp"
+#include "control/view_publisher.hpp"
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/membership/link_plan.hpp>
@@ -21,8 +22,8 @@
 class peer_links {
 public:
     peer_links(io::message_hub& hub, kernel::timer_service& timers,
-               knowledge& known, std::vector<program::seed_settings> seeds,
-               std::uint64_t seed);
+               knowledge& known, const view_publisher& views,
+               std::vector<program::seed_settings> seeds, std::uint64_t seed);
 
     void change_seeds(std::vector<program::seed_settings> seeds) {
         seeds_ = std::move(seeds);
@@ -59,6 +60,7 @@
     void on_message(const std::string& kind, const std::string& peer,
                     const io::message_hub::payload& body);
     std::set<std::string> wanted_links() const;
+    std::set<std::string> central() const;
     std::vector<membership::placed_member> placed(bool with_gone) const;
     void want(const std::string& peer, const member_addresses& address,
               time_point now);
@@ -69,6 +71,7 @@
     io::message_hub& hub_;
     kernel::timer_service& timers_;
     knowledge& known_;
+    const view_publisher& views_;
     std::vector<program::seed_settings> seeds_;
     membership::peer_exchange exchange_;
     std::map<std::string, dialed_link> links_;
--- a/src/membership/reader_duty.cpp
+++ b/src/membership/reader_duty.cpp
@@ -66,6 +66,12 @@
     place_ = static_cast<std::size_t>(std::distance(order_.begin(), mine));
 }
 
+std::vector<std::string> reader_duty::readers() const {
+    const auto end = std::min<std::size_t>(readers_, order_.size());
+    return {order_.begin(),
+            order_.begin() + static_cast<std::ptrdiff_t>(end)};
+}
+
 bool reader_duty::is_reader(const std::string& name) const {
     const auto end = std::min<std::size_t>(readers_, order_.size());
     const auto last = order_.begin() + static_cast<std::ptrdiff_t>(end);
