control: many instances that start together tell each other less

Change: one of two ends of a link sends a digest, spread over half a second; changes that follow one another go out together every 100 ms; readers have half a second to be known before others read.

--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -24,6 +24,14 @@
     // One digest goes to one peer in each of these; with it, anything that a
     // broken link swallowed is found again.
     duration digest_period = std::chrono::seconds(5);
+    // Of two that open a link one sends a digest within this. Sent at once by
+    // both over every link, the digests of many instances that start together
+    // would all find everything different.
+    duration greeting_spread = std::chrono::milliseconds(500);
+    // Whoever knows nothing yet asks at once, but no more than so many.
+    unsigned first_greetings = 3;
+    // Changes that follow one another are passed on together after this.
+    duration relay_wait = std::chrono::milliseconds(100);
     // A revision that a peer announced is asked for after this long, in which
     // the platform usually tells it.
     duration configuration_wait = std::chrono::milliseconds(250);
@@ -130,7 +138,8 @@
     void send_digest(const std::string& peer, std::uint64_t asks,
                      std::uint64_t answers);
     void send(const std::string& peer, exchange_message message);
-    void pass_on_changes();
+    void pass_on_changes(time_point now);
+    void send_due_greetings(time_point now);
     void pass_on_revision();
     void pass_on_word(time_point now);
     void accuse_silent(time_point now);
@@ -142,6 +151,9 @@
     exchange_timing timing_;
     std::mt19937_64 random_;
     time_point next_digest_;
+    time_point next_relay_{};
+    unsigned greetings_ = 0; // sent at once
+    std::map<std::string, time_point> greet_at_;
     std::set<std::string> linked_;
     // Planned peers without a link, and when they will be accused.
     std::map<std::string, time_point> awaited_;
--- a/include/waxwingvale/membership/reader_duty.hpp
+++ b/include/waxwingvale/membership/reader_duty.hpp
@@ -23,6 +23,9 @@
     duration step_limit = std::chrono::milliseconds(400);
     // Whoever took over goes on this long after the readers are back.
     duration relief = std::chrono::seconds(3);
+    // One that has just started hears within this what its peers have read, and
+    // who they are: until then each would be the first of all it knows.
+    duration introduction = std::chrono::milliseconds(500);
 };
 
 // Decides whether this instance is to read the platform for all. Every read is
@@ -30,8 +33,9 @@
 // they read from their peers. Pure.
 class reader_duty {
 public:
-    reader_duty(std::string self, unsigned readers, reader_timing timing,
-                time_point now);
+    // Without peers to expect an instance reads at once.
+    reader_duty(std::string self, unsigned readers, bool expects_peers,
+                reader_timing timing, time_point now);
 
     void take_members(const std::vector<member>& members);
     // Somebody, or this instance, knew the platform's state of so long ago.
@@ -54,6 +58,7 @@
     reader_timing timing_;
     std::vector<std::string> order_; // of all that may read
     std::size_t place_ = 0;          // of this instance in it
+    time_point introduced_at_; // at the latest
     time_point verified_;
     std::string newest_reader_;
     std::optional<time_point> took_over_;
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -76,7 +76,7 @@
       platform_(client_, environment.timers, published.dialect(),
                 platform_options(environment.settings)),
       known_(
-          self, environment.settings.platform.readers,
+          self, environment.settings,
           [&published](const configuration_text& file) {
               return published.parse(file);
           },
--- a/src/control/knowledge.cpp
+++ b/src/control/knowledge.cpp
@@ -4,7 +4,8 @@
 
 namespace waxwingvale::control {
 
-knowledge::knowledge(membership::member_record self, unsigned reader_count,
+knowledge::knowledge(membership::member_record self,
+                     const program::settings& from,
                      membership::configuration_register::validator validate,
                      time_point now)
     : configurations(std::move(validate)),
@@ -12,7 +13,8 @@
       beliefs(belief_limit),
       registry(belief_limit),
       quarantine({}),
-      readers(self.id.name, reader_count, {}, now),
+      readers(self.id.name, from.platform.readers, !from.peers.seeds.empty(),
+              {}, now),
       fresh(wake_gap, now) {}
 
 } // namespace waxwingvale::control
--- a/src/control/knowledge.hpp
+++ b/src/control/knowledge.hpp
@@ -8,6 +8,7 @@
 #include <waxwingvale/membership/quarantine_table.hpp>
 #include <waxwingvale/membership/reader_duty.hpp>
 #include <waxwingvale/membership/registry_table.hpp>
+#include <waxwingvale/program/settings.hpp>
 
 namespace waxwingvale::control {
 
@@ -21,7 +22,7 @@
 
 // All that this entry instance knows, in one place.
 struct knowledge {
-    knowledge(membership::member_record self, unsigned readers,
+    knowledge(membership::member_record self, const program::settings& from,
               membership::configuration_register::validator validate,
               time_point now);
 
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -85,16 +85,36 @@
     }
 }
 
-void peer_exchange::link_up(const std::string& peer, time_point) {
+void peer_exchange::link_up(const std::string& peer, time_point now) {
     linked_.insert(peer);
     awaited_.erase(peer);
-    send_digest(peer, fresh_.epoch(), 0);
+    const bool knows_enough = introduced_ && fresh_.fresh();
+    if (!is_member(peer) ||
+        (!knows_enough && greetings_ < timing_.first_greetings)) {
+        ++greetings_;
+        send_digest(peer, fresh_.epoch(), 0);
+    } else if (state_.members.self().id.name < peer) {
+        std::uniform_int_distribution<duration::rep> wait(
+            0, timing_.greeting_spread.count());
+        greet_at_[peer] = now + duration(wait(random_));
+    }
+}
+
+void peer_exchange::send_due_greetings(time_point now) {
+    for (auto at = greet_at_.begin(); at != greet_at_.end();) {
+        const bool due = now >= at->second;
+        if (due) {
+            send_digest(at->first, fresh_.fresh() ? 0 : fresh_.epoch(), 0);
+        }
+        at = due ? greet_at_.erase(at) : std::next(at);
+    }
 }
 
 void peer_exchange::link_down(const std::string& peer, time_point now) {
     linked_.erase(peer);
     records_awaited_.erase(peer);
     word_of_peer_.erase(peer);
+    greet_at_.erase(peer);
     if (planned_.count(peer) > 0) {
         awaited_[peer] = now + timing_.reconnect_grace;
     }
@@ -379,6 +399,7 @@
     state_.members.tick(now);
     state_.quarantine.expire(now);
     ask_for_configuration(now);
+    send_due_greetings(now);
     send_due_digest(now);
 }
 
@@ -459,7 +480,7 @@
 
 std::vector<addressed_message> peer_exchange::take_messages(time_point now) {
     pass_on_revision();
-    pass_on_changes();
+    pass_on_changes(now);
     pass_on_word(now);
     return std::exchange(outgoing_, {});
 }
@@ -481,7 +502,10 @@
     }
 }
 
-void peer_exchange::pass_on_changes() {
+void peer_exchange::pass_on_changes(time_point now) {
+    if (now < next_relay_) {
+        return;
+    }
     const auto members = state_.members.take_changes();
     const auto beliefs = state_.beliefs.take_changes();
     const auto registry = state_.registry.take_changes();
@@ -517,6 +541,12 @@
             send(peer, std::move(records));
         }
     }
+    const bool passed_on = !members.empty() || !beliefs.empty() ||
+                           !registry.empty() || !verdicts.empty() ||
+                           !deaths.empty();
+    if (passed_on) {
+        next_relay_ = now + timing_.relay_wait;
+    }
     member_origin_.clear();
     belief_origin_.clear();
     registry_origin_.clear();
--- a/src/membership/reader_duty.cpp
+++ b/src/membership/reader_duty.cpp
@@ -54,11 +54,17 @@
 }
 
 reader_duty::reader_duty(std::string self, unsigned readers,
-                         reader_timing timing, time_point now)
+                         bool expects_peers, reader_timing timing,
+                         time_point now)
     : self_(std::move(self)),
       readers_(readers),
       timing_(timing),
-      verified_(now - timing.stale_after - timing.step_limit) {}
+      introduced_at_(expects_peers ? now + timing.introduction : now),
+      // Where there are peers their reader has as long to be heard of as one
+      // that falls silent later.
+      verified_(expects_peers ? now
+                              : now - timing.stale_after - timing.step_limit) {
+}
 
 void reader_duty::take_members(const std::vector<member>& members) {
     order_ = reader_order(members);
@@ -96,6 +102,9 @@
 }
 
 bool reader_duty::should_read(time_point now) {
+    if (readers_ > 0 && now < introduced_at_) {
+        return false;
+    }
     if (readers_ == 0 || is_reader(self_)) {
         took_over_.reset();
         return true;
--- a/test/membership/membership_world.cpp
+++ b/test/membership/membership_world.cpp
@@ -37,7 +37,7 @@
     instance(member_record self, std::uint64_t incarnation,
              std::shared_ptr<const member_precedence> rule, time_point now)
         : members(self, {}, now, std::move(rule)),
-          readers(self.id.name, 0, {}, now),
+          readers(self.id.name, 0, false, {}, now),
           fresh(wake_gap, now),
           exchange(
               {configurations, members, beliefs, registry, quarantine, readers},
--- a/test/standin/node_observer.cpp
+++ b/test/standin/node_observer.cpp
@@ -31,7 +31,7 @@
           beliefs(belief_limit),
           registry(belief_limit),
           quarantine({}),
-          readers(name, 0, {}, now),
+          readers(name, 0, false, {}, now),
           fresh(std::chrono::hours(1), now),
           exchange(
               {configurations, members, beliefs, registry, quarantine, readers},
