--- a/include/waxwingvale/decision/scheduler_events.hpp
+++ b/include/waxwingvale/decision/scheduler_events.hpp
@@ -118,7 +118,7 @@
 // An owner's answer to an ask that it met with no grant.
 struct ask_answered {
     std::string peer;
-    unsigned idle = 0;   // free slots it has left
+    unsigned idle = 0;    // free slots it has left
     bool is_owner = true; // false: it hands out no slots
     std::vector<declined_request> declined;
 };
--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -52,9 +52,9 @@
     // Requests with a target are started so many deviations of their service
     // time before it. Later, more of the slots' time goes into answers that
     // miss it; earlier, more requests are taken for late. In waxwing-replay at
-    // three times the capacity, four seeds: 1.3 answers 42% (bramblewood-shared)
-    // and 40% (cooperative-shared) of all calls in time, 0.7 40% and 37%, and
-    // 2.5 33% and 40%.
+    // three times the capacity, four seeds: 1.3 answers 42%
+    // (bramblewood-shared) and 40% (cooperative-shared) of all calls in time,
+    // 0.7 40% and 37%, and 2.5 33% and 40%.
     double in_time_deviations = 1.3;
     // What a request and its answer take between caller and instance, which
     // the target includes and nobody tells us.
--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -71,7 +71,8 @@
 
 // Exchanges what this entry instance knows with its peers: every change is
 // passed on at once over all links but the one it came by, unless who told it
-// has links with everybody, and digests find what got lost. Pure: messages and the time go in, messages come out.
+// has links with everybody, and digests find what got lost. Pure: messages and
+// the time go in, messages come out.
 class peer_exchange {
 public:
     peer_exchange(known_state state, freshness& fresh, exchange_timing timing,
--- a/include/waxwingvale/membership/reader_duty.hpp
+++ b/include/waxwingvale/membership/reader_duty.hpp
@@ -58,7 +58,7 @@
     reader_timing timing_;
     std::vector<std::string> order_; // of all that may read
     std::size_t place_ = 0;          // of this instance in it
-    time_point introduced_at_; // at the latest
+    time_point introduced_at_;       // at the latest
     time_point verified_;
     std::string newest_reader_;
     std::optional<time_point> took_over_;
--- a/include/waxwingvale/program/settings.hpp
+++ b/include/waxwingvale/program/settings.hpp
@@ -7,8 +7,8 @@
 #include <string_view>
 #include <vector>
 
-#include <waxwingvale/model/error.hpp>
 #include <waxwingvale/model/configuration.hpp>
+#include <waxwingvale/model/error.hpp>
 #include <waxwingvale/model/member.hpp>
 #include <waxwingvale/model/time.hpp>
 
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -139,9 +139,8 @@
     planned_for_ = known_.members.version();
     const auto& linked = exchange_.linked();
     missing_links_ =
-        linked.empty() ||
-        !std::includes(linked.begin(), linked.end(), wanted.begin(),
-                       wanted.end());
+        linked.empty() || !std::includes(linked.begin(), linked.end(),
+                                         wanted.begin(), wanted.end());
     for (const auto& peer : wanted) {
         want(peer, known_.members.find(peer)->addresses, now);
     }
@@ -217,8 +216,7 @@
 
 void peer_links::tick(time_point now, bool anyhow) {
     exchange_.tick(now);
-    if (anyhow || missing_links_ ||
-        planned_for_ != known_.members.version()) {
+    if (anyhow || missing_links_ || planned_for_ != known_.members.version()) {
         plan();
     }
 }
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -92,9 +92,8 @@
     const double bytes =
         found == classes_.end() ? 0 : found->second.answer_bytes;
     constexpr double bytes_per_kilobyte = 1000;
-    return std::min(policy_.crossing_loss +
-                        policy_.crossing_loss_per_kilobyte * bytes /
-                            bytes_per_kilobyte,
+    return std::min(policy_.crossing_loss + policy_.crossing_loss_per_kilobyte *
+                                                bytes / bytes_per_kilobyte,
                     policy_.crossing_loss_limit);
 }
 
--- a/src/decision/admission.hpp
+++ b/src/decision/admission.hpp
@@ -14,7 +14,7 @@
 // What the file says of one class, and what its answers showed.
 struct class_record {
     std::size_t queue_limit = 0; // 0: none
-    latency_estimator time; // of work at the usual pace
+    latency_estimator time;      // of work at the usual pace
     double answer_bytes = 0;
 };
 
--- a/src/decision/grant_borrower.hpp
+++ b/src/decision/grant_borrower.hpp
@@ -60,9 +60,9 @@
 private:
     struct lender {
         std::string name;
-        unsigned idle = 0;    // as it last said
-        bool asked = false;   // it knows of requests
-        bool answered = true; // since the last ask
+        unsigned idle = 0;         // as it last said
+        bool asked = false;        // it knows of requests
+        bool answered = true;      // since the last ask
         time_point asked_at{};     // when it last got a message
         time_point named_all_at{}; // when all that waits was last named
         time_point silent_since{}; // first ask without an answer
--- a/src/decision/latency_estimator.cpp
+++ b/src/decision/latency_estimator.cpp
@@ -42,9 +42,8 @@
     const double gain = 1.0 / samples_;
     const double value = microseconds(sample);
     const double log_value = std::log(value);
-    const double deviation =
-        std::clamp(log_value - typical_log_, -farthest_deviation,
-                   farthest_deviation);
+    const double deviation = std::clamp(
+        log_value - typical_log_, -farthest_deviation, farthest_deviation);
     if (samples_ > 1) {
         log_variance_ += gain * (deviation * deviation - log_variance_);
     }
--- a/src/decision/ownership.cpp
+++ b/src/decision/ownership.cpp
@@ -37,8 +37,9 @@
     const member* candidate = nullptr;
 };
 
-// Strong members first, then by falling score, one of each name: while an instance is replaced
-// the list may hold both of its incarnations, and the later one counts.
+// Strong members first, then by falling score, one of each name: while an
+// instance is replaced the list may hold both of its incarnations, and the
+// later one counts.
 std::vector<scored_member> ranked_members(const service& of,
                                           const std::vector<member>& members) {
     std::vector<scored_member> ranked;
--- a/src/decision/scheduler_actions.cpp
+++ b/src/decision/scheduler_actions.cpp
@@ -50,9 +50,9 @@
 
 bool operator==(const give_grant& a, const give_grant& b) {
     return std::tie(a.peer, a.grant, a.request, a.backend_server, a.lease,
-                    a.slow_after) ==
-           std::tie(b.peer, b.grant, b.request, b.backend_server, b.lease,
-                    b.slow_after);
+                    a.slow_after) == std::tie(b.peer, b.grant, b.request,
+                                              b.backend_server, b.lease,
+                                              b.slow_after);
 }
 
 bool operator==(const return_grant& a, const return_grant& b) {
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -103,15 +103,14 @@
 // Whether the peer has not said for long that the request still waits: it has
 // ended, or is out of reach.
 bool service_scheduler::impl::forgotten(const queued_request& entry) const {
-    return !entry.peer.empty() &&
-           now_ - entry.told_at > policy_.ask_lifetime;
+    return !entry.peer.empty() && now_ - entry.told_at > policy_.ask_lifetime;
 }
 
 std::string
 service_scheduler::impl::data_centre_of(const std::string& peer) const {
-    const auto found = std::find_if(
-        view_.members.begin(), view_.members.end(),
-        [&](const member& each) { return each.id.name == peer; });
+    const auto found =
+        std::find_if(view_.members.begin(), view_.members.end(),
+                     [&](const member& each) { return each.id.name == peer; });
     return found == view_.members.end() ? std::string() : found->data_centre;
 }
 
@@ -183,8 +182,7 @@
 }
 
 void service_scheduler::impl::return_unused(const grant_received& grant) {
-    actions_->emplace_back(
-        return_grant{grant.peer, grant.grant, std::nullopt});
+    actions_->emplace_back(return_grant{grant.peer, grant.grant, std::nullopt});
 }
 
 bool service_scheduler::impl::suits(const queued_request& entry,
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -113,12 +113,10 @@
         return;
     }
     const bool has_target = request.target.has_value();
-    entry.latest_start =
-        has_target
-            ? in_time_until(request)
-            : admission_.latest_start(request, now_);
-    const double slots = has_target ? table_.prompt_slots(now_)
-                                    : double(table_.working_slots());
+    entry.latest_start = has_target ? in_time_until(request)
+                                    : admission_.latest_start(request, now_);
+    const double slots =
+        has_target ? table_.prompt_slots(now_) : double(table_.working_slots());
     const double ahead = queue_.ahead_of(request.tenant, entry.latest_start);
     // Without slots that work nothing is known of how long it takes: other
     // owners may lend some, or the servers recover.
@@ -177,9 +175,8 @@
 
 duration service_scheduler::impl::next_appointment() {
     const bool by_target = in_time_arrivals_.per_second(now_) > 0;
-    const double slots = by_target
-                             ? spare_slots()
-                             : static_cast<double>(table_.working_slots());
+    const double slots =
+        by_target ? spare_slots() : static_cast<double>(table_.working_slots());
     return admission_.next_appointment(backlog(), slots, now_);
 }
 
@@ -203,14 +200,13 @@
 double
 service_scheduler::impl::tolerated_loss(const queued_request& entry) const {
     const auto waited = static_cast<double>((now_ - entry.arrived_at).count());
-    const auto whole = static_cast<double>(
-        (entry.latest_start - entry.arrived_at).count());
+    const auto whole =
+        static_cast<double>((entry.latest_start - entry.arrived_at).count());
     const double part = whole > 0 ? std::min(waited / whole, 1.0) : 0.0;
     return policy_.tolerated_loss + part * policy_.tolerated_loss_at_last;
 }
 
-slot_wish
-service_scheduler::impl::wish_of(const queued_request& entry) const {
+slot_wish service_scheduler::impl::wish_of(const queued_request& entry) const {
     const request_arrived& request = entry.arrival;
     const bool ours = entry.peer.empty();
     slot_wish wish;
@@ -266,8 +262,7 @@
     started.started_at = now_;
     running_[request.request] = std::move(started);
     borrower_.remove(request.request);
-    actions_->emplace_back(
-        start_request{request.request, server, {}, 0, slow});
+    actions_->emplace_back(start_request{request.request, server, {}, 0, slow});
 }
 
 void service_scheduler::impl::turn_down(const queued_request& entry,
@@ -283,8 +278,7 @@
 void service_scheduler::impl::refuse(request_id request,
                                      refusal_reason reason) {
     borrower_.remove(request);
-    actions_->emplace_back(
-        refuse_request{request, reason, next_appointment()});
+    actions_->emplace_back(refuse_request{request, reason, next_appointment()});
 }
 
 void service_scheduler::impl::drop_overdue() {
@@ -393,8 +387,7 @@
     use.answer_bytes = event.answer_bytes;
     learn({ended.backend_server, ended.request_class, ended.attempt, use});
     if (!ended.from_peer.empty()) {
-        actions_->emplace_back(
-            return_grant{ended.from_peer, ended.grant, use});
+        actions_->emplace_back(return_grant{ended.from_peer, ended.grant, use});
     }
 }
 
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -223,8 +223,8 @@
     ended.certain = false;
     if (begun) {
         ended.running = begun->running;
-        ended.roomy = crowding_profile::is_roomy(begun->running,
-                                                 server.configured());
+        ended.roomy =
+            crowding_profile::is_roomy(begun->running, server.configured());
         ended.crowding_log =
             crowding_.log_ratio(begun->running, server.configured());
         const double slowness =
@@ -289,8 +289,8 @@
         const backend_slots& server = servers_[place];
         known_slots& here = known[server.data_centre()];
         here.busy += server.in_flight();
-        const bool told = server.seen() &&
-                          now - server.seen()->at < policy_.idle_probe_after;
+        const bool told =
+            server.seen() && now - server.seen()->at < policy_.idle_probe_after;
         if (told && server.seen()->load.slowness <= prompt_slowness) {
             here.prompt += room(server, now);
         }
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -89,8 +89,8 @@
                          time_point now);
     // What its service time showed; relative_log compares it with what was
     // expected there.
-    void learn(index place, const ended_attempt& ended,
-               attempt_verdict verdict, double relative_log, time_point now);
+    void learn(index place, const ended_attempt& ended, attempt_verdict verdict,
+               double relative_log, time_point now);
     // A slot was given back without an attempt.
     void release(index place, attempt_ref attempt, time_point now);
     // A probe of that server ended.
--- a/src/decision/slowness_process.cpp
+++ b/src/decision/slowness_process.cpp
@@ -28,8 +28,7 @@
 std::size_t level_of(double slowness) {
     const double place = std::log2(slowness) * levels_per_octave - first_level;
     const double last = slowness_process::level_count - 1;
-    return static_cast<std::size_t>(
-        std::clamp(std::round(place), 0.0, last));
+    return static_cast<std::size_t>(std::clamp(std::round(place), 0.0, last));
 }
 
 double log_slowness_at(std::size_t place) {
--- a/src/decision/steering.cpp
+++ b/src/decision/steering.cpp
@@ -95,9 +95,9 @@
 
 std::string region_of(const std::vector<data_centre>& data_centres,
                       const std::string& name) {
-    const auto found =
-        std::find_if(data_centres.begin(), data_centres.end(),
-                     [&](const data_centre& each) { return each.name == name; });
+    const auto found = std::find_if(
+        data_centres.begin(), data_centres.end(),
+        [&](const data_centre& each) { return each.name == name; });
     return found == data_centres.end() ? std::string() : found->region;
 }
 
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -78,8 +78,7 @@
 }
 
 // A slot for the call's next attempt.
-decision::request_arrived
-call_desk::slot_request(const call_record& call) {
+decision::request_arrived call_desk::slot_request(const call_record& call) {
     decision::request_arrived arrived;
     arrived.request = call.id;
     arrived.tenant = call.labels.tenant;
@@ -166,11 +165,11 @@
         relay_handlers(id, attempt_id));
     const auto usual_delay =
         part_of(service).policies.hedges(call.labels.request_class).delay();
-    const auto slow_after = action.slow_after > duration::zero()
-                                ? action.slow_after
-                                : usual_delay;
-    const running_attempt attempt{attempt_id, action.backend_server, sent, now,
-                                  action.from_peer, slow_after};
+    const auto slow_after =
+        action.slow_after > duration::zero() ? action.slow_after : usual_delay;
+    const running_attempt attempt{
+        attempt_id, action.backend_server, sent,
+        now,        action.from_peer,      slow_after};
     if (attempt_id != id) {
         call.hedge = attempt;
         call.hedge_waiting = 0;
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -162,8 +162,8 @@
     }
     duration spent{};
     if (understood.caller_waits) {
-        spent = patience_.spent_before(call.kind.name,
-                                       *understood.caller_waits, call.arrived);
+        spent = patience_.spent_before(call.kind.name, *understood.caller_waits,
+                                       call.arrived);
     }
     call.target = call.arrived + call.kind.target_latency - spent;
 }
--- a/src/entry/call_record.hpp
+++ b/src/entry/call_record.hpp
@@ -64,14 +64,14 @@
     time_point arrived{};
     time_point deadline{};
     std::optional<time_point> target; // an answer is worth most until then
-    unsigned attempts_above = 0; // retries that callers of the caller made
-    unsigned attempts_here = 0;  // hedges not counted
+    unsigned attempts_above = 0;      // retries that callers of the caller made
+    unsigned attempts_here = 0;       // hedges not counted
     std::vector<std::string> excluded; // backend servers that failed it
     std::optional<held_key> key;
     bool nested = false; // the caller is itself serving a call
     bool alone = false;  // under suspicion of crashing backend servers
     bool hedged = false;
-    bool answering = false; // a long answer is on its way to the caller
+    bool answering = false;  // a long answer is on its way to the caller
     std::size_t relayed = 0; // bytes of it so far
     std::optional<running_attempt> running;
     std::optional<running_attempt> hedge;
--- a/src/entry/grant_message.cpp
+++ b/src/entry/grant_message.cpp
@@ -63,8 +63,7 @@
 }
 
 json write_load(const backend_load& load) {
-    return json::array(
-        {load.running, load.waiting, load.slots, load.slowness});
+    return json::array({load.running, load.waiting, load.slots, load.slowness});
 }
 
 backend_load read_load(const json& from) {
@@ -123,8 +122,7 @@
     }
     request.priority =
         io::read_number_or(from, field::priority, request.priority);
-    request.attempt =
-        io::read_number_or(from, field::attempt, request.attempt);
+    request.attempt = io::read_number_or(from, field::attempt, request.attempt);
     request.excluded = from.value(field::excluded, request.excluded);
     request.isolated = from.value(field::isolated, false);
     request.only_if_spare = from.value(field::only_if_spare, false);
@@ -209,8 +207,7 @@
     for (const auto& declined :
          io::read_list(from.at(field::declined), requests_limit)) {
         answer.declined.push_back(
-            {io::read_number<decision::request_id>(
-                 declined.at(field::request)),
+            {io::read_number<decision::request_id>(declined.at(field::request)),
              io::read_wait(declined.at(field::come_back_in))});
     }
     return answer;
@@ -242,8 +239,7 @@
                                       const json& from) {
     decision::grant_returned returned;
     returned.peer = peer;
-    returned.grant =
-        io::read_number<decision::grant_id>(from.at(field::grant));
+    returned.grant = io::read_number<decision::grant_id>(from.at(field::grant));
     if (!from.contains(field::verdict)) {
         return returned;
     }
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -48,9 +48,10 @@
 
 // Most instances own nothing, and waking up for nothing costs them.
 void prober::tick_while_owning() {
-    const bool owns = std::any_of(
-        services_.begin(), services_.end(),
-        [](const auto& entry) { return !entry.second.owned.empty(); });
+    const bool owns =
+        std::any_of(services_.begin(), services_.end(), [](const auto& entry) {
+            return !entry.second.owned.empty();
+        });
     if (!owns) {
         due_.reset();
     } else if (!due_) {
@@ -147,14 +148,14 @@
     call.headers.push_back({"Host", to.host});
     call.connect_timeout = probe_timeout;
     call.kept_for = probe_connection_kept_for;
-    const auto open = pool_.send(
-        std::move(call), [this, service = of.name,
-                          name = to.name](forwarding::backend_result ended) {
+    const auto open =
+        pool_.send(std::move(call), [this, service = of.name, name = to.name](
+                                        forwarding::backend_result ended) {
             end_probe(service, name, protocol_.classify_health(ended, name));
         });
-    open_[to.name] = timers_.after(
-        probe_timeout,
-        [this, open, service = of.name, name = to.name](time_point) {
+    open_[to.name] =
+        timers_.after(probe_timeout, [this, open, service = of.name,
+                                      name = to.name](time_point) {
             pool_.cancel(open);
             backend_answer silent;
             silent.end = attempt_end::timed_out;
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -321,8 +321,8 @@
 }
 
 std::size_t member_table::present() const {
-    const auto count = std::count_if(
-        entries_.begin(), entries_.end(), [](const auto& known) {
+    const auto count =
+        std::count_if(entries_.begin(), entries_.end(), [](const auto& known) {
             return known.second.record.life != liveness::gone;
         });
     return static_cast<std::size_t>(count);
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -491,8 +491,8 @@
         mine.refused == announced_.refused) {
         return;
     }
-    const bool news = mine.refused != announced_.refused ||
-                      mine.revision > known_to_all_;
+    const bool news =
+        mine.refused != announced_.refused || mine.revision > known_to_all_;
     announced_ = mine;
     const auto told = members_among(linked_);
     for (const auto& peer : linked_) {
--- a/src/membership/reader_duty.cpp
+++ b/src/membership/reader_duty.cpp
@@ -53,9 +53,8 @@
     return order;
 }
 
-reader_duty::reader_duty(std::string self, unsigned readers,
-                         bool expects_peers, reader_timing timing,
-                         time_point now)
+reader_duty::reader_duty(std::string self, unsigned readers, bool expects_peers,
+                         reader_timing timing, time_point now)
     : self_(std::move(self)),
       readers_(readers),
       timing_(timing),
@@ -63,8 +62,7 @@
       // Where there are peers their reader has as long to be heard of as one
       // that falls silent later.
       verified_(expects_peers ? now
-                              : now - timing.stale_after - timing.step_limit) {
-}
+                              : now - timing.stale_after - timing.step_limit) {}
 
 void reader_duty::take_members(const std::vector<member>& members) {
     order_ = reader_order(members);
@@ -74,8 +72,7 @@
 
 std::vector<std::string> reader_duty::readers() const {
     const auto end = std::min<std::size_t>(readers_, order_.size());
-    return {order_.begin(),
-            order_.begin() + static_cast<std::ptrdiff_t>(end)};
+    return {order_.begin(), order_.begin() + static_cast<std::ptrdiff_t>(end)};
 }
 
 bool reader_duty::is_reader(const std::string& name) const {
--- a/src/model/document_reader.cpp
+++ b/src/model/document_reader.cpp
@@ -1,10 +1,10 @@
 #include "model/document_reader.hpp"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <charconv>
 #include <cmath>
 #include <optional>
-#include <arpa/inet.h>
 #include <utility>
 
 #include "model/document_path.hpp"
@@ -199,8 +199,7 @@
     ip_endpoint read;
     read.host = text.substr(0, colon);
     const auto* end = text.data() + text.size();
-    const auto port =
-        std::from_chars(text.data() + colon + 1, end, read.port);
+    const auto port = std::from_chars(text.data() + colon + 1, end, read.port);
     const bool whole = port.ec == std::errc() && port.ptr == end;
     return whole && is_ip_number(read.host) ? std::optional<ip_endpoint>(read)
                                             : std::nullopt;
--- a/src/program/program_frame.cpp
+++ b/src/program/program_frame.cpp
@@ -105,9 +105,9 @@
         if (::stat(name_.c_str(), &found) != 0) {
             return false; // it may be on its way; what was read stays
         }
-        const auto seen = std::make_tuple(found.st_ino, found.st_size,
-                                          found.st_mtim.tv_sec,
-                                          found.st_mtim.tv_nsec);
+        const auto seen =
+            std::make_tuple(found.st_ino, found.st_size, found.st_mtim.tv_sec,
+                            found.st_mtim.tv_nsec);
         const bool differs = seen != seen_;
         seen_ = seen;
         return differs;
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -21,15 +21,15 @@
 constexpr number_range seed_count{0, 64};
 constexpr number_range body_range{1, 256 * 1024 * 1024}; // bytes
 constexpr number_range connection_range{1, 100'000};
-constexpr number_range drain_range{0, 3'600'000}; // ms
+constexpr number_range drain_range{0, 3'600'000};   // ms
 constexpr number_range notice_range{0, 60'000};     // ms
 constexpr fraction_range cores_range{0.001, 1000.}; // times a usual core
 constexpr fraction_range share_range{0.001, 1000.}; // of them
-constexpr number_range owner_range{0, 64}; // of one service
-constexpr number_range link_range{1, 1'000'000};  // Mbit/s
-constexpr number_range reads_range{1, 1'000'000}; // a second
-constexpr number_range reader_range{0, 1000};     // entry instances
-constexpr number_range watch_range{50, 60'000};   // ms
+constexpr number_range owner_range{0, 64};          // of one service
+constexpr number_range link_range{1, 1'000'000};    // Mbit/s
+constexpr number_range reads_range{1, 1'000'000};   // a second
+constexpr number_range reader_range{0, 1000};       // entry instances
+constexpr number_range watch_range{50, 60'000};     // ms
 constexpr number_range keep_range{100, 3'600'000};  // ms
 constexpr number_range data_centre_count{0, 256};
 constexpr fraction_range budget_range{0., 1.};     // of first attempts
@@ -196,8 +196,7 @@
     steer_settings read;
     read.steer_port = listen_port(reader, steer_fields);
     read.connection_limit = connection_limit(reader);
-    read.keep =
-        reader.milliseconds_or("keep_ms", keep_range, default_keep);
+    read.keep = reader.milliseconds_or("keep_ms", keep_range, default_keep);
     reader.finish();
     return read;
 }
@@ -225,10 +224,9 @@
         "repeat_window_ms", window_range, budgets.repeat_window);
     budgets.repeat_extra = static_cast<unsigned>(
         reader.number_or("repeat_extra", extra_range, budgets.repeat_extra));
-    budgets.hedges =
-        reader.fraction_or("hedges", budget_range, budgets.hedges);
-    budgets.probes = reader.fraction_or("probes_per_second", probe_range,
-                                        budgets.probes);
+    budgets.hedges = reader.fraction_or("hedges", budget_range, budgets.hedges);
+    budgets.probes =
+        reader.fraction_or("probes_per_second", probe_range, budgets.probes);
     read.owners = static_cast<unsigned>(
         reader.number_or("owners", owner_range, read.owners));
     reader.finish();
--- a/src/waxwing_replay/backend_model.cpp
+++ b/src/waxwing_replay/backend_model.cpp
@@ -52,8 +52,8 @@
     const double since =
         static_cast<double>(times_.now().time_since_epoch().count()) + phase;
     const auto step = static_cast<std::uint64_t>(since / step_us);
-    const double drawn = decision::unit_interval(
-        decision::combine_hashes(machine_seed_, step));
+    const double drawn =
+        decision::unit_interval(decision::combine_hashes(machine_seed_, step));
     return drawn < machine_.slowed_share ? machine_.slowed_factor : 1;
 }
 
--- a/src/waxwing_replay/backend_model.hpp
+++ b/src/waxwing_replay/backend_model.hpp
@@ -14,7 +14,7 @@
 // How one attempt ended at a backend server.
 struct attempt_result {
     decision::attempt_verdict verdict = decision::attempt_verdict::answered;
-    bool leaving = false; // it said that it is leaving
+    bool leaving = false;             // it said that it is leaving
     std::optional<backend_load> load; // where the server tells it
 };
 
--- a/src/waxwing_replay/replay_world.cpp
+++ b/src/waxwing_replay/replay_world.cpp
@@ -70,7 +70,8 @@
                                  std::size_t server, result_handler handler) {
     const std::uint64_t id = next_attempt_++;
     in_flight_[id] = {server, times_.now(), std::move(handler)};
-    const duration service_time = service_time_of(load_.size.work, load_.seed, of.id, attempt);
+    const duration service_time =
+        service_time_of(load_.size.work, load_.seed, of.id, attempt);
     const time_point deadline = deadline_of(of);
     times_.after(backend_hop, [this, id, server, service_time, deadline] {
         if (in_flight_.count(id) == 0) {
--- a/src/waxwing_replay/trace_codec.cpp
+++ b/src/waxwing_replay/trace_codec.cpp
@@ -165,9 +165,8 @@
     if (from.is_null()) {
         return std::nullopt;
     }
-    return backend_load{
-        from.at(0).get<unsigned>(), from.at(1).get<unsigned>(),
-        from.at(2).get<unsigned>(), from.at(3).get<double>()};
+    return backend_load{from.at(0).get<unsigned>(), from.at(1).get<unsigned>(),
+                        from.at(2).get<unsigned>(), from.at(3).get<double>()};
 }
 
 json encode_needs(const request_needs& of) {
@@ -231,8 +230,8 @@
 }
 
 json encode(const request_finished& event) {
-    json line = encode_use({event.verdict, event.service_time, event.load,
-                            event.answer_bytes});
+    json line = encode_use(
+        {event.verdict, event.service_time, event.load, event.answer_bytes});
     line["event"] = "request_finished";
     line["request"] = event.request;
     return line;
@@ -444,9 +443,8 @@
     if (!a.use) {
         return line + " unused";
     }
-    return line + " used " +
-           std::to_string(static_cast<int>(a.use->verdict)) + ' ' +
-           std::to_string(count(a.use->service_time));
+    return line + " used " + std::to_string(static_cast<int>(a.use->verdict)) +
+           ' ' + std::to_string(count(a.use->service_time));
 }
 
 std::string text(const wake_at& a) {
--- a/src/waxwing_replay/waxwing_hedges.cpp
+++ b/src/waxwing_replay/waxwing_hedges.cpp
@@ -19,9 +19,8 @@
     const duration delay = known.slow_after > duration::zero()
                                ? known.slow_after
                                : instance.hedges.delay();
-    world_->times().after(delay, [this, request, sent] {
-        consider_hedge(request, sent);
-    });
+    world_->times().after(
+        delay, [this, request, sent] { consider_hedge(request, sent); });
 }
 
 void waxwing_policy::consider_hedge(std::uint64_t request, time_point sent) {
--- a/src/waxwing_replay/waxwing_policy.cpp
+++ b/src/waxwing_replay/waxwing_policy.cpp
@@ -98,8 +98,7 @@
 double waxwing_policy::probe_rate() const {
     const auto& load = world_->load();
     const double seconds = static_cast<double>(load.length.count()) / 1e6;
-    return static_cast<double>(probes_) /
-           (seconds * load.size.backend_servers);
+    return static_cast<double>(probes_) / (seconds * load.size.backend_servers);
 }
 
 void waxwing_policy::link_all() {
@@ -425,9 +424,9 @@
 }
 
 void waxwing_policy::act(std::size_t instance, const return_grant& action) {
-    send_to_peer(instance, action.peer,
-                 grant_returned{member_id_of(instance).name, action.grant,
-                                action.use});
+    send_to_peer(
+        instance, action.peer,
+        grant_returned{member_id_of(instance).name, action.grant, action.use});
 }
 
 void waxwing_policy::act(std::size_t instance, const wake_at& action) {
--- a/src/waxwing_replay/workload.cpp
+++ b/src/waxwing_replay/workload.cpp
@@ -171,8 +171,8 @@
 namespace {
 
 const std::vector<std::string> cooperative_centres{"sea", "pdx", "spk", "boi"};
-const std::vector<std::string> bramblewood_centres{
-    "brisbane-a", "brisbane-b", "goldcoast", "toowoomba"};
+const std::vector<std::string> bramblewood_centres{"brisbane-a", "brisbane-b",
+                                                   "goldcoast", "toowoomba"};
 
 service_size steady_size(const std::string& user,
                          const std::vector<std::string>& centres,
@@ -212,8 +212,7 @@
     work.slow_share = 0;
     work.allowed = duration(1500000);
     work.target = duration(250000);
-    service_size size =
-        steady_size("cooperative", cooperative_centres, 15, 6);
+    service_size size = steady_size("cooperative", cooperative_centres, 15, 6);
     size.entry_instances = 12;
     return shared_size(size, 0.25, work);
 }
@@ -233,10 +232,8 @@
 
 service_size size_of(const std::string& user) {
     static const std::map<std::string, service_size> sizes = {
-        {"cooperative",
-         steady_size("cooperative", cooperative_centres, 15, 6)},
-        {"bramblewood",
-         steady_size("bramblewood", bramblewood_centres, 10, 2)},
+        {"cooperative", steady_size("cooperative", cooperative_centres, 15, 6)},
+        {"bramblewood", steady_size("bramblewood", bramblewood_centres, 10, 2)},
         {"cooperative-shared", cooperative_shared()},
         {"bramblewood-shared", bramblewood_shared()},
         {"small", small_size()}};
--- a/src/waxwing_replay/workload.hpp
+++ b/src/waxwing_replay/workload.hpp
@@ -97,8 +97,8 @@
 
 // The sizes of the brief, "cooperative" and "bramblewood"; the same on machines
 // that others use too, "cooperative-shared" and "bramblewood-shared"; and
-// "small", for traces that people can read. Throws std::out_of_range for another
-// name.
+// "small", for traces that people can read. Throws std::out_of_range for
+// another name.
 service_size size_of(const std::string& user);
 
 // The names of all scenarios, in the order of the table.
--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -9,7 +9,8 @@
 
 TEST_CASE("a scheduler's action arrives as the peer's event") {
     const entry::outgoing_grant_message given{
-        "slate-view", decision::give_grant{"pdx-1", 7, 3, "slate-1", 250ms, 40ms}};
+        "slate-view",
+        decision::give_grant{"pdx-1", 7, 3, "slate-1", 250ms, 40ms}};
     CHECK(entry::peer_of(given) == "pdx-1");
     const auto taken =
         entry::decode_grant_message("sea-1", entry::encode(given));
--- a/test/failures/backend_server_test.cpp
+++ b/test/failures/backend_server_test.cpp
@@ -194,8 +194,7 @@
     options.backend_options = {"--service-ms=600", "--fixed"};
     fleet running(options);
     running.start();
-    auto load = running.start_load(
-        {"--calls=20", "--rate=5", "--attempts=1"});
+    auto load = running.start_load({"--calls=20", "--rate=5", "--attempts=1"});
     const auto report = finish_load(load);
     INFO(report.through.dump(2));
     CHECK(report.ended("answered") == 20);
