--- a/src/control/view_publisher.cpp
+++ b/src/control/view_publisher.cpp
@@ -39,7 +39,7 @@
 // Backend servers that registered themselves stand beside those that the file
 // names; those that are leaving get no new work and are left out.
 configuration_ptr view_publisher::with_registry() {
-    const auto from = known_.configurations.in_force();
+    auto from = known_.configurations.in_force();
     const auto version = known_.registry.version();
     if (!from || version == 0) {
         return from;
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -146,7 +146,8 @@
     if (of == nullptr) {
         return;
     }
-    const double members = std::max<double>(view_.members.size(), 1);
+    const auto members =
+        static_cast<double>(std::max<std::size_t>(view_.members.size(), 1));
     repeat_limits limits;
     limits.window = of->budgets.repeat_window;
     limits.fraction = of->budgets.repeats > 0
--- a/src/membership/reader_duty.cpp
+++ b/src/membership/reader_duty.cpp
@@ -47,6 +47,7 @@
     }
     std::sort(all.begin(), all.end());
     std::vector<std::string> order;
+    order.reserve(all.size());
     for (const auto& each : all) {
         order.push_back(each.of->id.name);
     }
