--- /dev/null
+++ b/test/platform/request_headers_test.cpp
@@ -0,0 +1,148 @@
+#include <catch2/catch.hpp>
+
+#include "platform/request_headers.hpp"
+#include "platform/sample_configuration.hpp"
+
+using namespace std::chrono_literals;
+using namespace waxwingvale;
+using namespace waxwingvale::platform;
+
+namespace {
+
+const request_headers protocol;
+
+io::http_request request(const std::string& target, io::http_headers more) {
+    more.push_back({"Host", "a.example"});
+    return {"GET", target, std::move(more), "", "127.0.0.1"};
+}
+
+forwarding::backend_result answered(unsigned status, io::http_headers headers) {
+    forwarding::backend_result ended{
+        io::http_response{status, std::move(headers), ""}, true, {}};
+    return ended;
+}
+
+std::string value_of(const io::http_headers& headers, const char* name) {
+    const auto* found = io::find_header(headers, name);
+    return found == nullptr ? "" : *found;
+}
+
+} // namespace
+
+TEST_CASE("a request waits no longer than its caller and its route allow") {
+    const auto config = read_sample();
+    const auto with_deadline = [&](const std::string& text) {
+        return protocol
+            .understand(config, request("/look/1?q=2",
+                                        {{"Waxwingvale-Request-Deadline", text},
+                                         {"Waxwingvale-Attempt-Id", "c1"}}))
+            .value();
+    };
+    CHECK(with_deadline("300").time_left == 300ms);
+    CHECK(with_deadline("3000").time_left == 800ms);
+    CHECK(with_deadline("soon").time_left == 800ms);
+    CHECK(with_deadline("300").id == "c1");
+    CHECK(with_deadline("300").target == "/look/1?q=2");
+    CHECK(protocol.understand(config, request("/none", {})).error().code ==
+          error_code::not_found);
+}
+
+TEST_CASE("a backend server is told what is left and which one is meant") {
+    entry::attempt_facts facts;
+    facts.request_id = "c1";
+    facts.backend_server = "i-7";
+    facts.time_left = 250900us;
+    const auto headers =
+        protocol.backend_headers({{"waxwingvale-request-deadline", "1500"},
+                                  {"Waxwingvale-Target-Instance", "i-9"},
+                                  {"Waxwingvale-Attempt-Id", "c1"},
+                                  {"Accept", "*/*"}},
+                                 facts);
+    CHECK(headers.size() == 4);
+    CHECK(value_of(headers, "Waxwingvale-Request-Deadline") == "250");
+    CHECK(value_of(headers, "Waxwingvale-Target-Instance") == "i-7");
+    CHECK(value_of(headers, "Waxwingvale-Attempt-Id") == "c1");
+    CHECK(value_of(headers, "Accept") == "*/*");
+    CHECK(protocol.echo_of(facts)->value == "c1");
+}
+
+// A backend server breaks in the middle of a booking, and what answers in its
+// place has the status of a success. The caller would believe in a booking
+// that nobody has.
+TEST_CASE("a success without a signature is not one") {
+    const auto spoilt = protocol.classify(answered(200, {}));
+    CHECK(spoilt.end == entry::attempt_end::broken);
+    CHECK(spoilt.outcome == run_outcome::unknown);
+    const auto whole = protocol.classify(
+        answered(200, {{"Waxwingvale-Response-Signature", "s"}}));
+    CHECK(whole.end == entry::attempt_end::answered);
+    CHECK(whole.outcome == run_outcome::ran);
+}
+
+// A booking is sent again only where it certainly did not run; whatever else a
+// backend server says counts as run.
+TEST_CASE("only two answers of a backend server say that it did not run") {
+    const io::http_headers not_run = {{"Waxwingvale-Not-Executed", "1"}};
+    CHECK(protocol.classify(answered(503, not_run)).outcome ==
+          run_outcome::not_run);
+    CHECK(protocol.classify(answered(421, {})).outcome == run_outcome::not_run);
+    for (const unsigned status : {429U, 500U, 503U, 504U}) {
+        CHECK(protocol.classify(answered(status, {})).outcome ==
+              run_outcome::ran);
+    }
+}
+
+TEST_CASE("the load that a backend server tells is read, with its slowness") {
+    const auto load_of = [](const std::string& text) {
+        return protocol
+            .classify(answered(500, {{"Waxwingvale-Server-Load", text}}))
+            .load;
+    };
+    const auto busy = load_of("3,1,8,400");
+    REQUIRE(busy);
+    CHECK(busy->running == 3);
+    CHECK(busy->waiting == 1);
+    CHECK(busy->slots == 8);
+    CHECK(busy->slowness == Approx(4));
+    CHECK(load_of("3,1,8")->slowness == Approx(1));
+    CHECK_FALSE(load_of("3"));
+    CHECK_FALSE(load_of("full"));
+}
+
+TEST_CASE("when to come back is told in seconds, and only what has not run") {
+    entry::own_answer refusal;
+    refusal.reason = "queue-full";
+    refusal.come_back_in = 250200us;
+    CHECK(value_of(protocol.render(refusal).headers, "Retry-After") == "0.251");
+    refusal.outcome = run_outcome::unknown;
+    CHECK(value_of(protocol.render(refusal).headers, "Retry-After").empty());
+}
+
+TEST_CASE("an answer is passed on as it is, but for what tells the load") {
+    const auto passed =
+        protocol.pass_on({201,
+                          {{"Waxwingvale-Response-Signature", "s"},
+                           {"Waxwingvale-Server-Load", "1,0,6"},
+                           {"Connection", "keep-alive"},
+                           {"X-Of-Theirs", "x"}},
+                          "body"},
+                         "");
+    CHECK(passed.status == 201);
+    CHECK(passed.body == "body");
+    CHECK(passed.headers.size() == 2);
+    CHECK(value_of(passed.headers, "X-Of-Theirs") == "x");
+}
+
+// A server has ended and another one has its address. Its health must not
+// count for the one that is gone.
+TEST_CASE("health counts only for the server that it names") {
+    const auto health = [](unsigned status, const std::string& id) {
+        return protocol
+            .classify_health(
+                answered(status, {{"Waxwingvale-Instance-Id", id}}), "i-7")
+            .end;
+    };
+    CHECK(health(200, "i-7") == entry::attempt_end::answered);
+    CHECK(health(503, "i-7") == entry::attempt_end::failed);
+    CHECK(health(200, "i-8") == entry::attempt_end::misdirected);
+}
