logs: every decision on a failed request, on standard output without waiting

Cause: a request that failed left nothing but counters; lines went to standard error and a full pipe would have stopped the process. Change: the decisions on a call are kept while it is open and logged when it did not end ordinarily; a summary a second counts the others; changes of members, backend servers and beliefs have a line each; a writer that polls before each write drops and counts what its limits or its reader do not take; waxwingctl trace joins the logs of many processes.

--- a/include/waxwingvale/entry/backend_answer.hpp
+++ b/include/waxwingvale/entry/backend_answer.hpp
@@ -22,6 +22,9 @@
     misdirected  // another backend server has the address; it did not begin
 };
 
+// The lower-case word for an end, as it appears in logs.
+const char* to_string(attempt_end end);
+
 // What an attempt tells about the request and about the backend server.
 struct backend_answer {
     attempt_end end = attempt_end::broken;
--- /dev/null
+++ b/src/control/view_changes.cpp
@@ -0,0 +1,109 @@
+#include "control/view_changes.hpp"
+
+#include <algorithm>
+#include <map>
+
+#include <waxwingvale/program/state_log.hpp>
+
+#include "administration/state_names.hpp"
+
+namespace waxwingvale::control {
+
+namespace {
+
+// Lines of one view at most, by name. A release replaces a few servers at a
+// time and a data centre that is lost has some tens of machines.
+constexpr std::size_t most_lines = 16;
+
+// Each thing of a view by its name, as a state and its details.
+using described = std::map<std::string, view_change>;
+
+described members_of(const view& known) {
+    described found;
+    for (const auto& each : known.members) {
+        found[each.id.name] = {
+            "member", each.id.name, administration::to_string(each.state),
+            "incarnation=" + std::to_string(each.id.incarnation)};
+    }
+    return found;
+}
+
+described servers_of(const view& known) {
+    described found;
+    if (!known.config) {
+        return found;
+    }
+    for (const auto& of : known.config->services) {
+        for (const auto& each : of.backend_servers) {
+            found[each.name] = {"backend_server", each.name, "usable",
+                                "service=" + of.name + " address=" + each.host +
+                                    ":" + std::to_string(each.port)};
+        }
+    }
+    return found;
+}
+
+described beliefs_of(const view& known) {
+    described found;
+    for (const auto& each : known.beliefs) {
+        found[each.backend_server] = {
+            "backend_belief", each.backend_server,
+            administration::to_string(each.state),
+            std::string("source=") + administration::to_string(each.source) +
+                " observer=" + each.observer};
+    }
+    return found;
+}
+
+void add_changes(const described& before, const described& now,
+                 std::vector<view_change>& to) {
+    for (const auto& entry : now) {
+        const auto old = before.find(entry.first);
+        if (old == before.end() || !(old->second == entry.second)) {
+            to.push_back(entry.second);
+        }
+    }
+    for (const auto& entry : before) {
+        if (now.count(entry.first) == 0) {
+            to.push_back({entry.second.of, entry.first, "unlisted", ""});
+        }
+    }
+}
+
+} // namespace
+
+std::vector<view_change> changes_between(const view& before, const view& now) {
+    std::vector<view_change> changes;
+    add_changes(members_of(before), members_of(now), changes);
+    // Most views are of the same configuration; naming every server of many
+    // would cost more than the rest.
+    if (before.config != now.config) {
+        add_changes(servers_of(before), servers_of(now), changes);
+    }
+    add_changes(beliefs_of(before), beliefs_of(now), changes);
+    return changes;
+}
+
+void log_changes(const view& before, const view& now) {
+    const auto changes = changes_between(before, now);
+    const auto named = std::min(changes.size(), most_lines);
+    const auto revision = now.config ? now.config->revision : 0;
+    for (std::size_t i = 0; i < named; ++i) {
+        const auto& each = changes[i];
+        program::log_change("view_changed",
+                            {{"of", each.of},
+                             {"name", each.name},
+                             {"now", each.now},
+                             {"revision", std::to_string(revision)},
+                             {"serial", std::to_string(now.serial)},
+                             {"details", each.details}});
+    }
+    if (changes.size() > named) {
+        program::log_change(
+            "view_changes_not_named",
+            {{"changes", std::to_string(changes.size() - named)},
+             {"serial", std::to_string(now.serial)}});
+    }
+}
+
+} // namespace waxwingvale::control
--- a/src/control/view_publisher.cpp
+++ b/src/control/view_publisher.cpp
@@ -1,4 +1,5 @@
 #include "control/view_publisher.hpp"
+#include "control/view_changes.hpp"
 
 #include <utility>
 
@@ -96,6 +97,8 @@
     if (last_ && same_content(made, *last_)) {
         return;
     }
+    static const view nothing;
+    log_changes(last_ ? *last_ : nothing, made);
     last_ = std::make_shared<const view>(std::move(made));
     bus_.publish(program::view_published{last_});
 }
--- /dev/null
+++ b/src/entry/attempt_end.cpp
@@ -0,0 +1,25 @@
+#include <waxwingvale/entry/backend_answer.hpp>
+
+namespace waxwingvale::entry {
+
+const char* to_string(attempt_end end) {
+    switch (end) {
+    case attempt_end::answered:
+        return "answered";
+    case attempt_end::failed:
+        return "failed";
+    case attempt_end::not_started:
+        return "not-started";
+    case attempt_end::not_sent:
+        return "not-sent";
+    case attempt_end::timed_out:
+        return "timed-out";
+    case attempt_end::broken:
+        return "broken";
+    case attempt_end::misdirected:
+        return "misdirected";
+    }
+    return "broken";
+}
+
+} // namespace waxwingvale::entry
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -60,6 +60,28 @@
            " waited_us=" + std::to_string(waited.count());
 }
 
+// Whose slot it is tells which instance chose the server.
+std::string placed_facts(const running_attempt& attempt, bool second_copy) {
+    return fact("backend_server", attempt.backend_server) + " " +
+           fact("slot_of",
+                attempt.granted_by.empty() ? "self" : attempt.granted_by) +
+           " " + fact("slow_after_ms", attempt.slow_after) +
+           (second_copy ? " second_copy=yes" : "");
+}
+
+std::string ended_facts(const running_attempt& attempt,
+                        const backend_answer& answer, duration took) {
+    auto facts = fact("backend_server", attempt.backend_server) + " " +
+                 fact("end", to_string(answer.end)) + " " +
+                 fact("outcome", to_string(answer.outcome)) + " " +
+                 fact("took_ms", took);
+    if (answer.load) {
+        facts += " " + fact("running", answer.load->running) + " " +
+                 fact("waiting", answer.load->waiting);
+    }
+    return facts;
+}
+
 } // namespace
 
 void call_desk::queue_attempt(call_record& call) {
@@ -74,6 +96,9 @@
     }
     auto arrived = slot_request(call);
     arrived.isolated = call.alone;
+    note(call, "call_queued",
+         fact("attempt", call.attempts_here) + " " +
+             fact("ahead", part.desk->scheduler().queued()));
     part.desk->handle(arrived);
 }
 
@@ -170,6 +195,7 @@
     const running_attempt attempt{
         attempt_id, action.backend_server, sent,
         now,        action.from_peer,      slow_after};
+    note(call, "call_placed", placed_facts(attempt, attempt_id != id));
     if (attempt_id != id) {
         call.hedge = attempt;
         call.hedge_waiting = 0;
@@ -252,10 +278,10 @@
     end_with(*call, attempt, answer, std::move(ended));
 }
 
-void call_desk::report_end(const call_record& call,
-                           const running_attempt& attempt,
+void call_desk::report_end(call_record& call, const running_attempt& attempt,
                            const backend_answer& answer) {
     const auto took = timers_.now() - attempt.started;
+    note(call, "call_attempt_ended", ended_facts(attempt, answer, took));
     metrics_.backend_time.observe(call.labels, took);
     auto& part = part_of(call.labels.service);
     if (answer.end == attempt_end::answered) {
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -87,6 +87,40 @@
     return content;
 }
 
+// A request that became no call, and so has no story.
+void log_unnamed(const io::http_request& request, const char* event,
+                 const std::string& detail) {
+    program::log_details(fact("peer", request.peer) + " " +
+                             fact("path", request.target),
+                         {{event, {}, fact("error", detail)}});
+}
+
+// What decides what becomes of a call, and which configuration says so.
+std::string taken_facts(const call_record& call, const view& known) {
+    auto facts = fact("class", call.labels.request_class) + " " +
+                 fact("service", call.labels.service) + " " +
+                 fact("path", call.content.target) + " " +
+                 fact("revision", known.config->revision) + " " +
+                 fact("time_left_ms", call.deadline - call.arrived);
+    if (call.target) {
+        facts += " " + fact("target_left_ms", *call.target - call.arrived);
+    }
+    return facts;
+}
+
+std::string refused_facts(const decision::refuse_request& refusal,
+                          const service_desk& desk) {
+    return fact("reason", to_string(refusal.reason)) + " " +
+           fact("queued", desk.scheduler().queued()) + " " +
+           fact("come_back_ms", refusal.come_back_in);
+}
+
+std::string answered_facts(const call_record& call, run_outcome outcome,
+                           unsigned status) {
+    return fact("status", status) + " " + fact("outcome", to_string(outcome)) +
+           " " + fact("attempts", call.attempts_here);
+}
+
 } // namespace
 
 call_desk::call_desk(member_id self, const request_protocol& protocol,
@@ -98,12 +132,14 @@
       timers_(timers),
       pool_(pool),
       metrics_(metrics),
+      log_(timers, metrics),
       outlet_(outlet),
       keys_(self, hub, timers, *this),
       crashes_(self.name, hub, timers) {}
 
 void call_desk::take(forwarding::caller_exchange_ptr caller) {
     if (!view_ || !view_->config) {
+        log_unnamed(caller->request(), "call_without_configuration", "");
         own_answer answer;
         answer.reason = "no-configuration";
         answer.come_back_in = come_back_default;
@@ -114,6 +150,8 @@
         protocol_.understand(*view_->config, caller->request());
     if (!understood) {
         metrics_.not_understood.add();
+        log_unnamed(caller->request(), "call_not_understood",
+                    understood.error().detail);
         caller->answer(protocol_.render(not_understood(understood.error())));
         return;
     }
@@ -141,6 +179,7 @@
     metrics_.calls.add(call.labels);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
     call.caller->on_abandoned([this, id = call.id] { abandon(id); });
+    note(call, "call_taken", taken_facts(call, *view_));
     arm_deadline(call);
     const bool keyed = call.kind.nature == request_nature::at_most_once &&
                        understood.key && call.content.more_body == nullptr;
@@ -185,6 +224,7 @@
         keys_.on_waiter_gone(call->key->key, id);
     }
     const bool sent = call->running || call->hedge || waits_for_key;
+    note(*call, "call_deadline_passed");
     cancel_attempts(*call);
     own_answer late;
     late.reason = "deadline-passed";
@@ -204,13 +244,14 @@
         return;
     }
     metrics_.abandoned.add(call->labels);
+    note(*call, "call_caller_left");
     const bool runs_once = call->kind.nature == request_nature::at_most_once &&
                            (call->running || call->key);
     if (runs_once && !call->answering) {
         return;
     }
     cancel_attempts(*call);
-    close_record(*call, run_outcome::unknown, nullptr);
+    close_record(*call, {run_outcome::unknown, false, timers_.now()}, nullptr);
 }
 
 void call_desk::refuse(const decision::refuse_request& action) {
@@ -222,6 +263,10 @@
         hedges_.erase(hedge);
         return;
     }
+    if (auto* call = find(action.request)) {
+        note(*call, "call_refused",
+             refused_facts(action, desk_of(call->labels.service)));
+    }
     own_answer refusal;
     refusal.reason = to_string(action.reason);
     refusal.come_back_in = action.come_back_in;
@@ -261,15 +306,19 @@
     }
     const auto caller = call->caller;
     const bool kept = call->key && outcome == run_outcome::ran;
-    close_record(*call, outcome, kept ? keepable(answer) : nullptr);
+    note(*call, "call_answered", answered_facts(*call, outcome, answer.status));
+    close_record(*call, {outcome, true, timers_.now()},
+                 kept ? keepable(answer) : nullptr);
     caller->answer(std::move(answer));
 }
 
 // The call has ended, however; `answer` is what its key is to keep.
-void call_desk::close_record(call_record& ended, run_outcome outcome,
+void call_desk::close_record(call_record& ended, call_end end,
                              decision::answer_ptr answer) {
+    const auto outcome = end.outcome;
     drop_waiting_hedge(ended);
     const auto call = std::move(ended);
+    log_.close(call, end);
     calls_.erase(call.id);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
     metrics_.call_time.observe(call.labels, timers_.now() - call.arrived);
@@ -285,6 +334,10 @@
     }
 }
 
+void call_desk::note(call_record& call, const char* event, std::string facts) {
+    call.story.add(timers_.now(), event, std::move(facts));
+}
+
 call_record* call_desk::find(decision::request_id id) {
     const auto found = calls_.find(id);
     return found == calls_.end() ? nullptr : &found->second;
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -13,6 +13,7 @@
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/view.hpp>
 
+#include "entry/call_log.hpp"
 #include "entry/call_record.hpp"
 #include "entry/caller_patience.hpp"
 #include "entry/crash_guard.hpp"
@@ -89,8 +90,9 @@
     void finish(decision::request_id id, run_outcome outcome,
                 io::http_response answer);
     void finish(decision::request_id id, const own_answer& answer);
-    void close_record(call_record& call, run_outcome outcome,
+    void close_record(call_record& call, call_end end,
                       decision::answer_ptr answer);
+    void note(call_record& call, const char* event, std::string facts = {});
     service_part& part_of(const std::string& service);
     service_desk& desk_of(const std::string& service);
     const backend_server* find_backend(const std::string& service,
@@ -108,7 +110,7 @@
     void take_result(decision::request_id id, decision::request_id attempt_id,
                      const std::string& service,
                      forwarding::backend_result ended);
-    void report_end(const call_record& call, const running_attempt& attempt,
+    void report_end(call_record& call, const running_attempt& attempt,
                     const backend_answer& answer);
     void report_death(const std::string& backend_server);
     void end_with(call_record& call, const running_attempt& attempt,
@@ -143,6 +145,7 @@
     kernel::timer_service& timers_;
     forwarding::backend_pool& pool_;
     entry_metrics& metrics_;
+    call_log log_;
     call_desk_outlet& outlet_;
     key_desk keys_;
     crash_guard crashes_;
--- /dev/null
+++ b/src/entry/call_log.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include <waxwingvale/kernel/timer_service.hpp>
+#include <waxwingvale/model/outcome.hpp>
+
+#include "entry/call_record.hpp"
+#include "entry/entry_metrics.hpp"
+
+namespace waxwingvale::entry {
+
+// How a call ended, as far as its log is concerned.
+struct call_end {
+    run_outcome outcome = run_outcome::unknown;
+    bool answered = false; // false: its caller had left
+    time_point when{};
+};
+
+// Whether the call ended as its caller would wish, at the first attempt. What
+// runs at most once is never ordinary: whether it ran may be asked much later.
+bool ended_ordinarily(const call_record& call, const call_end& end);
+
+// Logs the decisions on each call that did not end ordinarily, and once a
+// second how many calls of each class there were.
+class call_log {
+public:
+    call_log(kernel::timer_service& timers, entry_metrics& metrics)
+        : timers_(timers), metrics_(metrics) {}
+
+    void close(const call_record& call, const call_end& end);
+
+private:
+    struct class_counts {
+        unsigned ordinary = 0;
+        unsigned refused = 0;
+        unsigned unknown = 0;
+        unsigned other = 0;
+    };
+
+    void count(const call_record& call, const call_end& end, bool ordinary);
+    void write(const call_record& call, time_point now);
+    void arm();
+    void sum_up();
+
+    kernel::timer_service& timers_;
+    entry_metrics& metrics_;
+    std::uint64_t dropped_counted_ = 0;
+    std::map<std::string, class_counts> counts_; // by class
+    kernel::timer_service::subscription summing_;
+    bool armed_ = false;
+};
+
+} // namespace waxwingvale::entry
--- a/src/entry/call_record.hpp
+++ b/src/entry/call_record.hpp
@@ -17,6 +17,8 @@
 #include <waxwingvale/model/time.hpp>
 #include <waxwingvale/program/metrics.hpp>
 
+#include "entry/call_story.hpp"
+
 namespace waxwingvale::entry {
 
 // An attempt that is on its way to a backend server. A hedge is known to the
@@ -82,6 +84,7 @@
     // What earlier attempts leave open: a read that got lost once is not
     // "not run" when its next attempt is refused.
     run_outcome earlier = run_outcome::not_run;
+    call_story story;
 
     // Whether its class allows one more backend server. Each is counted that
     // was sent the request, hedges too.
--- a/src/entry/call_relay.cpp
+++ b/src/entry/call_relay.cpp
@@ -68,7 +68,10 @@
 void call_desk::end_relay(call_record& call, const backend_answer& answer) {
     const auto caller = call.caller;
     const bool whole = answer.outcome == run_outcome::ran;
-    close_record(call, answer.outcome, nullptr);
+    note(call, whole ? "call_answered" : "call_cut",
+         fact("outcome", to_string(answer.outcome)) + " " +
+             fact("bytes", call.relayed));
+    close_record(call, {answer.outcome, whole, timers_.now()}, nullptr);
     if (whole) {
         caller->end_answer();
     } else {
--- a/src/entry/call_slowness.cpp
+++ b/src/entry/call_slowness.cpp
@@ -105,6 +105,9 @@
 
 void call_desk::send_second_copy(call_record& call, bool only_if_spare) {
     call.hedged = true;
+    note(call, only_if_spare ? "call_hedged" : "call_silent",
+         fact("backend_server", call.running->backend_server) + " " +
+             fact("waited_ms", timers_.now() - call.running->started));
     call.hedge_waiting = next_id_++;
     hedges_.emplace(call.hedge_waiting, call.id);
     auto second = slot_request(call);
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -27,6 +27,9 @@
                                    "Scheduler messages of other instances.")),
       probes(all.add_counter("waxwing_probes_total",
                              "Probes sent to backend servers.")),
+      log_lines_dropped(all.add_counter(
+          "waxwing_log_lines_dropped_total",
+          "Log lines that neither the limits nor the reader took.")),
       open_calls(all.add_gauge("waxwing_open_calls", "Calls without answer.")),
       keys(all.add_gauge("waxwing_request_keys", "Request keys remembered.")) {}
 
--- a/src/entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -20,6 +20,7 @@
     program::counter grants_sent;
     program::counter grants_taken;
     program::counter probes;
+    program::counter log_lines_dropped;
     program::gauge open_calls;
     program::gauge keys;
 };
--- /dev/null
+++ b/src/program/log_writer.cpp
@@ -0,0 +1,85 @@
+#include <waxwingvale/program/log_writer.hpp>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+
+namespace waxwingvale::program {
+
+namespace {
+
+// A pipe that is ready for writing takes so many bytes without waiting.
+constexpr std::size_t chunk = PIPE_BUF;
+
+} // namespace
+
+void log_writer::refill(time_point now) {
+    const auto burst = static_cast<double>(limits_.burst);
+    if (!started_) {
+        started_ = true;
+        allowance_ = burst;
+    } else {
+        const std::chrono::duration<double> passed = now - refilled_;
+        allowance_ =
+            std::min(burst, allowance_ + passed.count() *
+                                             static_cast<double>(limits_.rate));
+    }
+    refilled_ = now;
+}
+
+bool log_writer::has_room(std::size_t bytes, log_weight weight,
+                          time_point now) {
+    refill(now);
+    const auto kept = weight == log_weight::detail ? limits_.reserve : 0;
+    return static_cast<double>(bytes + kept) <= allowance_ &&
+           waiting_.size() + bytes + kept <= limits_.waiting;
+}
+
+void log_writer::add(std::string_view lines, log_weight weight,
+                     time_point now) {
+    if (!has_room(lines.size(), weight, now)) {
+        dropped_ += static_cast<std::uint64_t>(
+            std::count(lines.begin(), lines.end(), '\n'));
+        return;
+    }
+    tell_dropped();
+    allowance_ -= static_cast<double>(lines.size());
+    waiting_ += lines;
+}
+
+void log_writer::tell_dropped() {
+    if (dropped_ != told_) {
+        waiting_ += "level=WARNING event=log_lines_dropped lines=" +
+                    std::to_string(dropped_ - told_) +
+                    " total=" + std::to_string(dropped_) + "\n";
+        told_ = dropped_;
+    }
+}
+
+bool log_writer::reader_takes() const {
+    pollfd asked{file_, POLLOUT, 0};
+    return ::poll(&asked, 1, 0) == 1 && (asked.revents & POLLOUT) != 0;
+}
+
+// An error leaves the lines where they are; when they are too many the newest
+// are dropped and counted. There is nowhere else to tell it.
+void log_writer::flush() {
+    std::size_t done = 0;
+    while (done < waiting_.size() && reader_takes()) {
+        const auto size = std::min(chunk, waiting_.size() - done);
+        const auto written = ::write(file_, waiting_.data() + done, size);
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            break;
+        }
+        done += static_cast<std::size_t>(written);
+    }
+    waiting_.erase(0, done);
+}
+
+} // namespace waxwingvale::program
--- a/src/program/program_frame.cpp
+++ b/src/program/program_frame.cpp
@@ -252,7 +252,7 @@
         std::cerr << to_string(loaded.error()) << '\n';
         return as_int(exit_code::settings);
     }
-    start_log(program.name);
+    start_log(program.name, loaded.value().instance.name);
     return as_int(program_run(program, loaded.value(), file_name).run());
 }
 
--- a/src/waxwingctl/command.hpp
+++ b/src/waxwingctl/command.hpp
@@ -28,6 +28,7 @@
 // What the command line says; fields that a command lacks are empty.
 struct command_options {
     std::vector<std::string> files;
+    std::string request; // its id, as callers name it
     std::vector<admin_address> admins;
     std::string token;
     std::string service;
--- a/src/waxwingctl/command_line.cpp
+++ b/src/waxwingctl/command_line.cpp
@@ -10,6 +10,7 @@
 #include "model/document_reader.hpp"
 #include "waxwingctl/check_command.hpp"
 #include "waxwingctl/query_command.hpp"
+#include "waxwingctl/trace_command.hpp"
 #include "waxwingctl/watch_command.hpp"
 
 namespace waxwingvale::ctl {
@@ -32,6 +33,7 @@
              [--tenant=NAME] SERVICE METHOD PATH
   waxwingctl watch --admin=ADDRESSES --token-file=FILE
              [--interval-ms=MS] [--count=N]
+  waxwingctl trace [--json] REQUEST FILE...
   waxwingctl (--help | --version)
 
 Options:
@@ -67,6 +69,7 @@
     {"quarantine", run_query<query_kind::quarantine>},
     {"explain", run_query<query_kind::explain>},
     {"watch", run_watch},
+    {"trace", run_trace},
 };
 
 std::string text_of(const options_map& options, const char* name) {
@@ -157,6 +160,7 @@
         files != given.end() && files->second.isStringList()) {
         options.files = files->second.asStringList();
     }
+    options.request = text_of(given, "REQUEST");
     options.service = text_of(given, "SERVICE");
     options.method = text_of(given, "METHOD");
     options.path = text_of(given, "PATH");
