--- a/test/standin/fleet.hpp
+++ b/test/standin/fleet.hpp
@@ -124,6 +124,7 @@
     std::size_t instance_count() const { return instances_.size(); }
     backend_process& backend(std::size_t index);
     run_history history() const { return run_history(history_file_); }
+    const std::string& history_file_name() const { return history_file_; }
 
     // The configuration as a document, to be changed and published.
     nlohmann::json configuration() const;
