entry: a limit of our own is no server's death; connections in use are not divided

Cause: each of 128 instances was allowed 1080 / 128 = 8 connections to a server. Change: idle connections are divided, those in use bounded by the server's limit; an attempt that our own limit held back says nothing of the server. Excluded: processor time (owners at 0.13 of 0.5 cores), the servers' queues (none refused anything), admission (its figures followed from the slots). How it was found: call_attempt_ended end=not-sent took_ms=0.0, view_changed of=backend_belief now=dead, in the logs.

--- a/include/waxwingvale/entry/backend_answer.hpp
+++ b/include/waxwingvale/entry/backend_answer.hpp
@@ -19,7 +19,8 @@
     not_sent,    // no byte of the request left this process
     timed_out,   // sent, and no answer within the time left
     broken,      // sent, and the connection ended without a whole answer
-    misdirected  // another backend server has the address; it did not begin
+    misdirected, // another backend server has the address; it did not begin
+    held_back    // by a limit of our own; says nothing of the server
 };
 
 // The lower-case word for an end, as it appears in logs.
--- a/include/waxwingvale/forwarding/backend_pool.hpp
+++ b/include/waxwingvale/forwarding/backend_pool.hpp
@@ -46,8 +46,9 @@
     void pause(call_id call);
     void resume(call_id call);
 
-    // Most connections to one backend server.
-    void limit_connections(std::size_t limit);
+    // Most connections to one backend server, and of those most that are kept
+    // while idle.
+    void limit_connections(std::size_t open, std::size_t idle);
     // Closes the idle connections to that server: it is leaving or gone.
     void forget(const std::string& backend_server);
 
--- a/src/entry/attempt_end.cpp
+++ b/src/entry/attempt_end.cpp
@@ -16,6 +16,8 @@
         return "timed-out";
     case attempt_end::broken:
         return "broken";
+    case attempt_end::held_back:
+        return "held-back";
     case attempt_end::misdirected:
         return "misdirected";
     }
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -26,6 +26,8 @@
         return decision::attempt_verdict::connect_refused;
     case attempt_end::timed_out:
         return decision::attempt_verdict::timed_out;
+    case attempt_end::held_back:
+        return decision::attempt_verdict::cancelled;
     case attempt_end::broken:
         return decision::attempt_verdict::died;
     }
@@ -259,6 +261,10 @@
     if (answer.end == attempt_end::broken) {
         report_death(attempt.backend_server);
     }
+    if (!ended.response) {
+        note(*call, "call_answer_lost",
+             fact("error", to_string(ended.response.error())));
+    }
     ours.reset();
     hedges_.erase(attempt_id);
     report_end(*call, attempt, answer);
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -6,6 +6,8 @@
 #include <waxwingvale/program/service_name.hpp>
 #include <waxwingvale/program/view_published.hpp>
 
+#include "entry/connection_limits.hpp"
+
 namespace waxwingvale::entry {
 
 namespace {
@@ -13,7 +15,6 @@
 using namespace std::chrono_literals;
 
 constexpr duration drain_check_period = 20ms;
-constexpr std::size_t connections_per_backend_server = 256;
 
 forwarding::caller_server_options
 caller_options(const program::settings& from) {
@@ -75,7 +76,8 @@
 
 void entry_service::take(const view_ptr& view) {
     view_ = view;
-    limit_connections(*view);
+    const auto limits = connection_limits_of(*view);
+    pool_.limit_connections(limits.open, limits.idle);
     if (view->config && view->config->limits) {
         callers_.change_limits(*view->config->limits);
     }
@@ -83,22 +85,6 @@
     prober_.take(view);
 }
 
-// The file's limit of connections to a backend server is for all entry
-// instances together; each takes an equal part of the tightest.
-void entry_service::limit_connections(const view& now) {
-    if (!now.config || now.members.empty()) {
-        return;
-    }
-    std::size_t tightest = connections_per_backend_server;
-    for (const auto& of : now.config->services) {
-        for (const auto& server : of.backend_servers) {
-            tightest = std::min<std::size_t>(tightest, server.connections);
-        }
-    }
-    const auto part = tightest / now.members.size();
-    pool_.limit_connections(std::max<std::size_t>(part, 1));
-}
-
 void entry_service::follow_link(const std::string& peer, bool up) {
     calls_.take(decision::peer_reachability{peer, up});
     prober_.change_links(hub_.connected_peers().size());
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -49,7 +49,6 @@
 
     void wire_peers();
     void take(const view_ptr& view);
-    void limit_connections(const view& now);
     void follow_link(const std::string& peer, bool up);
     void check_drained();
 
--- a/src/entry/lost_attempt.cpp
+++ b/src/entry/lost_attempt.cpp
@@ -5,7 +5,11 @@
 backend_answer lost_attempt(const forwarding::backend_result& ended) {
     backend_answer read;
     if (!ended.sent) {
-        read.end = attempt_end::not_sent;
+        // A full limit of this process must not count as a server's death:
+        // all instances would be told, and stop using it.
+        const bool own_limit =
+            ended.response.error().code == error_code::resource_exhausted;
+        read.end = own_limit ? attempt_end::held_back : attempt_end::not_sent;
         read.outcome = run_outcome::not_run;
         return read;
     }
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -63,6 +63,7 @@
     kernel::timer_service& timers;
     backend_pool_counters counters;
     std::size_t limit = default_connections;
+    std::size_t most_idle = default_connections;
     call_id next_id = 1;
     std::unordered_map<call_id, open_call> calls;
     // The call that is on a connection, for its handlers.
@@ -166,8 +167,13 @@
     const auto keep_for =
         said ? std::max<duration>(*said - idle_margin, duration::zero())
              : idle_limit;
-    servers[connection->backend_server()].idle.push_back(
-        {connection, timers.now(), std::min(keep_for, idle_limit)});
+    auto& idle = servers[connection->backend_server()].idle;
+    idle.push_back({connection, timers.now(), std::min(keep_for, idle_limit)});
+    if (idle.size() > most_idle) {
+        const auto longest_idle = idle.front().connection;
+        idle.erase(idle.begin());
+        drop(longest_idle);
+    }
 }
 
 void backend_pool::state::drop(const connection_ptr& connection) {
@@ -278,8 +284,9 @@
     }
 }
 
-void backend_pool::limit_connections(std::size_t limit) {
-    state_->limit = std::max<std::size_t>(limit, 1);
+void backend_pool::limit_connections(std::size_t open, std::size_t idle) {
+    state_->limit = std::max<std::size_t>(open, 1);
+    state_->most_idle = idle;
 }
 
 void backend_pool::forget(const std::string& backend_server) {
--- a/test/entry/backend_answer_test.cpp
+++ b/test/entry/backend_answer_test.cpp
@@ -36,6 +36,18 @@
               .outcome == run_outcome::not_run);
 }
 
+// An instance has used up its part of a server's connections. Taken for the
+// server's death, this would be told to all instances, none would use it any
+// more, and callers would be refused although it is well.
+TEST_CASE("a limit of our own says nothing of the backend server") {
+    const auto read =
+        protocol.classify(failed(error_code::resource_exhausted, false));
+    CHECK(read.end == attempt_end::held_back);
+    CHECK(read.outcome == run_outcome::not_run);
+    CHECK(protocol.classify(failed(error_code::unavailable, false)).end ==
+          attempt_end::not_sent);
+}
+
 TEST_CASE("a backend server's word about itself is read") {
     const auto read = protocol.classify(
         answered(200, {{"waxwing-backend-state", "leaving"},
--- a/test/forwarding/backend_pool_test.cpp
+++ b/test/forwarding/backend_pool_test.cpp
@@ -239,7 +239,7 @@
 
 TEST_CASE("the limit of connections to a server is kept") {
     pooled fixture;
-    fixture.pool.limit_connections(1);
+    fixture.pool.limit_connections(1, 1);
     fixture.pool.send(fixture.call("/a"), [](backend_result) {});
     REQUIRE(fixture.await_request(0, "/a"));
     fixture.send(fixture.call("/b"));
