--- /dev/null
+++ b/test/soak/soak_test.cpp
@@ -0,0 +1,30 @@
+#include <catch2/catch.hpp>
+
+#include "standin/process.hpp"
+
+using namespace waxwingvale::standin;
+
+namespace {
+
+constexpr std::chrono::seconds whole_run{110};
+
+// Plays the seed on real processes; shows what the soak has printed when
+// something was broken.
+void play(const std::string& seed, const std::string& seconds) {
+    child_process soak("test/standin-soak",
+                       {"--seed=" + seed, "--seconds=" + seconds});
+    const auto told = soak.read_rest(whole_run);
+    INFO(told);
+    CHECK(soak.wait() == 0);
+}
+
+} // namespace
+
+// Instances, backend servers, the platform and the links between them are
+// killed, stopped, paused, slowed and cut in overlapping series. Callers get
+// their own answers or a stated refusal, no booking runs twice or after it was
+// said not to run, and all serve again afterwards.
+TEST_CASE("a short soak breaks no promise") {
+    play("1", "5");
+    play("2", "5");
+}
