--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -11,7 +11,7 @@
 // Plays the seed on real processes; shows what the soak has printed when
 // something was broken.
 void play(const std::string& seed, const std::string& seconds) {
-    child_process soak("test/standin-soak",
+    child_process soak("standin-soak",
                        {"--seed=" + seed, "--seconds=" + seconds});
     const auto told = soak.read_rest(whole_run);
     INFO(told);
