--- a/include/waxwingvale/decision/scheduler_actions.hpp
+++ b/include/waxwingvale/decision/scheduler_actions.hpp
@@ -41,6 +41,7 @@
     request_id request = 0;
     refusal_reason reason = refusal_reason::too_late;
     duration come_back_in{};
+    std::string declined_by; // the owner that had no slot; empty: this one
 };
 
 // The deadline passed while the request waited: answer "not run" now.
--- a/include/waxwingvale/decision/service_scheduler.hpp
+++ b/include/waxwingvale/decision/service_scheduler.hpp
@@ -27,6 +27,18 @@
 
 bool operator==(const slot_report& a, const slot_report& b);
 
+// By what a scheduler admits and turns down at the moment.
+struct scheduler_load {
+    bool owns = false;          // slots of the service are owned here
+    std::size_t queued = 0;     // requests that can be answered in time
+    std::size_t late = 0;       // and those that cannot
+    unsigned working_slots = 0; // of servers that neither fail nor straggle
+    double prompt_slots = 0;    // of those, the ones not slowed down
+    double spare_slots = 0;     // what requests in time leave of them
+    double arrivals_per_second = 0;
+    std::uint64_t turned_down = 0; // since the start
+};
+
 // Decides, for one service on one entry instance, when and where each request
 // runs: slots owned here are handed out from one queue, late, when one is
 // free; slots of other owners are asked for; without an owner in reach a
@@ -52,6 +64,7 @@
     // only then may a hedge be sent.
     bool has_spare_slot() const;
     std::vector<slot_report> slots() const;
+    scheduler_load load(time_point now) const;
     // Backend servers with slots owned here, of which so little was heard
     // lately that a probe is worth its while.
     std::vector<std::string> unheard(time_point now) const;
--- a/src/decision/scheduler_actions.cpp
+++ b/src/decision/scheduler_actions.cpp
@@ -30,8 +30,8 @@
 }
 
 bool operator==(const refuse_request& a, const refuse_request& b) {
-    return std::tie(a.request, a.reason, a.come_back_in) ==
-           std::tie(b.request, b.reason, b.come_back_in);
+    return std::tie(a.request, a.reason, a.come_back_in, a.declined_by) ==
+           std::tie(b.request, b.reason, b.come_back_in, b.declined_by);
 }
 
 bool operator==(const expire_request& a, const expire_request& b) {
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -254,8 +254,9 @@
         }
         forget({{}, declined.request});
         borrower_.remove(declined.request);
-        actions_->emplace_back(refuse_request{
-            declined.request, refusal_reason::too_late, *come_back_in});
+        actions_->emplace_back(refuse_request{declined.request,
+                                              refusal_reason::too_late,
+                                              *come_back_in, event.peer});
     }
 }
 
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -267,6 +267,7 @@
 
 void service_scheduler::impl::turn_down(const queued_request& entry,
                                         refusal_reason reason) {
+    ++turned_down_;
     if (entry.peer.empty()) {
         refuse(entry.arrival.request, reason);
         return;
@@ -278,7 +279,8 @@
 void service_scheduler::impl::refuse(request_id request,
                                      refusal_reason reason) {
     borrower_.remove(request);
-    actions_->emplace_back(refuse_request{request, reason, next_appointment()});
+    actions_->emplace_back(
+        refuse_request{request, reason, next_appointment(), {}});
 }
 
 void service_scheduler::impl::drop_overdue() {
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -46,6 +46,10 @@
     return impl_->slots();
 }
 
+scheduler_load service_scheduler::load(time_point now) const {
+    return impl_->load(now);
+}
+
 std::vector<std::string> service_scheduler::unheard(time_point now) const {
     return impl_->unheard(now);
 }
@@ -173,6 +177,19 @@
     return queue_.empty() && (may_borrow || table_.idle_slots(now_) > 0);
 }
 
+scheduler_load service_scheduler::impl::load(time_point now) const {
+    scheduler_load known;
+    known.owns = table_.owns_any();
+    known.queued = queue_.size();
+    known.late = late_.size();
+    known.working_slots = table_.working_slots();
+    known.prompt_slots = table_.prompt_slots(now);
+    known.spare_slots = spare_slots();
+    known.arrivals_per_second = in_time_arrivals_.per_second(now);
+    known.turned_down = turned_down_;
+    return known;
+}
+
 // Probes pay only while there are requests to place.
 std::vector<std::string>
 service_scheduler::impl::unheard(time_point now) const {
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -30,6 +30,7 @@
     std::size_t queued() const { return queue_.size() + late_.size(); }
     std::size_t in_flight() const { return running_.size(); }
     bool has_spare_slot() const;
+    scheduler_load load(time_point now) const;
     std::vector<slot_report> slots() const;
     std::vector<std::string> unheard(time_point now) const;
 
@@ -153,6 +154,7 @@
     std::map<std::string, peer_reply> replies_;
     std::unordered_map<request_id, running_request> running_;
     std::optional<time_point> wake_at_;
+    std::uint64_t turned_down_ = 0;
 };
 
 } // namespace waxwingvale::decision
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -112,7 +112,9 @@
                           const service_desk& desk) {
     return fact("reason", to_string(refusal.reason)) + " " +
            fact("queued", desk.scheduler().queued()) + " " +
-           fact("come_back_ms", refusal.come_back_in);
+           fact("declined_by",
+                refusal.declined_by.empty() ? "self" : refusal.declined_by) +
+           " " + fact("come_back_ms", refusal.come_back_in);
 }
 
 std::string answered_facts(const call_record& call, run_outcome outcome,
@@ -132,7 +134,12 @@
       timers_(timers),
       pool_(pool),
       metrics_(metrics),
-      log_(timers, metrics),
+      log_(timers, metrics,
+           [this] {
+               for (auto& entry : services_) {
+                   entry.second.desk->log_load();
+               }
+           }),
       outlet_(outlet),
       keys_(self, hub, timers, *this),
       crashes_(self.name, hub, timers) {}
@@ -428,6 +435,7 @@
 
 void call_desk::take(const incoming_grant_message& message) {
     metrics_.grants_taken.add();
+    log_.arm();
     const bool known = view_ && view_->config &&
                        find_service(*view_->config, message.service) != nullptr;
     if (known) {
--- a/src/entry/call_log.cpp
+++ b/src/entry/call_log.cpp
@@ -14,18 +14,23 @@
 
 } // namespace
 
-bool ended_ordinarily(const call_record& call, const call_end& end) {
+story_part part_to_log(const call_record& call, const call_end& end) {
     const bool in_time = !call.target || end.when <= *call.target;
-    return end.answered && end.outcome == run_outcome::ran && in_time &&
-           call.attempts_here == 1 &&
-           call.kind.nature != request_nature::at_most_once;
+    const bool ordinary = end.answered && end.outcome == run_outcome::ran &&
+                          in_time && call.attempts_here == 1;
+    if (!ordinary) {
+        return story_part::whole;
+    }
+    return call.kind.nature == request_nature::at_most_once
+               ? story_part::outcome
+               : story_part::none;
 }
 
 void call_log::close(const call_record& call, const call_end& end) {
-    const bool ordinary = ended_ordinarily(call, end);
-    count(call, end, ordinary);
-    if (!ordinary) {
-        write(call, end.when);
+    const auto part = part_to_log(call, end);
+    count(call, end, part != story_part::whole);
+    if (part != story_part::none) {
+        write(call, part, end.when);
     }
     arm();
 }
@@ -44,11 +49,20 @@
     }
 }
 
-void call_log::write(const call_record& call, time_point now) {
+// The last steps say how it ended: the attempt's end, and the answer. Whole
+// stories of all that runs at most once were five lines each.
+void call_log::write(const call_record& call, story_part part, time_point now) {
+    constexpr std::size_t last_steps = 2;
+    const auto& steps = call.story.steps();
+    const auto skipped =
+        part == story_part::outcome && steps.size() > last_steps
+            ? steps.size() - last_steps
+            : 0;
     std::vector<program::log_detail> decisions;
-    decisions.reserve(call.story.steps().size());
-    for (const auto& step : call.story.steps()) {
-        decisions.push_back({step.event, now - step.when, step.facts});
+    decisions.reserve(steps.size() - skipped);
+    for (auto i = skipped; i < steps.size(); ++i) {
+        decisions.push_back(
+            {steps[i].event, now - steps[i].when, steps[i].facts});
     }
     program::log_details(fact("request", call.request_id) + " " +
                              fact("call", call.id),
@@ -76,6 +90,7 @@
                              {"other", std::to_string(counts.other)}});
     }
     counts_.clear();
+    also_();
     program::flush_log();
     const auto dropped = program::dropped_log_lines();
     metrics_.log_lines_dropped.add(
--- a/src/entry/call_log.hpp
+++ b/src/entry/call_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -18,18 +19,27 @@
     time_point when{};
 };
 
-// Whether the call ended as its caller would wish, at the first attempt. What
-// runs at most once is never ordinary: whether it ran may be asked much later.
-bool ended_ordinarily(const call_record& call, const call_end& end);
+// How much of a call's story is logged.
+enum class story_part {
+    none,    // it ended as its caller would wish, at the first attempt
+    outcome, // so it did, but whether it ran may be asked much later
+    whole
+};
+
+story_part part_to_log(const call_record& call, const call_end& end);
 
 // Logs the decisions on each call that did not end ordinarily, and once a
 // second how many calls of each class there were.
 class call_log {
 public:
-    call_log(kernel::timer_service& timers, entry_metrics& metrics)
-        : timers_(timers), metrics_(metrics) {}
+    // `also` is called whenever calls are summed up, for further lines.
+    call_log(kernel::timer_service& timers, entry_metrics& metrics,
+             std::function<void()> also)
+        : timers_(timers), metrics_(metrics), also_(std::move(also)) {}
 
     void close(const call_record& call, const call_end& end);
+    // Something happened here, so that a sum is due within a second.
+    void arm();
 
 private:
     struct class_counts {
@@ -40,12 +50,12 @@
     };
 
     void count(const call_record& call, const call_end& end, bool ordinary);
-    void write(const call_record& call, time_point now);
-    void arm();
+    static void write(const call_record& call, story_part part, time_point now);
     void sum_up();
 
     kernel::timer_service& timers_;
     entry_metrics& metrics_;
+    std::function<void()> also_;
     std::uint64_t dropped_counted_ = 0;
     std::map<std::string, class_counts> counts_; // by class
     kernel::timer_service::subscription summing_;
--- a/src/entry/service_desk.cpp
+++ b/src/entry/service_desk.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <waxwingvale/program/state_log.hpp>
+
 namespace waxwingvale::entry {
 
 service_desk::service_desk(std::string service, member_id self,
@@ -22,6 +24,26 @@
     }
 }
 
+void service_desk::log_load() {
+    const auto load = scheduler_.load(timers_.now());
+    const auto turned_down = load.turned_down - turned_down_logged_;
+    turned_down_logged_ = load.turned_down;
+    if (turned_down == 0) {
+        return;
+    }
+    program::log_change(
+        "requests_turned_down",
+        {{"service", service_},
+         {"requests", std::to_string(turned_down)},
+         {"owns_slots", load.owns ? "yes" : "no"},
+         {"queued", std::to_string(load.queued)},
+         {"late", std::to_string(load.late)},
+         {"working_slots", std::to_string(load.working_slots)},
+         {"prompt_slots", std::to_string(load.prompt_slots)},
+         {"spare_slots", std::to_string(load.spare_slots)},
+         {"arrivals_per_second", std::to_string(load.arrivals_per_second)}});
+}
+
 void service_desk::carry_out(const decision::start_request& action) {
     outlet_.start(service_, action);
 }
--- a/src/entry/service_desk.hpp
+++ b/src/entry/service_desk.hpp
@@ -31,6 +31,9 @@
     void handle(const decision::scheduler_event& event);
     const decision::service_scheduler& scheduler() const { return scheduler_; }
 
+    // Logs by what requests were turned down since the last time, if any were.
+    void log_load();
+
 private:
     void carry_out(const decision::start_request& action);
     void carry_out(const decision::refuse_request& action);
@@ -43,6 +46,7 @@
     kernel::timer_service& timers_;
     scheduler_outlet& outlet_;
     decision::service_scheduler scheduler_;
+    std::uint64_t turned_down_logged_ = 0;
     kernel::timer_service::subscription wake_;
 };
 
--- a/test/logs/call_story_test.cpp
+++ b/test/logs/call_story_test.cpp
@@ -21,27 +21,27 @@
 } // namespace
 
 TEST_CASE("a read that is answered in time at once leaves no lines") {
-    CHECK(ended_ordinarily(read_call(), in_time));
+    CHECK(part_to_log(read_call(), in_time) == story_part::none);
 }
 
 TEST_CASE("whatever an engineer may be asked about leaves its story") {
     auto retried = read_call();
     retried.attempts_here = 2;
-    CHECK_FALSE(ended_ordinarily(retried, in_time));
+    CHECK(part_to_log(retried, in_time) == story_part::whole);
 
     auto booking = read_call();
     booking.kind.nature = request_nature::at_most_once;
-    CHECK_FALSE(ended_ordinarily(booking, in_time));
+    CHECK(part_to_log(booking, in_time) == story_part::outcome);
 
     auto end = in_time;
     end.when = time_point() + 201ms; // late
-    CHECK_FALSE(ended_ordinarily(read_call(), end));
+    CHECK(part_to_log(read_call(), end) == story_part::whole);
     end = in_time;
     end.outcome = run_outcome::not_run; // refused
-    CHECK_FALSE(ended_ordinarily(read_call(), end));
+    CHECK(part_to_log(read_call(), end) == story_part::whole);
     end = in_time;
     end.answered = false; // its caller has left, or its answer was cut
-    CHECK_FALSE(ended_ordinarily(read_call(), end));
+    CHECK(part_to_log(read_call(), end) == story_part::whole);
 }
 
 TEST_CASE("a story has a bound, and facts are written so that they split") {
