--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -305,11 +305,29 @@
 
 void control_service::flush() {
     flush_planned_ = false;
-    views_.publish(peers_.exchange().introduced());
+    publish_view();
     peers_.send_waiting();
     log_turns();
 }
 
+void control_service::publish_view() {
+    const auto now = environment_.timers.now();
+    const auto wait = pace_.due_in(now);
+    if (wait > duration::zero()) {
+        if (!publishing_planned_) {
+            publishing_planned_ = true;
+            publishing_ = environment_.timers.after(wait, [this](time_point) {
+                publishing_planned_ = false;
+                publish_view();
+            });
+        }
+        return;
+    }
+    if (views_.publish(peers_.exchange().introduced())) {
+        pace_.published(now, views_.last_view()->members.size());
+    }
+}
+
 void control_service::log_turns() {
     const auto& configurations = known_.configurations;
     if (configurations.revision() != logged_revision_) {
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -8,6 +8,7 @@
 #include "control/control_metrics.hpp"
 #include "control/knowledge.hpp"
 #include "control/peer_links.hpp"
+#include "control/publication_pace.hpp"
 #include "control/view_publisher.hpp"
 #include <waxwingvale/administration/admin_api.hpp>
 #include <waxwingvale/control/published_state.hpp>
@@ -56,6 +57,8 @@
     // several changes together.
     void changed();
     void flush();
+    // Now, or as soon as the pace of views allows.
+    void publish_view();
     void log_turns();
 
     program::program_environment environment_;
@@ -74,6 +77,9 @@
     kernel::timer_service::subscription stopping_;
     unsigned ticks_ = 0;
     std::uint64_t members_followed_ = 0; // their version
+    publication_pace pace_;
+    bool publishing_planned_ = false;
+    kernel::timer_service::subscription publishing_;
     bool flush_planned_ = false;
     bool platform_failed_ = false;
     std::uint64_t logged_revision_ = 0;
--- /dev/null
+++ b/src/control/publication_pace.cpp
@@ -0,0 +1,25 @@
+#include "control/publication_pace.hpp"
+
+#include <algorithm>
+
+namespace waxwingvale::control {
+
+namespace {
+
+// A dozen members hardly wait, and 128 have eight views a second: a quarter of
+// the 0.5 s within which a drain that one instance saw is to be known.
+constexpr duration wait_per_member = std::chrono::milliseconds(1);
+constexpr duration longest_wait = std::chrono::milliseconds(200);
+
+} // namespace
+
+void publication_pace::published(time_point now, std::size_t members) {
+    const auto wait = static_cast<duration::rep>(members) * wait_per_member;
+    next_ = now + std::min(wait, longest_wait);
+}
+
+duration publication_pace::due_in(time_point now) const {
+    return std::max(next_ - now, duration::zero());
+}
+
+} // namespace waxwingvale::control
--- a/src/control/view_publisher.cpp
+++ b/src/control/view_publisher.cpp
@@ -89,18 +89,19 @@
     return introduced || timers_.now() - started_ >= introduction_wait;
 }
 
-void view_publisher::publish(bool introduced) {
+bool view_publisher::publish(bool introduced) {
     if (!last_ && !knows_enough(introduced)) {
-        return;
+        return false;
     }
     auto made = make_view();
     if (last_ && same_content(made, *last_)) {
-        return;
+        return false;
     }
     static const view nothing;
     log_changes(last_ ? *last_ : nothing, made);
     last_ = std::make_shared<const view>(std::move(made));
     bus_.publish(program::view_published{last_});
+    return true;
 }
 
 } // namespace waxwingvale::control
--- a/src/control/view_publisher.hpp
+++ b/src/control/view_publisher.hpp
@@ -18,7 +18,8 @@
 
     // Publishes a new view if anything differs from the last one. The first
     // one waits until a peer has told what it knows, or for a bounded time.
-    void publish(bool introduced);
+    // Returns whether a view was published.
+    bool publish(bool introduced);
 
     const view_ptr& last_view() const { return last_; }
 
