--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -6,6 +6,7 @@
 #include <waxwingvale/entry/lost_attempt.hpp>
 
 #include "entry/call_desk.hpp"
+#include "entry/call_facts.hpp"
 
 namespace waxwingvale::entry {
 
@@ -63,28 +64,6 @@
            " waited_us=" + std::to_string(waited.count());
 }
 
-// Whose slot it is tells which instance chose the server.
-std::string placed_facts(const running_attempt& attempt, bool second_copy) {
-    return fact("backend_server", attempt.backend_server) + " " +
-           fact("slot_of",
-                attempt.granted_by.empty() ? "self" : attempt.granted_by) +
-           " " + fact("slow_after_ms", attempt.slow_after) +
-           (second_copy ? " second_copy=yes" : "");
-}
-
-std::string ended_facts(const running_attempt& attempt,
-                        const backend_answer& answer, duration took) {
-    auto facts = fact("backend_server", attempt.backend_server) + " " +
-                 fact("end", to_string(answer.end)) + " " +
-                 fact("outcome", to_string(answer.outcome)) + " " +
-                 fact("took_ms", took);
-    if (answer.load) {
-        facts += " " + fact("running", answer.load->running) + " " +
-                 fact("waiting", answer.load->waiting);
-    }
-    return facts;
-}
-
 } // namespace
 
 void call_desk::queue_attempt(call_record& call) {
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -5,6 +5,8 @@
 #include <waxwingvale/decision/ownership.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
+#include "entry/call_facts.hpp"
+
 namespace waxwingvale::entry {
 
 namespace {
@@ -87,42 +89,6 @@
     return content;
 }
 
-// A request that became no call, and so has no story.
-void log_unnamed(const io::http_request& request, const char* event,
-                 const std::string& detail) {
-    program::log_details(fact("peer", request.peer) + " " +
-                             fact("path", request.target),
-                         {{event, {}, fact("error", detail)}});
-}
-
-// What decides what becomes of a call, and which configuration says so.
-std::string taken_facts(const call_record& call, const view& known) {
-    auto facts = fact("class", call.labels.request_class) + " " +
-                 fact("service", call.labels.service) + " " +
-                 fact("path", call.content.target) + " " +
-                 fact("revision", known.config->revision) + " " +
-                 fact("time_left_ms", call.deadline - call.arrived);
-    if (call.target) {
-        facts += " " + fact("target_left_ms", *call.target - call.arrived);
-    }
-    return facts;
-}
-
-std::string refused_facts(const decision::refuse_request& refusal,
-                          const service_desk& desk) {
-    return fact("reason", to_string(refusal.reason)) + " " +
-           fact("queued", desk.scheduler().queued()) + " " +
-           fact("declined_by",
-                refusal.declined_by.empty() ? "self" : refusal.declined_by) +
-           " " + fact("come_back_ms", refusal.come_back_in);
-}
-
-std::string answered_facts(const call_record& call, run_outcome outcome,
-                           unsigned status) {
-    return fact("status", status) + " " + fact("outcome", to_string(outcome)) +
-           " " + fact("attempts", call.attempts_here);
-}
-
 } // namespace
 
 call_desk::call_desk(member_id self, const request_protocol& protocol,
@@ -272,7 +238,8 @@
     }
     if (auto* call = find(action.request)) {
         note(*call, "call_refused",
-             refused_facts(action, desk_of(call->labels.service)));
+             refused_facts(action,
+                           desk_of(call->labels.service).scheduler().queued()));
     }
     own_answer refusal;
     refusal.reason = to_string(action.reason);
--- a/test/links/silent_listener.hpp
+++ b/test/links/silent_listener.hpp
@@ -18,8 +18,8 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&address),
-               sizeof address);
+        static_cast<void>(::bind(
+            listener_, reinterpret_cast<sockaddr*>(&address), sizeof address));
         ::listen(listener_, 0);
         socklen_t size = sizeof address;
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
@@ -28,8 +28,8 @@
         for (int i = 0; i < enough_to_fill; ++i) {
             const int filler = ::socket(
                 AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-            ::connect(filler, reinterpret_cast<sockaddr*>(&address),
-                      sizeof address);
+            static_cast<void>(::connect(
+                filler, reinterpret_cast<sockaddr*>(&address), sizeof address));
             fillers_.push_back(filler);
         }
     }
