entry, program: two findings of the soak: an untrue 'not run', and a signal before its handler

Answers given before a key was looked for now leave the outcome open when the request may be a copy. The handlers come first now. Excluded: the key protocol (its models), the history checker (its events show a run, then 'not-run'). The soak itself waited 0.1 s for a process that drains; it waits until it has ended now, and prints what is on record of a request.

--- a/include/waxwingvale/entry/request_protocol.hpp
+++ b/include/waxwingvale/entry/request_protocol.hpp
@@ -35,6 +35,10 @@
     understand(const configuration& config,
                const io::http_request& request) const = 0;
 
+    // Whether the request may be a copy of one that was sent before and has
+    // run: then nobody may say "not run" who has not looked for it.
+    virtual bool may_be_resent(const io::http_request& request) const = 0;
+
     // The headers of an attempt: the caller's end-to-end ones, and those that
     // the protocol sets anew.
     virtual io::http_headers
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -116,6 +116,7 @@
         own_answer answer;
         answer.reason = "no-configuration";
         answer.come_back_in = come_back_default;
+        leave_open_if_resent(answer, caller->request());
         caller->answer(protocol_.render(answer));
         return;
     }
@@ -125,7 +126,11 @@
         metrics_.not_understood.add();
         log_unnamed(caller->request(), "call_not_understood",
                     understood.error().detail);
-        caller->answer(protocol_.render(not_understood(understood.error())));
+        auto answer = not_understood(understood.error());
+        if (answer.status == status::not_found) {
+            leave_open_if_resent(answer, caller->request());
+        }
+        caller->answer(protocol_.render(answer));
         return;
     }
     const auto id = next_id_++;
@@ -137,6 +142,16 @@
     admit(call, understood.value());
 }
 
+// A process that has just started remembers no key, and one whose configuration
+// lost a class looks for none. "Not run" would be untrue of a booking that ran
+// before: its caller would book once more.
+void call_desk::leave_open_if_resent(own_answer& answer,
+                                     const io::http_request& request) const {
+    if (protocol_.may_be_resent(request)) {
+        answer.outcome = run_outcome::unknown;
+    }
+}
+
 void call_desk::admit(call_record& call, const caller_call& understood) {
     call.kind = understood.kind;
     call.request_id = understood.id;
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -81,6 +81,8 @@
 
     // call_desk.cpp: from arrival to answer
     call_record* find(decision::request_id id);
+    void leave_open_if_resent(own_answer& answer,
+                              const io::http_request& request) const;
     void admit(call_record& call, const caller_call& understood);
     void set_target(call_record& call, const caller_call& understood);
     void arm_deadline(call_record& call);
--- a/src/entry/own_protocol.hpp
+++ b/src/entry/own_protocol.hpp
@@ -29,6 +29,8 @@
     result<caller_call>
     understand(const configuration& config,
                const io::http_request& request) const override;
+    // Copies of one request carry the same key.
+    bool may_be_resent(const io::http_request& request) const override;
     io::http_headers backend_headers(const io::http_headers& from_caller,
                                      const attempt_facts& facts) const override;
     std::optional<forwarding::echoed_header>
--- a/src/entry/own_requests.cpp
+++ b/src/entry/own_requests.cpp
@@ -119,6 +119,10 @@
     return call;
 }
 
+bool own_protocol::may_be_resent(const io::http_request& request) const {
+    return io::find_header(request.headers, header::key) != nullptr;
+}
+
 io::http_headers
 own_protocol::backend_headers(const io::http_headers& from_caller,
                               const attempt_facts& facts) const {
--- a/src/program/program_frame.cpp
+++ b/src/program/program_frame.cpp
@@ -133,6 +133,10 @@
             .set(1);
         running_ = program_.create(
             {settings_, loop_, timers_, services_, environment_metrics_});
+        // Before anybody can know of the process: a signal that nothing takes
+        // ends it at once, and with it whatever it has begun.
+        loop_.on_termination([this] { begin_stop(); });
+        loop_.on_hangup([this] { reload(); });
         auto ports = running_->start();
         if (!ports) {
             log_warning("cannot_start", {{"error", to_string(ports.error())}});
@@ -140,8 +144,6 @@
         }
         std::cout << ready_line(program_.name, ports.value()) << std::endl;
         log_change("started", {{"version", version()}});
-        loop_.on_termination([this] { begin_stop(); });
-        loop_.on_hangup([this] { reload(); });
         file_check_ = timers_.every(file_check_period, [this](time_point) {
             if (file_.changed()) {
                 reload();
--- a/test/failures/control_and_platform_test.cpp
+++ b/test/failures/control_and_platform_test.cpp
@@ -174,3 +174,25 @@
     INFO(report.through.dump(2));
     CHECK(report.ended("answered") == 600);
 }
+
+TEST_CASE("an instance that has just started does not say that nothing ran") {
+    // A booking has run, and its entry instance is killed and started again
+    // while the platform is down, so that it has no configuration yet. The
+    // phone asks again. "Not run" would make it book a second time, under a
+    // new key; nobody knows more than "unknown".
+    fleet_options options;
+    options.entry_instances = 1;
+    fleet running(options);
+    running.start();
+    const auto key = running.key_of(0, "1");
+    REQUIRE(status_of(http_request_once(running.book_call(0, key))) == 200);
+    running.platform().fault("down");
+    running.instance(0).process().kill();
+    running.instance(0).start();
+    const auto again = http_request_once(running.book_call(0, key));
+    REQUIRE(again.response.has_value());
+    CHECK(status_of(again) != 200);
+    CHECK(*io::find_header(again.response.value().headers, "Waxwing-Outcome") ==
+          "unknown");
+    CHECK(running.history().runs_of(key) == 1);
+}
--- a/test/standin/soak/soak_run.cpp
+++ b/test/standin/soak/soak_run.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <sstream>
 #include <thread>
 
@@ -31,6 +32,7 @@
 soak_run::soak_run(const soak_plan& plan)
     : plan_(plan),
       fleet_(options_of(plan)),
+      told_to_stop_(plan.entry_instances),
       backend_down_(plan.backend_servers) {
     make_relays();
     events_.write({{"event", "soak_began"}}); // so that there is a file
@@ -173,6 +175,28 @@
     }
 }
 
+// What the files say of the request that a broken promise names, so that a
+// failure which shows once can be traced.
+std::string soak_run::events_of(const std::string& broken) const {
+    const auto begin = broken.find("us: ");
+    if (begin == std::string::npos) {
+        return {};
+    }
+    const auto from = begin + std::string("us: ").size();
+    const auto request = broken.substr(from, broken.find(' ', from) - from);
+    std::string events;
+    for (const auto& file :
+         {callers_file_, events_file_, fleet_.history_file_name()}) {
+        std::ifstream lines(file);
+        for (std::string line; std::getline(lines, line);) {
+            if (line.find(request + "\"") != std::string::npos) {
+                events += "\n      " + line;
+            }
+        }
+    }
+    return events;
+}
+
 void soak_run::check_history() {
     child_process checker("waxwing-history",
                           {"check", "--probe-rate=1000", callers_file_,
@@ -182,7 +206,7 @@
         const bool excused =
             plan_.may_lose_answers() && line.rfind("broken answered ", 0) == 0;
         if (line.rfind("broken ", 0) == 0 && !excused) {
-            broke(line);
+            broke(line + events_of(line));
         }
     }
     const auto code = checker.wait().value_or(-1);
@@ -214,6 +238,7 @@
 void soak_run::stop_instance(std::size_t target) {
     if (is_up(target)) {
         instance(target).process().signal(SIGTERM);
+        told_to_stop_[target % plan_.entry_instances] = true;
         events_.write(
             {{"event", "entry_stopping"}, {"who", instance(target).name()}});
     }
@@ -224,19 +249,16 @@
 void soak_run::start_instance(std::size_t target) {
     auto& each = instance(target);
     each.process().signal(SIGCONT);
-    const auto told_to_stop =
-        std::count_if(plan_.faults.begin(), plan_.faults.end(),
-                      [&](const planned_fault& fault) {
-                          return fault.kind == fault_kind::stop_instance &&
-                                 fault.target % plan_.entry_instances ==
-                                     target % plan_.entry_instances;
-                      }) != 0;
-    const auto bound = told_to_stop ? patience : milliseconds(0);
-    const auto code = each.process().wait(
-        is_up(target) && told_to_stop ? milliseconds(100) : bound);
+    auto&& told_to_stop = told_to_stop_[target % plan_.entry_instances];
+    if (is_up(target) && !told_to_stop) {
+        return;
+    }
+    const auto code = each.process().wait();
     if (!code) {
+        broke(each.name() + " does not end after SIGTERM");
         return;
     }
+    told_to_stop = false;
     const bool in_order = *code == stopped_in_order || *code == stopped_late ||
                           *code == 128 + SIGKILL;
     if (!in_order) {
--- a/test/standin/soak/soak_run.hpp
+++ b/test/standin/soak/soak_run.hpp
@@ -39,6 +39,7 @@
     void check_healed();
     void check_load(child_process& load);
     void check_history();
+    std::string events_of(const std::string& broken) const;
     void broke(const std::string& what) { broken_.push_back(what); }
 
     void nothing(std::size_t) {}
@@ -82,6 +83,8 @@
     history_file events_{events_file_};
     std::unique_ptr<child_process> relay_;
     nlohmann::json relay_ready_;
+    // Instances that were told to stop and are not up again.
+    std::vector<bool> told_to_stop_;
     // Backend servers that were killed and are not up again.
     std::vector<bool> backend_down_;
     std::vector<std::string> broken_;
--- a/test/waxwingctl/control_process_test.cpp
+++ b/test/waxwingctl/control_process_test.cpp
@@ -116,3 +116,26 @@
     running.control().signal(SIGTERM);
     CHECK(running.control().wait() == 0);
 }
+
+TEST_CASE(
+    "a program that is told to stop as soon as it is ready ends in order") {
+    // A deployment is rolled out in haste: each process is told to stop the
+    // moment it says that it is ready. Ended by the signal itself it would cut
+    // whatever it has accepted.
+    const temporary_folder folder;
+    const nlohmann::json settings = {
+        {"settings_version", 2},
+        {"instance",
+         {{"name", "sea-1"}, {"data_centre", "sea"}, {"host", localhost}}},
+        {"platform", {{"host", localhost}, {"port", free_port()}}},
+        {"peers", {{"shared_key", "a-key-for-this-test"}}},
+        {"control", {{"admin_token", token}}}};
+    const auto file = folder.write("settings.json", settings.dump());
+    constexpr int starts = 8;
+    for (int i = 0; i < starts; ++i) {
+        child_process started("waxwing-node", {"--settings=" + file});
+        started.read_ready();
+        started.signal(SIGTERM);
+        CHECK(started.wait() == 0);
+    }
+}
