--- a/test/waxwingctl/control_process_test.cpp
+++ b/test/waxwingctl/control_process_test.cpp
@@ -28,7 +28,7 @@
         const nlohmann::json settings = {
             {"settings_version", 2},
             {"instance",
-             {{"name", "sea-1"}, {"data_centre", "sea"}, {"host", localhost}}},
+             {{"name", "sea-1"}, {"data_centre", "sea"}, {"host", "127.0.0.1"}}},
             {"platform", {{"host", localhost}, {"port", platform_port_}}},
             {"peers", {{"shared_key", "a-key-for-this-test"}}},
             {"control", {{"admin_token", token}}}};
@@ -126,8 +126,8 @@
     const nlohmann::json settings = {
         {"settings_version", 2},
         {"instance",
-         {{"name", "sea-1"}, {"data_centre", "sea"}, {"host", localhost}}},
-        {"platform", {{"host", localhost}, {"port", free_port()}}},
+         {{"name", "sea-1"}, {"data_centre", "sea"}, {"host", "127.0.0.1"}}},
+        {"platform", {{"host", "127.0.0.1"}, {"port", free_port()}}},
         {"peers", {{"shared_key", "a-key-for-this-test"}}},
         {"control", {{"admin_token", token}}}};
     const auto file = folder.write("settings.json", settings.dump());
