--- a/test/waxwingctl/control_process_test.cpp
+++ b/test/waxwingctl/control_process_test.cpp
@@ -28,7 +28,7 @@
         const nlohmann::json settings = {
             {"settings_version", 2},
             {"instance",
-             {{"name", "sea-1"}, {"data_centre", "sea"}, {"host", "127.0.0.1"}}},
+             {{"name", "sea-1"}, {"data_centre", "sea"}, {"host", localhost}}},
             {"platform", {{"host", localhost}, {"port", platform_port_}}},
             {"peers", {{"shared_key", "a-key-for-this-test"}}},
             {"control", {{"admin_token", token}}}};
