--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -28,3 +28,16 @@
     play("1", "5");
     play("2", "5");
 }
+
+// An instance is killed with bookings in flight and started again; a copy of
+// one reached it before it had a configuration and was answered "not run",
+// although it had run: its caller would have booked once more.
+TEST_CASE("seed 113: a started instance does not say that nothing ran") {
+    play("113", "8");
+}
+
+// Instances are told to stop again and again, also right after their start. One
+// was ended by the signal itself, with whatever it had accepted.
+TEST_CASE("seed 144: a stop right after the start is in order") {
+    play("144", "8");
+}
