--- a/src/control/publication_pace.hpp
+++ b/src/control/publication_pace.hpp
@@ -8,10 +8,9 @@
 
 // How soon after one view the next may be published. Every view makes the
 // whole process work out owners and slots anew, in proportion to the members;
-// and the more members there are, the more often one of them changes. When 128
-// instances start together each would otherwise work through some hundred
-// views: 0.22 s of a core for each in its first ten seconds, on machines that
-// have a tenth of one.
+// and the more members there are, the more often one of them changes. 128
+// instances that start together publish some 20 views each in their first four
+// seconds (counted in their logs), however their members trickle in.
 class publication_pace {
 public:
     // A view is published at `now`, with so many members.
--- a/src/entry/call_log.cpp
+++ b/src/entry/call_log.cpp
@@ -50,7 +50,7 @@
 }
 
 // The last steps say how it ended: the attempt's end, and the answer. Whole
-// stories of all that runs at most once were five lines each.
+// stories of all that runs at most once would be five lines each.
 void call_log::write(const call_record& call, story_part part, time_point now) {
     constexpr std::size_t last_steps = 2;
     const auto& steps = call.story.steps();
