--- a/include/waxwingvale/program/log_writer.hpp
+++ b/include/waxwingvale/program/log_writer.hpp
@@ -11,8 +11,8 @@
 
 // How much a process may log.
 struct log_limits {
-    // Bytes a second over a while, and at once. 32 KiB are some 150 lines; a
-    // machine of a tenth of a core spends about 1% of it on them.
+    // Bytes a second over a while, and at once. 32 KiB are some 150 lines: the
+    // stories of thirty requests that failed, enough to see what goes wrong.
     std::size_t rate = 32UL * 1024;
     std::size_t burst = 256UL * 1024;
     // Kept free of the burst for lines that matter more than details.
--- a/src/control/publication_pace.cpp
+++ b/src/control/publication_pace.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// A dozen members hardly wait, and 128 have eight views a second: a quarter of
-// the 0.5 s within which a drain that one instance saw is to be known.
+// A dozen members hardly wait, and 128 have eight views a second. The longest
+// wait is a tenth of the 2 s within which a drain is to be obeyed everywhere.
 constexpr duration wait_per_member = std::chrono::milliseconds(1);
 constexpr duration longest_wait = std::chrono::milliseconds(200);
 
