membership: a configuration is asked for once, and travels packed

Cause: whoever lacked a file asked every peer that named it, again and again until the first copy had come (10 requests for 10 peers in the test), and each copy was the whole text: 1,200 routes are some 400 kB.

Change: configuration_exchange asks one peer at a time and the next after 400 ms or when the link ends; the text travels packed by zlib, packed once for all peers. A message of a peer that does not decode is logged, no longer only counted. peer_exchange's revision named by peers was never set and is gone.

Seen red: both tests of configuration_word_test on the code before.

--- /dev/null
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <waxwingvale/membership/configuration_register.hpp>
+#include <waxwingvale/membership/exchange_message.hpp>
+#include <waxwingvale/model/time.hpp>
+
+namespace waxwingvale::membership {
+
+// Which peer is asked for a newer configuration, and when. Every peer names
+// its revision, so that each of dozens could be asked for the same file; only
+// one is at a time. Pure.
+class configuration_exchange {
+public:
+    // A peer that was asked and has not sent within `answer_within` is passed
+    // by for the next that names the file.
+    configuration_exchange(configuration_register& configurations,
+                           duration answer_within);
+
+    // A peer has these; whoever lacks the file asks for it after `wait`, in
+    // which it often comes by itself.
+    void hear(const std::string& peer, const revision_message& theirs,
+              duration wait, time_point now);
+    void lost(const std::string& peer, time_point now);
+    // What to ask, and whom, if it is time.
+    std::optional<addressed_message> due_request(time_point now);
+
+    // The files that a peer lacks.
+    std::vector<configuration_message>
+    answer(const configuration_request& request);
+    // Error: bytes that do not unpack; the file is asked for again.
+    result<offer_outcome> take(const configuration_message& message);
+
+    revision_message own_revision() const;
+
+private:
+    struct wanted_file {
+        std::string from;
+        revision_message theirs;
+        time_point ask_at{};
+    };
+    struct asked_file {
+        std::string from;
+        revision_message theirs;
+        time_point until{};
+    };
+
+    bool lacks(const revision_message& theirs) const;
+    bool asked_for(const revision_message& theirs, time_point now) const;
+    configuration_message message_of(const configuration_text& file);
+
+    configuration_register& configurations_;
+    duration answer_within_;
+    std::optional<wanted_file> wanted_;
+    std::optional<asked_file> asked_;
+    // The last file that was sent: the next peer probably asks for it too, and
+    // packing 400 kB takes some 10 ms of a core.
+    configuration_message packed_;
+};
+
+} // namespace waxwingvale::membership
--- a/include/waxwingvale/membership/exchange_message.hpp
+++ b/include/waxwingvale/membership/exchange_message.hpp
@@ -9,6 +9,7 @@
 #include <waxwingvale/membership/belief_table.hpp>
 #include <waxwingvale/membership/digest.hpp>
 #include <waxwingvale/membership/member_record.hpp>
+#include <waxwingvale/membership/packed_text.hpp>
 #include <waxwingvale/membership/quarantine_table.hpp>
 #include <waxwingvale/membership/registry_table.hpp>
 #include <waxwingvale/model/view.hpp>
@@ -61,7 +62,8 @@
 // A file that is in force at the sender, or was refused there: then it will
 // be refused here too, and is passed on so that every instance shows it.
 struct configuration_message {
-    configuration_text file;
+    std::uint64_t revision = 0;
+    packed_text text;
 };
 
 // How old the newest word of the platform is that the sender has, who read it,
--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -6,9 +6,11 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <waxwingvale/membership/belief_table.hpp>
+#include <waxwingvale/membership/configuration_exchange.hpp>
 #include <waxwingvale/membership/configuration_register.hpp>
 #include <waxwingvale/membership/exchange_message.hpp>
 #include <waxwingvale/membership/freshness.hpp>
@@ -35,6 +37,9 @@
     // A revision that a peer announced is asked for after this long, in which
     // the platform usually tells it.
     duration configuration_wait = std::chrono::milliseconds(250);
+    // A peer that was asked for it has so long to send it: 40 kB over a link
+    // of 10 Mbit/s that others use take 100 ms.
+    duration configuration_answer = std::chrono::milliseconds(400);
     // A link that broke may be opened again for this long before its peer is
     // accused.
     duration reconnect_grace = std::chrono::milliseconds(500);
@@ -56,6 +61,8 @@
     std::uint64_t records_sent = 0;
     std::uint64_t records_received = 0;
     std::uint64_t configurations_sent = 0;
+    std::uint64_t configurations_received = 0;
+    std::uint64_t configurations_malformed = 0;
     std::uint64_t accusations = 0;
 };
 
@@ -98,17 +105,15 @@
     // All messages to be sent by now, changes included.
     std::vector<addressed_message> take_messages(time_point now);
     const std::set<std::string>& linked() const { return linked_; }
-    // Whether some peer has told all that it knows and we did not, the newest
-    // configuration that peers named included.
-    bool introduced() const;
+    // Whether some peer has told all that it knows and we did not.
+    bool introduced() const { return introduced_; }
     const exchange_counters& counters() const { return counters_; }
+    // What was wrong with the last message of a peer, told once.
+    std::optional<error> take_problem() {
+        return std::exchange(problem_, std::nullopt);
+    }
 
 private:
-    struct wanted_configuration {
-        std::string from;
-        time_point ask_at{};
-    };
-
     void take(const std::string& peer, const digest_message& message,
               time_point now);
     void take(const std::string& peer, const records_message& message,
@@ -134,7 +139,6 @@
     void send_differing(const std::string& peer, const digest_message& theirs);
     void want_configuration(const std::string& peer,
                             const revision_message& theirs, time_point now);
-    revision_message own_revision() const;
     digest_message own_digest() const;
     void send_digest(const std::string& peer, std::uint64_t asks,
                      std::uint64_t answers);
@@ -161,12 +165,11 @@
     // Epochs whose answers are whole once the peer's records have come.
     std::map<std::string, std::uint64_t> records_awaited_;
     std::set<std::string> planned_;
-    std::optional<wanted_configuration> wanted_;
+    configuration_exchange files_;
     revision_message announced_;
     std::uint64_t known_to_all_ = 0; // the newest revision that all were told
     bool platform_answers_ = false;
     bool introduced_ = false;
-    std::uint64_t named_revision_ = 0; // the newest that a peer had in force
     // Who told us what is waiting to be passed on.
     std::map<std::string, std::string> member_origin_;
     std::map<std::string, std::string> belief_origin_;
@@ -176,6 +179,7 @@
     std::map<std::string, time_point> resynced_;
     std::vector<addressed_message> outgoing_;
     exchange_counters counters_;
+    std::optional<error> problem_;
 };
 
 } // namespace waxwingvale::membership
--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -86,6 +86,11 @@
      &membership::exchange_counters::records_received},
     {"waxwing_exchange_configurations_sent_total", "Files sent to peers.",
      &membership::exchange_counters::configurations_sent},
+    {"waxwing_exchange_configurations_received_total", "Files from peers.",
+     &membership::exchange_counters::configurations_received},
+    {"waxwing_exchange_configurations_malformed_total",
+     "Files from peers that did not unpack.",
+     &membership::exchange_counters::configurations_malformed},
     {"waxwing_exchange_accusations_total", "Peers found silent.",
      &membership::exchange_counters::accusations},
 };
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -5,6 +5,7 @@
 
 #include "control/central_instances.hpp"
 #include "io/exchange_codec.hpp"
+#include <waxwingvale/program/state_log.hpp>
 
 namespace waxwingvale::control {
 
@@ -34,6 +35,11 @@
     return {};
 }
 
+void log_problem(const error& problem, const std::string& peer) {
+    program::log_warning("peer_message_refused",
+                         {{"peer", peer}, {"error", to_string(problem)}});
+}
+
 } // namespace
 
 peer_links::peer_links(io::message_hub& hub, kernel::timer_service& timers,
@@ -71,9 +77,13 @@
     const auto message = io::decode_exchange(kind, body, now);
     if (!message) {
         ++malformed_;
+        log_problem(message.error(), peer);
         return;
     }
     exchange_.receive(peer, message.value(), now);
+    if (const auto problem = exchange_.take_problem()) {
+        log_problem(*problem, peer);
+    }
     on_heard_();
 }
 
--- a/src/io/exchange_codec.cpp
+++ b/src/io/exchange_codec.cpp
@@ -194,7 +194,7 @@
 }
 
 json write_message(const configuration_message& value, time_point) {
-    return {{"r", value.file.revision}, {"t", value.file.text}};
+    return {{"r", value.revision}, {"t", json::binary(value.text)}};
 }
 
 exchange_message read_digest(const json& from, time_point) {
@@ -249,8 +249,8 @@
 }
 
 exchange_message read_file(const json& from, time_point) {
-    return configuration_message{{read_number<std::uint64_t>(from.at("r")),
-                                  from.at("t").get<std::string>()}};
+    return configuration_message{read_number<std::uint64_t>(from.at("r")),
+                                 from.at("t").get_binary()};
 }
 
 json write_message(const platform_word& value, time_point) {
--- /dev/null
+++ b/src/membership/configuration_exchange.cpp
@@ -0,0 +1,109 @@
+#include <waxwingvale/membership/configuration_exchange.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <waxwingvale/model/configuration_file.hpp>
+
+namespace waxwingvale::membership {
+
+namespace {
+
+// The platform's form of a file may be longer than our own.
+constexpr std::size_t text_limit = 4 * configuration_size_limit;
+
+} // namespace
+
+configuration_exchange::configuration_exchange(
+    configuration_register& configurations, duration answer_within)
+    : configurations_(configurations), answer_within_(answer_within) {}
+
+revision_message configuration_exchange::own_revision() const {
+    return {configurations_.revision(), configurations_.refused_revision()};
+}
+
+bool configuration_exchange::lacks(const revision_message& theirs) const {
+    const auto mine = own_revision();
+    return theirs.revision > mine.revision ||
+           theirs.refused > std::max(mine.refused, mine.revision);
+}
+
+bool configuration_exchange::asked_for(const revision_message& theirs,
+                                       time_point now) const {
+    return asked_ && now < asked_->until &&
+           theirs.revision <= asked_->theirs.revision &&
+           theirs.refused <= asked_->theirs.refused;
+}
+
+void configuration_exchange::hear(const std::string& peer,
+                                  const revision_message& theirs, duration wait,
+                                  time_point now) {
+    if (wanted_ || !lacks(theirs)) {
+        return;
+    }
+    // The file is on its way from another peer.
+    const auto ask_at = asked_for(theirs, now) ? asked_->until : now + wait;
+    wanted_ = wanted_file{peer, theirs, ask_at};
+}
+
+void configuration_exchange::lost(const std::string& peer, time_point now) {
+    if (wanted_ && wanted_->from == peer) {
+        wanted_.reset();
+    }
+    if (!asked_ || asked_->from != peer) {
+        return;
+    }
+    asked_.reset();
+    if (wanted_) {
+        wanted_->ask_at = now;
+    }
+}
+
+std::optional<addressed_message>
+configuration_exchange::due_request(time_point now) {
+    if (!wanted_ || now < wanted_->ask_at) {
+        return std::nullopt;
+    }
+    const auto wanted = std::move(*wanted_);
+    wanted_.reset();
+    if (!lacks(wanted.theirs)) {
+        return std::nullopt;
+    }
+    asked_ = asked_file{wanted.from, wanted.theirs, now + answer_within_};
+    const auto mine = own_revision();
+    return addressed_message{
+        wanted.from, configuration_request{mine.revision, mine.refused}};
+}
+
+configuration_message
+configuration_exchange::message_of(const configuration_text& file) {
+    if (packed_.revision != file.revision) {
+        packed_ = {file.revision, pack(file.text)};
+    }
+    return packed_;
+}
+
+std::vector<configuration_message>
+configuration_exchange::answer(const configuration_request& request) {
+    const auto mine = own_revision();
+    std::vector<configuration_message> files;
+    if (mine.revision > request.revision) {
+        files.push_back(message_of(configurations_.published()));
+    }
+    if (mine.refused > std::max(request.refused, request.revision)) {
+        files.push_back(message_of(configurations_.refused_file()));
+    }
+    return files;
+}
+
+result<offer_outcome>
+configuration_exchange::take(const configuration_message& message) {
+    auto text = unpack(message.text, text_limit);
+    if (!text) {
+        asked_.reset();
+        return text.error();
+    }
+    return configurations_.offer({message.revision, std::move(text.value())});
+}
+
+} // namespace waxwingvale::membership
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -71,7 +71,8 @@
       fresh_(fresh),
       timing_(timing),
       random_(seed),
-      next_digest_(now) {}
+      next_digest_(now),
+      files_(state.configurations, timing.configuration_answer) {}
 
 void peer_exchange::plan(const std::set<std::string>& peers, time_point now) {
     planned_ = peers;
@@ -115,6 +116,7 @@
     records_awaited_.erase(peer);
     word_of_peer_.erase(peer);
     greet_at_.erase(peer);
+    files_.lost(peer, now);
     if (planned_.count(peer) > 0) {
         awaited_[peer] = now + timing_.reconnect_grace;
     }
@@ -302,46 +304,32 @@
 void peer_exchange::want_configuration(const std::string& peer,
                                        const revision_message& theirs,
                                        time_point now) {
-    const auto mine = own_revision();
-    const bool newer = theirs.revision > mine.revision ||
-                       theirs.refused > std::max(mine.refused, mine.revision);
-    if (!newer || wanted_) {
-        return;
-    }
     // One that has just started may have read an old file; what peers have in
     // force counts before its first word to anybody.
     const bool platform_will_tell = platform_answers_ && introduced_;
     const auto wait =
         platform_will_tell ? timing_.configuration_wait : duration::zero();
-    wanted_ = wanted_configuration{peer, now + wait};
+    files_.hear(peer, theirs, wait, now);
     ask_for_configuration(now);
 }
 
-bool peer_exchange::introduced() const {
-    return introduced_ && state_.configurations.revision() >= named_revision_;
-}
-
-revision_message peer_exchange::own_revision() const {
-    return {state_.configurations.revision(),
-            state_.configurations.refused_revision()};
-}
-
 void peer_exchange::take(const std::string& peer,
                          const configuration_request& message, time_point) {
-    const auto mine = own_revision();
-    if (mine.revision > message.revision) {
+    for (auto& file : files_.answer(message)) {
         ++counters_.configurations_sent;
-        send(peer, configuration_message{state_.configurations.published()});
-    }
-    if (mine.refused > std::max(message.refused, message.revision)) {
-        ++counters_.configurations_sent;
-        send(peer, configuration_message{state_.configurations.refused_file()});
+        send(peer, std::move(file));
     }
 }
 
-void peer_exchange::take(const std::string&,
+void peer_exchange::take(const std::string& peer,
                          const configuration_message& message, time_point) {
-    state_.configurations.offer(message.file);
+    ++counters_.configurations_received;
+    const auto taken = files_.take(message);
+    if (!taken) {
+        ++counters_.configurations_malformed;
+        problem_ = taken.error();
+        problem_->peer = peer;
+    }
 }
 
 void peer_exchange::take(const std::string& peer, const platform_word& message,
@@ -418,13 +406,9 @@
 }
 
 void peer_exchange::ask_for_configuration(time_point now) {
-    if (!wanted_ || now < wanted_->ask_at) {
-        return;
+    if (auto request = files_.due_request(now)) {
+        outgoing_.push_back(std::move(*request));
     }
-    const auto from = wanted_->from;
-    wanted_.reset();
-    const auto mine = own_revision();
-    send(from, configuration_request{mine.revision, mine.refused});
 }
 
 void peer_exchange::send_due_digest(time_point now) {
@@ -486,7 +470,7 @@
 }
 
 void peer_exchange::pass_on_revision() {
-    const auto mine = own_revision();
+    const auto mine = files_.own_revision();
     if (mine.revision == announced_.revision &&
         mine.refused == announced_.refused) {
         return;
--- /dev/null
+++ b/test/membership/configuration_word_test.cpp
@@ -0,0 +1,98 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <variant>
+
+#include <waxwingvale/membership/peer_exchange.hpp>
+
+using namespace waxwingvale;
+using namespace waxwingvale::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{1h};
+
+member_record self_record() {
+    member_record record;
+    record.id = {"sea-1", 0};
+    return record;
+}
+
+// What one instance knows, and its exchange with the peers it has links with.
+struct exchanging_instance {
+    configuration_register configurations{
+        [](const configuration_text& file) -> result<configuration> {
+            configuration parsed;
+            parsed.revision = file.revision;
+            return parsed;
+        }};
+    member_table members{self_record(), {}, start};
+    belief_table beliefs{100};
+    registry_table registry{100};
+    quarantine_table quarantine{{}};
+    reader_duty readers{"sea-1", 0, false, {}, start};
+    freshness fresh{1s, start};
+    peer_exchange exchange{
+        {configurations, members, beliefs, registry, quarantine, readers},
+        fresh,
+        {},
+        1,
+        start};
+
+    unsigned requests(time_point now) {
+        unsigned count = 0;
+        for (const auto& sent : exchange.take_messages(now)) {
+            count += std::holds_alternative<configuration_request>(sent.message)
+                         ? 1
+                         : 0;
+        }
+        return count;
+    }
+};
+
+std::string peer_name(unsigned number) {
+    return "pdx-" + std::to_string(number);
+}
+
+} // namespace
+
+TEST_CASE("a file that many peers name is asked for once") {
+    // An operator's file of 1,600 routes comes into force on one instance
+    // after another, and each tells its peers. An instance that asks each of
+    // them gets hundreds of kilobytes a dozen times, over a link on which its
+    // callers' answers wait meanwhile.
+    exchanging_instance one;
+    constexpr unsigned peers = 10;
+    for (unsigned each = 0; each < peers; ++each) {
+        one.exchange.link_up(peer_name(each), start);
+    }
+    one.requests(start);
+    unsigned asked = 0;
+    for (unsigned each = 0; each < peers; ++each) {
+        const auto now = start + each * 10ms;
+        one.exchange.receive(peer_name(each), revision_message{7, 0, 1}, now);
+        one.exchange.tick(now);
+        asked += one.requests(now);
+    }
+    CHECK(asked == 1);
+    // Whoever was asked sends nothing: another that has it is asked.
+    one.exchange.tick(start + 1s);
+    CHECK(one.requests(start + 1s) == 1);
+}
+
+TEST_CASE("a lost link asks another peer for the file at once") {
+    // The peer that was asked for a new configuration ends before it has sent
+    // it. Waited for, the old routes would stay in force for as long.
+    exchanging_instance one;
+    one.exchange.link_up("pdx-1", start);
+    one.exchange.link_up("pdx-2", start);
+    one.requests(start);
+    one.exchange.receive("pdx-1", revision_message{7, 0, 1}, start);
+    CHECK(one.requests(start) == 1);
+    one.exchange.receive("pdx-2", revision_message{7, 0, 1}, start + 10ms);
+    CHECK(one.requests(start + 10ms) == 0);
+    one.exchange.link_down("pdx-1", start + 20ms);
+    one.exchange.tick(start + 20ms);
+    CHECK(one.requests(start + 20ms) == 1);
+}
