control: owners are worked out once a view, and only links that matter touch slots

Cause: perf of 100 instances on one machine: a quarter of what a start costs was slot_table::apply, which every link that opened or closed called for every service; owners were worked out four times for each view (requests, probes, addresses, links), each time sorting all servers by hashes computed anew in every comparison.

Change: a link of a peer that neither owns nor stands by touches no slots; view_published carries the owners; one owner needs no hashes; views that differ in nothing of a kind name nothing of it.

--- a/include/waxwingvale/decision/ownership.hpp
+++ b/include/waxwingvale/decision/ownership.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -47,6 +48,11 @@
 ownership compute_ownership(const service& of,
                             const std::vector<member>& members);
 
+// Those of all services of a configuration, by name.
+using service_ownerships = std::map<std::string, ownership>;
+service_ownerships compute_ownerships(const configuration& config,
+                                      const std::vector<member>& members);
+
 // The ownership as one instance has to act on it: each owner that it neither
 // is nor reaches is replaced by the first standby that it is or reaches. An
 // owner without such a standby stays.
--- a/include/waxwingvale/program/view_published.hpp
+++ b/include/waxwingvale/program/view_published.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <memory>
+
+#include <waxwingvale/decision/ownership.hpp>
 #include <waxwingvale/model/view.hpp>
 
 namespace waxwingvale::program {
@@ -7,6 +10,12 @@
 // Published on the bus whenever what this entry instance knows has changed.
 struct view_published {
     view_ptr now;
+    // Worked out once for all parts of the process: with 128 members and 231
+    // backend servers it is the dearest thing about a view. Never null.
+    std::shared_ptr<const decision::service_ownerships> owners;
 };
 
+// The view with its owners; of a view without a configuration there are none.
+view_published with_owners(view_ptr now);
+
 } // namespace waxwingvale::program
--- a/include/waxwingvale/steer/steering_protocol.hpp
+++ b/include/waxwingvale/steer/steering_protocol.hpp
@@ -3,8 +3,8 @@
 #include <cstdint>
 
 #include <waxwingvale/io/http_message.hpp>
-#include <waxwingvale/model/view.hpp>
 #include <waxwingvale/program/settings.hpp>
+#include <waxwingvale/program/view_published.hpp>
 
 namespace waxwingvale::steer {
 
@@ -21,7 +21,7 @@
 public:
     virtual ~steering_protocol() = default;
     // A newer view; later answers are made from it.
-    virtual void take(const view_ptr& view) = 0;
+    virtual void take(const program::view_published& published) = 0;
     // Settings that may change while the process runs.
     virtual void reload(const program::settings& changed) {
         static_cast<void>(changed);
--- a/src/control/central_instances.cpp
+++ b/src/control/central_instances.cpp
@@ -1,26 +1,19 @@
 #include "control/central_instances.hpp"
 
-#include <waxwingvale/decision/ownership.hpp>
-
 namespace waxwingvale::control {
 
 std::set<std::string>
-central_instances(const configuration_ptr& config,
-                  const std::vector<member>& members,
+central_instances(const decision::service_ownerships& owners,
                   const membership::reader_duty& readers) {
     std::set<std::string> central;
     for (const auto& name : readers.readers()) {
         central.insert(name);
     }
-    if (!config) {
-        return central;
-    }
-    for (const auto& of : config->services) {
-        const auto owners = decision::compute_ownership(of, members);
-        for (const auto& owner : owners.owners) {
+    for (const auto& of : owners) {
+        for (const auto& owner : of.second.owners) {
             central.insert(owner.member.name);
         }
-        for (const auto& standby : owners.standbys) {
+        for (const auto& standby : of.second.standbys) {
             central.insert(standby.member.name);
         }
     }
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -137,9 +137,7 @@
 }
 
 std::set<std::string> peer_links::central() const {
-    const auto& view = views_.last_view();
-    return central_instances(view ? view->config : nullptr,
-                             known_.members.members(), known_.readers);
+    return central_instances(views_.last_owners(), known_.readers);
 }
 
 void peer_links::plan() {
--- a/src/control/view_changes.cpp
+++ b/src/control/view_changes.cpp
@@ -75,13 +75,17 @@
 
 std::vector<view_change> changes_between(const view& before, const view& now) {
     std::vector<view_change> changes;
-    add_changes(members_of(before), members_of(now), changes);
-    // Most views are of the same configuration; naming every server of many
-    // would cost more than the rest.
+    // Most views differ in one of these; naming all that stayed as it is would
+    // cost more than the rest of a view.
+    if (before.members != now.members) {
+        add_changes(members_of(before), members_of(now), changes);
+    }
     if (before.config != now.config) {
         add_changes(servers_of(before), servers_of(now), changes);
     }
-    add_changes(beliefs_of(before), beliefs_of(now), changes);
+    if (before.beliefs != now.beliefs) {
+        add_changes(beliefs_of(before), beliefs_of(now), changes);
+    }
     return changes;
 }
 
--- a/src/control/view_publisher.cpp
+++ b/src/control/view_publisher.cpp
@@ -100,7 +100,9 @@
     static const view nothing;
     log_changes(last_ ? *last_ : nothing, made);
     last_ = std::make_shared<const view>(std::move(made));
-    bus_.publish(program::view_published{last_});
+    const auto published = program::with_owners(last_);
+    owners_ = published.owners;
+    bus_.publish(published);
     return true;
 }
 
--- a/src/control/view_publisher.hpp
+++ b/src/control/view_publisher.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "control/knowledge.hpp"
+#include <waxwingvale/decision/ownership.hpp>
 #include <waxwingvale/kernel/message_bus.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/view.hpp>
@@ -22,6 +23,8 @@
     bool publish(bool introduced);
 
     const view_ptr& last_view() const { return last_; }
+    // Empty before the first view.
+    const decision::service_ownerships& last_owners() const { return *owners_; }
 
 private:
     view make_view();
@@ -32,6 +35,8 @@
     kernel::timer_service& timers_;
     knowledge& known_;
     view_ptr last_;
+    std::shared_ptr<const decision::service_ownerships> owners_ =
+        std::make_shared<const decision::service_ownerships>();
     time_point started_;
     // The configuration with the servers registered at that version.
     configuration_ptr combined_from_;
--- a/src/decision/ownership.cpp
+++ b/src/decision/ownership.cpp
@@ -122,19 +122,41 @@
                              });
 }
 
-std::vector<const backend_server*> servers_by_hash(const service& of) {
-    std::vector<const backend_server*> servers;
+struct hashed_server {
+    std::uint64_t hash = 0;
+    const backend_server* server = nullptr;
+};
+
+std::vector<hashed_server> servers_by_hash(const service& of) {
+    std::vector<hashed_server> servers;
+    servers.reserve(of.backend_servers.size());
     for (const backend_server& server : of.backend_servers) {
-        servers.push_back(&server);
+        servers.push_back({stable_hash(server.name), &server});
     }
     std::sort(servers.begin(), servers.end(),
-              [](const backend_server* a, const backend_server* b) {
-                  return std::make_tuple(stable_hash(a->name), a->name) <
-                         std::make_tuple(stable_hash(b->name), b->name);
+              [](const hashed_server& a, const hashed_server& b) {
+                  return std::tie(a.hash, a.server->name) <
+                         std::tie(b.hash, b.server->name);
               });
     return servers;
 }
 
+void give(slot_owner& owner, const backend_server& server) {
+    owner.backend_servers.push_back(server.name);
+    owner.slots += server.slots;
+}
+
+// Each server to the owner that it prefers, in an order that all instances
+// agree on.
+void divide(const service& of, std::vector<slot_owner>& owners) {
+    const auto count = static_cast<unsigned>(owners.size());
+    const unsigned room = (total_slots(of) + count - 1) / count;
+    for (const hashed_server& each : servers_by_hash(of)) {
+        slot_owner* owner = preferred_owner(owners, *each.server, room);
+        give(owner != nullptr ? *owner : least_loaded(owners), *each.server);
+    }
+}
+
 } // namespace
 
 bool operator==(const slot_owner& a, const slot_owner& b) {
@@ -162,15 +184,12 @@
     result.standbys.assign(first_standby, picked.end());
     picked.erase(first_standby, picked.end());
     result.owners = std::move(picked);
-    const auto owners = static_cast<unsigned>(result.owners.size());
-    const unsigned room = (total_slots(of) + owners - 1) / owners;
-    for (const backend_server* server : servers_by_hash(of)) {
-        slot_owner* owner = preferred_owner(result.owners, *server, room);
-        if (owner == nullptr) {
-            owner = &least_loaded(result.owners);
+    if (result.owners.size() == 1) {
+        for (const backend_server& server : of.backend_servers) {
+            give(result.owners.front(), server);
         }
-        owner->backend_servers.push_back(server->name);
-        owner->slots += server->slots;
+    } else {
+        divide(of, result.owners);
     }
     for (slot_owner& owner : result.owners) {
         std::sort(owner.backend_servers.begin(), owner.backend_servers.end());
@@ -178,6 +197,15 @@
     return result;
 }
 
+service_ownerships compute_ownerships(const configuration& config,
+                                      const std::vector<member>& members) {
+    service_ownerships all;
+    for (const service& of : config.services) {
+        all.emplace(of.name, compute_ownership(of, members));
+    }
+    return all;
+}
+
 ownership with_standbys(const ownership& planned, const std::string& self,
                         const std::unordered_set<std::string>& reachable) {
     const auto at_hand = [&](const slot_owner& each) {
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -289,7 +289,23 @@
         keep_only(event.peer, {});
     }
     silent_.erase(event.peer);
-    apply_reachability();
+    if (takes_part(event.peer)) {
+        apply_reachability();
+    }
+}
+
+// Whether slots depend on reaching that peer. Each of 128 instances opens
+// links with dozens of others when it starts, few of which are owners; looking
+// at every server for each link was a quarter of what a start cost (perf, 100
+// instances on one machine).
+bool service_scheduler::impl::takes_part(const std::string& peer) const {
+    const auto is_peer = [&](const slot_owner& each) {
+        return each.member.name == peer;
+    };
+    const auto& owners = view_.owners.owners;
+    const auto& standbys = view_.owners.standbys;
+    return std::any_of(owners.begin(), owners.end(), is_peer) ||
+           std::any_of(standbys.begin(), standbys.end(), is_peer);
 }
 
 void service_scheduler::impl::hear(const std::string& peer) {
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -115,6 +115,7 @@
     void end_leases();
     void borrow();
     waiting_request describe(request_id request) const;
+    bool takes_part(const std::string& peer) const;
     void hear(const std::string& peer);
     void apply_reachability();
     void watch_silence();
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -389,13 +389,14 @@
     }
 }
 
-void call_desk::take(const view_ptr& view) {
-    view_ = view;
-    keys_.change_members(view->members);
-    follow(*view);
+void call_desk::take(const program::view_published& published) {
+    view_ = published.now;
+    keys_.change_members(view_->members);
+    follow(*view_, *published.owners);
 }
 
-void call_desk::follow(const view& now) {
+void call_desk::follow(const view& now,
+                       const decision::service_ownerships& owners) {
     if (!now.config) {
         return;
     }
@@ -407,7 +408,7 @@
         decision::view_changed changed;
         changed.config = now.config;
         changed.members = now.members;
-        changed.owners = decision::compute_ownership(of, now.members);
+        changed.owners = owners.at(of.name);
         changed.beliefs = now.beliefs;
         changed.fresh = now.fresh;
         part_of(of.name).policies.follow(of.budgets);
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -11,7 +11,7 @@
 #include <waxwingvale/forwarding/backend_pool.hpp>
 #include <waxwingvale/forwarding/caller_exchange.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
-#include <waxwingvale/model/view.hpp>
+#include <waxwingvale/program/view_published.hpp>
 
 #include "entry/call_log.hpp"
 #include "entry/call_record.hpp"
@@ -48,7 +48,7 @@
     // A caller's request.
     void take(forwarding::caller_exchange_ptr caller);
     // A newer view: every service's scheduler and the keys follow it.
-    void take(const view_ptr& view);
+    void take(const program::view_published& published);
     // A peer's scheduler message.
     void take(const incoming_grant_message& message);
     void take(const decision::peer_reachability& reach);
@@ -88,7 +88,7 @@
     void arm_deadline(call_record& call);
     void pass_deadline(decision::request_id id);
     void abandon(decision::request_id id);
-    void follow(const view& now);
+    void follow(const view& now, const decision::service_ownerships& owners);
     void finish(decision::request_id id, run_outcome outcome,
                 io::http_response answer);
     void finish(decision::request_id id, const own_answer& answer);
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -60,9 +60,7 @@
 
 void entry_service::wire_peers() {
     bus_.subscribe<program::view_published>(
-        [this](const program::view_published& published) {
-            take(published.now);
-        });
+        [this](const program::view_published& published) { take(published); });
     hub_.on_message(grant_kind, [this](const std::string& peer,
                                        const std::vector<std::uint8_t>& bytes) {
         const auto message = decode_grant_message(peer, bytes);
@@ -74,15 +72,16 @@
         [this](const std::string& peer, bool up) { follow_link(peer, up); });
 }
 
-void entry_service::take(const view_ptr& view) {
+void entry_service::take(const program::view_published& published) {
+    const auto& view = published.now;
     view_ = view;
     const auto limits = connection_limits_of(*view);
     pool_.limit_connections(limits.open, limits.idle);
     if (view->config && view->config->limits) {
         callers_.change_limits(*view->config->limits);
     }
-    calls_.take(view);
-    prober_.take(view);
+    calls_.take(published);
+    prober_.take(published);
 }
 
 void entry_service::follow_link(const std::string& peer, bool up) {
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -48,7 +48,7 @@
     void send_to_peer(const outgoing_grant_message& message) override;
 
     void wire_peers();
-    void take(const view_ptr& view);
+    void take(const program::view_published& published);
     void follow_link(const std::string& peer, bool up);
     void check_drained();
 
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -33,14 +33,14 @@
       probes_(probes),
       outlet_(outlet) {}
 
-void prober::take(const view_ptr& view) {
-    view_ = view;
-    if (!view->config) {
+void prober::take(const program::view_published& published) {
+    view_ = published.now;
+    if (!view_->config) {
         return;
     }
     const auto now = timers_.now();
-    for (const auto& of : view->config->services) {
-        follow(of, now);
+    for (const auto& of : view_->config->services) {
+        follow(of, published.owners->at(of.name), now);
     }
     update_share(now);
     tick_while_owning();
@@ -60,12 +60,12 @@
     }
 }
 
-void prober::follow(const service& of, time_point now) {
+void prober::follow(const service& of, const decision::ownership& owners,
+                    time_point now) {
     decision::probe_limits limits;
     limits.rate = of.budgets.probes;
     auto& probes = services_.try_emplace(of.name, limits).first->second;
     probes.budget.change_rate(of.budgets.probes, now);
-    const auto owners = decision::compute_ownership(of, view_->members);
     const auto* mine = decision::find_owner(owners, self_);
     std::set<std::string> owned;
     if (mine != nullptr) {
--- a/src/entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -11,8 +11,8 @@
 #include <waxwingvale/entry/request_protocol.hpp>
 #include <waxwingvale/forwarding/backend_pool.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
-#include <waxwingvale/model/view.hpp>
 #include <waxwingvale/program/metrics.hpp>
+#include <waxwingvale/program/view_published.hpp>
 
 namespace waxwingvale::entry {
 
@@ -38,7 +38,7 @@
            kernel::timer_service& timers, forwarding::backend_pool& pool,
            program::counter probes, probe_outlet& outlet);
 
-    void take(const view_ptr& view);
+    void take(const program::view_published& published);
     // How many entry instances this one has a link to.
     void change_links(std::size_t links);
 
@@ -51,7 +51,8 @@
         std::map<std::string, time_point> last; // probe of each owned server
     };
 
-    void follow(const service& of, time_point now);
+    void follow(const service& of, const decision::ownership& owners,
+                time_point now);
     void update_share(time_point now);
     void tick_while_owning();
     void probe_due(time_point now);
--- a/src/steer/address_desk.cpp
+++ b/src/steer/address_desk.cpp
@@ -46,16 +46,8 @@
 
 } // namespace
 
-void address_desk::take(const view_ptr& view) {
-    view_ = view;
-    owners_.clear();
-    if (!view->config) {
-        return;
-    }
-    for (const auto& of : view->config->services) {
-        owners_.emplace(of.name,
-                        decision::compute_ownership(of, view->members));
-    }
+void address_desk::take(const program::view_published& published) {
+    known_ = published;
 }
 
 io::http_response address_desk::answer(const io::http_request& request,
@@ -68,18 +60,20 @@
     if (name.empty()) {
         return problem(status_bad_request, "service: expected a name");
     }
-    if (!view_ || !view_->config) {
+    const auto& view = known_.now;
+    if (!view || !view->config) {
         return problem(status_unavailable, "no configuration yet");
     }
-    if (owners_.count(name) == 0) {
+    const auto owners = known_.owners->find(name);
+    if (owners == known_.owners->end()) {
         return problem(status_not_found, "service: none is called " + name);
     }
     decision::steering_caller caller;
     caller.hash = decision::stable_hash(caller_of(request));
     caller.data_centre = io::query_value(request.target, "data_centre");
     caller.window = when.number;
-    const auto steered = decision::steer_caller(
-        *view_->config, owners_.at(name), view_->members, caller);
+    const auto steered = decision::steer_caller(*view->config, owners->second,
+                                                view->members, caller);
     if (steered.addresses.empty()) {
         return problem(status_unavailable, "no entry instance is alive");
     }
--- a/src/steer/steer_service.cpp
+++ b/src/steer/steer_service.cpp
@@ -36,7 +36,7 @@
     environment.services.need<kernel::message_bus>(program::service_name::bus)
         .subscribe<program::view_published>(
             [this](const program::view_published& published) {
-                protocol_.take(published.now);
+                protocol_.take(published);
             });
 }
 
--- a/test/platform/directory_test.cpp
+++ b/test/platform/directory_test.cpp
@@ -42,7 +42,7 @@
     auto now = std::make_shared<view>();
     now->config = std::make_shared<const configuration>(read_sample());
     now->members = {instance("n1", "north", 81), instance("s1", "south", 82)};
-    directory.take(now);
+    directory.take(program::with_owners(now));
     const auto answer = directory.answer(asking(resolve), {});
     REQUIRE(answer.status == 200);
     const auto body = nlohmann::json::parse(answer.body);
--- a/test/steer/address_desk_test.cpp
+++ b/test/steer/address_desk_test.cpp
@@ -46,7 +46,7 @@
     // The first entry instance dies. Its callers go to the next address; with
     // a key that names the dead instance they could only be told "unknown".
     steer::address_desk desk;
-    desk.take(two_instances());
+    desk.take(program::with_owners(two_instances()));
     const auto answer =
         desk.answer(asking("/v1/addresses?service=slate-view"), {1, 5'000'000});
     REQUIRE(answer.status == 200);
@@ -69,7 +69,7 @@
         return desk.answer(asking(target), {1, 0}).status;
     };
     CHECK(status("/v1/addresses?service=slate-view") == 503);
-    desk.take(two_instances());
+    desk.take(program::with_owners(two_instances()));
     CHECK(status("/v1/addresses") == 400);
     CHECK(status("/v1/addresses?service=nobody") == 404);
     CHECK(status("/elsewhere") == 404);
