--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -71,7 +71,8 @@
     // Ends the watches and asks anew at once, without waiting for a change:
     // answers to what was asked before a late wake-up prove nothing.
     void read_again();
-    // Reads no more until resume(), which reads everything anew.
+    // Asks no more until resume(), which reads everything anew. What was asked
+    // is paid for, so its answer still counts.
     void pause();
     void resume();
     bool paused() const { return paused_; }
--- a/src/decision/crowding_profile.cpp
+++ b/src/decision/crowding_profile.cpp
@@ -15,22 +15,34 @@
 // What every answer leaves of the others' experience: a count that is no longer
 // used for being slow is tried again after some thousand answers.
 constexpr double fading = 0.9998;
+// So many answers show what is usual, or what one more request at once does. A
+// class's usual time is known after as many.
+constexpr unsigned telling_answers = 20;
 // Up to a fifth longer is within the error of that many answers.
 constexpr double negligible_log = 0.2;
 
+unsigned roomy_count(unsigned slots) {
+    return std::max(slots / 2, 1U);
+}
+
 } // namespace
 
 bool crowding_profile::is_roomy(unsigned running, unsigned slots) {
-    return running <= std::max(slots / 2, 1U);
+    return running <= roomy_count(slots);
 }
 
 void crowding_profile::add(unsigned running, unsigned slots,
                            double relative_log) {
-    if (running > slots || is_roomy(running, slots)) {
+    if (running > slots) {
         return;
     }
     profile& known = by_slots_[slots];
     known.cells.resize(slots);
+    if (is_roomy(running, slots)) {
+        known.roomy_seen = std::min(known.roomy_seen + 1, telling_answers);
+        refresh(known);
+        return;
+    }
     for (cell& each : known.cells) {
         each.sum *= fading;
         each.weight *= fading;
@@ -61,6 +73,16 @@
             of.best = static_cast<unsigned>(i + 1);
         }
     }
+    const auto slots = static_cast<unsigned>(of.cells.size());
+    of.tried = roomy_count(slots);
+    if (of.roomy_seen < telling_answers) {
+        return;
+    }
+    while (of.tried < slots &&
+           (is_roomy(of.tried, slots) ||
+            of.cells[of.tried - 1].weight >= telling_answers)) {
+        ++of.tried;
+    }
 }
 
 double crowding_profile::log_ratio(unsigned running, unsigned slots) const {
@@ -77,4 +99,11 @@
     return found == by_slots_.end() ? slots : found->second.best;
 }
 
+unsigned crowding_profile::proven_count(unsigned slots) const {
+    const auto found = by_slots_.find(slots);
+    return found == by_slots_.end()
+               ? roomy_count(slots)
+               : std::min(found->second.best, found->second.tried);
+}
+
 } // namespace waxwingvale::decision
--- a/src/decision/crowding_profile.hpp
+++ b/src/decision/crowding_profile.hpp
@@ -22,11 +22,19 @@
     // counts, a server that is always full would make its slowness the usual
     // one, and the crowding would no longer be seen.
     static bool is_roomy(unsigned running, unsigned slots);
-    // How many requests at once make a server do the most work.
+    // How many requests at once make a server do the most work, as far as is
+    // known; all slots while nothing is.
     unsigned best_count(unsigned slots) const;
+    // The same for requests that must not become late by being one too many:
+    // half of the slots at first, and one more when answers have shown what
+    // that many do. A service that starts under full load would else see only
+    // crowded servers, take what it sees for the usual, and fill them for
+    // seconds (126 servers of 6 slots that are best at 4: for 5 s, while half
+    // of the answers came late).
+    unsigned proven_count(unsigned slots) const;
     // How much longer work takes with that many, as a logarithm.
-    double log_ratio_at_best(unsigned slots) const {
-        return log_ratio(best_count(slots), slots);
+    double log_ratio_at_proven(unsigned slots) const {
+        return log_ratio(proven_count(slots), slots);
     }
 
 private:
@@ -38,6 +46,8 @@
         std::vector<cell> cells; // by running - 1
         std::vector<double> log_ratios;
         unsigned best = 1;
+        unsigned roomy_seen = 0; // answers of servers that were not crowded
+        unsigned tried = 0;      // the largest count that may be tried
     };
 
     static void refresh(profile& of);
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -138,6 +138,7 @@
     void see(backend_slots& server, const backend_load& load, time_point now);
     bool any_near(const std::string& data_centre) const;
     unsigned room(const backend_slots& server, time_point now) const;
+    bool suits(const slot_wish& wish, index place, time_point now) const;
     unsigned working_share(const backend_slots& server) const;
     double paced_share(const backend_slots& server) const;
     bool only_passed_over() const;
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -57,7 +57,6 @@
 void platform_client::pause() {
     paused_ = true;
     for (auto& each : topics_) {
-        client_.cancel(each.second.call);
         each.second.next.cancel();
     }
 }
--- a/test/io/platform_client_test.cpp
+++ b/test/io/platform_client_test.cpp
@@ -114,3 +114,25 @@
     budget.failed(time_point{});
     CHECK(budget.wait_before_read(time_point{}) >= 2500ms);
 }
+
+TEST_CASE("what was asked before a pause is still taken") {
+    // Another instance reads the platform for all, and this one stops reading
+    // while the answer that it was sent is on its way. Thrown away, it would
+    // be paid for and the configuration in it known half a second later.
+    refusing_platform platform;
+    platform.answers = true;
+    io::platform_client_options options;
+    options.host = "127.0.0.1";
+    options.port = platform.server.port();
+    io::platform_client client(platform.client, platform.timers,
+                               platform.dialect, options);
+    unsigned readings = 0;
+    client.watch("first", [&](const io::platform_reading&) { ++readings; });
+    while (platform.asked["/first"] == 0) {
+        platform.loop.run_once(true);
+    }
+    client.pause();
+    platform.run_for(200ms);
+    CHECK(readings == 1);
+    CHECK(platform.asked["/first/watch"] == 0);
+}
