--- a/include/waxwingvale/membership/reader_duty.hpp
+++ b/include/waxwingvale/membership/reader_duty.hpp
@@ -21,7 +21,8 @@
     duration step = std::chrono::milliseconds(40);
     // but no longer than this.
     duration step_limit = std::chrono::milliseconds(400);
-    // Whoever took over goes on this long after the readers are back.
+    // Whoever took over goes on this long after it hears again of one that
+    // comes before it.
     duration relief = std::chrono::seconds(3);
     // One that has just started hears within this what its peers have read, and
     // who they are: until then each would be the first of all it knows.
@@ -54,6 +55,7 @@
 
 private:
     bool is_reader(const std::string& name) const;
+    bool comes_before_self(const std::string& name) const;
 
     std::string self_;
     unsigned readers_;
@@ -64,7 +66,8 @@
     time_point verified_;
     std::string newest_reader_;
     std::optional<time_point> took_over_;
-    time_point relieved_{};
+    time_point relieved_{}; // heard of one that comes earlier
+    time_point read_at_{};  // by this instance
 };
 
 // The order in which instances become readers: strong machines first, from one
--- a/src/membership/reader_duty.cpp
+++ b/src/membership/reader_duty.cpp
@@ -82,13 +82,22 @@
     return std::find(order_.begin(), last, name) != last;
 }
 
+// Whoever comes earlier reads for those after it, also while the first is
+// turned away by the platform.
+bool reader_duty::comes_before_self(const std::string& name) const {
+    const auto end = order_.begin() + static_cast<std::ptrdiff_t>(place_);
+    return std::find(order_.begin(), end, name) != end;
+}
+
 bool reader_duty::hear(const std::string& reader, duration age,
                        time_point now) {
     if (readers_ == 0) {
         return false;
     }
     const auto verified = now - age;
-    if (reader != self_ && is_reader(reader) && age < timing_.stale_after) {
+    if (reader == self_) {
+        read_at_ = now;
+    } else if (comes_before_self(reader) && age < timing_.stale_after) {
         relieved_ = now;
     }
     if (verified <= verified_) {
@@ -116,10 +125,14 @@
     if (!took_over_) {
         return false;
     }
-    const bool readers_are_back = relieved_ > *took_over_ &&
-                                  now - relieved_ < timing_.stale_after &&
-                                  relieved_ - *took_over_ >= timing_.relief;
-    if (readers_are_back) {
+    // Who has read nothing yet is needed by nobody.
+    const bool has_read = read_at_ > *took_over_;
+    const bool served_its_time =
+        !has_read || relieved_ - *took_over_ >= timing_.relief;
+    const bool is_relieved = relieved_ > *took_over_ &&
+                             now - relieved_ < timing_.stale_after &&
+                             served_its_time;
+    if (is_relieved) {
         took_over_.reset();
         return false;
     }
