--- a/src/decision/crowding_profile.cpp
+++ b/src/decision/crowding_profile.cpp
@@ -18,6 +18,9 @@
 // So many answers show what is usual, or what one more request at once does. A
 // class's usual time is known after as many.
 constexpr unsigned telling_answers = 20;
+// And so many usual times pass until the slow ones among them have come: of
+// machines that are shared, a third work four times as long.
+constexpr int settling_times = 3;
 // Up to a fifth longer is within the error of that many answers.
 constexpr double negligible_log = 0.2;
 
@@ -32,7 +35,8 @@
 }
 
 void crowding_profile::add(unsigned running, unsigned slots,
-                           double relative_log) {
+                           double relative_log, duration usual,
+                           time_point now) {
     if (running > slots) {
         return;
     }
@@ -41,6 +45,7 @@
     if (is_roomy(running, slots)) {
         known.roomy_seen = std::min(known.roomy_seen + 1, telling_answers);
         refresh(known);
+        try_more(known, usual, now);
         return;
     }
     for (cell& each : known.cells) {
@@ -55,6 +60,7 @@
     at.sum += relative_log;
     at.weight += 1;
     refresh(known);
+    try_more(known, usual, now);
 }
 
 void crowding_profile::refresh(profile& of) {
@@ -73,15 +79,22 @@
             of.best = static_cast<unsigned>(i + 1);
         }
     }
+}
+
+// The answers that come first are the quick ones; before the others have come
+// as well, any number of requests at once looks as good as the usual.
+void crowding_profile::try_more(profile& of, duration usual, time_point now) {
     const auto slots = static_cast<unsigned>(of.cells.size());
-    of.tried = roomy_count(slots);
-    if (of.roomy_seen < telling_answers) {
-        return;
+    if (of.tried == 0) {
+        of.tried = roomy_count(slots);
+        of.next_step = now + settling_times * usual;
     }
-    while (of.tried < slots &&
-           (is_roomy(of.tried, slots) ||
-            of.cells[of.tried - 1].weight >= telling_answers)) {
+    const double seen = is_roomy(of.tried, slots)
+                            ? of.roomy_seen
+                            : of.cells[of.tried - 1].weight;
+    if (of.tried < slots && seen >= telling_answers && now >= of.next_step) {
         ++of.tried;
+        of.next_step = now + settling_times * usual;
     }
 }
 
--- a/src/decision/crowding_profile.hpp
+++ b/src/decision/crowding_profile.hpp
@@ -3,6 +3,8 @@
 #include <map>
 #include <vector>
 
+#include <waxwingvale/model/time.hpp>
+
 namespace waxwingvale::decision {
 
 // How much longer work takes on a backend server the more of its slots are
@@ -12,8 +14,9 @@
 public:
     // An answer came from a server of that many slots, on which that many
     // requests ran when this one started; relative_log compares its time with
-    // the usual on a server of that pace.
-    void add(unsigned running, unsigned slots, double relative_log);
+    // the usual on a server of that pace, which is `usual`.
+    void add(unsigned running, unsigned slots, double relative_log,
+             duration usual, time_point now);
 
     // The logarithm of how much longer work takes there; never below 0.
     double log_ratio(unsigned running, unsigned slots) const;
@@ -48,9 +51,11 @@
         unsigned best = 1;
         unsigned roomy_seen = 0; // answers of servers that were not crowded
         unsigned tried = 0;      // the largest count that may be tried
+        time_point next_step{};  // when one more may be, at the earliest
     };
 
     static void refresh(profile& of);
+    static void try_more(profile& of, duration usual, time_point now);
 
     std::map<unsigned, profile> by_slots_;
 };
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -88,9 +88,9 @@
                          const std::optional<backend_load>& load,
                          time_point now);
     // What its service time showed; relative_log compares it with what was
-    // expected there.
+    // expected there, and `usual` is what such work takes without hindrance.
     void learn(index place, const ended_attempt& ended, attempt_verdict verdict,
-               double relative_log, time_point now);
+               double relative_log, duration usual, time_point now);
     // A slot was given back without an attempt.
     void release(index place, attempt_ref attempt, time_point now);
     // A probe of that server ended.
