--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -222,11 +222,17 @@
     ended_attempt ended;
     ended.certain = false;
     if (begun) {
-        ended.running = begun->running;
+        // Others may use the server too, as after a restart of all instances,
+        // when several take themselves for its owner. Its answers at such a
+        // time, taken for those of a server that runs two or three requests,
+        // made crowded ones the usual, and servers were filled for the rest of
+        // a day.
+        ended.running = std::max(begun->running, load ? load->running : 0);
+        ended.running = std::min(ended.running, server.configured());
         ended.roomy =
-            crowding_profile::is_roomy(begun->running, server.configured());
+            crowding_profile::is_roomy(ended.running, server.configured());
         ended.crowding_log =
-            crowding_.log_ratio(begun->running, server.configured());
+            crowding_.log_ratio(ended.running, server.configured());
         const double slowness =
             begun->told_before || !load ? begun->slowness : load->slowness;
         ended.log_factor = ended.crowding_log + std::log(slowness);
--- a/test/scheduling/targets_test.cpp
+++ b/test/scheduling/targets_test.cpp
@@ -161,6 +161,43 @@
     CHECK(f.scheduler().slots()[0].in_flight == 4);
 }
 
+TEST_CASE("answers of servers that others fill do not become the usual") {
+    // All instances were restarted, and for a moment several of them give out
+    // the slots of the same servers. Each sees answers that take 1.7 times as
+    // long although it runs few requests. Taken for the usual, they make a full
+    // server look like any other, and every server is filled from then on.
+    scheduler_fixture f(1, 6, 1);
+    const auto run_together = [&](request_id first, unsigned count,
+                                  unsigned told, duration takes) {
+        for (request_id id = first; id < first + count; ++id) {
+            f.send(f.request(id));
+        }
+        f.now += takes;
+        for (request_id id = first; id < first + count; ++id) {
+            request_finished ended;
+            ended.request = id;
+            ended.verdict = attempt_verdict::answered;
+            ended.service_time = takes;
+            ended.load = backend_load{told, 0, 6, 1.0};
+            f.send(ended);
+        }
+    };
+    request_id next = 1;
+    for (int round = 0; round < 20; ++round, next += 2) {
+        run_together(next, 2, 6, 34ms);
+    }
+    for (int round = 0; round < 30; ++round, next += 2) {
+        run_together(next, 2, 2, 20ms);
+    }
+    for (int round = 0; round < 30; ++round, next += 6) {
+        run_together(next, 6, 6, 34ms);
+    }
+    for (request_id id = next; id < next + 6; ++id) {
+        f.send(with_target(f, id));
+    }
+    CHECK(f.scheduler().slots()[0].in_flight < 6);
+}
+
 TEST_CASE("a server that crowding slows down is not filled to the brim") {
     // With five or six requests at once each takes 1.7 times as long there: six
     // at once do less than four. Filled up whenever much comes, the servers
