scheduling: revert of filling servers step by step

Tried in because working_slots stayed at all slots (756 of 126 servers that are best at 4 of 6) for 5 s and more after all instances had lost power, while answers took 0.8 to 2 s instead of 0.35.

Conclusion: what it gains above capacity it loses in recovery, where full capacity is wanted at once.

--- a/src/decision/crowding_profile.cpp
+++ b/src/decision/crowding_profile.cpp
@@ -15,39 +15,22 @@
 // What every answer leaves of the others' experience: a count that is no longer
 // used for being slow is tried again after some thousand answers.
 constexpr double fading = 0.9998;
-// So many answers show what is usual, or what one more request at once does. A
-// class's usual time is known after as many.
-constexpr unsigned telling_answers = 20;
-// And so many usual times pass until the slow ones among them have come: of
-// machines that are shared, a third work four times as long.
-constexpr int settling_times = 3;
 // Up to a fifth longer is within the error of that many answers.
 constexpr double negligible_log = 0.2;
 
-unsigned roomy_count(unsigned slots) {
-    return std::max(slots / 2, 1U);
-}
-
 } // namespace
 
 bool crowding_profile::is_roomy(unsigned running, unsigned slots) {
-    return running <= roomy_count(slots);
+    return running <= std::max(slots / 2, 1U);
 }
 
 void crowding_profile::add(unsigned running, unsigned slots,
-                           double relative_log, duration usual,
-                           time_point now) {
-    if (running > slots) {
+                           double relative_log) {
+    if (running > slots || is_roomy(running, slots)) {
         return;
     }
     profile& known = by_slots_[slots];
     known.cells.resize(slots);
-    if (is_roomy(running, slots)) {
-        known.roomy_seen = std::min(known.roomy_seen + 1, telling_answers);
-        refresh(known);
-        try_more(known, usual, now);
-        return;
-    }
     for (cell& each : known.cells) {
         each.sum *= fading;
         each.weight *= fading;
@@ -60,7 +43,6 @@
     at.sum += relative_log;
     at.weight += 1;
     refresh(known);
-    try_more(known, usual, now);
 }
 
 void crowding_profile::refresh(profile& of) {
@@ -81,23 +63,6 @@
     }
 }
 
-// The answers that come first are the quick ones; before the others have come
-// as well, any number of requests at once looks as good as the usual.
-void crowding_profile::try_more(profile& of, duration usual, time_point now) {
-    const auto slots = static_cast<unsigned>(of.cells.size());
-    if (of.tried == 0) {
-        of.tried = roomy_count(slots);
-        of.next_step = now + settling_times * usual;
-    }
-    const double seen = is_roomy(of.tried, slots)
-                            ? of.roomy_seen
-                            : of.cells[of.tried - 1].weight;
-    if (of.tried < slots && seen >= telling_answers && now >= of.next_step) {
-        ++of.tried;
-        of.next_step = now + settling_times * usual;
-    }
-}
-
 double crowding_profile::log_ratio(unsigned running, unsigned slots) const {
     const auto found = by_slots_.find(slots);
     if (found == by_slots_.end() || running == 0) {
@@ -112,11 +77,4 @@
     return found == by_slots_.end() ? slots : found->second.best;
 }
 
-unsigned crowding_profile::proven_count(unsigned slots) const {
-    const auto found = by_slots_.find(slots);
-    return found == by_slots_.end()
-               ? roomy_count(slots)
-               : std::min(found->second.best, found->second.tried);
-}
-
 } // namespace waxwingvale::decision
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -408,8 +408,7 @@
         std::exp(-expected.log_factor)));
     const double relative =
         admission_.relative_log(ended.request_class, at_usual_pace);
-    table_.learn(*at, expected, use.verdict, relative,
-                 admission_.typical(ended.request_class), now_);
+    table_.learn(*at, expected, use.verdict, relative, now_);
     if (use.verdict != attempt_verdict::answered) {
         return;
     }
--- a/src/decision/slot_choice.cpp
+++ b/src/decision/slot_choice.cpp
@@ -181,19 +181,6 @@
     return server.in_flight() >= best ? 0 : server.free(now);
 }
 
-bool slot_table::suits(const slot_wish& wish, index place,
-                       time_point now) const {
-    const backend_slots& server = servers_[place];
-    const bool alone = !wish.isolated || server.in_flight() == 0;
-    const bool ours = !wish.lent || owned_[place];
-    // One request too many makes all of a server's answers late.
-    const bool proven =
-        !wish.forecast ||
-        server.in_flight() < crowding_.proven_count(server.configured());
-    return room(server, now) > 0 && alone && ours && proven &&
-           !excludes(wish, server.name());
-}
-
 // Whether some server works in that data centre at all.
 bool slot_table::any_near(const std::string& data_centre) const {
     return std::any_of(usable_.begin(), usable_.end(), [&](index place) {
@@ -220,7 +207,10 @@
         const index place =
             usable_[turn < usable_.size() ? turn : turn - usable_.size()];
         const backend_slots& server = servers_[place];
-        if (!suits(wish, place, now)) {
+        const bool alone = !wish.isolated || server.in_flight() == 0;
+        const bool ours = !wish.lent || owned_[place];
+        if (room(server, now) == 0 || !alone || !ours ||
+            excludes(wish, server.name())) {
             continue;
         }
         const double price = cost(place, wish, now);
@@ -268,20 +258,17 @@
     return sum;
 }
 
-// The same for requests that have a target, in slots of servers that are not
-// crowded.
+// The same in slots of servers that are not crowded.
 double slot_table::paced_share(const backend_slots& server) const {
-    const unsigned slots = server.configured();
-    const unsigned proven =
-        std::min(working_share(server), crowding_.proven_count(slots));
-    return proven * std::exp(-crowding_.log_ratio_at_proven(slots));
+    return working_share(server) *
+           std::exp(-crowding_.log_ratio_at_best(server.configured()));
 }
 
 double slot_table::busy_log_factor() const {
     double most = 0;
     for (const index place : usable_) {
         const unsigned slots = servers_[place].configured();
-        most = std::max(most, crowding_.log_ratio_at_proven(slots));
+        most = std::max(most, crowding_.log_ratio_at_best(slots));
     }
     return most;
 }
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -247,14 +247,13 @@
 
 void slot_table::learn(index place, const ended_attempt& ended,
                        attempt_verdict verdict, double relative_log,
-                       duration usual, time_point now) {
+                       time_point now) {
     backend_slots& server = servers_[place];
     if (verdict == attempt_verdict::answered && ended.certain &&
         !server.health().slow()) {
         crowding_.add(ended.running, server.configured(),
                       std::clamp(relative_log + ended.crowding_log,
-                                 -farthest_deviation, farthest_deviation),
-                      usual, now);
+                                 -farthest_deviation, farthest_deviation));
     }
     server.health().add(verdict, relative_log, now, policy_);
 }
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -88,9 +88,9 @@
                          const std::optional<backend_load>& load,
                          time_point now);
     // What its service time showed; relative_log compares it with what was
-    // expected there, and `usual` is what such work takes without hindrance.
+    // expected there.
     void learn(index place, const ended_attempt& ended, attempt_verdict verdict,
-               double relative_log, duration usual, time_point now);
+               double relative_log, time_point now);
     // A slot was given back without an attempt.
     void release(index place, attempt_ref attempt, time_point now);
     // A probe of that server ended.
@@ -138,7 +138,6 @@
     void see(backend_slots& server, const backend_load& load, time_point now);
     bool any_near(const std::string& data_centre) const;
     unsigned room(const backend_slots& server, time_point now) const;
-    bool suits(const slot_wish& wish, index place, time_point now) const;
     unsigned working_share(const backend_slots& server) const;
     double paced_share(const backend_slots& server) const;
     bool only_passed_over() const;
