membership: an instance that starts serves no older file than its peers named

The platform gives out an old file; an instance that was started again read it and served it until a peer's had come.

Seen red: the new test on the code before.

--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -26,6 +26,8 @@
     void hear(const std::string& peer, const revision_message& theirs,
               duration wait, time_point now);
     void lost(const std::string& peer, time_point now);
+    // Whether the newest file that a peer named was taken, or refused, here.
+    bool has_named() const;
     // What to ask, and whom, if it is time.
     std::optional<addressed_message> due_request(time_point now);
 
@@ -57,6 +59,7 @@
     duration answer_within_;
     std::optional<wanted_file> wanted_;
     std::optional<asked_file> asked_;
+    std::uint64_t named_ = 0; // the newest revision that a peer had in force
     // The last file that was sent: the next peer probably asks for it too, and
     // packing 400 kB takes some 10 ms of a core.
     configuration_message packed_;
--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -105,8 +105,12 @@
     // All messages to be sent by now, changes included.
     std::vector<addressed_message> take_messages(time_point now);
     const std::set<std::string>& linked() const { return linked_; }
-    // Whether some peer has told all that it knows and we did not.
-    bool introduced() const { return introduced_; }
+    // Whether some peer has told all that it knows and we did not, the newest
+    // configuration that peers named at the start included: a platform that was
+    // restored from a copy gives out an old one.
+    bool introduced() const {
+        return introduced_ && (settled_ || files_.has_named());
+    }
     const exchange_counters& counters() const { return counters_; }
     // What was wrong with the last message of a peer, told once.
     std::optional<error> take_problem() {
@@ -170,6 +174,7 @@
     std::uint64_t known_to_all_ = 0; // the newest revision that all were told
     bool platform_answers_ = false;
     bool introduced_ = false;
+    bool settled_ = false; // introduced() was true once
     // Who told us what is waiting to be passed on.
     std::map<std::string, std::string> member_origin_;
     std::map<std::string, std::string> belief_origin_;
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -38,6 +38,7 @@
 void configuration_exchange::hear(const std::string& peer,
                                   const revision_message& theirs, duration wait,
                                   time_point now) {
+    named_ = std::max(named_, theirs.revision);
     if (wanted_ || !lacks(theirs)) {
         return;
     }
@@ -46,6 +47,11 @@
     wanted_ = wanted_file{peer, theirs, ask_at};
 }
 
+bool configuration_exchange::has_named() const {
+    const auto mine = own_revision();
+    return std::max(mine.revision, mine.refused) >= named_;
+}
+
 void configuration_exchange::lost(const std::string& peer, time_point now) {
     if (wanted_ && wanted_->from == peer) {
         wanted_.reset();
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -306,7 +306,7 @@
                                        time_point now) {
     // One that has just started may have read an old file; what peers have in
     // force counts before its first word to anybody.
-    const bool platform_will_tell = platform_answers_ && introduced_;
+    const bool platform_will_tell = platform_answers_ && settled_;
     const auto wait =
         platform_will_tell ? timing_.configuration_wait : duration::zero();
     files_.hear(peer, theirs, wait, now);
@@ -383,6 +383,7 @@
 }
 
 void peer_exchange::tick(time_point now) {
+    settled_ = settled_ || introduced();
     accuse_silent(now);
     state_.members.tick(now);
     state_.quarantine.expire(now);
--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -96,3 +96,32 @@
     one.exchange.tick(start + 20ms);
     CHECK(one.requests(start + 20ms) == 1);
 }
+
+TEST_CASE("an instance that starts serves no older file than its peers") {
+    // The platform was restored from a copy and gives out an old configuration.
+    // An instance that is started then reads it; served by it, callers would
+    // get routes that were withdrawn, until a peer's file has come.
+    exchanging_instance one;
+    one.exchange.set_platform_answers(true);
+    one.configurations.offer({6, "old"});
+    one.exchange.link_up("pdx-1", start);
+    digest_message digest;
+    digest.revision = 7;
+    one.exchange.receive("pdx-1", digest, start);
+    CHECK(one.requests(start) == 1);
+    records_message records;
+    records.member_buckets = {0};
+    one.exchange.receive("pdx-1", records, start + 1ms);
+    one.exchange.tick(start + 1ms);
+    CHECK_FALSE(one.exchange.introduced());
+    one.exchange.receive("pdx-1", configuration_message{7, pack("new")},
+                         start + 2ms);
+    CHECK(one.exchange.introduced());
+    // Later files come from the platform as a rule; a peer is asked only when
+    // they have not.
+    one.exchange.tick(start + 3ms);
+    one.exchange.receive("pdx-1", revision_message{8, 0, 1}, start + 4ms);
+    one.exchange.tick(start + 4ms);
+    CHECK(one.requests(start + 4ms) == 0);
+    CHECK(one.exchange.introduced());
+}
