steer: how long an answer of a new instance is kept is decided in the product

platform/ only takes the shorter of two times; the second that stood there is steer_service's. No change in behaviour for the platform; the product's own answers are kept at most a second in the first 5 s, no longer the file's least.

--- a/include/waxwingvale/steer/steering_protocol.hpp
+++ b/include/waxwingvale/steer/steering_protocol.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include <waxwingvale/io/http_message.hpp>
 #include <waxwingvale/program/settings.hpp>
@@ -14,9 +15,9 @@
     // callers who once asked together do not return together.
     std::uint64_t number = 0;
     std::uint64_t wall_us = 0; // the wall clock in microseconds
-    // This instance has just started and may know few of the others: what it
-    // names now is not to be kept for long.
-    bool just_started = false;
+    // Set while this instance has just started and may know few of the others:
+    // what it names is not to be kept for longer.
+    std::optional<duration> keep_at_most = std::nullopt;
 };
 
 // How callers ask which addresses to use, and how they are told.
--- a/src/steer/address_desk.cpp
+++ b/src/steer/address_desk.cpp
@@ -90,7 +90,7 @@
              {"key_prefix", prefix_for(address.member, when.wall_us)}});
     }
     const auto keep_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-        when.just_started ? view->config->address_keep_min : steered.keep);
+        std::min(steered.keep, when.keep_at_most.value_or(steered.keep)));
     const json answer = {
         {"service", name},
         {"addresses", addresses},
--- a/src/steer/steer_service.cpp
+++ b/src/steer/steer_service.cpp
@@ -17,6 +17,9 @@
 // 128 instances that start together, most on a tenth of a core, have all found
 // one another after 3.7 s (from their logs).
 constexpr duration knows_few_for = 5s;
+// How long an answer is kept meanwhile, which may name few instances or weak
+// ones.
+constexpr duration keep_of_few = 1s;
 
 io::http_server_options caller_options(const program::settings& from) {
     io::http_server_options options;
@@ -45,19 +48,21 @@
 
 result<void> steer_service::start() {
     started_ = environment_.timers.now();
-    return callers_.start([this](io::http_request request,
-                                 io::http_responder respond) {
-        asked_.add();
-        // The wall clock is what an incarnation is made of.
-        const asking when{++askings_, program::fresh_incarnation(),
-                          environment_.timers.now() - started_ < knows_few_for};
-        auto answer = protocol_.answer(request, when);
-        // A caller asks again after seconds; meanwhile its connection would
-        // hold 32 kB here, and a fleet that wakes together fills the
-        // memory.
-        answer.headers.push_back({"Connection", "close"});
-        respond(std::move(answer));
-    });
+    return callers_.start(
+        [this](io::http_request request, io::http_responder respond) {
+            asked_.add();
+            // The wall clock is what an incarnation is made of.
+            asking when{++askings_, program::fresh_incarnation(), {}};
+            if (environment_.timers.now() - started_ < knows_few_for) {
+                when.keep_at_most = keep_of_few;
+            }
+            auto answer = protocol_.answer(request, when);
+            // A caller asks again after seconds; meanwhile its connection would
+            // hold 32 kB here, and a fleet that wakes together fills the
+            // memory.
+            answer.headers.push_back({"Connection", "close"});
+            respond(std::move(answer));
+        });
 }
 
 void steer_service::stop(std::function<void()> stopped) {
--- a/test/platform/directory_test.cpp
+++ b/test/platform/directory_test.cpp
@@ -46,7 +46,7 @@
     now->members = {instance("n1", "north", 81)};
     directory.take(program::with_owners(now));
     steer::asking early;
-    early.just_started = true;
+    early.keep_at_most = 1s;
     const auto answer = directory.answer(asking(resolve), early);
     REQUIRE(answer.status == 200);
     CHECK(nlohmann::json::parse(answer.body).at("Ttl").get<double>() <= 1.0);
