--- a/include/waxwingvale/entry/caller_answer.hpp
+++ b/include/waxwingvale/entry/caller_answer.hpp
@@ -30,7 +30,7 @@
 
 // And before the first configuration is known. An instance of half a core reads
 // it within 90 ms of its start (from its logs, among 123 that start together);
-// callers who were told a second had their answers late.
+// callers who are told a second have their answers late.
 constexpr duration come_back_to_started = std::chrono::milliseconds(100);
 
 // An answer that no backend server gave.
--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -61,7 +61,7 @@
     std::optional<asked_file> asked_;
     std::uint64_t named_ = 0; // the newest revision that a peer had in force
     // The last file that was sent: the next peer probably asks for it too, and
-    // packing 400 kB takes some 10 ms of a core.
+    // packing 294 kB takes 3.7 ms of a core.
     configuration_message packed_;
 };
 
--- a/include/waxwingvale/membership/packed_text.hpp
+++ b/include/waxwingvale/membership/packed_text.hpp
@@ -2,9 +2,8 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <vector>
-
 #include <string>
+#include <vector>
 
 #include <waxwingvale/model/error.hpp>
 
@@ -12,9 +11,10 @@
 
 using packed_text = std::vector<std::uint8_t>;
 
-// The text in fewer bytes (zlib). A configuration of 1,600 routes shrinks to
-// about a tenth; every instance gets each one over links of 10 Mbit/s at the
-// weakest, and what crosses between data centres is paid for.
+// The text in fewer bytes (zlib): a made-up configuration of 1,600 routes with
+// random names shrinks from 294 to 44 kB. Every instance gets each file over
+// links of 10 Mbit/s at the weakest, and what crosses between data centres is
+// paid for. Throws std::bad_alloc.
 packed_text pack(const std::string& text);
 
 // The text again. Errors: malformed bytes, or a text of more than `limit`
--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -37,8 +37,9 @@
     // A revision that a peer announced is asked for after this long, in which
     // the platform usually tells it.
     duration configuration_wait = std::chrono::milliseconds(250);
-    // A peer that was asked for it has so long to send it: 40 kB over a link
-    // of 10 Mbit/s that others use take 100 ms.
+    // A peer that was asked for it has so long to send it: 44 kB, as large a
+    // file as 1,600 routes make, take 35 ms of a link of 10 Mbit/s, and a few
+    // peers may ask at once.
     duration configuration_answer = std::chrono::milliseconds(400);
     // A link that broke may be opened again for this long before its peer is
     // accused.
--- a/include/waxwingvale/membership/read_budget.hpp
+++ b/include/waxwingvale/membership/read_budget.hpp
@@ -28,8 +28,8 @@
 // back for everybody at once, and still stay under half of what it answers.
 // Those further down the order of readers try again more seldom: all of them
 // try when the platform answers nobody, every read is paid for, and whoever
-// finds it back tells the others. Without that 123 instances made 1,400 reads
-// in 8 s of silence.
+// finds it back tells the others. With this and with one topic read at a time,
+// 123 instances made 1,452 reads on a day with 8 s of silence, else 1,889.
 read_share share_of(double reads_per_second, std::size_t readers,
                     std::size_t place = 0);
 
--- a/include/waxwingvale/program/view_published.hpp
+++ b/include/waxwingvale/program/view_published.hpp
@@ -10,8 +10,8 @@
 // Published on the bus whenever what this entry instance knows has changed.
 struct view_published {
     view_ptr now;
-    // Worked out once for all parts of the process: with 128 members and 231
-    // backend servers it is the dearest thing about a view. Never null.
+    // Worked out once for all parts of the process, each of which would rank
+    // all members for it. Never null.
     std::shared_ptr<const decision::service_ownerships> owners;
 };
 
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -295,9 +295,9 @@
 }
 
 // Whether slots depend on reaching that peer. Each of 128 instances opens
-// links with dozens of others when it starts, few of which are owners; looking
-// at every server for each link was a quarter of what a start cost (perf, 100
-// instances on one machine).
+// links with dozens of others when it starts, few of which are owners. Looking
+// at every server for each link takes a quarter of a start's processor time
+// (perf, 100 instances on one machine, some 40 owners of one service).
 bool service_scheduler::impl::takes_part(const std::string& peer) const {
     const auto is_peer = [&](const slot_owner& each) {
         return each.member.name == peer;
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -223,10 +223,9 @@
     ended.certain = false;
     if (begun) {
         // Others may use the server too, as after a restart of all instances,
-        // when several take themselves for its owner. Its answers at such a
-        // time, taken for those of a server that runs two or three requests,
-        // made crowded ones the usual, and servers were filled for the rest of
-        // a day.
+        // when several take themselves for its owner. Were its answers then
+        // taken for those of a server that runs as few requests as ours,
+        // crowded ones would become the usual, and all servers be filled.
         ended.running = std::max(begun->running, load ? load->running : 0);
         ended.running = std::min(ended.running, server.configured());
         ended.roomy =
--- a/src/membership/packed_text.cpp
+++ b/src/membership/packed_text.cpp
@@ -1,6 +1,7 @@
 #include <waxwingvale/membership/packed_text.hpp>
 
 #include <array>
+#include <new>
 #include <zlib.h>
 
 namespace waxwingvale::membership {
@@ -30,9 +31,14 @@
 packed_text pack(const std::string& text) {
     uLongf size = compressBound(static_cast<uLong>(text.size()));
     packed_text packed(size);
-    // Cannot fail: the buffer has the size that zlib asks for.
-    compress(packed.data(), &size, reinterpret_cast<const Bytef*>(text.data()),
-             static_cast<uLong>(text.size()));
+    const auto* from = reinterpret_cast<const Bytef*>(text.data());
+    const auto state =
+        compress(packed.data(), &size, from, static_cast<uLong>(text.size()));
+    if (state != Z_OK) {
+        // The buffer has the size that zlib asks for, so only its memory can
+        // be missing. Sent as it is, the buffer would be a broken file.
+        throw std::bad_alloc();
+    }
     packed.resize(size);
     return packed;
 }
