scheduling: the higher priority goes first, and who it leaves no room for is refused at once

Change: of what waits the highest priority goes first and by urgency within it; one start of eight goes by urgency alone, so that no class is left without any. Admission counts only what goes before, and the slots that arrivals of higher priorities leave. Tenants' shares hold as before.

A test of the fleet says what each instance logged when they do not agree.

--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -59,8 +59,10 @@
     // What a request and its answer take between caller and instance, which
     // the target includes and nobody tells us.
     duration caller_travel{8000};
-    // A less urgent class goes as far behind, for each rank.
-    duration priority_step{10000};
+    // Of the requests that wait, one of so many starts by its urgency alone,
+    // whatever its priority: above capacity the highest priorities would else
+    // leave the others nothing for as long as it lasts.
+    unsigned any_priority_every = 8;
     // Of the slots' time, what late requests and come-backs may count on even
     // when those in time need it all.
     double least_spare_share = 0.05;
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -17,7 +17,6 @@
 // known.
 constexpr double size_gain = 0.05;
 constexpr unsigned known_after = 20;
-constexpr double microseconds_per_second = 1e6;
 
 // Configurations name some dozens of classes for a service; with routes that
 // come and go all day it is some hundreds.
@@ -122,6 +121,10 @@
     return estimator(request_class).typical();
 }
 
+duration admission::mean_time(const std::string& request_class) const {
+    return estimator(request_class).mean();
+}
+
 double admission::relative_log(const std::string& request_class,
                                duration sample) const {
     return estimator(request_class).relative_log(sample);
@@ -144,11 +147,6 @@
     return found == classes_.end() ? 0 : found->second.queue_limit;
 }
 
-double admission::slots_needed(double arrivals_per_second) const {
-    return arrivals_per_second * static_cast<double>(all_.mean().count()) /
-           microseconds_per_second;
-}
-
 duration admission::time_to_serve(double requests, double slots) const {
     if (slots <= 0) {
         return policy_.appointment_horizon;
--- a/src/decision/admission.hpp
+++ b/src/decision/admission.hpp
@@ -30,6 +30,7 @@
     void add_answer_size(const std::string& request_class, std::size_t bytes);
 
     duration typical(const std::string& request_class) const;
+    duration mean_time(const std::string& request_class) const;
     double relative_log(const std::string& request_class,
                         duration sample) const;
     // Whether too few answers of the class were seen to say how long it takes.
@@ -51,8 +52,6 @@
 
     // How long slots need for that many requests.
     duration time_to_serve(double requests, double slots) const;
-    // What the arrivals of one second take of a slot's time.
-    double slots_needed(double arrivals_per_second) const;
 
     // The next free moment for a refused request, as a delay: one request
     // for each that the slots serve, the first when the backlog is done.
--- a/src/decision/arrival_rate.cpp
+++ b/src/decision/arrival_rate.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-void arrival_rate::add(time_point now) {
-    at_last_ = per_second(now) + microseconds_per_second / memory_us;
+void arrival_rate::add(time_point now, double amount) {
+    at_last_ = per_second(now) + amount * microseconds_per_second / memory_us;
     last_ = now;
 }
 
--- a/src/decision/arrival_rate.hpp
+++ b/src/decision/arrival_rate.hpp
@@ -4,11 +4,11 @@
 
 namespace waxwingvale::decision {
 
-// How many requests a second arrive, over about the last half second: long
-// enough to be no chance, short enough to follow a wave of callers.
+// How much arrives a second, over about the last half second: long enough to be
+// no chance, short enough to follow a wave of callers.
 class arrival_rate {
 public:
-    void add(time_point now);
+    void add(time_point now, double amount = 1);
     double per_second(time_point now) const;
 
 private:
--- a/src/decision/request_queue.cpp
+++ b/src/decision/request_queue.cpp
@@ -8,13 +8,30 @@
 
 namespace waxwingvale::decision {
 
-bool request_queue::rank::operator<(const rank& other) const {
-    return std::tie(latest_start, sequence) <
-           std::tie(other.latest_start, other.sequence);
+bool request_queue::by_priority::operator()(const position& a,
+                                            const position& b) const {
+    return std::tie(a.priority, a.latest_start, a.sequence) <
+           std::tie(b.priority, b.latest_start, b.sequence);
 }
 
-request_queue::request_queue(unsigned fairness_window)
-    : fairness_window_(fairness_window) {}
+bool request_queue::by_urgency::operator()(const position& a,
+                                           const position& b) const {
+    return std::tie(a.latest_start, a.sequence) <
+           std::tie(b.latest_start, b.sequence);
+}
+
+double request_queue::tenant_queue::before(unsigned priority) const {
+    std::size_t sum = 0;
+    for (auto it = sizes.begin(); it != sizes.upper_bound(priority); ++it) {
+        sum += it->second;
+    }
+    return static_cast<double>(sum);
+}
+
+request_queue::request_queue(unsigned fairness_window,
+                             unsigned any_priority_every)
+    : fairness_window_(fairness_window),
+      any_priority_every_(any_priority_every) {}
 
 void request_queue::set_tenants(const std::vector<tenant>& tenants) {
     for (auto& known : tenants_) {
@@ -34,17 +51,20 @@
 
 void request_queue::insert(queued_request entry) {
     const request_origin origin = entry.origin();
-    const rank place{entry.latest_start, next_sequence_++, origin};
+    const position place{entry.arrival.priority, entry.latest_start,
+                         next_sequence_++, origin};
     tenant_queue& queue = queue_of(entry.arrival.tenant);
-    queue.ranks.insert(place);
-    ranks_.insert(place);
+    queue.positions.insert(place);
+    queue.by_urgency.insert(place);
+    ++queue.sizes[place.priority];
+    by_urgency_.insert(place);
     class_sizes_[entry.arrival.request_class] += entry.peer.empty() ? 1 : 0;
     entries_.emplace(origin, stored{std::move(entry), place});
 }
 
 void request_queue::push(queued_request entry) {
     tenant_queue& queue = queue_of(entry.arrival.tenant);
-    if (queue.ranks.empty()) {
+    if (queue.positions.empty()) {
         // A tenant that was idle saves nothing up: else its return would
         // take every slot until it had caught up.
         queue.served = std::max(queue.served, served_floor_);
@@ -52,11 +72,17 @@
     insert(std::move(entry));
 }
 
+// Whose turn it is among the tenants that are not too far ahead.
 std::map<std::string, request_queue::tenant_queue>::iterator
-request_queue::next_tenant() {
+request_queue::next_tenant(bool whatever_priority) {
+    const auto goes_first = [&](const tenant_queue& a, const tenant_queue& b) {
+        return whatever_priority
+                   ? by_urgency()(*a.by_urgency.begin(), *b.by_urgency.begin())
+                   : by_priority()(*a.positions.begin(), *b.positions.begin());
+    };
     double lowest = std::numeric_limits<double>::max();
     for (const auto& named : tenants_) {
-        if (!named.second.ranks.empty()) {
+        if (!named.second.positions.empty()) {
             lowest = std::min(lowest, named.second.served);
         }
     }
@@ -64,12 +90,11 @@
     auto best = tenants_.end();
     for (auto it = tenants_.begin(); it != tenants_.end(); ++it) {
         const tenant_queue& queue = it->second;
-        if (queue.ranks.empty() ||
+        if (queue.positions.empty() ||
             queue.served > lowest + fairness_window_ / queue.weight) {
             continue;
         }
-        if (best == tenants_.end() ||
-            *queue.ranks.begin() < *best->second.ranks.begin()) {
+        if (best == tenants_.end() || goes_first(queue, best->second)) {
             best = it;
         }
     }
@@ -77,14 +102,19 @@
 }
 
 queued_request request_queue::pop() {
-    auto chosen = next_tenant();
-    chosen->second.served += 1.0 / chosen->second.weight;
-    return take(chosen->second.ranks.begin()->origin);
+    ++taken_;
+    const bool whatever_priority =
+        any_priority_every_ != 0 && taken_ % any_priority_every_ == 0;
+    tenant_queue& queue = next_tenant(whatever_priority)->second;
+    queue.served += 1.0 / queue.weight;
+    return take(whatever_priority ? queue.by_urgency.begin()->origin
+                                  : queue.positions.begin()->origin);
 }
 
 void request_queue::restore(queued_request entry) {
+    --taken_;
     tenant_queue& queue = queue_of(entry.arrival.tenant);
-    if (queue.ranks.empty()) {
+    if (queue.positions.empty()) {
         // It may have been forgotten meanwhile, and would begin at nothing:
         // far behind, it would hold all others back.
         queue.served = std::max(queue.served, served_floor_);
@@ -99,11 +129,13 @@
     auto found = entries_.find(origin);
     queued_request entry = std::move(found->second.entry);
     tenant_queue& queue = queue_of(entry.arrival.tenant);
-    queue.ranks.erase(found->second.place);
-    ranks_.erase(found->second.place);
+    queue.positions.erase(found->second.place);
+    queue.by_urgency.erase(found->second.place);
+    --queue.sizes[found->second.place.priority];
+    by_urgency_.erase(found->second.place);
     class_sizes_[entry.arrival.request_class] -= entry.peer.empty() ? 1 : 0;
     entries_.erase(found);
-    if (queue.ranks.empty() && !queue.named) {
+    if (queue.positions.empty() && !queue.named) {
         // Callers choose the name: kept, each would take memory for good.
         tenants_.erase(entry.arrival.tenant);
     }
@@ -111,10 +143,10 @@
 }
 
 std::optional<queued_request> request_queue::pop_overdue(time_point now) {
-    if (ranks_.empty() || ranks_.begin()->latest_start > now) {
+    if (by_urgency_.empty() || by_urgency_.begin()->latest_start > now) {
         return std::nullopt;
     }
-    return take(ranks_.begin()->origin);
+    return take(by_urgency_.begin()->origin);
 }
 
 std::optional<queued_request>
@@ -161,34 +193,40 @@
 }
 
 time_point request_queue::most_urgent() const {
-    return ranks_.begin()->latest_start;
+    return by_urgency_.begin()->latest_start;
 }
 
 double request_queue::active_weight() const {
     double sum = 0;
     for (const auto& named : tenants_) {
-        sum += named.second.ranks.empty() ? 0.0 : named.second.weight;
+        sum += named.second.positions.empty() ? 0.0 : named.second.weight;
     }
     return sum;
 }
 
-double request_queue::ahead_of(const std::string& tenant_name,
+double request_queue::ahead_of(const request_arrived& request,
                                time_point latest_start) const {
-    const auto total = static_cast<double>(ranks_.size());
-    const auto found = tenants_.find(tenant_name);
-    if (found == tenants_.end() || found->second.ranks.empty()) {
+    double before = 0; // of all tenants
+    for (const auto& named : tenants_) {
+        before += named.second.before(request.priority);
+    }
+    const auto found = tenants_.find(request.tenant);
+    const double own =
+        found == tenants_.end() ? 0 : found->second.before(request.priority);
+    if (own == 0) {
         // First of its tenant: at most one round of the others goes before.
-        return std::min(total, active_weight());
+        return std::min(before, active_weight());
     }
     const tenant_queue& queue = found->second;
-    if (latest_start < queue.ranks.begin()->latest_start) {
-        return std::min(total, active_weight());
+    const position& first = *queue.positions.begin();
+    if (first.priority == request.priority &&
+        latest_start < first.latest_start) {
+        return std::min(before, active_weight());
     }
     // Counting only the more urgent ones of the tenant would take time in
     // proportion to the queue; nearly all requests of a tenant have the same
     // time allowed and queue up at the end.
-    const double share = queue.weight / active_weight();
-    return std::min(total, static_cast<double>(queue.ranks.size()) / share);
+    return std::min(before, own * active_weight() / queue.weight);
 }
 
 } // namespace waxwingvale::decision
--- a/src/decision/request_queue.hpp
+++ b/src/decision/request_queue.hpp
@@ -37,12 +37,14 @@
     request_origin origin() const { return {peer, arrival.request}; }
 };
 
-// The requests that wait for a slot. The most urgent goes first, but no
-// tenant gets further ahead of its share than a window of requests, so that
-// one tenant's flood does not take the others' slots.
+// The requests that wait for a slot. Those of the highest priority go first,
+// and among them the most urgent. No tenant gets further ahead of its share
+// than a window of requests, so that one tenant's flood does not take the
+// others' slots; and one of so many goes by its urgency alone, so that no
+// priority is left without any.
 class request_queue {
 public:
-    explicit request_queue(unsigned fairness_window);
+    request_queue(unsigned fairness_window, unsigned any_priority_every);
 
     // Weights of tenants; those not named have weight 1.
     void set_tenants(const std::vector<tenant>& tenants);
@@ -68,40 +70,54 @@
     std::size_t class_size(const std::string& request_class) const;
     // Earliest latest_start of all; the queue must not be empty.
     time_point most_urgent() const;
-    // How many requests are served before a new one of that tenant and
-    // urgency, with the tenants' shares taken into account.
-    double ahead_of(const std::string& tenant_name,
+    // How many requests are served before a new one like that, with the
+    // tenants' shares taken into account.
+    double ahead_of(const request_arrived& request,
                     time_point latest_start) const;
 
 private:
-    struct rank {
+    struct position {
+        unsigned priority;
         time_point latest_start;
         std::uint64_t sequence;
         request_origin origin;
-        bool operator<(const rank& other) const;
+    };
+    struct by_priority {
+        bool operator()(const position& a, const position& b) const;
+    };
+    struct by_urgency {
+        bool operator()(const position& a, const position& b) const;
     };
     struct tenant_queue {
-        std::set<rank> ranks;
+        std::set<position, by_priority> positions;
+        std::set<position, request_queue::by_urgency> by_urgency; // the same
+        std::map<unsigned, std::size_t> sizes;                    // by priority
         double served = 0; // requests served, divided by the weight
         double weight = 1;
         bool named = false; // by the file; others are forgotten when empty
+
+        // Requests that go before a new one of that priority.
+        double before(unsigned priority) const;
     };
     struct stored {
         queued_request entry;
-        rank place;
+        position place;
     };
 
     queued_request take(request_origin origin);
     tenant_queue& queue_of(const std::string& tenant_name);
     void insert(queued_request entry);
-    std::map<std::string, tenant_queue>::iterator next_tenant();
+    std::map<std::string, tenant_queue>::iterator
+    next_tenant(bool whatever_priority);
     double active_weight() const;
 
     unsigned fairness_window_;
+    unsigned any_priority_every_;
+    std::uint64_t taken_ = 0;
     std::uint64_t next_sequence_ = 0;
     double served_floor_ = 0; // what a tenant that was idle starts from
     std::map<std::string, tenant_queue> tenants_;
-    std::set<rank> ranks_;
+    std::set<position, by_urgency> by_urgency_;
     std::map<request_origin, stored> entries_;
     std::unordered_map<std::string, std::size_t> class_sizes_;
 };
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -75,7 +75,8 @@
         repeats_.on_request(now_);
     }
     if (request.target) {
-        in_time_arrivals_.add(now_);
+        offered_.add(request.priority,
+                     admission_.mean_time(request.request_class), now_);
     }
     if (place_now(entry)) {
         return;
@@ -127,9 +128,8 @@
     const bool has_target = request.target.has_value();
     entry.latest_start = has_target ? in_time_until(request)
                                     : admission_.latest_start(request, now_);
-    const double slots =
-        has_target ? table_.prompt_slots(now_) : double(table_.working_slots());
-    const double ahead = queue_.ahead_of(request.tenant, entry.latest_start);
+    const double slots = slots_for(request);
+    const double ahead = queue_.ahead_of(request, entry.latest_start);
     // Without slots that work nothing is known of how long it takes: other
     // owners may lend some, or the servers recover.
     const duration wait = slots > 0
@@ -144,9 +144,6 @@
         turn_down(entry, refusal_reason::too_late);
         return;
     }
-    entry.latest_start =
-        std::min(entry.latest_start + request.priority * policy_.priority_step,
-                 request.deadline);
     if (entry.peer.empty()) {
         borrower_.add(request.request);
     }
@@ -157,7 +154,8 @@
 // for the same work, so it gets what slots are left, or is refused at once.
 void service_scheduler::impl::enqueue_late(queued_request entry) {
     entry.latest_start = admission_.latest_start(entry.arrival, now_);
-    const auto ahead = static_cast<double>(queue_.size() + late_.size());
+    const double ahead = static_cast<double>(queue_.size()) +
+                         late_.ahead_of(entry.arrival, entry.latest_start);
     const duration wait = admission_.time_to_serve(ahead + 1.0, spare_slots());
     if (now_ + wait > entry.latest_start) {
         turn_down(entry, refusal_reason::too_late);
@@ -180,13 +178,24 @@
 // What requests that can be answered in time leave of the slots.
 double service_scheduler::impl::spare_slots() const {
     const double all = table_.paced_slots(now_);
-    const double needed =
-        admission_.slots_needed(in_time_arrivals_.per_second(now_));
-    return std::max(all - needed, policy_.least_spare_share * all);
+    return std::max(all - offered_.slots_needed(now_),
+                    policy_.least_spare_share * all);
+}
+
+// Slots that serve a request that waits: what those of higher priority leave.
+double
+service_scheduler::impl::slots_for(const request_arrived& request) const {
+    if (!request.target) {
+        return table_.working_slots();
+    }
+    const double all = table_.prompt_slots(now_);
+    const double left =
+        all - offered_.slots_needed_before(request.priority, now_);
+    return std::max(left, all / policy_.any_priority_every);
 }
 
 duration service_scheduler::impl::next_appointment() {
-    const bool by_target = in_time_arrivals_.per_second(now_) > 0;
+    const bool by_target = offered_.arrivals_per_second(now_) > 0;
     const double slots =
         by_target ? spare_slots() : static_cast<double>(table_.working_slots());
     return admission_.next_appointment(backlog(), slots, now_);
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -60,9 +60,9 @@
       self_(std::move(self)),
       policy_(policy),
       table_(self_, policy),
-      queue_(policy.fairness_window),
-      late_(policy.fairness_window),
-      of_owners_(policy.fairness_window),
+      queue_(policy.fairness_window, policy.any_priority_every),
+      late_(policy.fairness_window, policy.any_priority_every),
+      of_owners_(policy.fairness_window, policy.any_priority_every),
       repeats_({}),
       admission_(policy),
       lender_(self_),
@@ -188,7 +188,7 @@
     known.working_slots = table_.working_slots();
     known.prompt_slots = table_.prompt_slots(now);
     known.spare_slots = spare_slots();
-    known.arrivals_per_second = in_time_arrivals_.per_second(now);
+    known.arrivals_per_second = offered_.arrivals_per_second(now);
     known.turned_down = turned_down_;
     return known;
 }
@@ -196,7 +196,7 @@
 // Probes pay only while there are requests to place.
 std::vector<std::string>
 service_scheduler::impl::unheard(time_point now) const {
-    const bool busy = in_time_arrivals_.per_second(now) >= 1.0;
+    const bool busy = offered_.arrivals_per_second(now) >= 1.0;
     return busy ? table_.unheard(now) : std::vector<std::string>();
 }
 
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "decision/admission.hpp"
-#include "decision/arrival_rate.hpp"
 #include "decision/grant_borrower.hpp"
 #include "decision/grant_lender.hpp"
+#include "decision/offered_load.hpp"
 #include "decision/request_queue.hpp"
 #include "decision/slot_table.hpp"
 #include <waxwingvale/decision/repeat_budget.hpp>
@@ -94,6 +94,7 @@
     bool decides() const { return table_.has_slots(); }
     duration backlog() const;
     double spare_slots() const;
+    double slots_for(const request_arrived& request) const;
     duration next_appointment();
     double tolerated_loss(const queued_request& entry) const;
     slot_wish wish_of(const queued_request& entry) const;
@@ -151,7 +152,7 @@
     request_queue late_;
     // What other owners have no slots for at the moment.
     request_queue of_owners_;
-    arrival_rate in_time_arrivals_;
+    offered_load offered_;
     repeat_budget repeats_;
     admission admission_;
     grant_lender lender_;
--- a/src/waxwing_replay/clairvoyant_policy.cpp
+++ b/src/waxwing_replay/clairvoyant_policy.cpp
@@ -1,6 +1,7 @@
 #include "waxwing_replay/clairvoyant_policy.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -88,7 +89,9 @@
                 most = now;
             }
         }
-        return best;
+        // Late work holds its slot for a multiple of what it brings, and what
+        // comes next needs the slot.
+        return most.in_time || plenty_free() ? best : std::nullopt;
     }
 
     void start_waiting() {
@@ -124,6 +127,13 @@
                      });
     }
 
+    bool plenty_free() const {
+        const std::size_t all = in_flight_.size() * most_at_once_;
+        const std::size_t busy = std::accumulate(
+            in_flight_.begin(), in_flight_.end(), std::size_t{0});
+        return busy * 2 < all;
+    }
+
     // How many requests at once make a server do the most work.
     static unsigned best_count(const service_size& size) {
         unsigned best = 1;
--- a/src/waxwing_replay/knob_table.cpp
+++ b/src/waxwing_replay/knob_table.cpp
@@ -55,7 +55,7 @@
     {"tolerated_loss_at_last", &scheduling_policy::tolerated_loss_at_last},
     {"in_time_deviations", &scheduling_policy::in_time_deviations},
     {"caller_travel", &scheduling_policy::caller_travel},
-    {"priority_step", &scheduling_policy::priority_step},
+    {"any_priority_every", &scheduling_policy::any_priority_every},
     {"least_spare_share", &scheduling_policy::least_spare_share},
     {"repeat_extra_share", &scheduling_policy::repeat_extra_share},
     {"slowed_probe_after", &scheduling_policy::slowed_probe_after},
--- a/src/waxwing_replay/run_statistics.cpp
+++ b/src/waxwing_replay/run_statistics.cpp
@@ -59,6 +59,9 @@
     figures.worth = worth_.share();
     figures.worst_windows = worth_.worst_windows();
     figures.worst_class = worth_.worst_class();
+    for (std::size_t work = 0; work < worth_.classes(); ++work) {
+        figures.worth_by_class.push_back(worth_.of_class(work));
+    }
     figures.of_capacity = answered_calls / (capacity * seconds);
     figures.refused = refused_calls / calls;
     figures.failed = (late + failed_calls) / calls;
--- a/src/waxwing_replay/run_statistics.hpp
+++ b/src/waxwing_replay/run_statistics.hpp
@@ -31,6 +31,7 @@
     double worth = 0;         // earned, of what was owed
     double worst_windows = 0; // of the two worst seconds twice
     double worst_class = 0;
+    std::vector<double> worth_by_class; // in the order of the size's works
     double of_capacity = 0; // answered a second, of what the slots can serve
     double refused = 0;     // of all calls
     double failed = 0;      // late or failed, of all calls
--- a/src/waxwing_replay/worth_ledger.hpp
+++ b/src/waxwing_replay/worth_ledger.hpp
@@ -20,6 +20,7 @@
     // That of the class with the least.
     double worst_class() const;
     double of_class(std::size_t work) const;
+    std::size_t classes() const { return by_class_.size(); }
     // The mean of that of the two worst of those two seconds.
     double worst_windows() const;
 
--- a/test/control/fleet_test.cpp
+++ b/test/control/fleet_test.cpp
@@ -51,8 +51,16 @@
     }));
     fleet.publish("configuration", "{ not a configuration", 2);
     fleet.publish("configuration", fleet_configuration(5, "three"), 3);
-    REQUIRE(fleet.run_until_all(
-        [](const view& seen) { return seen.published.revision == 3; }));
+    const bool agreed = fleet.run_until_all(
+        [](const view& seen) { return seen.published.revision == 3; });
+    for (unsigned each = 0; each < fleet.size(); ++each) {
+        INFO(fleet.describe(each));
+        if (!agreed) {
+            fleet.process(each).signal(SIGTERM);
+            UNSCOPED_INFO(fleet.process(each).read_rest());
+        }
+        CHECK(agreed);
+    }
 }
 
 TEST_CASE("a drain and a quarantine seen by one are told to all") {
--- a/test/standin/control_fleet.cpp
+++ b/test/standin/control_fleet.cpp
@@ -193,7 +193,9 @@
     const auto seen = view_at(instance);
     auto line = name_of(instance) + ": revision " +
                 std::to_string(seen.published.revision) +
-                (seen.fresh ? ", fresh" : ", not fresh");
+                (seen.fresh ? ", fresh" : ", not fresh") + ", heard " +
+                std::to_string((now() - heard(instance)).count() / 1000) +
+                " ms ago";
     for (const auto& each : seen.members) {
         line += ", " + each.id.name + "@" +
                 std::to_string(each.id.incarnation) + " state " +
