registry: starts of a server are told apart, and entries of other writers name none

A backend server may start again under the id that it had, and 'born' tells its start: it becomes the registry record's incarnation, travels between instances, and is compared everywhere by one function (is_of_former). A new start forgets requests in flight, pace, failures, pauses and silence; kept connections to the former are closed; beliefs, deaths, answers and probes of the former do not count for the new, which begins cold. What was sent at most once to the former ends as unknown, at the loss of its connection or its deadline. Without 'born' all is as before.

Entries may come from other writers. Cause of what would have happened: one value that is no base64 refused the whole page (no backend server known to anybody as long as it is there), an unnamed state counted as ready, and a bad change left the older entry in use. Now each item stands for itself (reading_facts); what cannot be read is withdrawn with its revision, told of once and counted.

The prober goes through all servers only every fifth of a second, and looks up those that are due by name.

--- a/include/waxwingvale/io/platform_dialect.hpp
+++ b/include/waxwingvale/io/platform_dialect.hpp
@@ -16,6 +16,8 @@
     std::string key;
     std::string value;
     std::uint64_t revision = 0; // of its last change
+    // Why the value could not be read, when it could not; empty otherwise.
+    std::string problem;
 };
 
 // A change of one of them: what it is now, or that it is gone.
--- a/include/waxwingvale/membership/registry_table.hpp
+++ b/include/waxwingvale/membership/registry_table.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <waxwingvale/membership/digest.hpp>
+#include <waxwingvale/model/backend_incarnation.hpp>
 #include <waxwingvale/model/time.hpp>
 
 namespace waxwingvale::membership {
@@ -22,13 +23,14 @@
     unsigned slots = 1;
     bool leaving = false;
     duration cold_for{}; // slower than usual for so long, when it was written
+    backend_incarnation incarnation = 0;
 
     friend bool operator==(const registered_backend& a,
                            const registered_backend& b) {
         return std::tie(a.service, a.host, a.port, a.data_centre, a.version,
-                        a.slots, a.leaving, a.cold_for) ==
+                        a.slots, a.leaving, a.cold_for, a.incarnation) ==
                std::tie(b.service, b.host, b.port, b.data_centre, b.version,
-                        b.slots, b.leaving, b.cold_for);
+                        b.slots, b.leaving, b.cold_for, b.incarnation);
     }
 };
 
--- a/include/waxwingvale/model/backend_belief.hpp
+++ b/include/waxwingvale/model/backend_belief.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <tuple>
 
+#include <waxwingvale/model/backend_incarnation.hpp>
 #include <waxwingvale/model/time.hpp>
 
 namespace waxwingvale {
@@ -28,7 +29,7 @@
 // backend server is not dead because its predecessor was.
 struct backend_belief {
     std::string backend_server;
-    std::uint64_t incarnation = 0; // 0: not known
+    backend_incarnation incarnation = 0;
     backend_state state = backend_state::serving;
     belief_source source = belief_source::platform_list;
     std::string observer; // member name
--- a/include/waxwingvale/model/configuration.hpp
+++ b/include/waxwingvale/model/configuration.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <waxwingvale/model/backend_incarnation.hpp>
 #include <waxwingvale/model/caller_limits.hpp>
 #include <waxwingvale/model/request_class.hpp>
 #include <waxwingvale/model/route.hpp>
@@ -23,6 +24,8 @@
     unsigned slots = 1;        // requests served at once
     unsigned connections = 64; // most connections open over all entry instances
     duration cold_for{};       // slower than usual for so long after its start
+    // Rises with each start under the same name; 0: not known.
+    backend_incarnation incarnation = 0;
 };
 
 // A tenant and its weight when slots are short.
--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -169,6 +169,9 @@
          [&known] { return known.quarantine.fingerprints().size(); });
     show("waxwing_backend_servers_registered", "Found in the registry.",
          [&known] { return known.registry.records().size(); });
+    count("waxwing_published_items_unreadable_total",
+          "Published items that could not be read, each time.",
+          [&known] { return known.unreadable.seen(); });
     show("waxwing_view_fresh", "1: heard of since the last wake-up.",
          [&known] { return known.fresh.fresh() ? 1U : 0U; });
     count("waxwing_late_wakeups_total", "Times the process had been stopped.",
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "control/reading_facts.hpp"
 #include "control/snapshot.hpp"
 #include <waxwingvale/entry/backend_seen.hpp>
 #include <waxwingvale/model/configuration_file.hpp>
@@ -29,6 +30,8 @@
 // Entries that lapsed while the platform was away are back about two seconds
 // after its return, if their servers live.
 constexpr duration lapse_grace = std::chrono::milliseconds(2200);
+// Of a key that somebody else has chosen, the log gets so many bytes.
+constexpr std::size_t longest_key_told = 100;
 
 std::uint64_t random_seed() {
     std::random_device device;
@@ -159,39 +162,30 @@
 }
 
 void control_service::take_facts(const io::platform_reading& reading) {
-    std::vector<membership::registry_record> registered;
-    const auto take_item = [&](const io::published_item& item) {
-        const auto fact = published_.decode(item);
-        if (!fact) {
-            program::log_warning(
-                "published_item_refused",
-                {{"key", item.key}, {"error", to_string(fact.error())}});
-            return;
-        }
-        const auto* record =
-            std::get_if<membership::registry_record>(&fact.value());
-        if (reading.whole && record != nullptr) {
-            registered.push_back(*record);
-            return;
-        }
-        std::visit([this](const auto& typed) { take(typed); }, fact.value());
-    };
-    for (const auto& item : reading.items) {
-        take_item(item);
+    const auto now = environment_.timers.now();
+    const auto read = facts_of(reading, published_);
+    for (const auto& item : read.unreadable) {
+        note_unreadable(item);
     }
-    for (const auto& change : reading.changes) {
-        if (change.removed) {
-            const auto fact = published_.decode_removal(change.item.key,
-                                                        change.item.revision);
-            std::visit([this](const auto& typed) { take(typed); }, fact);
-        } else {
-            take_item(change.item);
-        }
+    for (const auto& record : read.withdrawn) {
+        known_.registry.merge(record, now);
+    }
+    for (const auto& fact : read.facts) {
+        std::visit([this](const auto& typed) { take(typed); }, fact);
     }
     if (reading.whole && published_.lists_backend_servers(reading.topic)) {
-        known_.registry.take_list(registered, reading.revision,
-                                  environment_.timers.now());
+        known_.registry.take_list(read.listed, reading.revision, now);
+    }
+}
+
+void control_service::note_unreadable(const unreadable_item& item) {
+    if (!known_.unreadable.note(item.key, item.revision)) {
+        return;
     }
+    program::log_warning("published_item_refused",
+                         {{"key", item.key.substr(0, longest_key_told)},
+                          {"revision", std::to_string(item.revision)},
+                          {"error", to_string(item.why)}});
 }
 
 void control_service::take(const unrelated_item&) {}
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -9,6 +9,7 @@
 #include "control/knowledge.hpp"
 #include "control/peer_links.hpp"
 #include "control/publication_pace.hpp"
+#include "control/reading_facts.hpp"
 #include "control/view_publisher.hpp"
 #include <waxwingvale/administration/admin_api.hpp>
 #include <waxwingvale/control/published_state.hpp>
@@ -42,6 +43,7 @@
     void watch_platform();
     void take_reading(const io::platform_reading& reading);
     void take_facts(const io::platform_reading& reading);
+    void note_unreadable(const unreadable_item& item);
     void take(const unrelated_item& item);
     void take(const configuration_text& file);
     void take(const membership::platform_list& list);
--- a/src/control/knowledge.hpp
+++ b/src/control/knowledge.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/unreadable_items.hpp"
 #include <waxwingvale/membership/belief_table.hpp>
 #include <waxwingvale/membership/configuration_register.hpp>
 #include <waxwingvale/membership/freshness.hpp>
@@ -38,6 +39,7 @@
     membership::quarantine_table quarantine;
     membership::reader_duty readers;
     membership::freshness fresh;
+    unreadable_items unreadable;
 };
 
 } // namespace waxwingvale::control
--- a/src/control/view_changes.cpp
+++ b/src/control/view_changes.cpp
@@ -36,9 +36,11 @@
     }
     for (const auto& of : known.config->services) {
         for (const auto& each : of.backend_servers) {
-            found[each.name] = {"backend_server", each.name, "usable",
-                                "service=" + of.name + " address=" + each.host +
-                                    ":" + std::to_string(each.port)};
+            found[each.name] = {
+                "backend_server", each.name, "usable",
+                "service=" + of.name + " address=" + each.host + ":" +
+                    std::to_string(each.port) +
+                    " incarnation=" + std::to_string(each.incarnation)};
         }
     }
     return found;
--- a/src/control/view_publisher.cpp
+++ b/src/control/view_publisher.cpp
@@ -28,6 +28,7 @@
     made.slots = record.entry.slots;
     made.connections = of.connections;
     made.cold_for = record.entry.cold_for;
+    made.incarnation = record.entry.incarnation;
     return made;
 }
 
--- a/src/decision/backend_slots.cpp
+++ b/src/decision/backend_slots.cpp
@@ -6,6 +6,7 @@
 
 void backend_slots::configure(const backend_server& server) {
     data_centre_ = server.data_centre;
+    set_incarnation(server.incarnation);
     if (configured_ == server.slots) {
         return;
     }
@@ -13,7 +14,7 @@
     usable_ = server.slots;
 }
 
-void backend_slots::set_incarnation(std::uint64_t incarnation) {
+void backend_slots::set_incarnation(backend_incarnation incarnation) {
     if (incarnation <= incarnation_) {
         return;
     }
@@ -23,7 +24,12 @@
         // What was seen of the former process says nothing of this one, and
         // its caches are cold.
         health_ = backend_health();
+        pause_ = duration::zero();
         paused_until_ = time_point{};
+        started_.clear();
+        isolated_ = false;
+        answers_ = 0;
+        caution_ = 1;
         seen_.reset();
         silent_ = false;
         start_cold();
@@ -71,6 +77,9 @@
     if (started_.empty()) {
         isolated_ = false;
     }
+    if (attempt != 0 && !ended) {
+        return ended;
+    }
     if (verdict == attempt_verdict::answered) {
         grow();
     } else if (verdict == attempt_verdict::shed) {
--- a/src/decision/backend_slots.hpp
+++ b/src/decision/backend_slots.hpp
@@ -53,8 +53,10 @@
     backend_health& health() { return health_; }
 
     void configure(const backend_server& server);
-    // A first or new incarnation is ramped up from one slot when cold.
-    void set_incarnation(std::uint64_t incarnation);
+    // A new incarnation begins cold, from one slot, and what was seen of the
+    // former and runs on it is forgotten. Older ones are passed over.
+    void set_incarnation(backend_incarnation incarnation);
+    backend_incarnation incarnation() const { return incarnation_; }
     void start_cold() { usable_ = 1; }
     void set_vetoed(bool vetoed) { vetoed_ = vetoed; }
     bool vetoed() const { return vetoed_; }
@@ -68,7 +70,8 @@
     time_point paused_until() const { return paused_until_; }
 
     void start(attempt_ref attempt, time_point now, bool isolated);
-    // Ends the attempt; none when it is not known.
+    // Ends the attempt; none when it is not known, as when its server has
+    // started again since. One on a peer's slot, 0, never is, and counts.
     std::optional<attempt_start> finish(attempt_ref attempt,
                                         attempt_verdict verdict,
                                         const std::optional<backend_load>& load,
@@ -82,7 +85,7 @@
 
     std::string name_;
     std::string data_centre_;
-    std::uint64_t incarnation_ = 0;
+    backend_incarnation incarnation_ = 0;
     unsigned configured_ = 0;
     unsigned usable_ = 0;
     unsigned allowance_ = 0;
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -229,6 +229,7 @@
     started.request_class = taken->arrival.request_class;
     started.backend_server = grant.backend_server;
     started.started_at = now_;
+    started.incarnation = table_.at(*at).incarnation();
     started.from_peer = grant.peer;
     started.grant = grant.grant;
     running_[request] = std::move(started);
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -281,6 +281,7 @@
     started.backend_server = server;
     started.attempt = table_.start(at, now_, request.isolated);
     started.started_at = now_;
+    started.incarnation = table_.at(at).incarnation();
     running_[request.request] = std::move(started);
     borrower_.remove(request.request);
     actions_->emplace_back(start_request{request.request, server, {}, 0, slow});
@@ -422,12 +423,21 @@
                            : now_ - ended.started_at;
     use.load = event.load;
     use.answer_bytes = event.answer_bytes;
-    learn({ended.backend_server, ended.request_class, ended.attempt, use});
+    if (!started_again(ended)) {
+        learn({ended.backend_server, ended.request_class, ended.attempt, use});
+    }
     if (!ended.from_peer.empty()) {
         actions_->emplace_back(return_grant{ended.from_peer, ended.grant, use});
     }
 }
 
+// Whether its backend server has started again since the attempt began.
+bool service_scheduler::impl::started_again(
+    const running_request& ended) const {
+    const auto at = table_.find(ended.backend_server);
+    return at && is_of_former(ended.incarnation, table_.at(*at).incarnation());
+}
+
 // An attempt on a slot of a peer's has the number 0, which no attempt on an own
 // slot has: its server's pace when it began is not known here.
 void service_scheduler::impl::learn(const attempt_end& ended) {
@@ -438,6 +448,9 @@
     const grant_use& use = ended.use;
     const ended_attempt expected =
         table_.finish(*at, ended.attempt, use.verdict, use.load, now_);
+    if (expected.of_former) {
+        return; // it says nothing of the process that runs there now
+    }
     const auto at_usual_pace = duration(static_cast<duration::rep>(
         static_cast<double>(use.service_time.count()) *
         std::exp(-expected.log_factor)));
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -43,6 +43,7 @@
         std::string backend_server;
         attempt_ref attempt = 0; // on an own slot
         time_point started_at{};
+        backend_incarnation incarnation = 0;
         std::string from_peer;
         grant_id grant = 0;
     };
@@ -100,6 +101,7 @@
     slot_wish wish_of(const queued_request& entry) const;
     time_point in_time_until(const request_arrived& request) const;
     std::optional<work_forecast> forecast_of(const queued_request& entry) const;
+    bool started_again(const running_request& ended) const;
     void learn(const attempt_end& ended);
 
     // scheduler_grants.cpp
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -53,8 +53,8 @@
 };
 
 void add_belief(latest_belief& latest, const backend_belief& belief) {
-    if (belief.incarnation != 0 && belief.incarnation < latest.incarnation) {
-        return; // word about a former incarnation
+    if (is_of_former(belief.incarnation, latest.incarnation)) {
+        return;
     }
     if (belief.incarnation > latest.incarnation) {
         latest = latest_belief();
@@ -76,6 +76,18 @@
     return latest;
 }
 
+// A server that has started again is not dead or leaving since its former
+// process was.
+latest_belief
+belief_of(const backend_slots& server,
+          const std::unordered_map<std::string, latest_belief>& latest) {
+    const auto found = latest.find(server.name());
+    const bool of_this_start =
+        found != latest.end() &&
+        !is_of_former(found->second.incarnation, server.incarnation());
+    return of_this_start ? found->second : latest_belief();
+}
+
 } // namespace
 
 slot_table::slot_table(member_id self, const scheduling_policy& policy)
@@ -113,9 +125,7 @@
     const auto latest = latest_beliefs(view.beliefs);
     std::size_t serving = 0;
     for (backend_slots& server : servers_) {
-        const auto found = latest.find(server.name());
-        const latest_belief belief =
-            found == latest.end() ? latest_belief() : found->second;
+        const latest_belief belief = belief_of(server, latest);
         server.set_incarnation(belief.incarnation);
         server.set_vetoed(belief.leaving || belief.listed_dead ||
                           belief.suspected_dead);
@@ -128,8 +138,7 @@
     // likely the network near the observer is broken. Shutting all of them
     // out would turn that suspicion into an outage.
     for (backend_slots& server : servers_) {
-        const auto found = latest.find(server.name());
-        const latest_belief& belief = found->second;
+        const latest_belief belief = belief_of(server, latest);
         server.set_vetoed(belief.leaving || belief.listed_dead);
     }
 }
@@ -235,12 +244,16 @@
     note_change(place);
     backend_slots& server = servers_[place];
     const auto begun = server.finish(attempt, verdict, load, now, policy_);
+    ended_attempt ended;
+    ended.certain = false;
+    if (attempt != 0 && !begun) {
+        ended.of_former = true;
+        return ended;
+    }
     if (verdict == attempt_verdict::answered ||
         verdict == attempt_verdict::failed || load) {
         server.set_silent(false);
     }
-    ended_attempt ended;
-    ended.certain = false;
     if (begun) {
         // Others may use the server too, as after a restart of all instances,
         // when several take themselves for its owner. Were its answers then
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -42,6 +42,8 @@
     // logarithm, and whether that was known well enough to learn from.
     double log_factor = 0;
     bool certain = true;
+    // It ran on a process that another one has followed under the same name.
+    bool of_former = false;
 };
 
 // A pace up to this counts as not slowed down; the usual one varies a little.
@@ -89,7 +91,8 @@
 
     // Takes a slot; the attempt is named to finish() or release().
     attempt_ref start(index place, time_point now, bool isolated);
-    // An attempt that was started there ended.
+    // An attempt that was started there, or on a peer's slot there, which has
+    // the number 0, ended.
     ended_attempt finish(index place, attempt_ref attempt,
                          attempt_verdict verdict,
                          const std::optional<backend_load>& load,
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -175,8 +175,8 @@
     const auto slow_after =
         action.slow_after > duration::zero() ? action.slow_after : usual_delay;
     const running_attempt attempt{
-        attempt_id, action.backend_server, sent,
-        now,        action.from_peer,      slow_after};
+        attempt_id, action.backend_server, sent, now, action.from_peer,
+        slow_after, server.incarnation};
     note(call, "call_placed", placed_facts(attempt, attempt_id != id));
     if (attempt_id != id) {
         call.hedge = attempt;
@@ -236,10 +236,14 @@
     auto& other = was_hedge ? call->running : call->hedge;
     const auto attempt = *ours;
     auto answer = protocol_.classify(ended);
+    if (answer.incarnation == 0) {
+        // It does not tell: it is of the one that it was asked of.
+        answer.incarnation = attempt.incarnation;
+    }
     answer.bytes =
         ended.response ? ended.response.value().body.size() : call->relayed;
     if (answer.end == attempt_end::broken) {
-        report_death(attempt.backend_server);
+        report_death(attempt);
     }
     if (!ended.response) {
         note(*call, "call_answer_lost",
@@ -294,13 +298,14 @@
 
 // A connection broke under a request. Whatever was in flight on that backend
 // server is a suspect: one of them may crash each server that runs it.
-void call_desk::report_death(const std::string& backend_server) {
-    if (!crashes_.is_news(backend_server)) {
+void call_desk::report_death(const running_attempt& lost) {
+    if (!crashes_.is_news(lost.backend_server, lost.incarnation)) {
         return;
     }
     std::vector<decision::request_fingerprint> in_flight;
     const auto runs_there = [&](const std::optional<running_attempt>& one) {
-        return one && one->backend_server == backend_server;
+        return one && one->backend_server == lost.backend_server &&
+               one->incarnation == lost.incarnation;
     };
     for (const auto& entry : calls_) {
         if (runs_there(entry.second.running) ||
@@ -308,7 +313,7 @@
             in_flight.push_back(fingerprint(entry.second));
         }
     }
-    crashes_.on_died(backend_server, in_flight);
+    crashes_.on_died(lost.backend_server, lost.incarnation, in_flight);
 }
 
 void call_desk::end_with(call_record& call, const running_attempt& attempt,
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -114,7 +114,7 @@
                      forwarding::backend_result ended);
     void report_end(call_record& call, const running_attempt& attempt,
                     const backend_answer& answer);
-    void report_death(const std::string& backend_server);
+    void report_death(const running_attempt& lost);
     void end_with(call_record& call, const running_attempt& attempt,
                   const backend_answer& answer,
                   forwarding::backend_result ended);
--- a/src/entry/call_record.hpp
+++ b/src/entry/call_record.hpp
@@ -30,6 +30,8 @@
     time_point started{};
     std::string granted_by; // the owner whose slot it is; empty: an own slot
     duration slow_after{};  // when its answer is slow to come
+    // The start of the server that it was sent to, as far as known then.
+    backend_incarnation incarnation = 0;
 };
 
 // A key's right to run, held by this call until its outcome is reported.
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -1,5 +1,7 @@
 #include "entry/crash_guard.hpp"
 
+#include <algorithm>
+
 #include <waxwingvale/program/state_log.hpp>
 
 #include "entry/suspicion_codec.hpp"
@@ -45,22 +47,35 @@
 }
 
 void crash_guard::on_alive(const std::string& backend_server,
-                           std::uint64_t incarnation) {
-    backend_servers_[backend_server] = {incarnation, false};
+                           backend_incarnation incarnation) {
+    auto& sight = backend_servers_[backend_server];
+    if (!is_of_former(incarnation, sight.incarnation)) {
+        sight = {incarnation, false};
+    }
 }
 
 // When a server dies, every connection to it breaks: the first one reports
 // them all, and the others add nothing until it has answered again.
-bool crash_guard::is_news(const std::string& backend_server) const {
+// Connections that break late, to a process that another has followed, say
+// nothing of the one that runs.
+bool crash_guard::is_news(const std::string& backend_server,
+                          backend_incarnation incarnation) const {
     const auto known = backend_servers_.find(backend_server);
-    return known == backend_servers_.end() || !known->second.dead;
+    if (known == backend_servers_.end()) {
+        return true;
+    }
+    const auto& sight = known->second;
+    if (is_of_former(incarnation, sight.incarnation)) {
+        return false;
+    }
+    return !sight.dead || is_of_former(sight.incarnation, incarnation);
 }
 
 void crash_guard::on_died(
-    const std::string& backend_server,
+    const std::string& backend_server, backend_incarnation incarnation,
     const std::vector<decision::request_fingerprint>& in_flight) {
     auto& sight = backend_servers_[backend_server];
-    sight.dead = true;
+    sight = {std::max(sight.incarnation, incarnation), true};
     const auto words = quarantine_.on_backend_died(
         {backend_server, sight.incarnation}, in_flight, timers_.now());
     program::log_warning("backend_server_died",
--- a/src/entry/crash_guard.hpp
+++ b/src/entry/crash_guard.hpp
@@ -8,6 +8,7 @@
 #include <waxwingvale/decision/quarantine.hpp>
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
+#include <waxwingvale/model/backend_incarnation.hpp>
 
 namespace waxwingvale::entry {
 
@@ -30,11 +31,14 @@
 
     decision::quarantine_decision admit(decision::request_fingerprint of);
     // A backend server answered, in this life.
-    void on_alive(const std::string& backend_server, std::uint64_t incarnation);
+    void on_alive(const std::string& backend_server,
+                  backend_incarnation incarnation);
     // A connection broke without an answer. Whether this is the first sign of
     // the server's death; then report what was in flight there.
-    bool is_news(const std::string& backend_server) const;
+    bool is_news(const std::string& backend_server,
+                 backend_incarnation incarnation) const;
     void on_died(const std::string& backend_server,
+                 backend_incarnation incarnation,
                  const std::vector<decision::request_fingerprint>& in_flight);
     void on_passed(decision::request_fingerprint of);
     // A request that may only run alone was sent to that backend server.
@@ -44,7 +48,7 @@
 
 private:
     struct backend_sight {
-        std::uint64_t incarnation = 0;
+        backend_incarnation incarnation = 0;
         bool dead = false;
     };
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -74,6 +74,13 @@
 
 void entry_service::take(const program::view_published& published) {
     const auto& view = published.now;
+    const bool other_servers =
+        view->config && (!view_ || view_->config != view->config);
+    if (other_servers) {
+        for (const auto& name : starts_.follow(*view->config)) {
+            pool_.forget(name);
+        }
+    }
     view_ = view;
     const auto limits = connection_limits_of(*view);
     pool_.limit_connections(limits.open, limits.idle);
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -15,6 +15,7 @@
 #include "entry/call_desk.hpp"
 #include "entry/entry_metrics.hpp"
 #include "entry/prober.hpp"
+#include "entry/server_starts.hpp"
 
 namespace waxwingvale::entry {
 
@@ -60,6 +61,7 @@
     forwarding::caller_server callers_;
     forwarding::backend_pool pool_;
     view_ptr view_;
+    server_starts starts_;
     call_desk calls_;
     prober prober_;
     kernel::timer_service::subscription leave_notice_;
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -1,6 +1,7 @@
 #include "entry/prober.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 #include <waxwingvale/decision/ownership.hpp>
 
@@ -19,6 +20,8 @@
 // Every server is asked so often, if the budget allows, though nobody needs to
 // know how it is: that one is back or leaving is news for all.
 constexpr duration idle_probe_period = 2s;
+// It is looked for them every fifth of a second.
+constexpr unsigned checks_between_idle_looks = 8;
 constexpr duration probe_connection_kept_for = 5s;
 
 } // namespace
@@ -67,20 +70,27 @@
     auto& probes = services_.try_emplace(of.name, limits).first->second;
     probes.budget.change_rate(of.budgets.probes, now);
     const auto* mine = decision::find_owner(owners, self_);
-    std::set<std::string> owned;
+    std::unordered_set<std::string> names;
     if (mine != nullptr) {
-        owned.insert(mine->backend_servers.begin(),
+        names.insert(mine->backend_servers.begin(),
                      mine->backend_servers.end());
     }
-    for (const auto& name : owned) {
-        if (probes.owned.count(name) == 0) {
-            probes.budget.on_owned(name, now);
+    std::unordered_map<std::string, owned_server> owned;
+    for (const auto& server : of.backend_servers) {
+        if (names.count(server.name) == 0) {
+            continue;
+        }
+        const auto known = probes.owned.find(server.name);
+        const bool is_new = known == probes.owned.end();
+        if (is_new) {
+            probes.budget.on_owned(server.name, now);
         }
+        owned[server.name] = {server,
+                              is_new ? time_point() : known->second.last};
     }
-    for (const auto& name : probes.owned) {
-        if (owned.count(name) == 0) {
-            probes.budget.on_lost(name);
-            probes.last.erase(name);
+    for (const auto& known : probes.owned) {
+        if (owned.count(known.first) == 0) {
+            probes.budget.on_lost(known.first);
         }
     }
     probes.owned = std::move(owned);
@@ -107,34 +117,55 @@
     if (!view_ || !view_->config) {
         return;
     }
+    const bool idle_ones = ++checks_ % checks_between_idle_looks == 0;
     for (const auto& of : view_->config->services) {
-        probe_due(of, now);
+        probe_due(of, idle_ones, now);
     }
 }
 
-void prober::probe_due(const service& of, time_point now) {
-    auto& probes = services_.at(of.name);
-    if (probes.owned.empty()) {
+// All servers are gone through only now and then: of some hundred, few are due
+// at a time.
+void prober::probe_due(const service& of, bool idle_ones, time_point now) {
+    auto& owned = services_.at(of.name).owned;
+    if (owned.empty()) {
         return;
     }
-    const auto unheard = outlet_.unheard(of.name);
-    const std::set<std::string> wanted(unheard.begin(), unheard.end());
-    for (const auto& server : of.backend_servers) {
-        const bool owned = probes.owned.count(server.name) != 0;
-        const bool due = wanted.count(server.name) != 0 ||
-                         now - probes.last[server.name] >= idle_probe_period;
-        if (owned && due && open_.count(server.name) == 0 &&
-            probes.budget.try_probe(server.name, now)) {
-            probes.last[server.name] = now;
-            send_probe(of, server);
+    for (const auto& name : outlet_.unheard(of.name)) {
+        const auto found = owned.find(name);
+        if (found != owned.end()) {
+            probe(of, found->second, now);
+        }
+    }
+    if (!idle_ones) {
+        return;
+    }
+    for (auto& each : owned) {
+        if (now - each.second.last >= idle_probe_period) {
+            probe(of, each.second, now);
         }
     }
 }
 
+void prober::probe(const service& of, owned_server& server, time_point now) {
+    auto& budget = services_.at(of.name).budget;
+    if (open_.count(server.at.name) == 0 &&
+        budget.try_probe(server.at.name, now)) {
+        server.last = now;
+        send_probe(of, server.at);
+    }
+}
+
 // By value: with the probe's timer goes what its handler held.
 void prober::end_probe(std::string service, std::string server,
-                       const backend_answer& answer) {
+                       backend_incarnation of, backend_answer answer) {
     open_.erase(server);
+    const auto& owned = services_.at(service).owned;
+    const auto found = owned.find(server);
+    if (found != owned.end() &&
+        is_of_former(of, found->second.at.incarnation)) {
+        return; // asked of a process that has ended since
+    }
+    answer.incarnation = of;
     outlet_.on_probe(service, server, answer);
 }
 
@@ -148,18 +179,20 @@
     call.headers.push_back({"Host", to.host});
     call.connect_timeout = probe_timeout;
     call.kept_for = probe_connection_kept_for;
-    const auto open =
-        pool_.send(std::move(call), [this, service = of.name, name = to.name](
-                                        forwarding::backend_result ended) {
-            end_probe(service, name, protocol_.classify_health(ended, name));
+    const auto open = pool_.send(
+        std::move(call),
+        [this, service = of.name, name = to.name,
+         start = to.incarnation](const forwarding::backend_result& ended) {
+            end_probe(service, name, start,
+                      protocol_.classify_health(ended, name));
         });
-    open_[to.name] =
-        timers_.after(probe_timeout, [this, open, service = of.name,
-                                      name = to.name](time_point) {
+    open_[to.name] = timers_.after(
+        probe_timeout, [this, open, service = of.name, name = to.name,
+                        start = to.incarnation](time_point) {
             pool_.cancel(open);
             backend_answer silent;
             silent.end = attempt_end::timed_out;
-            end_probe(service, name, silent);
+            end_probe(service, name, start, silent);
         });
 }
 
--- a/src/entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -3,8 +3,8 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <waxwingvale/decision/probe_budget.hpp>
@@ -43,12 +43,15 @@
     void change_links(std::size_t links);
 
 private:
+    struct owned_server {
+        backend_server at;
+        time_point last{}; // probe of it
+    };
     struct service_probes {
         explicit service_probes(const decision::probe_limits& limits)
             : budget(limits) {}
         decision::probe_budget budget;
-        std::set<std::string> owned;
-        std::map<std::string, time_point> last; // probe of each owned server
+        std::unordered_map<std::string, owned_server> owned; // by name
     };
 
     void follow(const service& of, const decision::ownership& owners,
@@ -56,10 +59,11 @@
     void update_share(time_point now);
     void tick_while_owning();
     void probe_due(time_point now);
-    void probe_due(const service& of, time_point now);
+    void probe_due(const service& of, bool idle_ones, time_point now);
+    void probe(const service& of, owned_server& server, time_point now);
     void send_probe(const service& of, const backend_server& to);
     void end_probe(std::string service, std::string server,
-                   const backend_answer& answer);
+                   backend_incarnation of, backend_answer answer);
 
     std::string self_;
     const request_protocol& protocol_;
@@ -73,6 +77,7 @@
     // Probes under way, by backend server, and when they are given up.
     std::map<std::string, kernel::timer_service::subscription> open_;
     std::optional<kernel::timer_service::subscription> due_; // while owning
+    unsigned checks_ = 0;
 };
 
 } // namespace waxwingvale::entry
--- a/src/io/exchange_codec.cpp
+++ b/src/io/exchange_codec.cpp
@@ -75,7 +75,8 @@
         for (json each :
              {json(entry.service), json(entry.host), json(entry.port),
               json(entry.data_centre), json(entry.version), json(entry.slots),
-              json(entry.leaving), json(entry.cold_for.count())}) {
+              json(entry.leaving), json(entry.cold_for.count()),
+              json(entry.incarnation)}) {
             list.push_back(std::move(each));
         }
     }
@@ -98,6 +99,7 @@
     entry.slots = read_number<unsigned>(from.at(7));
     entry.leaving = from.at(8).get<bool>();
     entry.cold_for = std::min(duration(read_age(from.at(9))), longest_age);
+    entry.incarnation = read_number<std::uint64_t>(from.at(10));
 }
 
 json write(const quarantine_record& value, time_point now) {
--- a/src/io/value_dialect.cpp
+++ b/src/io/value_dialect.cpp
@@ -71,7 +71,7 @@
         return revision.error();
     }
     published_page page;
-    page.items.push_back({topic, answer.body, revision.value()});
+    page.items.push_back({topic, answer.body, revision.value(), {}});
     page.revision = revision.value();
     return page;
 }
@@ -90,7 +90,7 @@
     changes.revision = revision.value();
     if (answer.status == status_ok) {
         changes.changes.push_back(
-            {{topic, answer.body, revision.value()}, false});
+            {{topic, answer.body, revision.value(), {}}, false});
     }
     return changes;
 }
--- a/src/membership/belief_table.cpp
+++ b/src/membership/belief_table.cpp
@@ -49,9 +49,7 @@
         seen.incarnation > found->second.incarnation) {
         return observe_new_life(seen);
     }
-    const bool of_former_life =
-        seen.incarnation != 0 && seen.incarnation < found->second.incarnation;
-    if (of_former_life) {
+    if (is_of_former(seen.incarnation, found->second.incarnation)) {
         ++counters_.outdated;
         return false;
     }
--- a/src/model/configuration.cpp
+++ b/src/model/configuration.cpp
@@ -16,9 +16,9 @@
 
 bool operator==(const backend_server& a, const backend_server& b) {
     return std::tie(a.name, a.host, a.port, a.data_centre, a.slots,
-                    a.connections, a.cold_for) ==
+                    a.connections, a.cold_for, a.incarnation) ==
            std::tie(b.name, b.host, b.port, b.data_centre, b.slots,
-                    b.connections, b.cold_for);
+                    b.connections, b.cold_for, b.incarnation);
 }
 
 bool operator==(const tenant& a, const tenant& b) {
