membership: word of a newer file is not lost behind word of an older one

Cause, from a log of every word and request between the five instances: a peer's word of a file that is already being asked for is kept until the answer is due, 400 ms later, also when the file has come meanwhile, and as long as a word is kept, others are passed over.

Change: kept word gives way to word of a newer file, and to any when its file has come. Unit test, red before.

--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -52,6 +52,7 @@
     };
 
     bool lacks(const revision_message& theirs) const;
+    bool waits_for(const revision_message& theirs) const;
     bool asked_for(const revision_message& theirs, time_point now) const;
     configuration_message message_of(const configuration_text& file);
 
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -35,11 +35,20 @@
            theirs.refused <= asked_->theirs.refused;
 }
 
+// Whether what is to be asked for is as new. Word of a file that has come
+// meanwhile is still there until its time, and must not hold up word of the
+// next.
+bool configuration_exchange::waits_for(const revision_message& theirs) const {
+    return wanted_ && lacks(wanted_->theirs) &&
+           theirs.revision <= wanted_->theirs.revision &&
+           theirs.refused <= wanted_->theirs.refused;
+}
+
 void configuration_exchange::hear(const std::string& peer,
                                   const revision_message& theirs, duration wait,
                                   time_point now) {
     named_ = std::max(named_, theirs.revision);
-    if (wanted_ || !lacks(theirs)) {
+    if (!lacks(theirs) || waits_for(theirs)) {
         return;
     }
     // The file is on its way from another peer.
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -123,9 +123,8 @@
 }
 
 // Two instances that dial each other have two links for a moment. What was said
-// over the one that closes is lost, and nothing else would tell: with 5
-// instances a file was in force on 4 of them, and on the fifth only with the
-// digest that chance sent it, once after 30 s.
+// over the one that closes is lost, and nothing else would tell but the digest
+// that chance sends at last, some seconds later.
 void peer_exchange::link_replaced(const std::string& peer, time_point now) {
     if (linked_.count(peer) > 0) {
         greet_at_[peer] = now;
--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -154,3 +154,21 @@
     one.exchange.tick(start + 300ms);
     CHECK(told(start + 300ms) == 0);
 }
+
+TEST_CASE("word of a newer file is not lost behind word of an older one") {
+    // An operator publishes twice in quick succession. An instance that has
+    // been told of the first file by several peers, and has it meanwhile, hears
+    // once of the second; nobody says it again, and it serves by the first file
+    // until a digest happens to reach it, once after 30 s.
+    exchanging_instance one;
+    for (unsigned each = 0; each < 3; ++each) {
+        one.exchange.link_up(peer_name(each), start);
+    }
+    one.requests(start);
+    one.exchange.receive(peer_name(0), revision_message{7, 0, 1}, start);
+    CHECK(one.requests(start) == 1);
+    one.exchange.receive(peer_name(1), revision_message{7, 0, 1}, start + 1ms);
+    one.configurations.offer({7, "first"});
+    one.exchange.receive(peer_name(0), revision_message{8, 0, 1}, start + 5ms);
+    CHECK(one.requests(start + 5ms) == 1);
+}
