waxwing-replay: a policy that knows paces but no work times

What the best of our choices could be measured against: 'informed' knows each server's pace and what classes take on average; 'clairvoyant' counts crowding.

--- a/src/waxwing_replay/baseline_policies.cpp
+++ b/src/waxwing_replay/baseline_policies.cpp
@@ -265,6 +265,7 @@
         {"two-choices-1s", [] { return lone(pick_of_two, duration(1000000)); }},
         {"ideal-queue", [] { return std::make_unique<ideal_queue_policy>(); }},
         {"clairvoyant", make_clairvoyant_policy},
+        {"informed", make_informed_policy},
     };
     return all;
 }
--- a/src/waxwing_replay/clairvoyant_policy.cpp
+++ b/src/waxwing_replay/clairvoyant_policy.cpp
@@ -14,6 +14,8 @@
 
 class clairvoyant_policy : public routing_policy {
 public:
+    explicit clairvoyant_policy(bool knows_work) : knows_work_(knows_work) {}
+
     void begin(replay_world& world) override {
         world_ = &world;
         in_flight_.assign(world.backend_servers(), 0);
@@ -35,8 +37,12 @@
     prospect prospect_of(const call& of, double slowness) const {
         const auto& load = world_->load();
         const work_profile& work = load.size.work_of(of);
-        const duration usual = service_time_of(work, load.seed, of.id, 1);
-        const double takes = static_cast<double>(usual.count()) * slowness;
+        const double usual =
+            knows_work_
+                ? static_cast<double>(
+                      service_time_of(work, load.seed, of.id, 1).count())
+                : mean_service_time_us(work);
+        const double takes = usual * slowness;
         const time_point ends = world_->times().now() + 2 * backend_hop +
                                 duration(static_cast<duration::rep>(takes));
         const bool timely = ends <= of.first_arrived_at + work.target;
@@ -59,6 +65,13 @@
             waiting_.end());
     }
 
+    // How many times longer work takes that begins there now.
+    double slowness_at(std::size_t server) const {
+        const service_size& size = world_->load().size;
+        return world_->true_slowness(server) *
+               size.machines.crowding(in_flight_[server] + 1, size.slots);
+    }
+
     // The quickest server with a slot to spare.
     std::optional<std::size_t> best_server() const {
         std::optional<std::size_t> best;
@@ -67,7 +80,7 @@
             if (in_flight_[i] >= most_at_once_) {
                 continue;
             }
-            const double slowness = world_->true_slowness(i);
+            const double slowness = slowness_at(i);
             if (!best || slowness < least) {
                 best = i;
                 least = slowness;
@@ -101,7 +114,7 @@
             if (!server) {
                 return;
             }
-            const auto chosen = best_call(world_->true_slowness(*server));
+            const auto chosen = best_call(slowness_at(*server));
             if (!chosen) {
                 return;
             }
@@ -148,6 +161,7 @@
         return best;
     }
 
+    bool knows_work_;
     replay_world* world_ = nullptr;
     unsigned most_at_once_ = 1;
     std::vector<unsigned> in_flight_;
@@ -157,7 +171,11 @@
 } // namespace
 
 std::unique_ptr<routing_policy> make_clairvoyant_policy() {
-    return std::make_unique<clairvoyant_policy>();
+    return std::make_unique<clairvoyant_policy>(true);
+}
+
+std::unique_ptr<routing_policy> make_informed_policy() {
+    return std::make_unique<clairvoyant_policy>(false);
 }
 
 } // namespace waxwingvale::replay
--- a/src/waxwing_replay/clairvoyant_policy.hpp
+++ b/src/waxwing_replay/clairvoyant_policy.hpp
@@ -13,4 +13,8 @@
 // calls. What it answers in time is near the most that can be had.
 std::unique_ptr<routing_policy> make_clairvoyant_policy();
 
+// The same, but of a call's work it knows only what its class takes on average:
+// near the most that can be had by whoever asks the servers all the time.
+std::unique_ptr<routing_policy> make_informed_policy();
+
 } // namespace waxwingvale::replay
