links: the only link to a peer stays when its seed's address is given up

Cause: after a start of all instances most slots of a service stayed lent for 1.3 to 1.7 s, until the leases ended. Its owner, a seed, was linked with each peer by the link that the peer had opened to the seed's address, and rested from dialing by name.

Change: a link by address that is the only one with a peer wanted by name serves for that; both ends ask for it by name once linked; who rested dials when the peer's last link closes.

Excluded: returns lost on the owner's side (it was given none), grants that do not decode (none), a slow owner (0.2 ms from give to use).

--- a/include/waxwingvale/io/message_hub.hpp
+++ b/include/waxwingvale/io/message_hub.hpp
@@ -87,6 +87,8 @@
     // disconnect_address(). It proves that it holds the shared key; its name
     // is learnt.
     void connect_address(const std::string& host, std::uint16_t port);
+    // Closes the link, unless it is the only one with a peer that is also to be
+    // connected by name: then it serves for that.
     void disconnect_address(const std::string& host, std::uint16_t port);
     // Ends that and closes the links we opened to the peer.
     void disconnect(const std::string& peer_name);
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -167,7 +167,11 @@
     }
     link.unwanted = {};
     const bool first = known_.members.self().id.name < peer;
-    const bool my_turn = first || now - link.planned >= second_dialer_wait;
+    // Asked for by name too, a link that a seed's address gave stays when the
+    // seeds are left.
+    const bool linked = exchange_.linked().count(peer) > 0;
+    const bool my_turn =
+        first || linked || now - link.planned >= second_dialer_wait;
     if (my_turn) {
         dial(peer, address);
     }
--- a/src/io/link.hpp
+++ b/src/io/link.hpp
@@ -70,6 +70,9 @@
     // Empty until the peer has proved its name.
     const std::string& peer() const { return peer_; }
     const std::string& target() const { return origin_.target; }
+    // From now on it is held for another purpose of the hub than that for
+    // which it was dialed.
+    void serve_as(const std::string& target) { origin_.target = target; }
 
 private:
     enum class phase {
--- a/src/io/message_hub.cpp
+++ b/src/io/message_hub.cpp
@@ -21,6 +21,9 @@
 // Connections taken in one go, so that a rush of them does not hold up the
 // links that are open.
 constexpr int accept_batch = 64;
+// A peer that lost its link to us opens it again sooner than this, so that
+// rarely both do.
+constexpr duration rested_wait = std::chrono::milliseconds(50);
 
 // A peer that we keep connecting to.
 struct dialed_peer {
@@ -52,6 +55,8 @@
     void dial_as(const std::string& target, const std::string& name,
                  const std::string& host, std::uint16_t port);
     void stop_dialing(const std::string& target);
+    void keep_if_wanted(const std::string& target);
+    void dial_where_rested(const std::string& peer);
     duration next_backoff(dialed_peer& target);
     void on_ready(link& of);
     void on_closed(link& of);
@@ -212,6 +217,36 @@
     }
 }
 
+// Two instances that find each other by a seed's address both want the link by
+// name as well, and the one that was dialed rests. Closed with the address, the
+// only link would be gone: of 17 instances that started at once, peers could
+// not return 63 of 75 slots to the owner of a service, which then gave out none
+// until the leases had run out, 1.5 s later.
+void message_hub::state::keep_if_wanted(const std::string& target) {
+    for (const auto& each : links) {
+        if (!each->dialed() || each->target() != target) {
+            continue;
+        }
+        const auto wanted = dialed.find(each->peer());
+        const bool is_only = newest(each->peer()) == each.get() &&
+                             by_peer.at(each->peer()).size() == 1;
+        if (is_only && wanted != dialed.end() && !wanted->second.under_way) {
+            each->serve_as(wanted->first);
+            wanted->second.under_way = true;
+            wanted->second.retry.cancel();
+        }
+    }
+}
+
+// The peer's link to us, which spared ours, has closed. Left to the next look,
+// the two would be out of each other's reach for up to reconnect_max.
+void message_hub::state::dial_where_rested(const std::string& peer) {
+    const auto wanted = dialed.find(peer);
+    if (wanted != dialed.end() && !wanted->second.under_way) {
+        dial_later(peer, rested_wait + next_backoff(wanted->second));
+    }
+}
+
 // Doubles up to the bound; half of it is random, so that peers that lost each
 // other at one moment do not all come back at one moment.
 duration message_hub::state::next_backoff(dialed_peer& target) {
@@ -273,6 +308,7 @@
         }
     }
     if (was_last) {
+        dial_where_rested(of.peer());
         tell_change(of.peer(), false);
     } else if (others_stay) {
         for (const auto& handler : replaced_handlers) {
@@ -340,7 +376,9 @@
 
 void message_hub::disconnect_address(const std::string& host,
                                      std::uint16_t port) {
-    state_->stop_dialing(address_of(host, port));
+    const auto target = address_of(host, port);
+    state_->keep_if_wanted(target);
+    state_->stop_dialing(target);
 }
 
 void message_hub::disconnect(const std::string& peer_name) {
--- a/test/links/message_hub_test.cpp
+++ b/test/links/message_hub_test.cpp
@@ -111,6 +111,64 @@
         bench.run_until([&] { return hub->counters().connects_failed >= 2; }));
 }
 
+TEST_CASE("the only link to a peer wanted by name stays when a seed is left") {
+    // All instances start at once. One finds another by a seed's address; the
+    // other, which was to dial by name, rests because they are linked. When the
+    // first then leaves the seed, they would be out of each other's reach, and
+    // slots that one lent the other could not be returned.
+    hub_bench bench;
+    io::message_hub_options patient;
+    patient.self_name = "a";
+    patient.shared_key = "secret";
+    patient.reconnect_max = std::chrono::hours(1);
+    auto a = bench.make_hub(std::move(patient));
+    auto b = bench.make_hub("b");
+    REQUIRE(a->listen("127.0.0.1", 0).has_value());
+    REQUIRE(b->listen("127.0.0.1", 0).has_value());
+    unsigned lost = 0;
+    for (auto* each : {a.get(), b.get()}) {
+        each->on_link_change(
+            [&](const std::string&, bool up) { lost += up ? 0 : 1; });
+    }
+    std::string at_a;
+    a->on_message("word", [&](const std::string&, const auto& body) {
+        at_a = text_of(body);
+    });
+    b->connect_address("127.0.0.1", a->port());
+    REQUIRE(bench.run_until(
+        [&] { return a->connected("b") && b->connected("a"); }));
+    a->connect("b", "127.0.0.1", b->port());
+    b->connect("a", "127.0.0.1", a->port());
+    b->disconnect_address("127.0.0.1", a->port());
+    b->send("a", "word", bytes_of("returned"));
+    CHECK(bench.run_until([&] { return at_a == "returned"; }));
+    CHECK(lost == 0);
+    CHECK(b->counters().links_opened == 1);
+
+    b->disconnect("a");
+    CHECK(bench.run_until([&] { return lost >= 2; }));
+}
+
+TEST_CASE("a hub that rested dials when the peer's link closes") {
+    // The peer gave up a link that it had opened, and nobody else dials.
+    hub_bench bench;
+    io::message_hub_options patient;
+    patient.self_name = "a";
+    patient.shared_key = "secret";
+    patient.reconnect_max = std::chrono::hours(1);
+    auto a = bench.make_hub(std::move(patient));
+    auto b = bench.make_hub("b");
+    REQUIRE(a->listen("127.0.0.1", 0).has_value());
+    REQUIRE(b->listen("127.0.0.1", 0).has_value());
+    b->connect_address("127.0.0.1", a->port());
+    REQUIRE(bench.run_until([&] { return a->connected("b"); }));
+    a->connect("b", "127.0.0.1", b->port());
+    bench.run_until([&, looks = 0]() mutable { return ++looks > 3; });
+    b->disconnect_address("127.0.0.1", a->port());
+    REQUIRE(bench.run_until([&] { return !a->connected("b"); }));
+    CHECK(bench.run_until([&] { return a->connected("b"); }));
+}
+
 TEST_CASE("both ends hear of a link that closes beside another") {
     // Two instances find each other by a seed's address and by name, and the
     // link of the seed is given up. What was under way on it is lost although
