scheduling: an owner that denies or is silent is asked for a word until it acts as one

Change: such peers are kept by name and asked for a word at the pace of asks. Tests: three cases in test/scheduling/grants_test.cpp, one in the codec test.

--- a/include/waxwingvale/decision/scheduler_actions.hpp
+++ b/include/waxwingvale/decision/scheduler_actions.hpp
@@ -55,6 +55,7 @@
     std::vector<waiting_request> waiting;
     std::vector<request_id> withdrawn;
     bool whole = false;
+    bool wants_word = false;
 };
 
 // To a peer: ask_answered.
--- a/include/waxwingvale/decision/scheduler_events.hpp
+++ b/include/waxwingvale/decision/scheduler_events.hpp
@@ -110,6 +110,9 @@
     std::vector<request_id> withdrawn;
     // True: what the peer named before and does not name now waits no longer.
     bool whole = false;
+    // True: the peer wants an answer although no request of it waits. It did
+    // not get one, or that we own nothing, and asks until we do.
+    bool wants_word = false;
 };
 
 // A request that an owner will not find a slot for in time.
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -31,7 +31,7 @@
     if (event.whole) {
         keep_only(event.peer, numbers_of(event.waiting));
     }
-    if (event.waiting.empty()) {
+    if (event.waiting.empty() && !event.wants_word) {
         return;
     }
     replies_[event.peer].asked = true;
@@ -176,6 +176,7 @@
 
 void service_scheduler::impl::on(const grant_received& event) {
     hear(event.peer);
+    hear_of_owner(event.peer);
     const bool in_time = borrower_.received(event, now_);
     if (!in_time || !start_on_grant(event)) {
         return_unused(event);
@@ -243,11 +244,14 @@
 void service_scheduler::impl::on(const ask_answered& event) {
     hear(event.peer);
     if (!event.is_owner) {
-        // We hold the real owner to be out of reach, and this peer does not.
-        silent_.insert(event.peer);
-        apply_reachability();
+        // We hold the real owner to be out of reach, and this peer does not;
+        // or it has yet to learn that it is one.
+        if (silent_.add_denying(event.peer, now_)) {
+            apply_reachability();
+        }
         return;
     }
+    hear_of_owner(event.peer);
     borrower_.answered(event);
     for (const declined_request& declined : event.declined) {
         const auto come_back_in = borrower_.declined(event.peer, declined);
@@ -290,7 +294,7 @@
         linked_.erase(event.peer);
         keep_only(event.peer, {});
     }
-    silent_.erase(event.peer);
+    silent_.remove(event.peer);
     if (takes_part(event.peer)) {
         apply_reachability();
     }
@@ -312,14 +316,21 @@
 
 void service_scheduler::impl::hear(const std::string& peer) {
     borrower_.heard(peer);
-    if (silent_.erase(peer) != 0) {
+    if (silent_.heard(peer)) {
+        apply_reachability();
+    }
+}
+
+// The peer has shown that it hands out slots.
+void service_scheduler::impl::hear_of_owner(const std::string& peer) {
+    if (silent_.remove(peer)) {
         apply_reachability();
     }
 }
 
 void service_scheduler::impl::apply_reachability() {
     std::unordered_set<std::string> reachable = linked_;
-    for (const std::string& peer : silent_) {
+    for (const std::string& peer : silent_.names()) {
         reachable.erase(peer);
     }
     view_changed acting = view_;
@@ -338,9 +349,18 @@
 // used instead.
 void service_scheduler::impl::watch_silence() {
     while (const auto peer = borrower_.silent(now_)) {
-        silent_.insert(*peer);
+        silent_.add_silent(*peer, now_);
         apply_reachability();
     }
 }
 
+void service_scheduler::impl::look_for_silent() {
+    for (const std::string& peer : silent_.take_due(now_)) {
+        ask_slots word;
+        word.peer = peer;
+        word.wants_word = true;
+        actions_->emplace_back(std::move(word));
+    }
+}
+
 } // namespace waxwingvale::decision
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -67,6 +67,7 @@
     : service_(std::move(service)),
       self_(std::move(self)),
       policy_(policy),
+      silent_(policy.ask_refresh),
       table_(self_, policy),
       queue_(policy.fairness_window, policy.any_priority_every),
       late_(policy.fairness_window, policy.any_priority_every),
@@ -105,6 +106,7 @@
 void service_scheduler::impl::settle() {
     dispatch();
     answer_peers();
+    look_for_silent();
     borrow();
     wake();
 }
@@ -116,6 +118,7 @@
             next = when;
         }
     };
+    consider(silent_.next_look());
     if (!queue_.empty()) {
         consider(queue_.most_urgent());
     }
@@ -150,6 +153,7 @@
     if (view_.config) {
         queue_.set_tenants(view_.config->tenants);
     }
+    silent_.look_at_once(now_);
     apply_reachability();
 }
 
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -13,6 +13,7 @@
 #include "decision/grant_lender.hpp"
 #include "decision/offered_load.hpp"
 #include "decision/request_queue.hpp"
+#include "decision/silent_owners.hpp"
 #include "decision/slot_table.hpp"
 #include <waxwingvale/decision/repeat_budget.hpp>
 #include <waxwingvale/decision/service_scheduler.hpp>
@@ -124,8 +125,10 @@
     waiting_request describe(request_id request) const;
     bool takes_part(const std::string& peer) const;
     void hear(const std::string& peer);
+    void hear_of_owner(const std::string& peer);
     void apply_reachability();
     void watch_silence();
+    void look_for_silent();
 
     // What is to be told to a peer once the event is handled.
     struct peer_reply {
@@ -144,9 +147,9 @@
     time_point now_{};
     action_list* actions_ = nullptr; // while an event is handled
     view_changed view_;
-    // Peers with a working link, and of those the ones without answers.
+    // Peers with a working link, and of those the owners without answers.
     std::unordered_set<std::string> linked_;
-    std::unordered_set<std::string> silent_;
+    silent_owners silent_;
     slot_table table_;
     // What is to be answered in time, and what can only be answered late: it
     // gets the slots that nothing else needs.
--- /dev/null
+++ b/src/decision/silent_owners.cpp
@@ -0,0 +1,64 @@
+#include "decision/silent_owners.hpp"
+
+#include <algorithm>
+
+namespace waxwingvale::decision {
+
+bool silent_owners::add_silent(const std::string& peer, time_point now) {
+    return peers_.emplace(peer, silence{false, now + period_}).second;
+}
+
+bool silent_owners::add_denying(const std::string& peer, time_point now) {
+    const auto added = peers_.emplace(peer, silence{true, now + period_});
+    added.first->second.denies = true;
+    return added.second;
+}
+
+bool silent_owners::heard(const std::string& peer) {
+    const auto known = peers_.find(peer);
+    if (known == peers_.end() || known->second.denies) {
+        return false;
+    }
+    peers_.erase(known);
+    return true;
+}
+
+bool silent_owners::remove(const std::string& peer) {
+    return peers_.erase(peer) != 0;
+}
+
+void silent_owners::look_at_once(time_point now) {
+    for (auto& each : peers_) {
+        each.second.next_look = std::min(each.second.next_look, now);
+    }
+}
+
+std::vector<std::string> silent_owners::take_due(time_point now) {
+    std::vector<std::string> due;
+    for (auto& each : peers_) {
+        if (each.second.next_look <= now) {
+            each.second.next_look = now + period_;
+            due.push_back(each.first);
+        }
+    }
+    return due;
+}
+
+std::optional<time_point> silent_owners::next_look() const {
+    std::optional<time_point> next;
+    for (const auto& each : peers_) {
+        const time_point look = each.second.next_look;
+        next = next ? std::min(*next, look) : look;
+    }
+    return next;
+}
+
+std::vector<std::string> silent_owners::names() const {
+    std::vector<std::string> all;
+    for (const auto& each : peers_) {
+        all.push_back(each.first);
+    }
+    return all;
+}
+
+} // namespace waxwingvale::decision
--- a/src/entry/grant_message.cpp
+++ b/src/entry/grant_message.cpp
@@ -24,6 +24,7 @@
 constexpr const char* service = "s";
 constexpr const char* type = "t";
 constexpr const char* whole = "w";
+constexpr const char* wants_word = "W";
 constexpr const char* waiting = "q";
 constexpr const char* withdrawn = "x";
 constexpr const char* request = "r";
@@ -138,6 +139,9 @@
         if (a.whole) {
             into[field::whole] = true;
         }
+        if (a.wants_word) {
+            into[field::wants_word] = true;
+        }
         into[field::waiting] = json::array();
         for (const auto& request : a.waiting) {
             into[field::waiting].push_back(write_request(request));
@@ -184,6 +188,7 @@
     decision::slots_asked asked;
     asked.peer = peer;
     asked.whole = from.value(field::whole, false);
+    asked.wants_word = from.value(field::wants_word, false);
     for (const auto& request :
          io::read_list(from.at(field::waiting), requests_limit)) {
         asked.waiting.push_back(read_request(request));
--- a/src/waxwing_replay/trace_codec.cpp
+++ b/src/waxwing_replay/trace_codec.cpp
@@ -286,7 +286,8 @@
             {"peer", event.peer},
             {"waiting", waiting},
             {"withdrawn", event.withdrawn},
-            {"whole", event.whole}};
+            {"whole", event.whole},
+            {"wants_word", event.wants_word}};
 }
 
 scheduler_event decode_ask(const json& from) {
@@ -297,6 +298,7 @@
     }
     from.at("withdrawn").get_to(made.withdrawn);
     from.at("whole").get_to(made.whole);
+    made.wants_word = from.value("wants_word", false);
     return made;
 }
 
--- a/src/waxwing_replay/waxwing_policy.cpp
+++ b/src/waxwing_replay/waxwing_policy.cpp
@@ -408,7 +408,8 @@
 void waxwing_policy::act(std::size_t instance, const ask_slots& action) {
     send_to_peer(instance, action.peer,
                  slots_asked{member_id_of(instance).name, action.waiting,
-                             action.withdrawn, action.whole});
+                             action.withdrawn, action.whole,
+                             action.wants_word});
 }
 
 void waxwing_policy::act(std::size_t instance, const answer_ask& action) {
--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -29,6 +29,7 @@
     ask.peer = "pdx-1";
     ask.withdrawn = {4, 5};
     ask.whole = true;
+    ask.wants_word = true;
     ask.waiting.resize(2);
     ask.waiting[0].request = 8;
     ask.waiting[0].tenant = "league";
@@ -49,6 +50,7 @@
     CHECK(event.waiting == ask.waiting);
     CHECK(event.withdrawn == ask.withdrawn);
     CHECK(event.whole);
+    CHECK(event.wants_word);
 }
 
 TEST_CASE("an owner's answer keeps the moment of each declined request") {
--- a/test/scheduling/grants_test.cpp
+++ b/test/scheduling/grants_test.cpp
@@ -251,6 +251,75 @@
     CHECK(f.all<start_request>().size() == 1);
 }
 
+TEST_CASE("a peer that was no owner yet is asked once it is") {
+    // Instances learn at different moments of those that have just started.
+    // Asked too early, the owner says that it is none, and nobody tells when it
+    // is; left at that, this instance would go on using a share of slots that
+    // the owner gives to others, and requests would wait inside the servers.
+    scheduler_fixture f(2, 4, 0);
+    f.view.owners.owners.erase(f.view.owners.owners.begin());
+    f.apply_view();
+    f.link_peer();
+    f.arrive(1);
+    f.send(ask_answered{"entry-1", 0, false, {}});
+    REQUIRE(f.all<start_request>().size() == 1);
+    for (int looks = 0; looks < 3; ++looks) {
+        f.pass(50ms);
+        REQUIRE(f.all<ask_slots>().size() == 1);
+        CHECK(f.all<ask_slots>()[0].peer == "entry-1");
+        CHECK(f.all<ask_slots>()[0].wants_word);
+        f.send(ask_answered{"entry-1", 0, false, {}});
+        CHECK(f.scheduler().slots()[0].usable == 2);
+    }
+    f.send(ask_answered{"entry-1", 3, true, {}});
+    CHECK(f.scheduler().slots()[0].usable == 0);
+    f.arrive(2);
+    CHECK(f.all<start_request>().empty());
+    REQUIRE(f.all<ask_slots>().size() == 1);
+    CHECK(f.all<ask_slots>()[0].waiting.size() == 1);
+}
+
+TEST_CASE("a silent owner is looked for while nothing waits here") {
+    // The ask came before the owner had read its configuration, and is lost.
+    // It never answers, so only another can bring it back.
+    scheduler_fixture f(2, 4, 0);
+    f.view.owners.owners.erase(f.view.owners.owners.begin());
+    f.apply_view();
+    f.link_peer();
+    f.arrive(1);
+    for (int i = 0; i < 10 && f.all<start_request>().empty(); ++i) {
+        f.now += 15ms;
+        f.send(time_passed{});
+    }
+    f.finish(1);
+    unsigned asked = 0;
+    for (int i = 0; i < 20; ++i) {
+        f.now += 15ms;
+        f.send(time_passed{});
+        for (const ask_slots& ask : f.all<ask_slots>()) {
+            asked += ask.wants_word ? 1 : 0;
+        }
+    }
+    CHECK(asked >= 3);
+    CHECK(asked <= 8);
+    f.link_peer(false);
+    f.now += 200ms;
+    f.send(time_passed{});
+    CHECK(f.all<ask_slots>().empty());
+}
+
+TEST_CASE("who asks for a word gets one") {
+    scheduler_fixture f(2, 4, 1);
+    f.link_peer();
+    slots_asked ask;
+    ask.peer = "entry-1";
+    ask.wants_word = true;
+    f.send(ask);
+    REQUIRE(f.all<answer_ask>().size() == 1);
+    CHECK(f.all<answer_ask>()[0].is_owner);
+    CHECK(f.all<answer_ask>()[0].idle == 4);
+}
+
 TEST_CASE("an owner without a word is replaced by a share of its slots") {
     // All owners are stopped or cut off, and their links still look open.
     // Requests at an instance without slots would wait for ever.
--- a/test/scheduling/random_events_test.cpp
+++ b/test/scheduling/random_events_test.cpp
@@ -150,6 +150,7 @@
         slots_asked event;
         event.peer = "entry-1";
         event.whole = *rc::gen::arbitrary<bool>();
+        event.wants_word = *rc::gen::arbitrary<bool>();
         const auto count = *rc::gen::inRange(0, 4);
         for (int i = 0; i < count; ++i) {
             waiting_request waiting;
