--- a/include/waxwingvale/membership/digest.hpp
+++ b/include/waxwingvale/membership/digest.hpp
@@ -7,10 +7,10 @@
 
 namespace waxwingvale::membership {
 
-// Two tables are compared by one number for each bucket of their names, so
-// that a difference in one record costs the records of one bucket and not the
-// whole table.
-constexpr std::size_t bucket_count = 16;
+// Two tables that differ are compared by one number for each bucket of their
+// names, so that a difference in one record costs the records of one bucket and
+// not the whole table.
+constexpr std::size_t bucket_count = 64;
 using digest_buckets = std::array<std::uint64_t, bucket_count>;
 
 // The bucket that a name falls into, the same in every process.
--- a/include/waxwingvale/membership/exchange_message.hpp
+++ b/include/waxwingvale/membership/exchange_message.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -17,20 +19,45 @@
 // What entry instances say to each other of what they know.
 namespace waxwingvale::membership {
 
-// All that the sender knows, in a few numbers. Sent when a link opens, now
-// and then after, and to ask whether anybody is there after a late wake-up.
+// One number for each table, the same for the same records.
+struct table_fingerprints {
+    std::uint64_t members = 0;
+    std::uint64_t beliefs = 0;
+    std::uint64_t registry = 0;
+    std::uint64_t quarantine = 0;
+
+    friend bool operator==(const table_fingerprints& a,
+                           const table_fingerprints& b) {
+        return std::tie(a.members, a.beliefs, a.registry, a.quarantine) ==
+               std::tie(b.members, b.beliefs, b.registry, b.quarantine);
+    }
+};
+
+// Whether the sender wants to be told the receiver's news from now on, or has
+// no room for the receiver among those it tells its own.
+enum class listening { as_before, starts, ends, declined };
+
+// All that the sender knows, in a few numbers. Sent now and then, when a feed
+// changes, and to ask whether anybody is there after a late wake-up.
 struct digest_message {
     std::uint64_t asks = 0;     // an epoch to be named in an answer; 0: none
     std::uint64_t answers = 0;  // the epoch that the receiver asked with
     std::uint64_t revision = 0; // configuration in force
     std::uint64_t refused = 0;  // a newer file that was refused, or 0
-    digest_buckets members{};
-    digest_buckets beliefs{};
-    digest_buckets registry{};
-    std::uint64_t quarantine = 0;
+    table_fingerprints tables;
+    listening listens = listening::as_before;
+};
+
+// Asks for the records of the parts in which the two differ, of the tables
+// that are named.
+struct records_request {
+    std::optional<digest_buckets> members;
+    std::optional<digest_buckets> beliefs;
+    std::optional<digest_buckets> registry;
+    bool quarantine = false;
 };
 
-// Records that changed, or those of buckets in which the two differ.
+// Records that changed, or those that were asked for.
 struct records_message {
     std::vector<member_record> members;
     std::vector<belief_record> beliefs;
@@ -42,7 +69,7 @@
     std::vector<unsigned> belief_buckets;
     std::vector<unsigned> registry_buckets;
     bool whole_quarantine = false;
-    std::size_t told = 0; // instances that the sender tells the same
+    bool answers_request = false;
 };
 
 // A revision that the sender has in force; the receiver asks for it if it
@@ -50,7 +77,6 @@
 struct revision_message {
     std::uint64_t revision = 0;
     std::uint64_t refused = 0; // a newer file that was refused, or 0
-    std::size_t told = 0;      // instances that the sender tells the same
 };
 
 // Asks for the files at the receiver that are newer than the sender's.
@@ -74,17 +100,18 @@
     duration age{};
     std::uint64_t registry = 0; // fingerprint of the sender's table
     std::uint64_t revision = 0; // configuration in force at the sender
-    std::size_t told = 0;       // instances that the sender tells the same
 };
 
 using exchange_message =
     std::variant<digest_message, records_message, revision_message,
-                 configuration_request, configuration_message, platform_word>;
+                 configuration_request, configuration_message, platform_word,
+                 records_request>;
 
-// A message and the entry instance that it goes to.
+// A message and the entry instance that it goes to. One message may go to
+// many; they share it.
 struct addressed_message {
     std::string peer;
-    exchange_message message;
+    std::shared_ptr<const exchange_message> message;
 };
 
 } // namespace waxwingvale::membership
--- /dev/null
+++ b/include/waxwingvale/membership/known_state.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <waxwingvale/membership/belief_table.hpp>
+#include <waxwingvale/membership/configuration_register.hpp>
+#include <waxwingvale/membership/member_table.hpp>
+#include <waxwingvale/membership/quarantine_table.hpp>
+#include <waxwingvale/membership/reader_duty.hpp>
+#include <waxwingvale/membership/registry_table.hpp>
+
+namespace waxwingvale::membership {
+
+// All the tables of one entry instance.
+struct known_state {
+    configuration_register& configurations;
+    member_table& members;
+    belief_table& beliefs;
+    registry_table& registry;
+    quarantine_table& quarantine;
+    reader_duty& readers;
+};
+
+} // namespace waxwingvale::membership
--- a/include/waxwingvale/membership/link_plan.hpp
+++ b/include/waxwingvale/membership/link_plan.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,4 +28,18 @@
 std::set<std::string> plan_links(const std::string& self,
                                  const std::vector<placed_member>& members);
 
+// Up to so many instances each is linked with every other.
+constexpr std::size_t full_mesh_limit = 24;
+
+// All links that `self` ought to have. A small fleet is a full mesh, which
+// makes every word one hop. In a larger one each instance is linked with the
+// central ones, whom it asks for slots and hears news from, and by the plan
+// above with those that live, and with those that would be its neighbours if
+// the gone were back: a partition's end is noticed only by those who go on
+// dialing.
+std::set<std::string> wanted_links(const std::string& self,
+                                   const std::vector<placed_member>& present,
+                                   const std::vector<placed_member>& with_gone,
+                                   const std::set<std::string>& central);
+
 } // namespace waxwingvale::membership
--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -9,15 +9,11 @@
 #include <utility>
 #include <vector>
 
-#include <waxwingvale/membership/belief_table.hpp>
 #include <waxwingvale/membership/configuration_exchange.hpp>
-#include <waxwingvale/membership/configuration_register.hpp>
 #include <waxwingvale/membership/exchange_message.hpp>
 #include <waxwingvale/membership/freshness.hpp>
-#include <waxwingvale/membership/member_table.hpp>
-#include <waxwingvale/membership/quarantine_table.hpp>
-#include <waxwingvale/membership/reader_duty.hpp>
-#include <waxwingvale/membership/registry_table.hpp>
+#include <waxwingvale/membership/known_state.hpp>
+#include <waxwingvale/membership/news_routes.hpp>
 
 namespace waxwingvale::membership {
 
@@ -26,12 +22,15 @@
     // One digest goes to one peer in each of these; with it, anything that a
     // broken link swallowed is found again.
     duration digest_period = std::chrono::seconds(5);
-    // Of two that open a link one sends a digest within this. Sent at once by
-    // both over every link, the digests of many instances that start together
-    // would all find everything different.
+    // Of two central instances that open a link one compares tables within
+    // this, so that many that start together do not do it all at once.
     duration greeting_spread = std::chrono::milliseconds(500);
-    // Whoever knows nothing yet asks at once, but no more than so many.
-    unsigned first_greetings = 3;
+    // A peer that is no member by then is compared with: it may be the only
+    // link between two parts of a fleet that know nothing of each other. Sooner
+    // it has as a rule only just started, and finds a feed.
+    duration stranger_wait = std::chrono::seconds(2);
+    // More registered backend servers than these are offered, not told.
+    std::size_t most_told = 32;
     // Changes that follow one another are passed on together after this.
     duration relay_wait = std::chrono::milliseconds(100);
     // A revision that a peer announced is asked for after this long, in which
@@ -51,14 +50,26 @@
     duration accuse_again = std::chrono::seconds(30);
     // Word of the platform is passed on when it is newer by so much.
     duration word_step = std::chrono::milliseconds(150);
-    // A peer that holds another registry is asked for its records at most
-    // this often.
-    duration resync_wait = std::chrono::milliseconds(300);
+    // Records that were asked for may take this long to come.
+    duration records_wait = std::chrono::seconds(1);
+    // After they came no peer is asked for others this soon, whatever differs:
+    // while many tables fill at once, nearly all differ all the time.
+    duration request_pause = std::chrono::milliseconds(300);
+    // A whole core tells its news to so many listeners at most, a smaller
+    // machine to its part of them,
+    std::size_t listeners_per_core = 64;
+    // but to so many at least.
+    std::size_t fewest_listeners = 4;
+    // Whoever is declined is told of so many others.
+    std::size_t referrals = 8;
+    news_timing news;
 };
 
 struct exchange_counters {
     std::uint64_t digests_sent = 0;
     std::uint64_t digests_differed = 0;
+    std::uint64_t records_requested = 0; // times
+    std::uint64_t feeds_changed = 0;
     std::uint64_t records_sent = 0;
     std::uint64_t records_received = 0;
     std::uint64_t configurations_sent = 0;
@@ -67,28 +78,19 @@
     std::uint64_t accusations = 0;
 };
 
-// All the tables of one entry instance.
-struct known_state {
-    configuration_register& configurations;
-    member_table& members;
-    belief_table& beliefs;
-    registry_table& registry;
-    quarantine_table& quarantine;
-    reader_duty& readers;
-};
-
-// Exchanges what this entry instance knows with its peers: every change is
-// passed on at once over all links but the one it came by, unless who told it
-// has links with everybody, and digests find what got lost. Pure: messages and
-// the time go in, messages come out.
+// Exchanges what this entry instance knows with its peers: changes are passed
+// on at once along the routes of news, and digests find what got lost. Pure:
+// messages and the time go in, messages come out.
 class peer_exchange {
 public:
     peer_exchange(known_state state, freshness& fresh, exchange_timing timing,
                   std::uint64_t seed, time_point now);
 
-    // The links that ought to be open. Those that do not open within the
-    // grace are taken as silence of the peer.
-    void plan(const std::set<std::string>& peers, time_point now);
+    // The links that ought to be open, and those of all instances that tell
+    // each other all news. Links that do not open within the grace are taken
+    // as silence of the peer.
+    void plan(const std::set<std::string>& peers, std::set<std::string> central,
+              time_point now);
     void link_up(const std::string& peer, time_point now);
     void link_down(const std::string& peer, time_point now);
     // One of two links with the peer has closed, the other stays.
@@ -107,7 +109,8 @@
 
     // All messages to be sent by now, changes included.
     std::vector<addressed_message> take_messages(time_point now);
-    const std::set<std::string>& linked() const { return linked_; }
+    const std::set<std::string>& linked() const { return routes_.linked(); }
+    const news_routes& routes() const { return routes_; }
     // Whether some peer has told all that it knows and we did not, the newest
     // configuration that peers named at the start included: a platform that was
     // restored from a copy gives out an old one.
@@ -121,6 +124,18 @@
     }
 
 private:
+    // Records that have been asked for.
+    struct asked_records {
+        std::string peer;
+        time_point until{};
+    };
+
+    // A peer whose tables were other than ours.
+    struct differing_peer {
+        std::string peer;
+        table_fingerprints tables;
+    };
+
     void take(const std::string& peer, const digest_message& message,
               time_point now);
     void take(const std::string& peer, const records_message& message,
@@ -133,24 +148,32 @@
               time_point now);
     void take(const std::string& peer, const platform_word& message,
               time_point now);
+    void take(const std::string& peer, const records_request& message,
+              time_point now);
     void merge_records(const std::string& peer, const records_message& message,
                        time_point now);
-    bool tells_everybody(std::size_t told) const;
+    bool take_listening(const std::string& peer, listening change,
+                        time_point now);
+    void refer(const std::string& peer);
+    void take_answer(const std::string& peer, std::uint64_t epoch, bool same);
+    void hear_whole(const std::string& peer);
+    void want_records(const std::string& peer, const table_fingerprints& theirs,
+                      time_point now);
+    void ask_for_records(time_point now);
     bool is_member(const std::string& peer) const;
-    template <typename Names>
-    std::size_t members_among(const Names& peers) const;
-    void note_word(const std::string& peer, time_point read_at,
-                   bool everybody_has_it);
-    records_message newer_than(const records_message& theirs) const;
-    void take_answer(const std::string& peer, const digest_message& answer);
-    void send_differing(const std::string& peer, const digest_message& theirs);
     void want_configuration(const std::string& peer,
                             const revision_message& theirs, time_point now);
     digest_message own_digest() const;
     void send_digest(const std::string& peer, std::uint64_t asks,
-                     std::uint64_t answers);
+                     std::uint64_t answers,
+                     listening listens = listening::as_before);
     void send(const std::string& peer, exchange_message message);
+    void send_to_all(const std::set<std::string>& peers,
+                     exchange_message message);
+    std::uint64_t epoch_if_asking() const;
+    void choose_feed(time_point now);
     void pass_on_changes(time_point now);
+    void tell(const std::set<std::string>& peers, records_message records);
     void send_due_greetings(time_point now);
     void pass_on_revision();
     void pass_on_word(time_point now);
@@ -162,19 +185,23 @@
     freshness& fresh_;
     exchange_timing timing_;
     std::mt19937_64 random_;
+    news_routes routes_;
     time_point next_digest_;
     time_point next_relay_{};
-    unsigned greetings_ = 0; // sent at once
     std::map<std::string, time_point> greet_at_;
-    std::set<std::string> linked_;
+    std::map<std::string, time_point> strangers_; // linked, but no members
     // Planned peers without a link, and when they will be accused.
     std::map<std::string, time_point> awaited_;
+    std::set<std::string> planned_;
     // Epochs whose answers are whole once the peer's records have come.
     std::map<std::string, std::uint64_t> records_awaited_;
-    std::set<std::string> planned_;
+    std::optional<asked_records> asked_;
+    std::optional<differing_peer> differing_; // to be asked next
+    time_point next_request_{};
     configuration_exchange files_;
     revision_message announced_;
-    std::uint64_t known_to_all_ = 0; // the newest revision that all were told
+    std::uint64_t newest_named_ = 0; // by a peer
+    std::string newest_named_by_;
     bool platform_answers_ = false;
     bool introduced_ = false;
     bool settled_ = false; // introduced() was true once
@@ -182,9 +209,9 @@
     std::map<std::string, std::string> member_origin_;
     std::map<std::string, std::string> belief_origin_;
     std::map<std::string, std::string> registry_origin_;
+    std::string word_origin_; // of the newest word of the platform
     // How new the word was that each peer has told, or was told.
     std::map<std::string, time_point> word_of_peer_;
-    std::map<std::string, time_point> resynced_;
     std::vector<addressed_message> outgoing_;
     exchange_counters counters_;
     std::optional<error> problem_;
--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -80,6 +80,12 @@
      &membership::exchange_counters::digests_sent},
     {"waxwing_exchange_digests_differed_total", "Digests that differed.",
      &membership::exchange_counters::digests_differed},
+    {"waxwing_exchange_records_requested_total",
+     "Times that a peer was asked for its records.",
+     &membership::exchange_counters::records_requested},
+    {"waxwing_exchange_feeds_changed_total",
+     "Peers whose news was asked for, or no longer.",
+     &membership::exchange_counters::feeds_changed},
     {"waxwing_exchange_records_sent_total", "Records sent to peers.",
      &membership::exchange_counters::records_sent},
     {"waxwing_exchange_records_received_total", "Records from peers.",
@@ -189,6 +195,8 @@
             return peers.exchange().counters().*from;
         });
     }
+    show("waxwing_news_listeners", "Instances that listen to this one.",
+         [&peers] { return peers.exchange().routes().listeners().size(); });
     count("waxwing_messages_malformed_total",
           "Messages of authenticated peers not understood.",
           [&peers] { return peers.malformed(); });
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -18,10 +18,6 @@
 // Links that the plan gave up stay open this long, so that they do not come
 // and go with every passing suspicion.
 constexpr duration unwanted_limit = std::chrono::seconds(5);
-// Up to so many instances each is linked with every other, which makes every
-// word one hop; beyond, each is linked with those in the middle of things, and
-// its other links grow with the logarithm of their number.
-constexpr std::size_t full_mesh_limit = 24;
 
 std::string region_of(const configuration_ptr& config,
                       const std::string& data_centre) {
@@ -92,9 +88,15 @@
 
 void peer_links::send_waiting() {
     const auto now = timers_.now();
+    // Peers that are told the same come one after the other.
+    const membership::exchange_message* encoded = nullptr;
+    io::message_hub::payload bytes;
     for (const auto& each : exchange_.take_messages(now)) {
-        hub_.send(each.peer, io::kind_of(each.message),
-                  io::encode_exchange(each.message, now));
+        if (each.message.get() != encoded) {
+            encoded = each.message.get();
+            bytes = io::encode_exchange(*encoded, now);
+        }
+        hub_.send(each.peer, io::kind_of(*encoded), bytes);
     }
 }
 
@@ -112,41 +114,31 @@
     return all;
 }
 
-// The links among those that live, and those that would be if the gone were
-// back: a partition's end is noticed only by those who go on dialing.
 std::set<std::string> peer_links::wanted_links() const {
-    const auto& self = known_.members.self().id.name;
-    const auto all = placed(true);
-    std::set<std::string> wanted;
-    if (all.size() <= full_mesh_limit) {
-        for (const auto& each : all) {
-            wanted.insert(each.name);
-        }
-        wanted.erase(self);
-        return wanted;
-    }
-    const auto present = placed(false);
-    wanted = membership::plan_links(self, present);
-    const auto with_gone = membership::plan_links(self, all);
-    wanted.insert(with_gone.begin(), with_gone.end());
-    const auto in_the_middle = central();
-    for (const auto& each : present) {
-        if (in_the_middle.count(self) + in_the_middle.count(each.name) > 0) {
-            wanted.insert(each.name);
-        }
-    }
-    wanted.erase(self);
-    return wanted;
+    return membership::wanted_links(known_.members.self().id.name,
+                                    placed(false), placed(true), central());
 }
 
 std::set<std::string> peer_links::central() const {
     return central_instances(views_.last_owners(), known_.readers);
 }
 
+// In a full mesh all tell each other what they see.
+std::set<std::string>
+peer_links::tell_each_other(const std::set<std::string>& wanted) const {
+    const auto all = known_.members.members().size();
+    if (wanted.size() + 1 != all || all > membership::full_mesh_limit) {
+        return central();
+    }
+    auto mesh = wanted;
+    mesh.insert(known_.members.self().id.name);
+    return mesh;
+}
+
 void peer_links::plan() {
     const auto now = timers_.now();
     const auto wanted = wanted_links();
-    exchange_.plan(wanted, now);
+    exchange_.plan(wanted, tell_each_other(wanted), now);
     planned_for_ = known_.members.version();
     const auto& linked = exchange_.linked();
     missing_links_ =
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -60,6 +60,8 @@
     void on_message(const std::string& kind, const std::string& peer,
                     const io::message_hub::payload& body);
     std::set<std::string> wanted_links() const;
+    std::set<std::string>
+    tell_each_other(const std::set<std::string>& wanted) const;
     std::set<std::string> central() const;
     std::vector<membership::placed_member> placed(bool with_gone) const;
     void want(const std::string& peer, const member_addresses& address,
--- a/src/io/exchange_codec.cpp
+++ b/src/io/exchange_codec.cpp
@@ -16,10 +16,12 @@
 using membership::digest_buckets;
 using membership::digest_message;
 using membership::exchange_message;
+using membership::listening;
 using membership::member_record;
 using membership::platform_word;
 using membership::quarantine_record;
 using membership::records_message;
+using membership::records_request;
 using membership::registry_record;
 using membership::revision_message;
 using nlohmann::json;
@@ -156,10 +158,40 @@
 }
 
 json write_message(const digest_message& value, time_point) {
-    return {{"a", value.asks},     {"w", value.answers},
-            {"r", value.revision}, {"x", value.refused},
-            {"m", value.members},  {"b", value.beliefs},
-            {"g", value.registry}, {"q", value.quarantine}};
+    json object = {{"r", value.revision},
+                   {"m", value.tables.members},
+                   {"b", value.tables.beliefs},
+                   {"g", value.tables.registry},
+                   {"q", value.tables.quarantine}};
+    // What most digests do not have is left out.
+    if (value.asks != 0) {
+        object["a"] = value.asks;
+    }
+    if (value.answers != 0) {
+        object["w"] = value.answers;
+    }
+    if (value.refused != 0) {
+        object["x"] = value.refused;
+    }
+    if (value.listens != listening::as_before) {
+        object["l"] = static_cast<unsigned>(value.listens);
+    }
+    return object;
+}
+
+json write_message(const records_request& value, time_point) {
+    json object = json::object();
+    if (value.members) {
+        object["m"] = *value.members;
+    }
+    if (value.beliefs) {
+        object["b"] = *value.beliefs;
+    }
+    if (value.registry) {
+        object["g"] = *value.registry;
+    }
+    object["q"] = value.quarantine;
+    return object;
 }
 
 json write_message(const records_message& value, time_point now) {
@@ -181,14 +213,14 @@
     if (value.whole_quarantine) {
         object["wq"] = true;
     }
-    if (value.told > 0) {
-        object["to"] = value.told;
+    if (value.answers_request) {
+        object["an"] = true;
     }
     return object;
 }
 
 json write_message(const revision_message& value, time_point) {
-    return {{"r", value.revision}, {"x", value.refused}, {"to", value.told}};
+    return {{"r", value.revision}, {"x", value.refused}};
 }
 
 json write_message(const configuration_request& value, time_point) {
@@ -201,14 +233,36 @@
 
 exchange_message read_digest(const json& from, time_point) {
     digest_message value;
-    value.asks = read_number<std::uint64_t>(from.at("a"));
-    value.answers = read_number<std::uint64_t>(from.at("w"));
+    value.asks = read_number_or<std::uint64_t>(from, "a", 0);
+    value.answers = read_number_or<std::uint64_t>(from, "w", 0);
     value.revision = read_number<std::uint64_t>(from.at("r"));
-    value.refused = read_number<std::uint64_t>(from.at("x"));
-    value.members = from.at("m").get<digest_buckets>();
-    value.beliefs = from.at("b").get<digest_buckets>();
-    value.registry = from.at("g").get<digest_buckets>();
-    value.quarantine = read_number<std::uint64_t>(from.at("q"));
+    value.refused = read_number_or<std::uint64_t>(from, "x", 0);
+    value.tables.members = read_number<std::uint64_t>(from.at("m"));
+    value.tables.beliefs = read_number<std::uint64_t>(from.at("b"));
+    value.tables.registry = read_number<std::uint64_t>(from.at("g"));
+    value.tables.quarantine = read_number<std::uint64_t>(from.at("q"));
+    const auto listens = from.find("l");
+    if (listens != from.end()) {
+        value.listens = read_enum(*listens, listening::declined);
+    }
+    return value;
+}
+
+std::optional<digest_buckets> read_digest_buckets(const json& from,
+                                                  const char* field) {
+    const auto found = from.find(field);
+    if (found == from.end()) {
+        return std::nullopt;
+    }
+    return found->get<digest_buckets>();
+}
+
+exchange_message read_records_request(const json& from, time_point) {
+    records_request value;
+    value.members = read_digest_buckets(from, "m");
+    value.beliefs = read_digest_buckets(from, "b");
+    value.registry = read_digest_buckets(from, "g");
+    value.quarantine = from.value("q", false);
     return value;
 }
 
@@ -235,14 +289,13 @@
     value.belief_buckets = read_buckets(from, "bb");
     value.registry_buckets = read_buckets(from, "gb");
     value.whole_quarantine = from.value("wq", false);
-    value.told = read_number_or<std::size_t>(from, "to", 0);
+    value.answers_request = from.value("an", false);
     return value;
 }
 
 exchange_message read_revision(const json& from, time_point) {
     return revision_message{read_number<std::uint64_t>(from.at("r")),
-                            read_number<std::uint64_t>(from.at("x")),
-                            read_number_or<std::size_t>(from, "to", 0)};
+                            read_number<std::uint64_t>(from.at("x"))};
 }
 
 exchange_message read_request(const json& from, time_point) {
@@ -259,8 +312,7 @@
     return {{"n", value.reader},
             {"a", value.age.count()},
             {"g", value.registry},
-            {"r", value.revision},
-            {"to", value.told}};
+            {"r", value.revision}};
 }
 
 exchange_message read_word(const json& from, time_point) {
@@ -269,7 +321,6 @@
     value.age = std::min(duration(read_age(from.at("a"))), longest_age);
     value.registry = read_number<std::uint64_t>(from.at("g"));
     value.revision = read_number<std::uint64_t>(from.at("r"));
-    value.told = read_number_or<std::size_t>(from, "to", 0);
     return value;
 }
 
@@ -277,9 +328,13 @@
 
 const std::map<std::string, message_reader>& readers() {
     static const std::map<std::string, message_reader> table = {
-        {exchange_kinds[0], read_digest},   {exchange_kinds[1], read_records},
-        {exchange_kinds[2], read_revision}, {exchange_kinds[3], read_request},
-        {exchange_kinds[4], read_file},     {exchange_kinds[5], read_word}};
+        {exchange_kinds[0], read_digest},
+        {exchange_kinds[1], read_records},
+        {exchange_kinds[2], read_revision},
+        {exchange_kinds[3], read_request},
+        {exchange_kinds[4], read_file},
+        {exchange_kinds[5], read_word},
+        {exchange_kinds[6], read_records_request}};
     return table;
 }
 
--- a/src/io/exchange_codec.hpp
+++ b/src/io/exchange_codec.hpp
@@ -12,8 +12,8 @@
 namespace waxwingvale::io {
 
 // The kinds, in the order of exchange_message's alternatives.
-constexpr const char* exchange_kinds[] = {"digest", "records", "revision",
-                                          "want",   "file",    "word"};
+constexpr const char* exchange_kinds[] = {
+    "digest", "records", "revision", "want", "file", "word", "ask"};
 
 const char* kind_of(const membership::exchange_message& message);
 
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -87,7 +87,8 @@
     asked_ = asked_file{wanted.from, wanted.theirs, now + answer_within_};
     const auto mine = own_revision();
     return addressed_message{
-        wanted.from, configuration_request{mine.revision, mine.refused}};
+        wanted.from, std::make_shared<const exchange_message>(
+                         configuration_request{mine.revision, mine.refused})};
 }
 
 configuration_message
--- a/src/membership/link_plan.cpp
+++ b/src/membership/link_plan.cpp
@@ -91,4 +91,29 @@
     return links;
 }
 
+std::set<std::string> wanted_links(const std::string& self,
+                                   const std::vector<placed_member>& present,
+                                   const std::vector<placed_member>& with_gone,
+                                   const std::set<std::string>& central) {
+    std::set<std::string> wanted;
+    if (with_gone.size() <= full_mesh_limit) {
+        for (const auto& each : with_gone) {
+            wanted.insert(each.name);
+        }
+        wanted.erase(self);
+        return wanted;
+    }
+    wanted = plan_links(self, present);
+    const auto former = plan_links(self, with_gone);
+    wanted.insert(former.begin(), former.end());
+    const bool is_central = central.count(self) > 0;
+    for (const auto& each : present) {
+        if (is_central || central.count(each.name) > 0) {
+            wanted.insert(each.name);
+        }
+    }
+    wanted.erase(self);
+    return wanted;
+}
+
 } // namespace waxwingvale::membership
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -3,31 +3,30 @@
 #include <algorithm>
 #include <utility>
 
+#include "membership/reconciliation.hpp"
+
 namespace waxwingvale::membership {
 
 namespace {
 
-bool is_empty(const records_message& message) {
-    return message.members.empty() && message.beliefs.empty() &&
-           message.registry.empty() && message.quarantine.empty() &&
-           message.deaths.empty();
+// The peer that told us, or an empty name.
+std::string origin_of(const std::map<std::string, std::string>& origins,
+                      const std::string& name) {
+    const auto found = origins.find(name);
+    return found == origins.end() ? std::string() : found->second;
 }
 
-std::size_t count_of(const records_message& message) {
-    return message.members.size() + message.beliefs.size() +
-           message.registry.size() + message.quarantine.size() +
-           message.deaths.size();
-}
+// Records that one peer has told us, or that were learned here.
+using records_by_origin = std::map<std::string, records_message>;
 
-std::vector<unsigned> differing(const digest_buckets& a,
-                                const digest_buckets& b) {
-    std::vector<unsigned> buckets;
-    for (unsigned bucket = 0; bucket < bucket_count; ++bucket) {
-        if (a.at(bucket) != b.at(bucket)) {
-            buckets.push_back(bucket);
-        }
+template <typename Record, typename Name>
+void sort_by_origin(const std::vector<Record>& changes,
+                    const std::map<std::string, std::string>& origins,
+                    Name name_of, std::vector<Record> records_message::*list,
+                    records_by_origin& to) {
+    for (const auto& each : changes) {
+        (to[origin_of(origins, name_of(each))].*list).push_back(each);
     }
-    return buckets;
 }
 
 template <typename Record>
@@ -35,31 +34,19 @@
     to.insert(to.end(), more.begin(), more.end());
 }
 
-// Stands for the peer that told us when it tells everybody the same.
-constexpr const char* everybody = "*";
-
-// The peer that told us, or an empty name.
-std::string origin_of(const std::map<std::string, std::string>& origins,
-                      const std::string& name) {
-    const auto found = origins.find(name);
-    return found == origins.end() ? std::string() : found->second;
+void append(records_message& to, const records_message& more) {
+    append(to.members, more.members);
+    append(to.beliefs, more.beliefs);
+    append(to.registry, more.registry);
+    append(to.quarantine, more.quarantine);
+    append(to.deaths, more.deaths);
 }
 
-// Whether theirs lacks something of this record, going by what they sent.
-template <typename Record, typename Same>
-bool lacks(const std::vector<Record>& theirs, const Record& record, Same same) {
-    return std::none_of(theirs.begin(), theirs.end(),
-                        [&](const auto& each) { return same(each, record); });
-}
-
-bool same_word(const belief_record& a, const belief_record& b) {
-    return a.backend_server == b.backend_server &&
-           a.incarnation == b.incarnation && a.version == b.version &&
-           a.dead == b.dead && a.leaving == b.leaving;
-}
-
-bool same_revision(const registry_record& a, const registry_record& b) {
-    return a.name == b.name && a.revision == b.revision;
+std::size_t most_listeners(const member_record& self,
+                           const exchange_timing& timing) {
+    const auto part =
+        timing.listeners_per_core * self.capacity.cpu_permille / 1000;
+    return std::max(part, timing.fewest_listeners);
 }
 
 } // namespace
@@ -71,13 +58,17 @@
       fresh_(fresh),
       timing_(timing),
       random_(seed),
+      routes_(state.members.self().id.name,
+              most_listeners(state.members.self(), timing), timing.news, now),
       next_digest_(now),
       files_(state.configurations, timing.configuration_answer) {}
 
-void peer_exchange::plan(const std::set<std::string>& peers, time_point now) {
+void peer_exchange::plan(const std::set<std::string>& peers,
+                         std::set<std::string> central, time_point now) {
     planned_ = peers;
+    routes_.set_central(std::move(central));
     for (const auto& peer : peers) {
-        if (linked_.count(peer) == 0) {
+        if (linked().count(peer) == 0) {
             awaited_.emplace(peer, now + timing_.connect_grace);
         }
     }
@@ -87,14 +78,17 @@
 }
 
 void peer_exchange::link_up(const std::string& peer, time_point now) {
-    linked_.insert(peer);
+    routes_.link_up(peer);
     awaited_.erase(peer);
-    const bool knows_enough = introduced_ && fresh_.fresh();
-    if (!is_member(peer) ||
-        (!knows_enough && greetings_ < timing_.first_greetings)) {
-        ++greetings_;
-        send_digest(peer, fresh_.epoch(), 0);
-    } else if (state_.members.self().id.name < peer) {
+    choose_feed(now);
+    if (routes_.feed() == peer) {
+        return; // the digest that asks for its news compares as well
+    }
+    const auto& self = state_.members.self().id.name;
+    if (!is_member(peer)) {
+        strangers_[peer] = now + timing_.stranger_wait;
+    } else if (routes_.is_central(self) && routes_.is_central(peer) &&
+               self < peer) {
         std::uniform_int_distribution<duration::rep> wait(
             0, timing_.greeting_spread.count());
         greet_at_[peer] = now + duration(wait(random_));
@@ -105,32 +99,60 @@
     for (auto at = greet_at_.begin(); at != greet_at_.end();) {
         const bool due = now >= at->second;
         if (due) {
-            send_digest(at->first, fresh_.fresh() ? 0 : fresh_.epoch(), 0);
+            send_digest(at->first, epoch_if_asking(), 0);
         }
         at = due ? greet_at_.erase(at) : std::next(at);
     }
+    for (auto at = strangers_.begin(); at != strangers_.end();) {
+        const bool due = now >= at->second;
+        if (due && !is_member(at->first)) {
+            send_digest(at->first, epoch_if_asking(), 0);
+        }
+        at = due ? strangers_.erase(at) : std::next(at);
+    }
 }
 
 void peer_exchange::link_down(const std::string& peer, time_point now) {
-    linked_.erase(peer);
+    routes_.link_down(peer);
     records_awaited_.erase(peer);
     word_of_peer_.erase(peer);
     greet_at_.erase(peer);
+    strangers_.erase(peer);
     files_.lost(peer, now);
+    if (asked_ && asked_->peer == peer) {
+        asked_.reset();
+    }
+    if (differing_ && differing_->peer == peer) {
+        differing_.reset();
+    }
     if (planned_.count(peer) > 0) {
         awaited_[peer] = now + timing_.reconnect_grace;
     }
+    choose_feed(now);
 }
 
 // Two instances that dial each other have two links for a moment. What was said
 // over the one that closes is lost, and nothing else would tell but the digest
 // that chance sends at last, some seconds later.
 void peer_exchange::link_replaced(const std::string& peer, time_point now) {
-    if (linked_.count(peer) > 0) {
+    if (linked().count(peer) == 0) {
+        return;
+    }
+    if (routes_.feed() == peer) {
+        send_digest(peer, epoch_if_asking(), 0, listening::starts);
+    } else {
         greet_at_[peer] = now;
     }
 }
 
+void peer_exchange::choose_feed(time_point now) {
+    for (const auto& change : routes_.choose_feed(state_.members, now)) {
+        ++counters_.feeds_changed;
+        send_digest(change.peer, change.start ? epoch_if_asking() : 0, 0,
+                    change.start ? listening::starts : listening::ends);
+    }
+}
+
 void peer_exchange::receive(const std::string& peer,
                             const exchange_message& message, time_point now) {
     std::visit([&](const auto& typed) { take(peer, typed, now); }, message);
@@ -138,86 +160,153 @@
 
 void peer_exchange::take(const std::string& peer, const digest_message& message,
                          time_point now) {
+    if (!take_listening(peer, message.listens, now)) {
+        return;
+    }
+    const bool starts = message.listens == listening::starts;
+    const bool same = message.tables == fingerprints_of(state_);
+    counters_.digests_differed += same ? 0 : 1;
+    introduced_ = introduced_ || same;
     if (message.answers != 0) {
-        take_answer(peer, message);
+        take_answer(peer, message.answers, same);
     }
-    if (message.asks != 0) {
+    if (message.asks != 0 || (starts && !same)) {
         send_digest(peer, 0, message.asks);
     }
     want_configuration(peer, {message.revision, message.refused}, now);
-    send_differing(peer, message);
+    // A listener asks for what it lacks and tells what it knows better.
+    if (!same && !starts) {
+        want_records(peer, message.tables, now);
+    }
+}
+
+// False: this machine has no room for another listener, or the peer has none
+// for us, and tables are compared with somebody else.
+bool peer_exchange::take_listening(const std::string& peer, listening change,
+                                   time_point now) {
+    switch (change) {
+    case listening::as_before:
+        return true;
+    case listening::starts:
+        word_of_peer_.erase(peer);
+        if (!routes_.add_listener(peer)) {
+            refer(peer);
+            return false;
+        }
+        return true;
+    case listening::ends:
+        routes_.remove_listener(peer);
+        return true;
+    case listening::declined:
+        routes_.declined(peer, now);
+        choose_feed(now);
+        return false;
+    }
+    return true;
+}
+
+// Tells a peer that there is no room for it, and of some that may have room:
+// central instances first, which have most.
+void peer_exchange::refer(const std::string& peer) {
+    const auto shuffled = [this](const std::set<std::string>& names) {
+        std::vector<std::string> mixed(names.begin(), names.end());
+        std::shuffle(mixed.begin(), mixed.end(), random_);
+        return mixed;
+    };
+    auto names = shuffled(routes_.central());
+    append(names, shuffled(routes_.listeners()));
+    records_message others;
+    others.members.push_back(state_.members.self());
+    for (const auto& name : names) {
+        const auto* known = state_.members.find(name);
+        const bool told = others.members.size() >= timing_.referrals;
+        if (known != nullptr && name != peer && !told) {
+            others.members.push_back(*known);
+        }
+    }
+    send(peer, std::move(others));
+    send_digest(peer, 0, 0, listening::declined);
 }
 
 // The answer to what was asked after a late wake-up. When the peer knows other
 // things, its records follow: until they are here the view is still old, and
 // work would go to a backend server that has left meanwhile.
-void peer_exchange::take_answer(const std::string& peer,
-                                const digest_message& answer) {
-    const auto mine = own_digest();
-    const bool same = differing(mine.members, answer.members).empty() &&
-                      differing(mine.beliefs, answer.beliefs).empty() &&
-                      differing(mine.registry, answer.registry).empty();
+void peer_exchange::take_answer(const std::string& peer, std::uint64_t epoch,
+                                bool same) {
     if (same) {
-        fresh_.hear(answer.answers);
+        fresh_.hear(epoch);
     } else {
-        records_awaited_[peer] = answer.answers;
-    }
-}
-
-// What we have in the buckets that differ; the peer answers with what is
-// newer there.
-void peer_exchange::send_differing(const std::string& peer,
-                                   const digest_message& theirs) {
-    const auto mine = own_digest();
-    records_message records;
-    records.member_buckets = differing(mine.members, theirs.members);
-    records.belief_buckets = differing(mine.beliefs, theirs.beliefs);
-    records.registry_buckets = differing(mine.registry, theirs.registry);
-    records.whole_quarantine = mine.quarantine != theirs.quarantine;
-    const bool same =
-        records.member_buckets.empty() && records.belief_buckets.empty() &&
-        records.registry_buckets.empty() && !records.whole_quarantine;
-    introduced_ = introduced_ || records.member_buckets.empty();
-    if (same) {
-        return;
+        records_awaited_[peer] = epoch;
     }
-    ++counters_.digests_differed;
-    for (const auto bucket : records.member_buckets) {
-        append(records.members, state_.members.in_bucket(bucket));
+}
+
+// One peer is asked at a time. While a fleet starts the tables of all differ
+// all the time, and each would send its whole tables to everybody it is linked
+// with, again and again, until links and processors do nothing else.
+void peer_exchange::want_records(const std::string& peer,
+                                 const table_fingerprints& theirs,
+                                 time_point now) {
+    if (!differing_ || peer == differing_->peer || peer == routes_.feed()) {
+        differing_ = differing_peer{peer, theirs};
     }
-    for (const auto bucket : records.belief_buckets) {
-        append(records.beliefs, state_.beliefs.in_bucket(bucket));
+    ask_for_records(now);
+}
+
+void peer_exchange::ask_for_records(time_point now) {
+    if (asked_ && now >= asked_->until) {
+        asked_.reset();
     }
-    for (const auto bucket : records.registry_buckets) {
-        append(records.registry, state_.registry.in_bucket(bucket));
+    const bool pausing = now < next_request_ && fresh_.fresh();
+    if (!differing_ || asked_ || pausing) {
+        return;
     }
-    if (records.whole_quarantine) {
-        records.quarantine = state_.quarantine.verdicts();
-        records.deaths = state_.quarantine.deaths();
+    const auto from = std::move(*differing_);
+    differing_.reset();
+    const auto request = request_to(state_, from.tables);
+    if (!request) {
+        hear_whole(from.peer); // what differed has come meanwhile
+        return;
     }
-    send(peer, std::move(records));
+    ++counters_.records_requested;
+    asked_ = asked_records{from.peer, now + timing_.records_wait};
+    send(from.peer, *request);
 }
 
-void peer_exchange::take(const std::string& peer,
-                         const records_message& message, time_point now) {
-    counters_.records_received += count_of(message);
-    introduced_ = introduced_ || !message.member_buckets.empty();
-    merge_records(peer, message, now);
+// All is here that the peer had when it answered.
+void peer_exchange::hear_whole(const std::string& peer) {
+    introduced_ = true;
     const auto awaited = records_awaited_.find(peer);
     if (awaited != records_awaited_.end()) {
         fresh_.hear(awaited->second);
         records_awaited_.erase(awaited);
     }
-    auto answer = newer_than(message);
-    if (!is_empty(answer)) {
-        send(peer, std::move(answer));
+}
+
+void peer_exchange::take(const std::string& peer,
+                         const records_request& message, time_point) {
+    send(peer, answer_to(state_, message));
+}
+
+void peer_exchange::take(const std::string& peer,
+                         const records_message& message, time_point now) {
+    counters_.records_received += count_of(message);
+    merge_records(peer, message, now);
+    if (message.answers_request) {
+        hear_whole(peer);
+        if (asked_ && asked_->peer == peer) {
+            asked_.reset();
+            next_request_ = now + timing_.request_pause;
+        }
+    }
+    auto newer = newer_than(state_, message);
+    if (!is_empty(newer)) {
+        send(peer, std::move(newer));
     }
 }
 
 void peer_exchange::merge_records(const std::string& peer,
                                   const records_message& message,
                                   time_point now) {
-    const auto origin = tells_everybody(message.told) ? everybody : peer;
     for (const auto& record : message.members) {
         const bool changed = state_.members.merge(record, now);
         // Who told us needs no telling, unless we know better.
@@ -228,12 +317,12 @@
     for (const auto& record : message.beliefs) {
         const bool changed = state_.beliefs.merge(record);
         if (changed && *state_.beliefs.find(record.backend_server) == record) {
-            belief_origin_[record.backend_server] = origin;
+            belief_origin_[record.backend_server] = peer;
         }
     }
     for (const auto& record : message.registry) {
         if (state_.registry.merge(record, now)) {
-            registry_origin_[record.name] = origin;
+            registry_origin_[record.name] = peer;
         }
     }
     for (const auto& record : message.quarantine) {
@@ -244,75 +333,23 @@
     }
 }
 
-// Whoever has links with all others tells all that it learns to each of them.
-// Passed on by everybody, a word would cost the square of their number. Who the
-// others are is itself learned by word, which is passed on always.
-bool peer_exchange::tells_everybody(std::size_t told) const {
-    return told > 0 && told + 1 >= state_.members.present();
-}
-
 bool peer_exchange::is_member(const std::string& peer) const {
     const auto* known = state_.members.find(peer);
     return known != nullptr && known->life != liveness::gone;
 }
 
-// How many of these are members, and so count for others as told.
-template <typename Names>
-std::size_t peer_exchange::members_among(const Names& peers) const {
-    const auto count =
-        std::count_if(peers.begin(), peers.end(),
-                      [&](const auto& peer) { return is_member(peer); });
-    return static_cast<std::size_t>(count);
-}
-
-// What we hold, in the buckets they sent whole, that is not among theirs.
-records_message peer_exchange::newer_than(const records_message& theirs) const {
-    records_message newer;
-    for (const auto bucket : theirs.member_buckets) {
-        for (const auto& mine : state_.members.in_bucket(bucket)) {
-            if (lacks(theirs.members, mine, std::equal_to<>())) {
-                newer.members.push_back(mine);
-            }
-        }
-    }
-    for (const auto bucket : theirs.belief_buckets) {
-        for (const auto& mine : state_.beliefs.in_bucket(bucket)) {
-            if (lacks(theirs.beliefs, mine, same_word)) {
-                newer.beliefs.push_back(mine);
-            }
-        }
-    }
-    for (const auto bucket : theirs.registry_buckets) {
-        for (const auto& mine : state_.registry.in_bucket(bucket)) {
-            if (lacks(theirs.registry, mine, same_revision)) {
-                newer.registry.push_back(mine);
-            }
-        }
-    }
-    if (theirs.whole_quarantine) {
-        for (const auto& mine : state_.quarantine.verdicts()) {
-            const auto same = [](const auto& a, const auto& b) {
-                return a.fingerprint == b.fingerprint;
-            };
-            if (lacks(theirs.quarantine, mine, same)) {
-                newer.quarantine.push_back(mine);
-            }
-        }
-    }
-    return newer;
-}
-
 void peer_exchange::take(const std::string& peer,
                          const revision_message& message, time_point now) {
-    if (tells_everybody(message.told)) {
-        known_to_all_ = std::max(known_to_all_, message.revision);
-    }
     want_configuration(peer, message, now);
 }
 
 void peer_exchange::want_configuration(const std::string& peer,
                                        const revision_message& theirs,
                                        time_point now) {
+    if (theirs.revision > newest_named_) {
+        newest_named_ = theirs.revision;
+        newest_named_by_ = peer;
+    }
     // One that has just started may have read an old file; what peers have in
     // force counts before its first word to anybody.
     const bool platform_will_tell = platform_answers_ && settled_;
@@ -343,29 +380,19 @@
 
 void peer_exchange::take(const std::string& peer, const platform_word& message,
                          time_point now) {
-    state_.readers.hear(message.reader, message.age, now);
-    note_word(peer, now - message.age, tells_everybody(message.told));
+    if (state_.readers.hear(message.reader, message.age, now)) {
+        routes_.hear_newer(peer, now);
+        word_origin_ = peer;
+    }
+    auto& theirs = word_of_peer_[peer];
+    theirs = std::max(theirs, now - message.age);
     want_configuration(peer, {message.revision, 0}, now);
-    const bool differs = message.registry != state_.registry.fingerprint();
-    if (differs && now - resynced_[peer] >= timing_.resync_wait) {
+    if (message.registry != state_.registry.fingerprint()) {
         // What a link swallowed as it broke would else be missed until the
         // next digest, and a backend server that left would get work.
-        resynced_[peer] = now;
-        send_digest(peer, 0, 0);
-    }
-}
-
-// Whose word is as new as that moment: the peer's, or by now everybody's.
-void peer_exchange::note_word(const std::string& peer, time_point read_at,
-                              bool everybody_has_it) {
-    word_of_peer_[peer] = std::max(word_of_peer_[peer], read_at);
-    if (!everybody_has_it) {
-        return;
-    }
-    for (const auto& other : linked_) {
-        if (is_member(other)) {
-            word_of_peer_[other] = std::max(word_of_peer_[other], read_at);
-        }
+        auto tables = fingerprints_of(state_);
+        tables.registry = message.registry;
+        want_records(peer, tables, now);
     }
 }
 
@@ -376,19 +403,20 @@
     if (reader.empty()) {
         return;
     }
-    std::vector<std::string> behind;
-    for (const auto& peer : linked_) {
+    if (reader == state_.members.self().id.name && !word_origin_.empty()) {
+        word_origin_.clear();
+    }
+    std::set<std::string> behind;
+    for (const auto& peer : routes_.audience(word_origin_)) {
         auto& theirs = word_of_peer_[peer];
         if (now - age - theirs >= timing_.word_step) {
             theirs = now - age;
-            behind.push_back(peer);
+            behind.insert(peer);
         }
     }
-    for (const auto& peer : behind) {
-        send(peer, platform_word{reader, age, state_.registry.fingerprint(),
-                                 state_.configurations.revision(),
-                                 members_among(behind)});
-    }
+    send_to_all(behind,
+                platform_word{reader, age, state_.registry.fingerprint(),
+                              state_.configurations.revision()});
 }
 
 void peer_exchange::tick(time_point now) {
@@ -396,6 +424,8 @@
     accuse_silent(now);
     state_.members.tick(now);
     state_.quarantine.expire(now);
+    choose_feed(now);
+    ask_for_records(now);
     ask_for_configuration(now);
     send_due_greetings(now);
     send_due_digest(now);
@@ -422,17 +452,17 @@
 }
 
 void peer_exchange::send_due_digest(time_point now) {
-    if (now < next_digest_ || linked_.empty()) {
+    if (now < next_digest_ || linked().empty()) {
         return;
     }
     const auto period = timing_.digest_period.count();
     std::uniform_int_distribution<duration::rep> jitter(period / 2,
                                                         period * 3 / 2);
     next_digest_ = now + duration(jitter(random_));
-    std::uniform_int_distribution<std::size_t> pick(0, linked_.size() - 1);
+    std::uniform_int_distribution<std::size_t> pick(0, linked().size() - 1);
     const auto peer =
-        std::next(linked_.begin(), static_cast<std::ptrdiff_t>(pick(random_)));
-    send_digest(*peer, fresh_.fresh() ? 0 : fresh_.epoch(), 0);
+        std::next(linked().begin(), static_cast<std::ptrdiff_t>(pick(random_)));
+    send_digest(*peer, epoch_if_asking(), 0);
 }
 
 void peer_exchange::woke_late(time_point now) {
@@ -440,42 +470,58 @@
     for (auto& [peer, deadline] : awaited_) {
         deadline = now + timing_.connect_grace;
     }
-    for (const auto& peer : linked_) {
+    for (const auto& peer : linked()) {
         send_digest(peer, fresh_.epoch(), 0);
     }
 }
 
+// What a view that is not fresh asks with.
+std::uint64_t peer_exchange::epoch_if_asking() const {
+    return fresh_.fresh() ? 0 : fresh_.epoch();
+}
+
 digest_message peer_exchange::own_digest() const {
     digest_message digest;
     digest.revision = state_.configurations.revision();
     digest.refused = state_.configurations.refused_revision();
-    digest.members = state_.members.digest();
-    digest.beliefs = state_.beliefs.digest();
-    digest.registry = state_.registry.digest();
-    digest.quarantine = state_.quarantine.digest();
+    digest.tables = fingerprints_of(state_);
     return digest;
 }
 
 void peer_exchange::send_digest(const std::string& peer, std::uint64_t asks,
-                                std::uint64_t answers) {
+                                std::uint64_t answers, listening listens) {
     auto digest = own_digest();
     digest.asks = asks;
     digest.answers = answers;
+    digest.listens = listens;
     ++counters_.digests_sent;
     send(peer, digest);
 }
 
 void peer_exchange::send(const std::string& peer, exchange_message message) {
-    if (const auto* records = std::get_if<records_message>(&message)) {
-        counters_.records_sent += count_of(*records);
+    send_to_all({peer}, std::move(message));
+}
+
+void peer_exchange::send_to_all(const std::set<std::string>& peers,
+                                exchange_message message) {
+    const auto shared =
+        std::make_shared<const exchange_message>(std::move(message));
+    for (const auto& peer : peers) {
+        if (const auto* records = std::get_if<records_message>(&*shared)) {
+            counters_.records_sent += count_of(*records);
+        }
+        outgoing_.push_back({peer, shared});
     }
-    outgoing_.push_back({peer, std::move(message)});
 }
 
+// Word of the platform names what its sender holds: it goes out after the
+// changes that came before it.
 std::vector<addressed_message> peer_exchange::take_messages(time_point now) {
     pass_on_revision();
-    pass_on_changes(now);
-    pass_on_word(now);
+    if (now >= next_relay_) {
+        pass_on_changes(now);
+        pass_on_word(now);
+    }
     return std::exchange(outgoing_, {});
 }
 
@@ -485,65 +531,72 @@
         mine.refused == announced_.refused) {
         return;
     }
-    const bool news =
-        mine.refused != announced_.refused || mine.revision > known_to_all_;
     announced_ = mine;
-    const auto told = members_among(linked_);
-    for (const auto& peer : linked_) {
-        if (news || !is_member(peer)) {
-            send(peer, revision_message{mine.revision, mine.refused, told});
-        }
-    }
+    const bool from_peer = mine.revision <= newest_named_;
+    send_to_all(routes_.audience(from_peer ? newest_named_by_ : ""), mine);
 }
 
 void peer_exchange::pass_on_changes(time_point now) {
-    if (now < next_relay_) {
-        return;
-    }
-    const auto members = state_.members.take_changes();
-    const auto beliefs = state_.beliefs.take_changes();
-    const auto registry = state_.registry.take_changes();
+    records_by_origin changes;
+    const auto name_of_member = [](const auto& each) { return each.id.name; };
+    const auto name_of_server = [](const auto& each) {
+        return each.backend_server;
+    };
+    const auto name_of_entry = [](const auto& each) { return each.name; };
+    sort_by_origin(state_.members.take_changes(), member_origin_,
+                   name_of_member, &records_message::members, changes);
+    sort_by_origin(state_.beliefs.take_changes(), belief_origin_,
+                   name_of_server, &records_message::beliefs, changes);
+    sort_by_origin(state_.registry.take_changes(), registry_origin_,
+                   name_of_entry, &records_message::registry, changes);
+    member_origin_.clear();
+    belief_origin_.clear();
+    registry_origin_.clear();
+    // Few and rare: who told them is told again.
     const auto verdicts = state_.quarantine.take_new_verdicts();
     const auto deaths = state_.quarantine.take_new_deaths();
-    const auto unknown_to = [this](const std::string& origin,
-                                   const std::string& peer) {
-        return origin != peer && (origin != everybody || !is_member(peer));
-    };
-    const auto told = members_among(linked_);
-    for (const auto& peer : linked_) {
-        records_message records;
-        records.told = told;
-        for (const auto& each : members) {
-            if (unknown_to(origin_of(member_origin_, each.id.name), peer)) {
-                records.members.push_back(each);
-            }
-        }
-        for (const auto& each : beliefs) {
-            if (unknown_to(origin_of(belief_origin_, each.backend_server),
-                           peer)) {
-                records.beliefs.push_back(each);
-            }
-        }
-        for (const auto& each : registry) {
-            if (unknown_to(origin_of(registry_origin_, each.name), peer)) {
-                records.registry.push_back(each);
-            }
+    if (!verdicts.empty() || !deaths.empty()) {
+        append(changes[""].quarantine, verdicts);
+        append(changes[""].deaths, deaths);
+    }
+    if (changes.empty()) {
+        return;
+    }
+    next_relay_ = now + timing_.relay_wait;
+    // Peers that get the same share one message.
+    std::map<std::set<std::string>, std::set<std::string>> told_alike;
+    std::map<std::string, std::set<std::string>> origins_for;
+    for (const auto& each : changes) {
+        for (const auto& peer : routes_.audience(each.first)) {
+            origins_for[peer].insert(each.first);
         }
-        records.quarantine = verdicts;
-        records.deaths = deaths;
-        if (!is_empty(records)) {
-            send(peer, std::move(records));
+    }
+    for (const auto& each : origins_for) {
+        told_alike[each.second].insert(each.first);
+    }
+    for (const auto& [origins, peers] : told_alike) {
+        records_message records;
+        for (const auto& origin : origins) {
+            append(records, changes.at(origin));
         }
+        tell(peers, std::move(records));
     }
-    const bool passed_on = !members.empty() || !beliefs.empty() ||
-                           !registry.empty() || !verdicts.empty() ||
-                           !deaths.empty();
-    if (passed_on) {
-        next_relay_ = now + timing_.relay_wait;
+}
+
+// A whole list of backend servers that was read from the platform is offered by
+// its fingerprint: most peers have it from another, and some thousand records
+// for each of them would fill a small machine's link.
+void peer_exchange::tell(const std::set<std::string>& peers,
+                         records_message records) {
+    if (records.registry.size() <= timing_.most_told) {
+        send_to_all(peers, std::move(records));
+        return;
     }
-    member_origin_.clear();
-    belief_origin_.clear();
-    registry_origin_.clear();
+    records.registry.clear();
+    if (!is_empty(records)) {
+        send_to_all(peers, std::move(records));
+    }
+    send_to_all(peers, own_digest());
 }
 
 } // namespace waxwingvale::membership
--- a/src/waxwing_replay/trace_codec.cpp
+++ b/src/waxwing_replay/trace_codec.cpp
@@ -282,12 +282,9 @@
     for (const waiting_request& each : event.waiting) {
         waiting.push_back(encode_waiting(each));
     }
-    return {{"event", "slots_asked"},
-            {"peer", event.peer},
-            {"waiting", waiting},
-            {"withdrawn", event.withdrawn},
-            {"whole", event.whole},
-            {"wants_word", event.wants_word}};
+    return {{"event", "slots_asked"}, {"peer", event.peer},
+            {"waiting", waiting},     {"withdrawn", event.withdrawn},
+            {"whole", event.whole},   {"wants_word", event.wants_word}};
 }
 
 scheduler_event decode_ask(const json& from) {
--- a/test/fuzz/message_targets.cpp
+++ b/test/fuzz/message_targets.cpp
@@ -187,6 +187,9 @@
     records.registry[1].present = false;
     records.quarantine.resize(1);
     records.quarantine[0].since = now - 1s;
+    membership::records_request request;
+    request.members.emplace();
+    request.registry.emplace();
     const auto seed = [](const membership::exchange_message& message) {
         return to_text(io::encode_exchange(message, now));
     };
@@ -195,7 +198,8 @@
             seed(membership::revision_message{7, 8}),
             seed(membership::configuration_request{}),
             seed(membership::configuration_message{7, membership::pack("{}")}),
-            seed(membership::platform_word{"sea-1", 5ms, 7, 8})};
+            seed(membership::platform_word{"sea-1", 5ms, 7, 8}),
+            seed(request)};
 }
 
 void run_platform_list(const std::string& input) {
--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -43,9 +43,10 @@
     unsigned requests(time_point now) {
         unsigned count = 0;
         for (const auto& sent : exchange.take_messages(now)) {
-            count += std::holds_alternative<configuration_request>(sent.message)
-                         ? 1
-                         : 0;
+            count +=
+                std::holds_alternative<configuration_request>(*sent.message)
+                    ? 1
+                    : 0;
         }
         return count;
     }
@@ -71,7 +72,7 @@
     unsigned asked = 0;
     for (unsigned each = 0; each < peers; ++each) {
         const auto now = start + each * 10ms;
-        one.exchange.receive(peer_name(each), revision_message{7, 0, 1}, now);
+        one.exchange.receive(peer_name(each), revision_message{7, 0}, now);
         one.exchange.tick(now);
         asked += one.requests(now);
     }
@@ -88,9 +89,9 @@
     one.exchange.link_up("pdx-1", start);
     one.exchange.link_up("pdx-2", start);
     one.requests(start);
-    one.exchange.receive("pdx-1", revision_message{7, 0, 1}, start);
+    one.exchange.receive("pdx-1", revision_message{7, 0}, start);
     CHECK(one.requests(start) == 1);
-    one.exchange.receive("pdx-2", revision_message{7, 0, 1}, start + 10ms);
+    one.exchange.receive("pdx-2", revision_message{7, 0}, start + 10ms);
     CHECK(one.requests(start + 10ms) == 0);
     one.exchange.link_down("pdx-1", start + 20ms);
     one.exchange.tick(start + 20ms);
@@ -110,7 +111,7 @@
     one.exchange.receive("pdx-1", digest, start);
     CHECK(one.requests(start) == 1);
     records_message records;
-    records.member_buckets = {0};
+    records.answers_request = true;
     one.exchange.receive("pdx-1", records, start + 1ms);
     one.exchange.tick(start + 1ms);
     CHECK_FALSE(one.exchange.introduced());
@@ -120,7 +121,7 @@
     // Later files come from the platform as a rule; a peer is asked only when
     // they have not.
     one.exchange.tick(start + 3ms);
-    one.exchange.receive("pdx-1", revision_message{8, 0, 1}, start + 4ms);
+    one.exchange.receive("pdx-1", revision_message{8, 0}, start + 4ms);
     one.exchange.tick(start + 4ms);
     CHECK(one.requests(start + 4ms) == 0);
     CHECK(one.exchange.introduced());
@@ -139,7 +140,7 @@
     const auto told = [&](time_point now) {
         unsigned count = 0;
         for (const auto& sent : one.exchange.take_messages(now)) {
-            const auto* digest = std::get_if<digest_message>(&sent.message);
+            const auto* digest = std::get_if<digest_message>(&*sent.message);
             const bool names_it = digest != nullptr && digest->revision == 3;
             count += names_it && sent.peer == "pdx-1" ? 1 : 0;
         }
@@ -165,10 +166,10 @@
         one.exchange.link_up(peer_name(each), start);
     }
     one.requests(start);
-    one.exchange.receive(peer_name(0), revision_message{7, 0, 1}, start);
+    one.exchange.receive(peer_name(0), revision_message{7, 0}, start);
     CHECK(one.requests(start) == 1);
-    one.exchange.receive(peer_name(1), revision_message{7, 0, 1}, start + 1ms);
+    one.exchange.receive(peer_name(1), revision_message{7, 0}, start + 1ms);
     one.configurations.offer({7, "first"});
-    one.exchange.receive(peer_name(0), revision_message{8, 0, 1}, start + 5ms);
+    one.exchange.receive(peer_name(0), revision_message{8, 0}, start + 5ms);
     CHECK(one.requests(start + 5ms) == 1);
 }
--- /dev/null
+++ b/test/membership/fleet_simulation.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <waxwingvale/membership/peer_exchange.hpp>
+
+namespace waxwingvale {
+
+// How large a fleet is, and what its machines can do.
+struct fleet_shape {
+    unsigned instances = 30;
+    unsigned data_centres = 6;
+    unsigned strong_per_data_centre = 3; // the others have a tenth of a core
+    unsigned backend_servers = 60;
+    std::uint64_t seed = 1;
+};
+
+// What was sent between the instances, on the sockets.
+struct fleet_traffic {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t bytes_between_data_centres = 0;
+    std::uint64_t most_bytes_of_one = 0; // sent by one instance
+    std::map<std::string, std::uint64_t> bytes_by_kind;
+};
+
+// Hundreds of instances that exchange what they know over links with delays
+// and bandwidths, each with the processor time of its machine, and a platform
+// that lists backend servers. Nothing but the seed decides what happens.
+class fleet_simulation {
+public:
+    explicit fleet_simulation(const fleet_shape& shape);
+    ~fleet_simulation();
+
+    // All machines start within 0.3 s; weak ones take longer to be there.
+    void start_all();
+    void run_for(duration time);
+    // Passes time until that holds, at most for that long. Returns how long it
+    // took, or the limit.
+    duration run_until(const std::function<bool()>& holds, duration limit);
+
+    void kill(unsigned number);
+    void start(unsigned number, duration after);
+    // Links between the two groups break, and none opens, until heal().
+    void cut(const std::set<unsigned>& apart);
+    void heal();
+    // The platform answers these, and nobody else.
+    void let_platform_answer(std::function<bool(unsigned)> whom);
+
+    void register_server(const std::string& name);
+    void remove_server(const std::string& name);
+
+    unsigned running() const;
+    // Running instances that hold exactly the platform's backend servers.
+    unsigned with_whole_registry() const;
+    // Running instances to whom exactly the running ones are alive.
+    unsigned with_all_members() const;
+    // Running instances that have a backend server.
+    unsigned that_know(const std::string& server) const;
+
+    const fleet_traffic& traffic() const { return traffic_; }
+    void forget_traffic();
+
+private:
+    struct instance;
+    struct message {
+        unsigned from;
+        unsigned to;
+        std::uint64_t sending_life;
+        std::uint64_t receiving_life;
+        std::shared_ptr<const membership::exchange_message> body;
+        std::size_t bytes;
+    };
+    struct event {
+        time_point at{};
+        std::uint64_t number = 0; // orders events of one moment
+        std::function<void()> run;
+
+        bool operator<(const event& other) const {
+            return std::make_pair(at, number) >
+                   std::make_pair(other.at, other.number);
+        }
+    };
+
+    void at(time_point when, std::function<void()> run);
+    std::string name_of(unsigned number) const;
+    unsigned centre_of(unsigned number) const;
+    void begin(unsigned number);
+    void tick(unsigned number, std::uint64_t life);
+    void read_platform(unsigned number);
+    void tell_reader(unsigned number);
+    void plan(unsigned number);
+    std::set<std::string> wanted_links(const instance& of) const;
+    std::set<std::string> central_for(const instance& of) const;
+    bool may_link(unsigned a, unsigned b) const;
+    void open_link(unsigned a, unsigned b);
+    void close_link(unsigned a, unsigned b);
+    void dial_seeds(unsigned number);
+    void drop_unwanted(unsigned number);
+    void flush_soon(unsigned number);
+    void flush(unsigned number);
+    void send(unsigned from, unsigned to,
+              std::shared_ptr<const membership::exchange_message> body,
+              std::size_t bytes);
+    static duration processing_time(const instance& of, std::size_t bytes);
+    static duration link_time(const instance& of, std::size_t bytes);
+    void arrive(const message& sent);
+    void deliver(const message& sent);
+    duration random_within(duration limit);
+
+    fleet_shape shape_;
+    std::mt19937_64 random_;
+    std::vector<std::unique_ptr<instance>> instances_;
+    std::map<std::string, unsigned> numbers_;
+    std::map<std::string, membership::registry_record> servers_;
+    std::uint64_t revision_ = 1;
+    std::set<unsigned> apart_;
+    std::function<bool(unsigned)> answered_;
+    std::priority_queue<event> events_;
+    std::uint64_t scheduled_ = 0;
+    std::uint64_t lives_ = 0;
+    time_point now_{std::chrono::hours(1)};
+    fleet_traffic traffic_;
+    std::vector<std::uint64_t> sent_by_;
+};
+
+} // namespace waxwingvale
--- a/test/membership/membership_world.cpp
+++ b/test/membership/membership_world.cpp
@@ -89,7 +89,9 @@
             others.insert(name_of(each));
         }
     }
-    instances_[number]->exchange.plan(others, now_);
+    auto all = others;
+    all.insert(name_of(number));
+    instances_[number]->exchange.plan(others, std::move(all), now_);
     for (unsigned each = 0; each < instances_.size(); ++each) {
         if (joined(number, each)) {
             set_link(number, each, true);
@@ -230,7 +232,7 @@
     for (auto& each : instances_[number]->exchange.take_messages(now_)) {
         for (unsigned to = 0; to < instances_.size(); ++to) {
             if (each.peer == name_of(to) && joined(number, to)) {
-                under_way_.push_back({number, to, std::move(each.message)});
+                under_way_.push_back({number, to, *each.message});
                 break;
             }
         }
--- a/test/standin/node_observer.cpp
+++ b/test/standin/node_observer.cpp
@@ -95,8 +95,8 @@
 void node_observer::send_waiting() {
     const auto now = timers_.now();
     for (const auto& each : tables_->exchange.take_messages(now)) {
-        hub_->send(each.peer, io::kind_of(each.message),
-                   io::encode_exchange(each.message, now));
+        hub_->send(each.peer, io::kind_of(*each.message),
+                   io::encode_exchange(*each.message, now));
     }
 }
 
