membership: strangers say who they are, and at a start only the seeds read the platform

Views were whole 50 ms later than before since changes waited 100 ms in every fleet; they wait 1 ms a member now.

Tests: 'a stranger is told at once' was red (only the feed was told); the fleet simulation closes links with seeds as soon as others are found, as the product does; it did not show this fault by itself.

--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -31,8 +31,11 @@
     duration stranger_wait = std::chrono::seconds(2);
     // More registered backend servers than these are offered, not told.
     std::size_t most_told = 32;
-    // Changes that follow one another are passed on together after this.
-    duration relay_wait = std::chrono::milliseconds(100);
+    // Changes that follow one another are passed on together after this for
+    // each member: more of them follow one another in a larger fleet,
+    duration relay_wait_per_member = std::chrono::milliseconds(1);
+    // and after this at most.
+    duration relay_wait_limit = std::chrono::milliseconds(100);
     // A revision that a peer announced is asked for after this long, in which
     // the platform usually tells it.
     duration configuration_wait = std::chrono::milliseconds(250);
@@ -173,7 +176,9 @@
     std::uint64_t epoch_if_asking() const;
     void choose_feed(time_point now);
     void pass_on_changes(time_point now);
+    duration relay_wait() const;
     void tell(const std::set<std::string>& peers, records_message records);
+    void introduce_to(const std::string& peer, time_point now);
     void send_due_greetings(time_point now);
     void pass_on_revision();
     void pass_on_word(time_point now);
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -128,6 +128,7 @@
 
 void control_service::watch_platform() {
     platform_.set_epoch(known_.fresh.epoch());
+    follow_reader_duty(environment_.timers.now());
     platform_.on_state([this](bool answers, const error& why) {
         on_platform_state(answers, why);
     });
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -81,20 +81,33 @@
     routes_.link_up(peer);
     awaited_.erase(peer);
     choose_feed(now);
+    introduce_to(peer, now);
     if (routes_.feed() == peer) {
         return; // the digest that asks for its news compares as well
     }
     const auto& self = state_.members.self().id.name;
-    if (!is_member(peer)) {
-        strangers_[peer] = now + timing_.stranger_wait;
-    } else if (routes_.is_central(self) && routes_.is_central(peer) &&
-               self < peer) {
+    if (is_member(peer) && routes_.is_central(self) &&
+        routes_.is_central(peer) && self < peer) {
         std::uniform_int_distribution<duration::rep> wait(
             0, timing_.greeting_spread.count());
         greet_at_[peer] = now + duration(wait(random_));
     }
 }
 
+// Two instances that do not know each other belong to parts of a fleet that may
+// not either, as when each data centre has found its own seed at a start of
+// all. Left alone, each part would have owners of its own for the same slots.
+void peer_exchange::introduce_to(const std::string& peer, time_point now) {
+    const auto& self = state_.members.self();
+    if (is_member(peer) || self.id.incarnation == 0) {
+        return;
+    }
+    records_message introduction;
+    introduction.members.push_back(self);
+    send(peer, std::move(introduction));
+    strangers_[peer] = now + timing_.stranger_wait;
+}
+
 void peer_exchange::send_due_greetings(time_point now) {
     for (auto at = greet_at_.begin(); at != greet_at_.end();) {
         const bool due = now >= at->second;
@@ -562,7 +575,7 @@
     if (changes.empty()) {
         return;
     }
-    next_relay_ = now + timing_.relay_wait;
+    next_relay_ = now + relay_wait();
     // Peers that get the same share one message.
     std::map<std::set<std::string>, std::set<std::string>> told_alike;
     std::map<std::string, std::set<std::string>> origins_for;
@@ -583,6 +596,12 @@
     }
 }
 
+duration peer_exchange::relay_wait() const {
+    const auto members = static_cast<duration::rep>(state_.members.present());
+    return std::min(members * timing_.relay_wait_per_member,
+                    timing_.relay_wait_limit);
+}
+
 // A whole list of backend servers that was read from the platform is offered by
 // its fingerprint: most peers have it from another, and some thousand records
 // for each of them would fill a small machine's link.
--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <set>
 #include <string>
 #include <variant>
 
@@ -173,3 +174,25 @@
     one.exchange.receive(peer_name(0), revision_message{8, 0}, start + 5ms);
     CHECK(one.requests(start + 5ms) == 1);
 }
+
+TEST_CASE("a stranger is told at once who linked with it") {
+    // All instances start in one moment, and each data centre finds its own
+    // seed first. What an instance says to its feed reaches its own data centre
+    // only; if it says nothing to the other seeds, each data centre takes
+    // itself for the whole fleet for seconds, with an owner of its own for the
+    // same slots, and requests wait inside the servers behind those of two
+    // others.
+    exchanging_instance one;
+    one.members.start_life(7);
+    one.exchange.link_up("pdx-1", start);
+    one.exchange.link_up("spk-1", start);
+    std::set<std::string> told;
+    for (const auto& sent : one.exchange.take_messages(start + 2ms)) {
+        const auto* records = std::get_if<records_message>(&*sent.message);
+        if (records != nullptr && records->members.size() == 1 &&
+            records->members[0].id.name == "sea-1") {
+            told.insert(sent.peer);
+        }
+    }
+    CHECK(told == std::set<std::string>{"pdx-1", "spk-1"});
+}
--- a/test/membership/fleet_budget_test.cpp
+++ b/test/membership/fleet_budget_test.cpp
@@ -51,6 +51,23 @@
     CHECK(fleet.traffic().bytes < 4 * bytes_heard_once(instances));
 }
 
+TEST_CASE("a small fleet that starts at one moment is one fleet at once") {
+    // All processes are killed and are back in the same moment. Each data
+    // centre finds its own seed first; while they know nothing of each other,
+    // each has an owner of its own for the same slots, and requests wait inside
+    // the backend servers behind those of two others.
+    fleet_shape shape = shape_of(17);
+    shape.data_centres = 3;
+    fleet_simulation fleet(shape);
+    for (unsigned each = 0; each < shape.instances; ++each) {
+        fleet.start(each, each * 2ms);
+    }
+    const auto took =
+        fleet.run_until([&] { return fleet.with_all_members() == 17; }, 10s);
+    CAPTURE(took / 1ms, fleet.with_all_members());
+    CHECK(took < 500ms);
+}
+
 TEST_CASE("a fleet at rest says little") {
     // Nothing changes for a while. What instances say to each other then is
     // paid for every second of the year.
--- a/test/membership/fleet_simulation.cpp
+++ b/test/membership/fleet_simulation.cpp
@@ -337,24 +337,35 @@
             self.seed_links.insert(name_of(seed));
             at(now_ + link_opening,
                [this, number, seed] { open_link(number, seed); });
-        } else if (members > 1) {
-            self.seed_links.erase(name_of(seed));
+        } else if (members > 1 && self.seed_links.erase(name_of(seed)) > 0) {
+            leave_seed(number, seed);
         }
     }
 }
 
+// Unlike other links those with seeds close as soon as others are found.
+void fleet_simulation::leave_seed(unsigned number, unsigned seed) {
+    if (!is_wanted(number, seed)) {
+        close_link(number, seed);
+    }
+}
+
+bool fleet_simulation::is_wanted(unsigned a, unsigned b) const {
+    const auto wants = [this](unsigned one, unsigned other) {
+        const auto& of = *instances_[one];
+        return of.wanted.count(name_of(other)) > 0 ||
+               of.seed_links.count(name_of(other)) > 0;
+    };
+    return wants(a, b) || wants(b, a);
+}
+
 // Closed once neither end has wanted the link for a while.
 void fleet_simulation::drop_unwanted(unsigned number) {
     auto& self = *instances_[number];
     const auto linked = self.exchange.linked();
     for (const auto& peer : linked) {
         const auto other = numbers_.at(peer);
-        const auto& them = *instances_[other];
-        const bool wanted = self.wanted.count(peer) > 0 ||
-                            self.seed_links.count(peer) > 0 ||
-                            them.wanted.count(name_of(number)) > 0 ||
-                            them.seed_links.count(name_of(number)) > 0;
-        if (wanted) {
+        if (is_wanted(number, other)) {
             self.unwanted_since.erase(peer);
             continue;
         }
--- a/test/membership/fleet_simulation.hpp
+++ b/test/membership/fleet_simulation.hpp
@@ -105,6 +105,8 @@
     void open_link(unsigned a, unsigned b);
     void close_link(unsigned a, unsigned b);
     void dial_seeds(unsigned number);
+    void leave_seed(unsigned number, unsigned seed);
+    bool is_wanted(unsigned a, unsigned b) const;
     void drop_unwanted(unsigned number);
     void flush_soon(unsigned number);
     void flush(unsigned number);
