--- a/test/membership/fleet_budget_test.cpp
+++ b/test/membership/fleet_budget_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <iostream>
 #include <set>
 
 #include "fleet_simulation.hpp"
@@ -149,3 +150,29 @@
     CAPTURE(took / 1ms, fleet.with_whole_registry(), fleet.with_all_members());
     CHECK(is_whole(fleet, instances));
 }
+
+// Prints the growth of what instances tell each other, for the capacity page.
+TEST_CASE("what a fleet says by its size", "[.figures]") {
+    std::cout << "instances, ms from start to whole, bytes an instance of it, "
+                 "bytes an instance and second at rest, bytes an instance of "
+                 "one changed server in its first second, most bytes of one "
+                 "instance at the start\n";
+    for (const auto instances : {12U, 30U, 100U, 313U, 710U}) {
+        fleet_simulation fleet(shape_of(instances));
+        fleet.start_all();
+        const auto took =
+            fleet.run_until([&] { return is_whole(fleet, instances); }, 20s);
+        const auto start = fleet.traffic();
+        fleet.run_for(12s);
+        fleet.forget_traffic();
+        fleet.run_for(10s);
+        const auto rest = fleet.traffic().bytes;
+        fleet.forget_traffic();
+        fleet.register_server("i-new");
+        fleet.run_for(1s);
+        std::cout << instances << ", " << took / 1ms << ", "
+                  << start.bytes / instances << ", " << rest / instances / 10
+                  << ", " << fleet.traffic().bytes / instances << ", "
+                  << start.most_bytes_of_one << "\n";
+    }
+}
