membership: the exchange's telling stands in a file of its own

What is told to whom moves to peer_exchange_news.cpp unchanged, the grouping of peers that are told the same becomes a function.

--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -176,6 +176,9 @@
     std::uint64_t epoch_if_asking() const;
     void choose_feed(time_point now);
     void pass_on_changes(time_point now);
+    // By the peer that told us; an empty name: learned here.
+    void
+    tell_by_audience(const std::map<std::string, records_message>& changes);
     duration relay_wait() const;
     void tell(const std::set<std::string>& peers, records_message records);
     void introduce_to(const std::string& peer, time_point now);
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -9,39 +9,6 @@
 
 namespace {
 
-// The peer that told us, or an empty name.
-std::string origin_of(const std::map<std::string, std::string>& origins,
-                      const std::string& name) {
-    const auto found = origins.find(name);
-    return found == origins.end() ? std::string() : found->second;
-}
-
-// Records that one peer has told us, or that were learned here.
-using records_by_origin = std::map<std::string, records_message>;
-
-template <typename Record, typename Name>
-void sort_by_origin(const std::vector<Record>& changes,
-                    const std::map<std::string, std::string>& origins,
-                    Name name_of, std::vector<Record> records_message::*list,
-                    records_by_origin& to) {
-    for (const auto& each : changes) {
-        (to[origin_of(origins, name_of(each))].*list).push_back(each);
-    }
-}
-
-template <typename Record>
-void append(std::vector<Record>& to, const std::vector<Record>& more) {
-    to.insert(to.end(), more.begin(), more.end());
-}
-
-void append(records_message& to, const records_message& more) {
-    append(to.members, more.members);
-    append(to.beliefs, more.beliefs);
-    append(to.registry, more.registry);
-    append(to.quarantine, more.quarantine);
-    append(to.deaths, more.deaths);
-}
-
 std::size_t most_listeners(const member_record& self,
                            const exchange_timing& timing) {
     const auto part =
@@ -227,7 +194,8 @@
         return mixed;
     };
     auto names = shuffled(routes_.central());
-    append(names, shuffled(routes_.listeners()));
+    const auto listeners = shuffled(routes_.listeners());
+    names.insert(names.end(), listeners.begin(), listeners.end());
     records_message others;
     others.members.push_back(state_.members.self());
     for (const auto& name : names) {
@@ -409,29 +377,6 @@
     }
 }
 
-// Peers that have it as new themselves are not told.
-void peer_exchange::pass_on_word(time_point now) {
-    const auto age = state_.readers.age(now);
-    const auto& reader = state_.readers.newest_reader();
-    if (reader.empty()) {
-        return;
-    }
-    if (reader == state_.members.self().id.name && !word_origin_.empty()) {
-        word_origin_.clear();
-    }
-    std::set<std::string> behind;
-    for (const auto& peer : routes_.audience(word_origin_)) {
-        auto& theirs = word_of_peer_[peer];
-        if (now - age - theirs >= timing_.word_step) {
-            theirs = now - age;
-            behind.insert(peer);
-        }
-    }
-    send_to_all(behind,
-                platform_word{reader, age, state_.registry.fingerprint(),
-                              state_.configurations.revision()});
-}
-
 void peer_exchange::tick(time_point now) {
     settled_ = settled_ || introduced();
     accuse_silent(now);
@@ -493,129 +438,4 @@
     return fresh_.fresh() ? 0 : fresh_.epoch();
 }
 
-digest_message peer_exchange::own_digest() const {
-    digest_message digest;
-    digest.revision = state_.configurations.revision();
-    digest.refused = state_.configurations.refused_revision();
-    digest.tables = fingerprints_of(state_);
-    return digest;
-}
-
-void peer_exchange::send_digest(const std::string& peer, std::uint64_t asks,
-                                std::uint64_t answers, listening listens) {
-    auto digest = own_digest();
-    digest.asks = asks;
-    digest.answers = answers;
-    digest.listens = listens;
-    ++counters_.digests_sent;
-    send(peer, digest);
-}
-
-void peer_exchange::send(const std::string& peer, exchange_message message) {
-    send_to_all({peer}, std::move(message));
-}
-
-void peer_exchange::send_to_all(const std::set<std::string>& peers,
-                                exchange_message message) {
-    const auto shared =
-        std::make_shared<const exchange_message>(std::move(message));
-    for (const auto& peer : peers) {
-        if (const auto* records = std::get_if<records_message>(&*shared)) {
-            counters_.records_sent += count_of(*records);
-        }
-        outgoing_.push_back({peer, shared});
-    }
-}
-
-// Word of the platform names what its sender holds: it goes out after the
-// changes that came before it.
-std::vector<addressed_message> peer_exchange::take_messages(time_point now) {
-    pass_on_revision();
-    if (now >= next_relay_) {
-        pass_on_changes(now);
-        pass_on_word(now);
-    }
-    return std::exchange(outgoing_, {});
-}
-
-void peer_exchange::pass_on_revision() {
-    const auto mine = files_.own_revision();
-    if (mine.revision == announced_.revision &&
-        mine.refused == announced_.refused) {
-        return;
-    }
-    announced_ = mine;
-    const bool from_peer = mine.revision <= newest_named_;
-    send_to_all(routes_.audience(from_peer ? newest_named_by_ : ""), mine);
-}
-
-void peer_exchange::pass_on_changes(time_point now) {
-    records_by_origin changes;
-    const auto name_of_member = [](const auto& each) { return each.id.name; };
-    const auto name_of_server = [](const auto& each) {
-        return each.backend_server;
-    };
-    const auto name_of_entry = [](const auto& each) { return each.name; };
-    sort_by_origin(state_.members.take_changes(), member_origin_,
-                   name_of_member, &records_message::members, changes);
-    sort_by_origin(state_.beliefs.take_changes(), belief_origin_,
-                   name_of_server, &records_message::beliefs, changes);
-    sort_by_origin(state_.registry.take_changes(), registry_origin_,
-                   name_of_entry, &records_message::registry, changes);
-    member_origin_.clear();
-    belief_origin_.clear();
-    registry_origin_.clear();
-    // Few and rare: who told them is told again.
-    const auto verdicts = state_.quarantine.take_new_verdicts();
-    const auto deaths = state_.quarantine.take_new_deaths();
-    if (!verdicts.empty() || !deaths.empty()) {
-        append(changes[""].quarantine, verdicts);
-        append(changes[""].deaths, deaths);
-    }
-    if (changes.empty()) {
-        return;
-    }
-    next_relay_ = now + relay_wait();
-    // Peers that get the same share one message.
-    std::map<std::set<std::string>, std::set<std::string>> told_alike;
-    std::map<std::string, std::set<std::string>> origins_for;
-    for (const auto& each : changes) {
-        for (const auto& peer : routes_.audience(each.first)) {
-            origins_for[peer].insert(each.first);
-        }
-    }
-    for (const auto& each : origins_for) {
-        told_alike[each.second].insert(each.first);
-    }
-    for (const auto& [origins, peers] : told_alike) {
-        records_message records;
-        for (const auto& origin : origins) {
-            append(records, changes.at(origin));
-        }
-        tell(peers, std::move(records));
-    }
-}
-
-duration peer_exchange::relay_wait() const {
-    const auto members = static_cast<duration::rep>(state_.members.present());
-    return std::min(members * timing_.relay_wait_per_member,
-                    timing_.relay_wait_limit);
-}
-
-// A whole list of backend servers that was read from the platform is offered by
-// its fingerprint: most peers have it from another, and some thousand records
-// for each of them would fill a small machine's link.
-void peer_exchange::tell(const std::set<std::string>& peers,
-                         records_message records) {
-    if (records.registry.size() <= timing_.most_told) {
-        send_to_all(peers, std::move(records));
-        return;
-    }
-    records.registry.clear();
-    if (!is_empty(records)) {
-        send_to_all(peers, std::move(records));
-    }
-    send_to_all(peers, own_digest());
-}
-
 } // namespace waxwingvale::membership
