membership: whoever has a feed looks for a better one ever more rarely

Cause (fleet simulation at 710 instances, where 7 kB a second and instance went on at rest): the central instances have room for 416 listeners; the others were declined every 0.5 s, left the feed that served them each time and compared all tables anew. A deployment of small machines only has this at a hundred.

Change: after each that declines the search for a better feed waits twice as long, 0.5 to 30 s, until a central one is found; others are named only to one that has just come.

--- a/include/waxwingvale/membership/news_routes.hpp
+++ b/include/waxwingvale/membership/news_routes.hpp
@@ -23,8 +23,13 @@
     duration patience_limit = std::chrono::seconds(6);
     // A feed is not left for a better one sooner.
     duration shortest_stay = std::chrono::milliseconds(500);
-    // A peer that had no room for a listener is asked again after this.
+    // A peer that had no room for a listener is not asked again sooner.
     duration declined_wait = std::chrono::milliseconds(500);
+    // Whoever has a feed looks for a better one that much later after each that
+    // had no room, twice as long each time, up to the limit: all better ones
+    // may be full for good, and with each try the feed that serves is left.
+    duration better_feed_wait = std::chrono::milliseconds(500);
+    duration better_feed_wait_limit = std::chrono::seconds(30);
 };
 
 // A peer that is to begin, or to end, telling us its news.
@@ -105,6 +110,9 @@
     // Feeds that had no newer word, or no room, and until when they are left
     // alone.
     std::map<std::string, time_point> passed_over_;
+    // When a better feed is looked for again, and how long that took.
+    time_point look_for_better_at_{};
+    duration better_feed_wait_{};
     duration patience_;
     // When newer word came last, and when it came last by another way than the
     // feed.
--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -157,6 +157,7 @@
                        time_point now);
     bool take_listening(const std::string& peer, listening change,
                         time_point now);
+    void decline(const std::string& peer);
     void refer(const std::string& peer);
     void take_answer(const std::string& peer, std::uint64_t epoch, bool same);
     void hear_whole(const std::string& peer);
--- a/src/membership/news_routes.cpp
+++ b/src/membership/news_routes.cpp
@@ -48,6 +48,10 @@
 
 void news_routes::declined(const std::string& peer, time_point now) {
     passed_over_[peer] = now + timing_.declined_wait;
+    better_feed_wait_ =
+        std::min(std::max(better_feed_wait_ * 2, timing_.better_feed_wait),
+                 timing_.better_feed_wait_limit);
+    look_for_better_at_ = now + better_feed_wait_;
     if (feed_ == peer) {
         feed_.clear();
     }
@@ -63,6 +67,8 @@
     newer_at_ = now;
     if (from.empty() || from != feed_) {
         newer_elsewhere_at_ = now;
+    } else if (is_central(feed_)) {
+        better_feed_wait_ = {};
     }
     patience_ = timing_.patience;
 }
@@ -151,7 +157,8 @@
         return changes;
     }
     const auto best = best_candidate(members, now);
-    const bool stayed = now - feed_since_ >= timing_.shortest_stay;
+    const bool stayed = now - feed_since_ >= timing_.shortest_stay &&
+                        now >= look_for_better_at_;
     if (feed_.empty() ? !best.empty() : stayed && is_better(best, members)) {
         change_feed(best, now, changes);
     }
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -170,7 +170,7 @@
     case listening::starts:
         word_of_peer_.erase(peer);
         if (!routes_.add_listener(peer)) {
-            refer(peer);
+            decline(peer);
             return false;
         }
         return true;
@@ -185,8 +185,16 @@
     return true;
 }
 
-// Tells a peer that there is no room for it, and of some that may have room:
-// central instances first, which have most.
+// Tells a peer that there is no room for it, and one that has just come of some
+// others that may have room.
+void peer_exchange::decline(const std::string& peer) {
+    if (!is_member(peer)) {
+        refer(peer);
+    }
+    send_digest(peer, 0, 0, listening::declined);
+}
+
+// Central instances come first, since they have most room.
 void peer_exchange::refer(const std::string& peer) {
     const auto shuffled = [this](const std::set<std::string>& names) {
         std::vector<std::string> mixed(names.begin(), names.end());
@@ -206,7 +214,6 @@
         }
     }
     send(peer, std::move(others));
-    send_digest(peer, 0, 0, listening::declined);
 }
 
 // The answer to what was asked after a late wake-up. When the peer knows other
--- a/test/membership/fleet_budget_test.cpp
+++ b/test/membership/fleet_budget_test.cpp
@@ -83,6 +83,24 @@
     CHECK(fleet.traffic().bytes / instances / 10 < 300);
 }
 
+TEST_CASE("a fleet whose central instances have no more room is at rest") {
+    // All machines are small, and the central ones can tell their news to fewer
+    // than there are. Who was declined listens to others; if it went on asking
+    // the central ones in short order, it would leave its feed each time, and
+    // compare all its tables anew.
+    constexpr unsigned instances = 120;
+    auto shape = shape_of(instances);
+    shape.strong_per_data_centre = 0;
+    fleet_simulation fleet(shape);
+    fleet.start_all();
+    fleet.run_for(15s);
+    REQUIRE(is_whole(fleet, instances));
+    fleet.forget_traffic();
+    fleet.run_for(10s);
+    CAPTURE(fleet.traffic().bytes);
+    CHECK(fleet.traffic().bytes / instances / 10 < 300);
+}
+
 TEST_CASE("one changed backend server reaches all within a second") {
     // A backend server registers itself. An instance that does not hear of it
     // sends it nothing, and one that hears of it dozens of times spends its
--- a/test/membership/news_routes_test.cpp
+++ b/test/membership/news_routes_test.cpp
@@ -155,3 +155,23 @@
     CHECK(one.choose(start + 1200ms) ==
           std::vector<feed_change>{{feed, false}});
 }
+
+TEST_CASE("a peer without room is asked ever more rarely") {
+    // It may be full for good. Each time that it is asked the feed that serves
+    // meanwhile is left.
+    listening_instance one;
+    one.link({"sea-1", "pdx-4"});
+    unsigned asked = 0;
+    for (auto now = start; now < start + 60s; now += 100ms) {
+        for (const auto& change : one.choose(now)) {
+            if (change.peer == "sea-1" && change.start) {
+                ++asked;
+                one.routes.declined("sea-1", now);
+            }
+        }
+        one.routes.hear_newer("pdx-4", now);
+    }
+    CHECK(asked >= 3);
+    CHECK(asked <= 8);
+    CHECK(one.routes.feed() == "pdx-4");
+}
