--- a/include/waxwingvale/membership/news_routes.hpp
+++ b/include/waxwingvale/membership/news_routes.hpp
@@ -110,7 +110,7 @@
     // Feeds that had no newer word, or no room, and until when they are left
     // alone.
     std::map<std::string, time_point> passed_over_;
-    // When a better feed is looked for again, and how long that took.
+    // When a better feed is looked for again, and how long the last wait was.
     time_point look_for_better_at_{};
     duration better_feed_wait_{};
     duration patience_;
