control, entry: logs and metrics say which newer configuration is awaited, and from whom

What was missing: three of 17 instances stayed at the first configuration while others took each of many. Nothing told whether they had not heard of the newer ones, had heard and not asked, or had asked and got nothing; and a 404 did not say which configuration decided so.

Now configuration_awaited, once a second while it lasts, names the newest revision that a peer has in force, the peer, the revision in force here, how long that has been so and how often a peer was asked; configuration_in_force names whom the file came from; call_not_understood names the revision that it was decided by. Metrics: waxwing_configuration_named_revision, waxwing_exchange_configurations_requested_total. No decision is changed.

--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -11,6 +11,14 @@
 
 namespace waxwingvale::membership {
 
+// A configuration that peers have in force and this instance has not.
+struct awaited_configuration {
+    std::uint64_t revision = 0; // the newest that was named
+    std::string named_by;
+    duration waited{};  // since word of any that is newer than ours
+    unsigned asked = 0; // how often a peer was asked for a file since then
+};
+
 // Which peer is asked for a newer configuration, and when. Every peer names
 // its revision, so that each of dozens could be asked for the same file; only
 // one is at a time. Pure.
@@ -28,6 +36,12 @@
     void lost(const std::string& peer, time_point now);
     // Whether the newest file that a peer named was taken, or refused, here.
     bool has_named() const;
+    // The newest revision that a peer had in force, or 0.
+    std::uint64_t named() const { return named_; }
+    // Nothing while no peer is known to have a newer file in force.
+    std::optional<awaited_configuration> awaited(time_point now) const;
+    // The peer whose file has that revision, or an empty name.
+    std::string sender_of(std::uint64_t revision) const;
     // What to ask, and whom, if it is time.
     std::optional<addressed_message> due_request(time_point now);
 
@@ -35,7 +49,8 @@
     std::vector<configuration_message>
     answer(const configuration_request& request);
     // Error: bytes that do not unpack; the file is asked for again.
-    result<offer_outcome> take(const configuration_message& message);
+    result<offer_outcome> take(const std::string& peer,
+                               const configuration_message& message);
 
     revision_message own_revision() const;
 
@@ -51,6 +66,19 @@
         time_point until{};
     };
 
+    // Since when this instance knows that the file in force is old.
+    struct time_behind {
+        std::uint64_t in_force = 0;
+        time_point since{};
+        unsigned asked = 0;
+    };
+    struct received_file {
+        std::uint64_t revision = 0;
+        std::string from;
+    };
+
+    void note_named(const std::string& peer, std::uint64_t revision,
+                    time_point now);
     bool lacks(const revision_message& theirs) const;
     bool waits_for(const revision_message& theirs) const;
     bool asked_for(const revision_message& theirs, time_point now) const;
@@ -61,6 +89,9 @@
     std::optional<wanted_file> wanted_;
     std::optional<asked_file> asked_;
     std::uint64_t named_ = 0; // the newest revision that a peer had in force
+    std::string named_by_;
+    std::optional<time_behind> behind_;
+    received_file received_; // the newest of a peer
     // The last file that was sent: the next peer probably asks for it too, and
     // packing 294 kB takes 3.7 ms of a core.
     configuration_message packed_;
--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -75,6 +75,7 @@
     std::uint64_t feeds_changed = 0;
     std::uint64_t records_sent = 0;
     std::uint64_t records_received = 0;
+    std::uint64_t configurations_requested = 0;
     std::uint64_t configurations_sent = 0;
     std::uint64_t configurations_received = 0;
     std::uint64_t configurations_malformed = 0;
@@ -120,6 +121,7 @@
     bool introduced() const {
         return introduced_ && (settled_ || files_.has_named());
     }
+    const configuration_exchange& files() const { return files_; }
     const exchange_counters& counters() const { return counters_; }
     // What was wrong with the last message of a peer, told once.
     std::optional<error> take_problem() {
--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -90,6 +90,9 @@
      &membership::exchange_counters::records_sent},
     {"waxwing_exchange_records_received_total", "Records from peers.",
      &membership::exchange_counters::records_received},
+    {"waxwing_exchange_configurations_requested_total",
+     "Times that a peer was asked for a file.",
+     &membership::exchange_counters::configurations_requested},
     {"waxwing_exchange_configurations_sent_total", "Files sent to peers.",
      &membership::exchange_counters::configurations_sent},
     {"waxwing_exchange_configurations_received_total", "Files from peers.",
@@ -195,6 +198,9 @@
             return peers.exchange().counters().*from;
         });
     }
+    show("waxwing_configuration_named_revision",
+         "Newest revision that a peer had in force.",
+         [&peers] { return peers.exchange().files().named(); });
     show("waxwing_news_listeners", "Instances that listen to this one.",
          [&peers] { return peers.exchange().routes().listeners().size(); });
     count("waxwing_messages_malformed_total",
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -32,6 +32,8 @@
 constexpr duration lapse_grace = std::chrono::milliseconds(2200);
 // Of a key that somebody else has chosen, the log gets so many bytes.
 constexpr std::size_t longest_key_told = 100;
+// A file that was not in force this long after word of it is told of.
+constexpr duration longest_ordinary_wait = std::chrono::seconds(1);
 
 std::uint64_t random_seed() {
     std::random_device device;
@@ -243,6 +245,7 @@
     if (look) {
         forget_unnamed(now);
         metrics_.update();
+        log_awaited(now);
     }
     const bool news = registry_changed || was_fresh != known_.fresh.fresh() ||
                       members_before != known_.members.version();
@@ -325,12 +328,31 @@
     }
 }
 
+// As long as it lasts, so that its beginning and its end can be seen.
+void control_service::log_awaited(time_point now) {
+    const auto awaited = peers_.exchange().files().awaited(now);
+    if (!awaited || awaited->waited < longest_ordinary_wait) {
+        return;
+    }
+    program::log_warning(
+        "configuration_awaited",
+        {{"revision", std::to_string(awaited->revision)},
+         {"in_force", std::to_string(known_.configurations.revision())},
+         {"named_by", awaited->named_by},
+         {"waited_ms",
+          std::to_string(awaited->waited / std::chrono::milliseconds(1))},
+         {"asked", std::to_string(awaited->asked)}});
+}
+
 void control_service::log_turns() {
     const auto& configurations = known_.configurations;
     if (configurations.revision() != logged_revision_) {
         logged_revision_ = configurations.revision();
+        const auto sender =
+            peers_.exchange().files().sender_of(logged_revision_);
         program::log_change("configuration_in_force",
-                            {{"revision", std::to_string(logged_revision_)}});
+                            {{"revision", std::to_string(logged_revision_)},
+                             {"from", sender.empty() ? "platform" : sender}});
     }
     if (configurations.refused_revision() > logged_refused_) {
         logged_refused_ = configurations.refused_revision();
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -62,6 +62,7 @@
     // Now, or as soon as the pace of views allows.
     void publish_view();
     void log_turns();
+    void log_awaited(time_point now);
 
     program::program_environment environment_;
     const published_state& published_;
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -112,7 +112,8 @@
 
 void call_desk::take(forwarding::caller_exchange_ptr caller) {
     if (!view_ || !view_->config) {
-        log_unnamed(caller->request(), "call_without_configuration", "");
+        log_unnamed(caller->request(), "call_without_configuration", nullptr,
+                    "");
         own_answer answer;
         answer.reason = "no-configuration";
         answer.come_back_in = come_back_to_started;
@@ -125,7 +126,7 @@
     if (!understood) {
         metrics_.not_understood.add();
         log_unnamed(caller->request(), "call_not_understood",
-                    understood.error().detail);
+                    view_->config.get(), understood.error().detail);
         auto answer = not_understood(understood.error());
         if (answer.status == status::not_found) {
             leave_open_if_resent(answer, caller->request());
--- a/src/entry/call_facts.cpp
+++ b/src/entry/call_facts.cpp
@@ -6,9 +6,10 @@
 
 // A request that became no call, and so has no story.
 void log_unnamed(const io::http_request& request, const char* event,
-                 const std::string& detail) {
+                 const configuration* by, const std::string& detail) {
     program::log_details(fact("peer", request.peer) + " " +
-                             fact("path", request.target),
+                             fact("path", request.target) + " " +
+                             fact("revision", by == nullptr ? 0 : by->revision),
                          {{event, {}, fact("error", detail)}});
 }
 
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -47,7 +47,7 @@
 void configuration_exchange::hear(const std::string& peer,
                                   const revision_message& theirs, duration wait,
                                   time_point now) {
-    named_ = std::max(named_, theirs.revision);
+    note_named(peer, theirs.revision, now);
     if (!lacks(theirs) || waits_for(theirs)) {
         return;
     }
@@ -56,6 +56,34 @@
     wanted_ = wanted_file{peer, theirs, ask_at};
 }
 
+void configuration_exchange::note_named(const std::string& peer,
+                                        std::uint64_t revision,
+                                        time_point now) {
+    if (revision > named_) {
+        named_ = revision;
+        named_by_ = peer;
+    }
+    const auto mine = configurations_.revision();
+    const bool known_behind = behind_ && behind_->in_force == mine;
+    if (revision > mine && !known_behind) {
+        behind_ = time_behind{mine, now, 0};
+    }
+}
+
+std::optional<awaited_configuration>
+configuration_exchange::awaited(time_point now) const {
+    const auto mine = configurations_.revision();
+    if (!behind_ || behind_->in_force != mine || named_ <= mine) {
+        return std::nullopt;
+    }
+    return awaited_configuration{named_, named_by_, now - behind_->since,
+                                 behind_->asked};
+}
+
+std::string configuration_exchange::sender_of(std::uint64_t revision) const {
+    return received_.revision == revision ? received_.from : std::string();
+}
+
 bool configuration_exchange::has_named() const {
     const auto mine = own_revision();
     return std::max(mine.revision, mine.refused) >= named_;
@@ -85,6 +113,9 @@
         return std::nullopt;
     }
     asked_ = asked_file{wanted.from, wanted.theirs, now + answer_within_};
+    if (behind_) {
+        ++behind_->asked;
+    }
     const auto mine = own_revision();
     return addressed_message{
         wanted.from, std::make_shared<const exchange_message>(
@@ -113,13 +144,19 @@
 }
 
 result<offer_outcome>
-configuration_exchange::take(const configuration_message& message) {
+configuration_exchange::take(const std::string& peer,
+                             const configuration_message& message) {
     auto text = unpack(message.text, text_limit);
     if (!text) {
         asked_.reset();
         return text.error();
     }
-    return configurations_.offer({message.revision, std::move(text.value())});
+    const auto outcome =
+        configurations_.offer({message.revision, std::move(text.value())});
+    if (outcome == offer_outcome::accepted) {
+        received_ = {message.revision, peer};
+    }
+    return outcome;
 }
 
 } // namespace waxwingvale::membership
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -358,7 +358,7 @@
 void peer_exchange::take(const std::string& peer,
                          const configuration_message& message, time_point) {
     ++counters_.configurations_received;
-    const auto taken = files_.take(message);
+    const auto taken = files_.take(peer, message);
     if (!taken) {
         ++counters_.configurations_malformed;
         problem_ = taken.error();
@@ -412,6 +412,7 @@
 
 void peer_exchange::ask_for_configuration(time_point now) {
     if (auto request = files_.due_request(now)) {
+        ++counters_.configurations_requested;
         outgoing_.push_back(std::move(*request));
     }
 }
--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -175,6 +175,29 @@
     CHECK(one.requests(start + 5ms) == 1);
 }
 
+TEST_CASE("an instance tells which newer file it waits for") {
+    // Guards against instances that stay at an old file without a word why.
+    exchanging_instance one;
+    one.configurations.offer({6, "old"});
+    one.exchange.link_up("pdx-1", start);
+    one.requests(start);
+    CHECK_FALSE(one.exchange.files().awaited(start));
+    one.exchange.receive("pdx-1", revision_message{7, 0}, start);
+    CHECK(one.requests(start) == 1);
+    one.exchange.receive("pdx-1", revision_message{9, 0}, start + 2s);
+    const auto awaited = one.exchange.files().awaited(start + 3s);
+    REQUIRE(awaited);
+    CHECK(awaited->revision == 9);
+    CHECK(awaited->named_by == "pdx-1");
+    CHECK(awaited->waited == 3s);
+    CHECK(awaited->asked == 2);
+    one.exchange.receive("pdx-1", configuration_message{9, pack("new")},
+                         start + 3s);
+    CHECK_FALSE(one.exchange.files().awaited(start + 3s));
+    CHECK(one.exchange.files().sender_of(9) == "pdx-1");
+    CHECK(one.exchange.files().sender_of(6).empty());
+}
+
 TEST_CASE("a stranger is told at once who linked with it") {
     // All instances start in one moment, and each data centre finds its own
     // seed first. What an instance says to its feed reaches its own data centre
