--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -175,6 +175,34 @@
     CHECK(one.requests(start + 5ms) == 1);
 }
 
+TEST_CASE("a file is asked for although newer ones are named meanwhile") {
+    // Guards against a wait that each newer word begins anew: routes that were
+    // added long ago are answered 404 as long as the operator goes on.
+    exchanging_instance one;
+    one.exchange.set_platform_answers(true);
+    one.configurations.offer({1, "first"});
+    one.exchange.link_up("pdx-1", start);
+    records_message records;
+    records.answers_request = true;
+    one.exchange.receive("pdx-1", records, start);
+    one.exchange.tick(start);
+    one.requests(start);
+    const auto published_every = GENERATE(50ms, 100ms, 200ms, 250ms, 300ms);
+    constexpr duration tick = 10ms;
+    unsigned asked = 0;
+    std::uint64_t revision = 1;
+    for (duration passed{}; passed < 1s; passed += tick) {
+        const auto now = start + passed;
+        if (passed % published_every == duration::zero()) {
+            one.exchange.receive("pdx-1", revision_message{++revision, 0}, now);
+        }
+        one.exchange.tick(now);
+        asked += one.requests(now);
+    }
+    CAPTURE(published_every / 1ms);
+    CHECK(asked > 0);
+}
+
 TEST_CASE("an instance tells which newer file it waits for") {
     // Guards against instances that stay at an old file without a word why.
     exchanging_instance one;
--- a/test/membership/fleet_simulation.cpp
+++ b/test/membership/fleet_simulation.cpp
@@ -51,9 +51,10 @@
 } // namespace
 
 struct fleet_simulation::instance {
-    instance(const member_record& self, std::uint64_t life, time_point now)
+    instance(const member_record& self, std::uint64_t life, bool expects_peers,
+             time_point now)
         : members(self, {}, now),
-          readers(self.id.name, 1, true, {}, now),
+          readers(self.id.name, 1, expects_peers, {}, now),
           fresh(std::chrono::milliseconds(500), now),
           exchange(
               {configurations, members, beliefs, registry, quarantine, readers},
@@ -146,7 +147,9 @@
     self.capacity.cpu_permille = number < strong ? 500 : 100;
     self.capacity.link_mbps = number < strong ? 200 : 20;
     const auto life = 1790000000000 + ++lives_;
-    instances_[number] = std::make_unique<instance>(self, life, now_);
+    const bool reads_first = shape_.seeds_read_first && number < seed_count;
+    instances_[number] =
+        std::make_unique<instance>(self, life, !reads_first, now_);
     instances_[number]->running = true;
     tick(number, life);
 }
@@ -215,14 +218,21 @@
 
 void fleet_simulation::register_server(const std::string& name) {
     servers_[name] = server_record(name, ++revision_);
-    for (unsigned each = 0; each < shape_.instances; ++each) {
-        tell_reader(each);
-    }
+    tell_readers();
 }
 
 void fleet_simulation::remove_server(const std::string& name) {
     servers_.erase(name);
     ++revision_;
+    tell_readers();
+}
+
+void fleet_simulation::publish_configuration() {
+    ++configuration_;
+    tell_readers();
+}
+
+void fleet_simulation::tell_readers() {
     for (unsigned each = 0; each < shape_.instances; ++each) {
         tell_reader(each);
     }
@@ -252,6 +262,11 @@
             reader.registry.take_list(list, revision_, now_);
             reader.listed_at = revision_;
         }
+        if (configuration_ > 0) {
+            reader.configurations.offer(
+                {configuration_, std::to_string(configuration_)});
+        }
+        reader.exchange.set_platform_answers(true);
         reader.readers.hear(name_of(number), duration::zero(), now_);
         flush_soon(number);
     });
@@ -509,6 +524,16 @@
         }));
 }
 
+std::uint64_t fleet_simulation::oldest_configuration() const {
+    auto oldest = configuration_;
+    for (const auto& each : instances_) {
+        if (each && each->running) {
+            oldest = std::min(oldest, each->configurations.revision());
+        }
+    }
+    return oldest;
+}
+
 unsigned fleet_simulation::with_all_members() const {
     const auto whole = [this](const auto& each) {
         if (!each || !each->running) {
--- a/test/membership/fleet_simulation.hpp
+++ b/test/membership/fleet_simulation.hpp
@@ -22,6 +22,9 @@
     unsigned strong_per_data_centre = 3; // the others have a tenth of a core
     unsigned backend_servers = 60;
     std::uint64_t seed = 1;
+    // Whether the first three read the platform as they start, as those do that
+    // no peer can tell; else they wait to be told like all others.
+    bool seeds_read_first = false;
 };
 
 // What was sent between the instances, on the sockets.
@@ -58,12 +61,18 @@
 
     void register_server(const std::string& name);
     void remove_server(const std::string& name);
+    // The operator publishes a configuration that replaces the one before.
+    void publish_configuration();
 
     unsigned running() const;
     // Running instances that hold exactly the platform's backend servers.
     unsigned with_whole_registry() const;
     // Running instances to whom exactly the running ones are alive.
     unsigned with_all_members() const;
+    // Of the running instances, the oldest revision in force; 0: none is.
+    std::uint64_t oldest_configuration() const;
+    // What was published last; it grows by one with each.
+    std::uint64_t published_configuration() const { return configuration_; }
     // Running instances that have a backend server.
     unsigned that_know(const std::string& server) const;
 
@@ -98,6 +107,7 @@
     void tick(unsigned number, std::uint64_t life);
     void read_platform(unsigned number);
     void tell_reader(unsigned number);
+    void tell_readers();
     void plan(unsigned number);
     std::set<std::string> wanted_links(const instance& of) const;
     std::set<std::string> central_for(const instance& of) const;
@@ -125,6 +135,7 @@
     std::map<std::string, unsigned> numbers_;
     std::map<std::string, membership::registry_record> servers_;
     std::uint64_t revision_ = 1;
+    std::uint64_t configuration_ = 0;
     std::set<unsigned> apart_;
     std::function<bool(unsigned)> answered_;
     std::priority_queue<event> events_;
--- /dev/null
+++ b/test/membership/frequent_configurations_test.cpp
@@ -0,0 +1,42 @@
+#include <catch2/catch.hpp>
+
+#include "fleet_simulation.hpp"
+
+using namespace waxwingvale;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Whoever handles a request by an older configuration than was in force
+// everywhere so long ago answers 404 for routes that callers may use.
+constexpr duration in_force_within = 2s;
+
+} // namespace
+
+TEST_CASE("changes four times a second are soon in force on every instance") {
+    // Guards against instances that learn no configuration while it changes
+    // often, and answer 404 for routes that were added long ago.
+    const auto instances = GENERATE(5U, 17U, 100U);
+    const auto published_every = GENERATE(100ms, 250ms, 300ms);
+    fleet_shape shape;
+    shape.instances = instances;
+    shape.data_centres = 3;
+    shape.seeds_read_first = true;
+    fleet_simulation fleet(shape);
+    fleet.start_all();
+    fleet.publish_configuration();
+    fleet.run_for(10s);
+    REQUIRE(fleet.oldest_configuration() == 1);
+
+    const auto allowed_behind =
+        static_cast<std::uint64_t>(in_force_within / published_every) + 1;
+    std::uint64_t most_behind = 0;
+    for (duration passed{}; passed < 10s; passed += published_every) {
+        fleet.publish_configuration();
+        fleet.run_for(published_every);
+        most_behind = std::max(most_behind, fleet.published_configuration() -
+                                                fleet.oldest_configuration());
+    }
+    CAPTURE(instances, published_every / 1ms);
+    CHECK(most_behind <= allowed_behind);
+}
