membership: a newer file's word does not put off asking for any

What callers saw: proper requests ended with 404 on some instances, up to 256 of them, while the configuration changed every 250 ms.

Cause: an instance that hears of a newer configuration waits 250 ms for the platform to tell it, then asks the peer. Word of a still newer one replaced the earlier word together with its wait, so with changes in shorter order than the wait and a tick nothing was ever asked: starvation.

Change: the newer word replaces whom and what to ask; the moment stays that of the first word of a file that is still lacking.

--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -51,8 +51,14 @@
     if (!lacks(theirs) || waits_for(theirs)) {
         return;
     }
-    // The file is on its way from another peer.
-    const auto ask_at = asked_for(theirs, now) ? asked_->until : now + wait;
+    // Asked for already, the file is on its way from another peer.
+    auto ask_at = asked_for(theirs, now) ? asked_->until : now + wait;
+    // Word of a newer file changes what is asked for, and never when: changes
+    // that follow each other sooner than the wait ends would put it off for as
+    // long as they go on.
+    if (wanted_ && lacks(wanted_->theirs)) {
+        ask_at = std::min(ask_at, wanted_->ask_at);
+    }
     wanted_ = wanted_file{peer, theirs, ask_at};
 }
 
