membership: who left the platform to others asks peers for a newer file at once

Whether this instance reads now is asked of the duty of reading. Unit test, red before (0 requests).

--- a/include/waxwingvale/membership/reader_duty.hpp
+++ b/include/waxwingvale/membership/reader_duty.hpp
@@ -44,6 +44,8 @@
     bool hear(const std::string& reader, duration age, time_point now);
 
     bool should_read(time_point now);
+    // What should_read() said last.
+    bool reads() const { return reads_; }
 
     // Who reads while all is well; empty when each reads for itself.
     std::vector<std::string> readers() const;
@@ -54,6 +56,7 @@
     const std::string& newest_reader() const { return newest_reader_; }
 
 private:
+    bool decide(time_point now);
     bool is_reader(const std::string& name) const;
     bool comes_before_self(const std::string& name) const;
 
@@ -65,6 +68,7 @@
     time_point introduced_at_;       // at the latest
     time_point verified_;
     std::string newest_reader_;
+    bool reads_;
     std::optional<time_point> took_over_;
     time_point relieved_{}; // heard of one that comes earlier
     time_point read_at_{};  // by this instance
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -340,7 +340,9 @@
     }
     // One that has just started may have read an old file; what peers have in
     // force counts before its first word to anybody.
-    const bool platform_will_tell = platform_answers_ && settled_;
+    // Whoever leaves the platform to others is told by nobody but them.
+    const bool platform_will_tell =
+        platform_answers_ && state_.readers.reads() && settled_;
     const auto wait =
         platform_will_tell ? timing_.configuration_wait : duration::zero();
     files_.hear(peer, theirs, wait, now);
--- a/src/membership/reader_duty.cpp
+++ b/src/membership/reader_duty.cpp
@@ -63,7 +63,8 @@
       // Where there are peers their reader has as long to be heard of as one
       // that falls silent later.
       verified_(expects_peers ? now
-                              : now - timing.stale_after - timing.step_limit) {}
+                              : now - timing.stale_after - timing.step_limit),
+      reads_(readers == 0) {}
 
 void reader_duty::take_members(const std::vector<member>& members) {
     order_ = reader_order(members);
@@ -109,6 +110,11 @@
 }
 
 bool reader_duty::should_read(time_point now) {
+    reads_ = decide(now);
+    return reads_;
+}
+
+bool reader_duty::decide(time_point now) {
     if (readers_ > 0 && now < introduced_at_) {
         return false;
     }
--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -22,6 +22,10 @@
 
 // What one instance knows, and its exchange with the peers it has links with.
 struct exchanging_instance {
+    // With 0 readers each instance reads the platform for itself.
+    explicit exchanging_instance(unsigned reader_count = 0)
+        : readers("sea-1", reader_count, false, {}, start) {}
+
     configuration_register configurations{
         [](const configuration_text& file) -> result<configuration> {
             configuration parsed;
@@ -32,7 +36,7 @@
     belief_table beliefs{100};
     registry_table registry{100};
     quarantine_table quarantine{{}};
-    reader_duty readers{"sea-1", 0, false, {}, start};
+    reader_duty readers;
     freshness fresh{1s, start};
     peer_exchange exchange{
         {configurations, members, beliefs, registry, quarantine, readers},
@@ -203,6 +207,29 @@
     CHECK(asked > 0);
 }
 
+TEST_CASE("who left the platform to others asks for a newer file at once") {
+    // Guards against old routes for as long as the platform would take to tell,
+    // on an instance that read it once and does no more.
+    exchanging_instance one(1);
+    member_record reader;
+    reader.id = {"pdx-1", 1};
+    reader.capacity.cpu_permille = 2 * self_record().capacity.cpu_permille;
+    one.members.merge(reader, start);
+    one.readers.take_members(one.members.members());
+    one.readers.hear("pdx-1", 0ms, start);
+    REQUIRE_FALSE(one.readers.should_read(start));
+    one.exchange.set_platform_answers(true);
+    one.configurations.offer({1, "first"});
+    one.exchange.link_up("pdx-1", start);
+    records_message records;
+    records.answers_request = true;
+    one.exchange.receive("pdx-1", records, start);
+    one.exchange.tick(start);
+    one.requests(start);
+    one.exchange.receive("pdx-1", revision_message{2, 0}, start + 1ms);
+    CHECK(one.requests(start + 1ms) == 1);
+}
+
 TEST_CASE("an instance tells which newer file it waits for") {
     // Guards against instances that stay at an old file without a word why.
     exchanging_instance one;
