membership: a platform that comes and goes does not put off removals for ever

What callers would see: requests to a backend server that left long ago, as long as the platform, or the link to it, fails again and again, if only for a moment.

Cause: after each return of the platform removals are held for 2.2 s, because entries that lapsed in its absence come back within that. Every further return prolonged the hold of what was held already: starvation. One read that fails counts as an absence.

Change: each removal has its own end, in time that the platform has answered since it returned, so that lapsed entries still have all of it when the platform is there for a moment only (before, all servers went 2.2 s after its return, though it had left again); 10 s by the clock at the latest.

--- a/include/waxwingvale/membership/registry_table.hpp
+++ b/include/waxwingvale/membership/registry_table.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -65,11 +66,15 @@
     // Takes a change that the platform told.
     void take_change(const registry_record& change, time_point now);
 
+    // The platform does not answer from now on.
+    void platform_lost(time_point now);
     // The platform was away until now. Entries that lapsed meanwhile come back
     // within a while, if their servers live; until then what is missing in a
     // list, or said to be gone, stays. Without this an outage of the platform
-    // would take every backend server from callers for that while.
-    void hold_removals(time_point until) { hold_until_ = until; }
+    // would take every backend server from callers for that while. Only time in
+    // which the platform answers counts, up to a bound, and a further return
+    // does not prolong what is held already.
+    void platform_returned(time_point now);
     // Carries out removals that were held and were not taken back, and forgets
     // those of long ago.
     // Returns whether anything has changed.
@@ -92,7 +97,15 @@
         std::uint64_t revision = 0;
         time_point since{};
     };
+    // `until` is counted in time that the platform has answered.
+    struct held_removal {
+        std::uint64_t revision = 0;
+        duration until{};
+        time_point since{};
+    };
 
+    // How long the platform has answered since it was first lost.
+    duration answered(time_point now) const;
     void remove(const std::string& name, std::uint64_t revision,
                 time_point now);
     void changed(const std::string& name);
@@ -100,8 +113,10 @@
     std::size_t limit_;
     std::map<std::string, registry_record> records_;
     std::map<std::string, removal> removed_;
-    std::map<std::string, std::uint64_t> held_; // removals not yet carried out
-    time_point hold_until_{};
+    std::map<std::string, held_removal> held_; // not yet carried out
+    duration answered_before_{};
+    std::optional<time_point> answers_since_;
+    duration hold_until_{}; // of removals that are said from now on
     std::set<std::string> changed_;
     std::uint64_t fingerprint_ = 0;
     std::uint64_t version_ = 0;
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -27,9 +27,6 @@
 constexpr duration leave_wait = std::chrono::milliseconds(300);
 // The platform's values, and files that peers pass on, are as large as this.
 constexpr std::size_t value_limit = 4 * configuration_size_limit;
-// Entries that lapsed while the platform was away are back about two seconds
-// after its return, if their servers live.
-constexpr duration lapse_grace = std::chrono::milliseconds(2200);
 // Of a key that somebody else has chosen, the log gets so many bytes.
 constexpr std::size_t longest_key_told = 100;
 // A file that was not in force this long after word of it is told of.
@@ -142,14 +139,16 @@
 }
 
 void control_service::on_platform_state(bool answers, const error& why) {
+    const auto now = environment_.timers.now();
     peers_.set_platform_answers(answers);
     if (!answers) {
         platform_failed_ = true;
+        known_.registry.platform_lost(now);
         program::log_warning("platform_lost", {{"error", to_string(why)}});
         return;
     }
     if (platform_failed_) {
-        known_.registry.hold_removals(environment_.timers.now() + lapse_grace);
+        known_.registry.platform_returned(now);
     }
     platform_failed_ = false;
     program::log_change("platform_answers");
--- a/src/membership/registry_table.cpp
+++ b/src/membership/registry_table.cpp
@@ -10,6 +10,11 @@
 
 // A removal is remembered this long, against word of before that is late.
 constexpr duration removal_keep = std::chrono::minutes(2);
+// Entries that lapsed while the platform was away are back about two seconds
+// after its return, if their servers live.
+constexpr duration lapse_grace = std::chrono::milliseconds(2200);
+// A removal is held no longer than this, also if the platform stays away.
+constexpr duration longest_hold = std::chrono::seconds(10);
 
 std::uint64_t hash_of(const registry_record& record) {
     return decision::stable_hash(record.name, record.revision);
@@ -61,13 +66,32 @@
     ++version_;
 }
 
+duration registry_table::answered(time_point now) const {
+    return answered_before_ +
+           (answers_since_ ? now - *answers_since_ : duration::zero());
+}
+
+void registry_table::platform_lost(time_point now) {
+    answered_before_ = answered(now);
+    answers_since_.reset();
+}
+
+void registry_table::platform_returned(time_point now) {
+    if (!answers_since_) {
+        answers_since_ = now;
+    }
+    hold_until_ = answered(now) + lapse_grace;
+}
+
 void registry_table::take_change(const registry_record& change,
                                  time_point now) {
-    const bool hold = !change.present && now < hold_until_ &&
+    const bool hold = !change.present && answered(now) < hold_until_ &&
                       records_.count(change.name) != 0;
     if (hold) {
-        auto& held = held_[change.name];
-        held = std::max(held, change.revision);
+        auto& held =
+            held_.emplace(change.name, held_removal{0, hold_until_, now})
+                .first->second;
+        held.revision = std::max(held.revision, change.revision);
         return;
     }
     merge(change, now);
@@ -97,11 +121,17 @@
 
 bool registry_table::tick(time_point now) {
     const auto before = version();
-    if (now >= hold_until_) {
-        for (const auto& [name, revision] : std::exchange(held_, {})) {
-            merge({name, revision, false, {}}, now);
+    const auto so_far = answered(now);
+    std::vector<registry_record> due;
+    for (const auto& [name, held] : held_) {
+        if (held.until <= so_far || now - held.since >= longest_hold) {
+            due.push_back({name, held.revision, false, {}});
         }
     }
+    for (const auto& each : due) {
+        held_.erase(each.name);
+        merge(each, now);
+    }
     for (auto at = removed_.begin(); at != removed_.end();) {
         const bool old = now - at->second.since >= removal_keep;
         at = old ? removed_.erase(at) : std::next(at);
--- a/test/membership/tables_test.cpp
+++ b/test/membership/tables_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -10,6 +11,7 @@
 #include <waxwingvale/membership/member_table.hpp>
 #include <waxwingvale/membership/quarantine_table.hpp>
 #include <waxwingvale/membership/read_budget.hpp>
+#include <waxwingvale/membership/registry_table.hpp>
 
 using namespace waxwingvale;
 using namespace waxwingvale::membership;
@@ -39,6 +41,35 @@
     return {"slate-1", incarnation, state, source, "sea-1", start + after};
 }
 
+registry_record registered(const std::string& name, std::uint64_t revision,
+                           bool present = true) {
+    return {name, revision, present, {}};
+}
+
+// How many milliseconds a backend server that the platform says is gone stays
+// in the table, at most `limit`, while the platform answers for `up` and is
+// away for `down` in turn.
+std::int64_t kept_while_platform_flaps(duration up, duration down,
+                                       duration limit = 60s) {
+    constexpr auto step = 100ms;
+    registry_table table(10);
+    table.merge(registered("slate-1", 5), start);
+    table.platform_lost(start);
+    duration passed{};
+    for (; passed < limit && !table.records().empty(); passed += step) {
+        const auto now = start + passed;
+        const auto phase = passed % (up + down);
+        if (phase == 0ms) {
+            table.platform_returned(now);
+            table.take_list({}, 9, now);
+        } else if (phase == up) {
+            table.platform_lost(now);
+        }
+        table.tick(now);
+    }
+    return passed / 1ms;
+}
+
 backend_state state_in(const belief_table& table) {
     return to_belief(*table.find("slate-1")).state;
 }
@@ -233,3 +264,31 @@
         CHECK(static_cast<double>(reads) <= platform_reads_per_second);
     }
 }
+
+TEST_CASE("a platform that comes and goes does not keep servers that left") {
+    // Guards against requests to a server that left long ago: each return of
+    // the platform began the wait for lapsed entries anew.
+    CHECK(kept_while_platform_flaps(1s, 100ms) <= 2600);
+    CHECK(kept_while_platform_flaps(1s, 1s) <= 4600);
+    CHECK(kept_while_platform_flaps(200ms, 200ms) <= 4600);
+    CHECK(kept_while_platform_flaps(10s, 10s) <= 2300);
+    // It comes for a moment and stays away.
+    CHECK(kept_while_platform_flaps(100ms, 1h) <= 10100);
+}
+
+TEST_CASE("entries that lapsed have the platform's own time to come back") {
+    // Guards against all servers being taken from callers by an outage of the
+    // platform that ends for a moment only.
+    registry_table table(10);
+    table.merge(registered("slate-1", 5), start);
+    table.platform_lost(start);
+    table.platform_returned(start + 10s);
+    table.take_list({}, 9, start + 10s);
+    table.platform_lost(start + 11s);
+    table.tick(start + 15s);
+    CHECK(table.records().size() == 1);
+    table.platform_returned(start + 15s);
+    table.take_change(registered("slate-1", 12), start + 16s);
+    table.tick(start + 40s);
+    CHECK(table.records().size() == 1);
+}
