io: a refused page does not begin a long list of the platform anew

What callers would see: old routes, or 503 of an instance that knows no configuration, while the platform refuses some reads and serves the others.

Cause: a failed read threw away the pages that were read. With one in three refused a list of four pages, some 2,000 entries, was never read to its end: nothing of it is used before its last page.

Change: the list goes on after the last page that was read. After more than four failures in a row it begins anew: that history may be gone.

--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -9,6 +9,9 @@
 
 // A topic on which nothing was published yet is read again this much later.
 constexpr duration unpublished_pause = std::chrono::seconds(1);
+// After more failures in a row than this a half-read list begins anew: by then
+// the history after its first page may no longer be kept.
+constexpr unsigned most_failures_in_list = 4;
 
 } // namespace
 
@@ -204,10 +207,13 @@
     counters_.malformed += why.code == error_code::malformed ? 1 : 0;
     budget_.failed(timers_.now());
     // What the platform has when it comes back is read whole and without
-    // waiting, so that its return is noticed.
+    // waiting, so that its return is noticed. Begun anew with every refused
+    // page, a long list might never end.
     auto& topic = topics_.at(name);
     topic.listed = false;
-    topic.pages.clear();
+    if (budget_.failures_in_row() > most_failures_in_list) {
+        topic.pages.clear();
+    }
     set_answers(false, why);
     if (probing_ && *probing_ != name) {
         topic.waits = true;
--- /dev/null
+++ b/test/io/platform_starvation_test.cpp
@@ -0,0 +1,136 @@
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <waxwingvale/io/http_client.hpp>
+#include <waxwingvale/io/http_server.hpp>
+#include <waxwingvale/io/platform_client.hpp>
+#include <waxwingvale/kernel/timer_service.hpp>
+
+using namespace std::chrono_literals;
+using namespace waxwingvale;
+
+namespace {
+
+// A list of numbered pages, each of one item: "3+" is the third of more.
+class paged_dialect : public io::platform_dialect {
+public:
+    std::string list_target(const std::string&,
+                            const std::string& after) const override {
+        return "/list/" + (after.empty() ? "0" : after);
+    }
+    std::string watch_target(const std::string&, std::uint64_t,
+                             duration) const override {
+        return "/watch";
+    }
+    result<io::published_page>
+    read_list(const std::string&,
+              const io::http_response& answer) const override {
+        if (answer.status != 200) {
+            return error{error_code::unavailable, "read", "", ""};
+        }
+        io::published_page page;
+        page.more = answer.body.back() == '+';
+        page.items.push_back(
+            {answer.body.substr(0, answer.body.find('+')), "", 1, ""});
+        page.revision = 1;
+        return page;
+    }
+    result<io::published_changes>
+    read_watch(const std::string&, std::uint64_t,
+               const io::http_response&) const override {
+        return io::published_changes{};
+    }
+};
+
+struct reader_bench {
+    kernel::event_loop loop;
+    kernel::monotonic_clock time;
+    kernel::timer_service timers{time, loop};
+    io::http_client http{loop, {}};
+    paged_dialect dialect;
+    std::vector<std::string> listed;
+    unsigned readings = 0;
+
+    std::unique_ptr<io::platform_client>
+    start_reading(std::uint16_t port, duration answer_within = 3s) {
+        io::platform_client_options options;
+        options.host = "127.0.0.1";
+        options.port = port;
+        options.answer_within = answer_within;
+        options.seed = 1;
+        auto client = std::make_unique<io::platform_client>(http, timers,
+                                                            dialect, options);
+        client->set_share({1000., 1000., 1ms});
+        client->watch("all", [this](const io::platform_reading& reading) {
+            ++readings;
+            listed.clear();
+            for (const auto& item : reading.items) {
+                listed.push_back(item.key);
+            }
+        });
+        return client;
+    }
+
+    // Whether the condition holds within that time.
+    bool within(duration limit, const std::function<bool()>& condition) {
+        const auto until = time.now() + limit;
+        const auto ticking = timers.every(5ms, [](time_point) {});
+        while (!condition() && time.now() < until) {
+            loop.run_once(true);
+        }
+        return condition();
+    }
+};
+
+// Answers lists of so many pages, and no watch.
+struct paged_platform : reader_bench {
+    explicit paged_platform(unsigned page_count) : pages(page_count) {
+        server
+            .start(
+                [this](io::http_request request, io::http_responder respond) {
+                    if (request.target != "/watch") {
+                        answer(request, std::move(respond));
+                    }
+                })
+            .value();
+    }
+
+    void answer(const io::http_request& request, io::http_responder respond) {
+        ++asked;
+        if (refuse_every > 0 && asked % refuse_every == 0) {
+            respond({503, {}, ""});
+            return;
+        }
+        const auto page = std::stoul(request.target.substr(6)) + 1;
+        const io::http_response with{
+            200, {}, std::to_string(page) + (page < pages ? "+" : "")};
+        late.push_back(timers.after(
+            delay, [respond, with](time_point) { respond(with); }));
+    }
+
+    io::http_server server{loop, {}};
+    unsigned pages;
+    unsigned asked = 0;
+    unsigned refuse_every = 0;
+    duration delay{};
+    std::vector<kernel::timer_service::subscription> late;
+};
+
+} // namespace
+
+TEST_CASE("a list is read to its end although some pages are refused") {
+    // Guards against a configuration that is never known because each refused
+    // page begins a long list anew.
+    paged_platform platform(4);
+    platform.refuse_every = 3;
+    const auto client = platform.start_reading(platform.server.port());
+    platform.within(
+        3s, [&] { return platform.readings > 0 || platform.asked >= 100; });
+    CAPTURE(platform.asked);
+    CHECK(platform.readings == 1);
+    CHECK(platform.listed == std::vector<std::string>{"1", "2", "3", "4"});
+}
