io: an answer of the platform that goes on coming is not cut off

What callers would see: old routes, or 503, for as long as the reader's link is narrow or busy: the deployment gives the platform 400 ms for a whole answer, which is 500 kB at 10 Mbit/s with nothing else on the link.

Cause: the bound on an answer held from its beginning to its end. An answer that takes longer was thrown away at the same place, and asked for anew, each time.

Evidence: in the test, an answer that takes 0.8 s in pieces every 25 ms, with 200 ms allowed: 12 reads and 12 failures in 5 s, none read. Now one read, 0.82 s, no failure.

Change: the bound is on silence, of a first byte or of a next one; all of an answer has eight times as long, so that a platform that sends a byte now and then is still given up (test: after 0.80 s with 100 ms allowed).

--- a/include/waxwingvale/io/http_client.hpp
+++ b/include/waxwingvale/io/http_client.hpp
@@ -60,6 +60,8 @@
     // whether the call was still open.
     bool cancel(call_id call);
     std::size_t open_calls() const;
+    // Bytes that have come of an open call's answer; 0 of one that has ended.
+    std::uint64_t received(call_id call) const;
     // From now on at most so many connections to one host and port.
     void limit_connections_per_host(std::size_t limit);
 
--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -44,6 +44,8 @@
     std::string host; // IP number
     std::uint16_t port = 0;
     duration watch = std::chrono::seconds(10); // longest wait for a change
+    // Longest time without a byte of an answer. One that goes on coming has
+    // several times as long.
     duration answer_within = std::chrono::seconds(3);
     std::uint64_t seed = 0; // of the backoff's jitter
 };
@@ -88,7 +90,9 @@
         std::uint64_t revision = 0; // to watch from
         bool listed = false; // changes are watched; else it is read whole
         std::vector<published_item> pages; // read so far
-        http_client::call_id call = 0;
+        http_client::call_id call = 0;     // under way, or 0
+        std::uint64_t received = 0;        // of its answer, when last looked at
+        kernel::timer_service::subscription silence;
         kernel::timer_service::subscription next;
         bool waits = false; // for another topic's read to succeed
     };
@@ -96,6 +100,8 @@
     void start_reading();
     void read_when_allowed(const std::string& name, duration at_least);
     void read(const std::string& name);
+    // Gives the call up if nothing more of its answer has come.
+    void look_for_silence(const std::string& name, duration after);
     void finish(const std::string& name, std::uint64_t asked_in,
                 http_call_result got);
     void take_page(const std::string& name, std::uint64_t asked_in,
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -30,6 +30,7 @@
     CURL* easy = nullptr;
     curl_slist* headers = nullptr;
     http_response response;
+    std::uint64_t received = 0; // bytes
     std::size_t body_limit = 0;
     bool body_too_large = false;
 
@@ -43,6 +44,7 @@
                       void* context) {
     auto* self = static_cast<transfer*>(context);
     const auto bytes = size * count;
+    self->received += bytes;
     if (self->response.body.size() + bytes > self->body_limit) {
         self->body_too_large = true;
         return 0;
@@ -54,6 +56,7 @@
 std::size_t take_header(char* data, std::size_t size, std::size_t count,
                         void* context) {
     auto* self = static_cast<transfer*>(context);
+    self->received += size * count;
     const std::string line(data, size * count);
     if (line.compare(0, 5, "HTTP/") == 0) {
         // A new status line: what came before was an interim answer (1xx).
@@ -319,6 +322,11 @@
                       static_cast<long>(limit));
 }
 
+std::uint64_t http_client::received(call_id call) const {
+    const auto found = state_->transfers.find(call);
+    return found == state_->transfers.end() ? 0 : found->second->received;
+}
+
 std::size_t http_client::open_calls() const {
     return state_->transfers.size();
 }
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -9,6 +9,9 @@
 
 // A topic on which nothing was published yet is read again this much later.
 constexpr duration unpublished_pause = std::chrono::seconds(1);
+// An answer that goes on coming has so many times as long as one that does not
+// begin: a long list takes its time on a narrow link.
+constexpr int patience = 8;
 // After more failures in a row than this a half-read list begins anew: by then
 // the history after its first page may no longer be kept.
 constexpr unsigned most_failures_in_list = 4;
@@ -51,7 +54,8 @@
 
 void platform_client::read_again() {
     for (auto& each : topics_) {
-        client_.cancel(each.second.call);
+        client_.cancel(std::exchange(each.second.call, 0));
+        each.second.silence.cancel();
         each.second.next.cancel();
     }
     start_reading();
@@ -94,12 +98,14 @@
     http_call call;
     call.host = options_.host;
     call.port = options_.port;
-    call.timeout = options_.answer_within;
+    call.timeout = patience * options_.answer_within;
     call.connect_timeout = options_.answer_within;
+    auto first_byte_within = options_.answer_within;
     if (topic.listed) {
         call.target =
             dialect_.watch_target(name, topic.revision, options_.watch);
         call.timeout += options_.watch;
+        first_byte_within += options_.watch;
     } else {
         const auto after =
             topic.pages.empty() ? std::string() : topic.pages.back().key;
@@ -109,10 +115,30 @@
         std::move(call), [this, name, asked_in = epoch_](http_call_result got) {
             finish(name, asked_in, std::move(got));
         });
+    topic.received = 0;
+    look_for_silence(name, first_byte_within);
+}
+
+void platform_client::look_for_silence(const std::string& name,
+                                       duration after) {
+    topics_.at(name).silence = timers_.after(after, [this, name](time_point) {
+        auto& topic = topics_.at(name);
+        const auto received = client_.received(topic.call);
+        if (std::exchange(topic.received, received) < received) {
+            look_for_silence(name, options_.answer_within);
+            return;
+        }
+        client_.cancel(std::exchange(topic.call, 0));
+        fail(name, {error_code::timed_out, "await answer",
+                    options_.host + ":" + std::to_string(options_.port),
+                    "nothing came"});
+    });
 }
 
 void platform_client::finish(const std::string& name, std::uint64_t asked_in,
                              http_call_result got) {
+    topics_.at(name).call = 0;
+    topics_.at(name).silence.cancel();
     if (!got.response) {
         fail(name, got.response.error());
     } else if (topics_.at(name).listed) {
--- a/test/io/platform_starvation_test.cpp
+++ b/test/io/platform_starvation_test.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "io/stream_socket.hpp"
 #include <waxwingvale/io/http_client.hpp>
 #include <waxwingvale/io/http_server.hpp>
 #include <waxwingvale/io/platform_client.hpp>
@@ -120,6 +121,58 @@
     std::vector<kernel::timer_service::subscription> late;
 };
 
+// Sends each answer in pieces, one every `gap`.
+struct slow_platform : reader_bench {
+    slow_platform(duration piece_gap, unsigned piece_count)
+        : gap(piece_gap),
+          pieces(piece_count),
+          listener(io::open_listener("127.0.0.1", 0).value()) {
+        accepting = timers.every(5ms, [this](time_point) { accept(); });
+    }
+
+    void accept() {
+        const int descriptor = io::accept_connection(listener);
+        if (descriptor < 0) {
+            return;
+        }
+        const auto place = open.size();
+        io::stream_socket_handlers handlers;
+        handlers.on_bytes = [this, place](const char*, std::size_t) {
+            answer(place);
+        };
+        handlers.on_end = [this, place] { open[place]->close(); };
+        open.push_back(std::make_unique<io::stream_socket>(
+            loop, descriptor, false, std::move(handlers)));
+        sending.emplace_back();
+    }
+
+    void answer(std::size_t place) {
+        ++asked;
+        if (asked > 1 && readings > 0) {
+            return; // a watch
+        }
+        const auto head =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces) +
+            "\r\n\r\n";
+        open[place]->write(head.data(), head.size());
+        auto left = std::make_shared<unsigned>(pieces);
+        sending[place] = timers.every(gap, [this, place, left](time_point) {
+            if (*left > 0) {
+                --*left;
+                open[place]->write("1", 1);
+            }
+        });
+    }
+
+    duration gap;
+    unsigned pieces;
+    int listener;
+    unsigned asked = 0;
+    std::vector<std::unique_ptr<io::stream_socket>> open;
+    std::vector<kernel::timer_service::subscription> sending;
+    kernel::timer_service::subscription accepting;
+};
+
 } // namespace
 
 TEST_CASE("a list is read to its end although some pages are refused") {
@@ -134,3 +187,30 @@
     CHECK(platform.readings == 1);
     CHECK(platform.listed == std::vector<std::string>{"1", "2", "3", "4"});
 }
+
+TEST_CASE("a long answer that goes on coming is read to its end") {
+    // Guards against a configuration that is never known where the link is
+    // narrow: it was cut off and asked for anew, again and again.
+    slow_platform platform(25ms, 32);
+    const auto client =
+        platform.start_reading(io::bound_port(platform.listener), 200ms);
+    platform.within(5s, [&] { return platform.readings > 0; });
+    CAPTURE(platform.asked, client->counters().failed);
+    CHECK(platform.readings == 1);
+    CHECK(client->counters().failed == 0);
+}
+
+TEST_CASE("a platform that sends a byte now and then is given up") {
+    slow_platform platform(40ms, 1000000);
+    const auto client =
+        platform.start_reading(io::bound_port(platform.listener), 100ms);
+    CHECK(platform.within(2s, [&] { return client->counters().failed > 0; }));
+}
+
+TEST_CASE("a platform that falls silent is given up soon") {
+    slow_platform platform(1h, 10);
+    const auto client =
+        platform.start_reading(io::bound_port(platform.listener), 100ms);
+    CHECK(
+        platform.within(500ms, [&] { return client->counters().failed > 0; }));
+}
