io: a late wake-up does not give up the list that is being read

What callers would see: old routes as long as a reader's machine is stopped again and again, or its loop takes over half a second for each turn.

Cause: on a late wake-up the client of the platform gave up what was asked before and asked anew. When the next wake-up comes before the answer, nothing is ever read; and the answer that was given up was often in the socket already, since the wake-up is noticed before any socket is looked at.

Change: a list under way is read to its end, with the epoch in which its first page was asked for, so that it proves nothing of the present; then all is read anew. A watch is still ended, and the list after it cannot be given up. A return from a pause drops a half-read list, together with the page that is on its way.

--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -71,7 +71,9 @@
     // Marks what is asked for from here on.
     void set_epoch(std::uint64_t epoch) { epoch_ = epoch; }
     // Ends the watches and asks anew at once, without waiting for a change:
-    // answers to what was asked before a late wake-up prove nothing.
+    // answers to what was asked before a late wake-up prove nothing. A list
+    // that is half read is read to its end first, and bears its own epoch:
+    // given up at every wake-up, it might never end.
     void read_again();
     // Asks no more until resume(), which reads everything anew. What was asked
     // is paid for, so its answer still counts.
@@ -89,7 +91,9 @@
         reading_handler on_reading;
         std::uint64_t revision = 0; // to watch from
         bool listed = false; // changes are watched; else it is read whole
+        bool again = false;  // once the list is read it is read anew
         std::vector<published_item> pages; // read so far
+        std::uint64_t epoch = 0;           // in which the first was asked for
         http_client::call_id call = 0;     // under way, or 0
         std::uint64_t received = 0;        // of its answer, when last looked at
         kernel::timer_service::subscription silence;
@@ -98,6 +102,8 @@
     };
 
     void start_reading();
+    // Its list goes on from where it is.
+    static bool half_read(const watched_topic& topic);
     void read_when_allowed(const std::string& name, duration at_least);
     void read(const std::string& name);
     // Gives the call up if nothing more of its answer has come.
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -34,16 +34,31 @@
     read_when_allowed(topic, duration::zero());
 }
 
+bool platform_client::half_read(const watched_topic& topic) {
+    return !topic.listed && (topic.call != 0 || !topic.pages.empty());
+}
+
 // Everything is read anew, one topic first.
 void platform_client::start_reading() {
     probing_.reset();
     for (auto& [name, topic] : topics_) {
-        topic.listed = false;
-        topic.pages.clear();
-        topic.waits = probing_.has_value();
+        topic.again = half_read(topic);
+        if (topic.listed) {
+            client_.cancel(std::exchange(topic.call, 0));
+            topic.silence.cancel();
+            topic.listed = false;
+        }
+        const bool under_way = topic.call != 0;
+        if (under_way) {
+            // What came while the process was stopped is not read yet.
+            look_for_silence(name, options_.answer_within);
+        }
+        topic.waits = probing_.has_value() && !under_way;
         if (!probing_) {
             probing_ = name;
-            read_when_allowed(name, duration::zero());
+            if (!under_way) {
+                read_when_allowed(name, duration::zero());
+            }
         }
     }
 }
@@ -54,8 +69,6 @@
 
 void platform_client::read_again() {
     for (auto& each : topics_) {
-        client_.cancel(std::exchange(each.second.call, 0));
-        each.second.silence.cancel();
         each.second.next.cancel();
     }
     start_reading();
@@ -71,6 +84,13 @@
 void platform_client::resume() {
     if (paused_) {
         paused_ = false;
+        for (auto& [name, topic] : topics_) {
+            if (!topic.pages.empty()) {
+                client_.cancel(std::exchange(topic.call, 0));
+                topic.silence.cancel();
+                topic.pages.clear();
+            }
+        }
         read_again();
     }
 }
@@ -168,6 +188,7 @@
         // Pages are not a snapshot: what changes while they are read is
         // brought by the watch, which begins where the first page was.
         topic.revision = page.value().revision;
+        topic.epoch = asked_in;
     }
     std::move(items.begin(), items.end(), std::back_inserter(topic.pages));
     if (page.value().more && !items.empty()) {
@@ -175,13 +196,13 @@
         return;
     }
     ++counters_.values;
-    topic.listed = true;
+    topic.listed = !std::exchange(topic.again, false);
     platform_reading reading;
     reading.topic = name;
     reading.whole = true;
     reading.items = std::exchange(topic.pages, {});
     reading.revision = topic.revision;
-    reading.epoch = asked_in;
+    reading.epoch = topic.epoch;
     read_when_allowed(name, duration::zero());
     topic.on_reading(reading);
 }
@@ -240,6 +261,7 @@
     if (budget_.failures_in_row() > most_failures_in_list) {
         topic.pages.clear();
     }
+    topic.again = topic.again && !topic.pages.empty();
     set_answers(false, why);
     if (probing_ && *probing_ != name) {
         topic.waits = true;
--- a/test/io/platform_starvation_test.cpp
+++ b/test/io/platform_starvation_test.cpp
@@ -188,6 +188,50 @@
     CHECK(platform.listed == std::vector<std::string>{"1", "2", "3", "4"});
 }
 
+TEST_CASE("a list is read to its end although the process stops often") {
+    // Guards against old routes for as long as a machine is stopped again and
+    // again: each wake-up gave up the answer that was on its way.
+    paged_platform platform(3);
+    platform.delay = 20ms;
+    const auto client = platform.start_reading(platform.server.port());
+    const auto waking =
+        platform.timers.every(10ms, [&](time_point) { client->read_again(); });
+    platform.within(2s, [&] { return platform.readings > 2; });
+    CAPTURE(platform.asked);
+    CHECK(platform.readings > 2);
+}
+
+TEST_CASE("a list that is half read when reading pauses is read anew") {
+    // Guards against half a list taken for all, without the servers that its
+    // first pages name.
+    paged_platform platform(3);
+    platform.delay = 20ms;
+    const auto client = platform.start_reading(platform.server.port());
+    REQUIRE(platform.within(1s, [&] { return platform.asked == 2; }));
+    client->pause();
+    client->resume();
+    REQUIRE(platform.within(1s, [&] { return platform.readings > 0; }));
+    CHECK(platform.listed == std::vector<std::string>{"1", "2", "3"});
+}
+
+TEST_CASE("what was asked before a late wake-up proves nothing") {
+    paged_platform platform(2);
+    platform.delay = 20ms;
+    std::vector<std::uint64_t> epochs;
+    const auto client = platform.start_reading(platform.server.port());
+    client->watch("all", [&](const io::platform_reading& reading) {
+        epochs.push_back(reading.epoch);
+    });
+    client->set_epoch(1);
+    platform.within(1s, [&] { return platform.asked > 0; });
+    client->set_epoch(2);
+    client->read_again();
+    platform.within(1s, [&] { return epochs.size() > 1; });
+    REQUIRE_FALSE(epochs.empty());
+    CHECK(epochs.back() == 2);
+    CHECK((epochs.size() == 1 || epochs.front() < 2));
+}
+
 TEST_CASE("a long answer that goes on coming is read to its end") {
     // Guards against a configuration that is never known where the link is
     // narrow: it was cut off and asked for anew, again and again.
