io: a machine that is stopped often still drops a silent link

What callers would see: an instance that hears no news over a dead link, and goes on by an old view, as long as its machine is stopped again and again.

Cause: a tick of the links that is over a second late means that the process was stopped, and set the silence of every link back to nothing; it set back the opening of unproven links as well. Under stops in shorter order than the limit of 3 s neither ever ended: starvation.

Evidence: in the test, ticks 1.2 s apart: the silent link is still there after 20.

Change: the time for which the process was stopped does not count, all other time does. A link is still not dropped for a stop, however long (test, also before).

--- a/src/io/link.cpp
+++ b/src/io/link.cpp
@@ -1,5 +1,6 @@
 #include "io/link.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace waxwingvale::io {
@@ -292,10 +293,10 @@
     handlers_.on_closed();
 }
 
-void link::forgive_silence(time_point now) {
-    heard_ = now;
+void link::forgive_silence(duration stopped_for, time_point now) {
+    heard_ = std::min(heard_ + stopped_for, now);
     if (!ready()) {
-        opened_ = now;
+        opened_ = std::min(opened_ + stopped_for, now);
     }
 }
 
--- a/src/io/link.hpp
+++ b/src/io/link.hpp
@@ -60,8 +60,10 @@
     // Sends a ping, and closes a link that is silent or slow to open.
     void tick(time_point now);
     // The process was stopped for a while: what the peer sent meanwhile still
-    // waits in the socket, so its silence is counted from here.
-    void forgive_silence(time_point now);
+    // waits in the socket, so that time is not its silence. Only that time:
+    // counted anew from here, silence would never end on a machine that is
+    // stopped again and again.
+    void forgive_silence(duration stopped_for, time_point now);
 
     bool ready() const { return phase_ == phase::ready; }
     // Whether the other end has accepted the connection.
--- a/src/io/message_hub.cpp
+++ b/src/io/message_hub.cpp
@@ -99,13 +99,13 @@
 }
 
 void message_hub::state::tick(time_point now) {
-    const bool was_stopped = now - last_tick > late_tick;
-    last_tick = now;
+    const auto passed = now - std::exchange(last_tick, now);
+    const bool was_stopped = passed > late_tick;
     // Closing a link changes the list; the copy keeps each alive meanwhile.
     const std::vector<std::shared_ptr<link>> open(links.begin(), links.end());
     for (const auto& each : open) {
         if (was_stopped) {
-            each->forgive_silence(now);
+            each->forgive_silence(passed - tick_period, now);
         }
         each->tick(now);
     }
--- a/test/links/hostile_peer_test.cpp
+++ b/test/links/hostile_peer_test.cpp
@@ -213,3 +213,50 @@
     CHECK_FALSE(hub->connected("b"));
     CHECK(hub->counters().dropped_slow == 1);
 }
+
+TEST_CASE("a silent link is dropped although the process is stopped often") {
+    // Guards against a dead link that keeps an instance from all news for as
+    // long as its machine is stopped again and again.
+    hub_bench bench;
+    kernel::manual_clock clock;
+    kernel::timer_service timers(clock);
+    io::message_hub_options options;
+    options.self_name = "a";
+    options.shared_key = "secret";
+    io::message_hub hub(bench.loop, timers, options);
+    REQUIRE(hub.listen("127.0.0.1", 0).has_value());
+    hand_made_peer peer(bench, hub.port());
+    peer.prove(bench);
+    REQUIRE(bench.run_until([&] { return hub.connected("b"); }));
+    peer.socket->stop_watching();
+    constexpr int most_stops = 20;
+    int stops = 0;
+    while (hub.connected("b") && stops < most_stops) {
+        ++stops;
+        clock.advance(std::chrono::milliseconds(1200));
+        timers.fire_due();
+        bench.loop.run_once(false);
+    }
+    CAPTURE(stops);
+    CHECK_FALSE(hub.connected("b"));
+    CHECK(hub.counters().dropped_silent == 1);
+}
+
+TEST_CASE("being stopped for long is not the peer's silence") {
+    hub_bench bench;
+    kernel::manual_clock clock;
+    kernel::timer_service timers(clock);
+    io::message_hub_options options;
+    options.self_name = "a";
+    options.shared_key = "secret";
+    io::message_hub hub(bench.loop, timers, options);
+    REQUIRE(hub.listen("127.0.0.1", 0).has_value());
+    hand_made_peer peer(bench, hub.port());
+    peer.prove(bench);
+    REQUIRE(bench.run_until([&] { return hub.connected("b"); }));
+    peer.socket->stop_watching();
+    clock.advance(std::chrono::minutes(1));
+    timers.fire_due();
+    bench.loop.run_once(false);
+    CHECK(hub.connected("b"));
+}
