program: a flood of one event does not keep the others out of the log

What an operator would see: a log without the configurations, losses and wake-ups of a time in which one event was logged all along, as when every message of a broken peer is refused.

Cause: all changes of state drew on one allowance, and whichever came most often took all of it.

--- a/src/program/log_writer.cpp
+++ b/src/program/log_writer.cpp
@@ -18,37 +18,58 @@
 
 } // namespace
 
-void log_writer::refill(time_point now) {
-    const auto burst = static_cast<double>(limits_.burst);
+double byte_allowance::left(time_point now) {
+    const auto burst = static_cast<double>(burst_);
     if (!started_) {
         started_ = true;
-        allowance_ = burst;
+        left_ = burst;
     } else {
         const std::chrono::duration<double> passed = now - refilled_;
-        allowance_ =
-            std::min(burst, allowance_ + passed.count() *
-                                             static_cast<double>(limits_.rate));
+        left_ = std::min(burst,
+                         left_ + passed.count() * static_cast<double>(rate_));
     }
     refilled_ = now;
+    return left_;
 }
 
 bool log_writer::has_room(std::size_t bytes, log_weight weight,
                           time_point now) {
-    refill(now);
     const auto kept = weight == log_weight::detail ? limits_.reserve : 0;
-    return static_cast<double>(bytes + kept) <= allowance_ &&
+    return static_cast<double>(bytes + kept) <= allowance_.left(now) &&
            waiting_.size() + bytes + kept <= limits_.waiting;
 }
 
-void log_writer::add(std::string_view lines, log_weight weight,
-                     time_point now) {
-    if (!has_room(lines.size(), weight, now)) {
+byte_allowance* log_writer::share_of(std::string_view event,
+                                     log_weight weight) {
+    if (event.empty() || weight != log_weight::change) {
+        return nullptr;
+    }
+    auto known = shares_.find(event);
+    if (known == shares_.end()) {
+        known = shares_
+                    .emplace(event, byte_allowance(limits_.event_rate,
+                                                   limits_.event_burst))
+                    .first;
+    }
+    return &known->second;
+}
+
+void log_writer::add(std::string_view lines, log_weight weight, time_point now,
+                     std::string_view event) {
+    auto* share = share_of(event, weight);
+    const bool has_share =
+        share == nullptr ||
+        static_cast<double>(lines.size()) <= share->left(now);
+    if (!has_share || !has_room(lines.size(), weight, now)) {
         dropped_ += static_cast<std::uint64_t>(
             std::count(lines.begin(), lines.end(), '\n'));
         return;
     }
     tell_dropped(now);
-    allowance_ -= static_cast<double>(lines.size());
+    allowance_.use(lines.size());
+    if (share != nullptr) {
+        share->use(lines.size());
+    }
     waiting_ += lines;
 }
 
--- a/src/program/state_log.cpp
+++ b/src/program/state_log.cpp
@@ -18,7 +18,8 @@
 struct process_log {
     kernel::monotonic_clock clock;
     log_writer writer{STDOUT_FILENO, {}};
-    std::string origin; // fields of each line that name the process
+    std::string origin;     // fields of each line that name the process
+    std::string_view event; // of the line that the library formats now
 };
 
 process_log& log_of_process() {
@@ -46,7 +47,7 @@
         auto& log = log_of_process();
         log.writer.add(data->logMessage()->logger()->logBuilder()->build(
                            data->logMessage(), true),
-                       log_weight::change, log.clock.now());
+                       log_weight::change, log.clock.now(), log.event);
         log.writer.flush();
     }
 };
@@ -88,11 +89,13 @@
 
 void log_change(std::string_view event,
                 std::initializer_list<log_field> fields) {
+    log_of_process().event = event;
     LOG(INFO) << render(event, fields);
 }
 
 void log_warning(std::string_view event,
                  std::initializer_list<log_field> fields) {
+    log_of_process().event = event;
     LOG(WARNING) << render(event, fields);
 }
 
