membership: a read that fails once does not hold up removals

What callers would see: requests to a backend server later than 2 s after its leave was known, when a read of the platform had failed just before, as a watch that is cut does although all is well.

Cause: every failed read counted as an absence of the platform, after which removals are held for 2.2 s, more than a leave allows.

Evidence: test, a platform that answers again after 0.9 s; the removal told then was held, now it is carried out at once.

Change: an absence is measured from the last answer, and removals are held after one of 1.5 s or more, less than the entry of a living server lasts.

--- a/include/waxwingvale/membership/registry_table.hpp
+++ b/include/waxwingvale/membership/registry_table.hpp
@@ -66,14 +66,14 @@
     // Takes a change that the platform told.
     void take_change(const registry_record& change, time_point now);
 
-    // The platform does not answer from now on.
-    void platform_lost(time_point now);
-    // The platform was away until now. Entries that lapsed meanwhile come back
-    // within a while, if their servers live; until then what is missing in a
-    // list, or said to be gone, stays. Without this an outage of the platform
-    // would take every backend server from callers for that while. Only time in
-    // which the platform answers counts, up to a bound, and a further return
-    // does not prolong what is held already.
+    // The platform does not answer any more.
+    void platform_lost(time_point last_answer);
+    // The platform was away until now. In an absence of some length entries
+    // of living servers lapse. They come back within a while; until
+    // then what is missing in a list, or said to be gone, stays. Without this
+    // an outage of the platform would take every backend server from callers
+    // for that while. Only time in which the platform answers counts, up to a
+    // bound, and a further return does not prolong what is held already.
     void platform_returned(time_point now);
     // Carries out removals that were held and were not taken back, and forgets
     // those of long ago.
@@ -116,6 +116,7 @@
     std::map<std::string, held_removal> held_; // not yet carried out
     duration answered_before_{};
     std::optional<time_point> answers_since_;
+    time_point lost_{};
     duration hold_until_{}; // of removals that are said from now on
     std::set<std::string> changed_;
     std::uint64_t fingerprint_ = 0;
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -143,7 +143,8 @@
     peers_.set_platform_answers(answers);
     if (!answers) {
         platform_failed_ = true;
-        known_.registry.platform_lost(now);
+        known_.registry.platform_lost(
+            platform_.last_answer().value_or(time_point()));
         program::log_warning("platform_lost", {{"error", to_string(why)}});
         return;
     }
--- a/src/membership/registry_table.cpp
+++ b/src/membership/registry_table.cpp
@@ -10,6 +10,9 @@
 
 // A removal is remembered this long, against word of before that is late.
 constexpr duration removal_keep = std::chrono::minutes(2);
+// An entry outlasts three missed check-ins, so that none of a living server
+// lapses in a shorter absence of the platform.
+constexpr duration shortest_absence = std::chrono::milliseconds(1500);
 // Entries that lapsed while the platform was away are back about two seconds
 // after its return, if their servers live.
 constexpr duration lapse_grace = std::chrono::milliseconds(2200);
@@ -71,8 +74,14 @@
            (answers_since_ ? now - *answers_since_ : duration::zero());
 }
 
-void registry_table::platform_lost(time_point now) {
-    answered_before_ = answered(now);
+void registry_table::platform_lost(time_point last_answer) {
+    // A return for a moment does not end an absence.
+    const bool was_there =
+        !answers_since_ || last_answer - *answers_since_ >= shortest_absence;
+    if (was_there) {
+        lost_ = last_answer;
+    }
+    answered_before_ = answered(last_answer);
     answers_since_.reset();
 }
 
@@ -80,7 +89,9 @@
     if (!answers_since_) {
         answers_since_ = now;
     }
-    hold_until_ = answered(now) + lapse_grace;
+    if (now - lost_ >= shortest_absence) {
+        hold_until_ = answered(now) + lapse_grace;
+    }
 }
 
 void registry_table::take_change(const registry_record& change,
--- a/test/membership/tables_test.cpp
+++ b/test/membership/tables_test.cpp
@@ -54,7 +54,7 @@
     constexpr auto step = 100ms;
     registry_table table(10);
     table.merge(registered("slate-1", 5), start);
-    table.platform_lost(start);
+    table.platform_lost(start - 10s);
     duration passed{};
     for (; passed < limit && !table.records().empty(); passed += step) {
         const auto now = start + passed;
@@ -276,6 +276,17 @@
     CHECK(kept_while_platform_flaps(100ms, 1h) <= 10100);
 }
 
+TEST_CASE("a read that fails once does not put off a removal") {
+    // Guards against requests to a server 2 s after its leave was known. No
+    // entry of a living server lapses so soon.
+    registry_table table(10);
+    table.merge(registered("slate-1", 5), start);
+    table.platform_lost(start);
+    table.platform_returned(start + 900ms);
+    table.take_change(registered("slate-1", 6, false), start + 950ms);
+    CHECK(table.records().empty());
+}
+
 TEST_CASE("entries that lapsed have the platform's own time to come back") {
     // Guards against all servers being taken from callers by an outage of the
     // platform that ends for a moment only.
@@ -292,3 +303,35 @@
     table.tick(start + 40s);
     CHECK(table.records().size() == 1);
 }
+
+TEST_CASE("short absences in a row are a long one") {
+    // Guards against all servers being taken from callers because each gap in
+    // which no server could check in was short.
+    registry_table table(10);
+    table.merge(registered("slate-1", 5), start);
+    auto now = start;
+    for (int each = 0; each < 4; ++each) {
+        table.platform_lost(now);
+        now += 1400ms;
+        table.platform_returned(now);
+        now += 100ms;
+    }
+    table.take_list({}, 9, now);
+    CHECK(table.records().size() == 1);
+}
+
+TEST_CASE("members that come and go do not put off reading the platform") {
+    // Each of them changes this reader's share.
+    read_budget budget(share_of(2000, 17), 1, start);
+    auto now = start;
+    while (budget.wait_before_read(now) == 0s) {
+        budget.take(now);
+    }
+    const auto wait = budget.wait_before_read(now);
+    for (const auto until = now + wait; now < until; now += 1ms) {
+        budget.set_share(share_of(2000, now.time_since_epoch() / 1ms % 40 + 1),
+                         now);
+    }
+    CHECK(wait <= 250ms);
+    CHECK(budget.wait_before_read(now) <= 1ms);
+}
