--- a/test/control/view_publisher_test.cpp
+++ b/test/control/view_publisher_test.cpp
@@ -83,3 +83,40 @@
     CHECK_FALSE(one.views.publish(false));
     CHECK(one.views.publish(true));
 }
+
+TEST_CASE("each view has the newest configuration with its servers") {
+    // Guards against requests that are decided by old routes, or find no
+    // server, while configurations and servers change in turn.
+    started_instance one;
+    one.read_platform();
+    one.clock.advance(100ms);
+    REQUIRE(one.views.publish(true));
+    membership::registry_record server{"slate-1", 5, true, {}};
+    server.entry.service = "slate-view";
+    for (std::uint64_t round = 5; round < 25; ++round) {
+        one.known.configurations.offer({round, "text"});
+        server.revision = 100 + round;
+        server.entry.leaving = round % 2 == 0;
+        one.known.registry.merge(server, one.clock.now());
+        REQUIRE(one.views.publish(true));
+        const auto& config = *one.views.last_view()->config;
+        CHECK(config.revision == round);
+        const std::size_t usable = server.entry.leaving ? 0 : 1;
+        CHECK(config.services[0].backend_servers.size() == usable);
+    }
+}
+
+TEST_CASE("news does not put off an instance's first view") {
+    // Guards against callers that are refused for as long as members and
+    // configurations keep coming.
+    started_instance one;
+    std::uint64_t revision = 5;
+    while (!one.views.last_view() && one.clock.now() < time_point(5s)) {
+        one.clock.advance(10ms);
+        one.known.configurations.offer({revision++, "text"});
+        one.known.members.accuse("nobody", one.clock.now());
+        one.views.publish(false);
+    }
+    CHECK(one.clock.now() == time_point(1s));
+    CHECK(one.views.last_view()->config->revision == revision - 1);
+}
--- a/test/links/message_hub_test.cpp
+++ b/test/links/message_hub_test.cpp
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
 #include <string>
+#include <unistd.h>
 
 #include "hub_pair.hpp"
+#include "io/stream_socket.hpp"
 #include "silent_listener.hpp"
 
 using namespace waxwingvale;
@@ -111,6 +113,67 @@
         bench.run_until([&] { return hub->counters().connects_failed >= 2; }));
 }
 
+TEST_CASE("a peer that closes every link at once is dialed on") {
+    // Guards against a peer that is never found again after it refused for a
+    // while.
+    hub_bench bench;
+    const int refusing = io::open_listener("127.0.0.1", 0).value();
+    const auto port = io::bound_port(refusing);
+    unsigned refused = 0;
+    auto closing =
+        bench.timers.every(std::chrono::milliseconds(2), [&](time_point) {
+            for (int each = io::accept_connection(refusing); each >= 0;
+                 each = io::accept_connection(refusing)) {
+                ::close(each);
+                ++refused;
+            }
+        });
+    io::message_hub_options options;
+    options.self_name = "b";
+    options.shared_key = "secret";
+    options.reconnect_max = std::chrono::milliseconds(200);
+    auto b = bench.make_hub(std::move(options));
+    b->connect("a", "127.0.0.1", port);
+    REQUIRE(bench.run_until([&] { return refused >= 10; }));
+    closing.cancel();
+    ::close(refusing);
+    auto a = bench.make_hub("a");
+    REQUIRE(a->listen("127.0.0.1", port).has_value());
+    const auto back = bench.clock.now();
+    REQUIRE(bench.run_until([&] { return b->connected("a"); }));
+    CHECK(bench.clock.now() - back < std::chrono::seconds(2));
+}
+
+TEST_CASE("a large message is not held off by small ones, nor they by it") {
+    // Guards against a configuration that does not arrive among frequent news.
+    hub_bench bench;
+    auto a = bench.make_hub("a");
+    auto b = bench.make_hub("b");
+    REQUIRE(a->listen("127.0.0.1", 0).has_value());
+    unsigned small_ones = 0;
+    bool large_one = false;
+    unsigned before_large = 0;
+    a->on_message("small", [&](const auto&, const auto&) { ++small_ones; });
+    a->on_message("large", [&](const auto&, const auto&) {
+        large_one = true;
+        before_large = small_ones;
+    });
+    b->connect("a", "127.0.0.1", a->port());
+    REQUIRE(bench.run_until([&] { return b->connected("a"); }));
+    constexpr unsigned sent_before = 10;
+    constexpr unsigned sent_in_all = 1000;
+    for (unsigned sent = 0; sent < sent_in_all; ++sent) {
+        if (sent == sent_before) {
+            b->send("a", "large", io::message_hub::payload(1024 * 1024));
+        }
+        b->send("a", "small", bytes_of("news"));
+        bench.loop.run_once(false);
+    }
+    REQUIRE(bench.run_until([&] { return small_ones == sent_in_all; }));
+    CHECK(large_one);
+    CHECK(before_large == sent_before);
+}
+
 TEST_CASE("the only link to a peer wanted by name stays when a seed is left") {
     // All instances start at once. One finds another by a seed's address; the
     // other, which was to dial by name, rests because they are linked. When the
--- a/test/settings/programs_test.cpp
+++ b/test/settings/programs_test.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <fstream>
 #include <iterator>
+#include <thread>
 
 #include "standin/process.hpp"
 #include "standin/temporary_folder.hpp"
@@ -57,3 +59,32 @@
     const std::string program = "waxwing-node";
     { CHECK(exit_code(program, {option}) == 4); }
 }
+
+TEST_CASE("a settings file that changes all the time is read all the same") {
+    // Guards against seeds that are never taken over while something rewrites
+    // the file again and again.
+    const temporary_folder folder;
+    auto text = example_settings();
+    for (const auto* port : {"7180", "7181", "7190", "7192"}) {
+        text = replaced(text, port, std::to_string(free_port()));
+    }
+    text = replaced(text, "\"control_port\": 7102,\n",
+                    "\"control_port\": " + std::to_string(free_port()) + ",\n");
+    const auto file = folder.write("s.json", text);
+    child_process node("waxwing-node", {"--settings=" + file});
+    node.read_ready();
+    constexpr int changes = 70;
+    for (int each = 0; each < changes; ++each) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        folder.write("new.json", text + std::string(each % 2, '\n'));
+        std::rename(folder.file("new.json").c_str(), file.c_str());
+    }
+    node.signal(SIGTERM);
+    const auto log = node.read_rest();
+    std::size_t reloads = 0;
+    for (auto at = log.find("event=settings_reloaded"); at != std::string::npos;
+         at = log.find("event=settings_reloaded", at + 1)) {
+        ++reloads;
+    }
+    CHECK(reloads >= 2);
+}
