io: a topic that is refused all the time does not keep another unread

What callers would see: an old configuration for ever, where the platform has several topics and one of them cannot be had (the users' store is read as one).

Cause: while it is not known whether the platform answers one topic is read, and the others wait for that one to succeed. If only it is refused, a topic that was read well is never read again after its next failure.

Evidence: test, one topic refused always, one watch of the other refused once: no further reading of the other in 5 s.

Change: after eight failures in a row the next waiting topic takes the place. As many reads are made as before, one at a time.

--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -116,6 +116,8 @@
                       const http_response& response);
     void succeed(const std::string& name);
     void fail(const std::string& name, const error& why);
+    // It may be only that topic which is not to be had.
+    void hand_on_probing();
     void set_answers(bool answers, const error& why);
 
     http_client& client_;
@@ -128,6 +130,7 @@
     // answers. The others wait for it: a platform that is down would else be
     // asked, and every question paid for, once for each of them.
     std::optional<std::string> probing_;
+    unsigned probes_failed_ = 0; // in a row, of that topic
     state_handler on_state_;
     std::uint64_t epoch_ = 0;
     bool answers_ = false;
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -15,6 +15,8 @@
 // After more failures in a row than this a half-read list begins anew: by then
 // the history after its first page may no longer be kept.
 constexpr unsigned most_failures_in_list = 4;
+// Then another topic is tried in its place.
+constexpr unsigned probes_of_one_topic = 8;
 
 } // namespace
 
@@ -242,6 +244,7 @@
         return; // a watch that had begun before the other one failed
     }
     probing_.reset();
+    probes_failed_ = 0;
     for (auto& [other, topic] : topics_) {
         if (std::exchange(topic.waits, false)) {
             read_when_allowed(other, duration::zero());
@@ -268,7 +271,22 @@
         return;
     }
     probing_ = name;
-    read_when_allowed(name, duration::zero());
+    if (++probes_failed_ >= probes_of_one_topic) {
+        hand_on_probing();
+    }
+    read_when_allowed(*probing_, duration::zero());
+}
+
+void platform_client::hand_on_probing() {
+    probes_failed_ = 0;
+    auto next = topics_.find(*probing_);
+    next->second.waits = true;
+    do {
+        ++next;
+        next = next == topics_.end() ? topics_.begin() : next;
+    } while (!next->second.waits);
+    next->second.waits = false;
+    probing_ = next->first;
 }
 
 void platform_client::set_answers(bool answers, const error& why) {
--- a/test/io/platform_client_test.cpp
+++ b/test/io/platform_client_test.cpp
@@ -136,3 +136,45 @@
     CHECK(readings == 1);
     CHECK(platform.asked["/first/watch"] == 0);
 }
+
+TEST_CASE("a topic that is always refused does not keep another unread") {
+    // Guards against a configuration that stays old because a list of something
+    // else cannot be had.
+    kernel::event_loop loop;
+    kernel::monotonic_clock time;
+    kernel::timer_service timers{time, loop};
+    io::http_server server{loop, {}};
+    io::http_client http{loop, {}};
+    bool cut = false;
+    server
+        .start([&](io::http_request request, io::http_responder respond) {
+            const bool watch = request.target == "/second/watch";
+            if (!watch || !cut) {
+                cut = cut || watch;
+                respond({request.target == "/second" ? 200U : 503U, {}, ""});
+            }
+        })
+        .value();
+    class refusing_watches : public bare_dialect {
+        result<io::published_changes>
+        read_watch(const std::string&, std::uint64_t,
+                   const io::http_response&) const override {
+            return error{error_code::unavailable, "read", "", ""};
+        }
+    } dialect;
+    io::platform_client_options options;
+    options.host = "127.0.0.1";
+    options.port = server.port();
+    options.seed = 1;
+    io::platform_client client(http, timers, dialect, options);
+    client.set_share({1000., 1000., 1ms});
+    unsigned readings = 0;
+    client.watch("first", [](const io::platform_reading&) {});
+    client.watch("second", [&](const io::platform_reading&) { ++readings; });
+    const auto until = time.now() + 5s;
+    const auto ticking = timers.every(5ms, [](time_point) {});
+    while (readings < 2 && time.now() < until) {
+        loop.run_once(true);
+    }
+    CHECK(readings == 2);
+}
