control: a failure before others read the platform does not hold up removals

What callers would see: requests to a backend server later than 2 s after its leave was known, when the instance that reads the platform for all has just ended, and the next one was once refused by the platform, as all are that look for it during an outage.

Cause: 'the platform was lost' was remembered while reading was left to others. With the first answer after that, however long the platform had answered others, removals were held for 2.2 s as after an outage.

Evidence: test with a peer that reads, real links and a platform: a removal told 0.1 s after the takeover was still not in the view 1 s later.

Change: an absence is counted from the last answer to any reader.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -1,5 +1,6 @@
 #include "control/control_service.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <set>
@@ -143,8 +144,7 @@
     peers_.set_platform_answers(answers);
     if (!answers) {
         platform_failed_ = true;
-        known_.registry.platform_lost(
-            platform_.last_answer().value_or(time_point()));
+        known_.registry.platform_lost(last_word(now));
         program::log_warning("platform_lost", {{"error", to_string(why)}});
         return;
     }
@@ -155,6 +155,11 @@
     program::log_change("platform_answers");
 }
 
+time_point control_service::last_word(time_point now) const {
+    return std::max(platform_.last_answer().value_or(time_point()),
+                    now - known_.readers.age(now));
+}
+
 void control_service::take_reading(const io::platform_reading& reading) {
     const auto now = environment_.timers.now();
     take_facts(reading);
@@ -287,6 +292,10 @@
             "reads_platform",
             {{"word_age_ms", std::to_string(known_.readers.age(now) /
                                             std::chrono::milliseconds(1))}});
+        if (platform_failed_) {
+            // Others have read it since.
+            known_.registry.platform_lost(last_word(now));
+        }
         platform_.resume();
     } else {
         program::log_change("hears_of_platform");
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -49,6 +49,8 @@
     void take(const membership::platform_list& list);
     void take(const membership::registry_record& record);
     void on_platform_state(bool answers, const error& why);
+    // When the platform last answered this instance or another reader.
+    time_point last_word(time_point now) const;
     void settle_freshness();
     void on_wake();
     void on_tick(time_point now);
