io: strangers that keep connecting do not keep a peer out

What callers would see: an instance that hears no news, while something opens connections to its port for peers and says nothing on them.

Cause: at the limit of links a new connection was refused, and strangers hold their places for 3 s each; whoever connects most often got each place.

Evidence: test with a limit of 16 and a stranger every 10 ms: a peer was not linked after 5 s.

Change: at the limit the oldest link that has not proved itself makes room. Links with peers are never ended for it.

--- a/include/waxwingvale/io/message_hub.hpp
+++ b/include/waxwingvale/io/message_hub.hpp
@@ -20,7 +20,9 @@
     std::string shared_key;                       // same on all processes
     std::size_t message_limit = 2 * 1024 * 1024;  // bytes, either way
     std::size_t outgoing_limit = 8 * 1024 * 1024; // bytes waiting, per link
-    std::size_t link_limit = 1024;                // links open at once
+    // Links open at once. At the limit the oldest that has not proved itself
+    // makes room for a new one.
+    std::size_t link_limit = 1024;
     duration reconnect_min = std::chrono::milliseconds(50);
     duration reconnect_max = std::chrono::seconds(2);
     // A machine without power answers no connection, and the kernel asks again
--- a/src/io/message_hub.cpp
+++ b/src/io/message_hub.cpp
@@ -48,6 +48,8 @@
     ~state();
 
     void accept_waiting();
+    // Makes room for a link that may prove itself; whether it could.
+    bool drop_oldest_unproven();
     std::shared_ptr<link> add_link(link_origin origin);
     void close_dialed(const std::string& target);
     void dial(const std::string& target);
@@ -119,8 +121,10 @@
         }
         if (links.size() >= options.link_limit) {
             ++counters.refused_link_limit;
-            ::close(descriptor);
-            continue;
+            if (!drop_oldest_unproven()) {
+                ::close(descriptor);
+                continue;
+            }
         }
         link_origin origin;
         origin.descriptor = descriptor;
@@ -128,6 +132,19 @@
     }
 }
 
+bool message_hub::state::drop_oldest_unproven() {
+    const auto oldest =
+        std::find_if(links.begin(), links.end(), [](const auto& each) {
+            return !each->dialed() && !each->ready();
+        });
+    if (oldest == links.end()) {
+        return false;
+    }
+    const auto dropped = *oldest;
+    dropped->close();
+    return true;
+}
+
 std::shared_ptr<link> message_hub::state::add_link(link_origin origin) {
     // The handlers need the link's own address, which exists only after.
     auto self = std::make_shared<link*>(nullptr);
--- a/test/links/hostile_peer_test.cpp
+++ b/test/links/hostile_peer_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "hub_pair.hpp"
 #include "io/link_authentication.hpp"
@@ -260,3 +261,32 @@
     bench.loop.run_once(false);
     CHECK(hub.connected("b"));
 }
+
+TEST_CASE("strangers that keep connecting do not keep a peer out") {
+    // Guards against instances that never hear of each other while something
+    // opens connections to their port and says nothing.
+    hub_bench bench;
+    io::message_hub_options options;
+    options.self_name = "a";
+    options.shared_key = "secret";
+    options.link_limit = 16;
+    auto hub = bench.make_hub(options);
+    REQUIRE(hub->listen("127.0.0.1", 0).has_value());
+    std::vector<std::unique_ptr<io::stream_socket>> strangers;
+    const auto connect = [&] {
+        strangers.push_back(std::make_unique<io::stream_socket>(
+            bench.loop, io::start_connect("127.0.0.1", hub->port()).value(),
+            true, io::stream_socket_handlers{}));
+    };
+    for (std::size_t each = 0; each < options.link_limit; ++each) {
+        connect();
+    }
+    const auto connecting = bench.timers.every(std::chrono::milliseconds(10),
+                                               [&](time_point) { connect(); });
+    REQUIRE(bench.run_until([&] { return strangers.size() > 20; }));
+    auto peer = bench.make_hub("b");
+    peer->connect("a", "127.0.0.1", hub->port());
+    bench.run_until(
+        [&] { return hub->connected("b") || strangers.size() > 520; });
+    CHECK(hub->connected("b"));
+}
