--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -1,5 +1,6 @@
 #include "control/control_service.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <set>
@@ -27,9 +28,6 @@
 constexpr duration leave_wait = std::chrono::milliseconds(300);
 // The platform's values, and files that peers pass on, are as large as this.
 constexpr std::size_t value_limit = 4 * configuration_size_limit;
-// Entries that lapsed while the platform was away are back about two seconds
-// after its return, if their servers live.
-constexpr duration lapse_grace = std::chrono::milliseconds(2200);
 // Of a key that somebody else has chosen, the log gets so many bytes.
 constexpr std::size_t longest_key_told = 100;
 // A file that was not in force this long after word of it is told of.
@@ -142,19 +140,26 @@
 }
 
 void control_service::on_platform_state(bool answers, const error& why) {
+    const auto now = environment_.timers.now();
     peers_.set_platform_answers(answers);
     if (!answers) {
         platform_failed_ = true;
+        known_.registry.platform_lost(last_word(now));
         program::log_warning("platform_lost", {{"error", to_string(why)}});
         return;
     }
     if (platform_failed_) {
-        known_.registry.hold_removals(environment_.timers.now() + lapse_grace);
+        known_.registry.platform_returned(now);
     }
     platform_failed_ = false;
     program::log_change("platform_answers");
 }
 
+time_point control_service::last_word(time_point now) const {
+    return std::max(platform_.last_answer().value_or(time_point()),
+                    now - known_.readers.age(now));
+}
+
 void control_service::take_reading(const io::platform_reading& reading) {
     const auto now = environment_.timers.now();
     take_facts(reading);
@@ -287,6 +292,10 @@
             "reads_platform",
             {{"word_age_ms", std::to_string(known_.readers.age(now) /
                                             std::chrono::milliseconds(1))}});
+        if (platform_failed_) {
+            // Others have read it since.
+            known_.registry.platform_lost(last_word(now));
+        }
         platform_.resume();
     } else {
         program::log_change("hears_of_platform");
--- a/src/io/message_hub.cpp
+++ b/src/io/message_hub.cpp
@@ -48,6 +48,8 @@
     ~state();
 
     void accept_waiting();
+    // Makes room for a link that may prove itself; whether it could.
+    bool drop_oldest_unproven();
     std::shared_ptr<link> add_link(link_origin origin);
     void close_dialed(const std::string& target);
     void dial(const std::string& target);
@@ -99,13 +101,13 @@
 }
 
 void message_hub::state::tick(time_point now) {
-    const bool was_stopped = now - last_tick > late_tick;
-    last_tick = now;
+    const auto passed = now - std::exchange(last_tick, now);
+    const bool was_stopped = passed > late_tick;
     // Closing a link changes the list; the copy keeps each alive meanwhile.
     const std::vector<std::shared_ptr<link>> open(links.begin(), links.end());
     for (const auto& each : open) {
         if (was_stopped) {
-            each->forgive_silence(now);
+            each->forgive_silence(passed - tick_period, now);
         }
         each->tick(now);
     }
@@ -119,8 +121,10 @@
         }
         if (links.size() >= options.link_limit) {
             ++counters.refused_link_limit;
-            ::close(descriptor);
-            continue;
+            if (!drop_oldest_unproven()) {
+                ::close(descriptor);
+                continue;
+            }
         }
         link_origin origin;
         origin.descriptor = descriptor;
@@ -128,6 +132,19 @@
     }
 }
 
+bool message_hub::state::drop_oldest_unproven() {
+    const auto oldest =
+        std::find_if(links.begin(), links.end(), [](const auto& each) {
+            return !each->dialed() && !each->ready();
+        });
+    if (oldest == links.end()) {
+        return false;
+    }
+    const auto dropped = *oldest;
+    dropped->close();
+    return true;
+}
+
 std::shared_ptr<link> message_hub::state::add_link(link_origin origin) {
     // The handlers need the link's own address, which exists only after.
     auto self = std::make_shared<link*>(nullptr);
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -9,6 +9,14 @@
 
 // A topic on which nothing was published yet is read again this much later.
 constexpr duration unpublished_pause = std::chrono::seconds(1);
+// An answer that goes on coming has so many times as long as one that does not
+// begin: a long list takes its time on a narrow link.
+constexpr int patience = 8;
+// After more failures in a row than this a half-read list begins anew: by then
+// the history after its first page may no longer be kept.
+constexpr unsigned most_failures_in_list = 4;
+// Then another topic is tried in its place.
+constexpr unsigned probes_of_one_topic = 8;
 
 } // namespace
 
@@ -28,16 +36,31 @@
     read_when_allowed(topic, duration::zero());
 }
 
+bool platform_client::half_read(const watched_topic& topic) {
+    return !topic.listed && (topic.call != 0 || !topic.pages.empty());
+}
+
 // Everything is read anew, one topic first.
 void platform_client::start_reading() {
     probing_.reset();
     for (auto& [name, topic] : topics_) {
-        topic.listed = false;
-        topic.pages.clear();
-        topic.waits = probing_.has_value();
+        topic.again = half_read(topic);
+        if (topic.listed) {
+            client_.cancel(std::exchange(topic.call, 0));
+            topic.silence.cancel();
+            topic.listed = false;
+        }
+        const bool under_way = topic.call != 0;
+        if (under_way) {
+            // What came while the process was stopped is not read yet.
+            look_for_silence(name, options_.answer_within);
+        }
+        topic.waits = probing_.has_value() && !under_way;
         if (!probing_) {
             probing_ = name;
-            read_when_allowed(name, duration::zero());
+            if (!under_way) {
+                read_when_allowed(name, duration::zero());
+            }
         }
     }
 }
@@ -48,7 +71,6 @@
 
 void platform_client::read_again() {
     for (auto& each : topics_) {
-        client_.cancel(each.second.call);
         each.second.next.cancel();
     }
     start_reading();
@@ -64,6 +86,13 @@
 void platform_client::resume() {
     if (paused_) {
         paused_ = false;
+        for (auto& [name, topic] : topics_) {
+            if (!topic.pages.empty()) {
+                client_.cancel(std::exchange(topic.call, 0));
+                topic.silence.cancel();
+                topic.pages.clear();
+            }
+        }
         read_again();
     }
 }
@@ -91,12 +120,14 @@
     http_call call;
     call.host = options_.host;
     call.port = options_.port;
-    call.timeout = options_.answer_within;
+    call.timeout = patience * options_.answer_within;
     call.connect_timeout = options_.answer_within;
+    auto first_byte_within = options_.answer_within;
     if (topic.listed) {
         call.target =
             dialect_.watch_target(name, topic.revision, options_.watch);
         call.timeout += options_.watch;
+        first_byte_within += options_.watch;
     } else {
         const auto after =
             topic.pages.empty() ? std::string() : topic.pages.back().key;
@@ -106,10 +137,30 @@
         std::move(call), [this, name, asked_in = epoch_](http_call_result got) {
             finish(name, asked_in, std::move(got));
         });
+    topic.received = 0;
+    look_for_silence(name, first_byte_within);
+}
+
+void platform_client::look_for_silence(const std::string& name,
+                                       duration after) {
+    topics_.at(name).silence = timers_.after(after, [this, name](time_point) {
+        auto& topic = topics_.at(name);
+        const auto received = client_.received(topic.call);
+        if (std::exchange(topic.received, received) < received) {
+            look_for_silence(name, options_.answer_within);
+            return;
+        }
+        client_.cancel(std::exchange(topic.call, 0));
+        fail(name, {error_code::timed_out, "await answer",
+                    options_.host + ":" + std::to_string(options_.port),
+                    "nothing came"});
+    });
 }
 
 void platform_client::finish(const std::string& name, std::uint64_t asked_in,
                              http_call_result got) {
+    topics_.at(name).call = 0;
+    topics_.at(name).silence.cancel();
     if (!got.response) {
         fail(name, got.response.error());
     } else if (topics_.at(name).listed) {
@@ -139,6 +190,7 @@
         // Pages are not a snapshot: what changes while they are read is
         // brought by the watch, which begins where the first page was.
         topic.revision = page.value().revision;
+        topic.epoch = asked_in;
     }
     std::move(items.begin(), items.end(), std::back_inserter(topic.pages));
     if (page.value().more && !items.empty()) {
@@ -146,13 +198,13 @@
         return;
     }
     ++counters_.values;
-    topic.listed = true;
+    topic.listed = !std::exchange(topic.again, false);
     platform_reading reading;
     reading.topic = name;
     reading.whole = true;
     reading.items = std::exchange(topic.pages, {});
     reading.revision = topic.revision;
-    reading.epoch = asked_in;
+    reading.epoch = topic.epoch;
     read_when_allowed(name, duration::zero());
     topic.on_reading(reading);
 }
@@ -192,6 +244,7 @@
         return; // a watch that had begun before the other one failed
     }
     probing_.reset();
+    probes_failed_ = 0;
     for (auto& [other, topic] : topics_) {
         if (std::exchange(topic.waits, false)) {
             read_when_allowed(other, duration::zero());
@@ -204,17 +257,36 @@
     counters_.malformed += why.code == error_code::malformed ? 1 : 0;
     budget_.failed(timers_.now());
     // What the platform has when it comes back is read whole and without
-    // waiting, so that its return is noticed.
+    // waiting, so that its return is noticed. Begun anew with every refused
+    // page, a long list might never end.
     auto& topic = topics_.at(name);
     topic.listed = false;
-    topic.pages.clear();
+    if (budget_.failures_in_row() > most_failures_in_list) {
+        topic.pages.clear();
+    }
+    topic.again = topic.again && !topic.pages.empty();
     set_answers(false, why);
     if (probing_ && *probing_ != name) {
         topic.waits = true;
         return;
     }
     probing_ = name;
-    read_when_allowed(name, duration::zero());
+    if (++probes_failed_ >= probes_of_one_topic) {
+        hand_on_probing();
+    }
+    read_when_allowed(*probing_, duration::zero());
+}
+
+void platform_client::hand_on_probing() {
+    probes_failed_ = 0;
+    auto next = topics_.find(*probing_);
+    next->second.waits = true;
+    do {
+        ++next;
+        next = next == topics_.end() ? topics_.begin() : next;
+    } while (!next->second.waits);
+    next->second.waits = false;
+    probing_ = next->first;
 }
 
 void platform_client::set_answers(bool answers, const error& why) {
