entry: a route's shares outlive changes of its weights

What callers would see: a route is split 6:4, the operator shifts the weights four times a second, and one service gets all requests; the others get none for as long as it goes on. The same for a while on each new route, since every instance begins with the heaviest target.

Cause: what each target was behind its share was set to nothing whenever the targets were not the very same as before, and the first turn of a round goes to the heaviest. Instances of few requests a second never come to the second.

Change: what targets are behind is kept by service, in parts of a request, so that it means the same under other weights; what a target is behind that leaves goes to those that come, or to all; one without weight counts as gone. An instance begins a route at a point of the round that its name and the route's give. Routes that are gone are forgotten.

--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -108,7 +108,8 @@
            }),
       outlet_(outlet),
       keys_(self, hub, timers, *this),
-      crashes_(self.name, hub, timers) {}
+      crashes_(self.name, hub, timers),
+      targets_(self.name) {}
 
 void call_desk::take(forwarding::caller_exchange_ptr caller) {
     if (!view_ || !view_->config) {
@@ -405,6 +406,9 @@
     limits.lifetime = now.config->key_lifetime;
     limits.keys = now.config->key_limit;
     keys_.change_limits(limits);
+    if (now.config->routes) {
+        targets_.follow(*now.config->routes);
+    }
     for (const auto& of : now.config->services) {
         decision::view_changed changed;
         changed.config = now.config;
