decision: new views leave the turns among equal backend servers

What backend servers would see: of six equal ones, owned by one instance, the first gets every request of a quiet service and the others none, those that have just joined among them, while the configuration or the members change more often than requests come.

Cause: each view, and each word of a peer's reachability, set the place where the choice among equal servers begins to the first.

Evidence: 60 requests, a view before each, six servers: 60 to one. After: 10 to each. The place stays where it was, within the servers there are.

--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -173,7 +173,6 @@
     owned_.assign(servers_.size(), false);
     owns_any_ = false;
     usable_.clear();
-    turn_ = 0;
     for (index place = 0; place < servers_.size(); ++place) {
         backend_slots& server = servers_[place];
         const slot_owner* owner = find_owner_of(view.owners, server.name());
@@ -195,6 +194,9 @@
             usable_.push_back(place);
         }
     }
+    // Views may come more often than requests: begun anew with each, the turns
+    // would never reach the servers further on.
+    turn_ = usable_.empty() ? 0 : turn_ % usable_.size();
 }
 
 std::optional<slot_table::index>
--- a/test/scheduling/slots_test.cpp
+++ b/test/scheduling/slots_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "scheduler_fixture.hpp"
 
@@ -104,3 +105,22 @@
     CHECK(f.scheduler().in_flight() == 3);
     CHECK(f.scheduler().queued() == 3);
 }
+
+TEST_CASE("views that follow each other leave servers their turns") {
+    // Between two requests of a quiet service comes a new view. If each began
+    // with the first server again, nothing would be learned of the others.
+    scheduler_fixture f(6, 2, 6);
+    std::map<std::string, unsigned> begun;
+    for (request_id id = 1; id <= 60; ++id) {
+        f.apply_view();
+        f.arrive(id);
+        REQUIRE(f.all<start_request>().size() == 1);
+        ++begun[f.all<start_request>()[0].backend_server];
+        f.now += 20ms;
+        f.finish(id);
+    }
+    CHECK(begun.size() == 6);
+    for (const auto& each : begun) {
+        CHECK(each.second == 10);
+    }
+}
