decision, entry: what waits for a service that is taken away is refused at once

What callers would see: the operator takes a service out of the configuration and leads its routes elsewhere; calls that wait for a slot of it are held, on an instance that owns none of its slots until their time is nearly up, and refused then.

Cause: only services that the configuration names were told of a new view. Told, the scheduler would have forgotten what runs at the service's servers, and given their slots out twice when it came back.

Evidence: 3 calls, one running: 3 open after the service is gone, and 4 with the one that comes after its return; after this change 1 and 2.

Change: each scheduler is told. When its service is gone it refuses what waits and what still comes, and keeps the rest for the service's return.

--- a/include/waxwingvale/decision/scheduler_events.hpp
+++ b/include/waxwingvale/decision/scheduler_events.hpp
@@ -36,7 +36,8 @@
 };
 
 // The view changed: configuration, members, owners or beliefs. Whole each
-// time; what it no longer names is forgotten.
+// time; what it no longer names is forgotten. When its configuration does not
+// name the service itself, what waits is refused and all else stays.
 struct view_changed {
     configuration_ptr config;
     std::vector<member> members;
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -50,7 +50,7 @@
         refuse(request.request, refusal_reason::stale_view);
         return true;
     }
-    if (!table_.any_left(request.excluded)) {
+    if (removed_ || !table_.any_left(request.excluded)) {
         refuse(request.request, refusal_reason::no_backend_server);
         return true;
     }
@@ -303,6 +303,18 @@
         {entry.arrival.request, next_appointment()});
 }
 
+// No slot for it comes any more.
+void service_scheduler::impl::turn_down_all() {
+    for (request_queue* queue : {&queue_, &late_}) {
+        while (!queue->empty()) {
+            turn_down(queue->pop(), refusal_reason::no_backend_server);
+        }
+    }
+    while (!of_owners_.empty()) {
+        of_owners_.pop(); // its own instance refuses it
+    }
+}
+
 void service_scheduler::impl::refuse(request_id request,
                                      refusal_reason reason) {
     borrower_.remove(request);
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -144,9 +144,16 @@
 }
 
 void service_scheduler::impl::on(const view_changed& event) {
-    view_ = event;
     const service* of =
-        view_.config ? find_service(*view_.config, service_) : nullptr;
+        event.config ? find_service(*event.config, service_) : nullptr;
+    removed_ = event.config && of == nullptr;
+    if (removed_) {
+        // What is known of its servers, and what runs there, stays for the
+        // configuration that names it again.
+        turn_down_all();
+        return;
+    }
+    view_ = event;
     static const service no_service;
     const service& known = of != nullptr ? *of : no_service;
     admission_.configure(known, routes_of(view_.config));
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -82,6 +82,7 @@
     duration slow_after(const queued_request& entry,
                         slot_table::index at) const;
     void turn_down(const queued_request& entry, refusal_reason reason);
+    void turn_down_all();
     void refuse(request_id request, refusal_reason reason);
     void drop_overdue();
     void drop_overdue_late();
@@ -146,7 +147,8 @@
     scheduling_policy policy_;
     time_point now_{};
     action_list* actions_ = nullptr; // while an event is handled
-    view_changed view_;
+    view_changed view_;              // the last that names the service
+    bool removed_ = false;           // by a later one
     // Peers with a working link, and of those the owners without answers.
     std::unordered_set<std::string> linked_;
     silent_owners silent_;
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -420,6 +420,13 @@
         part_of(of.name).policies.follow(of.budgets);
         desk_of(of.name).handle(changed);
     }
+    for (const auto& known : services_) {
+        if (find_service(*now.config, known.first) == nullptr) {
+            decision::view_changed without;
+            without.config = now.config;
+            known.second.desk->handle(without);
+        }
+    }
 }
 
 void call_desk::take(const incoming_grant_message& message) {
--- /dev/null
+++ b/test/entry/call_desk_test.cpp
@@ -0,0 +1,119 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <unistd.h>
+
+#include "entry/call_desk.hpp"
+#include "entry/own_protocol.hpp"
+#include "io/stream_socket.hpp"
+
+using namespace std::chrono_literals;
+using namespace waxwingvale;
+using namespace waxwingvale::entry;
+
+namespace {
+
+// A call desk that owns the one backend server of "desk", which takes
+// connections and never answers. The caller's side is not looked at.
+struct desk_fixture : call_desk_outlet {
+    kernel::event_loop loop;
+    kernel::monotonic_clock clock;
+    kernel::timer_service timers{clock, loop};
+    int listener = io::open_listener("127.0.0.1", 0).value();
+    forwarding::backend_pool pool{loop, timers};
+    io::message_hub hub{loop, timers, {"entry-0/entry", "key"}};
+    program::metrics all_metrics;
+    entry_metrics metrics{all_metrics};
+    own_protocol protocol;
+    call_desk desk{{"entry-0", 1}, protocol, timers, pool, hub, metrics, *this};
+    configuration config;
+
+    desk_fixture() {
+        request_class look;
+        look.name = "look";
+        look.methods = {"GET"};
+        look.path_prefix = "/";
+        look.nature = request_nature::retriable;
+        look.deadline = 10s;
+        service of;
+        of.name = "desk";
+        of.classes = {look};
+        backend_server server;
+        server.name = "a";
+        server.host = "127.0.0.1";
+        server.port = io::bound_port(listener);
+        of.backend_servers = {server};
+        config.services = {of};
+        publish();
+    }
+    desk_fixture(const desk_fixture&) = delete;
+    desk_fixture& operator=(const desk_fixture&) = delete;
+    ~desk_fixture() override { ::close(listener); }
+
+    void publish() {
+        auto now = std::make_shared<view>();
+        now->config = std::make_shared<const configuration>(config);
+        member self;
+        self.id = {"entry-0", 1};
+        now->members = {self};
+        now->fresh = true;
+        desk.take(program::with_owners(now));
+    }
+
+    void call() {
+        desk.take(std::make_shared<forwarding::caller_exchange>(
+            std::weak_ptr<forwarding::caller_connection>(),
+            io::http_request{
+                "GET", "/desk/x", {{"Waxwing-Tenant", "t"}}, "", "caller"}));
+    }
+
+    void run_for(duration time) {
+        const auto until = clock.now() + time;
+        const auto beat = timers.every(5ms, [](time_point) {});
+        while (clock.now() < until) {
+            loop.run_once(true);
+        }
+    }
+
+    void observe(const std::string& /*backend_server*/,
+                 const backend_answer& /*answer*/) override {}
+    void send_to_peer(const outgoing_grant_message& /*message*/) override {}
+};
+
+} // namespace
+
+TEST_CASE("calls that wait for a service that is taken away are answered") {
+    // Without word to its scheduler they would be held until their time is up.
+    desk_fixture f;
+    f.call();
+    f.call();
+    f.call();
+    REQUIRE(f.desk.open_calls() == 3);
+    const auto with = f.config;
+    f.config.services.clear();
+    f.publish();
+    CHECK(f.desk.open_calls() == 1); // the one that runs there
+    f.config = with;
+    f.publish();
+    f.call();
+    CHECK(f.desk.open_calls() == 2);
+}
+
+TEST_CASE("a call keeps the time that it was given when it came") {
+    // The operator shortens a time, or lengthens it, while calls are open.
+    desk_fixture f;
+    f.config.services[0].classes[0].deadline = 200ms;
+    f.publish();
+    f.call();
+    f.config.services[0].classes[0].deadline = 10s;
+    f.publish();
+    f.call();
+    f.config.services[0].classes[0].deadline = 20ms;
+    f.publish();
+    for (int i = 0; i < 8; ++i) {
+        f.run_for(50ms);
+        f.publish();
+    }
+    CHECK(f.desk.open_calls() == 1);
+}
