decision: routes that are gone make room for new ones

What callers and operators would see: an instance that has followed a thousand routes of a service, most long gone, passes over the queue limits of routes that come later, and takes them for as long as the mean of all requests.

Cause: the table of classes is bounded, and what no configuration names any more kept its place for good.

Evidence: 1,200 configurations with a new route each, one waiting request allowed: the newest route has 2 waiting, 0 refused; after this change 1 and 1. Once the table is full, the classes that the configuration does not name go.

--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <unordered_set>
 
 namespace waxwingvale::decision {
 
@@ -39,9 +41,31 @@
 }
 
 // Configurations name some dozens of classes for a service; with routes that
-// come and go all day it is some hundreds.
+// come and go all day it is some hundreds, most of which are gone.
 constexpr std::size_t most_classes = 1000;
 
+// The classes that the file names for the service, and those of the routes that
+// lead there.
+std::vector<const request_class*> classes_of(const service& of,
+                                             const route_table* routes) {
+    std::vector<const request_class*> named;
+    for (const request_class& each : of.classes) {
+        named.push_back(&each);
+    }
+    static const std::vector<route> none;
+    for (const route& each : routes != nullptr ? routes->all() : none) {
+        const bool leads_here =
+            std::any_of(each.targets.begin(), each.targets.end(),
+                        [&](const route_target& target) {
+                            return target.service == of.name;
+                        });
+        if (leads_here) {
+            named.push_back(&each.kind);
+        }
+    }
+    return named;
+}
+
 } // namespace
 
 const latency_estimator& class_record::known() const {
@@ -57,29 +81,31 @@
       all_(fresh_record(unknown_service_time, policy.admission_quantile)) {}
 
 void admission::configure(const service& of, const route_table* routes) {
+    const auto named = classes_of(of, routes);
+    if (classes_.size() >= most_classes) {
+        forget_all_but(named);
+    }
     for (auto& known : classes_) {
         known.second.queue_limit = 0;
     }
-    for (const request_class& named : of.classes) {
-        configure_class(of, named);
+    for (const request_class* each : named) {
+        configure_class(of, *each);
     }
-    if (routes == nullptr) {
-        return;
+}
+
+// Those that are gone would leave no place for new ones.
+void admission::forget_all_but(const std::vector<const request_class*>& named) {
+    std::unordered_set<std::string> kept;
+    for (const request_class* each : named) {
+        kept.insert(each->name);
     }
-    for (const route& each : routes->all()) {
-        const bool leads_here =
-            std::any_of(each.targets.begin(), each.targets.end(),
-                        [&](const route_target& target) {
-                            return target.service == of.name;
-                        });
-        if (leads_here) {
-            configure_class(of, each.kind);
-        }
+    for (auto it = classes_.begin(); it != classes_.end();) {
+        it = kept.count(it->first) == 0 ? classes_.erase(it) : std::next(it);
     }
 }
 
 void admission::configure_class(const service& of, const request_class& named) {
-    const bool first = classes_.empty();
+    const bool first = classes_.empty() && all_.rough.samples() == 0;
     if (classes_.count(named.name) == 0 && classes_.size() < most_classes) {
         const auto fresh =
             fresh_record(expected_time(of, named), policy_.admission_quantile);
--- a/src/decision/admission.hpp
+++ b/src/decision/admission.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "decision/latency_estimator.hpp"
 #include "decision/request_queue.hpp"
@@ -71,6 +72,7 @@
 
 private:
     void configure_class(const service& of, const request_class& named);
+    void forget_all_but(const std::vector<const request_class*>& named);
     class_record* record_of(const std::string& request_class);
     const latency_estimator& estimator(const std::string& name) const;
     duration next_round_offset(duration interval);
--- a/test/scheduling/admission_test.cpp
+++ b/test/scheduling/admission_test.cpp
@@ -145,3 +145,30 @@
     REQUIRE(f.all<refuse_request>().size() == 1);
     CHECK(f.all<refuse_request>()[0].reason == refusal_reason::no_spare_slot);
 }
+
+TEST_CASE("routes of former configurations leave room for new ones") {
+    // Routes come and go all day. If those that are gone took the places of
+    // new ones, the file's limits would no longer hold for these.
+    scheduler_fixture f(1, 1, 1);
+    for (int revision = 0; revision < 1200; ++revision) {
+        route added;
+        added.host = "h";
+        added.kind.name = "route-" + std::to_string(revision);
+        added.kind.queue_limit = 1;
+        added.targets = {{"slate-view", 1}};
+        configuration next = *f.view.config;
+        next.routes = std::make_shared<const route_table>(
+            std::vector<route>{std::move(added)});
+        f.view.config = std::make_shared<const configuration>(next);
+        f.apply_view();
+    }
+    std::size_t refused = 0;
+    for (request_id id = 1; id <= 3; ++id) {
+        request_arrived of_newest = f.request(id);
+        of_newest.request_class = "route-1199";
+        f.send(of_newest);
+        refused += f.all<refuse_request>().size();
+    }
+    CHECK(refused == 1);
+    CHECK(f.scheduler().queued() == 1);
+}
