forwarding: narrower limits do not turn away a request that is half read

What callers would see: a request that keeps to the limits in force while it is sent ends with 431, 413 or 408, which nobody sends again, because a configuration with narrower ones came between its first byte and its last.

Cause: the size and the time of a head, and the body's limit, were taken from the configuration of the moment at each read, whatever was said of "the next request".

Evidence: two requests begun under the usual limits, then 100 bytes and 10 ms: neither is handed over, both get an answer of ours; after this change both are handed over. Tests beside it, green before too, keep that the next request is measured by the narrower limits and that wider ones hold at once: of a request that is half read the wider of those at its first byte and of those now counts.

--- a/include/waxwingvale/model/caller_limits.hpp
+++ b/include/waxwingvale/model/caller_limits.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <tuple>
@@ -9,8 +10,8 @@
 namespace waxwingvale {
 
 // What a caller may send, and how long it may take or stay idle. A
-// configuration may replace them at any time; connections follow with their
-// next request.
+// configuration may replace them at any time: for a request that is half read
+// narrower ones do not count, and from the next one on they do.
 struct caller_limits {
     std::size_t head = 32 * 1024;                  // bytes of line and headers
     std::uint64_t body = 16 * 1024 * 1024;         // bytes
@@ -23,4 +24,11 @@
     }
 };
 
+// What either of them allows.
+inline caller_limits wider(const caller_limits& a, const caller_limits& b) {
+    return {std::max(a.head, b.head), std::max(a.body, b.body),
+            std::max(a.head_time, b.head_time),
+            std::max(a.idle_time, b.idle_time)};
+}
+
 } // namespace waxwingvale
--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -46,12 +46,22 @@
     }
     input_.append(bytes, size);
     if (phase_ == phase::reading && !head_begun_) {
-        head_begun_ = true;
-        since_ = frame_.now();
+        begin_head();
     }
     read_on();
 }
 
+void caller_connection::begin_head() {
+    head_begun_ = true;
+    since_ = frame_.now();
+    at_begin_ = frame_.limits;
+}
+
+// The caller may know of either configuration.
+caller_limits caller_connection::limits() const {
+    return wider(at_begin_, frame_.limits);
+}
+
 void caller_connection::read_on() {
     if (reading_on_) {
         return; // an answer was given at once; the loop below goes on
@@ -68,7 +78,7 @@
             hold_back();
             return;
         }
-        if (!take_step(reader_.read(input_, frame_.limits))) {
+        if (!take_step(reader_.read(input_, limits()))) {
             return;
         }
     }
@@ -235,9 +245,9 @@
     }
     reader_.next();
     phase_ = phase::reading;
-    head_begun_ = !input_.empty();
     socket_.resume_reading();
-    if (head_begun_) {
+    if (!input_.empty()) {
+        begin_head();
         read_on();
     }
 }
@@ -320,7 +330,7 @@
             close();
         }
     } else if (phase_ == phase::reading && head_begun_) {
-        if (passed >= frame_.limits.head_time) {
+        if (passed >= limits().head_time) {
             ++frame_.counters.too_slow;
             refuse(status_request_timeout, "the request did not come in time");
         }
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -63,6 +63,8 @@
     void on_bytes(const char* bytes, std::size_t size);
     void on_end();
     void on_drained();
+    void begin_head();
+    caller_limits limits() const;
     void read_on();
     void read_steps();
     // Each tells whether to go on reading.
@@ -91,6 +93,7 @@
     bool close_after_ = false;
     bool closed_ = false;
     bool head_begun_ = false;
+    caller_limits at_begin_; // in force when the head began
     bool reading_on_ = false;
     time_point since_{}; // of the phase, or of the head's first byte
     io::stream_socket socket_;
--- a/test/forwarding/caller_server_test.cpp
+++ b/test/forwarding/caller_server_test.cpp
@@ -184,6 +184,59 @@
     CHECK(caller->received_contains("HTTP/1.1 408 "));
 }
 
+TEST_CASE("limits that change leave a request that is half read as it was") {
+    // A caller keeps to the limits in force while it sends; the next
+    // configuration allows less. Turned away with 431, 413 or 408, it would
+    // not come back, though it did nothing wrong.
+    served fixture;
+    caller_limits wide;
+    fixture.server.change_limits(wide);
+    const std::string body(1000, 'b');
+    auto caller = fixture.caller();
+    caller->send("POST /long-" + std::string(500, 'x') + " HTTP/1.1\r\n");
+    auto with_body = fixture.caller();
+    with_body->send("POST /body HTTP/1.1\r\nHost: h\r\n");
+    fixture.run_for(20ms);
+    caller_limits narrow;
+    narrow.head = 100;
+    narrow.body = 100;
+    narrow.head_time = 10ms;
+    fixture.server.change_limits(narrow);
+    fixture.run_for(400ms);
+    caller->send("Host: h\r\nContent-Length: 0\r\n\r\n");
+    with_body->send("Content-Length: 1000\r\n\r\n" + body);
+    CHECK(fixture.await_requests(2));
+    CHECK(caller->received().empty());
+    CHECK(with_body->received().empty());
+}
+
+TEST_CASE("limits that grow hold for a request that is half read") {
+    served fixture;
+    caller_limits narrow;
+    narrow.head = 100;
+    fixture.server.change_limits(narrow);
+    auto caller = fixture.caller();
+    caller->send("GET /begun");
+    fixture.run_for(20ms);
+    fixture.server.change_limits({});
+    caller->send(std::string(500, 'x') + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(fixture.await_requests(1));
+}
+
+TEST_CASE("narrower limits hold from the next request on") {
+    served fixture;
+    auto caller = fixture.caller();
+    caller->send(get("/1"));
+    REQUIRE(fixture.await_requests(1));
+    caller_limits narrow;
+    narrow.head = 100;
+    fixture.server.change_limits(narrow);
+    fixture.requests[0]->answer({204, {}, ""});
+    caller->send(get("/" + std::string(500, 'x')));
+    REQUIRE(fixture.run_until([&] { return caller->ended(); }));
+    CHECK(caller->received_contains("HTTP/1.1 431 "));
+}
+
 TEST_CASE("a connection that stays idle is closed in order") {
     served fixture;
     caller_limits limits;
