decision: each wider share of the probe budget has its own wait

What operators would see: while links or members change more often than every 5 s, as in a large fleet they do, owners go on probing at the rate of the smallest share of instances that they reached before, and learn late that a backend server is back.

Cause: word of another wider share replaced the one that waited to count together with its wait.

Evidence: one probe a second, a tenth of the instances reached at first, from 3 s on a half or more, another share every half second: no probe by 7.5 s, as there would be none while that goes on; after this change the first is due there, and not at 7.3 s.

--- a/include/waxwingvale/decision/probe_budget.hpp
+++ b/include/waxwingvale/decision/probe_budget.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include <waxwingvale/model/time.hpp>
 
@@ -31,8 +32,8 @@
     void on_lost(const std::string& backend_server);
 
     // The share (0 to 1) of all known entry instances, this one included, that
-    // was heard lately and agrees with us. A smaller share counts at once, a
-    // larger one after `settle`.
+    // was heard lately and agrees with us. What counts is the smallest share
+    // of the last `settle`.
     void on_share(double share, time_point now);
 
     // Whether a probe may be sent now; it then counts as sent.
@@ -52,14 +53,18 @@
         time_point counted{}; // up to when tokens were paid in
     };
 
+    // A share that counts from a moment until the next one does.
+    struct share_step {
+        time_point from{};
+        double share = 0;
+    };
+
     double share_at(time_point now) const;
     double paid_in(const bucket& of, time_point now) const;
 
     probe_limits limits_;
     std::map<std::string, bucket> buckets_;
-    double share_ = 0;
-    double wider_share_ = 0; // counts from wider_from_ on
-    time_point wider_from_{};
+    std::vector<share_step> shares_{{}}; // rising, by when they count
 };
 
 } // namespace waxwingvale::decision
--- a/src/decision/probe_budget.cpp
+++ b/src/decision/probe_budget.cpp
@@ -24,7 +24,11 @@
 }
 
 double probe_budget::share_at(time_point now) const {
-    return now >= wider_from_ ? wider_share_ : share_;
+    double share = shares_.front().share;
+    for (const auto& step : shares_) {
+        share = step.from <= now ? step.share : share;
+    }
+    return share;
 }
 
 void probe_budget::on_share(double share, time_point now) {
@@ -32,28 +36,36 @@
         of.tokens = paid_in(of, now);
         of.counted = std::max(of.counted, now);
     }
+    // What counts now has no other before it that still matters.
+    while (shares_.size() > 1 && shares_[1].from <= now) {
+        shares_.erase(shares_.begin());
+    }
     const double bounded = std::clamp(share, 0.0, 1.0);
-    share_ = std::min(share_at(now), bounded);
-    if (bounded <= share_) {
-        wider_share_ = share_;
-        wider_from_ = now;
-    } else if (bounded != wider_share_) {
-        wider_share_ = bounded;
-        wider_from_ = now + limits_.settle;
+    if (bounded <= shares_.front().share) {
+        shares_ = {{now, bounded}};
+        return;
     }
+    // Shares that were to count and are not smaller began the wait for this
+    // one too.
+    auto from = now + limits_.settle;
+    while (shares_.back().share >= bounded) {
+        from = shares_.back().from;
+        shares_.pop_back();
+    }
+    shares_.push_back({from, bounded});
 }
 
 double probe_budget::paid_in(const bucket& of, time_point now) const {
-    const auto rate_between = [&](time_point from, time_point to,
-                                  double share) {
+    double paid = 0;
+    for (std::size_t i = 0; i < shares_.size(); ++i) {
+        const auto from =
+            i == 0 ? of.counted : std::max(of.counted, shares_[i].from);
+        const auto to =
+            i + 1 < shares_.size() ? std::min(now, shares_[i + 1].from) : now;
         const auto span = std::max(to - from, duration::zero());
-        return static_cast<double>(span.count()) / micros_per_second *
-               limits_.rate * share;
-    };
-    const auto turn =
-        std::clamp(wider_from_, of.counted, std::max(now, of.counted));
-    const double paid = rate_between(of.counted, std::min(turn, now), share_) +
-                        rate_between(turn, now, wider_share_);
+        paid += static_cast<double>(span.count()) / micros_per_second *
+                limits_.rate * shares_[i].share;
+    }
     return std::min(of.tokens + paid, whole_token);
 }
 
@@ -76,7 +88,8 @@
 time_point probe_budget::next_probe(const std::string& backend_server,
                                     time_point now) const {
     const auto found = buckets_.find(backend_server);
-    if (found == buckets_.end() || limits_.rate <= 0 || wider_share_ <= 0) {
+    if (found == buckets_.end() || limits_.rate <= 0 ||
+        shares_.back().share <= 0) {
         return time_point::max();
     }
     const auto& of = found->second;
--- a/test/probe_budget/probe_budget_test.cpp
+++ b/test/probe_budget/probe_budget_test.cpp
@@ -104,3 +104,56 @@
     REQUIRE_FALSE(budget.try_probe("b0", start + seconds(19)));
     REQUIRE(budget.try_probe("b0", start + milliseconds(20001)));
 }
+
+namespace {
+
+// A budget of one probe a second that reaches a tenth of the instances for the
+// first three seconds, as long as it takes to settle, then other shares every
+// half second until `until`.
+probe_budget after_shares(const std::vector<double>& in_turn,
+                          milliseconds until) {
+    probe_limits limits;
+    limits.rate = 1;
+    limits.settle = seconds(3);
+    probe_budget budget(limits);
+    budget.on_share(0.1, time_point{});
+    budget.on_owned("b0", time_point{});
+    std::size_t turn = 0;
+    for (milliseconds at(3000); at <= until; at += milliseconds(500)) {
+        budget.on_share(in_turn[turn++ % in_turn.size()], time_point{} + at);
+    }
+    return budget;
+}
+
+bool may_probe(const std::vector<double>& in_turn, milliseconds at) {
+    auto budget = after_shares(in_turn, at);
+    return budget.try_probe("b0", time_point{} + at);
+}
+
+} // namespace
+
+// Links open one after the other. If each began the wait for a wider share
+// anew, a fleet in which some always do would keep to the narrowest.
+TEST_CASE("A share that widens step by step counts step by step") {
+    const std::vector<double> widening = {0.50, 0.51, 0.52, 0.53, 0.54, 0.55,
+                                          0.56, 0.57, 0.58, 0.59, 0.60};
+    // A tenth of a probe a second from 3 s on, a half from 6 s on.
+    REQUIRE_FALSE(may_probe(widening, milliseconds(7300)));
+    REQUIRE(may_probe(widening, milliseconds(7500)));
+}
+
+TEST_CASE("A share that swings counts at its lowest") {
+    REQUIRE_FALSE(may_probe({0.9, 0.5}, milliseconds(7300)));
+    REQUIRE(may_probe({0.9, 0.5}, milliseconds(7500)));
+    REQUIRE_FALSE(may_probe({0.9, 0.5, 0.1}, milliseconds(12900)));
+    REQUIRE(may_probe({0.9, 0.5, 0.1}, milliseconds(13100)));
+}
+
+TEST_CASE("A share that shrinks counts at once") {
+    auto budget = after_shares({0.9}, milliseconds(7000));
+    const time_point at{seconds(7)};
+    REQUIRE(budget.try_probe("b0", at));
+    budget.on_share(0.2, at);
+    REQUIRE_FALSE(budget.try_probe("b0", at + milliseconds(4900)));
+    REQUIRE(budget.try_probe("b0", at + milliseconds(5100)));
+}
