entry, decision: what is learned of routes that are gone is forgotten

Cause: the delays of hedges, the patience of callers and the sizes of queues are kept by the route's name, for every name there ever was.

That budgets and delays outlive configurations which keep them is tested beside it, and was so before.

--- a/src/decision/request_queue.cpp
+++ b/src/decision/request_queue.cpp
@@ -58,7 +58,9 @@
     queue.by_urgency.insert(place);
     ++queue.sizes[place.priority];
     by_urgency_.insert(place);
-    class_sizes_[entry.arrival.request_class] += entry.peer.empty() ? 1 : 0;
+    if (entry.peer.empty()) {
+        ++class_sizes_[entry.arrival.request_class];
+    }
     entries_.emplace(origin, stored{std::move(entry), place});
 }
 
@@ -124,6 +126,17 @@
     insert(std::move(entry));
 }
 
+// Routes come and go: kept at nothing, each would take memory for good.
+void request_queue::leave_class(const queued_request& entry) {
+    if (!entry.peer.empty()) {
+        return; // counted where it waits
+    }
+    const auto of = class_sizes_.find(entry.arrival.request_class);
+    if (--of->second == 0) {
+        class_sizes_.erase(of);
+    }
+}
+
 // By value: the name may be a part of what is erased.
 queued_request request_queue::take(request_origin origin) {
     auto found = entries_.find(origin);
@@ -133,7 +146,7 @@
     queue.by_urgency.erase(found->second.place);
     --queue.sizes[found->second.place.priority];
     by_urgency_.erase(found->second.place);
-    class_sizes_[entry.arrival.request_class] -= entry.peer.empty() ? 1 : 0;
+    leave_class(entry);
     entries_.erase(found);
     if (queue.positions.empty() && !queue.named) {
         // Callers choose the name: kept, each would take memory for good.
--- a/src/decision/request_queue.hpp
+++ b/src/decision/request_queue.hpp
@@ -107,6 +107,7 @@
     queued_request take(request_origin origin);
     tenant_queue& queue_of(const std::string& tenant_name);
     void insert(queued_request entry);
+    void leave_class(const queued_request& entry);
     std::map<std::string, tenant_queue>::iterator
     next_tenant(bool whatever_priority);
     double active_weight() const;
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -446,7 +446,7 @@
         changed.beliefs = beliefs_of(of, beliefs);
         changed.fresh = now.fresh;
         changed.introduced = now.introduced;
-        part_of(of.name).policies.follow(of.budgets);
+        part_of(of.name).policies.follow(of, now.config->routes.get());
         desk_of(of.name).handle(changed);
     }
     for (const auto& known : services_) {
--- a/src/entry/caller_patience.cpp
+++ b/src/entry/caller_patience.cpp
@@ -1,6 +1,7 @@
 #include "entry/caller_patience.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace waxwingvale::entry {
 
@@ -14,10 +15,17 @@
 // in whole milliseconds, and some set out a little later than others.
 constexpr int parts_of_a_first_call = 10;
 
+// Routes that come and go all day would fill the memory; so many are kept
+// however long nobody has called them.
+constexpr std::size_t classes_kept = 500;
+
 } // namespace
 
 duration caller_patience::spent_before(const std::string& request_class,
                                        duration waits, time_point now) {
+    if (now - looked_for_idle_ >= window) {
+        forget_idle(now);
+    }
     longest_wait& known = classes_[request_class];
     if (now - known.window_from >= window) {
         known.former = known.current;
@@ -30,4 +38,15 @@
     return less > longest / parts_of_a_first_call ? less : duration::zero();
 }
 
+void caller_patience::forget_idle(time_point now) {
+    looked_for_idle_ = now;
+    if (classes_.size() <= classes_kept) {
+        return;
+    }
+    for (auto it = classes_.begin(); it != classes_.end();) {
+        const bool idle = now - it->second.window_from >= 2 * window;
+        it = idle ? classes_.erase(it) : std::next(it);
+    }
+}
+
 } // namespace waxwingvale::entry
--- a/src/entry/caller_patience.hpp
+++ b/src/entry/caller_patience.hpp
@@ -18,6 +18,8 @@
     duration spent_before(const std::string& request_class, duration waits,
                           time_point now);
 
+    std::size_t classes_known() const { return classes_.size(); }
+
 private:
     // The longest wait named in this window and in the one before it.
     struct longest_wait {
@@ -26,7 +28,10 @@
         duration former{};
     };
 
+    void forget_idle(time_point now);
+
     std::unordered_map<std::string, longest_wait> classes_;
+    time_point looked_for_idle_{};
 };
 
 } // namespace waxwingvale::entry
--- a/src/entry/service_policies.hpp
+++ b/src/entry/service_policies.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -15,11 +16,16 @@
 public:
     service_policies();
 
-    void follow(const service_budgets& budgets);
+    // What the configuration says of the service; of classes and routes that it
+    // no longer names only so many are kept.
+    void follow(const service& of, const route_table* routes);
+    std::size_t classes_known() const { return hedges_.size(); }
     decision::retry_policy& retries() { return retries_; }
     decision::hedge_policy& hedges(const std::string& request_class);
 
 private:
+    void forget_all_but(const service& of, const route_table* routes);
+
     double hedge_fraction_ = 0;
     decision::retry_policy retries_;
     std::map<std::string, decision::hedge_policy> hedges_;
