entry: without limits in the configuration those of the settings hold again

What callers would see: a configuration narrows what they may send, the next one names no limits, and large bodies go on being turned away with 413 until the process starts anew.

Cause: only a configuration with limits changed them.

Evidence: a body of 1,000 bytes, 100 allowed, then a configuration without limits and 10,000 by the settings: 413 before this change, taken after.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -84,8 +84,9 @@
     view_ = view;
     const auto limits = connection_limits_of(*view);
     pool_.limit_connections(limits.open, limits.idle);
-    if (view->config && view->config->limits) {
-        callers_.change_limits(*view->config->limits);
+    if (view->config) {
+        callers_.change_limits(
+            view->config->limits.value_or(limits_of(environment_.settings)));
     }
     calls_.take(published);
     prober_.take(published);
--- /dev/null
+++ b/test/entry/entry_service_test.cpp
@@ -0,0 +1,102 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+
+#include <waxwingvale/program/service_name.hpp>
+
+#include "entry/entry_service.hpp"
+#include "entry/own_protocol.hpp"
+#include "io/stream_socket.hpp"
+
+using namespace std::chrono_literals;
+using namespace waxwingvale;
+
+namespace {
+
+program::settings settings_of_test() {
+    program::settings made;
+    made.instance.host = "127.0.0.1";
+    made.entry.body_limit = 10000;
+    made.entry.connection_limit = 10;
+    return made;
+}
+
+// An entry service that is told views by hand.
+struct service_fixture {
+    program::settings settings = settings_of_test();
+    kernel::event_loop loop;
+    kernel::monotonic_clock clock;
+    kernel::timer_service timers{clock, loop};
+    kernel::service_registry services;
+    kernel::message_bus bus;
+    io::message_hub hub{loop, timers, {"entry-0/entry", "key"}};
+    program::metrics metrics;
+    entry::own_protocol protocol;
+    std::unique_ptr<entry::entry_service> entry;
+
+    service_fixture() {
+        REQUIRE(services.provide(program::service_name::bus, bus));
+        REQUIRE(services.provide(program::service_name::peers, hub));
+        entry = std::make_unique<entry::entry_service>(
+            program::program_environment{settings, loop, timers, services,
+                                         metrics},
+            member_id{"entry-0", 1}, protocol);
+        REQUIRE(entry->start());
+    }
+
+    void publish(const configuration& config) {
+        auto now = std::make_shared<view>();
+        now->config = std::make_shared<const configuration>(config);
+        bus.publish(program::with_owners(now));
+    }
+
+    // The status line and what follows.
+    std::string post(std::size_t body) {
+        std::string received;
+        const auto descriptor = io::start_connect("127.0.0.1", entry->port());
+        io::stream_socket socket(loop, descriptor.value(), true,
+                                 {{},
+                                  [&](const char* bytes, std::size_t size) {
+                                      received.append(bytes, size);
+                                  },
+                                  {},
+                                  {}});
+        socket.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                         std::to_string(body) + "\r\n\r\n",
+                     std::string(body, 'b'));
+        const auto until = clock.now() + 5s;
+        const auto beat = timers.every(5ms, [](time_point) {});
+        while (received.find("\r\n\r\n") == received.npos &&
+               clock.now() < until) {
+            loop.run_once(true);
+        }
+        return received;
+    }
+};
+
+bool too_large(const std::string& answer) {
+    return answer.rfind("HTTP/1.1 413 ", 0) == 0;
+}
+
+bool no_such_service(const std::string& answer) {
+    return answer.rfind("HTTP/1.1 404 ", 0) == 0;
+}
+
+} // namespace
+
+TEST_CASE("without limits in the file the settings decide again") {
+    // A configuration narrows what callers may send; the next one names no
+    // limits. Kept, the narrow ones would turn callers away for good.
+    service_fixture f;
+    f.publish({});
+    CHECK(no_such_service(f.post(1000)));
+    configuration narrow;
+    narrow.limits.emplace();
+    narrow.limits->body = 100;
+    f.publish(narrow);
+    CHECK(too_large(f.post(1000)));
+    f.publish({});
+    CHECK(no_such_service(f.post(1000)));
+    CHECK(too_large(f.post(20000)));
+}
