--- a/test/forwarding/backend_pool_test.cpp
+++ b/test/forwarding/backend_pool_test.cpp
@@ -91,6 +91,27 @@
     CHECK(fixture.pool.counters().reused == 1);
 }
 
+TEST_CASE("limits told again cost no kept connection and cut no call") {
+    // Each view tells them. New connections to servers are dear, and what runs
+    // there would be lost.
+    pooled fixture;
+    fixture.warm_up();
+    const auto tell = [&] {
+        for (int i = 0; i < 100; ++i) {
+            fixture.pool.limit_connections(1, 1);
+        }
+    };
+    tell();
+    fixture.send(fixture.call("/again"));
+    REQUIRE(fixture.await_request(0, "/again"));
+    tell();
+    fixture.server.at(0).send(ok + "Content-Length: 0\r\n\r\n");
+    REQUIRE(fixture.await_end());
+    CHECK(fixture.ended->response);
+    CHECK(fixture.pool.counters().reused == 1);
+    CHECK(fixture.pool.counters().connections_opened == 1);
+}
+
 TEST_CASE("a request lost on a kept connection is not sent again") {
     // The backend server closes a kept connection just as a booking goes out
     // on it, or runs the booking and dies. Nobody can tell which, so sending
--- a/test/forwarding/caller_server_test.cpp
+++ b/test/forwarding/caller_server_test.cpp
@@ -248,6 +248,22 @@
     CHECK(caller->received().empty());
 }
 
+TEST_CASE("limits told again neither keep nor close an idle connection") {
+    // Each configuration tells them. Begun anew with each, the time without a
+    // request would never be over.
+    served fixture;
+    caller_limits limits;
+    limits.idle_time = 600ms;
+    auto caller = fixture.caller();
+    const auto began = fixture.clock.now();
+    while (!caller->ended() && fixture.clock.now() - began < 5s) {
+        fixture.server.change_limits(limits);
+        fixture.run_for(20ms);
+    }
+    CHECK(caller->ended());
+    CHECK(fixture.clock.now() - began >= 600ms);
+}
+
 TEST_CASE("a stop cuts no request and closes connections after their answer") {
     // The process is told to stop while one caller waits for its answer and
     // another has an idle connection. Neither may be cut in the middle.
