--- a/test/entry/call_desk_test.cpp
+++ b/test/entry/call_desk_test.cpp
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
@@ -30,6 +31,7 @@
     call_desk desk{{"entry-0", 1}, protocol, timers, pool, hub, metrics, *this};
     configuration config;
     std::vector<backend_belief> beliefs;
+    std::vector<attempt_end> ends; // of attempts
 
     desk_fixture() {
         request_class look;
@@ -79,8 +81,22 @@
         }
     }
 
+    // Answers the request that came first.
+    void answer() {
+        run_for(20ms);
+        const int connection = ::accept(listener, nullptr, nullptr);
+        const std::string text =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        REQUIRE(::write(connection, text.data(), text.size()) ==
+                static_cast<long>(text.size()));
+        run_for(20ms);
+        ::close(connection);
+    }
+
     void observe(const std::string& /*backend_server*/,
-                 const backend_answer& /*answer*/) override {}
+                 const backend_answer& answer) override {
+        ends.push_back(answer.end);
+    }
     void send_to_peer(const outgoing_grant_message& /*message*/) override {}
 };
 
@@ -136,3 +152,22 @@
     f.call(); // refused
     CHECK(f.desk.open_calls() == 1);
 }
+
+TEST_CASE("an attempt outlives the configuration that it was sent by") {
+    // The answer of a server, or a service, that was taken away meanwhile is
+    // the caller's all the same.
+    for (const bool whole_service : {false, true}) {
+        desk_fixture f;
+        f.call();
+        if (whole_service) {
+            f.config.services.clear();
+        } else {
+            f.config.services[0].backend_servers.clear();
+        }
+        f.publish();
+        CHECK(f.desk.open_calls() == 1);
+        f.answer();
+        CHECK(f.desk.open_calls() == 0);
+        CHECK(f.ends == std::vector<attempt_end>{attempt_end::answered});
+    }
+}
