decision: a silent owner is not asked for a word with every view

What peers would see: while hundreds of instances start, or the configuration changes often, each view makes each instance ask every owner that does not answer for a word, for each service, just when that owner has most to do.

Cause: a view begins the wait for the next look anew, at nothing.

Evidence: 200 views in a second, one silent owner: 200 asks; after this change 20, one every 50 ms as without views. The look that a view brings forward is given once in that time.

--- a/src/decision/silent_owners.cpp
+++ b/src/decision/silent_owners.cpp
@@ -28,6 +28,10 @@
 }
 
 void silent_owners::look_at_once(time_point now) {
+    if (now < next_at_once_) {
+        return;
+    }
+    next_at_once_ = now + period_;
     for (auto& each : peers_) {
         each.second.next_look = std::min(each.second.next_look, now);
     }
--- a/src/decision/silent_owners.hpp
+++ b/src/decision/silent_owners.hpp
@@ -33,7 +33,8 @@
     // It has acted as an owner, or its link has closed.
     bool remove(const std::string& peer);
 
-    // Something may be different now for each of them.
+    // Something may be different now for each of them. Said again within the
+    // time between two looks it counts for nothing: the next one will see.
     void look_at_once(time_point now);
     // Those to be asked for a word now.
     std::vector<std::string> take_due(time_point now);
@@ -47,6 +48,7 @@
     };
 
     duration period_;
+    time_point next_at_once_{};
     std::map<std::string, silence> peers_;
 };
 
--- a/test/scheduling/grants_test.cpp
+++ b/test/scheduling/grants_test.cpp
@@ -308,6 +308,27 @@
     CHECK(f.all<ask_slots>().empty());
 }
 
+TEST_CASE("a silent owner is not asked for a word with every view") {
+    // Hundreds of instances start, and each tells the others: views come
+    // hundreds of times a second. Each look would cost the peer, who has most
+    // to do just then, a message of every other instance.
+    scheduler_fixture f(2, 4, 0);
+    f.link_peer();
+    f.arrive(1);
+    for (int i = 0; i < 10 && f.all<start_request>().empty(); ++i) {
+        f.pass(15ms);
+    }
+    f.finish(1);
+    unsigned asked = 0;
+    for (int i = 0; i < 200; ++i) {
+        f.now += 5ms;
+        f.apply_view();
+        asked += f.all<ask_slots>().size();
+    }
+    CHECK(asked >= 20);
+    CHECK(asked <= 41);
+}
+
 TEST_CASE("who asks for a word gets one") {
     scheduler_fixture f(2, 4, 1);
     f.link_peer();
