membership: a file that was refused is not asked for again with every word of it

What operators would see: beside a newer release whose file an instance refuses, that instance fetches the whole file from a peer up to 2.5 times a second for as long as the file is in force there, and logs configuration_awaited every second.

Cause: what is lacking was decided by the revision in force alone. A revision that peers have in force and this instance has refused stays above its own, so every word of it (platform words come every 150 ms to 300 ms) asked again, after 400 ms at the latest.

Files that came and were turned down are remembered by their revisions, those that are newer than the one in force and 64 at most; an older valid file that another peer has in force is still asked for.

--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -82,12 +83,15 @@
     bool lacks(const revision_message& theirs) const;
     bool waits_for(const revision_message& theirs) const;
     bool asked_for(const revision_message& theirs, time_point now) const;
+    void turn_down(std::uint64_t revision);
     configuration_message message_of(const configuration_text& file);
 
     configuration_register& configurations_;
     duration answer_within_;
     std::optional<wanted_file> wanted_;
     std::optional<asked_file> asked_;
+    // Files that came and were not taken: they are not asked for again.
+    std::set<std::uint64_t> turned_down_;
     std::uint64_t named_ = 0; // the newest revision that a peer had in force
     std::string named_by_;
     std::optional<time_behind> behind_;
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -11,6 +11,8 @@
 
 // The platform's form of a file may be longer than our own.
 constexpr std::size_t text_limit = 4 * configuration_size_limit;
+// So many files that were turned down are remembered, the newest.
+constexpr std::size_t most_turned_down = 64;
 
 } // namespace
 
@@ -24,8 +26,10 @@
 
 bool configuration_exchange::lacks(const revision_message& theirs) const {
     const auto mine = own_revision();
-    return theirs.revision > mine.revision ||
-           theirs.refused > std::max(mine.refused, mine.revision);
+    const bool newer = theirs.revision > mine.revision &&
+                       theirs.revision != mine.refused &&
+                       turned_down_.count(theirs.revision) == 0;
+    return newer || theirs.refused > std::max(mine.refused, mine.revision);
 }
 
 bool configuration_exchange::asked_for(const revision_message& theirs,
@@ -79,7 +83,8 @@
 std::optional<awaited_configuration>
 configuration_exchange::awaited(time_point now) const {
     const auto mine = configurations_.revision();
-    if (!behind_ || behind_->in_force != mine || named_ <= mine) {
+    const bool behind = behind_ && behind_->in_force == mine;
+    if (!behind || !lacks({named_, 0})) {
         return std::nullopt;
     }
     return awaited_configuration{named_, named_by_, now - behind_->since,
@@ -110,6 +115,9 @@
 
 std::optional<addressed_message>
 configuration_exchange::due_request(time_point now) {
+    if (const auto refused = configurations_.refused_revision()) {
+        turn_down(refused);
+    }
     if (!wanted_ || now < wanted_->ask_at) {
         return std::nullopt;
     }
@@ -128,6 +136,16 @@
                          configuration_request{mine.revision, mine.refused})};
 }
 
+// Peers of another release may have in force what is not valid here.
+void configuration_exchange::turn_down(std::uint64_t revision) {
+    turned_down_.insert(revision);
+    turned_down_.erase(turned_down_.begin(),
+                       turned_down_.upper_bound(configurations_.revision()));
+    if (turned_down_.size() > most_turned_down) {
+        turned_down_.erase(turned_down_.begin());
+    }
+}
+
 configuration_message
 configuration_exchange::message_of(const configuration_text& file) {
     if (packed_.revision != file.revision) {
@@ -161,6 +179,8 @@
         configurations_.offer({message.revision, std::move(text.value())});
     if (outcome == offer_outcome::accepted) {
         received_ = {message.revision, peer};
+    } else {
+        turn_down(message.revision);
     }
     return outcome;
 }
