membership: no file is asked for while another is on its way

What operators would see: with large files that change often on a busy link, files heap up in front of it. Callers' answers wait behind them, and instances fall behind by more with every second.

Cause: only word of the same file, or of an older one, waited for the one that had been asked for. Each newer word asked anew, and was answered by a whole file. Words that wait behind a file arrive together and ask for as many files, behind which more words wait.

Evidence: unit test, files of 44 kB (1,600 routes, packed) that change every 100 ms for 20 s. On a link of 200 kB/s, as each of twelve has that share one of 20 Mbit/s, up to 97 files waited and the instance was 23 changes behind at the end; after, 1 file and 4 changes. On one of 2.5 MB/s 1 file and none, before and after.

Now nothing is asked for until the peer that was asked has sent, its link is lost, its time has passed, or what was asked for has come by another way. A peer answers with the newest that it has, so nothing is missed by that. A garbled file of one peer no longer ends the wait for another's.

--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -21,8 +21,8 @@
 };
 
 // Which peer is asked for a newer configuration, and when. Every peer names
-// its revision, so that each of dozens could be asked for the same file; only
-// one is at a time. Pure.
+// its revision, so that each of dozens could be asked for a file; one is at a
+// time, and the next when that one has sent, or not within its time. Pure.
 class configuration_exchange {
 public:
     // A peer that was asked and has not sent within `answer_within` is passed
@@ -82,7 +82,7 @@
                     time_point now);
     bool lacks(const revision_message& theirs) const;
     bool waits_for(const revision_message& theirs) const;
-    bool asked_for(const revision_message& theirs, time_point now) const;
+    bool is_awaited(time_point now) const;
     void turn_down(std::uint64_t revision);
     configuration_message message_of(const configuration_text& file);
 
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -32,11 +32,11 @@
     return newer || theirs.refused > std::max(mine.refused, mine.revision);
 }
 
-bool configuration_exchange::asked_for(const revision_message& theirs,
-                                       time_point now) const {
-    return asked_ && now < asked_->until &&
-           theirs.revision <= asked_->theirs.revision &&
-           theirs.refused <= asked_->theirs.refused;
+// Whether a file is on its way, which on a busy link takes a while. Whoever
+// asked again for each newer word meanwhile would get as many whole files, and
+// keep the link the busier.
+bool configuration_exchange::is_awaited(time_point now) const {
+    return asked_ && now < asked_->until && lacks(asked_->theirs);
 }
 
 // Whether what is to be asked for is as new. Word of a file that has come
@@ -55,8 +55,7 @@
     if (!lacks(theirs) || waits_for(theirs)) {
         return;
     }
-    // Asked for already, the file is on its way from another peer.
-    auto ask_at = asked_for(theirs, now) ? asked_->until : now + wait;
+    auto ask_at = now + wait;
     // Word of a newer file changes what is asked for, and never when: changes
     // that follow each other sooner than the wait ends would put it off for as
     // long as they go on.
@@ -118,7 +117,7 @@
     if (const auto refused = configurations_.refused_revision()) {
         turn_down(refused);
     }
-    if (!wanted_ || now < wanted_->ask_at) {
+    if (!wanted_ || is_awaited(now) || now < wanted_->ask_at) {
         return std::nullopt;
     }
     const auto wanted = std::move(*wanted_);
@@ -170,9 +169,11 @@
 result<offer_outcome>
 configuration_exchange::take(const std::string& peer,
                              const configuration_message& message) {
+    if (asked_ && asked_->from == peer) {
+        asked_.reset();
+    }
     auto text = unpack(message.text, text_limit);
     if (!text) {
-        asked_.reset();
         return text.error();
     }
     const auto outcome =
