test, membership: mutants of the exchange of files that no test killed

Of 33 mutants of the exchange, of who waits for the platform and of the duty of reading, 12 survived the tests of test/membership. Four were code without effect, which goes: a refused revision is known by the next request, a lost link cannot begin a wait, a revision that is not newer needs no erasing, and a refused file that came is known as refused. Six more are killed now: a file that came by another way is waited for, silent peers come first, the newest file does not come first, a silent peer is asked ever more rarely without end, the platform that does not answer is waited for, and a reader that does not wait. Two survive: the limit of 64 revisions remembered, and what the duty says before it was first asked, which nobody sees.

--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -87,7 +87,7 @@
     bool is_awaited(time_point now) const;
     bool lacks_any() const;
     words::iterator best_to_ask(time_point now);
-    bool forget_asked(const std::string& peer);
+    void forget_asked(const std::string& peer);
     void note_sent(const std::string& peer, std::uint64_t revision);
     void turn_down(std::uint64_t revision);
     configuration_message message_of(const configuration_text& file);
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -30,7 +30,6 @@
 bool configuration_exchange::lacks(const revision_message& theirs) const {
     const auto mine = own_revision();
     const bool newer = theirs.revision > mine.revision &&
-                       theirs.revision != mine.refused &&
                        turned_down_.count(theirs.revision) == 0;
     return newer || theirs.refused > std::max(mine.refused, mine.revision);
 }
@@ -104,20 +103,15 @@
     return std::max(mine.revision, mine.refused) >= named_;
 }
 
-// Whether the peer was asked.
-bool configuration_exchange::forget_asked(const std::string& peer) {
-    const bool asked = asked_ && asked_->from == peer;
-    if (asked) {
+void configuration_exchange::forget_asked(const std::string& peer) {
+    if (asked_ && asked_->from == peer) {
         asked_.reset();
     }
-    return asked;
 }
 
-void configuration_exchange::lost(const std::string& peer, time_point now) {
+void configuration_exchange::lost(const std::string& peer, time_point) {
     words_.erase(peer);
-    if (forget_asked(peer)) {
-        ask_at_ = std::min(ask_at_, now);
-    }
+    forget_asked(peer);
 }
 
 // Of the peers that have named what is lacking, one that has not stayed silent
@@ -174,17 +168,12 @@
     if (revision >= word.theirs.revision) {
         word.theirs.revision = 0;
     }
-    if (revision >= word.theirs.refused) {
-        word.theirs.refused = 0;
-    }
     word.unanswered -= word.unanswered > 0 ? 1 : 0;
 }
 
 // Peers of another release may have in force what is not valid here.
 void configuration_exchange::turn_down(std::uint64_t revision) {
     turned_down_.insert(revision);
-    turned_down_.erase(turned_down_.begin(),
-                       turned_down_.upper_bound(configurations_.revision()));
     if (turned_down_.size() > most_turned_down) {
         turned_down_.erase(turned_down_.begin());
     }
--- a/test/membership/configuration_exchange_property_test.cpp
+++ b/test/membership/configuration_exchange_property_test.cpp
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-#include <waxwingvale/membership/configuration_exchange.hpp>
+#include <waxwingvale/membership/peer_exchange.hpp>
 
 using namespace waxwingvale;
 using namespace waxwingvale::membership;
@@ -423,6 +423,58 @@
     time_point free_at_ = start;
 };
 
+// One instance among two, either of which may be the one that reads.
+struct platform_instance {
+    explicit platform_instance(bool is_reader) {
+        member_record other;
+        other.id = {"pdx-1", 1};
+        other.capacity.cpu_permille = is_reader ? 1 : 2 * own_strength;
+        members.merge(other, start);
+        readers.take_members(members.members());
+        readers.hear("pdx-1", 0ms, start);
+        REQUIRE(readers.should_read(start) == is_reader);
+    }
+
+    static member_record self() {
+        member_record record;
+        record.id = {"sea-1", 0};
+        record.capacity.cpu_permille = own_strength;
+        return record;
+    }
+
+    // A newer file that is named after this instance knows what peers know.
+    bool asks_at_once() {
+        configurations.offer({1, valid_here});
+        exchange.link_up("pdx-1", start);
+        records_message records;
+        records.answers_request = true;
+        exchange.receive("pdx-1", records, start);
+        exchange.tick(start);
+        exchange.take_messages(start);
+        exchange.receive("pdx-1", revision_message{2, 0}, start + step);
+        const auto sent = exchange.take_messages(start + step);
+        return std::any_of(sent.begin(), sent.end(), [](const auto& each) {
+            return std::holds_alternative<configuration_request>(*each.message);
+        });
+    }
+
+    static constexpr unsigned own_strength = 1000;
+
+    configuration_register configurations{parse_here};
+    member_table members{self(), {}, start};
+    belief_table beliefs{100};
+    registry_table registry{100};
+    quarantine_table quarantine{{}};
+    reader_duty readers{"sea-1", 1, false, {}, start};
+    freshness fresh{1s, start};
+    peer_exchange exchange{
+        {configurations, members, beliefs, registry, quarantine, readers},
+        fresh,
+        {},
+        1,
+        start};
+};
+
 // The name is the library's.
 void showValue( // NOLINT(readability-identifier-naming)
     const event& each, std::ostream& out) {
@@ -521,6 +573,49 @@
     // The longer it is silent the more rarely.
     CHECK_FALSE(exchange.due_request(start + 2 * answer_within));
     CHECK(exchange.due_request(start + 3 * answer_within));
+    unsigned asked = 0;
+    for (duration passed = 10s; passed < 70s; passed += step) {
+        asked += exchange.due_request(start + passed) ? 1 : 0;
+    }
+    CHECK(asked >= 60s / longest_silence);
+}
+
+TEST_CASE("of peers that have a file one that was not silent is asked") {
+    // Guards against a silent peer that is asked before one that would answer.
+    configuration_register here(parse_here);
+    configuration_exchange exchange(here, answer_within);
+    exchange.hear("pdx-1", {7, 0}, 0ms, start);
+    REQUIRE(exchange.due_request(start));
+    exchange.hear("pdx-2", {7, 0}, 0ms, start + 10ms);
+    exchange.hear("pdx-3", {8, 0}, 0ms, start + 20ms);
+    const auto second = exchange.due_request(start + answer_within);
+    REQUIRE(second);
+    CHECK(second->peer == "pdx-3");
+    const auto third = exchange.due_request(start + 2 * answer_within);
+    REQUIRE(third);
+    CHECK(third->peer == "pdx-2");
+}
+
+TEST_CASE("a file that came by another way is not waited for") {
+    // Guards against a newer file that waits for the answer of a silent peer.
+    configuration_register here(parse_here);
+    configuration_exchange exchange(here, answer_within);
+    exchange.hear("pdx-1", {7, 0}, 0ms, start);
+    REQUIRE(exchange.due_request(start));
+    here.offer({7, valid_here});
+    exchange.hear("pdx-2", {8, 0}, 0ms, start + 10ms);
+    CHECK(exchange.due_request(start + 10ms));
+}
+
+TEST_CASE("only who reads a platform that answers waits for it") {
+    // Guards against old routes for as long as nobody would tell, and against
+    // a file from a peer beside that of the platform.
+    const bool answers = GENERATE(true, false);
+    const bool reads = GENERATE(true, false);
+    CAPTURE(answers, reads);
+    platform_instance one(reads);
+    one.exchange.set_platform_answers(answers);
+    CHECK(one.asks_at_once() == !(answers && reads));
 }
 
 TEST_CASE("whatever peers do, a lacking file is asked for in time") {
