membership: a file that is wanted stays wanted when who named it is lost

What callers would see: 404 for routes that were added, on an instance that reads the platform or whose links come and go, until somebody names the file again.

Cause: what is wanted, when, and of whom were one. The loss of the link with the peer that had named a file first threw all three away: the wait for the platform began anew with the next word, for ever where links last less than the 250 ms; and of all others that had named the same file nothing was kept, so that nobody was asked.

Evidence: two unit tests, red before: no peer is asked within 1 s while the peer that names the file is lost every 50, 150 or 240 ms; and of two that named it nobody is asked 400 ms after the first was lost (0 requests).

Change: what each linked peer has is remembered until it is lost; what is wanted keeps its moment whoever is lost; whom to ask is decided when it is time, the newest file first, of who named it first, and one that did not send it last.

--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -55,9 +56,13 @@
     revision_message own_revision() const;
 
 private:
-    struct wanted_file {
-        std::string from;
+    // What a peer that is linked has, and how many had named theirs before.
+    struct named_file {
         revision_message theirs;
+        std::uint64_t number = 0;
+    };
+    struct wanted_file {
+        revision_message theirs; // the newest that were named
         time_point ask_at{};
     };
     struct asked_file {
@@ -77,15 +82,19 @@
         std::string from;
     };
 
-    void note_named(const std::string& peer, std::uint64_t revision,
+    void note_named(const std::string& peer, const revision_message& theirs,
                     time_point now);
     bool lacks(const revision_message& theirs) const;
-    bool waits_for(const revision_message& theirs) const;
+    // Who is to be asked, or an empty name.
+    std::string best_source() const;
+    bool asked_in_vain(const std::string& peer, const named_file& file) const;
     bool asked_for(const revision_message& theirs, time_point now) const;
     configuration_message message_of(const configuration_text& file);
 
     configuration_register& configurations_;
     duration answer_within_;
+    std::map<std::string, named_file> files_of_peers_;
+    std::uint64_t named_files_ = 0;
     std::optional<wanted_file> wanted_;
     std::optional<asked_file> asked_;
     std::uint64_t named_ = 0; // the newest revision that a peer had in force
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -1,6 +1,7 @@
 #include <waxwingvale/membership/configuration_exchange.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include <waxwingvale/model/configuration_file.hpp>
@@ -12,6 +13,15 @@
 // The platform's form of a file may be longer than our own.
 constexpr std::size_t text_limit = 4 * configuration_size_limit;
 
+revision_message newest_of(const revision_message& a,
+                           const revision_message& b) {
+    return {std::max(a.revision, b.revision), std::max(a.refused, b.refused)};
+}
+
+bool same(const revision_message& a, const revision_message& b) {
+    return a.revision == b.revision && a.refused == b.refused;
+}
+
 } // namespace
 
 configuration_exchange::configuration_exchange(
@@ -35,43 +45,41 @@
            theirs.refused <= asked_->theirs.refused;
 }
 
-// Whether what is to be asked for is as new. Word of a file that has come
-// meanwhile is still there until its time, and must not hold up word of the
-// next.
-bool configuration_exchange::waits_for(const revision_message& theirs) const {
-    return wanted_ && lacks(wanted_->theirs) &&
-           theirs.revision <= wanted_->theirs.revision &&
-           theirs.refused <= wanted_->theirs.refused;
-}
-
 void configuration_exchange::hear(const std::string& peer,
                                   const revision_message& theirs, duration wait,
                                   time_point now) {
-    note_named(peer, theirs.revision, now);
-    if (!lacks(theirs) || waits_for(theirs)) {
+    note_named(peer, theirs, now);
+    if (!lacks(theirs)) {
         return;
     }
     // Asked for already, the file is on its way from another peer.
-    auto ask_at = asked_for(theirs, now) ? asked_->until : now + wait;
-    // Word of a newer file changes what is asked for, and never when: changes
-    // that follow each other sooner than the wait ends would put it off for as
-    // long as they go on.
+    const auto ask_at = asked_for(theirs, now) ? asked_->until : now + wait;
+    // Word of a newer file, or from another peer, changes what is asked for
+    // and whom, and never when: changes that follow each other sooner than the
+    // wait ends would put it off for as long as they go on.
     if (wanted_ && lacks(wanted_->theirs)) {
-        ask_at = std::min(ask_at, wanted_->ask_at);
+        wanted_->theirs = newest_of(wanted_->theirs, theirs);
+        wanted_->ask_at = std::min(ask_at, wanted_->ask_at);
+    } else {
+        wanted_ = wanted_file{theirs, ask_at};
     }
-    wanted_ = wanted_file{peer, theirs, ask_at};
 }
 
 void configuration_exchange::note_named(const std::string& peer,
-                                        std::uint64_t revision,
+                                        const revision_message& theirs,
                                         time_point now) {
-    if (revision > named_) {
-        named_ = revision;
+    auto& file = files_of_peers_[peer];
+    const auto newest = newest_of(file.theirs, theirs);
+    if (!same(newest, file.theirs)) {
+        file = {newest, ++named_files_};
+    }
+    if (theirs.revision > named_) {
+        named_ = theirs.revision;
         named_by_ = peer;
     }
     const auto mine = configurations_.revision();
     const bool known_behind = behind_ && behind_->in_force == mine;
-    if (revision > mine && !known_behind) {
+    if (theirs.revision > mine && !known_behind) {
         behind_ = time_behind{mine, now, 0};
     }
 }
@@ -95,10 +103,9 @@
     return std::max(mine.revision, mine.refused) >= named_;
 }
 
+// What it named stays wanted, of others that have it or will name it.
 void configuration_exchange::lost(const std::string& peer, time_point now) {
-    if (wanted_ && wanted_->from == peer) {
-        wanted_.reset();
-    }
+    files_of_peers_.erase(peer);
     if (!asked_ || asked_->from != peer) {
         return;
     }
@@ -108,24 +115,51 @@
     }
 }
 
+bool configuration_exchange::asked_in_vain(const std::string& peer,
+                                           const named_file& file) const {
+    return asked_ && asked_->from == peer && same(file.theirs, asked_->theirs);
+}
+
+// The newest file, of the peer that named it first; one that was asked for it
+// and has not sent it comes last.
+std::string configuration_exchange::best_source() const {
+    using rank = std::tuple<bool, std::uint64_t, std::uint64_t, std::uint64_t>;
+    std::string best;
+    rank of_best;
+    for (const auto& [peer, file] : files_of_peers_) {
+        const rank of{asked_in_vain(peer, file), ~file.theirs.revision,
+                      ~file.theirs.refused, file.number};
+        if (lacks(file.theirs) && (best.empty() || of < of_best)) {
+            best = peer;
+            of_best = of;
+        }
+    }
+    return best;
+}
+
 std::optional<addressed_message>
 configuration_exchange::due_request(time_point now) {
     if (!wanted_ || now < wanted_->ask_at) {
         return std::nullopt;
     }
-    const auto wanted = std::move(*wanted_);
-    wanted_.reset();
-    if (!lacks(wanted.theirs)) {
+    if (!lacks(wanted_->theirs)) {
+        wanted_.reset();
         return std::nullopt;
     }
-    asked_ = asked_file{wanted.from, wanted.theirs, now + answer_within_};
+    const auto from = best_source();
+    if (from.empty()) {
+        return std::nullopt; // until somebody names it again
+    }
+    asked_ =
+        asked_file{from, files_of_peers_.at(from).theirs, now + answer_within_};
+    wanted_->ask_at = asked_->until;
     if (behind_) {
         ++behind_->asked;
     }
     const auto mine = own_revision();
     return addressed_message{
-        wanted.from, std::make_shared<const exchange_message>(
-                         configuration_request{mine.revision, mine.refused})};
+        from, std::make_shared<const exchange_message>(
+                  configuration_request{mine.revision, mine.refused})};
 }
 
 configuration_message
--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -103,6 +103,56 @@
     CHECK(one.requests(start + 20ms) == 1);
 }
 
+TEST_CASE("links that come and go do not put off asking for a file") {
+    // Guards against an old file for as long as whoever named a newer one is
+    // lost before the wait for the platform ends.
+    const auto kept_for = GENERATE(50ms, 150ms, 240ms);
+    exchanging_instance one;
+    one.exchange.set_platform_answers(true);
+    one.configurations.offer({1, "first"});
+    one.exchange.link_up(peer_name(0), start);
+    records_message records;
+    records.answers_request = true;
+    one.exchange.receive(peer_name(0), records, start);
+    one.exchange.tick(start);
+    one.requests(start);
+    unsigned asked = 0;
+    unsigned turn = 0;
+    for (auto now = start; now < start + 1s; now += 10ms) {
+        if ((now - start) % kept_for == 0s) {
+            one.exchange.link_down(peer_name(turn % 2), now);
+            ++turn;
+            one.exchange.link_up(peer_name(turn % 2), now);
+            one.exchange.receive(peer_name(turn % 2), revision_message{2, 0},
+                                 now);
+        }
+        one.exchange.tick(now);
+        asked += one.requests(now);
+    }
+    CAPTURE(kept_for / 1ms);
+    CHECK(asked > 0);
+}
+
+TEST_CASE("a file is asked for although the first that named it is lost") {
+    // Guards against an old file until somebody happens to name the newer one
+    // again, although others that have it did.
+    exchanging_instance one;
+    one.exchange.set_platform_answers(true);
+    one.configurations.offer({1, "first"});
+    one.exchange.link_up("pdx-1", start);
+    one.exchange.link_up("pdx-2", start);
+    records_message records;
+    records.answers_request = true;
+    one.exchange.receive("pdx-1", records, start);
+    one.exchange.tick(start);
+    one.requests(start);
+    one.exchange.receive("pdx-1", revision_message{2, 0}, start);
+    one.exchange.receive("pdx-2", revision_message{2, 0}, start + 10ms);
+    one.exchange.link_down("pdx-1", start + 20ms);
+    one.exchange.tick(start + 400ms);
+    CHECK(one.requests(start + 400ms) == 1);
+}
+
 TEST_CASE("an instance that starts serves no older file than its peers") {
     // The platform was restored from a copy and gives out an old configuration.
     // An instance that is started then reads it; served by it, callers would
