--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -94,8 +94,9 @@
 
     configuration_register& configurations_;
     duration answer_within_;
-    words words_;         // of peers with a link
-    time_point ask_at_{}; // since the first word of a file that is lacking
+    words words_;                  // of peers with a link
+    revision_message newest_word_; // of any, also of those that were lost
+    time_point ask_at_{}; // by the first word of a file that is lacking
     std::optional<asked_file> asked_;
     // Files that came and were not taken: they are not asked for again.
     std::set<std::uint64_t> turned_down_;
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -17,6 +17,11 @@
 // So many files that were turned down are remembered, the newest.
 constexpr std::size_t most_turned_down = 64;
 
+revision_message newest_of(const revision_message& a,
+                           const revision_message& b) {
+    return {std::max(a.revision, b.revision), std::max(a.refused, b.refused)};
+}
+
 } // namespace
 
 configuration_exchange::configuration_exchange(
@@ -46,27 +51,28 @@
 }
 
 bool configuration_exchange::lacks_any() const {
-    return std::any_of(words_.begin(), words_.end(), [this](const auto& each) {
-        return lacks(each.second.theirs);
-    });
+    return lacks(newest_word_) ||
+           std::any_of(words_.begin(), words_.end(), [this](const auto& each) {
+               return lacks(each.second.theirs);
+           });
 }
 
 // Word of a newer file changes what is asked for, and never when: changes that
 // follow each other sooner than the wait ends would put it off for as long as
-// they go on.
+// they go on, and so would links that are lost before it ends.
 void configuration_exchange::hear(const std::string& peer,
                                   const revision_message& theirs, duration wait,
                                   time_point now) {
     note_named(peer, theirs.revision, now);
     const auto ask_at = now + wait;
     ask_at_ = lacks_any() ? std::min(ask_at_, ask_at) : ask_at;
+    newest_word_ = newest_of(newest_word_, theirs);
     auto& word = words_[peer];
     if (!lacks(word.theirs)) {
         word.ask_again_at = now;
         forget_asked(peer);
     }
-    word.theirs.revision = std::max(word.theirs.revision, theirs.revision);
-    word.theirs.refused = std::max(word.theirs.refused, theirs.refused);
+    word.theirs = newest_of(word.theirs, theirs);
 }
 
 void configuration_exchange::note_named(const std::string& peer,
