test: what real instances answer while the configuration changes ten times a second

Five instances, one of which reads the platform, an operator who publishes every 250 or 100 ms files that always keep some services and add and drop others, and callers on all instances. Meanwhile instances are killed, stopped and started, the platform is silent or stale, and links are replaced.

Stand-ins: an instance that leaves the platform to others logs so before it is ready; the ready line is the first that is a document.

--- a/test/standin/control_fleet.cpp
+++ b/test/standin/control_fleet.cpp
@@ -19,6 +19,7 @@
 constexpr const char* shared_key = "a key that the whole fleet shares";
 constexpr const char* admin_token = "a token of the fleet";
 constexpr duration bound = std::chrono::seconds(30);
+constexpr unsigned seed_count = 2;
 
 std::string make_folder() {
     auto pattern =
@@ -41,6 +42,42 @@
     for (unsigned each = 0; each < options_.instances; ++each) {
         ports_.push_back({free_port(), free_port(), free_port(), free_port()});
     }
+    if (options_.relays) {
+        start_relays();
+    }
+}
+
+// One for each instance before the platform, then one before each seed.
+void control_fleet::start_relays() {
+    std::vector<std::string> targets(size(),
+                                     "--to=" + std::to_string(platform_port_));
+    for (unsigned each = 0; each < seed_count && each < size(); ++each) {
+        targets.push_back("--to=" + std::to_string(ports_[each].control));
+    }
+    relays_ = std::make_unique<child_process>("standin-relay", targets);
+    relay_ready_ = relays_->read_ready();
+}
+
+void control_fleet::set_relay(std::size_t route,
+                              const std::string& mode) const {
+    http_post(relay_ready_.at("port").get<std::uint16_t>(),
+              "/control/route?route=" + std::to_string(route) +
+                  "&mode=" + mode);
+}
+
+std::uint16_t control_fleet::relay_port(std::size_t route) const {
+    return relay_ready_.at("routes").at(route).at("port").get<std::uint16_t>();
+}
+
+void control_fleet::relay_platform(unsigned instance,
+                                   const std::string& mode) const {
+    set_relay(instance, mode);
+}
+
+void control_fleet::relay_seeds(const std::string& mode) const {
+    for (unsigned each = 0; each < seed_count && each < size(); ++each) {
+        set_relay(size() + each, mode);
+    }
 }
 
 control_fleet::~control_fleet() {
@@ -58,20 +95,46 @@
     return ports_.at(instance).admin;
 }
 
+std::uint16_t control_fleet::caller_port(unsigned instance) const {
+    return ports_.at(instance).caller;
+}
+
+std::uint16_t control_fleet::steer_port(unsigned instance) const {
+    return ports_.at(instance).steer;
+}
+
 child_process& control_fleet::process(unsigned instance) {
     return processes_.at(instance);
 }
 
-std::string control_fleet::settings_of(unsigned instance) const {
-    const auto& own = ports_.at(instance);
+json control_fleet::seeds() const {
+    json named = json::array();
+    for (unsigned each = 0;
+         options_.seeds && each < seed_count && each < size(); ++each) {
+        const auto port =
+            relays_ ? relay_port(size() + each) : ports_.at(each).control;
+        named.push_back({{"host", "127.0.0.1"}, {"control_port", port}});
+    }
+    return named;
+}
+
+json control_fleet::platform_of(unsigned instance) const {
     const bool reaches =
         !options_.reaches_platform || options_.reaches_platform(instance);
-    json seeds = json::array();
-    for (unsigned each = 0; options_.seeds && each < 2 && each < size();
-         ++each) {
-        seeds.push_back(
-            {{"host", "127.0.0.1"}, {"control_port", ports_.at(each).control}});
+    const auto port = !reaches  ? closed_port_
+                      : relays_ ? relay_port(instance)
+                                : platform_port_;
+    json read_so = {{"host", "127.0.0.1"}, {"port", port}};
+    if (options_.readers > 0) {
+        read_so["readers"] = options_.readers;
+        read_so["watch_ms"] = 600;
+        read_so["answer_within_ms"] = 400;
     }
+    return read_so;
+}
+
+std::string control_fleet::settings_of(unsigned instance) const {
+    const auto& own = ports_.at(instance);
     const auto& centres = options_.data_centres;
     const json settings = {
         {"settings_version", 2},
@@ -79,10 +142,8 @@
          {{"name", name_of(instance)},
           {"data_centre", centres[instance % centres.size()]},
           {"host", "127.0.0.1"}}},
-        {"platform",
-         {{"host", "127.0.0.1"},
-          {"port", reaches ? platform_port_ : closed_port_}}},
-        {"peers", {{"shared_key", shared_key}, {"seeds", seeds}}},
+        {"platform", platform_of(instance)},
+        {"peers", {{"shared_key", shared_key}, {"seeds", seeds()}}},
         {"entry", {{"caller_port", own.caller}}},
         {"steer", {{"steer_port", own.steer}}},
         {"control",
@@ -124,7 +185,8 @@
 }
 
 void control_fleet::publish(const std::string& value, const std::string& body,
-                            std::optional<std::uint64_t> revision) {
+                            std::optional<std::uint64_t> revision,
+                            std::function<void()> acknowledged) {
     io::http_call call;
     call.host = "127.0.0.1";
     call.port = platform_port_;
@@ -134,7 +196,12 @@
         call.target += "?revision=" + std::to_string(*revision);
     }
     call.body = body;
-    client_.send(std::move(call), [](const io::http_call_result&) {});
+    client_.send(std::move(call), [then = std::move(acknowledged)](
+                                      const io::http_call_result& ended) {
+        if (then && status_of(ended) == 200) {
+            then();
+        }
+    });
 }
 
 void control_fleet::fault(const std::string& query) {
@@ -172,13 +239,22 @@
     return seen;
 }
 
-bool control_fleet::is_fresh(unsigned instance) const {
+io::http_call control_fleet::admin_call(unsigned instance,
+                                        const std::string& target) const {
     io::http_call call;
     call.host = "127.0.0.1";
     call.port = admin_port(instance);
-    call.target = "/v1/status";
+    call.target = target;
     call.headers = {{"Authorization", std::string("Bearer ") + admin_token}};
-    const auto answer = http_request_once(std::move(call));
+    return call;
+}
+
+void control_fleet::send(io::http_call call, io::http_client::handler on_done) {
+    client_.send(std::move(call), std::move(on_done));
+}
+
+bool control_fleet::is_fresh(unsigned instance) const {
+    const auto answer = http_request_once(admin_call(instance, "/v1/status"));
     return status_of(answer) == 200 &&
            json::parse(body_of(answer)).at("fresh").get<bool>();
 }
--- a/test/standin/control_fleet.hpp
+++ b/test/standin/control_fleet.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "standin/node_observer.hpp"
 #include "standin/process.hpp"
 #include <waxwingvale/io/http_client.hpp>
@@ -24,6 +26,11 @@
     // Whether seeds name the first two instances; else only the platform's
     // list tells who there is.
     bool seeds = true;
+    // Instances that read the platform for all; 0: each for itself.
+    unsigned readers = 0;
+    // Whether each instance reaches the platform, and the seeds, by a relay of
+    // its own.
+    bool relays = false;
 };
 
 // Entry instances and a stand-in platform on this machine, each instance with
@@ -38,6 +45,8 @@
     unsigned size() const { return options_.instances; }
     std::string name_of(unsigned instance) const;
     std::uint16_t admin_port(unsigned instance) const;
+    std::uint16_t caller_port(unsigned instance) const;
+    std::uint16_t steer_port(unsigned instance) const;
     child_process& process(unsigned instance);
 
     void start(unsigned instance);
@@ -45,10 +54,16 @@
     // A process that has ended may be started again at the same ports.
     void start_again(unsigned instance);
 
-    // Publishes through the stand-in's control port, without waiting.
+    // Publishes through the stand-in's control port, without waiting; tells
+    // when the platform has taken it.
     void publish(const std::string& value, const std::string& body,
-                 std::optional<std::uint64_t> revision = {});
+                 std::optional<std::uint64_t> revision = {},
+                 std::function<void()> acknowledged = {});
     void fault(const std::string& query);
+    // With relays: "pass", "blackhole"... between that instance and the
+    // platform; of the links by which seeds are asked.
+    void relay_platform(unsigned instance, const std::string& mode) const;
+    void relay_seeds(const std::string& mode) const;
     // The platform's list with all instances, and these backend servers.
     std::string instances_value(const std::string& backend_servers = "") const;
 
@@ -58,6 +73,11 @@
     // it was not after it had been stopped.
     bool is_fresh(unsigned instance) const;
     unsigned late_wakeups(unsigned instance) const;
+    // A call of the administration API, to be sent.
+    io::http_call admin_call(unsigned instance,
+                             const std::string& target) const;
+    // Sends on this fleet's loop, without waiting.
+    void send(io::http_call call, io::http_client::handler on_done);
     // For a failed check: what that view says, in one line.
     std::string describe(unsigned instance) const;
     // When word of the instance came last.
@@ -82,6 +102,11 @@
         std::uint16_t steer = 0;
     };
 
+    void start_relays();
+    void set_relay(std::size_t route, const std::string& mode) const;
+    std::uint16_t relay_port(std::size_t route) const;
+    nlohmann::json seeds() const;
+    nlohmann::json platform_of(unsigned instance) const;
     std::string settings_of(unsigned instance) const;
     std::string settings_file(unsigned instance) const;
     void observe(unsigned instance);
@@ -96,6 +121,8 @@
     std::uint16_t platform_port_ = 0;
     std::uint16_t closed_port_ = 0;
     std::vector<ports> ports_;
+    std::unique_ptr<child_process> relays_;
+    nlohmann::json relay_ready_;
     std::map<unsigned, child_process> processes_;
     std::map<unsigned, std::unique_ptr<node_observer>> observers_;
 };
--- a/test/standin/process.cpp
+++ b/test/standin/process.cpp
@@ -206,7 +206,11 @@
 }
 
 nlohmann::json child_process::read_ready(milliseconds bound) {
-    return nlohmann::json::parse(read_line(bound));
+    auto line = read_line(bound);
+    while (line.empty() || line.front() != '{') {
+        line = read_line(bound); // of the log
+    }
+    return nlohmann::json::parse(line);
 }
 
 std::string child_process::read_rest(milliseconds bound) {
--- a/test/standin/process.hpp
+++ b/test/standin/process.hpp
@@ -48,7 +48,8 @@
     // The next line of its standard output. Throws when none comes within the
     // bound or the output ends.
     std::string read_line(std::chrono::milliseconds bound = patience);
-    // The next line, decoded; stand-ins print one such line when ready.
+    // The next line that is a document, decoded; programs print one such line
+    // when ready, after what they have to log before.
     nlohmann::json read_ready(std::chrono::milliseconds bound = patience);
     // All further output up to its end.
     std::string read_rest(std::chrono::milliseconds bound = patience);
