--- /dev/null
+++ b/test/platform/stand_in_store.cpp
@@ -0,0 +1,109 @@
+#include "platform/stand_in_store.hpp"
+
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "platform/wire_names.hpp"
+
+namespace waxwingvale::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned status_ok = 200;
+constexpr std::uint64_t usual_wait_ms = 1000;
+
+std::string base64(const std::string& bytes) {
+    constexpr char letters[] =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string text;
+    for (std::size_t at = 0; at < bytes.size(); at += 3) {
+        std::uint32_t three = 0;
+        for (std::size_t i = at; i < at + 3; ++i) {
+            const auto byte =
+                i < bytes.size() ? static_cast<unsigned char>(bytes[i]) : 0U;
+            three = three << 8U | byte;
+        }
+        const auto known = std::min<std::size_t>(bytes.size() - at, 3);
+        for (std::size_t i = 0; i < 4; ++i) {
+            const auto letter = three >> (18U - 6U * i) & 63U;
+            text += i <= known ? letters[letter] : '=';
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+stand_in_store::stand_in_store(kernel::event_loop& loop,
+                               kernel::timer_service& timers)
+    : timers_(timers), server_(loop, {}) {
+    const auto started =
+        server_.start([this](const io::http_request& request,
+                             const io::http_responder& respond) {
+            answer(request, respond);
+        });
+    if (!started) {
+        throw std::runtime_error(to_string(started.error()));
+    }
+}
+
+std::uint64_t stand_in_store::write(const std::string& configuration) {
+    ++revision_;
+    configuration_ = configuration;
+    for (const auto& each : watches_) {
+        if (!silent_) {
+            each.respond({status_ok, {}, changes(each.after)});
+        }
+    }
+    watches_.clear();
+    return revision_;
+}
+
+void stand_in_store::answer(const io::http_request& request,
+                            const io::http_responder& respond) {
+    const standin::request_target asked(request.target);
+    if (!silent_ && asked.path() == wire::range_path) {
+        respond({status_ok, {}, list()});
+    } else if (!silent_ && asked.number("after", 0) < revision_) {
+        respond({status_ok, {}, changes(asked.number("after", 0))});
+    } else {
+        add_watch(asked, respond);
+    }
+}
+
+std::string stand_in_store::list() const {
+    const json item = {{"Key", wire::configuration_key},
+                       {"Value", base64(configuration_)},
+                       {"Revision", revision_}};
+    return json{{"items", {item}}, {"HasMore", false}, {"AsOf", revision_}}
+        .dump();
+}
+
+std::string stand_in_store::changes(std::uint64_t after) const {
+    auto events = json::array();
+    if (after < revision_) {
+        events.push_back({{"Key", wire::configuration_key},
+                          {"Value", base64(configuration_)},
+                          {"Revision", revision_}});
+    }
+    return json{{"events", events}, {"AsOf", revision_}}.dump();
+}
+
+void stand_in_store::add_watch(const standin::request_target& asked,
+                               const io::http_responder& respond) {
+    watches_.push_back({asked.number("after", 0), respond, {}});
+    const auto added = std::prev(watches_.end());
+    added->expiry = timers_.after(
+        std::chrono::milliseconds(asked.number("WaitMs", usual_wait_ms)),
+        [this, added](time_point) {
+            if (!silent_) {
+                added->respond({status_ok, {}, changes(added->after)});
+            }
+            watches_.erase(added);
+        });
+}
+
+} // namespace waxwingvale::platform
--- /dev/null
+++ b/test/platform/stand_in_store.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <string>
+
+#include <waxwingvale/io/http_server.hpp>
+#include <waxwingvale/kernel/timer_service.hpp>
+
+#include "standin/request_target.hpp"
+
+namespace waxwingvale::platform {
+
+// The platform's store with the operator's configuration and nothing else,
+// read and watched on the loop of the test.
+class stand_in_store {
+public:
+    stand_in_store(kernel::event_loop& loop, kernel::timer_service& timers);
+    std::uint16_t port() const { return server_.port(); }
+    std::uint64_t write(const std::string& configuration);
+    // From now on no question is answered; those of the time stay so.
+    void set_silent(bool silent) { silent_ = silent; }
+
+private:
+    struct watch {
+        std::uint64_t after = 0;
+        io::http_responder respond;
+        kernel::timer_service::subscription expiry;
+    };
+
+    void answer(const io::http_request& request,
+                const io::http_responder& respond);
+    std::string list() const;
+    std::string changes(std::uint64_t after) const;
+    void add_watch(const standin::request_target& asked,
+                   const io::http_responder& respond);
+
+    kernel::timer_service& timers_;
+    io::http_server server_;
+    std::list<watch> watches_;
+    std::string configuration_;
+    std::uint64_t revision_ = 1;
+    bool silent_ = false;
+};
+
+} // namespace waxwingvale::platform
