membership: word that waited while the process was stopped is not taken for new

What callers would see: 404 for routes added over 2 s ago, and work for backend servers that left, on an instance that wakes or listens to one that did, while its reader or feed is stopped too.

Cause: word of the platform carries its age as of its sending. What lay in the sockets of a stopped process counted as if sent at the wake-up; the instance took word of up to 3 s ago for new, passed it on as such, and all who heard it put off reading for themselves by as much. Each wake-up did it again.

Unit test, red: after 3 s of sleep, word that waited makes the platform's age 0 s.

Change: after a late wake-up a peer's word does not count for the platform's age until that peer has answered the digest that the wake-up sends to all; what it names, files and tables, counts as before. Whoever has not answered is asked again with each further digest, as when a link is replaced (second unit test, red with the first part alone).

--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -155,6 +155,8 @@
               time_point now);
     void take(const std::string& peer, const records_request& message,
               time_point now);
+    void take_age(const std::string& peer, const platform_word& message,
+                  time_point now);
     void merge_records(const std::string& peer, const records_message& message,
                        time_point now);
     bool take_listening(const std::string& peer, listening change,
@@ -176,7 +178,7 @@
     void send(const std::string& peer, exchange_message message);
     void send_to_all(const std::set<std::string>& peers,
                      exchange_message message);
-    std::uint64_t epoch_if_asking() const;
+    std::uint64_t epoch_for(const std::string& peer) const;
     void choose_feed(time_point now);
     void pass_on_changes(time_point now);
     // By the peer that told us; an empty name: learned here.
@@ -216,6 +218,9 @@
     bool platform_answers_ = false;
     bool introduced_ = false;
     bool settled_ = false; // introduced() was true once
+    // Asked after a late wake-up: until they answer, their word may have lain
+    // waiting in the socket.
+    std::set<std::string> not_heard_since_wake_;
     // Who told us what is waiting to be passed on.
     std::map<std::string, std::string> member_origin_;
     std::map<std::string, std::string> belief_origin_;
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -79,14 +79,14 @@
     for (auto at = greet_at_.begin(); at != greet_at_.end();) {
         const bool due = now >= at->second;
         if (due) {
-            send_digest(at->first, epoch_if_asking(), 0);
+            send_digest(at->first, epoch_for(at->first), 0);
         }
         at = due ? greet_at_.erase(at) : std::next(at);
     }
     for (auto at = strangers_.begin(); at != strangers_.end();) {
         const bool due = now >= at->second;
         if (due && !is_member(at->first)) {
-            send_digest(at->first, epoch_if_asking(), 0);
+            send_digest(at->first, epoch_for(at->first), 0);
         }
         at = due ? strangers_.erase(at) : std::next(at);
     }
@@ -98,6 +98,7 @@
     word_of_peer_.erase(peer);
     greet_at_.erase(peer);
     strangers_.erase(peer);
+    not_heard_since_wake_.erase(peer);
     files_.lost(peer, now);
     if (asked_ && asked_->peer == peer) {
         asked_.reset();
@@ -119,7 +120,7 @@
         return;
     }
     if (routes_.feed() == peer) {
-        send_digest(peer, epoch_if_asking(), 0, listening::starts);
+        send_digest(peer, epoch_for(peer), 0, listening::starts);
     } else {
         greet_at_[peer] = now;
     }
@@ -128,7 +129,7 @@
 void peer_exchange::choose_feed(time_point now) {
     for (const auto& change : routes_.choose_feed(state_.members, now)) {
         ++counters_.feeds_changed;
-        send_digest(change.peer, change.start ? epoch_if_asking() : 0, 0,
+        send_digest(change.peer, change.start ? epoch_for(change.peer) : 0, 0,
                     change.start ? listening::starts : listening::ends);
     }
 }
@@ -147,6 +148,9 @@
     const bool same = message.tables == fingerprints_of(state_);
     counters_.digests_differed += same ? 0 : 1;
     introduced_ = introduced_ || same;
+    if (message.answers == fresh_.epoch()) {
+        not_heard_since_wake_.erase(peer);
+    }
     if (message.answers != 0) {
         take_answer(peer, message.answers, same);
     }
@@ -370,12 +374,9 @@
 
 void peer_exchange::take(const std::string& peer, const platform_word& message,
                          time_point now) {
-    if (state_.readers.hear(message.reader, message.age, now)) {
-        routes_.hear_newer(peer, now);
-        word_origin_ = peer;
+    if (not_heard_since_wake_.count(peer) == 0) {
+        take_age(peer, message, now);
     }
-    auto& theirs = word_of_peer_[peer];
-    theirs = std::max(theirs, now - message.age);
     want_configuration(peer, {message.revision, 0}, now);
     if (message.registry != state_.registry.fingerprint()) {
         // What a link swallowed as it broke would else be missed until the
@@ -386,6 +387,16 @@
     }
 }
 
+void peer_exchange::take_age(const std::string& peer,
+                             const platform_word& message, time_point now) {
+    if (state_.readers.hear(message.reader, message.age, now)) {
+        routes_.hear_newer(peer, now);
+        word_origin_ = peer;
+    }
+    auto& theirs = word_of_peer_[peer];
+    theirs = std::max(theirs, now - message.age);
+}
+
 void peer_exchange::tick(time_point now) {
     settled_ = settled_ || introduced();
     accuse_silent(now);
@@ -430,7 +441,7 @@
     std::uniform_int_distribution<std::size_t> pick(0, linked().size() - 1);
     const auto peer =
         std::next(linked().begin(), static_cast<std::ptrdiff_t>(pick(random_)));
-    send_digest(*peer, epoch_if_asking(), 0);
+    send_digest(*peer, epoch_for(*peer), 0);
 }
 
 void peer_exchange::woke_late(time_point now) {
@@ -438,14 +449,17 @@
     for (auto& [peer, deadline] : awaited_) {
         deadline = now + timing_.connect_grace;
     }
+    not_heard_since_wake_ = linked();
     for (const auto& peer : linked()) {
         send_digest(peer, fresh_.epoch(), 0);
     }
 }
 
-// What a view that is not fresh asks with.
-std::uint64_t peer_exchange::epoch_if_asking() const {
-    return fresh_.fresh() ? 0 : fresh_.epoch();
+// What a view that is not fresh asks with, and a peer that has not answered
+// since a late wake-up is asked with.
+std::uint64_t peer_exchange::epoch_for(const std::string& peer) const {
+    const bool asks = !fresh_.fresh() || not_heard_since_wake_.count(peer) > 0;
+    return asks ? fresh_.epoch() : 0;
 }
 
 } // namespace waxwingvale::membership
--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -280,6 +280,47 @@
     CHECK(one.requests(start + 1ms) == 1);
 }
 
+TEST_CASE("word that waited while the process was stopped is not new") {
+    // Guards against an instance that wakes, and those that listen to it, who
+    // trust old word and read the platform too late for themselves.
+    exchanging_instance one(1);
+    one.exchange.link_up("pdx-1", start);
+    const platform_word word{"pdx-1", 0ms, one.registry.fingerprint(), 0};
+    one.fresh.beat(start);
+    one.exchange.receive("pdx-1", word, start);
+    const auto woken = start + 3s;
+    REQUIRE(one.fresh.beat(woken));
+    one.exchange.woke_late(woken);
+    one.exchange.receive("pdx-1", word, woken);
+    CHECK(one.readers.age(woken) == 3s);
+    digest_message answer;
+    answer.answers = one.fresh.epoch();
+    one.exchange.receive("pdx-1", answer, woken + 1ms);
+    one.exchange.receive("pdx-1", word, woken + 2ms);
+    CHECK(one.readers.age(woken + 2ms) == 0s);
+}
+
+TEST_CASE("a peer is asked again whose answer after a wake-up was lost") {
+    // Guards against word of a peer that counts for old as long as the link
+    // lasts.
+    exchanging_instance one(1);
+    one.exchange.link_up("pdx-1", start);
+    one.fresh.beat(start);
+    const auto woken = start + 3s;
+    REQUIRE(one.fresh.beat(woken));
+    one.exchange.woke_late(woken);
+    one.fresh.hear(one.fresh.epoch());
+    one.exchange.take_messages(woken);
+    one.exchange.link_replaced("pdx-1", woken + 1ms);
+    one.exchange.tick(woken + 1ms);
+    unsigned asked = 0;
+    for (const auto& each : one.exchange.take_messages(woken + 1ms)) {
+        const auto* digest = std::get_if<digest_message>(&*each.message);
+        asked += digest != nullptr && digest->asks == one.fresh.epoch() ? 1 : 0;
+    }
+    CHECK(asked > 0);
+}
+
 TEST_CASE("an instance tells which newer file it waits for") {
     // Guards against instances that stay at an old file without a word why.
     exchanging_instance one;
