entry: before a configuration is known nothing is too large for good

What callers would see: a request with a head over 32 KiB, or a body over the settings' limit, that the operator allows is answered 431 or 413 by an instance that has just started; nobody sends such a request again.

Cause: until the first configuration the limits of the settings decided, although any configuration may be wider. Everything else is answered 503 then.

Change: before the first configuration heads up to 128 KiB and bodies of any length get as far as the answer that there is no configuration yet. A body is not read for it.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -25,6 +25,17 @@
     return options;
 }
 
+// Before a configuration is known nobody can say what is too large: such a
+// request is answered like all others, and can come again.
+caller_limits limits_before_configuration() {
+    constexpr std::size_t longest_head = 128UL * 1024;              // bytes
+    constexpr std::uint64_t longest_body = std::uint64_t{1} << 40U; // bytes
+    caller_limits limits;
+    limits.head = longest_head;
+    limits.body = longest_body;
+    return limits;
+}
+
 caller_limits limits_of(const program::settings& from) {
     caller_limits limits;
     limits.body = from.entry.body_limit;
@@ -48,7 +59,7 @@
       calls_(self_, protocol, environment.timers, pool_, hub_, metrics_, *this),
       prober_(self_.name, protocol, environment.timers, pool_, metrics_.probes,
               *this) {
-    callers_.change_limits(limits_of(environment.settings));
+    callers_.change_limits(limits_before_configuration());
     wire_peers();
 }
 
