--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -44,6 +44,8 @@
     std::string host; // IP number
     std::uint16_t port = 0;
     duration watch = std::chrono::seconds(10); // longest wait for a change
+    // Longest time without a byte of an answer. One that goes on coming has
+    // several times as long.
     duration answer_within = std::chrono::seconds(3);
     std::uint64_t seed = 0; // of the backoff's jitter
 };
@@ -69,7 +71,9 @@
     // Marks what is asked for from here on.
     void set_epoch(std::uint64_t epoch) { epoch_ = epoch; }
     // Ends the watches and asks anew at once, without waiting for a change:
-    // answers to what was asked before a late wake-up prove nothing.
+    // answers to what was asked before a late wake-up prove nothing. A list
+    // that is half read is read to its end first, and bears its own epoch:
+    // given up at every wake-up, it might never end.
     void read_again();
     // Asks no more until resume(), which reads everything anew. What was asked
     // is paid for, so its answer still counts.
@@ -87,15 +91,23 @@
         reading_handler on_reading;
         std::uint64_t revision = 0; // to watch from
         bool listed = false; // changes are watched; else it is read whole
+        bool again = false;  // once the list is read it is read anew
         std::vector<published_item> pages; // read so far
-        http_client::call_id call = 0;
+        std::uint64_t epoch = 0;           // in which the first was asked for
+        http_client::call_id call = 0;     // under way, or 0
+        std::uint64_t received = 0;        // of its answer, when last looked at
+        kernel::timer_service::subscription silence;
         kernel::timer_service::subscription next;
         bool waits = false; // for another topic's read to succeed
     };
 
     void start_reading();
+    // Its list goes on from where it is.
+    static bool half_read(const watched_topic& topic);
     void read_when_allowed(const std::string& name, duration at_least);
     void read(const std::string& name);
+    // Gives the call up if nothing more of its answer has come.
+    void look_for_silence(const std::string& name, duration after);
     void finish(const std::string& name, std::uint64_t asked_in,
                 http_call_result got);
     void take_page(const std::string& name, std::uint64_t asked_in,
@@ -104,6 +116,8 @@
                       const http_response& response);
     void succeed(const std::string& name);
     void fail(const std::string& name, const error& why);
+    // It may be only that topic which is not to be had.
+    void hand_on_probing();
     void set_answers(bool answers, const error& why);
 
     http_client& client_;
@@ -116,6 +130,7 @@
     // answers. The others wait for it: a platform that is down would else be
     // asked, and every question paid for, once for each of them.
     std::optional<std::string> probing_;
+    unsigned probes_failed_ = 0; // in a row, of that topic
     state_handler on_state_;
     std::uint64_t epoch_ = 0;
     bool answers_ = false;
--- a/test/links/hostile_peer_test.cpp
+++ b/test/links/hostile_peer_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "hub_pair.hpp"
 #include "io/link_authentication.hpp"
@@ -213,3 +214,79 @@
     CHECK_FALSE(hub->connected("b"));
     CHECK(hub->counters().dropped_slow == 1);
 }
+
+TEST_CASE("a silent link is dropped although the process is stopped often") {
+    // Guards against a dead link that keeps an instance from all news for as
+    // long as its machine is stopped again and again.
+    hub_bench bench;
+    kernel::manual_clock clock;
+    kernel::timer_service timers(clock);
+    io::message_hub_options options;
+    options.self_name = "a";
+    options.shared_key = "secret";
+    io::message_hub hub(bench.loop, timers, options);
+    REQUIRE(hub.listen("127.0.0.1", 0).has_value());
+    hand_made_peer peer(bench, hub.port());
+    peer.prove(bench);
+    REQUIRE(bench.run_until([&] { return hub.connected("b"); }));
+    peer.socket->stop_watching();
+    constexpr int most_stops = 20;
+    int stops = 0;
+    while (hub.connected("b") && stops < most_stops) {
+        ++stops;
+        clock.advance(std::chrono::milliseconds(1200));
+        timers.fire_due();
+        bench.loop.run_once(false);
+    }
+    CAPTURE(stops);
+    CHECK_FALSE(hub.connected("b"));
+    CHECK(hub.counters().dropped_silent == 1);
+}
+
+TEST_CASE("being stopped for long is not the peer's silence") {
+    hub_bench bench;
+    kernel::manual_clock clock;
+    kernel::timer_service timers(clock);
+    io::message_hub_options options;
+    options.self_name = "a";
+    options.shared_key = "secret";
+    io::message_hub hub(bench.loop, timers, options);
+    REQUIRE(hub.listen("127.0.0.1", 0).has_value());
+    hand_made_peer peer(bench, hub.port());
+    peer.prove(bench);
+    REQUIRE(bench.run_until([&] { return hub.connected("b"); }));
+    peer.socket->stop_watching();
+    clock.advance(std::chrono::minutes(1));
+    timers.fire_due();
+    bench.loop.run_once(false);
+    CHECK(hub.connected("b"));
+}
+
+TEST_CASE("strangers that keep connecting do not keep a peer out") {
+    // Guards against instances that never hear of each other while something
+    // opens connections to their port and says nothing.
+    hub_bench bench;
+    io::message_hub_options options;
+    options.self_name = "a";
+    options.shared_key = "secret";
+    options.link_limit = 16;
+    auto hub = bench.make_hub(options);
+    REQUIRE(hub->listen("127.0.0.1", 0).has_value());
+    std::vector<std::unique_ptr<io::stream_socket>> strangers;
+    const auto connect = [&] {
+        strangers.push_back(std::make_unique<io::stream_socket>(
+            bench.loop, io::start_connect("127.0.0.1", hub->port()).value(),
+            true, io::stream_socket_handlers{}));
+    };
+    for (std::size_t each = 0; each < options.link_limit; ++each) {
+        connect();
+    }
+    const auto connecting = bench.timers.every(std::chrono::milliseconds(10),
+                                               [&](time_point) { connect(); });
+    REQUIRE(bench.run_until([&] { return strangers.size() > 20; }));
+    auto peer = bench.make_hub("b");
+    peer->connect("a", "127.0.0.1", hub->port());
+    bench.run_until(
+        [&] { return hub->connected("b") || strangers.size() > 520; });
+    CHECK(hub->connected("b"));
+}
