membership: who was turned away alone holds no removals when it is answered again

What callers saw: requests to a backend server 2,041 ms after its leave was known (2,000 allowed), from several instances, after the platform had served some machines and not others.

Cause: the instance that reads the platform for all was refused for 7 s while others read it and told what they read. It never left the reading to others, so its first answer looked like the platform's return after 7 s, and removals that were told 0.1 s later were held for 2.2 s.

Unit test; with the new method without effect three of its sections are red.

Change: answers to others, told by peers, end an absence, and there is none if they follow each other all the while. An absence that ended for others a moment before is still counted, from its end.

--- a/include/waxwingvale/membership/registry_table.hpp
+++ b/include/waxwingvale/membership/registry_table.hpp
@@ -66,8 +66,12 @@
     // Takes a change that the platform told.
     void take_change(const registry_record& change, time_point now);
 
-    // The platform does not answer any more.
+    // The platform does not answer this instance any more. `last_answer` is the
+    // last of which it knows, to whomever.
     void platform_lost(time_point last_answer);
+    // It answered somebody else. That ends an absence; and there was none if
+    // such answers followed each other all the while.
+    void platform_answered_other(time_point when);
     // The platform was away until now. In an absence of some length entries
     // of living servers lapse. They come back within a while; until
     // then what is missing in a list, or said to be gone, stays. Without this
@@ -118,6 +122,9 @@
     std::optional<time_point> answers_since_;
     time_point lost_{};
     duration hold_until_{}; // of removals that are said from now on
+    // When others were answered again after an absence, until lapsed entries
+    // are back.
+    std::optional<time_point> returned_to_others_;
     std::set<std::string> changed_;
     std::uint64_t fingerprint_ = 0;
     std::uint64_t version_ = 0;
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -390,6 +390,7 @@
 void peer_exchange::take_age(const std::string& peer,
                              const platform_word& message, time_point now) {
     if (state_.readers.hear(message.reader, message.age, now)) {
+        state_.registry.platform_answered_other(now - message.age);
         routes_.hear_newer(peer, now);
         word_origin_ = peer;
     }
--- a/src/membership/registry_table.cpp
+++ b/src/membership/registry_table.cpp
@@ -85,12 +85,28 @@
     answers_since_.reset();
 }
 
+void registry_table::platform_answered_other(time_point when) {
+    if (answers_since_ || when <= lost_) {
+        return;
+    }
+    if (when - lost_ >= shortest_absence) {
+        returned_to_others_ = when;
+    } else if (returned_to_others_ &&
+               when - *returned_to_others_ >= lapse_grace) {
+        returned_to_others_.reset();
+    }
+    lost_ = when;
+}
+
 void registry_table::platform_returned(time_point now) {
     if (!answers_since_) {
         answers_since_ = now;
     }
     if (now - lost_ >= shortest_absence) {
-        hold_until_ = answered(now) + lapse_grace;
+        returned_to_others_ = now;
+    }
+    if (const auto since = std::exchange(returned_to_others_, std::nullopt)) {
+        hold_until_ = answered(now) + lapse_grace - (now - *since);
     }
 }
 
--- a/test/membership/tables_test.cpp
+++ b/test/membership/tables_test.cpp
@@ -335,3 +335,42 @@
     CHECK(wait <= 250ms);
     CHECK(budget.wait_before_read(now) <= 1ms);
 }
+
+TEST_CASE("who was turned away alone carries removals out at once") {
+    // Guards against requests to a server that has left, sent by instances that
+    // the platform had refused for a while although it answered their peers.
+    const registry_record server{"i-1", 5, true, {}};
+    const registry_record gone{"i-1", 9, false, {}};
+    registry_table table(10);
+    table.take_change(server, start);
+    table.platform_lost(start);
+    time_point heard = start;
+    const auto hear_until = [&](time_point end) {
+        for (; heard < end; heard += 500ms) {
+            table.platform_answered_other(heard);
+        }
+    };
+    SECTION("peers were answered all the while") {
+        hear_until(start + 10s);
+        table.platform_returned(start + 10s);
+        table.take_change(gone, start + 10s);
+        CHECK(table.records().empty());
+    }
+    SECTION("the platform was away, and has been back for long") {
+        heard = start + 5s;
+        hear_until(start + 10s);
+        table.platform_returned(start + 10s);
+        table.take_change(gone, start + 10s);
+        CHECK(table.records().empty());
+    }
+    SECTION("the platform was away, and answered a peer just before") {
+        heard = start + 5s;
+        hear_until(start + 6s);
+        table.platform_returned(start + 6s);
+        table.take_change(gone, start + 6s);
+        table.tick(start + 7s);
+        CHECK(table.records().size() == 1);
+        table.tick(start + 7300ms);
+        CHECK(table.records().empty());
+    }
+}
