membership: the next file is asked for as soon as the one before has come

While a file is on its way no other is asked for; one that another peer had named meanwhile waited for the next tick, up to 100 ms. Unit test, red before (0 requests at that moment).

--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -362,7 +362,7 @@
 }
 
 void peer_exchange::take(const std::string& peer,
-                         const configuration_message& message, time_point) {
+                         const configuration_message& message, time_point now) {
     ++counters_.configurations_received;
     const auto taken = files_.take(peer, message);
     if (!taken) {
@@ -370,6 +370,7 @@
         problem_ = taken.error();
         problem_->peer = peer;
     }
+    ask_for_configuration(now);
 }
 
 void peer_exchange::take(const std::string& peer, const platform_word& message,
--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -321,6 +321,21 @@
     CHECK(asked > 0);
 }
 
+TEST_CASE("the next file is asked for as soon as the one before has come") {
+    // Guards against a tick of delay for each of many files in a row.
+    exchanging_instance one;
+    one.exchange.link_up("pdx-1", start);
+    one.exchange.link_up("pdx-2", start);
+    one.requests(start);
+    one.exchange.receive("pdx-1", revision_message{2, 0}, start);
+    CHECK(one.requests(start) == 1);
+    one.exchange.receive("pdx-2", revision_message{3, 0}, start + 5ms);
+    CHECK(one.requests(start + 5ms) == 0);
+    one.exchange.receive("pdx-1", configuration_message{2, pack("second")},
+                         start + 10ms);
+    CHECK(one.requests(start + 10ms) == 1);
+}
+
 TEST_CASE("an instance tells which newer file it waits for") {
     // Guards against instances that stay at an old file without a word why.
     exchanging_instance one;
