--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -35,7 +35,7 @@
     // which it often comes by itself.
     void hear(const std::string& peer, const revision_message& theirs,
               duration wait, time_point now);
-    void lost(const std::string& peer, time_point now);
+    void lost(const std::string& peer);
     // Whether the newest file that a peer named was taken, or refused, here.
     bool has_named() const;
     // The newest revision that a peer had in force, or 0.
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -115,7 +115,7 @@
     }
 }
 
-void configuration_exchange::lost(const std::string& peer, time_point) {
+void configuration_exchange::lost(const std::string& peer) {
     words_.erase(peer);
     forget_asked(peer);
 }
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -99,7 +99,7 @@
     greet_at_.erase(peer);
     strangers_.erase(peer);
     not_heard_since_wake_.erase(peer);
-    files_.lost(peer, now);
+    files_.lost(peer);
     if (asked_ && asked_->peer == peer) {
         asked_.reset();
     }
--- a/test/membership/configuration_exchange_property_test.cpp
+++ b/test/membership/configuration_exchange_property_test.cpp
@@ -211,7 +211,7 @@
     lost.linked = false;
     lost.named = {};
     lost.unanswered = 0;
-    exchange_.lost(name_of(peer), now_);
+    exchange_.lost(name_of(peer));
     under_way_.erase(
         std::remove_if(under_way_.begin(), under_way_.end(),
                        [&](const auto& each) { return each.peer == peer; }),
@@ -555,7 +555,7 @@
     configuration_exchange exchange(here, answer_within);
     exchange.hear("pdx-1", {7, 0}, 250ms, start);
     exchange.hear("pdx-2", {7, 0}, 250ms, start + 10ms);
-    exchange.lost("pdx-1", start + 20ms);
+    exchange.lost("pdx-1");
     const auto due = exchange.due_request(start + 350ms);
     REQUIRE(due);
     CHECK(due->peer == "pdx-2");
--- a/test/membership/configuration_word_test.cpp
+++ b/test/membership/configuration_word_test.cpp
@@ -45,6 +45,15 @@
         1,
         start};
 
+    // The peer tells all that it knows, in answer to what it was asked.
+    void introduce(const std::string& peer) {
+        records_message records;
+        records.answers_request = true;
+        exchange.receive(peer, records, start);
+        exchange.tick(start);
+        requests(start);
+    }
+
     unsigned requests(time_point now) {
         unsigned count = 0;
         for (const auto& sent : exchange.take_messages(now)) {
@@ -111,11 +120,7 @@
     one.exchange.set_platform_answers(true);
     one.configurations.offer({1, "first"});
     one.exchange.link_up(peer_name(0), start);
-    records_message records;
-    records.answers_request = true;
-    one.exchange.receive(peer_name(0), records, start);
-    one.exchange.tick(start);
-    one.requests(start);
+    one.introduce(peer_name(0));
     unsigned asked = 0;
     unsigned turn = 0;
     for (auto now = start; now < start + 1s; now += 10ms) {
@@ -141,11 +146,7 @@
     one.configurations.offer({1, "first"});
     one.exchange.link_up("pdx-1", start);
     one.exchange.link_up("pdx-2", start);
-    records_message records;
-    records.answers_request = true;
-    one.exchange.receive("pdx-1", records, start);
-    one.exchange.tick(start);
-    one.requests(start);
+    one.introduce("pdx-1");
     one.exchange.receive("pdx-1", revision_message{2, 0}, start);
     one.exchange.receive("pdx-2", revision_message{2, 0}, start + 10ms);
     one.exchange.link_down("pdx-1", start + 20ms);
@@ -236,11 +237,7 @@
     one.exchange.set_platform_answers(true);
     one.configurations.offer({1, "first"});
     one.exchange.link_up("pdx-1", start);
-    records_message records;
-    records.answers_request = true;
-    one.exchange.receive("pdx-1", records, start);
-    one.exchange.tick(start);
-    one.requests(start);
+    one.introduce("pdx-1");
     const auto published_every = GENERATE(50ms, 100ms, 200ms, 250ms, 300ms);
     constexpr duration tick = 10ms;
     unsigned asked = 0;
@@ -271,11 +268,7 @@
     one.exchange.set_platform_answers(true);
     one.configurations.offer({1, "first"});
     one.exchange.link_up("pdx-1", start);
-    records_message records;
-    records.answers_request = true;
-    one.exchange.receive("pdx-1", records, start);
-    one.exchange.tick(start);
-    one.requests(start);
+    one.introduce("pdx-1");
     one.exchange.receive("pdx-1", revision_message{2, 0}, start + 1ms);
     CHECK(one.requests(start + 1ms) == 1);
 }
