evacuation: an operator empties a data centre by one order

The order is a record of the registry: the platform's revision orders its word and its end, peers pass it on as they do entries of servers, comparing tables finds what was missed, and a whole list that lacks it ends it at once. Views leave out the servers of evacuated data centres, as those that are leaving, so that every decision that follows a view obeys. The configuration file has the same order.

--- a/include/waxwingvale/membership/registry_table.hpp
+++ b/include/waxwingvale/membership/registry_table.hpp
@@ -10,6 +10,7 @@
 
 #include <waxwingvale/membership/digest.hpp>
 #include <waxwingvale/model/backend_incarnation.hpp>
+#include <waxwingvale/model/evacuation.hpp>
 #include <waxwingvale/model/time.hpp>
 
 namespace waxwingvale::membership {
@@ -35,22 +36,34 @@
     }
 };
 
+// What a record of the registry is about.
+enum class registry_subject {
+    backend_server,
+    evacuation // of a data centre: nothing may be sent to its servers
+};
+
 // What the platform last said of one of them, as the entry instances tell
-// each other of it.
+// each other of it. Of an evacuation the entry has the data centre only.
 struct registry_record {
-    std::string name;
+    std::string name;           // unique over both subjects
     std::uint64_t revision = 0; // of the platform, at the last change
     bool present = true;        // false: its entry is gone
     registered_backend entry;
+    registry_subject subject = registry_subject::backend_server;
 
     friend bool operator==(const registry_record& a, const registry_record& b) {
-        return std::tie(a.name, a.revision, a.present, a.entry) ==
-               std::tie(b.name, b.revision, b.present, b.entry);
+        return std::tie(a.name, a.revision, a.present, a.entry, a.subject) ==
+               std::tie(b.name, b.revision, b.present, b.entry, b.subject);
     }
 };
 
-// The backend servers that have registered themselves. The platform's revision
-// orders all word of one of them, whoever brings it and however late.
+// The record that orders the evacuation of a data centre.
+registry_record evacuation_record(const std::string& data_centre,
+                                  std::uint64_t revision);
+
+// The backend servers that have registered themselves, and the evacuations that
+// are ordered. The platform's revision orders all word of one of them, whoever
+// brings it and however late.
 class registry_table {
 public:
     // Holds at most `limit` records; word of more is not taken.
@@ -84,6 +97,9 @@
     // Returns whether anything has changed.
     bool tick(time_point now);
 
+    // The evacuations in force, sorted by data centre, each since this
+    // instance has known of it.
+    std::vector<evacuation> evacuations() const;
     // Those that are there, sorted by name.
     const std::map<std::string, registry_record>& records() const {
         return records_;
@@ -113,11 +129,13 @@
     void remove(const std::string& name, std::uint64_t revision,
                 time_point now);
     void changed(const std::string& name);
+    bool is_evacuation(const std::string& name) const;
 
     std::size_t limit_;
     std::map<std::string, registry_record> records_;
     std::map<std::string, removal> removed_;
-    std::map<std::string, held_removal> held_; // not yet carried out
+    std::map<std::string, held_removal> held_;      // not yet carried out
+    std::map<std::string, evacuation> evacuations_; // by record name
     duration answered_before_{};
     std::optional<time_point> answers_since_;
     time_point lost_{};
--- a/include/waxwingvale/model/configuration.hpp
+++ b/include/waxwingvale/model/configuration.hpp
@@ -65,6 +65,7 @@
 struct data_centre {
     std::string name;
     std::string region;
+    bool evacuated = false; // nothing may be sent to its backend servers
 };
 
 // One configuration file, accepted whole. The revision is the platform's: it
--- a/include/waxwingvale/model/view.hpp
+++ b/include/waxwingvale/model/view.hpp
@@ -8,6 +8,7 @@
 
 #include <waxwingvale/model/backend_belief.hpp>
 #include <waxwingvale/model/configuration.hpp>
+#include <waxwingvale/model/evacuation.hpp>
 #include <waxwingvale/model/member.hpp>
 
 namespace waxwingvale {
@@ -38,6 +39,9 @@
     std::vector<member> members;  // sorted by id; includes self
     std::vector<backend_belief> beliefs;
     std::vector<std::uint64_t> quarantined; // request fingerprints
+    // In force, and the backend servers that config therefore lacks.
+    std::vector<evacuation> evacuations;
+    std::vector<evacuated_server> evacuated_servers;
     bool fresh = false; // false until word from platform or a peer has come
     // False while nobody has told which other entry instances there are.
     bool introduced = true;
--- a/src/administration/admin_documents.cpp
+++ b/src/administration/admin_documents.cpp
@@ -106,6 +106,16 @@
     return written;
 }
 
+json evacuations_document(const control_snapshot& of) {
+    auto written = json::array();
+    for (const auto& order : of.seen->evacuations) {
+        written.push_back({{"data_centre", order.data_centre},
+                           {"revision", order.revision},
+                           {"known_for_ms", age_ms(of.now, order.since)}});
+    }
+    return written;
+}
+
 json owner_document(const decision::slot_owner& of) {
     return {{"instance", of.member.name},
             {"incarnation", of.member.incarnation},
@@ -138,6 +148,7 @@
               {"refused", refused_document(of.refused)}}},
             {"members", member_counts(seen)},
             {"quarantined", seen.quarantined.size()},
+            {"evacuations", evacuations_document(of)},
             {"platform", platform_document(of)},
             {"links", links_document(of)}};
 }
--- a/src/administration/explanation.cpp
+++ b/src/administration/explanation.cpp
@@ -84,6 +84,27 @@
     return usable;
 }
 
+// Those that the view's configuration lacks.
+void explain_evacuated(const service& of, const view& seen, explanation& into) {
+    for (const auto& each : seen.evacuated_servers) {
+        if (each.service == of.name) {
+            into.add_server({{"name", each.name},
+                             {"state", "evacuated"},
+                             {"because", "data centre " + each.data_centre +
+                                             " is evacuated"},
+                             {"owner", ""}});
+        }
+    }
+}
+
+std::size_t evacuated_of(const service& of, const view& seen) {
+    const auto& servers = seen.evacuated_servers;
+    return static_cast<std::size_t>(
+        std::count_if(servers.begin(), servers.end(), [&](const auto& each) {
+            return each.service == of.name;
+        }));
+}
+
 void explain_owners(const decision::ownership& owners, explanation& into) {
     for (const auto& owner : owners.owners) {
         into.add_owner({{"instance", owner.member.name},
@@ -122,10 +143,12 @@
     told.add_step("owners", std::to_string(owners.owners.size()) +
                                 " entry instances hand out the slots");
     const auto usable = explain_servers(*service_found, seen, owners, told);
-    told.add_step("backend servers",
-                  std::to_string(usable) + " of " +
-                      std::to_string(service_found->backend_servers.size()) +
-                      " may get new work");
+    explain_evacuated(*service_found, seen, told);
+    const auto all = service_found->backend_servers.size() +
+                     evacuated_of(*service_found, seen);
+    told.add_step("backend servers", std::to_string(usable) + " of " +
+                                         std::to_string(all) +
+                                         " may get new work");
     if (!seen.fresh && matched->nature == request_nature::at_most_once) {
         return told.end("not run: the view is not fresh, and this request "
                         "must not run twice");
--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -178,6 +178,8 @@
          [&known] { return known.quarantine.fingerprints().size(); });
     show("waxwing_backend_servers_registered", "Found in the registry.",
          [&known] { return known.registry.records().size(); });
+    show("waxwing_evacuations", "Data centres ordered to be evacuated.",
+         [&known] { return known.registry.evacuations().size(); });
     count("waxwing_published_items_unreadable_total",
           "Published items that could not be read, each time.",
           [&known] { return known.unreadable.seen(); });
@@ -206,6 +208,13 @@
     count("waxwing_messages_malformed_total",
           "Messages of authenticated peers not understood.",
           [&peers] { return peers.malformed(); });
+    show("waxwing_backend_servers_evacuated",
+         "Backend servers that get nothing, their data centre being evacuated.",
+         [&views] {
+             return views.last_view()
+                        ? views.last_view()->evacuated_servers.size()
+                        : 0;
+         });
     show("waxwing_view_serial", "Serial of the last view.", [&views] {
         return views.last_view() ? views.last_view()->serial : 0;
     });
--- a/src/control/view_changes.cpp
+++ b/src/control/view_changes.cpp
@@ -113,4 +113,48 @@
     }
 }
 
+namespace {
+
+bool is_among(const std::vector<evacuation>& orders,
+              const std::string& data_centre) {
+    return std::any_of(orders.begin(), orders.end(), [&](const auto& each) {
+        return each.data_centre == data_centre;
+    });
+}
+
+std::size_t servers_evacuated(const view& known,
+                              const std::string& data_centre) {
+    const auto& servers = known.evacuated_servers;
+    return static_cast<std::size_t>(
+        std::count_if(servers.begin(), servers.end(), [&](const auto& each) {
+            return each.data_centre == data_centre;
+        }));
+}
+
+} // namespace
+
+void log_evacuations(const view& before, const view& now, time_point when) {
+    for (const auto& order : now.evacuations) {
+        if (is_among(before.evacuations, order.data_centre)) {
+            continue;
+        }
+        const auto known_for =
+            (when - order.since) / std::chrono::milliseconds(1);
+        program::log_change(
+            "evacuation_followed",
+            {{"data_centre", order.data_centre},
+             {"revision", std::to_string(order.revision)},
+             {"backend_servers",
+              std::to_string(servers_evacuated(now, order.data_centre))},
+             {"known_for_ms", std::to_string(known_for)}});
+    }
+    for (const auto& order : before.evacuations) {
+        if (!is_among(now.evacuations, order.data_centre)) {
+            program::log_change("evacuation_taken_back",
+                                {{"data_centre", order.data_centre},
+                                 {"revision", std::to_string(order.revision)}});
+        }
+    }
+}
+
 } // namespace waxwingvale::control
--- a/src/control/view_changes.hpp
+++ b/src/control/view_changes.hpp
@@ -28,4 +28,8 @@
 // process starts, or many machines fail together, the names are too many.
 void log_changes(const view& before, const view& now);
 
+// Logs each evacuation that the new view is the first to follow, and each that
+// it no longer does.
+void log_evacuations(const view& before, const view& now, time_point when);
+
 } // namespace waxwingvale::control
--- a/src/control/view_publisher.cpp
+++ b/src/control/view_publisher.cpp
@@ -1,6 +1,7 @@
 #include "control/view_publisher.hpp"
 #include "control/view_changes.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <waxwingvale/program/view_published.hpp>
@@ -21,7 +22,8 @@
 bool same_content(const view& a, const view& b) {
     return a.self == b.self && a.config == b.config && a.members == b.members &&
            a.beliefs == b.beliefs && a.quarantined == b.quarantined &&
-           a.fresh == b.fresh && a.introduced == b.introduced;
+           a.evacuations == b.evacuations && a.fresh == b.fresh &&
+           a.introduced == b.introduced;
 }
 
 backend_server server_of(const membership::registry_record& record,
@@ -38,6 +40,60 @@
     return made;
 }
 
+void add_server(const membership::registry_record& record, configuration& to) {
+    const bool is_server =
+        record.subject == membership::registry_subject::backend_server;
+    if (!is_server || record.entry.leaving) {
+        return;
+    }
+    for (auto& each : to.services) {
+        if (each.name == record.entry.service) {
+            each.backend_servers.push_back(server_of(record, each));
+        }
+    }
+}
+
+// Moves the backend servers of that data centre from the configuration to the
+// list.
+void evacuate(const std::string& data_centre, configuration& from,
+              std::vector<evacuated_server>& to) {
+    for (auto& each : from.services) {
+        auto& servers = each.backend_servers;
+        const auto first_there = std::stable_partition(
+            servers.begin(), servers.end(), [&](const backend_server& server) {
+                return server.data_centre != data_centre;
+            });
+        for (auto at = first_there; at != servers.end(); ++at) {
+            to.push_back({each.name, at->name, data_centre});
+        }
+        servers.erase(first_there, servers.end());
+    }
+}
+
+const evacuation* order_for(const std::string& data_centre,
+                            const std::vector<evacuation>& orders) {
+    const auto found =
+        std::find_if(orders.begin(), orders.end(), [&](const auto& each) {
+            return each.data_centre == data_centre;
+        });
+    return found == orders.end() ? nullptr : &*found;
+}
+
+// Adds the orders that the configuration file has. Those known already keep
+// the moment since when they are.
+void add_orders_of_file(const configuration& file,
+                        const std::vector<evacuation>& known, time_point now,
+                        std::vector<evacuation>& to) {
+    for (const auto& each : file.data_centres) {
+        if (!each.evacuated || order_for(each.name, to) != nullptr) {
+            continue;
+        }
+        const auto* before = order_for(each.name, known);
+        to.push_back({each.name, file.revision,
+                      before == nullptr ? now : before->since});
+    }
+}
+
 } // namespace
 
 view_publisher::view_publisher(kernel::message_bus& bus,
@@ -45,11 +101,12 @@
     : bus_(bus), timers_(timers), known_(known), started_(timers.now()) {}
 
 // Backend servers that registered themselves stand beside those that the file
-// names; those that are leaving get no new work and are left out.
+// names; those that are leaving, or whose data centre is evacuated, get no new
+// work and are left out.
 configuration_ptr view_publisher::with_registry() {
     auto from = known_.configurations.in_force();
     const auto version = known_.registry.version();
-    if (!from || version == 0) {
+    if (!from) {
         return from;
     }
     if (from == combined_from_ && version == combined_version_) {
@@ -57,12 +114,14 @@
     }
     auto combined = *from;
     for (const auto& entry : known_.registry.records()) {
-        const auto& record = entry.second;
-        for (auto& each : combined.services) {
-            if (each.name == record.entry.service && !record.entry.leaving) {
-                each.backend_servers.push_back(server_of(record, each));
-            }
-        }
+        add_server(entry.second, combined);
+    }
+    auto orders = known_.registry.evacuations();
+    add_orders_of_file(*from, evacuations_, timers_.now(), orders);
+    evacuations_ = std::move(orders);
+    evacuated_servers_.clear();
+    for (const auto& order : evacuations_) {
+        evacuate(order.data_centre, combined, evacuated_servers_);
     }
     combined_from_ = from;
     combined_version_ = version;
@@ -75,6 +134,8 @@
     made.serial = last_ ? last_->serial + 1 : 1;
     made.self = membership::to_member(known_.members.self());
     made.config = with_registry();
+    made.evacuations = evacuations_;
+    made.evacuated_servers = evacuated_servers_;
     made.published = known_.configurations.published();
     made.members = known_.members.members();
     for (const auto& record : known_.beliefs.records()) {
@@ -111,6 +172,7 @@
     }
     static const view nothing;
     log_changes(last_ ? *last_ : nothing, made);
+    log_evacuations(last_ ? *last_ : nothing, made, timers_.now());
     last_ = std::make_shared<const view>(std::move(made));
     const auto published = program::with_owners(last_);
     owners_ = published.owners;
--- a/src/control/view_publisher.hpp
+++ b/src/control/view_publisher.hpp
@@ -43,6 +43,8 @@
     configuration_ptr combined_from_;
     std::uint64_t combined_version_ = 0;
     configuration_ptr combined_;
+    std::vector<evacuation> evacuations_;
+    std::vector<evacuated_server> evacuated_servers_; // it lacks them
 };
 
 } // namespace waxwingvale::control
--- a/src/io/exchange_codec.cpp
+++ b/src/io/exchange_codec.cpp
@@ -32,6 +32,10 @@
 constexpr duration longest_age = std::chrono::hours(24);
 // No message may make us hold more records than this.
 constexpr std::size_t record_limit = 16384;
+// A record of the registry has its name and revision, if its entry is gone; of
+// an evacuation the data centre too, and of a backend server much more.
+constexpr std::size_t removal_fields = 2;
+constexpr std::size_t evacuation_fields = 3;
 
 json write(const member_record& value, time_point) {
     auto list = write_member(membership::to_member(value));
@@ -72,7 +76,12 @@
 
 json write(const registry_record& value, time_point) {
     auto list = json::array({value.name, value.revision});
-    if (value.present) {
+    if (!value.present) {
+        return list;
+    }
+    if (value.subject == membership::registry_subject::evacuation) {
+        list.push_back(value.entry.data_centre);
+    } else {
         const auto& entry = value.entry;
         for (json each :
              {json(entry.service), json(entry.host), json(entry.port),
@@ -88,11 +97,16 @@
 void read(const json& from, time_point, registry_record& value) {
     value.name = from.at(0).get<std::string>();
     value.revision = read_number<std::uint64_t>(from.at(1));
-    value.present = from.size() > 2;
+    value.present = from.size() > removal_fields;
     if (!value.present) {
         return;
     }
     auto& entry = value.entry;
+    if (from.size() == evacuation_fields) {
+        value.subject = membership::registry_subject::evacuation;
+        entry.data_centre = from.at(2).get<std::string>();
+        return;
+    }
     entry.service = from.at(2).get<std::string>();
     entry.host = from.at(3).get<std::string>();
     entry.port = read_number<std::uint16_t>(from.at(4));
--- a/src/membership/registry_table.cpp
+++ b/src/membership/registry_table.cpp
@@ -19,12 +19,37 @@
 // A removal is held no longer than this, also if the platform stays away.
 constexpr duration longest_hold = std::chrono::seconds(10);
 
+// No backend server has a name with a slash.
+constexpr const char* evacuation_prefix = "evacuate/";
+
 std::uint64_t hash_of(const registry_record& record) {
     return decision::stable_hash(record.name, record.revision);
 }
 
 } // namespace
 
+registry_record evacuation_record(const std::string& data_centre,
+                                  std::uint64_t revision) {
+    registry_record record;
+    record.name = evacuation_prefix + data_centre;
+    record.revision = revision;
+    record.entry.data_centre = data_centre;
+    record.subject = registry_subject::evacuation;
+    return record;
+}
+
+bool registry_table::is_evacuation(const std::string& name) const {
+    return evacuations_.count(name) != 0;
+}
+
+std::vector<evacuation> registry_table::evacuations() const {
+    std::vector<evacuation> orders;
+    for (const auto& each : evacuations_) {
+        orders.push_back(each.second);
+    }
+    return orders;
+}
+
 bool registry_table::merge(const registry_record& word, time_point now) {
     const auto known = records_.find(word.name);
     const auto gone = removed_.find(word.name);
@@ -38,13 +63,21 @@
         remove(word.name, word.revision, now);
         return true;
     }
-    if (known == records_.end() && records_.size() >= limit_) {
+    // An order binds however many servers there are.
+    const bool orders = word.subject == registry_subject::evacuation;
+    if (!orders && known == records_.end() && records_.size() >= limit_) {
         return false;
     }
     if (known != records_.end()) {
         fingerprint_ ^= hash_of(known->second);
     }
     records_[word.name] = word;
+    if (orders) {
+        auto& order = evacuations_[word.name];
+        const bool is_new = order.revision == 0;
+        order = {word.entry.data_centre, word.revision,
+                 is_new ? now : order.since};
+    }
     fingerprint_ ^= hash_of(word);
     removed_.erase(word.name);
     held_.erase(word.name);
@@ -59,6 +92,7 @@
         fingerprint_ ^= hash_of(known->second);
         records_.erase(known);
     }
+    evacuations_.erase(name);
     held_.erase(name);
     removed_[name] = {revision, now};
     changed(name);
@@ -112,8 +146,10 @@
 
 void registry_table::take_change(const registry_record& change,
                                  time_point now) {
+    // Entries of servers lapse, an operator's order does not.
     const bool hold = !change.present && answered(now) < hold_until_ &&
-                      records_.count(change.name) != 0;
+                      records_.count(change.name) != 0 &&
+                      !is_evacuation(change.name);
     if (hold) {
         auto& held =
             held_.emplace(change.name, held_removal{0, hold_until_, now})
--- a/src/model/configuration.cpp
+++ b/src/model/configuration.cpp
@@ -41,7 +41,8 @@
 }
 
 bool operator==(const data_centre& a, const data_centre& b) {
-    return std::tie(a.name, a.region) == std::tie(b.name, b.region);
+    return std::tie(a.name, a.region, a.evacuated) ==
+           std::tie(b.name, b.region, b.evacuated);
 }
 
 namespace {
--- a/src/model/configuration_file.cpp
+++ b/src/model/configuration_file.cpp
@@ -154,6 +154,7 @@
     read.name = reader.name("name");
     data_centres_.take(reader, "name", read.name);
     read.region = reader.name("region");
+    read.evacuated = reader.flag_or("evacuated", false);
     reader.finish();
     return read;
 }
--- a/src/model/configuration_writer.cpp
+++ b/src/model/configuration_writer.cpp
@@ -12,7 +12,11 @@
 }
 
 json write(const data_centre& value) {
-    return {{"name", value.name}, {"region", value.region}};
+    json written = {{"name", value.name}, {"region", value.region}};
+    if (value.evacuated) {
+        written["evacuated"] = true;
+    }
+    return written;
 }
 
 json write(const tenant& value) {
--- a/src/waxwingctl/query_command.cpp
+++ b/src/waxwingctl/query_command.cpp
@@ -30,14 +30,28 @@
     return text.empty() ? "-" : text;
 }
 
+// Each evacuation with the platform's revision and its age.
+std::string evacuations_of(const printed_json& status) {
+    std::string text;
+    for (const auto& each : elements(status, "/evacuations")) {
+        text += (text.empty() ? "" : ",") + text_at(each, "/data_centre") +
+                "@" + text_at(each, "/revision") + " (" +
+                text_at(each, "/known_for_ms") + " ms)";
+    }
+    return text.empty() ? "-" : text;
+}
+
 void add_status(const std::string& admin, const printed_json& of,
                 text_table& to) {
-    to.add(cells_at(admin, of,
-                    {"/instance", "/data_centre", "/state", "/version",
-                     "/fresh", "/configuration/revision_in_force",
-                     "/configuration/newest_revision_seen",
-                     "/configuration/refused/error/detail", "/members/alive",
-                     "/quarantined", "/platform/reachable"}));
+    auto cells = cells_at(admin, of,
+                          {"/instance", "/data_centre", "/state", "/version",
+                           "/fresh", "/configuration/revision_in_force",
+                           "/configuration/newest_revision_seen",
+                           "/configuration/refused/error/detail",
+                           "/members/alive", "/quarantined"});
+    cells.push_back(evacuations_of(of));
+    cells.push_back(text_at(of, "/platform/reachable"));
+    to.add(std::move(cells));
 }
 
 void add_members(const std::string& admin, const printed_json& of,
@@ -134,7 +148,8 @@
          "/v1/status",
          plain_target,
          {"ADMIN", "INSTANCE", "DATA-CENTRE", "STATE", "VERSION", "FRESH",
-          "REVISION", "NEWEST", "REFUSED", "ALIVE", "QUARANTINED", "PLATFORM"},
+          "REVISION", "NEWEST", "REFUSED", "ALIVE", "QUARANTINED", "EVACUATED",
+          "PLATFORM"},
          add_status},
         {query_kind::members,
          "/v1/members",
--- a/test/configuration/arbitrary_configuration.cpp
+++ b/test/configuration/arbitrary_configuration.cpp
@@ -90,7 +90,8 @@
     configuration made;
     made.revision = number(1, 1000);
     for (std::size_t i = 0; i <= number(0, 4); ++i) {
-        made.data_centres.push_back({name(i), name(i)});
+        made.data_centres.push_back(
+            {name(i), name(i), *rc::gen::arbitrary<bool>()});
     }
     for (std::size_t i = 0; i < number(0, 4); ++i) {
         made.tenants.push_back({name(i), number(1, 1000)});
--- a/test/control/view_publisher_test.cpp
+++ b/test/control/view_publisher_test.cpp
@@ -34,6 +34,8 @@
             parsed.revision = file.revision;
             parsed.services.resize(1);
             parsed.services[0].name = "slate-view";
+            parsed.data_centres = {{"sea", "west"}, {"boi", "west"}};
+            parsed.data_centres[1].evacuated = file.text == "boi evacuated";
             return parsed;
         },
         clock.now()};
@@ -120,3 +122,101 @@
     CHECK(one.clock.now() == time_point(1s));
     CHECK(one.views.last_view()->config->revision == revision - 1);
 }
+
+namespace {
+
+// With a server in each of two data centres.
+struct instance_of_two_data_centres : started_instance {
+    instance_of_two_data_centres() {
+        read_platform();
+        for (const auto* data_centre : {"sea", "boi"}) {
+            membership::registry_record server;
+            server.name = std::string("slate-") + data_centre;
+            server.revision = 5;
+            server.entry.service = "slate-view";
+            server.entry.data_centre = data_centre;
+            known.registry.merge(server, clock.now());
+        }
+        clock.advance(100ms);
+        views.publish(true);
+    }
+
+    void order(const std::string& data_centre, std::uint64_t revision,
+               bool present = true) {
+        auto record = membership::evacuation_record(data_centre, revision);
+        record.present = present;
+        known.registry.merge(record, clock.now());
+        views.publish(true);
+    }
+
+    std::vector<std::string> usable() const {
+        std::vector<std::string> names;
+        const auto& config = *views.last_view()->config;
+        for (const auto& each : config.services[0].backend_servers) {
+            names.push_back(each.name);
+        }
+        return names;
+    }
+};
+
+using names = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("servers of an evacuated data centre are left out until its end") {
+    // Guards against requests into a data centre that is being emptied.
+    instance_of_two_data_centres one;
+    CHECK(one.usable() == names{"slate-boi", "slate-sea"});
+    one.order("boi", 7);
+    CHECK(one.usable() == names{"slate-sea"});
+    const auto& seen = *one.views.last_view();
+    REQUIRE(seen.evacuations.size() == 1);
+    CHECK(seen.evacuated_servers ==
+          std::vector<evacuated_server>{{"slate-view", "slate-boi", "boi"}});
+    one.order("sea", 8);
+    CHECK(one.usable().empty());
+    one.order("boi", 9, false);
+    CHECK(one.usable() == names{"slate-boi"});
+    one.order("sea", 10, false);
+    CHECK(one.usable() == names{"slate-boi", "slate-sea"});
+    CHECK(one.views.last_view()->evacuated_servers.empty());
+}
+
+TEST_CASE("an order for a data centre that nobody knows changes no server") {
+    instance_of_two_data_centres one;
+    one.order("nowhere", 7);
+    CHECK(one.usable() == names{"slate-boi", "slate-sea"});
+    CHECK(one.views.last_view()->evacuations.size() == 1);
+}
+
+TEST_CASE("a server that registers in an evacuated data centre stays out") {
+    // Guards against requests to servers that start there after the order.
+    instance_of_two_data_centres one;
+    one.order("boi", 7);
+    membership::registry_record late;
+    late.name = "slate-late";
+    late.revision = 9;
+    late.entry.service = "slate-view";
+    late.entry.data_centre = "boi";
+    one.known.registry.merge(late, one.clock.now());
+    one.views.publish(true);
+    CHECK(one.usable() == names{"slate-sea"});
+}
+
+TEST_CASE("the configuration file orders an evacuation as well") {
+    instance_of_two_data_centres one;
+    one.known.configurations.offer({6, "boi evacuated"});
+    one.views.publish(true);
+    CHECK(one.usable() == names{"slate-sea"});
+    REQUIRE(one.views.last_view()->evacuations.size() == 1);
+    CHECK(one.views.last_view()->evacuations[0].revision == 6);
+    const auto since = one.views.last_view()->evacuations[0].since;
+    one.clock.advance(1s);
+    one.order("nowhere", 9);
+    for (const auto& order : one.views.last_view()->evacuations) {
+        CHECK((order.data_centre != "boi" || order.since == since));
+    }
+    one.known.configurations.offer({7, "text"});
+    one.views.publish(true);
+    CHECK(one.usable() == names{"slate-boi", "slate-sea"});
+}
--- a/test/membership/tables_test.cpp
+++ b/test/membership/tables_test.cpp
@@ -374,3 +374,65 @@
         CHECK(table.records().empty());
     }
 }
+
+TEST_CASE("the newest word of an evacuation holds, whoever brings it") {
+    // Guards against requests into an evacuated data centre, or none after it
+    // was taken back, because word came late or by a peer.
+    registry_table table(10);
+    CHECK(table.merge(evacuation_record("boi", 5), start));
+    CHECK_FALSE(table.merge(evacuation_record("boi", 5), start + 1s));
+    REQUIRE(table.evacuations().size() == 1);
+    CHECK(table.evacuations()[0] == evacuation{"boi", 5, start});
+    auto taken_back = evacuation_record("boi", 7);
+    taken_back.present = false;
+    table.merge(taken_back, start + 2s);
+    CHECK(table.evacuations().empty());
+    CHECK_FALSE(table.merge(evacuation_record("boi", 6), start + 3s));
+    CHECK(table.evacuations().empty());
+    CHECK(table.merge(evacuation_record("boi", 8), start + 4s));
+    CHECK(table.evacuations()[0] == evacuation{"boi", 8, start + 4s});
+}
+
+TEST_CASE("an evacuation ends by a whole list that lacks it, at once") {
+    // Entries of servers that lapsed while the platform was away are kept for
+    // a while. Kept too, an order that was taken back meanwhile would leave a
+    // data centre unused.
+    registry_table table(10);
+    table.merge(evacuation_record("boi", 5), start);
+    table.merge(registered("slate-1", 6), start);
+    table.platform_lost(start);
+    table.platform_returned(start + 5s);
+    table.take_list({}, 9, start + 5s);
+    CHECK(table.evacuations().empty());
+    CHECK(table.records().size() == 1);
+}
+
+TEST_CASE("an order finds room among however many servers") {
+    // Guards against requests into an evacuated data centre when somebody has
+    // filled the registry.
+    registry_table table(2);
+    table.merge(registered("slate-1", 1), start);
+    table.merge(registered("slate-2", 2), start);
+    CHECK_FALSE(table.merge(registered("slate-3", 3), start));
+    CHECK(table.merge(evacuation_record("boi", 4), start));
+    CHECK(table.evacuations().size() == 1);
+}
+
+TEST_CASE("tables that differ in an evacuation differ in their numbers") {
+    // Guards against an instance that missed an order and takes its table for
+    // its peers'.
+    registry_table one(10);
+    registry_table other(10);
+    for (auto* each : {&one, &other}) {
+        each->merge(registered("slate-1", 1), start);
+    }
+    one.merge(evacuation_record("boi", 4), start);
+    CHECK(one.fingerprint() != other.fingerprint());
+    bucket_set all;
+    all.set();
+    for (const auto& record : one.in_buckets(all)) {
+        other.merge(record, start + 1s);
+    }
+    CHECK(one.fingerprint() == other.fingerprint());
+    CHECK(other.evacuations().size() == 1);
+}
--- a/test/platform/stand_in_store.cpp
+++ b/test/platform/stand_in_store.cpp
@@ -51,8 +51,21 @@
 }
 
 std::uint64_t stand_in_store::write(const std::string& configuration) {
-    ++revision_;
-    configuration_ = configuration;
+    return put(wire::configuration_key, configuration);
+}
+
+std::uint64_t stand_in_store::put(const std::string& key,
+                                  const std::string& value) {
+    return change(key, {value, 0, false});
+}
+
+std::uint64_t stand_in_store::remove(const std::string& key) {
+    return change(key, {"", 0, true});
+}
+
+std::uint64_t stand_in_store::change(const std::string& key, item to) {
+    to.revision = ++revision_;
+    items_[key] = std::move(to);
     for (const auto& each : watches_) {
         if (!silent_) {
             each.respond({status_ok, {}, changes(each.after)});
@@ -75,19 +88,31 @@
 }
 
 std::string stand_in_store::list() const {
-    const json item = {{"Key", wire::configuration_key},
-                       {"Value", base64(configuration_)},
-                       {"Revision", revision_}};
-    return json{{"items", {item}}, {"HasMore", false}, {"AsOf", revision_}}
+    auto items = json::array();
+    for (const auto& [key, each] : items_) {
+        if (!each.removed) {
+            items.push_back({{"Key", key},
+                             {"Value", base64(each.value)},
+                             {"Revision", each.revision}});
+        }
+    }
+    return json{{"items", items}, {"HasMore", false}, {"AsOf", revision_}}
         .dump();
 }
 
 std::string stand_in_store::changes(std::uint64_t after) const {
     auto events = json::array();
-    if (after < revision_) {
-        events.push_back({{"Key", wire::configuration_key},
-                          {"Value", base64(configuration_)},
-                          {"Revision", revision_}});
+    for (const auto& [key, each] : items_) {
+        if (each.revision <= after) {
+            continue;
+        }
+        json event = {{"Key", key}, {"Revision", each.revision}};
+        if (each.removed) {
+            event["Tombstone"] = true;
+        } else {
+            event["Value"] = base64(each.value);
+        }
+        events.push_back(std::move(event));
     }
     return json{{"events", events}, {"AsOf", revision_}}.dump();
 }
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -144,3 +144,27 @@
     CHECK(std::holds_alternative<control::unrelated_item>(
         sample_state().decode({"op/else", "?", 99, {}}).value()));
 }
+
+TEST_CASE("an order to evacuate is known by its key, whatever its value") {
+    // Guards against requests into a zone whose order somebody wrote oddly.
+    for (const io::published_item& item :
+         {io::published_item{"op/evacuate/north", "{}", 12, ""},
+          io::published_item{"op/evacuate/north", "", 12, "not base64"}}) {
+        const auto fact = sample_state().decode(item);
+        REQUIRE(fact.has_value());
+        CHECK(std::get<membership::registry_record>(fact.value()) ==
+              membership::evacuation_record("north", 12));
+    }
+    const auto gone = sample_state().decode_removal("op/evacuate/north", 15);
+    const auto& record = std::get<membership::registry_record>(gone);
+    CHECK_FALSE(record.present);
+    CHECK(record.name == membership::evacuation_record("north", 1).name);
+    CHECK(record.revision == 15);
+}
+
+TEST_CASE("no server's key is taken for an order to evacuate") {
+    CHECK(std::holds_alternative<control::unrelated_item>(
+        sample_state()
+            .decode({"servers/evacuate/north", "{}", 3, {}})
+            .value()));
+}
