cold servers: an owner sends no more in a second than they bear

A server that is cold crashes when it gets more requests in a second than its service's rate allows. Nothing of the product knew of it. The owner now notes its starts and keeps to half of what the server bears in any second: while owners change, two may take themselves for the owner, and a new one doesn't know what the former sent. The newest word of how long a server is cold counts, of its entry (aged on the way between instances) or of its health answers. A rate of zero keeps it without requests until it is warm.

--- a/include/waxwingvale/decision/scheduler_events.hpp
+++ b/include/waxwingvale/decision/scheduler_events.hpp
@@ -159,8 +159,9 @@
 // A probe of a backend server ended.
 struct probe_ended {
     std::string backend_server;
-    bool answered = false;            // false: silent, or not reached
-    std::optional<backend_load> load; // as the answer told it
+    bool answered = false;              // false: silent, or not reached
+    std::optional<backend_load> load;   // as the answer told it
+    std::optional<duration> cold_for{}; // how much longer it is cold
 };
 
 // Time passed; sent at the moment asked for by wake_at, or whenever.
--- a/include/waxwingvale/entry/backend_answer.hpp
+++ b/include/waxwingvale/entry/backend_answer.hpp
@@ -8,6 +8,7 @@
 #include <waxwingvale/model/backend_belief.hpp>
 #include <waxwingvale/model/backend_load.hpp>
 #include <waxwingvale/model/outcome.hpp>
+#include <waxwingvale/model/time.hpp>
 
 namespace waxwingvale::entry {
 
@@ -42,6 +43,7 @@
     std::uint64_t incarnation = 0;      // 0 when it did not say
     std::optional<backend_load> load;   // as it said in this answer
     std::size_t bytes = 0;              // of the answer's body
+    std::optional<duration> cold_for;   // how much longer, as it said
 };
 
 } // namespace waxwingvale::entry
--- a/include/waxwingvale/membership/registry_table.hpp
+++ b/include/waxwingvale/membership/registry_table.hpp
@@ -50,6 +50,7 @@
     bool present = true;        // false: its entry is gone
     registered_backend entry;
     registry_subject subject = registry_subject::backend_server;
+    time_point taken_at{}; // into this instance's table; not compared
 
     friend bool operator==(const registry_record& a, const registry_record& b) {
         return std::tie(a.name, a.revision, a.present, a.entry, a.subject) ==
--- a/include/waxwingvale/model/configuration.hpp
+++ b/include/waxwingvale/model/configuration.hpp
@@ -23,7 +23,8 @@
     std::string data_centre;
     unsigned slots = 1;        // requests served at once
     unsigned connections = 64; // most connections open over all entry instances
-    duration cold_for{};       // slower than usual for so long after its start
+    // Until then it is slower than usual and bears few requests a second.
+    time_point cold_until{};
     // Rises with each start under the same name; 0: not known.
     backend_incarnation incarnation = 0;
 };
@@ -59,6 +60,9 @@
     std::vector<std::string> tenants; // may call it; empty: all
     std::string health_path;          // empty: the protocol's own
     unsigned connections = 64;        // for backend servers that are discovered
+    // Most requests in any second to one backend server while it is cold, from
+    // all instances together; none: no bound.
+    std::optional<unsigned> cold_requests;
 };
 
 // A data centre and the region it lies in.
--- a/include/waxwingvale/program/settings.hpp
+++ b/include/waxwingvale/program/settings.hpp
@@ -73,6 +73,10 @@
     std::vector<data_centre> data_centres;
     service_budgets budgets;
     unsigned owners = 0; // of the slots of each service; 0: derived
+    // A cold backend server may get so many times the requests in a second that
+    // its service names, and so many more.
+    double cold_overage = 1;
+    double cold_slack = 0;
 };
 
 // What instances know together, and the administration API.
--- a/src/control/view_publisher.cpp
+++ b/src/control/view_publisher.cpp
@@ -35,7 +35,9 @@
     made.data_centre = record.entry.data_centre;
     made.slots = record.entry.slots;
     made.connections = of.connections;
-    made.cold_for = record.entry.cold_for;
+    if (record.entry.cold_for > duration::zero()) {
+        made.cold_until = record.taken_at + record.entry.cold_for;
+    }
     made.incarnation = record.entry.incarnation;
     return made;
 }
--- a/src/decision/backend_slots.cpp
+++ b/src/decision/backend_slots.cpp
@@ -6,6 +6,7 @@
 
 void backend_slots::configure(const backend_server& server) {
     data_centre_ = server.data_centre;
+    cold_.set_listed_until(server.cold_until);
     set_incarnation(server.incarnation);
     if (configured_ == server.slots) {
         return;
@@ -45,7 +46,8 @@
     if (isolated_ || now < paused_until_ || in_flight() >= most) {
         return 0;
     }
-    return most - in_flight();
+    const unsigned free = most - in_flight();
+    return std::min(free, cold_.room(now).value_or(free));
 }
 
 void backend_slots::start(attempt_ref attempt, time_point now, bool isolated) {
@@ -58,6 +60,7 @@
         begun.told_before = now - seen_->at;
     }
     started_.push_back(begun);
+    cold_.started(now);
     isolated_ = isolated_ || isolated;
 }
 
--- a/src/decision/backend_slots.hpp
+++ b/src/decision/backend_slots.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "decision/backend_health.hpp"
+#include "decision/cold_rate.hpp"
 
 namespace waxwingvale::decision {
 
@@ -49,6 +50,8 @@
     // Asked for its health it gave no answer, and has not been heard since.
     bool silent() const { return silent_; }
     void set_silent(bool silent) { silent_ = silent; }
+    cold_rate& cold() { return cold_; }
+    const cold_rate& cold() const { return cold_; }
     const backend_health& health() const { return health_; }
     backend_health& health() { return health_; }
 
@@ -70,7 +73,7 @@
 
     unsigned limit() const;
     // Free slots now: none while vetoed, paused after a refusal, or taken
-    // whole by an isolated request.
+    // whole by an isolated request; fewer while it is cold.
     unsigned free(time_point now) const;
     time_point paused_until() const { return paused_until_; }
 
@@ -107,6 +110,7 @@
     std::optional<load_sighting> seen_;
     std::vector<attempt_start> started_;
     backend_health health_;
+    cold_rate cold_;
 };
 
 } // namespace waxwingvale::decision
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -186,7 +186,7 @@
 
 void service_scheduler::impl::on(const probe_ended& event) {
     if (const auto at = table_.find(event.backend_server)) {
-        table_.probed(*at, event.answered, event.load, now_);
+        table_.probed(*at, event, now_);
     }
 }
 
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -122,6 +122,7 @@
 }
 
 void slot_table::configure_servers(const service& of) {
+    cold_requests_ = of.cold_requests;
     std::vector<backend_slots> former = std::move(servers_);
     const auto former_places = std::move(by_name_);
     servers_.clear();
@@ -161,6 +162,18 @@
     }
 }
 
+// This instance's part of the requests that a cold server bears. While owners
+// change, two may each take themselves for the one; and a new one does not know
+// what the former sent in the last second. So an owner uses half, and those
+// that share what no owner hands out divide the other.
+std::optional<unsigned> slot_table::cold_part(bool owned,
+                                              unsigned sharers) const {
+    if (!cold_requests_) {
+        return std::nullopt;
+    }
+    return *cold_requests_ / 2 / (owned ? 1 : std::max(sharers, 1U));
+}
+
 void slot_table::apply_ownership(
     const view_changed& view,
     const std::unordered_set<std::string>& reachable) {
@@ -190,6 +203,7 @@
             allowance = 0;
         }
         server.set_allowance(allowance, part);
+        server.cold().set_most(cold_part(owned_[place], sharers));
         if (allowance > 0) {
             usable_.push_back(place);
         }
@@ -334,16 +348,17 @@
                            now, policy_);
 }
 
-void slot_table::probed(index place, bool answered,
-                        const std::optional<backend_load>& load,
-                        time_point now) {
+void slot_table::probed(index place, const probe_ended& probe, time_point now) {
     note_change(place);
     backend_slots& server = servers_[place];
     // One that tells its load answers probes at once; others may let them wait
     // for a slot.
-    server.set_silent(!answered && server.seen());
-    if (load) {
-        see(server, *load, now);
+    server.set_silent(!probe.answered && server.seen());
+    if (probe.load) {
+        see(server, *probe.load, now);
+    }
+    if (probe.cold_for) {
+        server.cold().set_cold_until(now + *probe.cold_for);
     }
 }
 
@@ -416,6 +431,9 @@
             continue;
         }
         consider(server.paused_until());
+        if (const auto room = server.cold().next_room(now)) {
+            consider(*room);
+        }
         if (server.health().watched()) {
             consider(server.health().next_sample());
         }
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -108,8 +108,7 @@
     // A slot was given back without an attempt.
     void release(index place, attempt_ref attempt, time_point now);
     // A probe of that server ended.
-    void probed(index place, bool answered,
-                const std::optional<backend_load>& load, time_point now);
+    void probed(index place, const probe_ended& probe, time_point now);
 
     // Slots that serve at the usual pace, as far as failures and answers tell,
     // and free ones among them.
@@ -142,6 +141,7 @@
     void apply_beliefs(const view_changed& view);
     void apply_ownership(const view_changed& view,
                          const std::unordered_set<std::string>& reachable);
+    std::optional<unsigned> cold_part(bool owned, unsigned sharers) const;
     void configure_servers(const service& of);
     bool sampled(const backend_slots& server, const slot_wish& wish,
                  time_point now) const;
@@ -197,6 +197,7 @@
     std::string self_data_centre_;
     scheduling_policy policy_;
     bool configured_before_ = false;
+    std::optional<unsigned> cold_requests_; // of the service
     std::vector<backend_slots> servers_;
     std::vector<bool> owned_;
     bool owns_any_ = false;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -127,6 +127,7 @@
                      answer.end == attempt_end::failed ||
                      answer.end == attempt_end::not_started;
     ended.load = answer.load;
+    ended.cold_for = answer.cold_for;
     calls_.take(service, ended);
 }
 
--- a/src/io/exchange_codec.cpp
+++ b/src/io/exchange_codec.cpp
@@ -74,7 +74,12 @@
     value.since = moment_of(read_age(from.at(7)), now);
 }
 
-json write(const registry_record& value, time_point) {
+// How much longer it is cold, as far as is known by now.
+duration cold_left(const registry_record& of, time_point now) {
+    return std::max(of.entry.cold_for - (now - of.taken_at), duration::zero());
+}
+
+json write(const registry_record& value, time_point now) {
     auto list = json::array({value.name, value.revision});
     if (!value.present) {
         return list;
@@ -86,7 +91,7 @@
         for (json each :
              {json(entry.service), json(entry.host), json(entry.port),
               json(entry.data_centre), json(entry.version), json(entry.slots),
-              json(entry.leaving), json(entry.cold_for.count()),
+              json(entry.leaving), json(cold_left(value, now).count()),
               json(entry.incarnation)}) {
             list.push_back(std::move(each));
         }
--- a/src/membership/registry_table.cpp
+++ b/src/membership/registry_table.cpp
@@ -71,7 +71,9 @@
     if (known != records_.end()) {
         fingerprint_ ^= hash_of(known->second);
     }
-    records_[word.name] = word;
+    auto& taken = records_[word.name];
+    taken = word;
+    taken.taken_at = now;
     if (orders) {
         auto& order = evacuations_[word.name];
         const bool is_new = order.revision == 0;
--- a/src/model/configuration.cpp
+++ b/src/model/configuration.cpp
@@ -16,9 +16,9 @@
 
 bool operator==(const backend_server& a, const backend_server& b) {
     return std::tie(a.name, a.host, a.port, a.data_centre, a.slots,
-                    a.connections, a.cold_for, a.incarnation) ==
+                    a.connections, a.cold_until, a.incarnation) ==
            std::tie(b.name, b.host, b.port, b.data_centre, b.slots,
-                    b.connections, b.cold_for, b.incarnation);
+                    b.connections, b.cold_until, b.incarnation);
 }
 
 bool operator==(const tenant& a, const tenant& b) {
@@ -35,9 +35,11 @@
 
 bool operator==(const service& a, const service& b) {
     return std::tie(a.name, a.classes, a.backend_servers, a.budgets, a.owners,
-                    a.typical_time, a.tenants, a.health_path, a.connections) ==
+                    a.typical_time, a.tenants, a.health_path, a.connections,
+                    a.cold_requests) ==
            std::tie(b.name, b.classes, b.backend_servers, b.budgets, b.owners,
-                    b.typical_time, b.tenants, b.health_path, b.connections);
+                    b.typical_time, b.tenants, b.health_path, b.connections,
+                    b.cold_requests);
 }
 
 bool operator==(const data_centre& a, const data_centre& b) {
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -35,7 +35,9 @@
 constexpr fraction_range budget_range{0., 1.};     // of first attempts
 constexpr number_range window_range{100, 600'000}; // ms
 constexpr number_range extra_range{0, 100'000};    // attempts
-constexpr fraction_range probe_range{0., 1000.};   // a second and server
+constexpr fraction_range overage_range{0., 1000.};
+constexpr fraction_range slack_range{0., 100'000.}; // requests a second
+constexpr fraction_range probe_range{0., 1000.};    // a second and server
 
 constexpr std::size_t default_body_limit = 16 * 1024 * 1024; // bytes
 constexpr unsigned default_connection_limit = 8192;
@@ -229,6 +231,10 @@
         reader.fraction_or("probes_per_second", probe_range, budgets.probes);
     read.owners = static_cast<unsigned>(
         reader.number_or("owners", owner_range, read.owners));
+    read.cold_overage =
+        reader.fraction_or("cold_overage", overage_range, read.cold_overage);
+    read.cold_slack =
+        reader.fraction_or("cold_slack", slack_range, read.cold_slack);
     reader.finish();
     return read;
 }
--- a/src/waxwing_replay/trace_codec.cpp
+++ b/src/waxwing_replay/trace_codec.cpp
@@ -371,7 +371,7 @@
 scheduler_event decode_probe(const json& from) {
     return probe_ended{from.at("backend_server").get<std::string>(),
                        from.at("answered").get<bool>(),
-                       decode_load(from.at("load"))};
+                       decode_load(from.at("load")), std::nullopt};
 }
 
 json encode(const time_passed& /*event*/) {
--- a/test/control/view_publisher_test.cpp
+++ b/test/control/view_publisher_test.cpp
@@ -220,3 +220,27 @@
     one.views.publish(true);
     CHECK(one.usable() == names{"slate-boi", "slate-sea"});
 }
+
+TEST_CASE("a server is cold for as long as its entry said when it came") {
+    // Guards against views that begin the time anew: a server would stay cold
+    // for as long as anything else changes.
+    instance_of_two_data_centres one;
+    membership::registry_record cold;
+    cold.name = "slate-sea";
+    cold.revision = 9;
+    cold.entry.service = "slate-view";
+    cold.entry.data_centre = "sea";
+    cold.entry.cold_for = 2s;
+    const auto told = one.clock.now();
+    one.known.registry.merge(cold, told);
+    one.views.publish(true);
+    for (std::uint64_t revision = 10; revision < 13; ++revision) {
+        one.clock.advance(500ms);
+        one.order("nowhere", revision);
+        const auto& servers =
+            one.views.last_view()->config->services[0].backend_servers;
+        REQUIRE(servers.size() == 2);
+        CHECK(servers[1].cold_until == told + 2s);
+        CHECK(servers[0].cold_until == time_point());
+    }
+}
--- a/test/platform/operator_file_test.cpp
+++ b/test/platform/operator_file_test.cpp
@@ -87,3 +87,21 @@
     CHECK_FALSE(read_operator_file({1, "{\"Routes\": ["}, sample_deployment())
                     .has_value());
 }
+
+TEST_CASE("what a cold server bears is read with what goes beyond it") {
+    auto deployment = sample_deployment();
+    deployment.cold_overage = 1.5;
+    deployment.cold_slack = 8;
+    const auto read = [&](const nlohmann::json& rate) {
+        auto document = nlohmann::json::parse(sample_configuration);
+        document["Services"][0]["ColdPerS"] = rate;
+        return read_operator_file({1, document.dump()}, deployment);
+    };
+    CHECK(read(4.1).value().services[0].cold_requests == 14U);
+    CHECK(read(0).value().services[0].cold_requests == 0U);
+    CHECK_FALSE(read_sample().services[0].cold_requests.has_value());
+    for (const nlohmann::json& odd :
+         {nlohmann::json(-1), nlohmann::json("4.1"), nlohmann::json(1e9)}) {
+        CHECK(read(odd).error().code == error_code::malformed);
+    }
+}
--- a/test/platform/request_headers_test.cpp
+++ b/test/platform/request_headers_test.cpp
@@ -146,3 +146,24 @@
     CHECK(health(503, "i-7") == entry::attempt_end::failed);
     CHECK(health(200, "i-8") == entry::attempt_end::misdirected);
 }
+
+TEST_CASE("a health answer tells how much longer its server is cold") {
+    // Guards against a cold server that gets as much as a warm one, and against
+    // odd word that makes it warm or cold for good.
+    const auto cold = [](const std::string& left, const std::string& id) {
+        return protocol
+            .classify_health(
+                answered(200, {{"Waxwingvale-Instance-Id", id},
+                               {"Waxwingvale-Cold-Remaining", left}}),
+                "i-7")
+            .cold_for;
+    };
+    CHECK(cold("1500", "i-7") == 1500ms);
+    CHECK(cold("0", "i-7") == 0ms);
+    CHECK(cold("2.5", "i-7") == 2500us);
+    for (const auto* odd :
+         {"", "-1", "soon", "1500ms", "1e300", "nan", "inf", "3 4"}) {
+        CHECK_FALSE(cold(odd, "i-7").has_value());
+    }
+    CHECK_FALSE(cold("1500", "i-8").has_value());
+}
--- a/test/platform/settings_template_test.cpp
+++ b/test/platform/settings_template_test.cpp
@@ -77,3 +77,14 @@
         return each.peer.find("local.toml") != std::string::npos;
     }));
 }
+
+TEST_CASE("a deployment with cold servers tells what they bear") {
+    auto fields = machine_fields();
+    fields["Bounds"]["ColdOverage"] = 1.5;
+    fields["Bounds"]["ColdSlack"] = 8;
+    const auto text = render_template(settings_template(), fields);
+    const auto read = program::parse_settings(text, "local.toml");
+    REQUIRE(read.has_value());
+    CHECK(read.value().deployment.cold_overage == 1.5);
+    CHECK(read.value().deployment.cold_slack == 8);
+}
