stand-in store: its server ends before what it answers from

test_platform aborted once in some ten runs beside load ('routes that change ten times a second'): std::bad_alloc. AddressSanitizer: the server, ended after the items, hands over a request that came meanwhile, which reads freed items.

--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -47,8 +47,8 @@
     }
 
     std::string name;
-    io::http_server server;
     unsigned requests = 0;
+    io::http_server server; // last: it answers while it ends
 };
 
 // Two instances in each of two zones, and a backend server in each zone.
--- a/test/platform/stand_in_store.hpp
+++ b/test/platform/stand_in_store.hpp
@@ -47,11 +47,12 @@
                    const io::http_responder& respond);
 
     kernel::timer_service& timers_;
-    io::http_server server_;
     std::list<watch> watches_;
     std::map<std::string, item> items_;
     std::uint64_t revision_ = 1;
     bool silent_ = false;
+    // Last: it still takes what was sent to it while it ends.
+    io::http_server server_;
 };
 
 } // namespace waxwingvale::platform
