homes: requests with homes run in these regions only

Routes may name regions; nothing of the product knew of it, so that a deployment of two regions would have had requests run abroad. The entry instance turns a route's homes into the data centres where its request may run; owners choose among their servers only, and a slot lent elsewhere is given back unused. Without a server there the request is refused at once. Addresses named to a caller of such a host are of its own region, or else of a home.

--- a/include/waxwingvale/decision/scheduler_events.hpp
+++ b/include/waxwingvale/decision/scheduler_events.hpp
@@ -65,6 +65,8 @@
     unsigned priority = 0; // 0 goes first when slots are short
     unsigned attempt = 1;
     std::vector<std::string> excluded; // backend servers not to be used
+    // Only backend servers of these data centres; none: of all.
+    std::optional<std::vector<std::string>> data_centres{};
     // True for a suspect of having crashed a backend server: it runs only
     // where nothing else runs.
     bool isolated = false;
--- a/include/waxwingvale/decision/steering.hpp
+++ b/include/waxwingvale/decision/steering.hpp
@@ -57,11 +57,12 @@
 // The instances to which callers of a data centre are sent, each of which may
 // be used as well as another: those that are alive there, without the ones
 // that are far weaker than the strongest; where none is, those of its region,
-// and then all. At most `most`, in an order that differs between callers.
+// and then all, or with homes those in one of these regions. At most `most`, in
+// an order that differs between callers.
 std::vector<member>
 nearby_instances(const std::vector<member>& members,
                  const std::vector<data_centre>& data_centres,
-                 const std::string& data_centre_of_caller,
-                 std::uint64_t caller_hash, std::size_t most);
+                 const steering_caller& caller,
+                 const std::vector<std::string>& homes, std::size_t most);
 
 } // namespace waxwingvale::decision
--- a/include/waxwingvale/model/configuration.hpp
+++ b/include/waxwingvale/model/configuration.hpp
@@ -101,6 +101,12 @@
 // How configurations are passed about: shared and never changed.
 using configuration_ptr = std::shared_ptr<const configuration>;
 
+// The data centres that lie in one of those regions; none: any may be used, for
+// there are no regions to keep to.
+std::optional<std::vector<std::string>>
+data_centres_of(const std::vector<std::string>& homes,
+                const std::vector<data_centre>& among);
+
 // The service of that name, or null.
 const service* find_service(const configuration& config,
                             const std::string& name);
--- a/include/waxwingvale/model/request_class.hpp
+++ b/include/waxwingvale/model/request_class.hpp
@@ -26,6 +26,8 @@
     unsigned max_attempts = 0;   // backend servers one request may reach; 0:
                                  // as many as the budget of retries allows
     unsigned priority = 0;       // 0 goes first when slots are short
+    // Regions whose backend servers may run it; empty: all.
+    std::vector<std::string> homes{};
 };
 
 bool operator==(const request_class& a, const request_class& b);
--- a/include/waxwingvale/model/route.hpp
+++ b/include/waxwingvale/model/route.hpp
@@ -45,6 +45,9 @@
     // a query does not count.
     const route* find(std::string_view host, std::string_view target) const;
     bool has_host(std::string_view host) const;
+    // The regions that are homes of all routes of that host that have any, or
+    // of some, if there is no such region; empty: none of them has homes.
+    std::vector<std::string> homes_of_host(std::string_view host) const;
     const std::vector<route>& all() const { return routes_; }
 
 private:
--- a/src/decision/scheduler_events.cpp
+++ b/src/decision/scheduler_events.cpp
@@ -8,7 +8,8 @@
 
 auto fields(const request_needs& of) {
     return std::tie(of.tenant, of.request_class, of.nature, of.priority,
-                    of.attempt, of.excluded, of.isolated, of.only_if_spare);
+                    of.attempt, of.excluded, of.data_centres, of.isolated,
+                    of.only_if_spare);
 }
 
 } // namespace
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -189,10 +189,9 @@
 
 bool service_scheduler::impl::suits(const queued_request& entry,
                                     const grant_received& grant) const {
-    const auto& excluded = entry.arrival.excluded;
-    return entry.peer.empty() && !runs_stale(entry.arrival) &&
-           std::find(excluded.begin(), excluded.end(), grant.backend_server) ==
-               excluded.end();
+    const auto at = table_.find(grant.backend_server);
+    return entry.peer.empty() && !runs_stale(entry.arrival) && at &&
+           may_run_on(entry.arrival, table_.at(*at));
 }
 
 // The request for which the slot was given, if it still waits, and otherwise
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -50,7 +50,7 @@
         refuse(request.request, refusal_reason::stale_view);
         return true;
     }
-    if (removed_ || !table_.any_left(request.excluded)) {
+    if (removed_ || !table_.any_left(request)) {
         refuse(request.request, refusal_reason::no_backend_server);
         return true;
     }
@@ -236,7 +236,7 @@
     const request_arrived& request = entry.arrival;
     const bool ours = entry.peer.empty();
     slot_wish wish;
-    wish.excluded = &request.excluded;
+    wish.request = &request;
     wish.isolated = request.isolated;
     wish.may_sample = request.nature == request_nature::retriable;
     const bool just_came = now_ - entry.arrived_at < policy_.failing_patience;
--- a/src/decision/slot_choice.cpp
+++ b/src/decision/slot_choice.cpp
@@ -19,10 +19,9 @@
 // request that is admitted.
 constexpr duration estimate_lifetime{2000};
 
-bool excludes(const slot_wish& wish, const std::string& name) {
-    return wish.excluded != nullptr &&
-           std::find(wish.excluded->begin(), wish.excluded->end(), name) !=
-               wish.excluded->end();
+// The slot must be of a server that the request may ever run on.
+bool suits(const slot_wish& wish, const backend_slots& server) {
+    return wish.request == nullptr || may_run_on(*wish.request, server);
 }
 
 // The probability that a normally distributed value lies below that many
@@ -288,8 +287,7 @@
         const backend_slots& server = servers_[place];
         const bool alone = !wish.isolated || server.in_flight() == 0;
         const bool ours = !wish.lent || owned_[place];
-        if (room(server, now) == 0 || !alone || !ours ||
-            excludes(wish, server.name())) {
+        if (room(server, now) == 0 || !alone || !ours || !suits(wish, server)) {
             continue;
         }
         const double price =
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -108,6 +108,16 @@
 
 } // namespace
 
+bool may_run_on(const request_needs& request, const backend_slots& server) {
+    const auto& excluded = request.excluded;
+    const bool passed_over = std::find(excluded.begin(), excluded.end(),
+                                       server.name()) != excluded.end();
+    const auto& allowed = request.data_centres;
+    return !passed_over &&
+           (!allowed || std::find(allowed->begin(), allowed->end(),
+                                  server.data_centre()) != allowed->end());
+}
+
 slot_table::slot_table(member_id self, const scheduling_policy& policy)
     : self_(std::move(self)), policy_(policy) {}
 
@@ -222,13 +232,11 @@
     return found->second;
 }
 
-bool slot_table::any_left(const std::vector<std::string>& excluded) const {
-    return std::any_of(servers_.begin(), servers_.end(),
-                       [&](const backend_slots& server) {
-                           return !server.vetoed() &&
-                                  std::find(excluded.begin(), excluded.end(),
-                                            server.name()) == excluded.end();
-                       });
+bool slot_table::any_left(const request_needs& request) const {
+    return std::any_of(
+        servers_.begin(), servers_.end(), [&](const backend_slots& server) {
+            return !server.vetoed() && may_run_on(request, server);
+        });
 }
 
 bool slot_table::may_start(index place) const {
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -17,7 +17,7 @@
 
 // What kind of slot a request can use.
 struct slot_wish {
-    const std::vector<std::string>* excluded = nullptr; // null: none
+    const request_needs* request = nullptr; // null: may run anywhere
     bool isolated = false;
     bool may_sample = false; // it does no harm if it is slow or fails
     bool patient = false;    // other owners may yet lend it a better slot
@@ -33,6 +33,9 @@
     double tolerated_loss = 0;
 };
 
+// Whether the server is one that the request may ever run on.
+bool may_run_on(const request_needs& request, const backend_slots& server);
+
 // What was expected of an attempt that ended.
 struct ended_attempt {
     unsigned running = 1;     // requests on that server when it began
@@ -84,8 +87,8 @@
     // request ended there or they were heard of, since this was last asked.
     // None: all may, since the table was applied anew.
     std::optional<std::vector<index>> take_changed();
-    // Whether some server could ever take a request that excludes those.
-    bool any_left(const std::vector<std::string>& excluded) const;
+    // Whether some server could ever take that request.
+    bool any_left(const request_needs& request) const;
     // Whether that server may get a granted request.
     bool may_start(index place) const;
 
--- a/src/decision/steering.cpp
+++ b/src/decision/steering.cpp
@@ -118,9 +118,9 @@
 std::vector<member>
 nearby_instances(const std::vector<member>& members,
                  const std::vector<data_centre>& data_centres,
-                 const std::string& data_centre_of_caller,
-                 std::uint64_t caller_hash, std::size_t most) {
-    const auto region = region_of(data_centres, data_centre_of_caller);
+                 const steering_caller& caller,
+                 const std::vector<std::string>& homes, std::size_t most) {
+    const auto region = region_of(data_centres, caller.data_centre);
     std::vector<member> here;
     std::vector<member> in_region;
     std::vector<member> all;
@@ -128,12 +128,17 @@
         if (each.state != member_state::alive) {
             continue;
         }
-        all.push_back(each);
-        if (each.data_centre == data_centre_of_caller) {
+        const auto its_region = region_of(data_centres, each.data_centre);
+        const bool at_home =
+            homes.empty() ||
+            std::find(homes.begin(), homes.end(), its_region) != homes.end();
+        if (at_home) {
+            all.push_back(each);
+        }
+        if (each.data_centre == caller.data_centre) {
             here.push_back(each);
         }
-        if (!region.empty() &&
-            region_of(data_centres, each.data_centre) == region) {
+        if (!region.empty() && its_region == region) {
             in_region.push_back(each);
         }
     }
@@ -142,8 +147,8 @@
                                                     : all);
     std::sort(chosen.begin(), chosen.end(),
               [&](const member& a, const member& b) {
-                  return stable_hash(a.id.name, caller_hash) <
-                         stable_hash(b.id.name, caller_hash);
+                  return stable_hash(a.id.name, caller.hash) <
+                         stable_hash(b.id.name, caller.hash);
               });
     if (chosen.size() > most) {
         chosen.resize(most);
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -85,7 +85,8 @@
 }
 
 // A slot for the call's next attempt.
-decision::request_arrived call_desk::slot_request(const call_record& call) {
+decision::request_arrived
+call_desk::slot_request(const call_record& call) const {
     decision::request_arrived arrived;
     arrived.request = call.id;
     arrived.tenant = call.labels.tenant;
@@ -96,6 +97,8 @@
     arrived.target = call.target;
     arrived.attempt = call.attempts_here;
     arrived.excluded = call.excluded;
+    arrived.data_centres =
+        data_centres_of(call.kind.homes, view_->config->data_centres);
     return arrived;
 }
 
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -102,7 +102,7 @@
 
     // call_attempts.cpp: attempts on backend servers
     void queue_attempt(call_record& call);
-    static decision::request_arrived slot_request(const call_record& call);
+    decision::request_arrived slot_request(const call_record& call) const;
     bool pass_crash_guard(call_record& call);
     void dispatch(call_record& call, const std::string& service,
                   const decision::start_request& action);
--- a/src/entry/grant_message.cpp
+++ b/src/entry/grant_message.cpp
@@ -36,6 +36,7 @@
 constexpr const char* priority = "p";
 constexpr const char* attempt = "m";
 constexpr const char* excluded = "e";
+constexpr const char* data_centres = "D";
 constexpr const char* isolated = "i";
 constexpr const char* only_if_spare = "o";
 constexpr const char* idle = "f";
@@ -99,6 +100,9 @@
     if (!request.excluded.empty()) {
         written[field::excluded] = request.excluded;
     }
+    if (request.data_centres) {
+        written[field::data_centres] = *request.data_centres;
+    }
     if (request.isolated) {
         written[field::isolated] = true;
     }
@@ -125,6 +129,10 @@
         io::read_number_or(from, field::priority, request.priority);
     request.attempt = io::read_number_or(from, field::attempt, request.attempt);
     request.excluded = from.value(field::excluded, request.excluded);
+    if (from.contains(field::data_centres)) {
+        request.data_centres =
+            from.at(field::data_centres).get<std::vector<std::string>>();
+    }
     request.isolated = from.value(field::isolated, false);
     request.only_if_spare = from.value(field::only_if_spare, false);
     return request;
--- a/src/model/configuration.cpp
+++ b/src/model/configuration.cpp
@@ -7,11 +7,11 @@
 
 bool operator==(const request_class& a, const request_class& b) {
     return std::tie(a.name, a.methods, a.path_prefix, a.nature, a.deadline,
-                    a.queue_limit, a.target_latency, a.max_attempts,
-                    a.priority) == std::tie(b.name, b.methods, b.path_prefix,
-                                            b.nature, b.deadline, b.queue_limit,
-                                            b.target_latency, b.max_attempts,
-                                            b.priority);
+                    a.queue_limit, a.target_latency, a.max_attempts, a.priority,
+                    a.homes) == std::tie(b.name, b.methods, b.path_prefix,
+                                         b.nature, b.deadline, b.queue_limit,
+                                         b.target_latency, b.max_attempts,
+                                         b.priority, b.homes);
 }
 
 bool operator==(const backend_server& a, const backend_server& b) {
@@ -66,6 +66,21 @@
                         b.address_keep_min, b.address_keep_max, b.limits);
 }
 
+std::optional<std::vector<std::string>>
+data_centres_of(const std::vector<std::string>& homes,
+                const std::vector<data_centre>& among) {
+    if (homes.empty()) {
+        return std::nullopt;
+    }
+    std::vector<std::string> names;
+    for (const data_centre& each : among) {
+        if (std::find(homes.begin(), homes.end(), each.region) != homes.end()) {
+            names.push_back(each.name);
+        }
+    }
+    return names;
+}
+
 const service* find_service(const configuration& config,
                             const std::string& name) {
     const auto found =
--- a/src/model/route.cpp
+++ b/src/model/route.cpp
@@ -47,4 +47,30 @@
     return hosts_.count(normal_host(host)) != 0;
 }
 
+std::vector<std::string>
+route_table::homes_of_host(std::string_view host) const {
+    std::map<std::string, std::size_t> routes_at_home; // by region
+    std::size_t with_homes = 0;
+    const auto found = hosts_.find(normal_host(host));
+    if (found == hosts_.end()) {
+        return {};
+    }
+    for (const auto& each : found->second) {
+        const auto& homes = routes_[each.second].kind.homes;
+        with_homes += homes.empty() ? 0 : 1;
+        for (const auto& region : homes) {
+            ++routes_at_home[region];
+        }
+    }
+    std::vector<std::string> of_all;
+    std::vector<std::string> of_some;
+    for (const auto& [region, count] : routes_at_home) {
+        of_some.push_back(region);
+        if (count == with_homes) {
+            of_all.push_back(region);
+        }
+    }
+    return of_all.empty() ? of_some : of_all;
+}
+
 } // namespace waxwingvale
--- /dev/null
+++ b/test/platform/two_zones.hpp
@@ -0,0 +1,212 @@
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "platform/stand_in_store.hpp"
+#include "standin/process.hpp"
+#include "standin/temporary_folder.hpp"
+#include <waxwingvale/io/http_client.hpp>
+
+namespace waxwingvale::platform {
+
+// A backend server that answers everything at once, and counts requests.
+struct counting_server {
+    counting_server(kernel::event_loop& loop, std::string id)
+        : name(std::move(id)), server(loop, {}) {
+        const auto started =
+            server.start([this](const io::http_request& request,
+                                const io::http_responder& respond) {
+                answer(request, respond);
+            });
+        REQUIRE(started.has_value());
+    }
+
+    void answer(const io::http_request& request,
+                const io::http_responder& respond) {
+        io::http_response made;
+        made.status = 200;
+        made.headers = {{"Waxwingvale-Instance-Id", name},
+                        {"Waxwingvale-Server-Load", "0,0,4"}};
+        if (request.target != "/healthz") {
+            ++requests;
+            made.headers.push_back({"Waxwingvale-Response-Signature", "s"});
+            const auto* id =
+                io::find_header(request.headers, "Waxwingvale-Attempt-Id");
+            made.headers.push_back({"Waxwingvale-Attempt-Id", *id});
+        }
+        respond(std::move(made));
+    }
+
+    std::string name;
+    unsigned requests = 0;
+    io::http_server server; // last: it answers while it ends
+};
+
+// Two instances in each of two zones, and a backend server in each zone. Each
+// zone is a region of its own.
+struct two_zones {
+    // Requests may run in those regions; empty: in both.
+    explicit two_zones(std::vector<std::string> homes = {})
+        : homes_(std::move(homes)) {
+        store.write(operator_text());
+        for (const auto& zone : zones) {
+            servers[zone] =
+                std::make_unique<counting_server>(loop, "i-" + zone);
+            store.put("servers/i-" + zone, entry_of(zone));
+        }
+        for (std::size_t each = 0; each < ports.size(); ++each) {
+            start(each);
+        }
+    }
+
+    std::string operator_text() const {
+        nlohmann::json route = {
+            {"Name", "look"},         {"Host", "a.example"},
+            {"PathPrefix", "/look/"}, {"Kind", "non_idempotent"},
+            {"Timeout", 800},         {"MaxAttempts", 2},
+            {"Service", "view"}};
+        if (!homes_.empty()) {
+            route["AllowedRegions"] = homes_;
+        }
+        return nlohmann::json{
+            {"Version", 1},
+            {"Routes", {{"look", route}}},
+            {"Services",
+             {{"view", {{"Name", "view"}, {"HealthPath", "/healthz"}}}}}}
+            .dump();
+    }
+
+    std::string entry_of(const std::string& zone) const {
+        return nlohmann::json{
+            {"Service", "view"},
+            {"Address",
+             "127.0.0.1:" + std::to_string(servers.at(zone)->server.port())},
+            {"Zone", zone},
+            {"Version", "v1"},
+            {"MaxConcurrency", 4},
+            {"State", "ready"},
+            {"ColdRemaining", 0},
+            {"Sequence", 1}}
+            .dump();
+    }
+
+    std::string settings_of(std::size_t number) const {
+        auto seeds = nlohmann::json::array();
+        for (std::size_t each = 0; each < 2; ++each) {
+            seeds.push_back(
+                {{"host", "127.0.0.1"}, {"control_port", ports[each].control}});
+        }
+        auto data_centres = nlohmann::json::array();
+        for (const auto& zone : zones) {
+            data_centres.push_back(
+                {{"name", zone}, {"region", "region-" + zone}});
+        }
+        return nlohmann::json{
+            {"settings_version", 2},
+            {"instance",
+             {{"name", "node-" + std::to_string(number)},
+              {"data_centre", zones[number % zones.size()]},
+              {"host", "127.0.0.1"}}},
+            {"platform",
+             {{"host", "127.0.0.1"},
+              {"port", store.port()},
+              {"readers", 1},
+              {"watch_ms", 600},
+              {"answer_within_ms", 400}}},
+            {"peers",
+             {{"shared_key", "a key for tests only, 32 bytes.."},
+              {"seeds", seeds}}},
+            {"entry", {{"caller_port", ports[number].caller}}},
+            {"steer", {{"steer_port", 0}}},
+            {"control",
+             {{"control_port", ports[number].control},
+              {"administration", false}}},
+            {"deployment", {{"data_centres", data_centres}, {"owners", 1}}}}
+            .dump();
+    }
+
+    void start(std::size_t number) {
+        const auto file =
+            folder.write(std::to_string(number) + ".json", settings_of(number));
+        processes.push_back(std::make_unique<standin::child_process>(
+            "waxwing-platform-node",
+            std::vector<std::string>{"--settings=" + file}));
+        processes.back()->read_ready();
+    }
+
+    void ask(std::uint16_t port) {
+        io::http_call call;
+        call.host = "127.0.0.1";
+        call.port = port;
+        call.method = "POST";
+        call.target = "/look/1";
+        call.headers = {{"Host", "a.example"},
+                        {"Waxwingvale-Attempt-Id", std::to_string(++asked)},
+                        {"Waxwingvale-Request-Deadline", "800"}};
+        call.timeout = std::chrono::seconds(2);
+        client.send(std::move(call), [this](const io::http_call_result& ended) {
+            if (ended.response) {
+                const auto& answer = ended.response.value();
+                ++answers[answer.status];
+                come_back_named +=
+                    io::find_header(answer.headers, "Retry-After") != nullptr
+                        ? 1
+                        : 0;
+            }
+        });
+    }
+
+    void go_on(duration time) {
+        const auto asking =
+            timers.every(std::chrono::milliseconds(10), [this](time_point) {
+                for (const auto& each : ports) {
+                    ask(each.caller);
+                }
+            });
+        const auto until = timers.now() + time;
+        while (timers.now() < until) {
+            loop.run_once(true);
+        }
+    }
+
+    // Forgets what was counted so far, and counts for that long.
+    void count_for(duration time) {
+        for (auto& each : servers) {
+            each.second->requests = 0;
+        }
+        answers.clear();
+        come_back_named = 0;
+        go_on(time);
+    }
+
+    unsigned requests_in(const std::string& zone) const {
+        return servers.at(zone)->requests;
+    }
+
+    struct instance_ports {
+        std::uint16_t control = standin::free_port();
+        std::uint16_t caller = standin::free_port();
+    };
+
+    std::vector<std::string> homes_;
+    std::vector<std::string> zones = {"north", "south"};
+    kernel::monotonic_clock clock;
+    kernel::event_loop loop;
+    kernel::timer_service timers{clock, loop};
+    standin::temporary_folder folder;
+    stand_in_store store{loop, timers};
+    std::map<std::string, std::unique_ptr<counting_server>> servers;
+    std::vector<instance_ports> ports{4};
+    io::http_client client{loop, {}};
+    std::map<unsigned, unsigned> answers;
+    unsigned come_back_named = 0;
+    unsigned asked = 0;
+    std::vector<std::unique_ptr<standin::child_process>> processes;
+};
+
+} // namespace waxwingvale::platform
--- a/test/scheduling/grants_test.cpp
+++ b/test/scheduling/grants_test.cpp
@@ -404,3 +404,39 @@
     CHECK(refused[0].come_back_in == 700ms);
     CHECK(refused[1].come_back_in == 720ms);
 }
+
+TEST_CASE("a lent slot outside of a request's data centres is given back") {
+    // Guards against a request that is kept to a region and runs abroad on a
+    // slot that was lent to another request.
+    scheduler_fixture f(2, 2, 0);
+    f.link_peer();
+    auto kept = f.request(1);
+    kept.data_centres = {{"boi"}};
+    f.send(kept);
+    // No server lies there.
+    REQUIRE(f.all<refuse_request>().size() == 1);
+    CHECK(f.all<refuse_request>()[0].reason ==
+          refusal_reason::no_backend_server);
+    auto changed = *f.view.config;
+    changed.services[0].backend_servers[1].data_centre = "boi";
+    f.view.config = std::make_shared<const configuration>(changed);
+    f.apply_view();
+    f.send(kept);
+    REQUIRE(f.all<ask_slots>().size() == 1);
+    CHECK(f.all<ask_slots>()[0].waiting.at(0).data_centres ==
+          kept.data_centres);
+    grant_received abroad;
+    abroad.peer = "entry-1";
+    abroad.grant = 1;
+    abroad.request = 1;
+    abroad.backend_server = "a";
+    abroad.lease = 1s;
+    f.send(abroad);
+    CHECK(f.all<start_request>().empty());
+    CHECK(f.all<return_grant>().size() == 1);
+    grant_received at_home = abroad;
+    at_home.grant = 2;
+    at_home.backend_server = "b";
+    f.send(at_home);
+    CHECK(f.all<start_request>().size() == 1);
+}
