--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -84,13 +84,6 @@
     void turn_down(const queued_request& entry, refusal_reason reason);
     void turn_down_all();
     void refuse(request_id request, refusal_reason reason);
-    void drop_overdue();
-    void drop_overdue_late();
-    void dispatch();
-    void dispatch_from(request_queue& queue, const slot_choice& slots);
-    bool owners_are_more_urgent() const;
-    bool dispatch_one(request_queue& queue, const slot_choice& slots,
-                      std::vector<queued_request>& parked);
     bool place_now(const queued_request& entry);
     bool runs_stale(const request_arrived& request) const;
     // Whether it is decided here when what waits here is started.
@@ -106,6 +99,15 @@
     bool started_again(const running_request& ended) const;
     void learn(const attempt_end& ended);
 
+    // scheduler_dispatch.cpp
+    void drop_overdue();
+    void drop_overdue_late();
+    void dispatch();
+    void dispatch_from(request_queue& queue, const slot_choice& slots);
+    bool owners_are_more_urgent() const;
+    bool dispatch_one(request_queue& queue, const slot_choice& slots,
+                      std::vector<queued_request>& parked);
+
     // scheduler_grants.cpp
     void admit_from_peer(const std::string& peer,
                          const waiting_request& waiting);
