--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -177,7 +177,10 @@
     show("waxwing_quarantined", "Fingerprints in quarantine.",
          [&known] { return known.quarantine.fingerprints().size(); });
     show("waxwing_backend_servers_registered", "Found in the registry.",
-         [&known] { return known.registry.records().size(); });
+         [&known] {
+             return known.registry.records().size() -
+                    known.registry.evacuations().size();
+         });
     show("waxwing_evacuations", "Data centres ordered to be evacuated.",
          [&known] { return known.registry.evacuations().size(); });
     count("waxwing_published_items_unreadable_total",
