--- a/test/platform/two_zones.hpp
+++ b/test/platform/two_zones.hpp
@@ -51,8 +51,8 @@
 // zone is a region of its own.
 struct two_zones {
     // Requests may run in those regions; empty: in both.
-    explicit two_zones(std::vector<std::string> homes = {})
-        : homes_(std::move(homes)) {
+    explicit two_zones(std::vector<std::string> regions = {})
+        : homes(std::move(regions)) {
         store.write(operator_text());
         for (const auto& zone : zones) {
             servers[zone] =
@@ -70,8 +70,8 @@
             {"PathPrefix", "/look/"}, {"Kind", "non_idempotent"},
             {"Timeout", 800},         {"MaxAttempts", 2},
             {"Service", "view"}};
-        if (!homes_.empty()) {
-            route["AllowedRegions"] = homes_;
+        if (!homes.empty()) {
+            route["AllowedRegions"] = homes;
         }
         return nlohmann::json{
             {"Version", 1},
@@ -193,7 +193,7 @@
         std::uint16_t caller = standin::free_port();
     };
 
-    std::vector<std::string> homes_;
+    std::vector<std::string> homes;
     std::vector<std::string> zones = {"north", "south"};
     kernel::monotonic_clock clock;
     kernel::event_loop loop;
