cold servers: what was noted of starts takes nothing where nothing was

Each backend server's record had got a deque, which allocates half a kilobyte when it is empty and again when it is moved from, and is copied when a vector of them grows: for 2,998 servers with each view of each instance. A vector allocates nothing until something starts.

--- a/src/decision/cold_rate.cpp
+++ b/src/decision/cold_rate.cpp
@@ -1,6 +1,7 @@
 #include "decision/cold_rate.hpp"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace waxwingvale::decision {
 
@@ -14,8 +15,10 @@
 
 void cold_rate::set_most(std::optional<unsigned> most) {
     most_ = most;
-    while (!starts_.empty() && starts_.size() > most_.value_or(0)) {
-        starts_.pop_front();
+    const std::size_t kept = most_.value_or(0);
+    if (starts_.size() > kept) {
+        starts_.erase(starts_.begin(),
+                      starts_.end() - static_cast<std::ptrdiff_t>(kept));
     }
 }
 
@@ -50,7 +53,7 @@
         return;
     }
     if (starts_.size() >= *most_) {
-        starts_.pop_front();
+        starts_.erase(starts_.begin());
     }
     starts_.push_back(now);
 }
--- a/src/decision/cold_rate.hpp
+++ b/src/decision/cold_rate.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <deque>
 #include <optional>
+#include <vector>
 
 #include <waxwingvale/model/time.hpp>
 
@@ -31,7 +31,9 @@
     std::optional<unsigned> most_;
     time_point listed_until_{};
     time_point cold_until_{};
-    std::deque<time_point> starts_; // the last ones, `most_` of them
+    // The last ones, `most_` of them. Few, and none for most servers: a deque
+    // allocates also when it is empty and when it is moved from.
+    std::vector<time_point> starts_;
 };
 
 } // namespace waxwingvale::decision
--- a/test/scheduling/cold_test.cpp
+++ b/test/scheduling/cold_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <deque>
 #include <rapidcheck.h>
 
 #include "decision/cold_rate.hpp"
