entry: limits that backend servers name are read, logged and counted

The logs of the incident can't tell its hypotheses apart: no line says what a backend server asked for, and none how much it was sent meanwhile.

- An attempt's end carries the terms that the answer stated: of any status, cut short, of health checks, but not of another server at the address (421, or another id).
A header that makes no sense states none.
- backend_server_limit: a server names a limit, another one, or none any more.
- limited_backend_server_sent: once a second, requests and probes sent to each such server.
- call_attempt_ended tells limit_per_s; two metrics count.

Nothing is decided by it yet.

--- a/include/waxwingvale/entry/backend_answer.hpp
+++ b/include/waxwingvale/entry/backend_answer.hpp
@@ -7,6 +7,7 @@
 
 #include <waxwingvale/model/backend_belief.hpp>
 #include <waxwingvale/model/backend_load.hpp>
+#include <waxwingvale/model/backend_terms.hpp>
 #include <waxwingvale/model/outcome.hpp>
 #include <waxwingvale/model/time.hpp>
 
@@ -44,6 +45,9 @@
     std::optional<backend_load> load;   // as it said in this answer
     std::size_t bytes = 0;              // of the answer's body
     std::optional<duration> cold_for;   // how much longer, as it said
+    // As stated in the head of the answer; nothing without a head of that
+    // server, or if its terms do not parse.
+    std::optional<backend_terms> terms;
 };
 
 } // namespace waxwingvale::entry
--- /dev/null
+++ b/include/waxwingvale/model/backend_terms.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <optional>
+
+namespace waxwingvale {
+
+// The terms on which a backend server takes requests, as it states them in an
+// answer. They hold until it answers with other ones.
+struct backend_terms {
+    // The most requests per second that it takes from all instances together;
+    // none if it names no limit.
+    std::optional<double> requests_per_second;
+
+    friend bool operator==(const backend_terms& a, const backend_terms& b) {
+        return a.requests_per_second == b.requests_per_second;
+    }
+};
+
+} // namespace waxwingvale
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -173,6 +173,7 @@
             take_result(id, attempt_id, service, std::move(ended));
         },
         relay_handlers(id, attempt_id));
+    outlet_.on_sent(server.name);
     const auto usual_delay =
         part_of(service).policies.hedges(call.labels.request_class).delay();
     const auto slow_after =
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -29,6 +29,8 @@
 class call_desk_outlet {
 public:
     virtual ~call_desk_outlet() = default;
+    // A request goes to the backend server.
+    virtual void on_sent(const std::string& backend_server) = 0;
     // A backend server's answer, or the lack of one, says something of it.
     virtual void observe(const std::string& backend_server,
                          const backend_answer& answer) = 0;
--- a/src/entry/call_facts.cpp
+++ b/src/entry/call_facts.cpp
@@ -60,6 +60,10 @@
         facts += " " + fact("running", answer.load->running) + " " +
                  fact("waiting", answer.load->waiting);
     }
+    if (answer.terms && answer.terms->requests_per_second) {
+        facts += " " + fact("limit_per_s",
+                            std::to_string(*answer.terms->requests_per_second));
+    }
     return facts;
 }
 
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -27,9 +27,15 @@
                                    "Scheduler messages of other instances.")),
       probes(all.add_counter("waxwing_probes_total",
                              "Probes sent to backend servers.")),
+      limits_named(
+          all.add_counter("waxwing_backend_limits_named_total",
+                          "Answers in which a backend server names a limit.")),
       log_lines_dropped(all.add_counter(
           "waxwing_log_lines_dropped_total",
           "Log lines that neither the limits nor the reader took.")),
+      limited_servers(
+          all.add_gauge("waxwing_backend_servers_limited",
+                        "Backend servers that name a limit at present.")),
       open_calls(all.add_gauge("waxwing_open_calls", "Calls without answer.")),
       keys(all.add_gauge("waxwing_request_keys", "Request keys remembered.")) {}
 
--- a/src/entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -20,7 +20,9 @@
     program::counter grants_sent;
     program::counter grants_taken;
     program::counter probes;
+    program::counter limits_named;
     program::counter log_lines_dropped;
+    program::gauge limited_servers;
     program::gauge open_calls;
     program::gauge keys;
 };
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -56,6 +56,8 @@
       callers_(environment.loop, environment.timers,
                caller_options(environment.settings)),
       pool_(environment.loop, environment.timers),
+      limit_log_(environment.timers, metrics_.limits_named,
+                 metrics_.limited_servers),
       calls_(self_, protocol, environment.timers, pool_, hub_, metrics_, *this),
       prober_(self_.name, protocol, environment.timers, pool_, metrics_.probes,
               *this) {
@@ -91,6 +93,7 @@
         for (const auto& name : starts_.follow(*view->config)) {
             pool_.forget(name);
         }
+        limit_log_.retain(*view->config);
     }
     view_ = view;
     const auto limits = connection_limits_of(*view);
@@ -137,6 +140,9 @@
 // stays with the scheduler.
 void entry_service::report(const std::string& backend_server,
                            const backend_answer& answer, belief_source source) {
+    if (answer.terms) {
+        limit_log_.record_terms(backend_server, *answer.terms);
+    }
     const auto seen = state_for_all(answer);
     if (!seen || !is_change(backend_server, answer.incarnation, *seen)) {
         return;
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -14,6 +14,7 @@
 
 #include "entry/call_desk.hpp"
 #include "entry/entry_metrics.hpp"
+#include "entry/limit_log.hpp"
 #include "entry/prober.hpp"
 #include "entry/server_starts.hpp"
 
@@ -37,6 +38,12 @@
     void stop(std::function<void()> stopped);
 
 private:
+    void on_sent(const std::string& backend_server) override {
+        limit_log_.record_request(backend_server);
+    }
+    void on_probe_sent(const std::string& backend_server) override {
+        limit_log_.record_probe(backend_server);
+    }
     void observe(const std::string& backend_server,
                  const backend_answer& answer) override;
     std::vector<std::string>
@@ -63,6 +70,7 @@
     forwarding::backend_pool pool_;
     view_ptr view_;
     server_starts starts_;
+    limit_log limit_log_;
     call_desk calls_;
     prober prober_;
     kernel::timer_service::subscription leave_notice_;
--- /dev/null
+++ b/src/entry/limit_log.cpp
@@ -0,0 +1,109 @@
+#include "entry/limit_log.hpp"
+
+#include <set>
+#include <waxwingvale/program/state_log.hpp>
+
+namespace waxwingvale::entry {
+
+namespace {
+
+constexpr duration line_period = std::chrono::seconds(1);
+
+void log_limit(const std::string& backend_server, const std::string& limit) {
+    program::log_change(
+        "backend_server_limit",
+        {{"backend_server", backend_server}, {"requests_per_second", limit}});
+}
+
+std::set<std::string> names_of(const configuration& config) {
+    std::set<std::string> names;
+    for (const auto& of : config.services) {
+        for (const auto& server : of.backend_servers) {
+            names.insert(server.name);
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+void limit_log::record_terms(const std::string& backend_server,
+                             const backend_terms& terms) {
+    if (!terms.requests_per_second) {
+        end(backend_server);
+        return;
+    }
+    named_.add();
+    const auto known = servers_.find(backend_server);
+    const bool is_new = known == servers_.end();
+    const double limit = *terms.requests_per_second;
+    if (!is_new && known->second.requests_per_second == limit) {
+        return;
+    }
+    servers_[backend_server].requests_per_second = limit;
+    log_limit(backend_server, std::to_string(limit));
+    if (is_new) {
+        follow_count();
+    }
+}
+
+void limit_log::end(const std::string& backend_server) {
+    if (servers_.erase(backend_server) != 0) {
+        log_limit(backend_server, "none");
+        follow_count();
+    }
+}
+
+void limit_log::record_request(const std::string& backend_server) {
+    const auto known = servers_.find(backend_server);
+    if (known != servers_.end()) {
+        ++known->second.requests;
+    }
+}
+
+void limit_log::record_probe(const std::string& backend_server) {
+    const auto known = servers_.find(backend_server);
+    if (known != servers_.end()) {
+        ++known->second.probes;
+    }
+}
+
+void limit_log::retain(const configuration& config) {
+    if (servers_.empty()) {
+        return;
+    }
+    const auto names = names_of(config);
+    for (auto each = servers_.begin(); each != servers_.end();) {
+        const bool gone = names.count(each->first) == 0;
+        each = gone ? servers_.erase(each) : std::next(each);
+    }
+    follow_count();
+}
+
+void limit_log::follow_count() {
+    limited_.set(static_cast<double>(servers_.size()));
+    if (servers_.empty()) {
+        writing_.cancel();
+    } else if (servers_.size() == 1) {
+        writing_ =
+            timers_.every(line_period, [this](time_point) { write_lines(); });
+    }
+}
+
+void limit_log::write_lines() {
+    for (auto& [name, server] : servers_) {
+        if (server.requests == 0 && server.probes == 0) {
+            continue;
+        }
+        program::log_change("limited_backend_server_sent",
+                            {{"backend_server", name},
+                             {"requests_per_second",
+                              std::to_string(server.requests_per_second)},
+                             {"requests", std::to_string(server.requests)},
+                             {"probes", std::to_string(server.probes)}});
+        server.requests = 0;
+        server.probes = 0;
+    }
+}
+
+} // namespace waxwingvale::entry
--- /dev/null
+++ b/src/entry/limit_log.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include <waxwingvale/kernel/timer_service.hpp>
+#include <waxwingvale/model/backend_terms.hpp>
+#include <waxwingvale/model/configuration.hpp>
+#include <waxwingvale/program/metrics.hpp>
+
+namespace waxwingvale::entry {
+
+// Logs the limits that backend servers name in their answers, and once a second
+// how much this instance has sent to each server that names one.
+class limit_log {
+public:
+    limit_log(kernel::timer_service& timers, program::counter named,
+              program::gauge limited)
+        : timers_(timers), named_(named), limited_(limited) {}
+
+    // An answer of the server stated these terms.
+    void record_terms(const std::string& backend_server,
+                      const backend_terms& terms);
+    void record_request(const std::string& backend_server);
+    void record_probe(const std::string& backend_server);
+    // Drops the servers that the configuration no longer names.
+    void retain(const configuration& config);
+
+private:
+    struct limited_server {
+        double requests_per_second = 0;
+        unsigned requests = 0; // sent since the last line
+        unsigned probes = 0;
+    };
+
+    void end(const std::string& backend_server);
+    void follow_count();
+    void write_lines();
+
+    kernel::timer_service& timers_;
+    program::counter named_;
+    program::gauge limited_;
+    std::map<std::string, limited_server> servers_; // by name
+    kernel::timer_service::subscription writing_;   // while there are any
+};
+
+} // namespace waxwingvale::entry
--- a/src/entry/own_answers.cpp
+++ b/src/entry/own_answers.cpp
@@ -3,7 +3,9 @@
 #include <waxwingvale/entry/lost_attempt.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
+#include <optional>
 #include <utility>
 
 namespace waxwingvale::entry {
@@ -23,12 +25,31 @@
            *mark == "1";
 }
 
+// An answer without the header ends a limit; one whose header makes no sense
+// states no terms, so that a limit known before holds.
+std::optional<backend_terms> read_terms(const io::http_response& response) {
+    backend_terms terms;
+    const auto* text = io::find_header(response.headers, header::backend_limit);
+    if (text == nullptr) {
+        return terms;
+    }
+    char* end = nullptr;
+    const double limit = std::strtod(text->c_str(), &end);
+    const bool whole = !text->empty() && *end == '\0';
+    if (!whole || !(limit >= 0) || !std::isfinite(limit)) {
+        return std::nullopt;
+    }
+    terms.requests_per_second = limit;
+    return terms;
+}
+
 void read_self_report(const io::http_response& response, backend_answer& into) {
     const auto* incarnation =
         io::find_header(response.headers, header::backend_incarnation);
     if (incarnation != nullptr) {
         into.incarnation = std::strtoull(incarnation->c_str(), nullptr, 10);
     }
+    into.terms = read_terms(response);
     const auto* state =
         io::find_header(response.headers, header::backend_state);
     if (state != nullptr && *state == "leaving") {
@@ -71,7 +92,11 @@
     if (ended.response.has_value()) {
         return classify_answer(ended.response.value());
     }
-    return lost_attempt(ended);
+    auto lost = lost_attempt(ended);
+    if (ended.partial) {
+        lost.terms = read_terms(*ended.partial);
+    }
+    return lost;
 }
 
 io::http_response own_protocol::render(const own_answer& answer) const {
--- a/src/entry/own_protocol.hpp
+++ b/src/entry/own_protocol.hpp
@@ -20,6 +20,7 @@
 constexpr const char* not_started = "Waxwing-Not-Started";
 constexpr const char* backend_state = "Waxwing-Backend-State";
 constexpr const char* backend_incarnation = "Waxwing-Backend-Incarnation";
+constexpr const char* backend_limit = "Waxwing-Backend-Limit";
 } // namespace header
 
 // The product's own protocol: the first segment of the path names the service,
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -171,6 +171,7 @@
 
 void prober::send_probe(const service& of, const backend_server& to) {
     probes_.add();
+    outlet_.on_probe_sent(to.name);
     forwarding::backend_call call;
     call.backend_server = to.name;
     call.host = to.host;
--- a/src/entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -24,6 +24,7 @@
     // well.
     virtual std::vector<std::string>
     servers_to_probe(const std::string& service) = 0;
+    virtual void on_probe_sent(const std::string& backend_server) = 0;
     virtual void on_probe(const std::string& service,
                           const std::string& backend_server,
                           const backend_answer& answer) = 0;
--- a/test/entry/call_desk_test.cpp
+++ b/test/entry/call_desk_test.cpp
@@ -93,6 +93,7 @@
         ::close(connection);
     }
 
+    void on_sent(const std::string& /*backend_server*/) override {}
     void observe(const std::string& /*backend_server*/,
                  const backend_answer& answer) override {
         ends.push_back(answer.end);
--- a/test/entry/prober_test.cpp
+++ b/test/entry/prober_test.cpp
@@ -65,6 +65,7 @@
     servers_to_probe(const std::string& /*service*/) override {
         return {"a"};
     }
+    void on_probe_sent(const std::string& /*backend_server*/) override {}
     void on_probe(const std::string& /*service*/, const std::string& server,
                   const backend_answer& /*answer*/) override {
         ended_ += server == "a" ? 1 : 0;
--- a/test/platform/request_headers_test.cpp
+++ b/test/platform/request_headers_test.cpp
@@ -167,3 +167,46 @@
     }
     CHECK_FALSE(cold("1500", "i-8").has_value());
 }
+
+TEST_CASE("a limit is read from every answer of the server that names it") {
+    // Guards against a limit that goes unheard since its answer was a failure,
+    // a refusal, cut short or of a health check.
+    const io::http_headers named = {{"Server-Limit", "2.5"}};
+    for (const unsigned status : {200U, 404U, 429U, 500U, 503U}) {
+        const auto read = protocol.classify(answered(status, named));
+        REQUIRE(read.terms);
+        CHECK(read.terms->requests_per_second == 2.5);
+    }
+    const auto health =
+        protocol.classify_health(answered(503, named), "i-7").terms;
+    REQUIRE(health);
+    CHECK(health->requests_per_second == 2.5);
+    forwarding::backend_result cut{
+        error{error_code::malformed, "await answer", "i-7", "cut short"}, true,
+        io::http_response{200, named, ""}};
+    REQUIRE(protocol.classify(cut).terms);
+    CHECK(protocol.classify(cut).terms->requests_per_second == 2.5);
+}
+
+TEST_CASE("only an answer of that server ends its limit") {
+    // Guards against a limit that ends by the answer of another server at the
+    // same address, by a lost answer or by a header that makes no sense.
+    const auto ended = protocol.classify(answered(200, {})).terms;
+    REQUIRE(ended);
+    CHECK_FALSE(ended->requests_per_second);
+    CHECK_FALSE(protocol.classify(answered(421, {})).terms);
+    CHECK_FALSE(
+        protocol
+            .classify_health(
+                answered(200, {{"Waxwingvale-Instance-Id", "i-8"}}), "i-7")
+            .terms);
+    forwarding::backend_result lost{
+        error{error_code::unavailable, "await answer", "i-7", "ended"},
+        true,
+        {}};
+    CHECK_FALSE(protocol.classify(lost).terms);
+    for (const auto* text : {"", "-1", "nan", "inf", "2 a second"}) {
+        CHECK_FALSE(
+            protocol.classify(answered(200, {{"Server-Limit", text}})).terms);
+    }
+}
--- a/test/platform/two_zones.hpp
+++ b/test/platform/two_zones.hpp
@@ -30,8 +30,9 @@
                 const io::http_responder& respond) {
         io::http_response made;
         made.status = 200;
-        made.headers = {{"Waxwingvale-Instance-Id", name},
-                        {"Waxwingvale-Server-Load", "0,0,4"}};
+        made.headers = stated;
+        made.headers.push_back({"Waxwingvale-Instance-Id", name});
+        made.headers.push_back({"Waxwingvale-Server-Load", "0,0,4"});
         if (request.target != "/healthz") {
             ++requests;
             made.headers.push_back({"Waxwingvale-Response-Signature", "s"});
@@ -43,6 +44,7 @@
     }
 
     std::string name;
+    io::http_headers stated; // in all answers
     unsigned requests = 0;
     io::http_server server; // last: it answers while it ends
 };
--- a/test/standin/backend/backend_options.hpp
+++ b/test/standin/backend/backend_options.hpp
@@ -32,6 +32,7 @@
     duration load_delay{}; // the load endpoint answers that much later
     time_point cold_until{};
     double cold_factor = 1;
+    std::string limit = "none"; // requests per second, named in all answers
 };
 
 } // namespace waxwingvale::standin
--- a/test/standin/backend/simulated_backend.cpp
+++ b/test/standin/backend/simulated_backend.cpp
@@ -21,6 +21,7 @@
 const std::string command_prefix = "/-/";
 const std::string crash_header = "X-Standin-Crash";
 const std::string crash_marker = "crash-backend-server";
+const std::string no_limit = "none";
 
 bool crashes(const io::http_request& request) {
     return io::find_header(request.headers, crash_header) != nullptr ||
@@ -156,6 +157,9 @@
             std::chrono::milliseconds(target.number("cold_start_ms", 0));
         faults_.cold_factor = target.real("cold_factor", options_.cold_factor);
     }
+    if (target.has("limit")) {
+        faults_.limit = target.text("limit", no_limit);
+    }
     if (target.has("drain")) {
         drain();
     }
@@ -322,6 +326,9 @@
     io::http_headers headers = {
         {"Waxwing-Backend-State", leaving_ ? "leaving" : "serving"},
         {"Waxwing-Backend-Incarnation", std::to_string(options_.incarnation)}};
+    if (faults_.limit != no_limit) {
+        headers.push_back({"Waxwing-Backend-Limit", faults_.limit});
+    }
     const auto* id = io::find_header(request.headers, "X-Request-Id");
     if (id != nullptr) {
         headers.push_back({"X-Request-Id", *id});
