decision: a limit that a backend server names holds for all instances

What callers saw: nothing at once. A server in need kept getting what it got before, 30 and 32 requests in four seconds where 15 and 21 were allowed, and could have failed under it.

Nothing read the limit; slots bound how many requests run at once, not how many begin. Class of the fault: word that a backend server gives in an answer had no place that decides by it. Leaving, dead, cold and paused servers were each a condition of their own where slots are counted.

send_limits is now the one place that decides what a server may be sent; what was beside it (unavailable, paused, cold) moved there, and the named limit is another of its parts. Why all instances together keep to it: an owner sends at most three quarters of the limit, slots that it lends included; instances that can't reach it divide the last quarter; one that asks the owner saves nothing up.

Looked through for the same: first sends, retries, hedges and lent slots all pass the owner's send_limits; a borrower returns the terms with the slot; probes count and are held back; terms are read from answers of any status, from the head of long ones, from ones cut short and of health checks, not from another server at the address; a new incarnation starts without; a lost answer, or one asked for before the limit was named, ends nothing; zero is asked now and then. The slots that the limit leaves unused are taken off the capacity by which requests are admitted and told when to come back.

--- a/include/waxwingvale/decision/scheduler_events.hpp
+++ b/include/waxwingvale/decision/scheduler_events.hpp
@@ -10,6 +10,7 @@
 #include <waxwingvale/decision/ownership.hpp>
 #include <waxwingvale/model/backend_belief.hpp>
 #include <waxwingvale/model/backend_load.hpp>
+#include <waxwingvale/model/backend_terms.hpp>
 #include <waxwingvale/model/configuration.hpp>
 #include <waxwingvale/model/member.hpp>
 #include <waxwingvale/model/time.hpp>
@@ -103,6 +104,13 @@
     duration service_time{}; // from sending to the answer; zero without one
     std::optional<backend_load> load; // as reported with the answer
     std::size_t answer_bytes = 0;
+    std::optional<backend_terms> terms{}; // as stated with the answer
+};
+
+// The head of the answer to a started request arrived; the rest follows.
+struct answer_begun {
+    request_id request = 0;
+    backend_terms terms;
 };
 
 // The caller went away. A queued request is dropped without an action. For a
@@ -156,6 +164,7 @@
     duration service_time{};
     std::optional<backend_load> load;
     std::size_t answer_bytes = 0;
+    std::optional<backend_terms> terms{};
 };
 
 // A peer returned a granted slot: its request ended, or, if `use` is empty,
@@ -166,21 +175,28 @@
     std::optional<grant_use> use;
 };
 
+// A probe is sent to a backend server.
+struct probe_started {
+    std::string backend_server;
+};
+
 // A probe of a backend server ended.
 struct probe_ended {
     std::string backend_server;
     bool answered = false; // false: not reached, or no answer in time
-    std::optional<backend_load> load;   // as reported with the answer
-    std::optional<duration> cold_for{}; // remaining time of its cold start
+    std::optional<backend_load> load;     // as reported with the answer
+    std::optional<duration> cold_for{};   // remaining time of its cold start
+    std::optional<backend_terms> terms{}; // as stated with the answer
 };
 
 // Time passed. Sent at the time given by wake_at; harmless at any other time.
 struct time_passed {};
 
 using scheduler_event =
-    std::variant<view_changed, peer_reachability, request_arrived,
+    std::variant<view_changed, peer_reachability, request_arrived, answer_begun,
                  request_finished, request_cancelled, slots_asked, ask_answered,
-                 grant_received, grant_returned, probe_ended, time_passed>;
+                 grant_received, grant_returned, probe_started, probe_ended,
+                 time_passed>;
 
 bool operator==(const waiting_request& a, const waiting_request& b);
 bool operator==(const declined_request& a, const declined_request& b);
--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -97,6 +97,8 @@
     // and starts requests that it then answers late: on a service of 104 slots
     // for 6 s, in which prompt_slots fell from 79 to 33.
     duration learning_probe_after{40000};
+    // Time without an answer after which a server that names a limit is probed.
+    duration limited_probe_after{2000000};
 
     // How often queued requests are compared with all free slots again when the
     // free slots were on servers too slow for them: the load reports of these
--- a/include/waxwingvale/decision/service_scheduler.hpp
+++ b/include/waxwingvale/decision/service_scheduler.hpp
@@ -71,6 +71,9 @@
     // Backend servers owned by this instance that have not reported their load
     // for so long that they should be probed.
     std::vector<std::string> servers_to_probe(time_point now) const;
+    // Whether a probe may be sent to the backend server now, as far as the
+    // limit that it names is concerned.
+    bool may_probe(const std::string& backend_server, time_point now) const;
 
 private:
     class impl;
--- a/src/decision/backend_slots.cpp
+++ b/src/decision/backend_slots.cpp
@@ -6,7 +6,7 @@
 
 void backend_slots::configure(const backend_server& server) {
     data_centre_ = server.data_centre;
-    cold_.set_registered_cold_until(server.cold_until);
+    limits_.cold().set_registered_cold_until(server.cold_until);
     set_incarnation(server.incarnation);
     if (configured_ == server.slots) {
         return;
@@ -25,8 +25,7 @@
         // Observations of the previous process do not apply to the new one,
         // whose caches are cold.
         health_ = backend_health();
-        pause_ = duration::zero();
-        paused_until_ = time_point{};
+        limits_.clear_answers();
         started_.clear();
         isolated_ = false;
         answers_since_change_ = 0;
@@ -38,16 +37,21 @@
 }
 
 unsigned backend_slots::limit() const {
-    return unavailable_ ? 0 : std::min(usable_, allowance_);
+    return limits_.unavailable() ? 0 : std::min(usable_, allowance_);
 }
 
 unsigned backend_slots::free_slots(time_point now) const {
     const unsigned most = limit();
-    if (isolated_ || now < paused_until_ || in_flight() >= most) {
+    if (isolated_ || in_flight() >= most) {
         return 0;
     }
-    const unsigned free = most - in_flight();
-    return std::min(free, cold_.available(now).value_or(free));
+    return limits_.available(most - in_flight(), now);
+}
+
+double backend_slots::usable_slots(double slots, duration service_time) const {
+    const auto rate = limits_.named().rate();
+    const double seconds = std::chrono::duration<double>(service_time).count();
+    return rate ? std::min(slots, *rate * seconds) : slots;
 }
 
 void backend_slots::start(attempt_ref attempt, time_point now, bool isolated) {
@@ -60,7 +64,7 @@
         started.report_age = now - last_load_->at;
     }
     started_.push_back(started);
-    cold_.record_start(now);
+    limits_.record_start(now);
     isolated_ = isolated_ || isolated;
 }
 
@@ -93,13 +97,13 @@
         if (!load || load->full()) {
             shrink(policy);
         }
-        pause(now, policy);
+        limits_.pause(now, policy);
     }
     return ended;
 }
 
 void backend_slots::grow() {
-    pause_ = duration::zero();
+    limits_.end_pause();
     if (++answers_since_change_ < usable_ * growth_rounds_) {
         return;
     }
@@ -121,12 +125,4 @@
         std::min(growth_rounds_ * 2, policy.slot_growth_rounds_max);
 }
 
-// A server that has just refused a request would probably refuse the next one,
-// too, and each refusal costs the request a round trip.
-void backend_slots::pause(time_point now, const scheduling_policy& policy) {
-    pause_ =
-        std::clamp(pause_ * 2, policy.shed_pause_min, policy.shed_pause_max);
-    paused_until_ = now + pause_;
-}
-
 } // namespace waxwingvale::decision
--- a/src/decision/backend_slots.hpp
+++ b/src/decision/backend_slots.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "decision/backend_health.hpp"
-#include "decision/cold_rate_limiter.hpp"
+#include "decision/send_limits.hpp"
 
 namespace waxwingvale::decision {
 
@@ -52,8 +52,8 @@
     // since.
     bool unresponsive() const { return unresponsive_; }
     void set_unresponsive(bool unresponsive) { unresponsive_ = unresponsive; }
-    cold_rate_limiter& cold() { return cold_; }
-    const cold_rate_limiter& cold() const { return cold_; }
+    send_limits& limits() { return limits_; }
+    const send_limits& limits() const { return limits_; }
     const backend_health& health() const { return health_; }
     backend_health& health() { return health_; }
 
@@ -63,9 +63,6 @@
     void set_incarnation(backend_incarnation incarnation);
     backend_incarnation incarnation() const { return incarnation_; }
     void limit_to_one_slot() { usable_ = 1; }
-    // Unavailable servers (leaving or dead) get no requests.
-    void set_unavailable(bool unavailable) { unavailable_ = unavailable; }
-    bool unavailable() const { return unavailable_; }
     // Sets the maximum number of requests that this instance may have in flight
     // on the server, and the fraction of them that it can rely on when other
     // instances use the server, too.
@@ -77,11 +74,12 @@
 
     // Maximum number of requests in flight now.
     unsigned limit() const;
-    // Slots that are free now: none while the server is unavailable, paused
-    // after a refusal, or reserved for an isolated request; fewer while it is
-    // cold.
+    // Slots that are free now and may be used by its send_limits: none while
+    // it is reserved for an isolated request.
     unsigned free_slots(time_point now) const;
-    time_point paused_until() const { return paused_until_; }
+    // How many of the given slots are in use when the server gets as many
+    // requests as the limit that it names allows, each of that service time.
+    double usable_slots(double slots, duration service_time) const;
 
     void start(attempt_ref attempt, time_point now, bool isolated);
     // Ends the attempt and returns it, or nothing if it is unknown because the
@@ -95,7 +93,6 @@
 private:
     void grow();
     void shrink(const scheduling_policy& policy);
-    void pause(time_point now, const scheduling_policy& policy);
 
     std::string name_;
     std::string data_centre_;
@@ -109,15 +106,12 @@
     // slot turns out to be in use by others; otherwise every second round would
     // end in a refusal.
     unsigned growth_rounds_ = 1;
-    bool unavailable_ = false;
     bool isolated_ = false;
-    duration pause_{};
-    time_point paused_until_{};
     bool unresponsive_ = false;
     std::optional<load_report> last_load_;
     std::vector<running_attempt> started_;
     backend_health health_;
-    cold_rate_limiter cold_;
+    send_limits limits_;
 };
 
 } // namespace waxwingvale::decision
--- a/src/decision/scheduler_events.cpp
+++ b/src/decision/scheduler_events.cpp
@@ -26,8 +26,9 @@
 }
 
 bool operator==(const grant_use& a, const grant_use& b) {
-    return std::tie(a.verdict, a.service_time, a.load, a.answer_bytes) ==
-           std::tie(b.verdict, b.service_time, b.load, b.answer_bytes);
+    return std::tie(a.verdict, a.service_time, a.load, a.answer_bytes,
+                    a.terms) ==
+           std::tie(b.verdict, b.service_time, b.load, b.answer_bytes, b.terms);
 }
 
 } // namespace waxwingvale::decision
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -348,7 +348,7 @@
         view_.config ? find_service(*view_.config, service_) : nullptr;
     static const service no_service;
     table_.apply(configured != nullptr ? *configured : no_service, effective,
-                 reachable);
+                 reachable, now_);
     update_repeat_limits();
 }
 
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -340,6 +340,18 @@
     borrower_.remove(event.request);
 }
 
+// A long answer states its terms long before it ends. The owner of a leased
+// slot hears of them when the slot is returned.
+void service_scheduler::impl::on(const answer_begun& event) {
+    const auto found = running_.find(event.request);
+    if (found == running_.end() || server_restarted(found->second)) {
+        return;
+    }
+    if (const auto at = table_.find(found->second.backend_server)) {
+        table_.record_terms(*at, event.terms, found->second.started_at, now_);
+    }
+}
+
 void service_scheduler::impl::on(const request_finished& event) {
     const auto found = running_.find(event.request);
     if (found == running_.end()) {
@@ -354,6 +366,7 @@
                            : now_ - ended.started_at;
     use.load = event.load;
     use.answer_bytes = event.answer_bytes;
+    use.terms = event.terms;
     if (!server_restarted(ended)) {
         record_result(
             {ended.backend_server, ended.request_class, ended.attempt, use});
@@ -379,8 +392,7 @@
         return;
     }
     const grant_use& use = ended.use;
-    ended_attempt expected =
-        table_.finish(*at, ended.attempt, use.verdict, use.load, now_);
+    ended_attempt expected = table_.finish(*at, ended.attempt, use, now_);
     if (expected.of_previous_incarnation) {
         return; // it ran on an earlier process of this backend server
     }
@@ -402,6 +414,7 @@
     if (!table_.at(*at).health().straggler()) {
         admission_.add_service_time(ended.request_class, at_usual_pace,
                                     expected.slowness_known && lightly_loaded);
+        table_.set_service_time(admission_.mean_time({}));
     }
 }
 
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -55,6 +55,11 @@
     return impl_->servers_to_probe(now);
 }
 
+bool service_scheduler::may_probe(const std::string& backend_server,
+                                  time_point now) const {
+    return impl_->may_probe(backend_server, now);
+}
+
 namespace {
 
 const route_table* routes_of(const configuration_ptr& config) {
@@ -158,6 +163,7 @@
     static const service no_service;
     const service& configured = found != nullptr ? *found : no_service;
     admission_.configure(configured, routes_of(view_.config));
+    table_.set_service_time(admission_.mean_time({}));
     if (view_.config) {
         queue_.set_tenants(view_.config->tenants);
     }
@@ -187,6 +193,12 @@
     repeats_.change_limits(limits);
 }
 
+void service_scheduler::impl::on(const probe_started& event) {
+    if (const auto at = table_.find(event.backend_server)) {
+        table_.probe_started(*at, now_);
+    }
+}
+
 void service_scheduler::impl::on(const probe_ended& event) {
     if (const auto at = table_.find(event.backend_server)) {
         table_.probe_finished(*at, event, now_);
@@ -224,6 +236,12 @@
     return busy ? table_.servers_to_probe(now) : std::vector<std::string>();
 }
 
+bool service_scheduler::impl::may_probe(const std::string& backend_server,
+                                        time_point now) const {
+    const auto at = table_.find(backend_server);
+    return at && table_.may_probe(*at, now);
+}
+
 std::vector<slot_report> service_scheduler::impl::slots() const {
     std::vector<slot_report> reports;
     for (const backend_slots& server : table_.all()) {
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -34,6 +34,7 @@
     scheduler_load load(time_point now) const;
     std::vector<slot_report> slots() const;
     std::vector<std::string> servers_to_probe(time_point now) const;
+    bool may_probe(const std::string& backend_server, time_point now) const;
 
 private:
     using action_list = std::vector<scheduler_action>;
@@ -63,12 +64,14 @@
     void on(const view_changed& event);
     void on(const peer_reachability& event);
     void on(const request_arrived& event);
+    void on(const answer_begun& event);
     void on(const request_finished& event);
     void on(const request_cancelled& event);
     void on(const slots_asked& event);
     void on(const ask_answered& event);
     void on(const grant_received& event);
     void on(const grant_returned& event);
+    void on(const probe_started& event);
     void on(const probe_ended& event);
     void on(const time_passed& event);
 
--- a/src/decision/slot_choice.cpp
+++ b/src/decision/slot_choice.cpp
@@ -46,8 +46,9 @@
     std::size_t serving = 0;
     for (const index place : usable_) {
         const backend_slots& server = servers_[place];
-        serving += server.unavailable() ? 0 : 1;
-        failing += !server.unavailable() && is_excluded(server) ? 1 : 0;
+        serving += server.limits().unavailable() ? 0 : 1;
+        failing +=
+            !server.limits().unavailable() && is_excluded(server) ? 1 : 0;
     }
     return failing * 2 <= serving;
 }
@@ -377,7 +378,7 @@
     for (const index place : usable_) {
         const backend_slots& server = servers_[place];
         sum.working += working_slots_of(server);
-        sum.weighted += working_slots_of(server) * server.fair_share();
+        sum.weighted += weighted_share(server);
         sum.saturated_log_slowdown =
             std::max(sum.saturated_log_slowdown,
                      contention_.log_slowdown_at_best(server.configured()));
@@ -411,11 +412,19 @@
     return sum;
 }
 
-// Returns the working slots that this instance can rely on, divided by the
-// slowdown by contention.
+// Returns the working slots that this instance can rely on, at the rate that
+// the limit named by the server leaves it.
+double slot_table::weighted_share(const backend_slots& server) const {
+    return server.usable_slots(working_slots_of(server) * server.fair_share(),
+                               service_time_);
+}
+
+// The same, divided by the slowdown by contention.
 double slot_table::normalized_share(const backend_slots& server) const {
-    return working_slots_of(server) * server.fair_share() *
-           std::exp(-contention_.log_slowdown_at_best(server.configured()));
+    const double slots =
+        working_slots_of(server) * server.fair_share() *
+        std::exp(-contention_.log_slowdown_at_best(server.configured()));
+    return server.usable_slots(slots, service_time_);
 }
 
 double slot_table::saturated_log_slowdown() const {
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <utility>
+#include <waxwingvale/decision/stable_hash.hpp>
 
 namespace waxwingvale::decision {
 
@@ -15,6 +16,8 @@
 // A single answer that took many times longer must not make a number of
 // concurrent requests look slow.
 constexpr double max_log_deviation = 1.0;
+// The longest time from sending a probe to its answer.
+constexpr duration max_probe_time = std::chrono::milliseconds(300);
 
 bool serves(const member& candidate) {
     return candidate.state == member_state::alive ||
@@ -66,6 +69,25 @@
     return std::min(1.0, fair / share);
 }
 
+// The part of a named limit that the owner of a server uses. The instances that
+// can't reach the owner divide the rest, so that all instances together keep to
+// the limit. Two owners at a time, while ownership changes, exceed it by half.
+constexpr double owner_limit_share = 0.75;
+
+// An instance that asks the owner (no sharers) uses none of it by itself.
+double named_limit_share(bool owned, unsigned sharers) {
+    if (owned) {
+        return owner_limit_share;
+    }
+    return sharers == 0 ? 0 : (1 - owner_limit_share) / sharers;
+}
+
+// Differs between the instances of a fleet, and is spread evenly from 0 to 1.
+double first_credit(const std::string& instance, const std::string& server) {
+    return unit_interval(
+        combine_hashes(stable_hash(instance), stable_hash(server)));
+}
+
 // The combined beliefs about the latest incarnation of a backend server.
 struct latest_belief {
     std::uint64_t incarnation = 0;
@@ -126,12 +148,13 @@
     : self_(std::move(self)), policy_(policy) {}
 
 void slot_table::apply(const service& of, const view_changed& view,
-                       const std::unordered_set<std::string>& reachable) {
+                       const std::unordered_set<std::string>& reachable,
+                       time_point now) {
     clear_cached_sums();
     all_changed_ = true;
     configure_servers(of);
     apply_beliefs(view);
-    apply_ownership(view, reachable);
+    apply_ownership(view, reachable, now);
     configured_before_ = !servers_.empty();
 }
 
@@ -148,6 +171,8 @@
         servers_.push_back(known ? std::move(former[found->second])
                                  : backend_slots(server.name));
         servers_.back().configure(server);
+        servers_.back().limits().named().set_first_credit(
+            first_credit(self_.name, server.name));
         if (!known && configured_before_) {
             servers_.back().limit_to_one_slot();
         }
@@ -160,9 +185,9 @@
     for (backend_slots& server : servers_) {
         const latest_belief belief = belief_of(server, latest);
         server.set_incarnation(belief.incarnation);
-        server.set_unavailable(belief.leaving || belief.listed_dead ||
-                               belief.suspected_dead);
-        serving += server.unavailable() ? 0 : 1;
+        server.limits().set_unavailable(belief.leaving || belief.listed_dead ||
+                                        belief.suspected_dead);
+        serving += server.limits().unavailable() ? 0 : 1;
     }
     if (serving > 0) {
         return;
@@ -172,7 +197,7 @@
     // excluding all servers would turn the suspicion into an outage.
     for (backend_slots& server : servers_) {
         const latest_belief belief = belief_of(server, latest);
-        server.set_unavailable(belief.leaving || belief.listed_dead);
+        server.limits().set_unavailable(belief.leaving || belief.listed_dead);
     }
 }
 
@@ -190,8 +215,8 @@
 }
 
 void slot_table::apply_ownership(
-    const view_changed& view,
-    const std::unordered_set<std::string>& reachable) {
+    const view_changed& view, const std::unordered_set<std::string>& reachable,
+    time_point now) {
     const unsigned sharers =
         sharers_of_unreachable_owner(view, reachable, self_);
     for (const member& known : view.members) {
@@ -220,7 +245,10 @@
             allowance = 0;
         }
         server.set_allowance(allowance, fair_share);
-        server.cold().set_limit(cold_request_limit(owned_[place], sharers));
+        server.limits().cold().set_limit(
+            cold_request_limit(owned_[place], sharers));
+        server.limits().named().set_share(
+            named_limit_share(owned_[place], sharers), now);
         if (allowance > 0) {
             usable_.push_back(place);
         }
@@ -241,14 +269,15 @@
 }
 
 bool slot_table::any_eligible(const request_needs& request) const {
-    return std::any_of(
-        servers_.begin(), servers_.end(), [&](const backend_slots& server) {
-            return !server.unavailable() && may_run_on(request, server);
-        });
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const backend_slots& server) {
+                           return !server.limits().unavailable() &&
+                                  may_run_on(request, server);
+                       });
 }
 
 bool slot_table::may_start(index place) const {
-    return !servers_[place].unavailable();
+    return !servers_[place].limits().unavailable();
 }
 
 attempt_ref slot_table::start(index place, time_point now, bool isolated) {
@@ -310,21 +339,21 @@
 // looked fast, and all servers were repeatedly filled for four seconds at a
 // time.
 ended_attempt slot_table::finish(index place, attempt_ref attempt,
-                                 attempt_verdict verdict,
-                                 const std::optional<backend_load>& load,
-                                 time_point now) {
+                                 const grant_use& use, time_point now) {
     mark_changed(place);
     backend_slots& server = servers_[place];
+    const auto& load = use.load;
     const unsigned others = others_running(server, load);
-    const auto started = server.finish(attempt, verdict, load, now, policy_);
+    const auto started =
+        server.finish(attempt, use.verdict, load, now, policy_);
     ended_attempt ended;
     ended.slowness_known = false;
     if (attempt != 0 && !started) {
         ended.of_previous_incarnation = true;
         return ended;
     }
-    if (verdict == attempt_verdict::answered ||
-        verdict == attempt_verdict::failed || load) {
+    if (use.verdict == attempt_verdict::answered ||
+        use.verdict == attempt_verdict::failed || load) {
         server.set_unresponsive(false);
     }
     if (started) {
@@ -345,9 +374,32 @@
     if (load) {
         record_load(server, *load, now);
     }
+    if (use.terms) {
+        const time_point sent_at =
+            started ? started->at : now - use.service_time;
+        record_terms(place, *use.terms, sent_at, now);
+    }
     return ended;
 }
 
+void slot_table::record_terms(index place, const backend_terms& terms,
+                              time_point sent_at, time_point now) {
+    named_limit& limit = servers_[place].limits().named();
+    const auto before = limit.rate();
+    limit.record_answer(terms, sent_at, now);
+    if (limit.rate() != before) {
+        clear_cached_sums();
+    }
+}
+
+bool slot_table::may_probe(index place, time_point now) const {
+    return servers_[place].limits().may_probe(now, policy_);
+}
+
+void slot_table::probe_started(index place, time_point now) {
+    servers_[place].limits().record_probe(now);
+}
+
 void slot_table::learn(index place, const ended_attempt& ended,
                        attempt_verdict verdict, double log_ratio,
                        time_point now) {
@@ -380,7 +432,11 @@
         record_load(server, *probe.load, now);
     }
     if (probe.cold_for) {
-        server.cold().set_cold_until(now + *probe.cold_for);
+        server.limits().cold().set_cold_until(now + *probe.cold_for);
+    }
+    if (probe.terms) {
+        server.limits().named().record_probe(*probe.terms, now - max_probe_time,
+                                             now);
     }
 }
 
@@ -427,7 +483,8 @@
             server.last_load() && now - server.last_load()->at < max_age;
         const bool is_needed = !slowness_model_.has_enough_data() ||
                                !known.at(server.data_centre()).is_sufficient();
-        if (server.limit() > 0 && !is_recent && is_needed) {
+        if (server.limit() > 0 && !is_recent && is_needed &&
+            may_probe(place, now)) {
             names.push_back(server.name());
         }
     }
@@ -456,9 +513,8 @@
         if (server.limit() == 0) {
             continue;
         }
-        consider(server.paused_until());
-        if (const auto available = server.cold().next_available(now)) {
-            consider(*available);
+        if (const auto change = server.limits().next_change(now)) {
+            consider(*change);
         }
         if (server.health().needs_sampling()) {
             consider(server.health().next_sample());
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -69,7 +69,11 @@
 
     // The owners in the view must be the result of with_standbys().
     void apply(const service& of, const view_changed& view,
-               const std::unordered_set<std::string>& reachable);
+               const std::unordered_set<std::string>& reachable,
+               time_point now);
+    // Sets the service time by which the limits that servers name are converted
+    // to slots. The sums over slots follow with their next update.
+    void set_service_time(duration typical) { service_time_ = typical; }
 
     std::optional<index> find(const std::string& backend_server) const;
     const backend_slots& at(index place) const { return servers_[place]; }
@@ -107,16 +111,21 @@
     attempt_ref start(index place, time_point now, bool isolated);
     // Records the end of an attempt on the server. The attempt is 0 if it used
     // a slot that a peer granted.
-    ended_attempt finish(index place, attempt_ref attempt,
-                         attempt_verdict verdict,
-                         const std::optional<backend_load>& load,
+    ended_attempt finish(index place, attempt_ref attempt, const grant_use& use,
                          time_point now);
+    // Records the terms that a server stated in an answer to a request that
+    // was sent at the given time.
+    void record_terms(index place, const backend_terms& terms,
+                      time_point sent_at, time_point now);
     // Learns from the service time of an ended attempt; log_ratio is the
     // logarithm of its service time divided by the expected time.
     void learn(index place, const ended_attempt& ended, attempt_verdict verdict,
                double log_ratio, time_point now);
     // Frees a slot on which no request was started.
     void release(index place, attempt_ref attempt, time_point now);
+    // Whether the server may be probed now, and that it is probed.
+    bool may_probe(index place, time_point now) const;
+    void probe_started(index place, time_point now);
     // Records the result of a probe of the server.
     void probe_finished(index place, const probe_ended& probe, time_point now);
 
@@ -154,7 +163,8 @@
                                    const std::optional<backend_load>& load);
     void apply_beliefs(const view_changed& view);
     void apply_ownership(const view_changed& view,
-                         const std::unordered_set<std::string>& reachable);
+                         const std::unordered_set<std::string>& reachable,
+                         time_point now);
     std::optional<unsigned> cold_request_limit(bool owned,
                                                unsigned sharers) const;
     void configure_servers(const service& of);
@@ -189,6 +199,7 @@
     bool any_working_in(const std::string& data_centre) const;
     unsigned usable_slots(const backend_slots& server, time_point now) const;
     unsigned working_slots_of(const backend_slots& server) const;
+    double weighted_share(const backend_slots& server) const;
     double normalized_share(const backend_slots& server) const;
     bool none_working() const;
     bool excludes_failing() const;
@@ -220,6 +231,7 @@
     scheduling_policy policy_;
     bool configured_before_ = false;
     std::optional<unsigned> cold_requests_; // limit of the service
+    duration service_time_{};
     std::vector<backend_slots> servers_;
     std::vector<bool> owned_;
     bool owns_any_ = false;
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -297,6 +297,7 @@
         answer.outcome == run_outcome::ran ? took : duration::zero();
     finished.load = answer.load;
     finished.answer_bytes = answer.bytes;
+    finished.terms = answer.terms;
     part.desk->handle(finished);
 }
 
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -54,11 +54,14 @@
     // A peer's scheduler message.
     void take(const incoming_grant_message& message);
     void take(const decision::peer_reachability& reach);
-    // A probe of one of the service's backend servers ended.
+    // A probe of one of the service's backend servers is sent, or ended.
+    void take(const std::string& service, const decision::probe_started& probe);
     void take(const std::string& service, const decision::probe_ended& probe);
 
     // What to probe, see service_scheduler::servers_to_probe().
     std::vector<std::string> servers_to_probe(const std::string& service) const;
+    bool may_probe(const std::string& service,
+                   const std::string& backend_server) const;
 
     // Calls that have no answer yet.
     std::size_t open_calls() const { return calls_.size(); }
--- a/src/entry/call_relay.cpp
+++ b/src/entry/call_relay.cpp
@@ -50,6 +50,11 @@
     const auto& winner = was_hedge ? *call->hedge : *call->running;
     call->caller->on_drained([this, on = winner.call] { pool_.resume(on); });
     call->caller->begin_answer(protocol_.pass_on(head, {}), length);
+    const auto said = protocol_.classify({head, true, std::nullopt});
+    if (said.terms) {
+        desk_of(call->labels.service)
+            .handle(decision::answer_begun{attempt_id, *said.terms});
+    }
 }
 
 void call_desk::relay(decision::request_id id, const std::string& bytes) {
--- a/src/entry/call_services.cpp
+++ b/src/entry/call_services.cpp
@@ -99,6 +99,22 @@
     }
 }
 
+void call_desk::take(const std::string& service,
+                     const decision::probe_started& probe) {
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+        found->second.desk->handle(probe);
+    }
+}
+
+bool call_desk::may_probe(const std::string& service,
+                          const std::string& backend_server) const {
+    const auto found = services_.find(service);
+    return found != services_.end() &&
+           found->second.desk->scheduler().may_probe(backend_server,
+                                                     timers_.now());
+}
+
 void call_desk::take(const std::string& service,
                      const decision::probe_ended& probe) {
     const auto found = services_.find(service);
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -121,6 +121,17 @@
     return calls_.servers_to_probe(service);
 }
 
+bool entry_service::may_probe(const std::string& service,
+                              const std::string& backend_server) {
+    return calls_.may_probe(service, backend_server);
+}
+
+void entry_service::on_probe_sent(const std::string& service,
+                                  const std::string& backend_server) {
+    limit_log_.record_probe(backend_server);
+    calls_.take(service, decision::probe_started{backend_server});
+}
+
 void entry_service::on_probe(const std::string& service,
                              const std::string& backend_server,
                              const backend_answer& answer) {
@@ -132,6 +143,7 @@
                      answer.end == attempt_end::not_started;
     ended.load = answer.load;
     ended.cold_for = answer.cold_for;
+    ended.terms = answer.terms;
     calls_.take(service, ended);
 }
 
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -41,13 +41,14 @@
     void on_sent(const std::string& backend_server) override {
         limit_log_.record_request(backend_server);
     }
-    void on_probe_sent(const std::string& backend_server) override {
-        limit_log_.record_probe(backend_server);
-    }
     void observe(const std::string& backend_server,
                  const backend_answer& answer) override;
     std::vector<std::string>
     servers_to_probe(const std::string& service) override;
+    bool may_probe(const std::string& service,
+                   const std::string& backend_server) override;
+    void on_probe_sent(const std::string& service,
+                       const std::string& backend_server) override;
     void on_probe(const std::string& service, const std::string& backend_server,
                   const backend_answer& answer) override;
     void report(const std::string& backend_server, const backend_answer& answer,
--- a/src/entry/grant_message.cpp
+++ b/src/entry/grant_message.cpp
@@ -51,6 +51,7 @@
 constexpr const char* service_time = "j";
 constexpr const char* answer_bytes = "u";
 constexpr const char* load = "o";
+constexpr const char* terms = "T";
 } // namespace field
 
 // What most requests have in common goes without saying.
@@ -77,6 +78,21 @@
     return load;
 }
 
+// The limit, or null for terms without one.
+json write_terms(const backend_terms& terms) {
+    const auto& limit = terms.requests_per_second;
+    return json::array({limit ? json(*limit) : json(nullptr)});
+}
+
+backend_terms read_terms(const json& from) {
+    backend_terms terms;
+    const auto& limit = from.at(0);
+    if (!limit.is_null()) {
+        terms.requests_per_second = io::read_rate(limit);
+    }
+    return terms;
+}
+
 json write_request(const decision::waiting_request& request) {
     const auto& usual = usual_request();
     json written = {{field::request, request.request},
@@ -189,6 +205,9 @@
         if (a.use->load) {
             into[field::load] = write_load(*a.use->load);
         }
+        if (a.use->terms) {
+            into[field::terms] = write_terms(*a.use->terms);
+        }
     }
 };
 
@@ -264,6 +283,9 @@
     if (from.contains(field::load)) {
         use.load = read_load(from.at(field::load));
     }
+    if (from.contains(field::terms)) {
+        use.terms = read_terms(from.at(field::terms));
+    }
     returned.use = use;
     return returned;
 }
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -149,6 +149,7 @@
 void prober::probe(const service& of, owned_server& server, time_point now) {
     auto& budget = services_.at(of.name).budget;
     if (open_.count(server.at.name) == 0 &&
+        outlet_.may_probe(of.name, server.at.name) &&
         budget.try_probe(server.at.name, now)) {
         server.last = now;
         send_probe(of, server.at);
@@ -171,7 +172,7 @@
 
 void prober::send_probe(const service& of, const backend_server& to) {
     probes_.add();
-    outlet_.on_probe_sent(to.name);
+    outlet_.on_probe_sent(of.name, to.name);
     forwarding::backend_call call;
     call.backend_server = to.name;
     call.host = to.host;
--- a/src/entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -24,7 +24,11 @@
     // well.
     virtual std::vector<std::string>
     servers_to_probe(const std::string& service) = 0;
-    virtual void on_probe_sent(const std::string& backend_server) = 0;
+    // Whether the terms that the backend server has stated allow a probe now.
+    virtual bool may_probe(const std::string& service,
+                           const std::string& backend_server) = 0;
+    virtual void on_probe_sent(const std::string& service,
+                               const std::string& backend_server) = 0;
     virtual void on_probe(const std::string& service,
                           const std::string& backend_server,
                           const backend_answer& answer) = 0;
--- a/src/io/cbor_reading.cpp
+++ b/src/io/cbor_reading.cpp
@@ -100,6 +100,15 @@
     return factor;
 }
 
+double read_rate(const json& from) {
+    constexpr double most = 1e9;
+    const double rate = from.is_number() ? from.get<double>() : -1.;
+    if (!(rate >= 0 && rate <= most)) {
+        refuse("a rate from 0 to 1e9");
+    }
+    return rate;
+}
+
 const json& read_list(const json& from, std::size_t most) {
     if (!from.is_array() || from.size() > most) {
         refuse("a list of at most " + std::to_string(most) + " items");
--- a/src/io/cbor_reading.hpp
+++ b/src/io/cbor_reading.hpp
@@ -49,6 +49,9 @@
 // between a hundredth and a hundredfold.
 double read_factor(const nlohmann::json& from);
 
+// A rate per second; throws unless it is from 0 to 1e9.
+double read_rate(const nlohmann::json& from);
+
 // A list of at most that many items.
 const nlohmann::json& read_list(const nlohmann::json& from, std::size_t most);
 
--- a/src/waxwing_replay/trace_codec.cpp
+++ b/src/waxwing_replay/trace_codec.cpp
@@ -174,6 +174,27 @@
                         from.at(2).get<unsigned>(), from.at(3).get<double>()};
 }
 
+// Traces of before have no terms, and neither have answers without a head.
+void encode_terms(const std::optional<backend_terms>& terms, json& into) {
+    if (!terms) {
+        return;
+    }
+    const auto& limit = terms->requests_per_second;
+    into["terms"] = {{"limit", limit ? json(*limit) : json(nullptr)}};
+}
+
+std::optional<backend_terms> decode_terms(const json& from) {
+    if (!from.contains("terms")) {
+        return std::nullopt;
+    }
+    backend_terms terms;
+    const auto& limit = from.at("terms").at("limit");
+    if (!limit.is_null()) {
+        terms.requests_per_second = limit.get<double>();
+    }
+    return terms;
+}
+
 json encode_needs(const request_needs& of) {
     return {{"tenant", of.tenant},
             {"class", of.request_class},
@@ -219,10 +240,12 @@
 }
 
 json encode_use(const grant_use& use) {
-    return {{"verdict", static_cast<int>(use.verdict)},
-            {"service_time", count(use.service_time)},
-            {"load", encode_load(use.load)},
-            {"bytes", use.answer_bytes}};
+    json line = {{"verdict", static_cast<int>(use.verdict)},
+                 {"service_time", count(use.service_time)},
+                 {"load", encode_load(use.load)},
+                 {"bytes", use.answer_bytes}};
+    encode_terms(use.terms, line);
+    return line;
 }
 
 grant_use decode_use(const json& from) {
@@ -231,12 +254,13 @@
     use.service_time = duration_in(from, "service_time");
     use.load = decode_load(from.at("load"));
     from.at("bytes").get_to(use.answer_bytes);
+    use.terms = decode_terms(from);
     return use;
 }
 
 json encode(const request_finished& event) {
-    json line = encode_use(
-        {event.verdict, event.service_time, event.load, event.answer_bytes});
+    json line = encode_use({event.verdict, event.service_time, event.load,
+                            event.answer_bytes, event.terms});
     line["event"] = "request_finished";
     line["request"] = event.request;
     return line;
@@ -244,8 +268,23 @@
 
 scheduler_event decode_finish(const json& from) {
     const grant_use use = decode_use(from);
-    return request_finished{from.at("request").get<request_id>(), use.verdict,
-                            use.service_time, use.load, use.answer_bytes};
+    return request_finished{from.at("request").get<request_id>(),
+                            use.verdict,
+                            use.service_time,
+                            use.load,
+                            use.answer_bytes,
+                            use.terms};
+}
+
+json encode(const answer_begun& event) {
+    json line = {{"event", "answer_begun"}, {"request", event.request}};
+    encode_terms(event.terms, line);
+    return line;
+}
+
+scheduler_event decode_begin(const json& from) {
+    return answer_begun{from.at("request").get<request_id>(),
+                        decode_terms(from).value_or(backend_terms())};
 }
 
 json encode(const request_cancelled& event) {
@@ -362,16 +401,28 @@
 }
 
 json encode(const probe_ended& event) {
-    return {{"event", "probe_ended"},
-            {"backend_server", event.backend_server},
-            {"answered", event.answered},
-            {"load", encode_load(event.load)}};
+    json line = {{"event", "probe_ended"},
+                 {"backend_server", event.backend_server},
+                 {"answered", event.answered},
+                 {"load", encode_load(event.load)}};
+    encode_terms(event.terms, line);
+    return line;
 }
 
 scheduler_event decode_probe(const json& from) {
     return probe_ended{from.at("backend_server").get<std::string>(),
                        from.at("answered").get<bool>(),
-                       decode_load(from.at("load")), std::nullopt};
+                       decode_load(from.at("load")), std::nullopt,
+                       decode_terms(from)};
+}
+
+json encode(const probe_started& event) {
+    return {{"event", "probe_started"},
+            {"backend_server", event.backend_server}};
+}
+
+scheduler_event decode_probe_start(const json& from) {
+    return probe_started{from.at("backend_server").get<std::string>()};
 }
 
 json encode(const time_passed& /*event*/) {
@@ -389,12 +440,14 @@
         {"view_changed", decode_view},
         {"peer_reachability", decode_reachability},
         {"request_arrived", decode_arrival},
+        {"answer_begun", decode_begin},
         {"request_finished", decode_finish},
         {"request_cancelled", decode_cancellation},
         {"slots_asked", decode_ask},
         {"ask_answered", decode_answer},
         {"grant_received", decode_grant},
         {"grant_returned", decode_return},
+        {"probe_started", decode_probe_start},
         {"probe_ended", decode_probe},
         {"time_passed", decode_time}};
     return known;
--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -82,6 +82,27 @@
     CHECK(event.use == back.use);
 }
 
+TEST_CASE("the terms that a borrower was told reach the owner of the slot") {
+    // Guards against an owner that lends on what it does not know to be
+    // limited, and against a limit that ends since an answer was lost.
+    const auto arrived = [](std::optional<backend_terms> told) {
+        decision::return_grant back;
+        back.peer = "pdx-1";
+        back.use = decision::grant_use();
+        back.use->terms = told;
+        const auto taken = entry::decode_grant_message(
+            "sea-1", entry::encode({"slate-view", back}));
+        REQUIRE(taken.has_value());
+        return std::get<decision::grant_returned>(taken.value().event)
+            .use->terms;
+    };
+    backend_terms limited;
+    limited.requests_per_second = 2.5;
+    CHECK(arrived(limited) == limited);
+    CHECK(arrived(backend_terms()) == backend_terms());
+    CHECK_FALSE(arrived(std::nullopt));
+}
+
 TEST_CASE("a key's whole answer survives the way between instances") {
     auto answer = std::make_shared<decision::whole_answer>();
     answer->status = 201;
--- a/test/entry/prober_test.cpp
+++ b/test/entry/prober_test.cpp
@@ -65,7 +65,12 @@
     servers_to_probe(const std::string& /*service*/) override {
         return {"a"};
     }
-    void on_probe_sent(const std::string& /*backend_server*/) override {}
+    bool may_probe(const std::string& /*service*/,
+                   const std::string& /*backend_server*/) override {
+        return true;
+    }
+    void on_probe_sent(const std::string& /*service*/,
+                       const std::string& /*backend_server*/) override {}
     void on_probe(const std::string& /*service*/, const std::string& server,
                   const backend_answer& /*answer*/) override {
         ended_ += server == "a" ? 1 : 0;
