decision: stragglers with most of the capacity are used like other servers

What callers saw, in a test beside eight busy loops: with one of two servers limited to 5 a second, 1,449 to 1,488 of some 1,500 requests in four seconds were refused as too late, beside four idle slots.

Cause: the other server got twice as much as before, slowed down by more than 2.5 times, and counted as a straggler. A straggler is used once the backlog takes longer than its extra time, or when nothing else works; the server with a limit counted as working, and since nearly all were refused at once, there never was a backlog. The same happens without limits where few healthy servers are left beside many stragglers.

Stragglers count and are used like other servers while they could do more, by their slowness, than all others by their limits.

--- a/src/decision/slot_choice.cpp
+++ b/src/decision/slot_choice.cpp
@@ -69,7 +69,7 @@
     if (server.health().failing()) {
         return sample_is_due(server, requirements, now);
     }
-    if (!server.health().straggler() ||
+    if (!server.health().straggler() || current_totals().needs_stragglers ||
         sample_is_due(server, requirements, now)) {
         return true;
     }
@@ -348,9 +348,16 @@
 }
 
 unsigned slot_table::working_slots_of(const backend_slots& server) const {
-    const bool works = !is_excluded(server) && !server.health().straggler();
-    const unsigned best = contention_.best_concurrency(server.configured());
-    return works ? std::min(server.limit(), best) : 0;
+    const bool works =
+        !is_excluded(server) &&
+        (!server.health().straggler() || current_totals().needs_stragglers);
+    return works ? best_slots(server) : 0;
+}
+
+// Returns the slots with which the server has its highest throughput.
+unsigned slot_table::best_slots(const backend_slots& server) const {
+    return std::min(server.limit(),
+                    contention_.best_concurrency(server.configured()));
 }
 
 bool slot_table::any_free(const std::optional<std::vector<index>>& among,
@@ -375,13 +382,27 @@
         return *totals_;
     }
     totals sum;
+    totals stragglers;
     for (const index place : usable_) {
         const backend_slots& server = servers_[place];
-        sum.working += working_slots_of(server);
-        sum.weighted += weighted_share(server);
         sum.saturated_log_slowdown =
             std::max(sum.saturated_log_slowdown,
                      contention_.log_slowdown_at_best(server.configured()));
+        if (is_excluded(server)) {
+            continue;
+        }
+        totals& its = server.health().straggler() ? stragglers : sum;
+        its.working += best_slots(server);
+        its.weighted +=
+            reliable_slots(server, best_slots(server)) /
+            (server.health().straggler() ? server.health().slowness() : 1.0);
+    }
+    // Where the other servers take little, for the limits that they name or
+    // since they are few, requests would be refused beside idle stragglers.
+    sum.needs_stragglers = stragglers.weighted > sum.weighted;
+    if (sum.needs_stragglers) {
+        sum.working += stragglers.working;
+        sum.weighted += stragglers.weighted;
     }
     totals_ = sum;
     return *totals_;
@@ -412,19 +433,19 @@
     return sum;
 }
 
-// Returns the working slots that this instance can rely on, at the rate that
+// Returns those of the slots that this instance can rely on, at the rate that
 // the limit named by the server leaves it.
-double slot_table::weighted_share(const backend_slots& server) const {
-    return server.usable_slots(working_slots_of(server) * server.fair_share(),
-                               service_time_);
+double slot_table::reliable_slots(const backend_slots& server,
+                                  double slots) const {
+    return server.usable_slots(slots * server.fair_share(), service_time_);
 }
 
-// The same, divided by the slowdown by contention.
+// The same of the working slots, divided by the slowdown by contention.
 double slot_table::normalized_share(const backend_slots& server) const {
-    const double slots =
-        working_slots_of(server) * server.fair_share() *
-        std::exp(-contention_.log_slowdown_at_best(server.configured()));
-    return server.usable_slots(slots, service_time_);
+    return reliable_slots(
+        server,
+        working_slots_of(server) *
+            std::exp(-contention_.log_slowdown_at_best(server.configured())));
 }
 
 double slot_table::saturated_log_slowdown() const {
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -199,7 +199,8 @@
     bool any_working_in(const std::string& data_centre) const;
     unsigned usable_slots(const backend_slots& server, time_point now) const;
     unsigned working_slots_of(const backend_slots& server) const;
-    double weighted_share(const backend_slots& server) const;
+    unsigned best_slots(const backend_slots& server) const;
+    double reliable_slots(const backend_slots& server, double slots) const;
     double normalized_share(const backend_slots& server) const;
     bool none_working() const;
     bool excludes_failing() const;
@@ -209,6 +210,9 @@
         unsigned working = 0;
         double weighted = 0;
         double saturated_log_slowdown = 0;
+        // Whether stragglers have more capacity than all other servers, so that
+        // they are used like these.
+        bool needs_stragglers = false;
     };
     struct estimates {
         time_point at{};
--- a/test/scheduling/named_limit_test.cpp
+++ b/test/scheduling/named_limit_test.cpp
@@ -383,3 +383,39 @@
     CHECK(second[0].retry_after - first[0].retry_after >= 200ms);
     CHECK(f.scheduler().load(f.now).working_slots > 0);
 }
+
+TEST_CASE("a straggler is used when the other servers name a limit") {
+    // Guards against refusals beside an idle server: with the others limited it
+    // gets more than before, slows down and is passed over for it.
+    scheduler_fixture f(2, 4, 2);
+    f.now = start;
+    request_id request = 0;
+    const auto finish = [&f](const start_request& started,
+                             const backend_terms& terms) {
+        request_finished ended;
+        ended.request = started.request;
+        ended.service_time = started.backend_server == "b" ? 100ms : 20ms;
+        ended.terms = terms;
+        f.send(ended);
+    };
+    for (int i = 0; i < 100; ++i) {
+        f.arrive(++request);
+        const auto started = f.all<start_request>();
+        REQUIRE(started.size() == 1);
+        f.pass(100ms);
+        finish(started[0], backend_terms());
+    }
+    REQUIRE(f.scheduler().slots()[1].straggler);
+    unsigned refused = 0;
+    for (int i = 0; i < 50; ++i) {
+        f.arrive(++request, 300ms);
+        refused += static_cast<unsigned>(f.all<refuse_request>().size());
+        const auto started = f.all<start_request>();
+        f.pass(100ms);
+        for (const auto& each : started) {
+            finish(each, each.backend_server == "a" ? limited_to(1)
+                                                    : backend_terms());
+        }
+    }
+    CHECK(refused == 0);
+}
