entry: answers that say their backend server leaves are read and logged

The logs of the incident don't tell whether an instance was told: no line says that an answer says so. The terms of an answer now carry it: of any status, cut short, of health checks, but not of another server at the address. An attempt's end has leaving=yes, and backend_server_says_leaving tells the first such answer of a server. Nothing is decided by it yet. limit_log is terms_log now, as it logs both.

--- a/include/waxwingvale/model/backend_terms.hpp
+++ b/include/waxwingvale/model/backend_terms.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <tuple>
 
 namespace waxwingvale {
 
@@ -10,9 +11,12 @@
     // The most requests per second that it takes from all instances together;
     // none if it names no limit.
     std::optional<double> requests_per_second;
+    // It leaves: it finishes what it has and wants nothing new, until it ends.
+    bool leaving = false;
 
     friend bool operator==(const backend_terms& a, const backend_terms& b) {
-        return a.requests_per_second == b.requests_per_second;
+        return std::tie(a.requests_per_second, a.leaving) ==
+               std::tie(b.requests_per_second, b.leaving);
     }
 };
 
--- a/src/entry/call_facts.cpp
+++ b/src/entry/call_facts.cpp
@@ -64,6 +64,9 @@
         facts += " " + fact("limit_per_s",
                             std::to_string(*answer.terms->requests_per_second));
     }
+    if (answer.terms && answer.terms->leaving) {
+        facts += " leaving=yes";
+    }
     return facts;
 }
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -56,7 +56,7 @@
       callers_(environment.loop, environment.timers,
                caller_options(environment.settings)),
       pool_(environment.loop, environment.timers),
-      limit_log_(environment.timers, metrics_.limits_named,
+      terms_log_(environment.timers, metrics_.limits_named,
                  metrics_.limited_servers),
       calls_(self_, protocol, environment.timers, pool_, hub_, metrics_, *this),
       prober_(self_.name, protocol, environment.timers, pool_, metrics_.probes,
@@ -93,7 +93,7 @@
         for (const auto& name : starts_.follow(*view->config)) {
             pool_.forget(name);
         }
-        limit_log_.retain(*view->config);
+        terms_log_.retain(*view->config);
     }
     view_ = view;
     const auto limits = connection_limits_of(*view);
@@ -128,7 +128,7 @@
 
 void entry_service::on_probe_sent(const std::string& service,
                                   const std::string& backend_server) {
-    limit_log_.record_probe(backend_server);
+    terms_log_.record_probe(backend_server);
     calls_.take(service, decision::probe_started{backend_server});
 }
 
@@ -153,7 +153,7 @@
 void entry_service::report(const std::string& backend_server,
                            const backend_answer& answer, belief_source source) {
     if (answer.terms) {
-        limit_log_.record_terms(backend_server, *answer.terms);
+        terms_log_.record_terms(backend_server, *answer.terms);
     }
     const auto seen = state_for_all(answer);
     if (!seen || !is_change(backend_server, answer.incarnation, *seen)) {
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -14,9 +14,9 @@
 
 #include "entry/call_desk.hpp"
 #include "entry/entry_metrics.hpp"
-#include "entry/limit_log.hpp"
 #include "entry/prober.hpp"
 #include "entry/server_starts.hpp"
+#include "entry/terms_log.hpp"
 
 namespace waxwingvale::entry {
 
@@ -39,7 +39,7 @@
 
 private:
     void on_sent(const std::string& backend_server) override {
-        limit_log_.record_request(backend_server);
+        terms_log_.record_request(backend_server);
     }
     void observe(const std::string& backend_server,
                  const backend_answer& answer) override;
@@ -71,7 +71,7 @@
     forwarding::backend_pool pool_;
     view_ptr view_;
     server_starts starts_;
-    limit_log limit_log_;
+    terms_log terms_log_;
     call_desk calls_;
     prober prober_;
     kernel::timer_service::subscription leave_notice_;
--- a/src/entry/own_answers.cpp
+++ b/src/entry/own_answers.cpp
@@ -29,6 +29,9 @@
 // states no terms, so that a limit known before holds.
 std::optional<backend_terms> read_terms(const io::http_response& response) {
     backend_terms terms;
+    const auto* state =
+        io::find_header(response.headers, header::backend_state);
+    terms.leaving = state != nullptr && *state == "leaving";
     const auto* text = io::find_header(response.headers, header::backend_limit);
     if (text == nullptr) {
         return terms;
--- a/src/entry/limit_log.cpp
+++ b/src/entry/terms_log.cpp
@@ -1,4 +1,4 @@
-#include "entry/limit_log.hpp"
+#include "entry/terms_log.hpp"
 
 #include <set>
 #include <waxwingvale/program/state_log.hpp>
@@ -27,16 +27,22 @@
 
 } // namespace
 
-void limit_log::record_terms(const std::string& backend_server,
+void terms_log::record_terms(const std::string& backend_server,
                              const backend_terms& terms) {
-    if (!terms.requests_per_second) {
-        end(backend_server);
-        return;
+    if (terms.requests_per_second) {
+        record_limit(backend_server, *terms.requests_per_second);
+    } else {
+        end_limit(backend_server);
+    }
+    if (terms.leaving) {
+        record_leaving(backend_server);
     }
+}
+
+void terms_log::record_limit(const std::string& backend_server, double limit) {
     named_.add();
     const auto known = servers_.find(backend_server);
     const bool is_new = known == servers_.end();
-    const double limit = *terms.requests_per_second;
     if (!is_new && known->second.requests_per_second == limit) {
         return;
     }
@@ -47,29 +53,37 @@
     }
 }
 
-void limit_log::end(const std::string& backend_server) {
+// A server that leaves says so in every answer; the first one is enough.
+void terms_log::record_leaving(const std::string& backend_server) {
+    if (leaving_.insert(backend_server).second) {
+        program::log_change("backend_server_says_leaving",
+                            {{"backend_server", backend_server}});
+    }
+}
+
+void terms_log::end_limit(const std::string& backend_server) {
     if (servers_.erase(backend_server) != 0) {
         log_limit(backend_server, "none");
         follow_count();
     }
 }
 
-void limit_log::record_request(const std::string& backend_server) {
+void terms_log::record_request(const std::string& backend_server) {
     const auto known = servers_.find(backend_server);
     if (known != servers_.end()) {
         ++known->second.requests;
     }
 }
 
-void limit_log::record_probe(const std::string& backend_server) {
+void terms_log::record_probe(const std::string& backend_server) {
     const auto known = servers_.find(backend_server);
     if (known != servers_.end()) {
         ++known->second.probes;
     }
 }
 
-void limit_log::retain(const configuration& config) {
-    if (servers_.empty()) {
+void terms_log::retain(const configuration& config) {
+    if (servers_.empty() && leaving_.empty()) {
         return;
     }
     const auto names = names_of(config);
@@ -77,10 +91,14 @@
         const bool gone = names.count(each->first) == 0;
         each = gone ? servers_.erase(each) : std::next(each);
     }
+    for (auto each = leaving_.begin(); each != leaving_.end();) {
+        const bool gone = names.count(*each) == 0;
+        each = gone ? leaving_.erase(each) : std::next(each);
+    }
     follow_count();
 }
 
-void limit_log::follow_count() {
+void terms_log::follow_count() {
     limited_.set(static_cast<double>(servers_.size()));
     if (servers_.empty()) {
         writing_.cancel();
@@ -90,7 +108,7 @@
     }
 }
 
-void limit_log::write_lines() {
+void terms_log::write_lines() {
     for (auto& [name, server] : servers_) {
         if (server.requests == 0 && server.probes == 0) {
             continue;
--- a/src/entry/limit_log.hpp
+++ b/src/entry/terms_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include <waxwingvale/kernel/timer_service.hpp>
@@ -10,11 +11,11 @@
 
 namespace waxwingvale::entry {
 
-// Logs the limits that backend servers name in their answers, and once a second
-// how much this instance has sent to each server that names one.
-class limit_log {
+// Logs the terms that backend servers state in their answers, and once a second
+// how much this instance has sent to each server that names a limit.
+class terms_log {
 public:
-    limit_log(kernel::timer_service& timers, program::counter named,
+    terms_log(kernel::timer_service& timers, program::counter named,
               program::gauge limited)
         : timers_(timers), named_(named), limited_(limited) {}
 
@@ -33,7 +34,9 @@
         unsigned probes = 0;
     };
 
-    void end(const std::string& backend_server);
+    void record_limit(const std::string& backend_server, double limit);
+    void end_limit(const std::string& backend_server);
+    void record_leaving(const std::string& backend_server);
     void follow_count();
     void write_lines();
 
@@ -41,7 +44,8 @@
     program::counter named_;
     program::gauge limited_;
     std::map<std::string, limited_server> servers_; // by name
-    kernel::timer_service::subscription writing_;   // while there are any
+    std::set<std::string> leaving_;
+    kernel::timer_service::subscription writing_; // while there are any
 };
 
 } // namespace waxwingvale::entry
--- a/test/platform/request_headers_test.cpp
+++ b/test/platform/request_headers_test.cpp
@@ -210,3 +210,22 @@
             protocol.classify(answered(200, {{"Server-Limit", text}})).terms);
     }
 }
+
+TEST_CASE("every answer of a server that leaves tells that it does") {
+    // Guards against a server that gets requests until the platform's store
+    // tells that it leaves, which may be down.
+    const io::http_headers says_so = {{"Server-Leaving", "1"}};
+    for (const unsigned status : {200U, 404U, 429U, 500U, 503U}) {
+        CHECK(protocol.classify(answered(status, says_so)).terms->leaving);
+    }
+    CHECK(
+        protocol.classify_health(answered(503, says_so), "i-7").terms->leaving);
+    const forwarding::backend_result cut{
+        error{error_code::malformed, "await answer", "i-7", "cut short"}, true,
+        io::http_response{200, says_so, ""}};
+    CHECK(protocol.classify(cut).terms->leaving);
+    CHECK_FALSE(protocol.classify(answered(421, says_so)).terms);
+    CHECK_FALSE(protocol.classify(answered(200, {})).terms->leaving);
+    CHECK_FALSE(protocol.classify(answered(200, {{"Server-Leaving", "0"}}))
+                    .terms->leaving);
+}
