decision: a server whose answers say that it leaves gets nothing more

What callers saw: requests went on reaching a server 2.2 s after its answers had said that it leaves; those that were still there at its end would have been lost.

On the users' platform the word was not read; only the store's list told, and the store was down for 13 s. The product's own protocol reads its own header into a belief, so that tests of it passed.

The terms of an answer now go to send_limits, which sends nothing more from that moment, whatever views tell; a new incarnation starts anew. As a belief it reaches the other instances. Heads of long answers, answers cut short and health answers tell it, too; another server at the address does not.

Looked through for the same: first sends, retries, second copies and lent slots all ask the slot table; kept connections do not decide; health checks of a leaving server go on, as they may. Found on the way: what waited when the last server left was held until its time was up; it is refused at once.

--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -314,7 +314,14 @@
         {entry.arrival.request, next_retry_delay()});
 }
 
-// Refuses all queued requests, since the service has been removed.
+// When the last server has left, nothing that is queued can be served.
+void service_scheduler::impl::decline_if_none_available() {
+    if (queued() > 0 && !table_.any_eligible({})) {
+        decline_all();
+    }
+}
+
+// Refuses all queued requests.
 void service_scheduler::impl::decline_all() {
     for (request_queue* queue : {&queue_, &late_queue_}) {
         while (!queue->empty()) {
@@ -349,6 +356,7 @@
     }
     if (const auto at = table_.find(found->second.backend_server)) {
         table_.record_terms(*at, event.terms, found->second.started_at, now_);
+        decline_if_none_available();
     }
 }
 
@@ -396,6 +404,9 @@
     if (expected.of_previous_incarnation) {
         return; // it ran on an earlier process of this backend server
     }
+    if (use.terms && use.terms->leaving) {
+        decline_if_none_available();
+    }
     const auto at_usual_pace = duration(static_cast<duration::rep>(
         static_cast<double>(use.service_time.count()) *
         std::exp(-expected.log_slowdown)));
--- a/src/decision/send_limits.cpp
+++ b/src/decision/send_limits.cpp
@@ -2,6 +2,18 @@
 
 namespace waxwingvale::decision {
 
+void send_limits::record_answer(const backend_terms& terms, time_point sent_at,
+                                time_point now) {
+    named_.record_answer(terms, sent_at, now);
+    leaving_ = leaving_ || terms.leaving;
+}
+
+void send_limits::record_probe_answer(const backend_terms& terms,
+                                      time_point sent_at, time_point now) {
+    named_.record_probe(terms, sent_at, now);
+    leaving_ = leaving_ || terms.leaving;
+}
+
 void send_limits::pause(time_point now, const scheduling_policy& policy) {
     pause_ =
         std::clamp(pause_ * 2, policy.shed_pause_min, policy.shed_pause_max);
@@ -9,7 +21,7 @@
 }
 
 unsigned send_limits::available(unsigned wanted, time_point now) const {
-    if (unavailable_ || now < paused_until_) {
+    if (unavailable() || now < paused_until_) {
         return 0;
     }
     const unsigned by_cold = cold_.available(now).value_or(wanted);
@@ -46,6 +58,7 @@
     pause_ = duration::zero();
     paused_until_ = time_point{};
     named_.clear();
+    leaving_ = false;
 }
 
 } // namespace waxwingvale::decision
--- a/src/decision/send_limits.hpp
+++ b/src/decision/send_limits.hpp
@@ -15,15 +15,23 @@
 // limit. Every request and probe passes here before it is sent.
 class send_limits {
 public:
-    // Unavailable servers (leaving or dead) get no requests.
+    // Unavailable servers (leaving or dead) get no requests. A server that has
+    // said that it leaves is unavailable whatever the view tells.
     void set_unavailable(bool unavailable) { unavailable_ = unavailable; }
-    bool unavailable() const { return unavailable_; }
+    bool unavailable() const { return unavailable_ || leaving_; }
 
     cold_rate_limiter& cold() { return cold_; }
     const cold_rate_limiter& cold() const { return cold_; }
     named_limit& named() { return named_; }
     const named_limit& named() const { return named_; }
 
+    // Records the terms of an answer to a request or probe that was sent at the
+    // given time.
+    void record_answer(const backend_terms& terms, time_point sent_at,
+                       time_point now);
+    void record_probe_answer(const backend_terms& terms, time_point sent_at,
+                             time_point now);
+
     // A server that has just refused a request would probably refuse the next
     // one, too, and each refusal costs the request a round trip. The pause
     // doubles until a request is answered.
@@ -47,6 +55,7 @@
 
 private:
     bool unavailable_ = false;
+    bool leaving_ = false;
     duration pause_{};
     time_point paused_until_{};
     cold_rate_limiter cold_;
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -86,6 +86,7 @@
                         slot_table::index at) const;
     void decline(const queued_request& entry, refusal_reason reason);
     void decline_all();
+    void decline_if_none_available();
     void refuse(request_id request, refusal_reason reason);
     bool try_assign_slot(const queued_request& entry);
     bool blocked_by_stale_view(const request_arrived& request) const;
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -384,10 +384,11 @@
 
 void slot_table::record_terms(index place, const backend_terms& terms,
                               time_point sent_at, time_point now) {
-    named_limit& limit = servers_[place].limits().named();
-    const auto before = limit.rate();
-    limit.record_answer(terms, sent_at, now);
-    if (limit.rate() != before) {
+    send_limits& limits = servers_[place].limits();
+    const auto rate = limits.named().rate();
+    const bool unavailable = limits.unavailable();
+    limits.record_answer(terms, sent_at, now);
+    if (limits.named().rate() != rate || limits.unavailable() != unavailable) {
         clear_cached_sums();
     }
 }
@@ -435,8 +436,9 @@
         server.limits().cold().set_cold_until(now + *probe.cold_for);
     }
     if (probe.terms) {
-        server.limits().named().record_probe(*probe.terms, now - max_probe_time,
-                                             now);
+        server.limits().record_probe_answer(*probe.terms, now - max_probe_time,
+                                            now);
+        clear_cached_sums();
     }
 }
 
--- a/src/entry/attempt_end.cpp
+++ b/src/entry/attempt_end.cpp
@@ -27,8 +27,11 @@
 }
 
 std::optional<backend_state> state_for_all(const backend_answer& answer) {
-    return answer.end == attempt_end::not_sent ? backend_state::dead
-                                               : answer.state;
+    if (answer.end == attempt_end::not_sent) {
+        return backend_state::dead;
+    }
+    const bool leaves = answer.terms && answer.terms->leaving;
+    return leaves ? backend_state::leaving : answer.state;
 }
 
 } // namespace waxwingvale::entry
--- a/src/entry/grant_message.cpp
+++ b/src/entry/grant_message.cpp
@@ -78,10 +78,10 @@
     return load;
 }
 
-// The limit, or null for terms without one.
+// The limit, or null for terms without one, and whether the server leaves.
 json write_terms(const backend_terms& terms) {
     const auto& limit = terms.requests_per_second;
-    return json::array({limit ? json(*limit) : json(nullptr)});
+    return json::array({limit ? json(*limit) : json(nullptr), terms.leaving});
 }
 
 backend_terms read_terms(const json& from) {
@@ -90,6 +90,7 @@
     if (!limit.is_null()) {
         terms.requests_per_second = io::read_rate(limit);
     }
+    from.at(1).get_to(terms.leaving);
     return terms;
 }
 
--- a/src/waxwing_replay/trace_codec.cpp
+++ b/src/waxwing_replay/trace_codec.cpp
@@ -180,7 +180,8 @@
         return;
     }
     const auto& limit = terms->requests_per_second;
-    into["terms"] = {{"limit", limit ? json(*limit) : json(nullptr)}};
+    into["terms"] = {{"limit", limit ? json(*limit) : json(nullptr)},
+                     {"leaving", terms->leaving}};
 }
 
 std::optional<backend_terms> decode_terms(const json& from) {
@@ -192,6 +193,7 @@
     if (!limit.is_null()) {
         terms.requests_per_second = limit.get<double>();
     }
+    from.at("terms").at("leaving").get_to(terms.leaving);
     return terms;
 }
 
--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -99,6 +99,9 @@
     backend_terms limited;
     limited.requests_per_second = 2.5;
     CHECK(arrived(limited) == limited);
+    backend_terms leaving;
+    leaving.leaving = true;
+    CHECK(arrived(leaving) == leaving);
     CHECK(arrived(backend_terms()) == backend_terms());
     CHECK_FALSE(arrived(std::nullopt));
 }
