entry: the rest that a backend server asks for is read, logged and counted

The logs of the incident show refusals and not for how long the server wants nothing. The terms of an answer now carry it (503 with a time to come back, of requests and health checks, not of another server at the address). An attempt's end has rest_ms, backend_server_asks_for_rest tells the first answer of each such time, a metric counts them. Nothing is decided by it yet; the stand-ins learn to turn all requests away and to ask for rest.

--- a/src/entry/call_facts.cpp
+++ b/src/entry/call_facts.cpp
@@ -67,6 +67,9 @@
     if (answer.terms && answer.terms->leaving) {
         facts += " leaving=yes";
     }
+    if (answer.terms && answer.terms->rest) {
+        facts += " " + fact("rest_ms", *answer.terms->rest);
+    }
     return facts;
 }
 
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -30,6 +30,9 @@
       limits_named(
           all.add_counter("waxwing_backend_limits_named_total",
                           "Answers in which a backend server names a limit.")),
+      rests_asked(
+          all.add_counter("waxwing_backend_rests_asked_total",
+                          "Answers in which a backend server asks for rest.")),
       log_lines_dropped(all.add_counter(
           "waxwing_log_lines_dropped_total",
           "Log lines that neither the limits nor the reader took.")),
--- a/src/entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -21,6 +21,7 @@
     program::counter grants_taken;
     program::counter probes;
     program::counter limits_named;
+    program::counter rests_asked;
     program::counter log_lines_dropped;
     program::gauge limited_servers;
     program::gauge open_calls;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -57,7 +57,7 @@
                caller_options(environment.settings)),
       pool_(environment.loop, environment.timers),
       terms_log_(environment.timers, metrics_.limits_named,
-                 metrics_.limited_servers),
+                 metrics_.limited_servers, metrics_.rests_asked),
       calls_(self_, protocol, environment.timers, pool_, hub_, metrics_, *this),
       prober_(self_.name, protocol, environment.timers, pool_, metrics_.probes,
               *this) {
--- a/src/entry/own_answers.cpp
+++ b/src/entry/own_answers.cpp
@@ -25,25 +25,47 @@
            *mark == "1";
 }
 
-// An answer without the header ends a limit; one whose header makes no sense
-// states no terms, so that a limit known before holds.
+// A decimal number that is not below zero, and nothing else.
+std::optional<double> read_decimal(const std::string& text) {
+    char* end = nullptr;
+    const double value = std::strtod(text.c_str(), &end);
+    const bool whole = !text.empty() && *end == '\0';
+    const bool usable = value >= 0 && std::isfinite(value);
+    return whole && usable ? std::optional(value) : std::nullopt;
+}
+
+// What a server that turns a request away wants: nothing for so many seconds.
+std::optional<duration> read_rest(const io::http_response& response) {
+    constexpr double longest = 86400; // seconds
+    const auto* text = io::find_header(response.headers, header::retry_after);
+    if (response.status != service_unavailable || text == nullptr) {
+        return std::nullopt;
+    }
+    const auto wanted = read_decimal(*text);
+    if (!wanted) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(std::min(*wanted, longest)));
+}
+
+// An answer without a limit ends one; an answer whose limit makes no sense
+// states no terms, unless it states others: then a limit known before ends.
 std::optional<backend_terms> read_terms(const io::http_response& response) {
     backend_terms terms;
     const auto* state =
         io::find_header(response.headers, header::backend_state);
     terms.leaving = state != nullptr && *state == "leaving";
-    const auto* text = io::find_header(response.headers, header::backend_limit);
-    if (text == nullptr) {
+    terms.rest = read_rest(response);
+    const auto* limit =
+        io::find_header(response.headers, header::backend_limit);
+    if (limit == nullptr) {
         return terms;
     }
-    char* end = nullptr;
-    const double limit = std::strtod(text->c_str(), &end);
-    const bool whole = !text->empty() && *end == '\0';
-    if (!whole || !(limit >= 0) || !std::isfinite(limit)) {
-        return std::nullopt;
-    }
-    terms.requests_per_second = limit;
-    return terms;
+    terms.requests_per_second = read_decimal(*limit);
+    const bool makes_sense =
+        terms.requests_per_second || terms.leaving || terms.rest;
+    return makes_sense ? std::optional(terms) : std::nullopt;
 }
 
 void read_self_report(const io::http_response& response, backend_answer& into) {
--- a/src/entry/terms_log.cpp
+++ b/src/entry/terms_log.cpp
@@ -1,5 +1,6 @@
 #include "entry/terms_log.hpp"
 
+#include <algorithm>
 #include <set>
 #include <waxwingvale/program/state_log.hpp>
 
@@ -25,6 +26,16 @@
     return names;
 }
 
+// Erases the entries of servers that are not among the names.
+template <typename Entries, typename Name>
+void erase_others(Entries& entries, const std::set<std::string>& names,
+                  Name name_of) {
+    for (auto each = entries.begin(); each != entries.end();) {
+        const bool gone = names.count(name_of(*each)) == 0;
+        each = gone ? entries.erase(each) : std::next(each);
+    }
+}
+
 } // namespace
 
 void terms_log::record_terms(const std::string& backend_server,
@@ -37,6 +48,9 @@
     if (terms.leaving) {
         record_leaving(backend_server);
     }
+    if (terms.rest) {
+        record_rest(backend_server, *terms.rest);
+    }
 }
 
 void terms_log::record_limit(const std::string& backend_server, double limit) {
@@ -61,6 +75,23 @@
     }
 }
 
+// One line for each time of rest, and none for requests that were under way or
+// are sent in it.
+void terms_log::record_rest(const std::string& backend_server, duration rest) {
+    rests_.add();
+    const auto now = timers_.now();
+    auto& end = rest_ends_[backend_server];
+    if (now >= end) {
+        const auto milliseconds =
+            std::chrono::duration_cast<std::chrono::milliseconds>(rest);
+        program::log_change(
+            "backend_server_asks_for_rest",
+            {{"backend_server", backend_server},
+             {"rest_ms", std::to_string(milliseconds.count())}});
+    }
+    end = std::max(end, now + rest);
+}
+
 void terms_log::end_limit(const std::string& backend_server) {
     if (servers_.erase(backend_server) != 0) {
         log_limit(backend_server, "none");
@@ -83,18 +114,14 @@
 }
 
 void terms_log::retain(const configuration& config) {
-    if (servers_.empty() && leaving_.empty()) {
+    if (servers_.empty() && leaving_.empty() && rest_ends_.empty()) {
         return;
     }
     const auto names = names_of(config);
-    for (auto each = servers_.begin(); each != servers_.end();) {
-        const bool gone = names.count(each->first) == 0;
-        each = gone ? servers_.erase(each) : std::next(each);
-    }
-    for (auto each = leaving_.begin(); each != leaving_.end();) {
-        const bool gone = names.count(*each) == 0;
-        each = gone ? leaving_.erase(each) : std::next(each);
-    }
+    erase_others(servers_, names, [](const auto& each) { return each.first; });
+    erase_others(leaving_, names, [](const auto& each) { return each; });
+    erase_others(rest_ends_, names,
+                 [](const auto& each) { return each.first; });
     follow_count();
 }
 
--- a/src/entry/terms_log.hpp
+++ b/src/entry/terms_log.hpp
@@ -16,8 +16,8 @@
 class terms_log {
 public:
     terms_log(kernel::timer_service& timers, program::counter named,
-              program::gauge limited)
-        : timers_(timers), named_(named), limited_(limited) {}
+              program::gauge limited, program::counter rests)
+        : timers_(timers), named_(named), limited_(limited), rests_(rests) {}
 
     // An answer of the server stated these terms.
     void record_terms(const std::string& backend_server,
@@ -37,14 +37,17 @@
     void record_limit(const std::string& backend_server, double limit);
     void end_limit(const std::string& backend_server);
     void record_leaving(const std::string& backend_server);
+    void record_rest(const std::string& backend_server, duration rest);
     void follow_count();
     void write_lines();
 
     kernel::timer_service& timers_;
     program::counter named_;
     program::gauge limited_;
+    program::counter rests_;
     std::map<std::string, limited_server> servers_; // by name
     std::set<std::string> leaving_;
+    std::map<std::string, time_point> rest_ends_; // by server
     kernel::timer_service::subscription writing_; // while there are any
 };
 
--- a/test/platform/request_headers_test.cpp
+++ b/test/platform/request_headers_test.cpp
@@ -229,3 +229,22 @@
     CHECK_FALSE(protocol.classify(answered(200, {{"Server-Leaving", "0"}}))
                     .terms->leaving);
 }
+
+TEST_CASE("a server that turns a request away tells how long it wants rest") {
+    // Guards against a server that is asked again at once.
+    const auto rest_of = [](unsigned status, const std::string& text) {
+        return protocol
+            .classify(answered(status, {{"Waxwingvale-Not-Executed", "1"},
+                                        {"Retry-After", text}}))
+            .terms->rest;
+    };
+    CHECK(rest_of(503, "3") == 3s);
+    CHECK(rest_of(503, "0.25") == 250ms);
+    CHECK_FALSE(rest_of(429, "3"));
+    for (const auto* odd : {"", "-1", "soon", "nan", "inf", "1e300"}) {
+        CHECK_FALSE(rest_of(503, odd));
+    }
+    CHECK(protocol.classify_health(answered(503, {{"Retry-After", "3"}}), "i-7")
+              .terms->rest == 3s);
+    CHECK_FALSE(protocol.classify(answered(421, {{"Retry-After", "3"}})).terms);
+}
--- a/test/platform/two_zones.hpp
+++ b/test/platform/two_zones.hpp
@@ -33,7 +33,12 @@
         made.headers = stated;
         made.headers.push_back({"Waxwingvale-Instance-Id", name});
         made.headers.push_back({"Waxwingvale-Server-Load", "0,0,4"});
-        if (request.target != "/healthz") {
+        if (turns_away) {
+            ++requests;
+            made.status = 503;
+            made.headers.push_back({"Waxwingvale-Not-Executed", "1"});
+            made.headers.push_back({"Retry-After", rest});
+        } else if (request.target != "/healthz") {
             ++requests;
             made.headers.push_back({"Waxwingvale-Response-Signature", "s"});
             const auto* id =
@@ -45,6 +50,8 @@
 
     std::string name;
     io::http_headers stated; // in all answers
+    bool turns_away = false; // all requests and probes
+    std::string rest = "3";  // seconds for which it asks then
     unsigned requests = 0;
     io::http_server server; // last: it answers while it ends
 };
--- a/test/scheduling/named_limit_test.cpp
+++ b/test/scheduling/named_limit_test.cpp
@@ -199,7 +199,7 @@
     limited_fixture f(2, 2);
     f.terms = limited_to(4);
     static_cast<void>(f.requests_to_a(3s));
-    f.terms = backend_terms();
+    f.terms.emplace();
     static_cast<void>(f.requests_to_a(500ms));
     CHECK(f.requests_to_a(1s) > 20);
 }
@@ -213,7 +213,7 @@
     const unsigned sent = f.requests_to_a(60s);
     CHECK(sent >= 1);
     CHECK(sent <= 6);
-    f.terms = backend_terms();
+    f.terms.emplace();
     static_cast<void>(f.requests_to_a(20s));
     CHECK(f.requests_to_a(1s) > 20);
 }
@@ -232,7 +232,7 @@
     f.send(ended);
     f.now += 50ms;
     ended.request = 1;
-    ended.terms = backend_terms();
+    ended.terms.emplace();
     f.send(ended);
     f.arrive(3);
     CHECK(f.all<start_request>().empty());
@@ -280,7 +280,7 @@
     f.arrive(1, 500ms);
     CHECK(f.all<start_request>().empty());
     f.pass(1s);
-    probe.terms = backend_terms();
+    probe.terms.emplace();
     f.send(probe);
     f.arrive(2, 500ms);
     CHECK(f.all<start_request>().size() == 1);
@@ -296,7 +296,7 @@
     probe_ended probe;
     probe.backend_server = "a";
     probe.answered = true;
-    probe.terms = backend_terms();
+    probe.terms.emplace();
     f.send(probe);
     f.arrive(2, 500ms);
     CHECK(f.all<start_request>().empty());
--- a/test/standin/backend/backend_options.hpp
+++ b/test/standin/backend/backend_options.hpp
@@ -33,6 +33,8 @@
     time_point cold_until{};
     double cold_factor = 1;
     std::string limit = "none"; // requests per second, named in all answers
+    // Seconds of rest for which it asks while it turns all requests away.
+    std::string rest = "none";
 };
 
 } // namespace waxwingvale::standin
--- a/test/standin/backend/simulated_backend.cpp
+++ b/test/standin/backend/simulated_backend.cpp
@@ -21,7 +21,7 @@
 const std::string command_prefix = "/-/";
 const std::string crash_header = "X-Standin-Crash";
 const std::string crash_marker = "crash-backend-server";
-const std::string no_limit = "none";
+const std::string none = "none";
 
 bool crashes(const io::http_request& request) {
     return io::find_header(request.headers, crash_header) != nullptr ||
@@ -158,7 +158,10 @@
         faults_.cold_factor = target.real("cold_factor", options_.cold_factor);
     }
     if (target.has("limit")) {
-        faults_.limit = target.text("limit", no_limit);
+        faults_.limit = target.text("limit", none);
+    }
+    if (target.has("rest")) {
+        faults_.rest = target.text("rest", none);
     }
     if (target.has("drain")) {
         drain();
@@ -211,6 +214,8 @@
         log_.begin(accepted.request);
         log_.end(accepted.request, "failed");
         answer(accepted, internal_error, "failing\n");
+    } else if (faults_.rest != none) {
+        refuse(accepted, "resting");
     } else if (leaving_) {
         refuse(accepted, "leaving");
     } else if (running_.size() >= options_.slots &&
@@ -303,6 +308,9 @@
     }
     auto headers = state_headers(refused.request);
     headers.push_back({"Waxwing-Not-Started", "1"});
+    if (faults_.rest != none) {
+        headers.push_back({"Retry-After", faults_.rest});
+    }
     refused.respond({unavailable, std::move(headers), why + "\n"});
 }
 
@@ -326,7 +334,7 @@
     io::http_headers headers = {
         {"Waxwing-Backend-State", leaving_ ? "leaving" : "serving"},
         {"Waxwing-Backend-Incarnation", std::to_string(options_.incarnation)}};
-    if (faults_.limit != no_limit) {
+    if (faults_.limit != none) {
         headers.push_back({"Waxwing-Backend-Limit", faults_.limit});
     }
     const auto* id = io::find_header(request.headers, "X-Request-Id");
