decision: a server that asks an instance for rest gets nothing from it

What callers saw: a detour each time a server that turned all away was asked again, 17 to 45 a second at six servers; repeats that the service had no use for.

The time was not read; a refusal meant a slot too many, or a pause of 5 to 200 ms where the server tells free slots. Had the instance that was turned away read it, the owner would have lent it the next slot of that server all the same.

send_limits holds the time for the instance that was turned away: it starts nothing there on slots of its own, gives back those that it is lent, names the server to the owners as one not to be used, and does not probe it. The owner hears of the rest with the returned slot and passes the server over like a failing one, sampled at growing intervals up to that time: the others would be turned away in turn. It still lends the server to instances that were not asked for rest. What can't wait until a server is open is refused at once; the capacity of passed-over servers is taken off as that of failing ones is. Health checks may ask for rest, too. A new process starts anew.

Found on the way by the test of whole fleets: without load in its answers the server's refusals took slots off it, down to one for up to 64 rounds of answers; a refusal that asks for rest no longer does.

--- a/include/waxwingvale/decision/scheduler_actions.hpp
+++ b/include/waxwingvale/decision/scheduler_actions.hpp
@@ -14,7 +14,7 @@
 
 // Why a request was refused. A refused request was not run.
 enum class refusal_reason {
-    no_backend_server, // all are leaving, dead or excluded
+    no_backend_server, // all are leaving, dead, excluded or at rest
     queue_full,        // the configured queue limit of its class is reached
     too_late,          // it would complete after its deadline
     stale_view,        // it must not run twice, and the view may be stale
--- a/src/decision/backend_health.cpp
+++ b/src/decision/backend_health.cpp
@@ -46,6 +46,14 @@
     }
 }
 
+void backend_health::add_rest(duration wanted, time_point now,
+                              const scheduling_policy& policy) {
+    add_failure(true, true, now, policy);
+    failing_pause_ =
+        std::min(failing_pause_, std::max(wanted, policy.failing_pause_min));
+    next_sample_ = now + failing_pause_;
+}
+
 void backend_health::add_time(double log_ratio, time_point now,
                               const scheduling_policy& policy) {
     const double gain = straggler_ ? straggler_gain : policy.slowness_gain;
--- a/src/decision/backend_health.hpp
+++ b/src/decision/backend_health.hpp
@@ -15,6 +15,12 @@
     void add(attempt_verdict verdict, double log_ratio, time_point now,
              const scheduling_policy& policy);
 
+    // The server refused a request and asked for rest. Until a request is
+    // answered it is sampled like a failing one, and at the latest when the
+    // time is over.
+    void add_rest(duration wanted, time_point now,
+                  const scheduling_policy& policy);
+
     // Much slower than expected: gets no requests except samples, unless
     // waiting for another server takes longer.
     bool straggler() const { return straggler_; }
--- a/src/decision/backend_slots.cpp
+++ b/src/decision/backend_slots.cpp
@@ -69,8 +69,7 @@
 }
 
 std::optional<running_attempt>
-backend_slots::finish(attempt_ref attempt, attempt_verdict verdict,
-                      const std::optional<backend_load>& load, time_point now,
+backend_slots::finish(attempt_ref attempt, const grant_use& use, time_point now,
                       const scheduling_policy& policy) {
     std::optional<running_attempt> ended;
     const auto found = std::find_if(
@@ -87,14 +86,17 @@
     if (attempt != 0 && !ended) {
         return ended;
     }
-    if (verdict == attempt_verdict::answered) {
+    if (use.verdict == attempt_verdict::answered) {
         grow();
-    } else if (verdict == attempt_verdict::shed) {
+    } else if (use.verdict == attempt_verdict::shed) {
         // A refusal by a server that reports free slots is no sign of fewer
         // slots. Shrinking on it left 15 servers that refused half of all
         // requests at random with one slot of six each, and most callers were
         // refused until ten seconds after the fault had ended.
-        if (!load || load->full()) {
+        // Neither is one by a server that asks for rest.
+        const bool has_free_slots = use.load && !use.load->full();
+        const bool asks_for_rest = use.terms && use.terms->rest;
+        if (!has_free_slots && !asks_for_rest) {
             shrink(policy);
         }
         limits_.pause(now, policy);
--- a/src/decision/backend_slots.hpp
+++ b/src/decision/backend_slots.hpp
@@ -85,10 +85,9 @@
     // Ends the attempt and returns it, or nothing if it is unknown because the
     // server has restarted since. Attempt 0 stands for an attempt on a slot of
     // a peer: it is never known, but its verdict counts.
-    std::optional<running_attempt>
-    finish(attempt_ref attempt, attempt_verdict verdict,
-           const std::optional<backend_load>& load, time_point now,
-           const scheduling_policy& policy);
+    std::optional<running_attempt> finish(attempt_ref attempt,
+                                          const grant_use& use, time_point now,
+                                          const scheduling_policy& policy);
 
 private:
     void grow();
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -224,7 +224,7 @@
 
 bool service_scheduler::impl::start_on_grant(const grant_received& grant) {
     const auto at = table_.find(grant.backend_server);
-    if (!at || !table_.may_start(*at)) {
+    if (!at || !table_.may_start(*at, now_)) {
         return false;
     }
     const auto taken = take_request_for(grant);
@@ -281,6 +281,10 @@
     static_cast<request_needs&>(described) = arrival;
     described.request = request;
     described.time_left = arrival.deadline - now_;
+    // An owner does not know which servers want nothing from this instance.
+    for (std::string& resting : table_.resting_servers(now_)) {
+        described.excluded.push_back(std::move(resting));
+    }
     if (arrival.target) {
         described.target_left = *arrival.target - now_;
     }
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -48,7 +48,7 @@
         refuse(request.request, refusal_reason::stale_view);
         return true;
     }
-    if (service_removed_ || !table_.any_eligible(request)) {
+    if (service_removed_ || !table_.any_eligible(request, false)) {
         refuse(request.request, refusal_reason::no_backend_server);
         return true;
     }
@@ -314,10 +314,26 @@
         {entry.arrival.request, next_retry_delay()});
 }
 
-// When the last server has left, nothing that is queued can be served.
-void service_scheduler::impl::decline_if_none_available() {
-    if (queued() > 0 && !table_.any_eligible({})) {
-        decline_all();
+// When the last server leaves, nothing that is queued can be served, and when
+// all of them rest, only what can wait until one of them no longer does.
+void service_scheduler::impl::decline_unserveable() {
+    if (queued() == 0 || table_.any_open(now_)) {
+        return;
+    }
+    for (request_queue* queue : {&queue_, &late_queue_}) {
+        std::vector<queued_request> kept;
+        while (!queue->empty()) {
+            queued_request entry = queue->pop();
+            const bool of_peer = !entry.peer.empty();
+            if (table_.any_eligible(entry.arrival, of_peer)) {
+                kept.push_back(std::move(entry));
+            } else {
+                decline(entry, refusal_reason::no_backend_server);
+            }
+        }
+        for (queued_request& entry : kept) {
+            queue->restore(std::move(entry));
+        }
     }
 }
 
@@ -356,7 +372,7 @@
     }
     if (const auto at = table_.find(found->second.backend_server)) {
         table_.record_terms(*at, event.terms, found->second.started_at, now_);
-        decline_if_none_available();
+        decline_unserveable();
     }
 }
 
@@ -376,6 +392,7 @@
     use.answer_bytes = event.answer_bytes;
     use.terms = event.terms;
     if (!server_restarted(ended)) {
+        record_rest(ended, event.terms);
         record_result(
             {ended.backend_server, ended.request_class, ended.attempt, use});
     }
@@ -384,6 +401,16 @@
     }
 }
 
+// A server that asks for rest asks the instance whose request it turned away,
+// whoever owns its slots.
+void service_scheduler::impl::record_rest(
+    const running_request& ended, const std::optional<backend_terms>& terms) {
+    const auto at = table_.find(ended.backend_server);
+    if (at && terms && terms->rest) {
+        table_.record_rest(*at, *terms->rest, now_);
+    }
+}
+
 // Whether the backend server has restarted since the request was started.
 bool service_scheduler::impl::server_restarted(
     const running_request& ended) const {
@@ -404,8 +431,8 @@
     if (expected.of_previous_incarnation) {
         return; // it ran on an earlier process of this backend server
     }
-    if (use.terms && use.terms->leaving) {
-        decline_if_none_available();
+    if (use.terms && (use.terms->leaving || use.terms->rest)) {
+        decline_unserveable();
     }
     const auto at_usual_pace = duration(static_cast<duration::rep>(
         static_cast<double>(use.service_time.count()) *
--- a/src/decision/send_limits.cpp
+++ b/src/decision/send_limits.cpp
@@ -31,6 +31,9 @@
 
 bool send_limits::may_probe(time_point now,
                             const scheduling_policy& policy) const {
+    if (rests(now)) {
+        return false;
+    }
     const auto age = named_.age(now);
     return !age || (*age >= policy.limited_probe_after &&
                     named_.available(now).value_or(1) > 0);
@@ -44,6 +47,7 @@
         }
     };
     consider(paused_until_);
+    consider(rests_until_);
     consider(cold_.next_available(now));
     consider(named_.next_available(now));
     return next;
@@ -57,6 +61,7 @@
 void send_limits::clear_answers() {
     pause_ = duration::zero();
     paused_until_ = time_point{};
+    rests_until_ = time_point{};
     named_.clear();
     leaving_ = false;
 }
--- a/src/decision/send_limits.hpp
+++ b/src/decision/send_limits.hpp
@@ -32,6 +32,14 @@
     void record_probe_answer(const backend_terms& terms, time_point sent_at,
                              time_point now);
 
+    // The server wants nothing from this instance for that long. Unlike the
+    // other limits, it says nothing of slots that are lent to other instances.
+    void rest(duration wanted, time_point now) {
+        rests_until_ = std::max(rests_until_, now + wanted);
+    }
+    time_point rests_until() const { return rests_until_; }
+    bool rests(time_point now) const { return now < rests_until_; }
+
     // A server that has just refused a request would probably refuse the next
     // one, too, and each refusal costs the request a round trip. The pause
     // doubles until a request is answered.
@@ -40,8 +48,9 @@
 
     // How many of the given number of requests may be sent now.
     unsigned available(unsigned wanted, time_point now) const;
-    // Whether a probe may be sent now. A server with a limit is probed only if
-    // no answer has told of it lately, since the probe counts towards it.
+    // Whether a probe may be sent now: not while the server rests. A server
+    // with a limit is probed only if no answer has told of it lately, since the
+    // probe counts towards it.
     bool may_probe(time_point now, const scheduling_policy& policy) const;
     // The earliest time after now at which more may be sent, if any is known.
     std::optional<time_point> next_change(time_point now) const;
@@ -58,6 +67,7 @@
     bool leaving_ = false;
     duration pause_{};
     time_point paused_until_{};
+    time_point rests_until_{};
     cold_rate_limiter cold_;
     named_limit named_;
 };
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -169,7 +169,7 @@
     }
     unresponsive_owners_.check_all_now(now_);
     apply_reachability();
-    decline_if_none_available();
+    decline_unserveable();
 }
 
 // An instance that owns no slots allows only its part of the extra repeats,
@@ -203,7 +203,7 @@
 void service_scheduler::impl::on(const probe_ended& event) {
     if (const auto at = table_.find(event.backend_server)) {
         table_.probe_finished(*at, event, now_);
-        decline_if_none_available();
+        decline_unserveable();
     }
 }
 
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -86,7 +86,7 @@
                         slot_table::index at) const;
     void decline(const queued_request& entry, refusal_reason reason);
     void decline_all();
-    void decline_if_none_available();
+    void decline_unserveable();
     void refuse(request_id request, refusal_reason reason);
     bool try_assign_slot(const queued_request& entry);
     bool blocked_by_stale_view(const request_arrived& request) const;
@@ -102,6 +102,8 @@
     time_point latest_start_within_target(const request_arrived& request) const;
     std::optional<work_forecast> forecast_of(const queued_request& entry) const;
     bool server_restarted(const running_request& ended) const;
+    void record_rest(const running_request& ended,
+                     const std::optional<backend_terms>& terms);
     void record_result(const finished_attempt& ended);
 
     // scheduler_dispatch.cpp
--- a/src/decision/slot_choice.cpp
+++ b/src/decision/slot_choice.cpp
@@ -20,9 +20,11 @@
 // for each admitted request.
 constexpr duration estimate_lifetime{2000};
 
-bool suits(const slot_requirements& requirements, const backend_slots& server) {
-    return requirements.request == nullptr ||
-           may_run_on(*requirements.request, server);
+bool suits(const slot_requirements& requirements, const backend_slots& server,
+           time_point now) {
+    const bool rests = !requirements.for_peer && server.limits().rests(now);
+    return !rests && (requirements.request == nullptr ||
+                      may_run_on(*requirements.request, server));
 }
 
 // Approximates the standard normal distribution function by a logistic
@@ -320,7 +322,7 @@
             !requirements.isolated || server.in_flight() == 0;
         const bool fits_owner = !requirements.for_peer || owned_[place];
         if (usable_slots(server, now) == 0 || !fits_isolation || !fits_owner ||
-            !suits(requirements, server)) {
+            !suits(requirements, server, now)) {
             continue;
         }
         const double slot_cost =
--- a/src/decision/slot_table.cpp
+++ b/src/decision/slot_table.cpp
@@ -268,16 +268,42 @@
     return found->second;
 }
 
-bool slot_table::any_eligible(const request_needs& request) const {
+bool slot_table::any_eligible(const request_arrived& request,
+                              bool of_peer) const {
+    return std::any_of(
+        servers_.begin(), servers_.end(), [&](const backend_slots& server) {
+            const send_limits& limits = server.limits();
+            const bool in_time =
+                of_peer || limits.rests_until() < request.deadline;
+            return !limits.unavailable() && in_time &&
+                   may_run_on(request, server);
+        });
+}
+
+bool slot_table::any_open(time_point now) const {
     return std::any_of(servers_.begin(), servers_.end(),
-                       [&](const backend_slots& server) {
+                       [now](const backend_slots& server) {
                            return !server.limits().unavailable() &&
-                                  may_run_on(request, server);
+                                  !server.limits().rests(now);
                        });
 }
 
-bool slot_table::may_start(index place) const {
-    return !servers_[place].limits().unavailable();
+bool slot_table::may_start(index place, time_point now) const {
+    const send_limits& limits = servers_[place].limits();
+    return !limits.unavailable() && !limits.rests(now);
+}
+
+std::vector<std::string> slot_table::resting_servers(time_point now) const {
+    std::vector<std::string> names;
+    if (now >= any_rests_until_) {
+        return names;
+    }
+    for (const backend_slots& server : servers_) {
+        if (server.limits().rests(now)) {
+            names.push_back(server.name());
+        }
+    }
+    return names;
 }
 
 attempt_ref slot_table::start(index place, time_point now, bool isolated) {
@@ -344,8 +370,7 @@
     backend_slots& server = servers_[place];
     const auto& load = use.load;
     const unsigned others = others_running(server, load);
-    const auto started =
-        server.finish(attempt, use.verdict, load, now, policy_);
+    const auto started = server.finish(attempt, use, now, policy_);
     ended_attempt ended;
     ended.slowness_known = false;
     if (attempt != 0 && !started) {
@@ -378,10 +403,19 @@
         const time_point sent_at =
             started ? started->at : now - use.service_time;
         record_terms(place, *use.terms, sent_at, now);
+        if (use.terms->rest) {
+            server.health().add_rest(*use.terms->rest, now, policy_);
+        }
     }
     return ended;
 }
 
+void slot_table::record_rest(index place, duration wanted, time_point now) {
+    mark_changed(place);
+    servers_[place].limits().rest(wanted, now);
+    any_rests_until_ = std::max(any_rests_until_, now + wanted);
+}
+
 void slot_table::record_terms(index place, const backend_terms& terms,
                               time_point sent_at, time_point now) {
     send_limits& limits = servers_[place].limits();
@@ -418,8 +452,9 @@
 
 void slot_table::release(index place, attempt_ref attempt, time_point now) {
     mark_changed(place);
-    servers_[place].finish(attempt, attempt_verdict::cancelled, std::nullopt,
-                           now, policy_);
+    grant_use unused;
+    unused.verdict = attempt_verdict::cancelled;
+    servers_[place].finish(attempt, unused, now, policy_);
 }
 
 void slot_table::probe_finished(index place, const probe_ended& probe,
@@ -438,6 +473,10 @@
     if (probe.terms) {
         server.limits().record_probe_answer(*probe.terms, now - max_probe_time,
                                             now);
+        if (probe.terms->rest) {
+            record_rest(place, *probe.terms->rest, now);
+            server.health().add_rest(*probe.terms->rest, now, policy_);
+        }
         clear_cached_sums();
     }
 }
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -97,10 +97,15 @@
     // they did not suit before. Returns nothing if any server may have changed,
     // because apply() was called.
     std::optional<std::vector<index>> take_changed();
-    // Whether any available server is permitted for the request.
-    bool any_eligible(const request_needs& request) const;
+    // Whether any available server is permitted for the request: for one of
+    // this instance, a server that does not rest until its deadline.
+    bool any_eligible(const request_arrived& request, bool of_peer) const;
+    // Whether any available server does not rest.
+    bool any_open(time_point now) const;
     // Whether a request with a grant may be started on the server.
-    bool may_start(index place) const;
+    bool may_start(index place, time_point now) const;
+    // Names of the servers that rest.
+    std::vector<std::string> resting_servers(time_point now) const;
 
     // Logarithm of the factor by which work that starts there now is expected
     // to take longer than typical.
@@ -117,6 +122,8 @@
     // was sent at the given time.
     void record_terms(index place, const backend_terms& terms,
                       time_point sent_at, time_point now);
+    // The server wants nothing from this instance for that long.
+    void record_rest(index place, duration wanted, time_point now);
     // Learns from the service time of an ended attempt; log_ratio is the
     // logarithm of its service time divided by the expected time.
     void learn(index place, const ended_attempt& ended, attempt_verdict verdict,
@@ -236,6 +243,7 @@
     bool configured_before_ = false;
     std::optional<unsigned> cold_requests_; // limit of the service
     duration service_time_{};
+    time_point any_rests_until_{}; // no server rests after it
     std::vector<backend_slots> servers_;
     std::vector<bool> owned_;
     bool owns_any_ = false;
--- a/src/entry/grant_message.cpp
+++ b/src/entry/grant_message.cpp
@@ -78,10 +78,13 @@
     return load;
 }
 
-// The limit, or null for terms without one, and whether the server leaves.
+// The limit, or null for terms without one, whether the server leaves, and the
+// rest that it asks for in microseconds, or null.
 json write_terms(const backend_terms& terms) {
     const auto& limit = terms.requests_per_second;
-    return json::array({limit ? json(*limit) : json(nullptr), terms.leaving});
+    const auto& rest = terms.rest;
+    return json::array({limit ? json(*limit) : json(nullptr), terms.leaving,
+                        rest ? json(rest->count()) : json(nullptr)});
 }
 
 backend_terms read_terms(const json& from) {
@@ -91,6 +94,10 @@
         terms.requests_per_second = io::read_rate(limit);
     }
     from.at(1).get_to(terms.leaving);
+    const auto& rest = from.at(2);
+    if (!rest.is_null()) {
+        terms.rest = io::read_wait(rest);
+    }
     return terms;
 }
 
--- a/src/waxwing_replay/trace_codec.cpp
+++ b/src/waxwing_replay/trace_codec.cpp
@@ -182,6 +182,9 @@
     const auto& limit = terms->requests_per_second;
     into["terms"] = {{"limit", limit ? json(*limit) : json(nullptr)},
                      {"leaving", terms->leaving}};
+    if (terms->rest) {
+        into["terms"]["rest"] = count(*terms->rest);
+    }
 }
 
 std::optional<backend_terms> decode_terms(const json& from) {
@@ -194,6 +197,9 @@
         terms.requests_per_second = limit.get<double>();
     }
     from.at("terms").at("leaving").get_to(terms.leaving);
+    if (from.at("terms").contains("rest")) {
+        terms.rest = duration_in(from.at("terms"), "rest");
+    }
     return terms;
 }
 
--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -102,6 +102,9 @@
     backend_terms leaving;
     leaving.leaving = true;
     CHECK(arrived(leaving) == leaving);
+    backend_terms tired;
+    tired.rest = 3s;
+    CHECK(arrived(tired) == tired);
     CHECK(arrived(backend_terms()) == backend_terms());
     CHECK_FALSE(arrived(std::nullopt));
 }
