--- a/src/waxwing_replay/trace.cpp
+++ b/src/waxwing_replay/trace.cpp
@@ -7,6 +7,7 @@
 #include <ostream>
 #include <tuple>
 
+#include "waxwing_replay/action_text.hpp"
 #include "waxwing_replay/trace_codec.hpp"
 #include "waxwing_replay/waxwing_policy.hpp"
 #include <waxwingvale/decision/stable_hash.hpp>
--- a/src/waxwing_replay/trace_codec.hpp
+++ b/src/waxwing_replay/trace_codec.hpp
@@ -2,7 +2,6 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-#include <waxwingvale/decision/scheduler_actions.hpp>
 #include <waxwingvale/decision/scheduler_events.hpp>
 #include <waxwingvale/model/error.hpp>
 
@@ -21,7 +20,4 @@
 // The reverse; an error names the field that is missing or wrong.
 result<traced_event> decode_event(const nlohmann::json& line);
 
-// An action as one line of text, for digests.
-std::string action_text(const decision::scheduler_action& action);
-
 } // namespace waxwingvale::replay
