entry: comments in the field's terms, and one long function split

prober, call_attempts, call_relay and call_log say plainly what they do; take_result leaves the reading of an answer to read_answer.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -47,13 +47,13 @@
         call.content.body ? *call.content.body : no_body, headers);
 }
 
-// A kept connection may carry a request that must not run twice only while it
-// was proven to work a moment ago: lost on a connection that the other end has
-// forgotten, nobody could say whether it ran. Reads are sent again.
+// A request that must not run twice is sent on a kept connection only if the
+// connection was used a moment ago. If the other end has closed it since, the
+// request is lost and its outcome unknown; a read would just be sent again.
 constexpr duration at_most_once_kept_for = 200ms;
 constexpr duration retriable_kept_for = 10s;
 
-// Why the request went where it did, for operators.
+// Tells operators which instance and backend server answered, and why.
 std::string route_of(const std::string& self, const call_record& call,
                      const running_attempt& attempt) {
     const auto waited = attempt.started - call.arrived;
@@ -84,7 +84,7 @@
     part.desk->handle(arrived);
 }
 
-// A slot for the call's next attempt.
+// The request for a slot for the call's next attempt.
 decision::request_arrived
 call_desk::slot_request(const call_record& call) const {
     decision::request_arrived arrived;
@@ -102,7 +102,8 @@
     return arrived;
 }
 
-// What the quarantine says of a request under suspicion; true: go on.
+// Applies the decision of the quarantine on a request. Each operator returns
+// whether the attempt is to be queued.
 struct call_desk::admit_suspect {
     call_desk& desk;
     call_record& call;
@@ -144,8 +145,8 @@
         dispatch(*call, service, action);
         return;
     }
-    // The configuration has dropped the server between the decision and now,
-    // or the call is gone: the slot must still come back.
+    // The configuration no longer names the server, or the call has ended, but
+    // the slot must be freed.
     decision::request_finished ended;
     ended.request = action.request;
     ended.verdict = decision::attempt_verdict::cancelled;
@@ -227,6 +228,25 @@
     return made;
 }
 
+backend_answer call_desk::read_answer(call_record& call,
+                                      const running_attempt& attempt,
+                                      const forwarding::backend_result& ended) {
+    auto answer = protocol_.classify(ended);
+    if (answer.incarnation == 0) {
+        // A server that does not name its incarnation is taken for the one to
+        // which the request was sent.
+        answer.incarnation = attempt.incarnation;
+    }
+    if (ended.response) {
+        answer.bytes = ended.response.value().body.size();
+        return answer;
+    }
+    answer.bytes = call.relayed;
+    note(call, "call_answer_lost",
+         fact("error", to_string(ended.response.error())));
+    return answer;
+}
+
 void call_desk::take_result(decision::request_id id,
                             decision::request_id attempt_id,
                             const std::string& service,
@@ -239,20 +259,10 @@
     auto& ours = was_hedge ? call->hedge : call->running;
     auto& other = was_hedge ? call->running : call->hedge;
     const auto attempt = *ours;
-    auto answer = protocol_.classify(ended);
-    if (answer.incarnation == 0) {
-        // It does not tell: it is of the one that it was asked of.
-        answer.incarnation = attempt.incarnation;
-    }
-    answer.bytes =
-        ended.response ? ended.response.value().body.size() : call->relayed;
+    const auto answer = read_answer(*call, attempt, ended);
     if (answer.end == attempt_end::broken) {
         report_death(attempt);
     }
-    if (!ended.response) {
-        note(*call, "call_answer_lost",
-             fact("error", to_string(ended.response.error())));
-    }
     ours.reset();
     hedges_.erase(attempt_id);
     report_end(*call, attempt, answer);
@@ -261,7 +271,7 @@
         return;
     }
     if (other && answer.end != attempt_end::answered) {
-        return; // the other copy may still bring the answer
+        return; // the other attempt may still be answered
     }
     if (other) {
         const auto loser = *other;
@@ -301,8 +311,8 @@
     part.desk->handle(finished);
 }
 
-// A connection broke under a request. Whatever was in flight on that backend
-// server is a suspect: one of them may crash each server that runs it.
+// A connection broke while a request was in flight. Every request in flight on
+// that backend server may be the one that crashed it, and becomes a suspect.
 void call_desk::report_death(const running_attempt& lost) {
     if (!crashes_.is_news(lost.backend_server, lost.incarnation)) {
         return;
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -114,6 +114,9 @@
     forwarding::backend_call make_backend_call(const call_record& call,
                                                const backend_server& to,
                                                duration kept_for) const;
+    backend_answer read_answer(call_record& call,
+                               const running_attempt& attempt,
+                               const forwarding::backend_result& ended);
     void take_result(decision::request_id id, decision::request_id attempt_id,
                      const std::string& service,
                      forwarding::backend_result ended);
--- a/src/entry/call_log.hpp
+++ b/src/entry/call_log.hpp
@@ -21,8 +21,8 @@
 
 // How much of a call's story is logged.
 enum class story_part {
-    none,    // it ended as its caller would wish, at the first attempt
-    outcome, // so it did, but whether it ran may be asked much later
+    none,    // answered in time at the first attempt
+    outcome, // the same, but operators may need to know whether it ran
     whole
 };
 
@@ -32,13 +32,13 @@
 // second how many calls of each class there were.
 class call_log {
 public:
-    // `also` is called whenever calls are summed up, for further lines.
+    // `also` is called with each summary, to log further lines.
     call_log(kernel::timer_service& timers, entry_metrics& metrics,
              std::function<void()> also)
         : timers_(timers), metrics_(metrics), also_(std::move(also)) {}
 
     void close(const call_record& call, const call_end& end);
-    // Something happened here, so that a sum is due within a second.
+    // Schedules a summary within a second.
     void arm();
 
 private:
--- a/src/entry/call_relay.cpp
+++ b/src/entry/call_relay.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-// Bytes that wait for a slow caller before its backend server is held back.
+// Bytes queued for a slow caller at which reading from the backend server
+// stops.
 constexpr std::size_t relay_limit = 512 * 1024;
 
 } // namespace
@@ -28,8 +29,8 @@
     return handlers;
 }
 
-// The first attempt whose answer grows long is the one that the caller gets:
-// from here on it can be neither retried nor replaced.
+// The answer of this attempt goes to the caller: once its head is passed on,
+// the request can be neither retried nor hedged.
 void call_desk::begin_relay(decision::request_id id,
                             decision::request_id attempt_id,
                             const io::http_response& head,
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -11,17 +11,16 @@
 
 using namespace std::chrono_literals;
 
-// A server that was slowed down is asked after 60 ms whether it still is; half
-// of that is as exact as word of it needs to be.
+// Slowed servers are probed 60 ms after their last load report; checks at less
+// than half of that interval are precise enough.
 constexpr duration due_check_period = 25ms;
-// Servers answer within milliseconds; packets that were lost come again after
-// 200 ms.
+// Servers answer within milliseconds. Lost packets are sent again after 200 ms.
 constexpr duration probe_timeout = 300ms;
-// Every server is asked so often, if the budget allows, though nobody needs to
-// know how it is: that one is back or leaving is news for all.
+// Every server is probed at this interval, if the budget allows, even if its
+// load does not matter: all instances need to know that it is back or leaving.
 constexpr duration idle_probe_period = 2s;
-// It is looked for them every fifth of a second.
-constexpr unsigned checks_between_idle_looks = 8;
+// One in this many checks looks for servers that are due by that interval.
+constexpr unsigned checks_per_idle_check = 8;
 constexpr duration probe_connection_kept_for = 5s;
 
 } // namespace
@@ -49,7 +48,7 @@
     tick_while_owning();
 }
 
-// Most instances own nothing, and waking up for nothing costs them.
+// Instances that own no server set no timer: wake-ups cost processor time.
 void prober::tick_while_owning() {
     const bool owns =
         std::any_of(services_.begin(), services_.end(), [](const auto& entry) {
@@ -101,8 +100,8 @@
     update_share(timers_.now());
 }
 
-// In a partition the other side may have an owner for the same backend
-// server; each side then spends no more than its share of the budget.
+// In a network partition both sides may have an owner for the same backend
+// server. Each side then uses only its share of the budget.
 void prober::update_share(time_point now) {
     const auto members = view_ ? view_->members.size() : 0;
     const auto heard = static_cast<double>(links_ + 1);
@@ -117,14 +116,14 @@
     if (!view_ || !view_->config) {
         return;
     }
-    const bool idle_ones = ++checks_ % checks_between_idle_looks == 0;
+    const bool idle_ones = ++checks_ % checks_per_idle_check == 0;
     for (const auto& of : view_->config->services) {
         probe_due(of, idle_ones, now);
     }
 }
 
-// All servers are gone through only now and then: of some hundred, few are due
-// at a time.
+// Goes through all servers only if idle_ones is set: of several hundred, few
+// are due at a time.
 void prober::probe_due(const service& of, bool idle_ones, time_point now) {
     auto& owned = services_.at(of.name).owned;
     if (owned.empty()) {
@@ -156,7 +155,8 @@
     }
 }
 
-// By value: with the probe's timer goes what its handler held.
+// Takes its arguments by value, since erasing the probe's timer destroys the
+// handler that holds them.
 void prober::end_probe(std::string service, std::string server,
                        backend_incarnation of, backend_answer answer) {
     open_.erase(server);
@@ -164,7 +164,7 @@
     const auto found = owned.find(server);
     if (found != owned.end() &&
         is_of_former(of, found->second.at.incarnation)) {
-        return; // asked of a process that has ended since
+        return; // the answer is of a previous process
     }
     answer.incarnation = of;
     outlet_.on_probe(service, server, answer);
--- a/src/entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -16,12 +16,12 @@
 
 namespace waxwingvale::entry {
 
-// What a probe has to do with the service's requests.
+// Connects the prober with the schedulers of the services, which decide what to
+// probe and learn from the answers.
 class probe_outlet {
 public:
     virtual ~probe_outlet() = default;
-    // Backend servers of which too little was heard lately to place requests
-    // well.
+    // Backend servers whose last load report is too old to choose slots by.
     virtual std::vector<std::string>
     servers_to_probe(const std::string& service) = 0;
     // Whether the terms that the backend server has stated allow a probe now.
@@ -34,10 +34,10 @@
                           const backend_answer& answer) = 0;
 };
 
-// Asks the backend servers that this instance owns how they are, within the
-// budget of the configuration file. Probes find out what no request tells: a
-// dead server that has come back, a leaving one that nobody calls, and, where
-// requests are to be placed, which server is slowed down at the moment.
+// Sends health checks to the backend servers that this instance owns, within
+// the probe budget of the configuration. They show what no request shows: that
+// a dead server is back, that a server without requests leaves, and which
+// servers are slowed down at present.
 class prober {
 public:
     prober(std::string self, const request_protocol& protocol,
