--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <string>
+#include <vector>
 
 #include "standin/process.hpp"
 
@@ -10,9 +12,12 @@
 
 // Plays the seed on real processes; shows what the soak has printed when
 // something was broken.
-void play(const std::string& seed, const std::string& seconds) {
-    child_process soak("standin-soak",
-                       {"--seed=" + seed, "--seconds=" + seconds});
+void play(const std::string& seed, const std::string& seconds,
+          const std::vector<std::string>& more = {}) {
+    std::vector<std::string> arguments = {"--seed=" + seed,
+                                          "--seconds=" + seconds};
+    arguments.insert(arguments.end(), more.begin(), more.end());
+    child_process soak("standin-soak", arguments);
     const auto told = soak.read_rest(whole_run);
     INFO(told);
     CHECK(soak.wait() == 0);
@@ -29,6 +34,12 @@
     play("2", "5");
 }
 
+// Guards against the same beside backend servers that name limits and ask for
+// rest, while instances and these servers are killed, stopped and paused.
+TEST_CASE("a short soak with limits and rests breaks no promise") {
+    play("3", "5", {"--terms"});
+}
+
 // An instance is killed with bookings in flight and started again; a copy of
 // one reached it before it had a configuration and was answered "not run",
 // although it had run: its caller would have booked once more.
--- a/test/standin/soak/soak_plan.cpp
+++ b/test/standin/soak/soak_plan.cpp
@@ -12,12 +12,16 @@
 using std::chrono::milliseconds;
 
 constexpr auto kinds = static_cast<std::size_t>(fault_kind::count_of_kinds);
+// Those that every plan may have.
+constexpr auto usual_kinds =
+    static_cast<std::size_t>(fault_kind::limit_backend);
 
 constexpr std::array<const char*, kinds> kind_names = {
     "kill_instance",  "stop_instance",  "pause_instance", "kill_backend",
     "pause_backend",  "slow_backend",   "platform_down",  "platform_slow",
     "platform_stale", "peers_cut",      "peers_reset",    "peers_slow",
-    "backend_cut",    "backend_silent", "backend_reset",  "publish"};
+    "backend_cut",    "backend_silent", "backend_reset",  "publish",
+    "limit_backend",  "tire_backend"};
 
 // std::uniform_int_distribution differs between libraries; a seed must not.
 class dice {
@@ -37,7 +41,7 @@
     const auto ms = static_cast<std::uint64_t>(length.count());
     fault.at = milliseconds(roll.between(ms / 10, ms * 8 / 10));
     fault.lasts = milliseconds(roll.between(100, 2500));
-    fault.kind = static_cast<fault_kind>(roll.below(kinds));
+    fault.kind = static_cast<fault_kind>(roll.below(usual_kinds));
     fault.target = roll.below(1000);
     return fault;
 }
@@ -53,6 +57,11 @@
     }
 }
 
+void sort_by_begin(soak_plan& plan) {
+    std::stable_sort(plan.faults.begin(), plan.faults.end(),
+                     [](const auto& a, const auto& b) { return a.at < b.at; });
+}
+
 } // namespace
 
 const char* to_string(fault_kind kind) {
@@ -84,11 +93,26 @@
             add_series(roll, plan.faults);
         }
     }
-    std::stable_sort(plan.faults.begin(), plan.faults.end(),
-                     [](const auto& a, const auto& b) { return a.at < b.at; });
+    sort_by_begin(plan);
     return plan;
 }
 
+void add_terms(soak_plan& plan) {
+    constexpr std::uint64_t other_draws = 0x7e;
+    dice roll(plan.seed + (other_draws << 32U));
+    const auto faults = roll.between(2, 5);
+    for (std::uint64_t i = 0; i < faults; ++i) {
+        auto fault = any_fault(roll, plan.length);
+        fault.kind = roll.below(2) == 0 ? fault_kind::limit_backend
+                                        : fault_kind::tire_backend;
+        plan.faults.push_back(fault);
+        if (roll.below(3) == 0) {
+            add_series(roll, plan.faults);
+        }
+    }
+    sort_by_begin(plan);
+}
+
 std::string to_string(const soak_plan& plan) {
     std::ostringstream text;
     text << "seed " << plan.seed << ": " << plan.entry_instances
--- a/test/standin/soak/soak_plan.hpp
+++ b/test/standin/soak/soak_plan.hpp
@@ -26,6 +26,9 @@
     backend_silent, // open connections go silent, new ones work
     backend_reset,
     publish, // a new configuration
+    // Only where a plan is told to have them:
+    limit_backend, // names a limit in its answers
+    tire_backend,  // turns all requests away and asks for rest
     count_of_kinds
 };
 
@@ -57,6 +60,10 @@
 // in series.
 soak_plan make_plan(std::uint64_t seed, std::chrono::milliseconds length);
 
+// Adds backend servers that name limits and ask for rest, as the plan's seed
+// decides; the other faults stay as they are.
+void add_terms(soak_plan& plan);
+
 std::string to_string(const soak_plan& plan);
 
 } // namespace waxwingvale::standin
--- a/test/standin/soak/soak_run.cpp
+++ b/test/standin/soak/soak_run.cpp
@@ -75,7 +75,9 @@
                   {&soak_run::backend_cut, &soak_run::backend_pass},
                   {&soak_run::backend_silent, &soak_run::backend_pass},
                   {&soak_run::backend_reset, &soak_run::backend_pass},
-                  {&soak_run::publish, &soak_run::nothing}}};
+                  {&soak_run::publish, &soak_run::nothing},
+                  {&soak_run::limit_backend, &soak_run::end_terms},
+                  {&soak_run::tire_backend, &soak_run::end_terms}}};
     return table.at(static_cast<std::size_t>(kind));
 }
 
@@ -135,6 +137,7 @@
     for (std::size_t i = 0; i < plan_.backend_servers; ++i) {
         resume_backend(i);
         quicken_backend(i);
+        end_terms(i);
         start_backend(i);
     }
     for (std::size_t i = 0; i < plan_.entry_instances; ++i) {
@@ -297,19 +300,31 @@
     backend(target).process().signal(SIGCONT);
 }
 
-void soak_run::slow_backend(std::size_t target) {
-    const auto down = backend_down_[target % plan_.backend_servers];
-    if (!down) {
+void soak_run::command_backend(std::size_t target, const std::string& fault) {
+    if (!backend_down_[target % plan_.backend_servers]) {
         resume_backend(target); // one that is paused takes no command
-        backend(target).fault("straggle=20");
+        backend(target).fault(fault);
     }
 }
 
+void soak_run::slow_backend(std::size_t target) {
+    command_backend(target, "straggle=20");
+}
+
 void soak_run::quicken_backend(std::size_t target) {
-    if (!backend_down_[target % plan_.backend_servers]) {
-        resume_backend(target);
-        backend(target).fault("straggle=1");
-    }
+    command_backend(target, "straggle=1");
+}
+
+void soak_run::limit_backend(std::size_t target) {
+    command_backend(target, "limit=1");
+}
+
+void soak_run::tire_backend(std::size_t target) {
+    command_backend(target, "rest=1");
+}
+
+void soak_run::end_terms(std::size_t target) {
+    command_backend(target, "limit=none&rest=none");
 }
 
 void soak_run::platform_down(std::size_t) {
--- a/test/standin/soak/soak_run.hpp
+++ b/test/standin/soak/soak_run.hpp
@@ -54,6 +54,10 @@
     void resume_backend(std::size_t target);
     void slow_backend(std::size_t target);
     void quicken_backend(std::size_t target);
+    void limit_backend(std::size_t target);
+    void tire_backend(std::size_t target);
+    void end_terms(std::size_t target);
+    void command_backend(std::size_t target, const std::string& fault);
     void platform_down(std::size_t target);
     void platform_slow(std::size_t target);
     void platform_stale(std::size_t target);
