entry: the trial of a suspect ends whatever becomes of it

What callers saw: a read that had been in flight when a connection broke was refused as suspected-of-crashing by its instance, again and again, for up to ten minutes.

Cause: a suspect runs once more, alone, as a trial. When that attempt was refused before it was sent (no other server, no spare slot, too late), or its caller left while it waited, nobody ended the trial, and a second one is not begun beside it.

A trial now ends with its attempt or its call, whichever comes first.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -296,9 +296,8 @@
         if (crashes_.wants_pass()) {
             crashes_.on_passed(fingerprint(call));
         }
-    } else if (call.alone && answer.end != attempt_end::broken) {
-        crashes_.on_trial_abandoned(fingerprint(call));
     }
+    end_trial(call);
     outlet_.observe(attempt.backend_server, answer);
     decision::request_finished finished;
     finished.request = attempt.id;
@@ -311,6 +310,16 @@
     part.desk->handle(finished);
 }
 
+// Ends the trial of a suspect, whatever became of it. A trial that was refused
+// before it was sent has no result; if it did not end, every later copy of the
+// request would be refused until the suspicion expires.
+void call_desk::end_trial(call_record& call) {
+    if (call.alone) {
+        call.alone = false;
+        crashes_.on_trial_abandoned(fingerprint(call));
+    }
+}
+
 // A connection broke while a request was in flight. Every request in flight on
 // that backend server may be the one that crashed it, and becomes a suspect.
 void call_desk::report_death(const running_attempt& lost) {
@@ -369,7 +378,6 @@
         call.earlier = run_outcome::unknown;
     }
     call.excluded.push_back(attempt.backend_server);
-    call.alone = false;
     metrics_.retries.add(call.labels);
     queue_attempt(call);
     return true;
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -306,6 +306,7 @@
 void call_desk::close_record(call_record& ended, call_end end,
                              decision::answer_ptr answer) {
     const auto outcome = end.outcome;
+    end_trial(ended);
     drop_waiting_hedge(ended);
     const auto call = std::move(ended);
     log_.close(call, end);
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -122,6 +122,7 @@
                      forwarding::backend_result ended);
     void report_end(call_record& call, const running_attempt& attempt,
                     const backend_answer& answer);
+    void end_trial(call_record& call);
     void report_death(const running_attempt& lost);
     void end_with(call_record& call, const running_attempt& attempt,
                   const backend_answer& answer,
--- a/src/entry/call_record.hpp
+++ b/src/entry/call_record.hpp
@@ -73,7 +73,7 @@
     std::vector<std::string> excluded; // backend servers that failed it
     std::optional<held_key> key;
     bool nested = false; // the caller is itself serving a call
-    bool alone = false;  // under suspicion of crashing backend servers
+    bool alone = false;  // its attempt is the trial of a suspect
     bool hedged = false;
     bool answering = false;  // a long answer is on its way to the caller
     std::size_t relayed = 0; // bytes of it so far
--- a/test/entry/call_desk_test.cpp
+++ b/test/entry/call_desk_test.cpp
@@ -93,6 +93,13 @@
         ::close(connection);
     }
 
+    // Closes the connection of the request that came first.
+    void break_off() {
+        run_for(20ms);
+        ::close(::accept(listener, nullptr, nullptr));
+        run_for(20ms);
+    }
+
     void on_sent(const std::string& /*backend_server*/) override {}
     void observe(const std::string& /*backend_server*/,
                  const backend_answer& answer) override {
@@ -172,3 +179,18 @@
         CHECK(f.ends == std::vector<attempt_end>{attempt_end::answered});
     }
 }
+
+TEST_CASE("a suspect whose trial is refused is tried again") {
+    // Guards against a request that is refused for ten minutes, since the trial
+    // that was to clear it never ran and never ended.
+    desk_fixture f;
+    f.call();
+    f.break_off(); // its retry is a trial that no other server can run
+    REQUIRE(f.desk.open_calls() == 0);
+    auto& servers = f.config.services[0].backend_servers;
+    servers.push_back(servers[0]);
+    servers.back().name = "b";
+    f.publish();
+    f.call();
+    CHECK(f.desk.open_calls() == 1);
+}
