--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -153,7 +153,7 @@
 void entry_service::report(const std::string& backend_server,
                            const backend_answer& answer, belief_source source) {
     if (answer.terms) {
-        terms_log_.record_terms(backend_server, *answer.terms);
+        terms_log_.record_terms(backend_server, *answer.terms, source);
     }
     const auto seen = state_for_all(answer);
     if (!seen || !is_change(backend_server, answer.incarnation, *seen)) {
--- a/src/entry/terms_log.cpp
+++ b/src/entry/terms_log.cpp
@@ -39,10 +39,10 @@
 } // namespace
 
 void terms_log::record_terms(const std::string& backend_server,
-                             const backend_terms& terms) {
+                             const backend_terms& terms, belief_source source) {
     if (terms.requests_per_second) {
         record_limit(backend_server, *terms.requests_per_second);
-    } else {
+    } else if (source == belief_source::traffic) {
         end_limit(backend_server);
     }
     if (terms.leaving) {
--- a/src/entry/terms_log.hpp
+++ b/src/entry/terms_log.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include <waxwingvale/kernel/timer_service.hpp>
+#include <waxwingvale/model/backend_belief.hpp>
 #include <waxwingvale/model/backend_terms.hpp>
 #include <waxwingvale/model/configuration.hpp>
 #include <waxwingvale/program/metrics.hpp>
@@ -19,9 +20,10 @@
               program::gauge limited, program::counter rests)
         : timers_(timers), named_(named), limited_(limited), rests_(rests) {}
 
-    // An answer of the server stated these terms.
+    // An answer of the server to a request, or to a probe, stated these terms.
+    // Not all servers name their limit to probes, so that these end none.
     void record_terms(const std::string& backend_server,
-                      const backend_terms& terms);
+                      const backend_terms& terms, belief_source source);
     void record_request(const std::string& backend_server);
     void record_probe(const std::string& backend_server);
     // Drops the servers that the configuration no longer names.
