--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -52,3 +52,9 @@
 TEST_CASE("seed 144: a stop right after the start is in order") {
     play("144", "8");
 }
+
+// Guards against a request that is refused everywhere for minutes, since the
+// connection of its trial was reset: that proves no crash.
+TEST_CASE("seed 8021: connections that are reset quarantine no request") {
+    play("8021", "8");
+}
