entry: the lag of the process and what a caller that left waited for

Neither logs nor metrics could tell the hypotheses on work for callers that had left apart. process_lagged and waxwing_process_lag_seconds tell how much later than due this process runs, which is about as long as what it reads lay unread; call_caller_left tells what the call waited for.

--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
+// A shorter lag is usual on a machine that does its work.
+constexpr duration lag_to_log = 100ms;
+
 own_answer not_understood(const error& why) {
     own_answer answer;
     answer.detail = why.detail;
@@ -101,10 +106,12 @@
       metrics_(metrics),
       log_(timers, metrics,
            [this] {
+               log_lag();
                for (auto& entry : services_) {
                    entry.second.desk->log_load();
                }
            }),
+      lateness_(timers),
       outlet_(outlet),
       keys_(self, hub, timers, *this),
       crashes_(self.name, hub, timers),
@@ -233,7 +240,7 @@
         return;
     }
     metrics_.abandoned.add(call->labels);
-    note(*call, "call_caller_left");
+    note(*call, "call_caller_left", left_facts(*call));
     const bool runs_once = call->kind.nature == request_nature::at_most_once &&
                            (call->running || call->key);
     if (runs_once && !call->answering) {
@@ -325,6 +332,17 @@
     }
 }
 
+// A process that lags reads requests, and their callers' closes, as much later
+// than they came.
+void call_desk::log_lag() {
+    const auto longest = lateness_.take_longest();
+    metrics_.process_lag.set(std::chrono::duration<double>(longest).count());
+    if (longest >= lag_to_log) {
+        program::log_change("process_lagged",
+                            {{"longest_ms", std::to_string(longest / 1ms)}});
+    }
+}
+
 void call_desk::note(call_record& call, const char* event, std::string facts) {
     call.story.add(timers_.now(), event, std::move(facts));
 }
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -10,6 +10,7 @@
 #include <waxwingvale/entry/request_protocol.hpp>
 #include <waxwingvale/forwarding/backend_pool.hpp>
 #include <waxwingvale/forwarding/caller_exchange.hpp>
+#include <waxwingvale/kernel/lateness_meter.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/program/view_published.hpp>
 
@@ -99,6 +100,7 @@
     void finish(decision::request_id id, const own_answer& answer);
     void close_record(call_record& call, call_end end,
                       decision::answer_ptr answer);
+    void log_lag();
     void note(call_record& call, const char* event, std::string facts = {});
     service_part& part_of(const std::string& service);
     service_desk& desk_of(const std::string& service);
@@ -157,6 +159,7 @@
     forwarding::backend_pool& pool_;
     entry_metrics& metrics_;
     call_log log_;
+    kernel::lateness_meter lateness_;
     call_desk_outlet& outlet_;
     key_desk keys_;
     crash_guard crashes_;
--- a/src/entry/call_facts.cpp
+++ b/src/entry/call_facts.cpp
@@ -41,6 +41,16 @@
            " " + fact("attempts", call.attempts_here);
 }
 
+// What the call waited for when its caller left.
+std::string left_facts(const call_record& call) {
+    const bool for_key = call.key && call.key->attempt == 0;
+    const char* what = call.answering ? "rest-of-answer"
+                       : call.running ? "answer"
+                       : for_key      ? "key"
+                                      : "slot";
+    return fact("waited_for", what);
+}
+
 // Whose slot it is tells which instance chose the server.
 std::string placed_facts(const running_attempt& attempt, bool second_copy) {
     return fact("backend_server", attempt.backend_server) + " " +
--- a/src/entry/call_facts.hpp
+++ b/src/entry/call_facts.hpp
@@ -25,6 +25,7 @@
                           std::size_t queued);
 std::string answered_facts(const call_record& call, run_outcome outcome,
                            unsigned status);
+std::string left_facts(const call_record& call);
 std::string placed_facts(const running_attempt& attempt, bool second_copy);
 std::string ended_facts(const running_attempt& attempt,
                         const backend_answer& answer, duration took);
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -40,6 +40,9 @@
           all.add_gauge("waxwing_backend_servers_limited",
                         "Backend servers that name a limit at present.")),
       open_calls(all.add_gauge("waxwing_open_calls", "Calls without answer.")),
+      process_lag(all.add_gauge(
+          "waxwing_process_lag_seconds",
+          "The longest lag of the process before the last summary.")),
       keys(all.add_gauge("waxwing_request_keys", "Request keys remembered.")) {}
 
 } // namespace waxwingvale::entry
--- a/src/entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -25,6 +25,7 @@
     program::counter log_lines_dropped;
     program::gauge limited_servers;
     program::gauge open_calls;
+    program::gauge process_lag;
     program::gauge keys;
 };
 
