--- a/test/failures/lateness_test.cpp
+++ b/test/failures/lateness_test.cpp
@@ -1,8 +1,11 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
+#include "io/stream_socket.hpp"
 #include "standin/fleet.hpp"
 
 using namespace waxwingvale;
@@ -18,6 +21,18 @@
     return on.runs().at("begun").get<std::uint64_t>();
 }
 
+// A caller that sends a read and leaves before it is answered.
+void send_read_and_leave(std::uint16_t port) {
+    const std::string read =
+        "GET /desk/games HTTP/1.1\r\nHost: h\r\nWaxwing-Tenant: leagues\r\n\r\n";
+    const int caller = io::start_connect("127.0.0.1", port).value();
+    REQUIRE(wait_until([&] {
+        return ::send(caller, read.data(), read.size(), MSG_NOSIGNAL) ==
+               static_cast<long>(read.size());
+    }));
+    ::close(caller);
+}
+
 std::uint64_t leaving_refusals(backend_process& by) {
     return by.runs().at("refused").value("leaving", std::uint64_t{0});
 }
@@ -123,3 +138,30 @@
     CHECK(report.ended("failed") == 0);
     CHECK(running.history().most_runs_of_a_key() == 1);
 }
+
+TEST_CASE(
+    "an instance that could not run sends nothing for callers that left") {
+    // Guards against an instance that, once it gets processor time again, works
+    // through the requests of hundreds of callers that have given up.
+    fleet_options options;
+    options.entry_instances = 1;
+    fleet running(options);
+    running.start();
+    auto warm = running.start_load({"--calls=100", "--rate=500"});
+    CHECK(finish_load(warm).exit_code == 0);
+    auto& stopped = running.instance(0);
+    const auto all_begun = [&] {
+        return runs_begun(running.backend(0)) + runs_begun(running.backend(1));
+    };
+    const auto begun_before = all_begun();
+    stopped.process().signal(SIGSTOP);
+    for (int i = 0; i < 200; ++i) {
+        send_read_and_leave(stopped.caller_port());
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    stopped.process().signal(SIGCONT);
+    running.wait_until_serving();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    // wait_until_serving() sends reads of its own, one to each instance.
+    CHECK(all_begun() - begun_before <= 5);
+}
--- a/test/forwarding/backend_pool_test.cpp
+++ b/test/forwarding/backend_pool_test.cpp
@@ -3,7 +3,7 @@
 #include <string>
 #include <waxwingvale/forwarding/backend_pool.hpp>
 
-#include "forwarding/raw_peer.hpp"
+#include "standin/raw_peer.hpp"
 
 using namespace std::chrono_literals;
 using namespace waxwingvale;
--- a/test/forwarding/caller_server_test.cpp
+++ b/test/forwarding/caller_server_test.cpp
@@ -3,7 +3,7 @@
 #include <vector>
 #include <waxwingvale/forwarding/caller_server.hpp>
 
-#include "forwarding/raw_peer.hpp"
+#include "standin/raw_peer.hpp"
 
 using namespace std::chrono_literals;
 using namespace waxwingvale;
@@ -91,6 +91,26 @@
     CHECK(fixture.server.connections() == 0);
 }
 
+TEST_CASE("a caller that sent more than is kept ahead and leaves is noticed") {
+    // Guards against work for a caller whose close cannot be read, since bytes
+    // that it sent ahead lie before it.
+    const bool reset = GENERATE(false, true);
+    served fixture;
+    auto caller = fixture.caller();
+    caller->send(get("/") + std::string(512 * 1024, 'x'));
+    REQUIRE(fixture.await_requests(1));
+    fixture.run_for(50ms);
+    REQUIRE_FALSE(fixture.requests[0]->abandoned());
+    if (reset) {
+        caller->reset();
+    } else {
+        caller->close();
+    }
+    fixture.run_for(500ms);
+    CHECK(fixture.requests[0]->abandoned());
+    CHECK(fixture.server.connections() == 0);
+}
+
 TEST_CASE("an answer in pieces is complete only when it is ended") {
     served fixture;
     auto caller = fixture.caller();
--- a/test/standin/raw_peer.cpp
+++ b/test/standin/raw_peer.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/raw_peer.hpp"
+#include "standin/raw_peer.hpp"
 
 #include <cerrno>
 #include <unistd.h>
