entry: nothing reaches a backend server for a caller that has left

Cause: what was done for a caller had no owner. Each place that sends something trusted that the caller's close would have been read by then: the first attempt, a slot that falls free, the connection that is made at last, a retry, a second copy. An instance that is short of processor time reads requests and answers before closes that came in ahead of them. And a booking that ran when its caller left was sent to the next server once its own had turned it away, and a body that will not be completed held its server until the deadline.

Now entry/caller_interest alone decides what is done for a caller. It is asked right before each send, on a kept connection and when a new one is made, and looks at the caller's socket itself, so that no order of events matters. A request is written only once its connection is made; before, its bytes waited in it.

--- a/include/waxwingvale/decision/key_store.hpp
+++ b/include/waxwingvale/decision/key_store.hpp
@@ -99,6 +99,10 @@
     // "in flight".
     bool awaits_hand_over(const std::string& key) const;
 
+    // Whether copies of that key, here or at other members, wait for the
+    // outcome of the attempt that runs.
+    bool is_awaited(const std::string& key) const;
+
     const member_id& self() const;
     std::size_t size() const;         // number of recorded keys
     std::size_t answer_bytes() const; // memory of the stored answers, in bytes
--- a/include/waxwingvale/forwarding/backend_call.hpp
+++ b/include/waxwingvale/forwarding/backend_call.hpp
@@ -44,6 +44,10 @@
     std::shared_ptr<body_stream> more_body;
     std::optional<std::uint64_t> body_length;
     std::optional<echoed_header> echo;
+    // Asked once, right before the first byte goes out: making a connection
+    // takes time, and nobody may want the request any more. The call then ends
+    // with cancelled. Empty: send it.
+    std::function<bool()> still_wanted;
     duration connect_timeout = std::chrono::milliseconds(300);
     // A kept connection is used only when it was last used at most so long
     // ago; zero: a new one. A connection that has been idle may have been
--- a/include/waxwingvale/forwarding/backend_pool.hpp
+++ b/include/waxwingvale/forwarding/backend_pool.hpp
@@ -42,6 +42,8 @@
     // Ends the call and its connection, which tells the backend server to stop
     // working at it; its handler is not called.
     void cancel(call_id call);
+    // Whether a byte of the call's request has left; false once it has ended.
+    bool sent(call_id call) const;
     // Holds back, or goes on reading, the answer of that call.
     void pause(call_id call);
     void resume(call_id call);
--- a/include/waxwingvale/forwarding/caller_exchange.hpp
+++ b/include/waxwingvale/forwarding/caller_exchange.hpp
@@ -46,6 +46,10 @@
         on_abandoned_ = std::move(handler);
     }
     bool abandoned() const { return abandoned_; }
+    // Whether the caller has left as far as can be known at this moment: its
+    // close may have come and not be read, so that on_abandoned is still to be
+    // called. Asks the system, so it is for moments that matter.
+    bool caller_has_left() const;
 
     // The answer, whole. Only the first answer counts.
     void answer(io::http_response whole);
--- a/include/waxwingvale/model/error.hpp
+++ b/include/waxwingvale/model/error.hpp
@@ -16,6 +16,7 @@
     malformed,          // bytes that do not decode
     unauthenticated,    // the peer did not prove who it is
     resource_exhausted, // a documented limit is reached
+    cancelled,          // nobody wants the result any more
     stale,              // the word is older than what is already known
     internal            // a fault of ours
 };
--- a/src/decision/key_protocol.cpp
+++ b/src/decision/key_protocol.cpp
@@ -193,6 +193,13 @@
                   waiters.end());
 }
 
+bool key_protocol::is_awaited(const std::string& key) const {
+    const auto* record = table_.find(key);
+    return record != nullptr && record->details &&
+           !(record->details->waiters.empty() &&
+             record->details->requesters.empty());
+}
+
 bool key_protocol::awaits_hand_over(const std::string& key) const {
     const auto* record = table_.find(key);
     return record != nullptr && record->state == key_state::requesting;
--- a/src/decision/key_protocol.hpp
+++ b/src/decision/key_protocol.hpp
@@ -30,6 +30,7 @@
     key_effects on_hand_over_reply(const hand_over_reply& reply);
     key_effects on_hand_over_failed(const std::string& key, bool gone);
 
+    bool is_awaited(const std::string& key) const;
     bool awaits_hand_over(const std::string& key) const;
 
     key_table& table() { return table_; }
--- a/src/decision/key_store.cpp
+++ b/src/decision/key_store.cpp
@@ -67,6 +67,10 @@
     return key_prefix(self(), protocol_->table().age(now));
 }
 
+bool key_store::is_awaited(const std::string& key) const {
+    return protocol_->is_awaited(key);
+}
+
 bool key_store::awaits_hand_over(const std::string& key) const {
     return protocol_->awaits_hand_over(key);
 }
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -140,6 +140,11 @@
     const auto hedge = hedges_.find(action.request);
     const auto id = hedge == hedges_.end() ? action.request : hedge->second;
     auto* call = find(id);
+    if (call != nullptr && !interest_.may_send(*call)) {
+        drop(*call);
+        return_slot(service, action.request);
+        return;
+    }
     if (call != nullptr &&
         find_backend(service, action.backend_server) != nullptr) {
         dispatch(*call, service, action);
@@ -147,10 +152,7 @@
     }
     // The configuration no longer names the server, or the call has ended, but
     // the slot must be freed.
-    decision::request_finished ended;
-    ended.request = action.request;
-    ended.verdict = decision::attempt_verdict::cancelled;
-    desk_of(service).handle(ended);
+    return_slot(service, action.request);
     if (call != nullptr && id == action.request) {
         own_answer dropped;
         dropped.reason = "backend-server-dropped";
@@ -225,6 +227,10 @@
     made.body_length = call.content.body_length;
     made.echo = protocol_.echo_of(facts);
     made.kept_for = kept_for;
+    made.still_wanted = [this, id = call.id] {
+        const auto open = calls_.find(id);
+        return open != calls_.end() && interest_.may_send(open->second);
+    };
     return made;
 }
 
@@ -343,6 +349,12 @@
 void call_desk::end_with(call_record& call, const running_attempt& attempt,
                          const backend_answer& answer,
                          forwarding::backend_result ended) {
+    const bool unsent_in_vain =
+        !ended.response && ended.response.error().code == error_code::cancelled;
+    if (unsent_in_vain) {
+        drop(call);
+        return;
+    }
     if (answer.end != attempt_end::answered &&
         try_again(call, attempt, answer)) {
         return;
@@ -358,7 +370,7 @@
 
 bool call_desk::try_again(call_record& call, const running_attempt& attempt,
                           const backend_answer& answer) {
-    if (!call.may_reach_another()) {
+    if (!call.may_reach_another() || !interest_.may_send(call)) {
         return false;
     }
     auto& part = part_of(call.labels.service);
@@ -383,14 +395,19 @@
     return true;
 }
 
+void call_desk::return_slot(const std::string& service,
+                            decision::request_id attempt) {
+    decision::request_finished ended;
+    ended.request = attempt;
+    ended.verdict = decision::attempt_verdict::cancelled;
+    desk_of(service).handle(ended);
+}
+
 void call_desk::cancel_attempt(const std::string& service,
                                const running_attempt& attempt) {
     pool_.cancel(attempt.call);
     hedges_.erase(attempt.id);
-    decision::request_finished ended;
-    ended.request = attempt.id;
-    ended.verdict = decision::attempt_verdict::cancelled;
-    desk_of(service).handle(ended);
+    return_slot(service, attempt.id);
 }
 
 void call_desk::cancel_attempts(call_record& call) {
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -114,6 +114,7 @@
       lateness_(timers),
       outlet_(outlet),
       keys_(self, hub, timers, *this),
+      interest_(pool, keys_),
       crashes_(self.name, hub, timers),
       targets_(self.name) {}
 
@@ -232,22 +233,31 @@
     finish(id, late);
 }
 
-// The caller has left: whatever is still to be done for it is in vain, but
-// for work that must not be broken off half done.
+// Called when the caller's close has been read.
 void call_desk::abandon(decision::request_id id) {
     auto* call = find(id);
     if (call == nullptr) {
         return;
     }
-    metrics_.abandoned.add(call->labels);
-    note(*call, "call_caller_left", left_facts(*call));
-    const bool runs_once = call->kind.nature == request_nature::at_most_once &&
-                           (call->running || call->key);
-    if (runs_once && !call->answering) {
+    if (interest_.must_end(*call)) {
+        metrics_.abandoned.add(call->labels);
+        note(*call, "call_caller_left", left_facts(*call));
         return;
     }
-    cancel_attempts(*call);
-    close_record(*call, {run_outcome::unknown, false, timers_.now()}, nullptr);
+    drop(*call);
+}
+
+// Ends whatever is done for a caller that has left.
+void call_desk::drop(call_record& call) {
+    metrics_.abandoned.add(call.labels);
+    note(call, "call_caller_left", left_facts(call));
+    const bool waits_for_key = call.key && call.key->attempt == 0;
+    if (waits_for_key) {
+        keys_.on_waiter_gone(call.key->key, call.id);
+    }
+    const auto outcome = interest_.outcome_if_dropped(call);
+    cancel_attempts(call);
+    close_record(call, {outcome, false, timers_.now()}, nullptr);
 }
 
 void call_desk::refuse(const decision::refuse_request& action) {
@@ -320,9 +330,9 @@
     calls_.erase(call.id);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
     metrics_.call_time.observe(call.labels, timers_.now() - call.arrived);
-    if (outcome == run_outcome::not_run) {
+    if (end.answered && outcome == run_outcome::not_run) {
         metrics_.refused.add(call.labels);
-    } else if (outcome == run_outcome::unknown) {
+    } else if (end.answered && outcome == run_outcome::unknown) {
         metrics_.unknown.add(call.labels);
     }
     const bool holds_key = call.key && call.key->attempt != 0;
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -16,6 +16,7 @@
 
 #include "entry/call_log.hpp"
 #include "entry/call_record.hpp"
+#include "entry/caller_interest.hpp"
 #include "entry/caller_patience.hpp"
 #include "entry/crash_guard.hpp"
 #include "entry/entry_metrics.hpp"
@@ -94,6 +95,7 @@
     void arm_deadline(call_record& call);
     void pass_deadline(decision::request_id id);
     void abandon(decision::request_id id);
+    void drop(call_record& call);
     void follow(const view& now, const decision::service_ownerships& owners);
     void finish(decision::request_id id, run_outcome outcome,
                 io::http_response answer);
@@ -131,6 +133,8 @@
                   forwarding::backend_result ended);
     bool try_again(call_record& call, const running_attempt& attempt,
                    const backend_answer& answer);
+    // The slot of an attempt that is not made, or no longer.
+    void return_slot(const std::string& service, decision::request_id attempt);
     void cancel_attempt(const std::string& service,
                         const running_attempt& attempt);
     void cancel_attempts(call_record& call);
@@ -162,6 +166,7 @@
     kernel::lateness_meter lateness_;
     call_desk_outlet& outlet_;
     key_desk keys_;
+    caller_interest interest_;
     crash_guard crashes_;
     target_choice targets_;
     caller_patience patience_;
--- a/src/entry/key_desk.hpp
+++ b/src/entry/key_desk.hpp
@@ -34,6 +34,11 @@
                      run_outcome outcome, decision::answer_ptr answer);
     void on_waiter_gone(const std::string& key, decision::waiter_id waiter);
 
+    // Whether other copies of the request wait for the attempt's outcome.
+    bool is_awaited(const std::string& key) const {
+        return store_.is_awaited(key);
+    }
+
     void change_limits(const decision::key_limits& limits);
     // Who is there: a holder named by a key whose incarnation is no longer
     // among them has lost its memory, so that asking is useless.
--- a/src/entry/lost_attempt.cpp
+++ b/src/entry/lost_attempt.cpp
@@ -8,8 +8,9 @@
         // A full limit of this process must not count as a server's death:
         // all instances would be told, and stop using it.
         const auto code = ended.response.error().code;
-        read.end = code == error_code::resource_exhausted
-                       ? attempt_end::held_back
+        const bool by_us = code == error_code::resource_exhausted ||
+                           code == error_code::cancelled;
+        read.end = by_us                           ? attempt_end::held_back
                    : code == error_code::timed_out ? attempt_end::unreachable
                                                    : attempt_end::not_sent;
         read.outcome = run_outcome::not_run;
--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -72,11 +72,17 @@
     long_begun_ = false;
     sent_before_ = socket_.bytes_out();
     reader_.expect(call_->method);
+    body_sent_ = call_->more_body == nullptr;
+    if (connected_) {
+        begin_sending();
+    }
+}
+
+void backend_connection::begin_sending() {
     const auto plan = plan_of(*call_);
     const auto head =
         request_head(call_->method, call_->target, call_->headers, plan);
     const bool chunked = plan.framing == body_framing::chunks;
-    body_sent_ = call_->more_body == nullptr;
     if (!call_->body || call_->body->empty()) {
         socket_.write(head, {});
     } else if (chunked) {
@@ -116,6 +122,14 @@
 
 void backend_connection::on_connected() {
     connected_ = true;
+    if (!call_) {
+        return;
+    }
+    if (call_->still_wanted && !call_->still_wanted()) {
+        finish(make_error(error_code::cancelled, "nobody waits for it"));
+        return;
+    }
+    begin_sending();
 }
 
 void backend_connection::on_bytes(const char* bytes, std::size_t size) {
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -40,6 +40,8 @@
     void resume();
 
     bool connected() const { return connected_; }
+    // Whether a byte of the call's request has left.
+    bool sent() const { return socket_.bytes_out() > sent_before_; }
     // Whether a further call may go out on it.
     bool usable() const { return usable_; }
     bool idle() const { return !call_; }
@@ -50,6 +52,7 @@
 
 private:
     void on_connected();
+    void begin_sending();
     void on_bytes(const char* bytes, std::size_t size);
     void on_end();
     void send_more();
@@ -60,7 +63,6 @@
     void take_body();
     void take_complete();
     void finish(result<io::http_response> response);
-    bool sent() const { return socket_.bytes_out() > sent_before_; }
     error make_error(error_code code, const std::string& detail) const;
 
     std::string backend_server_;
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -270,6 +270,12 @@
     }
 }
 
+bool backend_pool::sent(call_id call) const {
+    const auto found = state_->calls.find(call);
+    return found != state_->calls.end() && found->second.connection &&
+           found->second.connection->sent();
+}
+
 void backend_pool::pause(call_id call) {
     const auto found = state_->calls.find(call);
     if (found != state_->calls.end() && found->second.connection) {
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -52,6 +52,7 @@
     void break_off();
     void body_taken();
     std::size_t waiting() const { return socket_.waiting(); }
+    bool caller_has_left() const { return socket_.peer_has_closed(); }
 
 private:
     enum class phase {
--- a/src/forwarding/caller_exchange.cpp
+++ b/src/forwarding/caller_exchange.cpp
@@ -19,6 +19,12 @@
     return taken;
 }
 
+bool caller_exchange::caller_has_left() const {
+    const auto connection = connection_.lock();
+    return abandoned_ ||
+           (connection && !finished_ && connection->caller_has_left());
+}
+
 void caller_exchange::answer(io::http_response whole) {
     const auto connection = connection_.lock();
     if (connection && !finished() && !begun_) {
--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -227,6 +228,24 @@
     watch();
 }
 
+bool stream_socket::peer_has_closed() const {
+    if (descriptor_ < 0) {
+        return true;
+    }
+    pollfd asked{descriptor_, POLLIN | POLLRDHUP, 0};
+    if (::poll(&asked, 1, 0) <= 0) {
+        return false;
+    }
+    if ((asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+        return true;
+    }
+    // Not every system tells of a close by the flag.
+    char next = 0;
+    const auto got =
+        ::recv(descriptor_, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && !is_transient(errno));
+}
+
 void stream_socket::end_writing() {
     if (descriptor_ >= 0) {
         ::shutdown(descriptor_, SHUT_WR);
--- a/src/io/stream_socket.hpp
+++ b/src/io/stream_socket.hpp
@@ -46,9 +46,13 @@
     int end_reason() const { return end_reason_; }
     // Takes no more bytes until reading is resumed, so that a peer that sends
     // faster than its bytes are used is held back by its own window. The
-    // peer's close goes unnoticed meanwhile.
+    // peer's close is not told meanwhile.
     void pause_reading();
     void resume_reading();
+    bool reading() const { return reading_; }
+    // Whether the peer has closed its side or reset the connection, as far as
+    // has come here, even if this has not been read yet.
+    bool peer_has_closed() const;
     // Tells the peer that nothing more will be written.
     void end_writing();
     // Drops what waits and ends the connection with a reset, so that the peer
--- a/src/model/error.cpp
+++ b/src/model/error.cpp
@@ -20,6 +20,8 @@
         return "unauthenticated";
     case error_code::resource_exhausted:
         return "resource_exhausted";
+    case error_code::cancelled:
+        return "cancelled";
     case error_code::stale:
         return "stale";
     case error_code::internal:
--- a/test/failures/lateness_test.cpp
+++ b/test/failures/lateness_test.cpp
@@ -23,8 +23,8 @@
 
 // A caller that sends a read and leaves before it is answered.
 void send_read_and_leave(std::uint16_t port) {
-    const std::string read =
-        "GET /desk/games HTTP/1.1\r\nHost: h\r\nWaxwing-Tenant: leagues\r\n\r\n";
+    const std::string read = "GET /desk/games HTTP/1.1\r\nHost: "
+                             "h\r\nWaxwing-Tenant: leagues\r\n\r\n";
     const int caller = io::start_connect("127.0.0.1", port).value();
     REQUIRE(wait_until([&] {
         return ::send(caller, read.data(), read.size(), MSG_NOSIGNAL) ==
