forwarding: a close behind bytes sent ahead is noticed

Backend servers went on working for callers that had sent more than is kept ahead of their turn and then left: their connections are not read until they are answered, so that the close was not told.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -324,7 +324,12 @@
 
 void caller_connection::look_at_time(time_point now) {
     const auto passed = now - since_;
-    if (phase_ == phase::closing) {
+    if (phase_ == phase::answering) {
+        // A close behind bytes that are not read is not told by the socket.
+        if (!socket_.reading() && socket_.peer_has_closed()) {
+            on_end();
+        }
+    } else if (phase_ == phase::closing) {
         // What waits to go out is bounded by the limit of silence.
         if (socket_.waiting() == 0 && passed >= linger_limit) {
             close();
