--- a/test/entry/caller_world.cpp
+++ b/test/entry/caller_world.cpp
@@ -37,9 +37,9 @@
     return count;
 }
 
-std::string request(const std::string& method) {
+std::string request(const std::string& method, const std::string& more = {}) {
     return method + " /desk/x HTTP/1.1\r\nHost: h\r\nWaxwing-Tenant: t\r\n" +
-           (method == "POST" ? "Content-Length: 2\r\n\r\nhi" : "\r\n");
+           more + (method == "POST" ? "Content-Length: 2\r\n\r\nhi" : "\r\n");
 }
 
 } // namespace
@@ -52,6 +52,8 @@
     of.backend_servers = {make_server("a", a, slots),
                           make_server("b", b, slots)};
     of.budgets.hedges = 0;
+    config.key_lifetime = 10min;
+    config.key_limit = 100;
     config.services = {of};
     publish();
     REQUIRE(callers.start([this](forwarding::caller_exchange_ptr caller) {
@@ -81,6 +83,11 @@
     return request("POST");
 }
 
+std::string caller_world::post_with_key(const std::string& number) {
+    return request("POST",
+                   "Idempotency-Key: entry-0.1.caller." + number + "\r\n");
+}
+
 void caller_world::warm_up(unsigned connections) {
     std::vector<std::unique_ptr<raw_connection>> readers;
     for (unsigned i = 0; i < connections; ++i) {
--- a/test/entry/caller_world.hpp
+++ b/test/entry/caller_world.hpp
@@ -22,6 +22,8 @@
     std::unique_ptr<raw_connection> caller();
     static std::string get();
     static std::string post();
+    // A POST whose key is held by this instance; copies have the same number.
+    static std::string post_with_key(const std::string& number);
     // Leaves connections to both servers that are kept for the next requests.
     void warm_up(unsigned connections);
     // All requests that reached a server since warm_up(), by their bytes.
--- a/test/entry/departed_caller_test.cpp
+++ b/test/entry/departed_caller_test.cpp
@@ -31,6 +31,23 @@
     standin::raw_listener& other() { return runs_at == &a ? b : a; }
 };
 
+enum class way_to_leave {
+    close,
+    reset,
+    more // sends the next request, too, and closes
+};
+
+void leave_by(way_to_leave how, standin::raw_connection& caller) {
+    if (how == way_to_leave::more) {
+        caller.send(caller_world::get());
+    }
+    if (how == way_to_leave::reset) {
+        caller.reset();
+    } else {
+        caller.close();
+    }
+}
+
 // A port at which connections neither open nor fail.
 class stalled_port {
 public:
@@ -82,6 +99,8 @@
 TEST_CASE("requests of callers that left before they were read are not sent") {
     // Guards against an instance short of processor time that works through
     // requests which lay unread until their callers had given up.
+    const auto leave =
+        GENERATE(way_to_leave::close, way_to_leave::reset, way_to_leave::more);
     caller_world f(4);
     f.warm_up(8);
     std::vector<std::unique_ptr<standin::raw_connection>> leavers;
@@ -91,7 +110,7 @@
     f.run_for(20ms);
     for (int i = 0; i < 8; ++i) {
         leavers[i]->send(i % 2 == 0 ? f.get() : f.post());
-        leavers[i]->close();
+        leave_by(leave, *leavers[i]);
     }
     f.run_for(50ms);
     CHECK(f.requests_at_servers() == 0);
@@ -125,6 +144,34 @@
     CHECK(f.desk.open_calls() == 0);
 }
 
+TEST_CASE("a booking with a key that waits for a slot ends with its caller") {
+    // Guards against a booking that is sent for nobody, and against one that
+    // is given up although its caller has come back on another connection.
+    const bool comes_back = GENERATE(false, true);
+    caller_world f(1);
+    f.warm_up(2);
+    std::vector<std::unique_ptr<standin::raw_connection>> running;
+    for (int i = 0; i < 2; ++i) {
+        running.push_back(f.caller());
+        running.back()->send(f.get());
+    }
+    REQUIRE(f.run_until([&] { return f.requests_at_servers() == 2; }));
+    auto first = f.caller();
+    first->send(f.post_with_key("1"));
+    REQUIRE(f.run_until([&] { return f.desk.open_calls() == 3; }));
+    auto second = f.caller();
+    if (comes_back) {
+        second->send(f.post_with_key("1"));
+        REQUIRE(f.run_until([&] { return f.desk.open_calls() == 4; }));
+    }
+    first->close();
+    f.run_for(20ms);
+    f.answer(*f.busy_connection(f.a), ok);
+    f.run_for(50ms);
+    CHECK(f.requests_at_servers() == (comes_back ? 2 : 1));
+    CHECK(f.desk.open_calls() == (comes_back ? 3 : 1));
+}
+
 TEST_CASE("a body that its caller will never complete frees its server") {
     // Guards against a server that waits for the rest of a booking's body
     // until the deadline of a caller that left halfway.
