control: that the platform came back from a copy, and what is passed over

The logs could not tell why a confirmed configuration was not in force. The era that the store names in all its answers is read; platform_restored tells when it rises. configuration_passed_over tells of a configuration that was read and not taken, with its revision and the one in force. Nothing is decided by it yet.

--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -26,6 +26,7 @@
     std::vector<published_item> items;
     std::vector<published_change> changes;
     std::uint64_t revision = 0; // of the platform, or of the value
+    std::uint64_t era = 0;      // of the platform, see published_item
     std::uint64_t epoch = 0;    // in which it was asked for, see set_epoch()
 };
 
--- a/include/waxwingvale/io/platform_dialect.hpp
+++ b/include/waxwingvale/io/platform_dialect.hpp
@@ -11,6 +11,10 @@
 
 namespace waxwingvale::io {
 
+// The era of the platform rises each time that it comes back from a copy some
+// seconds old: what was changed since is lost, and revisions are given out
+// again. It is 0 where the platform tells none.
+
 // One thing that the platform has published.
 struct published_item {
     std::string key;
@@ -18,6 +22,7 @@
     std::uint64_t revision = 0; // of its last change
     // Why the value could not be read, when it could not; empty otherwise.
     std::string problem;
+    std::uint64_t era = 0; // of the answer that brought it
 };
 
 // A change of one of them: what it is now, or that it is gone.
@@ -31,12 +36,14 @@
     std::vector<published_item> items;
     bool more = false; // the next page begins after the last key of this one
     std::uint64_t revision = 0; // of the platform, when it answered
+    std::uint64_t era = 0;
 };
 
 // What changed on a topic after the revision that was asked for.
 struct published_changes {
     std::vector<published_change> changes;
     std::uint64_t revision = 0; // to go on from
+    std::uint64_t era = 0;
 };
 
 // How the platform is asked and how its answers are read. Both readers fail
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -162,6 +162,7 @@
 
 void control_service::take_reading(const io::platform_reading& reading) {
     const auto now = environment_.timers.now();
+    follow_era(reading);
     take_facts(reading);
     known_.readers.hear(known_.members.self().id.name, duration::zero(), now);
     known_.fresh.hear_platform(reading.epoch);
@@ -169,6 +170,16 @@
     changed();
 }
 
+// The platform has come back from a copy: what was changed after it is lost.
+void control_service::follow_era(const io::platform_reading& reading) {
+    const auto before = std::exchange(era_, std::max(era_, reading.era));
+    if (before != 0 && reading.era > before) {
+        program::log_warning("platform_restored",
+                             {{"era", std::to_string(reading.era)},
+                              {"revision", std::to_string(reading.revision)}});
+    }
+}
+
 void control_service::take_facts(const io::platform_reading& reading) {
     const auto now = environment_.timers.now();
     const auto read = facts_of(reading, published_);
@@ -199,7 +210,15 @@
 void control_service::take(const unrelated_item&) {}
 
 void control_service::take(const configuration_text& file) {
-    known_.configurations.offer(file);
+    const auto outcome = known_.configurations.offer(file);
+    const bool passed_over = outcome == membership::offer_outcome::older ||
+                             outcome == membership::offer_outcome::conflicting;
+    if (passed_over) {
+        program::log_change(
+            "configuration_passed_over",
+            {{"revision", std::to_string(file.revision)},
+             {"in_force", std::to_string(known_.configurations.revision())}});
+    }
 }
 
 void control_service::take(const membership::registry_record& record) {
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -42,6 +42,7 @@
 private:
     void watch_platform();
     void take_reading(const io::platform_reading& reading);
+    void follow_era(const io::platform_reading& reading);
     void take_facts(const io::platform_reading& reading);
     void note_unreadable(const unreadable_item& item);
     void take(const unrelated_item& item);
@@ -87,6 +88,7 @@
     kernel::timer_service::subscription publishing_;
     bool flush_planned_ = false;
     bool platform_failed_ = false;
+    std::uint64_t era_ = 0; // of the platform, the newest that was read
     std::uint64_t logged_revision_ = 0;
     std::uint64_t logged_refused_ = 0;
     bool logged_replaced_ = false;
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -204,6 +204,7 @@
     reading.whole = true;
     reading.items = std::exchange(topic.pages, {});
     reading.revision = topic.revision;
+    reading.era = page.value().era;
     reading.epoch = topic.epoch;
     read_when_allowed(name, duration::zero());
     topic.on_reading(reading);
@@ -232,6 +233,7 @@
     reading.topic = name;
     reading.changes = std::move(read.value().changes);
     reading.revision = topic.revision;
+    reading.era = read.value().era;
     reading.epoch = asked_in;
     read_when_allowed(name, duration::zero());
     topic.on_reading(reading);
