--- a/test/platform/stand_in_store.cpp
+++ b/test/platform/stand_in_store.cpp
@@ -13,6 +13,7 @@
 using nlohmann::json;
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned status_gone = 410;
 constexpr std::uint64_t usual_wait_ms = 1000;
 
 std::string base64(const std::string& bytes) {
@@ -63,12 +64,48 @@
     return change(key, {"", 0, true});
 }
 
+stand_in_store::copy stand_in_store::take_copy() const {
+    copy taken;
+    taken.items = items_;
+    taken.revision = revision_;
+    return taken;
+}
+
+void stand_in_store::come_back_from(const copy& former) {
+    items_ = former.items;
+    revision_ = former.revision;
+    ++era_;
+    watches_.clear();
+}
+
+void stand_in_store::release_answers() {
+    keeps_answers_ = false;
+    for (auto& each : kept_) {
+        each.first(std::move(each.second));
+    }
+    kept_.clear();
+}
+
+io::http_response stand_in_store::made(unsigned status,
+                                       std::string body) const {
+    return {status, {{wire::store_era, std::to_string(era_)}}, std::move(body)};
+}
+
+void stand_in_store::tell(const io::http_responder& respond,
+                          io::http_response what) {
+    if (keeps_answers_) {
+        kept_.emplace_back(respond, std::move(what));
+    } else {
+        respond(std::move(what));
+    }
+}
+
 std::uint64_t stand_in_store::change(const std::string& key, item to) {
     to.revision = ++revision_;
     items_[key] = std::move(to);
     for (const auto& each : watches_) {
         if (!silent_) {
-            each.respond({status_ok, {}, changes(each.after)});
+            tell(each.respond, made(status_ok, changes(each.after)));
         }
     }
     watches_.clear();
@@ -78,10 +115,14 @@
 void stand_in_store::answer(const io::http_request& request,
                             const io::http_responder& respond) {
     const standin::request_target asked(request.target);
+    const auto after = asked.number("after", 0);
     if (!silent_ && asked.path() == wire::range_path) {
-        respond({status_ok, {}, list()});
-    } else if (!silent_ && asked.number("after", 0) < revision_) {
-        respond({status_ok, {}, changes(asked.number("after", 0))});
+        ++lists_told_;
+        tell(respond, made(status_ok, list()));
+    } else if (!silent_ && after > revision_) {
+        tell(respond, made(status_gone));
+    } else if (!silent_ && after < revision_) {
+        tell(respond, made(status_ok, changes(after)));
     } else {
         add_watch(asked, respond);
     }
@@ -125,7 +166,7 @@
         std::chrono::milliseconds(asked.number("WaitMs", usual_wait_ms)),
         [this, added](time_point) {
             if (!silent_) {
-                added->respond({status_ok, {}, changes(added->after)});
+                tell(added->respond, made(status_ok, changes(added->after)));
             }
             watches_.erase(added);
         });
--- a/test/platform/stand_in_store.hpp
+++ b/test/platform/stand_in_store.hpp
@@ -4,6 +4,8 @@
 #include <list>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <waxwingvale/io/http_server.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
@@ -24,6 +26,20 @@
     // From now on no question is answered; those of the time stay so.
     void set_silent(bool silent) { silent_ = silent; }
 
+    // All that is in the store, to come back from.
+    class copy;
+    copy take_copy() const;
+    // Comes back from a copy: what was changed since is lost, its revisions are
+    // given out again, and the era rises by one. Watches are not answered any
+    // more.
+    void come_back_from(const copy& former);
+    // Answers of this moment to the next questions are kept until they are
+    // released, whatever the store holds by then.
+    void keep_answers(bool kept) { keeps_answers_ = kept; }
+    void release_answers();
+    std::uint64_t revision() const { return revision_; }
+    std::uint64_t lists_told() const { return lists_told_; }
+
 private:
     struct watch {
         std::uint64_t after = 0;
@@ -38,6 +54,9 @@
         bool removed = false;
     };
 
+    // An answer with the headers that all have.
+    io::http_response made(unsigned status, std::string body = {}) const;
+    void tell(const io::http_responder& respond, io::http_response what);
     std::uint64_t change(const std::string& key, item to);
     void answer(const io::http_request& request,
                 const io::http_responder& respond);
@@ -50,9 +69,20 @@
     std::list<watch> watches_;
     std::map<std::string, item> items_;
     std::uint64_t revision_ = 1;
+    std::uint64_t era_ = 1;
     bool silent_ = false;
+    bool keeps_answers_ = false;
+    std::vector<std::pair<io::http_responder, io::http_response>> kept_;
+    std::uint64_t lists_told_ = 0;
     // Last: it still takes what was sent to it while it ends.
     io::http_server server_;
 };
 
+class stand_in_store::copy {
+private:
+    friend class stand_in_store;
+    std::map<std::string, item> items;
+    std::uint64_t revision = 0;
+};
+
 } // namespace waxwingvale::platform
