membership, platform: one rule for what the store has from before and after a loss

What operators and callers saw: two confirmed configurations in a row were in force nowhere for 2.7 s, until a third one was (CONFIG).

Cause: all that is read of the store was ordered by its revisions. When the store comes back from a copy some seconds old, revisions go back and are given out again: the configurations got numbers below that of the one in force and were taken for older. The same held for a server that leaves or comes back then, and for everything that nobody reads, since a watch from a lost revision passes over what was changed between the copy and it.

membership/publication_stamp says which of two states is newer: by revision within an era, across eras by what the writer itself counts, so that neither what was lost is undone by the older copy nor what is written next held up by it. Configurations bear the operator's number, which alone orders them. A topic is read anew when an answer is of another era; answers of an older one are dropped. Stamps travel apart from the records, so that earlier releases read these as before.

--- a/include/waxwingvale/control/published_state.hpp
+++ b/include/waxwingvale/control/published_state.hpp
@@ -34,8 +34,9 @@
     virtual result<published_fact>
     decode(const io::published_item& item) const = 0;
     // What the removal of an item says.
-    virtual published_fact decode_removal(const std::string& key,
-                                          std::uint64_t revision) const = 0;
+    virtual published_fact
+    decode_removal(const std::string& key,
+                   const membership::publication_stamp& stamp) const = 0;
     // Whether all backend servers that exist are among what is read of it.
     virtual bool lists_backend_servers(const std::string& topic) const = 0;
     // Settings that may change while the process runs; configurations that
@@ -56,8 +57,9 @@
     std::vector<std::string> topics() const override;
     result<published_fact>
     decode(const io::published_item& item) const override;
-    published_fact decode_removal(const std::string& key,
-                                  std::uint64_t revision) const override;
+    published_fact
+    decode_removal(const std::string& key,
+                   const membership::publication_stamp& stamp) const override;
     bool lists_backend_servers(const std::string& topic) const override;
     result<configuration> parse(const configuration_text& file) const override;
 
--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -35,7 +35,7 @@
     std::uint64_t values = 0;
     std::uint64_t unchanged = 0;
     std::uint64_t unpublished = 0;
-    std::uint64_t relists = 0; // the changes asked for were forgotten
+    std::uint64_t relists = 0; // the changes asked for were forgotten or lost
     std::uint64_t failed = 0;
     std::uint64_t malformed = 0;
 };
@@ -91,6 +91,7 @@
     struct watched_topic {
         reading_handler on_reading;
         std::uint64_t revision = 0; // to watch from
+        std::uint64_t era = 0;      // of the platform, when it was listed
         bool listed = false; // changes are watched; else it is read whole
         bool again = false;  // once the list is read it is read anew
         std::vector<published_item> pages; // read so far
@@ -115,6 +116,9 @@
                    const http_response& response);
     void take_changes(const std::string& name, std::uint64_t asked_in,
                       const http_response& response);
+    // Whether an answer is of the era that the topic is read in. If not, the
+    // topic is read anew.
+    bool follow_era(const std::string& name, std::uint64_t era);
     void succeed(const std::string& name);
     void fail(const std::string& name, const error& why);
     // It may be only that topic which is not to be had.
@@ -134,6 +138,7 @@
     unsigned probes_failed_ = 0; // in a row, of that topic
     state_handler on_state_;
     std::uint64_t epoch_ = 0;
+    std::uint64_t era_ = 0; // of the platform, the newest of any answer
     bool answers_ = false;
     bool told_state_ = false;
     std::optional<time_point> last_answer_;
--- a/include/waxwingvale/membership/configuration_register.hpp
+++ b/include/waxwingvale/membership/configuration_register.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 
+#include <waxwingvale/membership/publication_stamp.hpp>
 #include <waxwingvale/model/configuration.hpp>
 #include <waxwingvale/model/error.hpp>
 #include <waxwingvale/model/view.hpp>
@@ -38,12 +39,14 @@
                           std::uint64_t in_force) const = 0;
 };
 
-// The rule used in production: only a larger revision replaces a smaller one.
+// The rule used in production, that of is_newer(): only a larger revision
+// replaces a smaller one. Files have no era, as their revision is the
+// operator's own number where the platform's revisions can go back.
 class newest_revision_wins : public configuration_precedence {
 public:
     bool replaces(std::uint64_t candidate,
                   std::uint64_t in_force) const override {
-        return candidate > in_force;
+        return is_newer({candidate, true}, {in_force, true});
     }
 };
 
--- a/include/waxwingvale/membership/registry_table.hpp
+++ b/include/waxwingvale/membership/registry_table.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <waxwingvale/membership/digest.hpp>
+#include <waxwingvale/membership/publication_stamp.hpp>
 #include <waxwingvale/model/backend_incarnation.hpp>
 #include <waxwingvale/model/evacuation.hpp>
 #include <waxwingvale/model/time.hpp>
@@ -48,27 +49,27 @@
 // entry instances exchange it. For an evacuation only the data centre of
 // `entry` is set.
 struct registry_record {
-    std::string name;           // unique over both subjects
-    std::uint64_t revision = 0; // of the platform, at the last change
-    bool present = true;        // false: removed from the platform
+    std::string name; // unique over both subjects
+    publication_stamp stamp;
+    bool present = true; // false: removed from the platform
     registered_backend entry;
     registry_subject subject = registry_subject::backend_server;
     // When this instance's table received the record; not compared.
     time_point received_at{};
 
     friend bool operator==(const registry_record& a, const registry_record& b) {
-        return std::tie(a.name, a.revision, a.present, a.entry, a.subject) ==
-               std::tie(b.name, b.revision, b.present, b.entry, b.subject);
+        return std::tie(a.name, a.stamp, a.present, a.entry, a.subject) ==
+               std::tie(b.name, b.stamp, b.present, b.entry, b.subject);
     }
 };
 
 // The record that orders the evacuation of a data centre.
 registry_record make_evacuation_record(const std::string& data_centre,
-                                       std::uint64_t revision);
+                                       const publication_stamp& stamp);
 
 // The registered backend servers and the evacuations in force. Records of one
-// name are ordered by the platform's revision, whichever peer sends them and
-// however late they arrive.
+// name are ordered by is_newer(), whichever peer sends them and however late
+// they arrive.
 class registry_table {
 public:
     // Holds at most `limit` records; further backend servers are rejected.
@@ -78,10 +79,12 @@
     // Applies the record if it is newer. Returns whether the table changed.
     bool merge(const registry_record& update, time_point now);
 
-    // Applies the platform's complete list at a revision: records that are not
-    // in the list are removed.
+    // Applies the platform's complete list as of a revision and an era: records
+    // that are not in the list are removed. What a later era of the platform
+    // lacks, or shows as it was before, may be lost there and be written again
+    // in a moment; it is held back like removals after an outage.
     void apply_list(const std::vector<registry_record>& list,
-                    std::uint64_t revision, time_point now);
+                    const publication_stamp& as_of, time_point now);
     // Applies a single change reported by the platform.
     void apply_change(const registry_record& change, time_point now);
 
@@ -100,7 +103,7 @@
     // in which the platform answers counts towards the hold, up to a limit, and
     // a further outage does not prolong holds that are already running.
     void mark_platform_reachable(time_point now);
-    // Applies held removals that are due and were not revoked, and forgets old
+    // Applies held changes that are due and were not revoked, and forgets old
     // removals. Returns whether the table changed.
     bool tick(time_point now);
 
@@ -122,27 +125,33 @@
 
 private:
     struct removal {
-        std::uint64_t revision = 0;
+        publication_stamp stamp;
         time_point since{};
     };
     // `until` is a value of answering_time().
-    struct held_removal {
-        std::uint64_t revision = 0;
+    struct held_change {
+        registry_record change;
         duration until{};
         time_point since{};
     };
 
     // The total time for which the platform has answered this instance.
     duration answering_time(time_point now) const;
-    void remove(const std::string& name, std::uint64_t revision,
+    // What is known of the name, if anything is.
+    std::optional<publication_state> known_state(const std::string& name) const;
+    void hold(const registry_record& change, duration until, time_point now);
+    void remove(const std::string& name, publication_stamp stamp,
                 time_point now);
+    std::vector<registry_record>
+    missing_from_list(const std::set<std::string>& named,
+                      const publication_stamp& as_of) const;
     void mark_changed(const std::string& name);
     bool is_evacuation(const std::string& name) const;
 
     std::size_t limit_;
     std::map<std::string, registry_record> records_;
     std::map<std::string, removal> removed_;
-    std::map<std::string, held_removal> held_;      // not yet applied
+    std::map<std::string, held_change> held_;       // not yet applied
     std::map<std::string, evacuation> evacuations_; // by record name
     duration earlier_answering_time_{};             // before answering_since_
     std::optional<time_point> answering_since_;
--- a/include/waxwingvale/model/configuration.hpp
+++ b/include/waxwingvale/model/configuration.hpp
@@ -72,8 +72,9 @@
     bool evacuated = false; // nothing may be sent to its backend servers
 };
 
-// One configuration file, accepted whole. The revision is the platform's: it
-// rises with every publication and orders files everywhere.
+// One configuration file, accepted whole. The revision rises with every
+// publication and orders files everywhere: it is the operator's own number
+// where a file bears one, else the platform's revision.
 struct configuration {
     unsigned schema_version = 1;
     std::uint64_t revision = 0;
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -193,17 +193,18 @@
         std::visit([this](const auto& typed) { take(typed); }, fact);
     }
     if (reading.whole && published_.lists_backend_servers(reading.topic)) {
-        known_.registry.apply_list(read.listed, reading.revision, now);
+        known_.registry.apply_list(read.listed, {reading.revision, reading.era},
+                                   now);
     }
 }
 
 void control_service::note_unreadable(const unreadable_item& item) {
-    if (!known_.unreadable.note(item.key, item.revision)) {
+    if (!known_.unreadable.note(item.key, item.stamp)) {
         return;
     }
     program::log_warning("published_item_refused",
                          {{"key", item.key.substr(0, longest_key_told)},
-                          {"revision", std::to_string(item.revision)},
+                          {"revision", std::to_string(item.stamp.revision)},
                           {"error", to_string(item.why)}});
 }
 
--- a/src/control/published_values.cpp
+++ b/src/control/published_values.cpp
@@ -29,8 +29,9 @@
 }
 
 // Values are replaced and never removed.
-published_fact published_values::decode_removal(const std::string&,
-                                                std::uint64_t) const {
+published_fact
+published_values::decode_removal(const std::string&,
+                                 const membership::publication_stamp&) const {
     return unrelated_item{};
 }
 
--- a/src/control/reading_facts.cpp
+++ b/src/control/reading_facts.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+membership::publication_stamp stamp_of(const io::published_item& item) {
+    return {item.revision, item.era};
+}
+
 // Collects what the items of one reading say.
 class fact_collector {
 public:
@@ -28,15 +32,15 @@
 
     void add_removal(const io::published_item& item) {
         collected_.facts.push_back(
-            published_.decode_removal(item.key, item.revision));
+            published_.decode_removal(item.key, stamp_of(item)));
     }
 
     reading_facts take() { return std::move(collected_); }
 
 private:
     void add_unreadable(const io::published_item& item, const error& why) {
-        collected_.unreadable.push_back({item.key, item.revision, why});
-        auto gone = published_.decode_removal(item.key, item.revision);
+        collected_.unreadable.push_back({item.key, stamp_of(item), why});
+        auto gone = published_.decode_removal(item.key, stamp_of(item));
         if (auto* record = std::get_if<membership::registry_record>(&gone)) {
             collected_.withdrawn.push_back(std::move(*record));
         }
--- a/src/control/reading_facts.hpp
+++ b/src/control/reading_facts.hpp
@@ -13,7 +13,7 @@
 // its bytes were spoilt.
 struct unreadable_item {
     std::string key;
-    std::uint64_t revision = 0;
+    membership::publication_stamp stamp;
     error why;
 };
 
--- a/src/io/exchange_codec.cpp
+++ b/src/io/exchange_codec.cpp
@@ -18,6 +18,7 @@
 using membership::exchange_message;
 using membership::member_record;
 using membership::platform_status;
+using membership::publication_stamp;
 using membership::quarantine_record;
 using membership::records_message;
 using membership::records_request;
@@ -81,7 +82,7 @@
 }
 
 json write(const registry_record& value, time_point now) {
-    auto list = json::array({value.name, value.revision});
+    auto list = json::array({value.name, value.stamp.revision});
     if (!value.present) {
         return list;
     }
@@ -102,7 +103,7 @@
 
 void read(const json& from, time_point, registry_record& value) {
     value.name = from.at(0).get<std::string>();
-    value.revision = read_number<std::uint64_t>(from.at(1));
+    value.stamp.revision = read_number<std::uint64_t>(from.at(1));
     value.present = from.size() > removal_fields;
     if (!value.present) {
         return;
@@ -124,6 +125,37 @@
     entry.incarnation = read_number<std::uint64_t>(from.at(10));
 }
 
+// What a stamp has besides its revision, for all records of a message: apart
+// from them, since earlier releases tell records by their length. Left out
+// where the platform has neither eras nor writers that count.
+void write_stamps(json& to, const std::vector<registry_record>& records) {
+    const bool plain = std::all_of(
+        records.begin(), records.end(), [](const registry_record& each) {
+            return each.stamp == publication_stamp(each.stamp.revision);
+        });
+    if (plain) {
+        return;
+    }
+    auto& stamps = to["gs"] = json::array();
+    for (const auto& each : records) {
+        stamps.push_back(json::array(
+            {each.stamp.era, each.stamp.writer, each.stamp.writes}));
+    }
+}
+
+void read_stamps(const json& from, std::vector<registry_record>& records) {
+    const auto found = from.find("gs");
+    if (found == from.end()) {
+        return;
+    }
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        const auto& stamp = found->at(i);
+        records[i].stamp.era = read_number<std::uint64_t>(stamp.at(0));
+        records[i].stamp.writer = read_number<std::uint64_t>(stamp.at(1));
+        records[i].stamp.writes = read_number<std::uint64_t>(stamp.at(2));
+    }
+}
+
 json write(const quarantine_record& value, time_point now) {
     return json::array(
         {value.fingerprint, value.observer, age_of(value.since, now)});
@@ -219,6 +251,7 @@
     write_list(object, "m", value.members, now);
     write_list(object, "b", value.beliefs, now);
     write_list(object, "g", value.registry, now);
+    write_stamps(object, value.registry);
     write_list(object, "q", value.quarantine, now);
     write_list(object, "d", value.deaths, now);
     if (!value.member_buckets.empty()) {
@@ -303,6 +336,7 @@
     read_list(from, "m", now, value.members);
     read_list(from, "b", now, value.beliefs);
     read_list(from, "g", now, value.registry);
+    read_stamps(from, value.registry);
     read_list(from, "q", now, value.quarantine);
     read_list(from, "d", now, value.deaths);
     value.member_buckets = read_buckets(from, "mb");
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -1,5 +1,6 @@
 #include <waxwingvale/io/platform_client.hpp>
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -185,6 +186,12 @@
     }
     succeed(name);
     auto& topic = topics_.at(name);
+    if (topic.pages.empty()) {
+        topic.era = std::max(era_, page.value().era);
+    }
+    if (!follow_era(name, page.value().era)) {
+        return;
+    }
     auto& items = page.value().items;
     if (topic.pages.empty()) {
         // Pages are not a snapshot: what changes while they are read is
@@ -227,6 +234,9 @@
         return;
     }
     succeed(name);
+    if (!follow_era(name, read.value().era)) {
+        return;
+    }
     ++(read.value().changes.empty() ? counters_.unchanged : counters_.values);
     topic.revision = read.value().revision;
     platform_reading reading;
@@ -239,6 +249,22 @@
     topic.on_reading(reading);
 }
 
+// Answers of an older era came late. In a later one, revisions are given out
+// again: what follows a revision of before says nothing of the changes between
+// the copy and it, and pages of two eras are no list.
+bool platform_client::follow_era(const std::string& name, std::uint64_t era) {
+    era_ = std::max(era_, era);
+    auto& topic = topics_.at(name);
+    if (era == topic.era) {
+        return true;
+    }
+    ++counters_.relists;
+    topic.listed = false;
+    topic.pages.clear();
+    read_when_allowed(name, duration::zero());
+    return false;
+}
+
 void platform_client::succeed(const std::string& name) {
     budget_.succeeded();
     set_answers(true, {});
--- a/src/membership/reconciliation.cpp
+++ b/src/membership/reconciliation.cpp
@@ -71,7 +71,7 @@
 }
 
 bool same_version(const registry_record& a, const registry_record& b) {
-    return a.revision == b.revision;
+    return a.stamp == b.stamp;
 }
 
 // The table's records in `buckets` that `theirs` lacks or has in another
--- a/src/membership/registry_table.cpp
+++ b/src/membership/registry_table.cpp
@@ -22,17 +22,26 @@
 // Distinct from all names of backend servers, which contain no slash.
 constexpr const char* evacuation_prefix = "evacuate/";
 
+// Without eras the hash is that of earlier releases.
 std::uint64_t hash_of(const registry_record& record) {
-    return decision::stable_hash(record.name, record.revision);
+    const auto& stamp = record.stamp;
+    return decision::stable_hash(
+        record.name, stamp.era == 0
+                         ? stamp.revision
+                         : decision::combine_hashes(stamp.era, stamp.revision));
+}
+
+publication_state state_of(const registry_record& record) {
+    return {record.stamp, record.present};
 }
 
 } // namespace
 
 registry_record make_evacuation_record(const std::string& data_centre,
-                                       std::uint64_t revision) {
+                                       const publication_stamp& stamp) {
     registry_record record;
     record.name = evacuation_prefix + data_centre;
-    record.revision = revision;
+    record.stamp = stamp;
     record.entry.data_centre = data_centre;
     record.subject = registry_subject::evacuation;
     return record;
@@ -50,17 +59,27 @@
     return all;
 }
 
+std::optional<publication_state>
+registry_table::known_state(const std::string& name) const {
+    const auto known = records_.find(name);
+    if (known != records_.end()) {
+        return state_of(known->second);
+    }
+    const auto gone = removed_.find(name);
+    if (gone != removed_.end()) {
+        return publication_state{gone->second.stamp, false};
+    }
+    return std::nullopt;
+}
+
 bool registry_table::merge(const registry_record& update, time_point now) {
-    const auto known = records_.find(update.name);
-    const auto gone = removed_.find(update.name);
-    const auto revision = known != records_.end()  ? known->second.revision
-                          : gone != removed_.end() ? gone->second.revision
-                                                   : 0;
-    if (update.revision <= revision) {
+    const auto before = known_state(update.name).value_or(publication_state());
+    if (!is_newer(state_of(update), before)) {
         return false;
     }
+    const auto known = records_.find(update.name);
     if (!update.present) {
-        remove(update.name, update.revision, now);
+        remove(update.name, update.stamp, now);
         return true;
     }
     // Evacuations are accepted even when the table is full.
@@ -79,7 +98,7 @@
     if (is_evacuation_record) {
         auto& known_evacuation = evacuations_[update.name];
         const bool is_new = known_evacuation.revision == 0;
-        known_evacuation = {update.entry.data_centre, update.revision,
+        known_evacuation = {update.entry.data_centre, update.stamp.revision,
                             is_new ? now : known_evacuation.since};
     }
     fingerprint_ ^= hash_of(update);
@@ -89,8 +108,15 @@
     return true;
 }
 
-void registry_table::remove(const std::string& name, std::uint64_t revision,
+// A removal is counted like the last write before it, as the platform tells no
+// count of it.
+void registry_table::remove(const std::string& name, publication_stamp stamp,
                             time_point now) {
+    const auto before = known_state(name);
+    if (before && stamp.writes == 0) {
+        stamp.writer = before->stamp.writer;
+        stamp.writes = before->stamp.writes;
+    }
     const auto known = records_.find(name);
     if (known != records_.end()) {
         fingerprint_ ^= hash_of(known->second);
@@ -98,7 +124,7 @@
     }
     evacuations_.erase(name);
     held_.erase(name);
-    removed_[name] = {revision, now};
+    removed_[name] = {stamp, now};
     mark_changed(name);
 }
 
@@ -153,38 +179,70 @@
                                   time_point now) {
     // Only registrations expire; the removal of an evacuation is an operator's
     // decision and is not held.
-    const bool hold = !change.present && answering_time(now) < hold_until_ &&
+    const bool held = !change.present && answering_time(now) < hold_until_ &&
                       records_.count(change.name) != 0 &&
                       !is_evacuation(change.name);
-    if (hold) {
-        auto& held =
-            held_.emplace(change.name, held_removal{0, hold_until_, now})
-                .first->second;
-        held.revision = std::max(held.revision, change.revision);
-        return;
+    if (held) {
+        hold(change, hold_until_, now);
+    } else {
+        merge(change, now);
+    }
+}
+
+void registry_table::hold(const registry_record& change, duration until,
+                          time_point now) {
+    auto& held = held_.emplace(change.name, held_change{change, until, now})
+                     .first->second;
+    if (is_newer(state_of(change), state_of(held.change))) {
+        held.change = change;
     }
-    merge(change, now);
+}
+
+std::vector<registry_record>
+registry_table::missing_from_list(const std::set<std::string>& named,
+                                  const publication_stamp& as_of) const {
+    std::vector<registry_record> missing;
+    for (const auto& [name, record] : records_) {
+        const auto& known = record.stamp;
+        const bool in_list_then =
+            known.era < as_of.era ||
+            (known.era == as_of.era && known.revision <= as_of.revision);
+        if (named.count(name) != 0 || !in_list_then) {
+            continue;
+        }
+        auto removed_at = as_of;
+        if (known.era == as_of.era) {
+            // Its last change may have the same revision as the list.
+            removed_at.revision = std::max(as_of.revision, known.revision + 1);
+        }
+        missing.push_back({name, removed_at, false, {}});
+    }
+    return missing;
 }
 
 void registry_table::apply_list(const std::vector<registry_record>& list,
-                                std::uint64_t revision, time_point now) {
+                                const publication_stamp& as_of,
+                                time_point now) {
+    if (!answering_since_) {
+        answering_since_ = now;
+    }
+    const auto written_again_by = answering_time(now) + reregistration_grace;
     std::set<std::string> named;
     for (const auto& each : list) {
         named.insert(each.name);
-        merge(each, now);
-    }
-    std::vector<registry_record> missing;
-    for (const auto& known : records_) {
-        if (named.count(known.first) == 0 &&
-            known.second.revision <= revision) {
-            missing.push_back({known.first, revision, false, {}});
+        const auto known = known_state(each.name);
+        if (known && may_be_older_copy(state_of(each), *known)) {
+            hold(each, written_again_by, now);
+        } else {
+            merge(each, now);
         }
     }
-    for (auto& each : missing) {
-        // The record's last change may have the same revision as the list.
-        each.revision =
-            std::max(each.revision, records_.at(each.name).revision + 1);
-        apply_change(each, now);
+    for (const auto& each : missing_from_list(named, as_of)) {
+        if (records_.at(each.name).stamp.era < as_of.era) {
+            hold(each, written_again_by, now);
+        } else {
+            apply_change(each, now);
+        }
     }
 }
 
@@ -194,7 +252,7 @@
     std::vector<registry_record> due;
     for (const auto& [name, held] : held_) {
         if (held.until <= answering_time_now || now - held.since >= max_hold) {
-            due.push_back({name, held.revision, false, {}});
+            due.push_back(held.change);
         }
     }
     for (const auto& each : due) {
@@ -215,7 +273,7 @@
         if (known != records_.end()) {
             changes.push_back(known->second);
         } else if (removed_.count(name) != 0) {
-            changes.push_back({name, removed_.at(name).revision, false, {}});
+            changes.push_back({name, removed_.at(name).stamp, false, {}});
         }
     }
     return changes;
@@ -231,7 +289,7 @@
     }
     for (const auto& gone : removed_) {
         if (buckets.test(bucket_of(gone.first))) {
-            records.push_back({gone.first, gone.second.revision, false, {}});
+            records.push_back({gone.first, gone.second.stamp, false, {}});
         }
     }
     return records;
