--- a/test/platform/restored_store_test.cpp
+++ b/test/platform/restored_store_test.cpp
@@ -111,6 +111,7 @@
     // Guards against a configuration that is taken for older than one that the
     // store has lost, since it was given a lower revision.
     const auto away = GENERATE(100ms, 1700ms);
+    const bool reading_is_taken_over = GENERATE(false, true);
     restored_store f;
     const auto former = f.store.take_copy();
     for (unsigned version = 2; version <= 5; ++version) {
@@ -119,6 +120,11 @@
     REQUIRE(f.all_know_within(5, in_force_within));
     const auto lost = f.store.revision();
     f.come_back_from(former, away);
+    if (reading_is_taken_over) {
+        for (std::size_t number : {0U, 1U, 2U}) {
+            f.restart(number);
+        }
+    }
     f.go_on(1s);
     REQUIRE(f.write_configuration(7) < lost);
     CHECK(f.all_know_within(7, in_force_within));
