--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -36,17 +36,6 @@
     return decision::attempt_verdict::died;
 }
 
-decision::request_fingerprint fingerprint(const call_record& call) {
-    std::vector<decision::fingerprint_header> headers;
-    for (const auto& header : call.content.headers) {
-        headers.push_back({header.name, header.value});
-    }
-    static const std::string no_body;
-    return decision::crash_fingerprint_of(
-        call.labels.service, call.content.method, call.content.target,
-        call.content.body ? *call.content.body : no_body, headers);
-}
-
 // A request that must not run twice is sent on a kept connection only if the
 // connection was used a moment ago. If the other end has closed it since, the
 // request is lost and its outcome unknown; a read would just be sent again.
@@ -102,39 +91,6 @@
     return arrived;
 }
 
-// Applies the decision of the quarantine on a request. Each operator returns
-// whether the attempt is to be queued.
-struct call_desk::admit_suspect {
-    call_desk& desk;
-    call_record& call;
-
-    bool operator()(const decision::run_normally&) const { return true; }
-    bool operator()(const decision::run_alone& run) const {
-        call.alone = true;
-        call.excluded.push_back(run.avoid);
-        return true;
-    }
-    bool operator()(const decision::refuse_suspect& refusal) const {
-        own_answer answer;
-        answer.reason = "suspected-of-crashing";
-        answer.retry_after = refusal.retry_after;
-        desk.finish(call.id, answer);
-        return false;
-    }
-    bool operator()(const decision::refuse_quarantined&) const {
-        own_answer answer;
-        answer.status = status::unprocessable;
-        answer.reason = "crashes-backend-servers";
-        desk.finish(call.id, answer);
-        return false;
-    }
-};
-
-bool call_desk::pass_crash_guard(call_record& call) {
-    return std::visit(admit_suspect{*this, call},
-                      crashes_.admit(fingerprint(call)));
-}
-
 void call_desk::start(const std::string& service,
                       const decision::start_request& action) {
     const auto hedge = hedges_.find(action.request);
@@ -194,7 +150,8 @@
     call.silence_timer.cancel();
     arm_silence(call, slow_after);
     if (call.alone) {
-        crashes_.on_trial_placed(fingerprint(call), action.backend_server);
+        crashes_.on_trial_placed(crash_fingerprint(call),
+                                 action.backend_server);
     }
     if (call.may_run_again() && call.may_reach_another() && !call.hedged) {
         arm_hedge(call, slow_after);
@@ -300,7 +257,7 @@
     if (answer.outcome == run_outcome::ran) {
         crashes_.on_alive(attempt.backend_server, answer.incarnation);
         if (crashes_.wants_pass()) {
-            crashes_.on_passed(fingerprint(call));
+            crashes_.on_passed(crash_fingerprint(call));
         }
     }
     end_trial(call);
@@ -316,36 +273,6 @@
     part.desk->handle(finished);
 }
 
-// Ends the trial of a suspect, whatever became of it. A trial that was refused
-// before it was sent has no result; if it did not end, every later copy of the
-// request would be refused until the suspicion expires.
-void call_desk::end_trial(call_record& call) {
-    if (call.alone) {
-        call.alone = false;
-        crashes_.on_trial_abandoned(fingerprint(call));
-    }
-}
-
-// A connection broke while a request was in flight. Every request in flight on
-// that backend server may be the one that crashed it, and becomes a suspect.
-void call_desk::report_death(const running_attempt& lost) {
-    if (!crashes_.is_news(lost.backend_server, lost.incarnation)) {
-        return;
-    }
-    std::vector<decision::request_fingerprint> in_flight;
-    const auto runs_there = [&](const std::optional<running_attempt>& one) {
-        return one && one->backend_server == lost.backend_server &&
-               one->incarnation == lost.incarnation;
-    };
-    for (const auto& entry : calls_) {
-        if (runs_there(entry.second.running) ||
-            runs_there(entry.second.hedge)) {
-            in_flight.push_back(fingerprint(entry.second));
-        }
-    }
-    crashes_.on_died(lost.backend_server, lost.incarnation, in_flight);
-}
-
 void call_desk::end_with(call_record& call, const running_attempt& attempt,
                          const backend_answer& answer,
                          forwarding::backend_result ended) {
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -112,7 +112,6 @@
     // call_attempts.cpp: attempts on backend servers
     void queue_attempt(call_record& call);
     decision::request_arrived slot_request(const call_record& call) const;
-    bool pass_crash_guard(call_record& call);
     void dispatch(call_record& call, const std::string& service,
                   const decision::start_request& action);
     forwarding::backend_call make_backend_call(const call_record& call,
@@ -126,8 +125,6 @@
                      forwarding::backend_result ended);
     void report_end(call_record& call, const running_attempt& attempt,
                     const backend_answer& answer);
-    void end_trial(call_record& call);
-    void report_death(const running_attempt& lost);
     void end_with(call_record& call, const running_attempt& attempt,
                   const backend_answer& answer,
                   forwarding::backend_result ended);
@@ -139,6 +136,13 @@
                         const running_attempt& attempt);
     void cancel_attempts(call_record& call);
 
+    // call_trials.cpp: requests suspected of crashing backend servers
+    static decision::request_fingerprint
+    crash_fingerprint(const call_record& call);
+    bool pass_crash_guard(call_record& call);
+    void end_trial(call_record& call);
+    void report_death(const running_attempt& lost);
+
     // call_slowness.cpp: answers that are slow to come
     void arm_silence(call_record& call, duration slow);
     void replace_silent(decision::request_id id);
