--- a/src/io/model_codec.hpp
+++ b/src/io/model_codec.hpp
@@ -26,6 +26,9 @@
 nlohmann::json write_belief(const backend_belief& value, time_point now);
 backend_belief read_belief(const nlohmann::json& from, time_point now);
 
+// Older word is all the same, and must not overflow a moment.
+constexpr duration longest_age = std::chrono::hours(24);
+
 // How long ago that was, as it travels.
 std::int64_t age_of(time_point moment, time_point now);
 // The moment on this process's clock; an age below zero counts as none.
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -38,8 +38,7 @@
     running.store.put("op/evacuate/south", "{}");
     running.go_on(1500ms);
     running.count_for(100ms);
-    running.processes[3]->kill();
-    running.start(3);
+    running.restart(3);
     running.go_on(1500ms);
     CHECK(running.requests_in("south") == 0);
     CHECK(running.answers[200] > 0);
--- a/test/platform/restored_store_test.cpp
+++ b/test/platform/restored_store_test.cpp
@@ -93,16 +93,6 @@
         store.come_back_from(former);
         store.set_silent(false);
     }
-
-    void restart(std::size_t number) {
-        processes[number]->kill();
-        const auto file =
-            folder.write(std::to_string(number) + ".json", settings_of(number));
-        processes[number] = std::make_unique<standin::child_process>(
-            "waxwing-platform-node",
-            std::vector<std::string>{"--settings=" + file});
-        processes[number]->read_ready();
-    }
 };
 
 } // namespace
--- a/test/platform/two_zones.hpp
+++ b/test/platform/two_zones.hpp
@@ -69,7 +69,7 @@
             store.put("servers/i-" + zone, entry_of(zone));
         }
         for (std::size_t each = 0; each < ports.size(); ++each) {
-            start(each);
+            processes.push_back(launch(each));
         }
     }
 
@@ -139,13 +139,20 @@
             .dump();
     }
 
-    void start(std::size_t number) {
+    std::unique_ptr<standin::child_process> launch(std::size_t number) {
         const auto file =
             folder.write(std::to_string(number) + ".json", settings_of(number));
-        processes.push_back(std::make_unique<standin::child_process>(
+        auto launched = std::make_unique<standin::child_process>(
             "waxwing-platform-node",
-            std::vector<std::string>{"--settings=" + file}));
-        processes.back()->read_ready();
+            std::vector<std::string>{"--settings=" + file});
+        launched->read_ready();
+        return launched;
+    }
+
+    // Kills an instance's process and starts it again.
+    void restart(std::size_t number) {
+        processes[number]->kill();
+        processes[number] = launch(number);
     }
 
     void ask(std::uint16_t port) {
