--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -28,11 +28,6 @@
 constexpr duration leave_wait = std::chrono::milliseconds(300);
 // The platform's values, and files that peers pass on, are as large as this.
 constexpr std::size_t value_limit = 4 * configuration_size_limit;
-// Of a key that somebody else has chosen, the log gets so many bytes.
-constexpr std::size_t longest_key_told = 100;
-// A file that was not in force this long after word of it is told of.
-constexpr duration longest_ordinary_wait = std::chrono::seconds(1);
-
 std::uint64_t random_seed() {
     std::random_device device;
     return (std::uint64_t{device()} << 32U) | device();
@@ -170,16 +165,6 @@
     changed();
 }
 
-// The platform has come back from a copy: what was changed after it is lost.
-void control_service::follow_era(const io::platform_reading& reading) {
-    const auto before = std::exchange(era_, std::max(era_, reading.era));
-    if (before != 0 && reading.era > before) {
-        program::log_warning("platform_restored",
-                             {{"era", std::to_string(reading.era)},
-                              {"revision", std::to_string(reading.revision)}});
-    }
-}
-
 void control_service::take_facts(const io::platform_reading& reading) {
     const auto now = environment_.timers.now();
     const auto read = facts_of(reading, published_);
@@ -198,16 +183,6 @@
     }
 }
 
-void control_service::note_unreadable(const unreadable_item& item) {
-    if (!known_.unreadable.note(item.key, item.stamp)) {
-        return;
-    }
-    program::log_warning("published_item_refused",
-                         {{"key", item.key.substr(0, longest_key_told)},
-                          {"revision", std::to_string(item.stamp.revision)},
-                          {"error", to_string(item.why)}});
-}
-
 void control_service::take(const unrelated_item&) {}
 
 void control_service::take(const configuration_text& file) {
@@ -357,46 +332,6 @@
     }
 }
 
-// As long as it lasts, so that its beginning and its end can be seen.
-void control_service::log_awaited(time_point now) {
-    const auto awaited = peers_.exchange().files().pending(now);
-    if (!awaited || awaited->waiting_time < longest_ordinary_wait) {
-        return;
-    }
-    program::log_warning(
-        "configuration_awaited",
-        {{"revision", std::to_string(awaited->revision)},
-         {"in_force", std::to_string(known_.configurations.revision())},
-         {"named_by", awaited->announced_by},
-         {"waited_ms",
-          std::to_string(awaited->waiting_time / std::chrono::milliseconds(1))},
-         {"asked", std::to_string(awaited->requests)}});
-}
-
-void control_service::log_turns() {
-    const auto& configurations = known_.configurations;
-    if (configurations.revision() != logged_revision_) {
-        logged_revision_ = configurations.revision();
-        const auto sender =
-            peers_.exchange().files().sender_of(logged_revision_);
-        program::log_change("configuration_in_force",
-                            {{"revision", std::to_string(logged_revision_)},
-                             {"from", sender.empty() ? "platform" : sender}});
-    }
-    if (configurations.refused_revision() > logged_refused_) {
-        logged_refused_ = configurations.refused_revision();
-        program::log_warning(
-            "configuration_refused",
-            {{"revision", std::to_string(logged_refused_)},
-             {"error", to_string(configurations.refused()->reason)}});
-    }
-    if (known_.members.replaced() && !logged_replaced_) {
-        logged_replaced_ = true;
-        program::log_warning("replaced",
-                             {{"name", known_.members.self().id.name}});
-    }
-}
-
 void control_service::reload(const program::settings& changed) {
     peers_.change_seeds(changed.peers.seeds);
 }
