membership: a removal that the store lost is given up only if the entry lasts

A server that had left could get requests again while the store, back from a copy, held its entry from before: its heartbeats raise the count in the entry without a new revision, so that the copy bore a higher count than the last state that was read. Found by reading the rule against the heartbeats; the test failed before.

--- a/src/membership/publication_stamp.cpp
+++ b/src/membership/publication_stamp.cpp
@@ -38,11 +38,15 @@
 
 bool may_be_older_copy(const publication_state& listed,
                        const publication_state& known) {
-    const bool before_known =
-        listed.stamp.revision < known.stamp.revision ||
-        (listed.stamp.revision == known.stamp.revision && !known.present);
-    return listed.stamp.era > known.stamp.era && listed.present &&
-           !counted(listed, known) && before_known;
+    if (listed.stamp.era <= known.stamp.era || !listed.present) {
+        return false;
+    }
+    if (!known.present) {
+        // Its writer may have written on after the last state that was read.
+        return listed.stamp.revision <= known.stamp.revision;
+    }
+    return !counted(listed, known) &&
+           listed.stamp.revision < known.stamp.revision;
 }
 
 } // namespace waxwingvale::membership
--- a/test/membership/publication_stamp_test.cpp
+++ b/test/membership/publication_stamp_test.cpp
@@ -153,6 +153,25 @@
     }
 }
 
+TEST_CASE("a server that left is not used again by an entry from before") {
+    // Guards against requests to a server whose removal the store has lost: its
+    // entry there may bear a higher count than the last that was read.
+    registry_table table(10);
+    table.apply_list({record_of(written(1, 20, 3))}, {20, 1}, start);
+    table.apply_change(record_of(removed(1, 50, 0)), start);
+    table.apply_list({record_of(written(2, 20, 48))}, {30, 2}, start + 1s);
+    CHECK(table.records().empty());
+    SECTION("its removal is written again") {
+        table.apply_change(record_of(removed(2, 31, 0)), start + 2s);
+        table.tick(start + 20s);
+        CHECK(table.records().empty());
+    }
+    SECTION("it is there after all") {
+        table.tick(start + 4s);
+        CHECK(table.records().size() == 1);
+    }
+}
+
 TEST_CASE("a list of an older era that comes late removes nothing") {
     registry_table table(10);
     table.merge(record_of(written(2, 12, 2)), start);
