--- a/test/entry/departed_caller_test.cpp
+++ b/test/entry/departed_caller_test.cpp
@@ -104,6 +104,7 @@
     caller_world f(4);
     f.warm_up(8);
     std::vector<std::unique_ptr<standin::raw_connection>> leavers;
+    leavers.reserve(8);
     for (int i = 0; i < 8; ++i) {
         leavers.push_back(f.caller());
     }
--- a/test/platform/stand_in_store.cpp
+++ b/test/platform/stand_in_store.cpp
@@ -66,14 +66,14 @@
 
 stand_in_store::copy stand_in_store::take_copy() const {
     copy taken;
-    taken.items = items_;
-    taken.revision = revision_;
+    taken.items_ = items_;
+    taken.revision_ = revision_;
     return taken;
 }
 
 void stand_in_store::come_back_from(const copy& former) {
-    items_ = former.items;
-    revision_ = former.revision;
+    items_ = former.items_;
+    revision_ = former.revision_;
     ++era_;
     watches_.clear();
 }
--- a/test/platform/stand_in_store.hpp
+++ b/test/platform/stand_in_store.hpp
@@ -81,8 +81,8 @@
 class stand_in_store::copy {
 private:
     friend class stand_in_store;
-    std::map<std::string, item> items;
-    std::uint64_t revision = 0;
+    std::map<std::string, item> items_;
+    std::uint64_t revision_ = 0;
 };
 
 } // namespace waxwingvale::platform
