entry: which requests are under suspicion, since when and by whose word

Neither logs nor metrics could tell the hypotheses on requests that end servers apart: no line named the fingerprint of a request that was in flight when a server ended, nor whether its copies, at this or another instance, were known as such. request_suspected, request_cleared and request_quarantined do, and waxwing_request_suspicions counts what an instance remembers.

--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -105,7 +105,7 @@
       outlet_(outlet),
       keys_(self, hub, timers, *this),
       interest_(pool, keys_),
-      crashes_(self.name, hub, timers),
+      crashes_(self.name, hub, timers, metrics.suspicions),
       targets_(self.name) {}
 
 void call_desk::take(forwarding::caller_exchange_ptr caller) {
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -15,16 +15,42 @@
 constexpr duration forgetting_period = 1s;
 constexpr unsigned passes_for_a_sample = 8;
 
+const char* event_of(decision::suspicion_state state) {
+    switch (state) {
+    case decision::suspicion_state::suspect:
+        return "request_suspected";
+    case decision::suspicion_state::cleared:
+        return "request_cleared";
+    case decision::suspicion_state::quarantined:
+        return "request_quarantined";
+    }
+    return "request_suspected";
+}
+
+// Each instance logs what it learns, so that logs tell when each knew.
+void log_word(const decision::suspicion_update& word,
+              const std::string& told_by) {
+    program::log_warning(
+        event_of(word.state),
+        {{"fingerprint", std::to_string(word.fingerprint.value)},
+         {"backend_server", word.last_crashed.backend_server},
+         {"tester", word.tester},
+         {"told_by", told_by}});
+}
+
 } // namespace
 
 crash_guard::crash_guard(const std::string& self, io::message_hub& hub,
-                         kernel::timer_service& timers)
-    : hub_(hub), timers_(timers), quarantine_(self, {}) {
+                         kernel::timer_service& timers,
+                         program::gauge suspicions)
+    : hub_(hub),
+      timers_(timers),
+      suspicions_(suspicions),
+      quarantine_(self, {}) {
     hub_.on_message(
         suspicion_kind,
-        [this](const std::string&, const std::vector<std::uint8_t>& bytes) {
-            take(bytes);
-        });
+        [this](const std::string& peer,
+               const std::vector<std::uint8_t>& bytes) { take(peer, bytes); });
     hub_.on_link_change([this](const std::string& peer, bool up) {
         // An instance that has just started knows of no suspect, and would
         // run a crashing request once more.
@@ -33,8 +59,10 @@
                       encode(quarantine_.snapshot(timers_.now())));
         }
     });
-    forgetting_ = timers_.every(
-        forgetting_period, [this](time_point now) { quarantine_.tick(now); });
+    forgetting_ = timers_.every(forgetting_period, [this](time_point now) {
+        quarantine_.tick(now);
+        suspicions_.set(static_cast<double>(quarantine_.size()));
+    });
 }
 
 bool crash_guard::wants_pass() {
@@ -104,7 +132,8 @@
     quarantine_.on_trial_abandoned(of);
 }
 
-void crash_guard::take(const std::vector<std::uint8_t>& bytes) {
+void crash_guard::take(const std::string& peer,
+                       const std::vector<std::uint8_t>& bytes) {
     const auto words = decode_suspicions(bytes);
     if (!words) {
         return;
@@ -112,7 +141,9 @@
     for (const auto& word : words.value()) {
         // Every entry process hears the first teller itself; passing it on
         // would only multiply it.
-        quarantine_.merge(word, timers_.now());
+        if (quarantine_.merge(word, timers_.now())) {
+            log_word(word, peer);
+        }
     }
 }
 
@@ -121,6 +152,9 @@
     if (words.empty()) {
         return;
     }
+    for (const auto& word : words) {
+        log_word(word, "self");
+    }
     const auto message = encode(words);
     for (const auto& peer : hub_.connected_peers()) {
         hub_.send(peer, suspicion_kind, message);
--- a/src/entry/crash_guard.hpp
+++ b/src/entry/crash_guard.hpp
@@ -9,6 +9,7 @@
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/backend_incarnation.hpp>
+#include <waxwingvale/program/metrics.hpp>
 
 namespace waxwingvale::entry {
 
@@ -18,7 +19,7 @@
 class crash_guard {
 public:
     crash_guard(const std::string& self, io::message_hub& hub,
-                kernel::timer_service& timers);
+                kernel::timer_service& timers, program::gauge suspicions);
 
     // False while no request is under suspicion: then fingerprints need not
     // even be computed.
@@ -52,11 +53,12 @@
         bool dead = false;
     };
 
-    void take(const std::vector<std::uint8_t>& bytes);
+    void take(const std::string& peer, const std::vector<std::uint8_t>& bytes);
     void tell_all(const std::vector<decision::suspicion_update>& words);
 
     io::message_hub& hub_;
     kernel::timer_service& timers_;
+    program::gauge suspicions_;
     decision::quarantine quarantine_;
     std::map<std::string, backend_sight> backend_servers_;
     unsigned passes_ = 0;
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -43,6 +43,9 @@
       process_lag(all.add_gauge(
           "waxwing_process_lag_seconds",
           "The longest lag of the process before the last summary.")),
-      keys(all.add_gauge("waxwing_request_keys", "Request keys remembered.")) {}
+      keys(all.add_gauge("waxwing_request_keys", "Request keys remembered.")),
+      suspicions(all.add_gauge(
+          "waxwing_request_suspicions",
+          "Requests that were in flight when a backend server ended.")) {}
 
 } // namespace waxwingvale::entry
--- a/src/entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -27,6 +27,7 @@
     program::gauge open_calls;
     program::gauge process_lag;
     program::gauge keys;
+    program::gauge suspicions;
 };
 
 } // namespace waxwingvale::entry
