--- /dev/null
+++ b/test/platform/ending_server.cpp
@@ -0,0 +1,210 @@
+#include "platform/ending_server.hpp"
+
+#include <stdexcept>
+#include <unistd.h>
+#include <utility>
+
+#include "forwarding/wire_text.hpp"
+
+namespace waxwingvale::platform {
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_failed = 500;
+constexpr unsigned status_unavailable = 503;
+const std::string half_an_answer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of it";
+
+std::string text_of(const io::http_headers& headers, const char* name) {
+    const auto* found = io::find_header(headers, name);
+    return found == nullptr ? std::string() : *found;
+}
+
+} // namespace
+
+ending_server::ending_server(kernel::event_loop& loop,
+                             kernel::timer_service& timers, hooks told)
+    : loop_(loop), timers_(timers), told_(std::move(told)) {}
+
+ending_server::~ending_server() {
+    stop_listening();
+}
+
+void ending_server::start(const std::string& id) {
+    id_ = id;
+    up_ = true;
+    connections_.clear();
+    stop_listening();
+    const auto opened = io::open_listener("127.0.0.1", port_);
+    if (!opened) {
+        throw std::runtime_error(to_string(opened.error()));
+    }
+    listener_ = opened.value();
+    port_ = io::bound_port(listener_);
+    ev_io_init(
+        &accepting_,
+        [](struct ev_loop*, ev_io* w, int) {
+            static_cast<ending_server*>(w->data)->accept();
+        },
+        listener_, EV_READ);
+    accepting_.data = this;
+    ev_io_start(loop_.native(), &accepting_);
+}
+
+void ending_server::stop_listening() {
+    if (listener_ >= 0) {
+        ev_io_stop(loop_.native(), &accepting_);
+        ::close(listener_);
+        listener_ = -1;
+    }
+}
+
+void ending_server::accept() {
+    const int descriptor = io::accept_connection(listener_);
+    if (descriptor < 0) {
+        return;
+    }
+    auto& made = connections_.emplace_back();
+    made.socket = std::make_unique<io::stream_socket>(
+        loop_, descriptor, false,
+        io::stream_socket_handlers{
+            {},
+            [this, &made](const char* bytes, std::size_t size) {
+                read(made, bytes, size);
+            },
+            [this, &made] { close(made); },
+            {}});
+}
+
+void ending_server::close(connection& which) {
+    which.open = false;
+    which.running.cancel();
+    which.socket->close();
+}
+
+void ending_server::read(connection& from, const char* bytes,
+                         std::size_t size) {
+    from.input.append(bytes, size);
+    if (!up_) {
+        return;
+    }
+    using step = forwarding::request_reader::step;
+    for (auto at = from.reader.read(from.input, {}); at != step::need_more;
+         at = from.reader.read(from.input, {})) {
+        if (at == step::faulty) {
+            close(from);
+            return;
+        }
+        if (at == step::complete) {
+            const auto request = from.reader.request();
+            from.reader.next();
+            take(from, request);
+            return; // callers send one request at a time
+        }
+    }
+}
+
+void ending_server::take(connection& from, const io::http_request& request) {
+    if (request.target == "/healthz") {
+        answer(from, status_ok, {});
+        return;
+    }
+    const auto meant = text_of(request.headers, "Waxwingvale-Target-Instance");
+    if (!meant.empty() && meant != id_) {
+        answer(from, status_misdirected, {});
+        return;
+    }
+    run(from, request);
+}
+
+void ending_server::run(connection& from, const io::http_request& request) {
+    const auto how = told_.decide(request);
+    const auto attempt = text_of(request.headers, "Waxwingvale-Attempt-Id");
+    const auto takes = how == run_end::end_process ? ends_after : work;
+    from.running =
+        timers_.after(takes, [this, &from, how, attempt](time_point) {
+            if (from.open && up_) {
+                finish(from, how, attempt);
+            }
+        });
+}
+
+void ending_server::finish(connection& from, run_end how,
+                           const std::string& attempt) {
+    const io::http_headers named = {{"Waxwingvale-Attempt-Id", attempt}};
+    const io::http_headers signed_by_us = {
+        {"Waxwingvale-Attempt-Id", attempt},
+        {"Waxwingvale-Response-Signature", "s"}};
+    switch (how) {
+    case run_end::answer:
+        answer(from, status_ok, signed_by_us);
+        break;
+    case run_end::fail:
+        answer(from, status_failed, signed_by_us);
+        break;
+    case run_end::refuse:
+        answer(from, status_unavailable, {{"Waxwingvale-Not-Executed", "1"}});
+        break;
+    case run_end::garble:
+        answer(from, status_ok, named);
+        break;
+    case run_end::reset_connection:
+        from.open = false;
+        from.socket->reset();
+        break;
+    case run_end::close_connection:
+        close(from);
+        break;
+    case run_end::cut_answer:
+        from.socket->write(half_an_answer, {});
+        close(from);
+        break;
+    case run_end::stay_silent:
+        break;
+    case run_end::end_process:
+        end_under(from);
+        break;
+    }
+}
+
+void ending_server::answer(connection& to, unsigned status,
+                           io::http_headers headers) {
+    headers.push_back({"Waxwingvale-Instance-Id", id_});
+    headers.push_back({"Waxwingvale-Server-Load", "0,0,4"});
+    const std::string body = "done";
+    to.socket->write(
+        forwarding::answer_head(status, headers,
+                                {forwarding::body_framing::length, body.size()},
+                                false),
+        body);
+}
+
+void ending_server::end_under(connection& with) {
+    if (ends_by == process_end::half_answer) {
+        with.socket->write(half_an_answer, {});
+    }
+    end(ends_by);
+}
+
+void ending_server::end(process_end how) {
+    up_ = false;
+    if (how != process_end::silence) {
+        stop_listening();
+        for (auto& each : connections_) {
+            const bool by_reset =
+                how == process_end::reset || how == process_end::replaced;
+            if (each.open && by_reset) {
+                each.open = false;
+                each.running.cancel();
+                each.socket->reset();
+            } else if (each.open) {
+                close(each);
+            }
+        }
+    }
+    told_.on_end(*this);
+}
+
+} // namespace waxwingvale::platform
--- /dev/null
+++ b/test/platform/ending_server.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include <waxwingvale/io/http_message.hpp>
+#include <waxwingvale/kernel/timer_service.hpp>
+
+#include "forwarding/request_reader.hpp"
+#include "io/stream_socket.hpp"
+
+namespace waxwingvale::platform {
+
+// What a stand-in server does with a request.
+enum class run_end {
+    answer,           // 200 with a signature
+    fail,             // 500, signed as well
+    refuse,           // 503, not executed
+    garble,           // 200 without a signature
+    reset_connection, // this connection only; the server lives on
+    close_connection,
+    cut_answer,  // half of an answer, then a close; the server lives on
+    stay_silent, // no answer on this connection; the server lives on
+    end_process  // the server ends, in the way that it is told to
+};
+
+// How callers see a server's process end.
+enum class process_end {
+    reset,       // all connections are reset and nothing listens any more
+    close,       // all connections are closed and nothing listens any more
+    half_answer, // the same after half of an answer
+    silence,     // no connection gets another byte, new ones neither
+    replaced     // reset; the next process listens at once
+};
+
+// A backend server as the platform's instances meet it, whose process may end
+// under a request. Each process has an id of its own; the address stays.
+class ending_server {
+public:
+    struct hooks {
+        std::function<run_end(const io::http_request&)> decide;
+        std::function<void(ending_server&)> on_end;
+    };
+
+    ending_server(kernel::event_loop& loop, kernel::timer_service& timers,
+                  hooks told);
+    ~ending_server();
+    ending_server(const ending_server&) = delete;
+    ending_server& operator=(const ending_server&) = delete;
+
+    // Begins the next process, at the address of the first.
+    void start(const std::string& id);
+    void end(process_end how);
+
+    const std::string& id() const { return id_; }
+    std::uint16_t port() const { return port_; }
+    bool up() const { return up_; }
+    process_end ends_by = process_end::reset;
+    duration work = std::chrono::milliseconds(5);
+    duration ends_after = std::chrono::milliseconds(20);
+
+private:
+    struct connection {
+        std::unique_ptr<io::stream_socket> socket;
+        forwarding::request_reader reader;
+        std::string input;
+        kernel::timer_service::subscription running;
+        bool open = true;
+    };
+
+    void accept();
+    void read(connection& from, const char* bytes, std::size_t size);
+    void take(connection& from, const io::http_request& request);
+    void run(connection& from, const io::http_request& request);
+    void finish(connection& from, run_end how, const std::string& attempt);
+    void answer(connection& to, unsigned status, io::http_headers headers);
+    void close(connection& which);
+    void stop_listening();
+    void end_under(connection& with);
+
+    kernel::event_loop& loop_;
+    kernel::timer_service& timers_;
+    hooks told_;
+    std::string id_;
+    std::uint16_t port_ = 0;
+    bool up_ = false;
+    int listener_ = -1;
+    ev_io accepting_{};
+    std::list<connection> connections_;
+};
+
+} // namespace waxwingvale::platform
--- /dev/null
+++ b/test/platform/instance_group.cpp
@@ -0,0 +1,70 @@
+#include "platform/instance_group.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace waxwingvale::platform {
+
+instance_group::instance_group(std::size_t count,
+                               std::vector<std::string> zones,
+                               std::uint16_t store_port)
+    : zones_(std::move(zones)), store_port_(store_port), ports_(count) {}
+
+void instance_group::start() {
+    for (std::size_t each = 0; each < ports_.size(); ++each) {
+        processes_.push_back(launch(each));
+    }
+}
+
+void instance_group::restart(std::size_t number) {
+    processes_.at(number)->kill();
+    processes_.at(number) = launch(number);
+}
+
+std::string instance_group::settings_of(std::size_t number) const {
+    constexpr std::size_t most_seeds = 2;
+    auto seeds = nlohmann::json::array();
+    for (std::size_t each = 0; each < std::min(most_seeds, size()); ++each) {
+        seeds.push_back(
+            {{"host", "127.0.0.1"}, {"control_port", ports_[each].control}});
+    }
+    auto data_centres = nlohmann::json::array();
+    for (const auto& zone : zones_) {
+        data_centres.push_back({{"name", zone}, {"region", "region-" + zone}});
+    }
+    return nlohmann::json{
+        {"settings_version", 2},
+        {"instance",
+         {{"name", "node-" + std::to_string(number)},
+          {"data_centre", zones_[number % zones_.size()]},
+          {"host", "127.0.0.1"}}},
+        {"platform",
+         {{"host", "127.0.0.1"},
+          {"port", store_port_},
+          {"readers", 1},
+          {"watch_ms", 600},
+          {"answer_within_ms", 400}}},
+        {"peers",
+         {{"shared_key", "a key for tests only, 32 bytes.."},
+          {"seeds", seeds}}},
+        {"entry", {{"caller_port", ports_[number].caller}}},
+        {"steer", {{"steer_port", 0}}},
+        {"control",
+         {{"control_port", ports_[number].control}, {"administration", false}}},
+        {"deployment", {{"data_centres", data_centres}, {"owners", 1}}}}
+        .dump();
+}
+
+std::unique_ptr<standin::child_process>
+instance_group::launch(std::size_t number) {
+    const auto file =
+        folder_.write(std::to_string(number) + ".json", settings_of(number));
+    auto launched = std::make_unique<standin::child_process>(
+        "waxwing-platform-node",
+        std::vector<std::string>{"--settings=" + file});
+    launched->read_ready();
+    return launched;
+}
+
+} // namespace waxwingvale::platform
--- /dev/null
+++ b/test/platform/instance_group.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standin/process.hpp"
+#include "standin/temporary_folder.hpp"
+
+namespace waxwingvale::platform {
+
+// Instances as the platform starts them, each a process of its own, spread over
+// zones. Each zone is a region of its own.
+class instance_group {
+public:
+    struct ports {
+        std::uint16_t control = standin::free_port();
+        std::uint16_t caller = standin::free_port();
+    };
+
+    instance_group(std::size_t count, std::vector<std::string> zones,
+                   std::uint16_t store_port);
+
+    std::size_t size() const { return ports_.size(); }
+    std::uint16_t caller_port(std::size_t number) const {
+        return ports_.at(number).caller;
+    }
+    standin::child_process& process(std::size_t number) {
+        return *processes_.at(number);
+    }
+    // Starts all.
+    void start();
+    // Kills an instance's process and starts it again.
+    void restart(std::size_t number);
+
+private:
+    std::string settings_of(std::size_t number) const;
+    std::unique_ptr<standin::child_process> launch(std::size_t number);
+
+    std::vector<std::string> zones_;
+    std::uint16_t store_port_;
+    std::vector<ports> ports_;
+    standin::temporary_folder folder_;
+    std::vector<std::unique_ptr<standin::child_process>> processes_;
+};
+
+} // namespace waxwingvale::platform
--- a/test/platform/restored_store_test.cpp
+++ b/test/platform/restored_store_test.cpp
@@ -49,10 +49,10 @@
     bool all_know(unsigned version) {
         statuses.clear();
         unsigned open = 0;
-        for (const auto& each : ports) {
+        for (std::size_t each = 0; each < instances.size(); ++each) {
             io::http_call call;
             call.host = "127.0.0.1";
-            call.port = each.caller;
+            call.port = instances.caller_port(each);
             call.method = "POST";
             call.target = path_of(version) + "x";
             call.headers = {{"Host", "a.example"},
--- a/test/platform/two_zones.hpp
+++ b/test/platform/two_zones.hpp
@@ -7,9 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "platform/instance_group.hpp"
 #include "platform/stand_in_store.hpp"
-#include "standin/process.hpp"
-#include "standin/temporary_folder.hpp"
 #include <waxwingvale/io/http_client.hpp>
 
 namespace waxwingvale::platform {
@@ -68,9 +67,7 @@
                 std::make_unique<counting_server>(loop, "i-" + zone);
             store.put("servers/i-" + zone, entry_of(zone));
         }
-        for (std::size_t each = 0; each < ports.size(); ++each) {
-            processes.push_back(launch(each));
-        }
+        instances.start();
     }
 
     std::string operator_text() const {
@@ -104,56 +101,8 @@
             .dump();
     }
 
-    std::string settings_of(std::size_t number) const {
-        auto seeds = nlohmann::json::array();
-        for (std::size_t each = 0; each < 2; ++each) {
-            seeds.push_back(
-                {{"host", "127.0.0.1"}, {"control_port", ports[each].control}});
-        }
-        auto data_centres = nlohmann::json::array();
-        for (const auto& zone : zones) {
-            data_centres.push_back(
-                {{"name", zone}, {"region", "region-" + zone}});
-        }
-        return nlohmann::json{
-            {"settings_version", 2},
-            {"instance",
-             {{"name", "node-" + std::to_string(number)},
-              {"data_centre", zones[number % zones.size()]},
-              {"host", "127.0.0.1"}}},
-            {"platform",
-             {{"host", "127.0.0.1"},
-              {"port", store.port()},
-              {"readers", 1},
-              {"watch_ms", 600},
-              {"answer_within_ms", 400}}},
-            {"peers",
-             {{"shared_key", "a key for tests only, 32 bytes.."},
-              {"seeds", seeds}}},
-            {"entry", {{"caller_port", ports[number].caller}}},
-            {"steer", {{"steer_port", 0}}},
-            {"control",
-             {{"control_port", ports[number].control},
-              {"administration", false}}},
-            {"deployment", {{"data_centres", data_centres}, {"owners", 1}}}}
-            .dump();
-    }
-
-    std::unique_ptr<standin::child_process> launch(std::size_t number) {
-        const auto file =
-            folder.write(std::to_string(number) + ".json", settings_of(number));
-        auto launched = std::make_unique<standin::child_process>(
-            "waxwing-platform-node",
-            std::vector<std::string>{"--settings=" + file});
-        launched->read_ready();
-        return launched;
-    }
-
     // Kills an instance's process and starts it again.
-    void restart(std::size_t number) {
-        processes[number]->kill();
-        processes[number] = launch(number);
-    }
+    void restart(std::size_t number) { instances.restart(number); }
 
     void ask(std::uint16_t port) {
         io::http_call call;
@@ -180,8 +129,8 @@
     void go_on(duration time) {
         const auto asking =
             timers.every(std::chrono::milliseconds(10), [this](time_point) {
-                for (const auto& each : ports) {
-                    ask(each.caller);
+                for (std::size_t each = 0; each < instances.size(); ++each) {
+                    ask(instances.caller_port(each));
                 }
             });
         const auto until = timers.now() + time;
@@ -204,25 +153,18 @@
         return servers.at(zone)->requests;
     }
 
-    struct instance_ports {
-        std::uint16_t control = standin::free_port();
-        std::uint16_t caller = standin::free_port();
-    };
-
     std::vector<std::string> homes;
     std::vector<std::string> zones = {"north", "south"};
     kernel::monotonic_clock clock;
     kernel::event_loop loop;
     kernel::timer_service timers{clock, loop};
-    standin::temporary_folder folder;
     stand_in_store store{loop, timers};
     std::map<std::string, std::unique_ptr<counting_server>> servers;
-    std::vector<instance_ports> ports{4};
     io::http_client client{loop, {}};
     std::map<unsigned, unsigned> answers;
     unsigned come_back_named = 0;
     unsigned asked = 0;
-    std::vector<std::unique_ptr<standin::child_process>> processes;
+    instance_group instances{4, zones, store.port()};
 };
 
 } // namespace waxwingvale::platform
