--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -5,43 +5,49 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
+#include <waxwingvale/decision/crash_record.hpp>
 #include <waxwingvale/decision/fingerprint.hpp>
+#include <waxwingvale/decision/process_signs.hpp>
 #include <waxwingvale/decision/recent_answers.hpp>
+#include <waxwingvale/decision/server_sign.hpp>
 #include <waxwingvale/model/time.hpp>
 
 namespace waxwingvale::decision {
 
-// One process of a backend server: its name and incarnation.
-struct backend_process {
-    std::string backend_server;
-    std::uint64_t incarnation = 0;
-
-    friend bool operator==(const backend_process& a, const backend_process& b) {
-        return std::tie(a.backend_server, a.incarnation) ==
-               std::tie(b.backend_server, b.incarnation);
-    }
+// The state of a fingerprint.
+enum class suspicion_state {
+    suspect,    // was in flight at a process that has ended, or may have
+    cleared,    // got a complete answer after that, or the process lives
+    quarantined // ends the processes that run it
 };
 
-// The state of a fingerprint. Later states override earlier ones.
-enum class suspicion_state {
-    suspect,    // was in flight when a backend server crashed
-    cleared,    // got a complete answer after that
-    quarantined // crashed a backend server that ran nothing else
+// A run that was lost, as sent to the other entry instances.
+struct told_run {
+    backend_process process;
+    bool alone = false;
+    process_fate fate = process_fate::open;
+    duration age{};
 };
 
 // The state of a fingerprint as sent to the other entry instances. It carries
-// an age instead of a time because the clocks of two processes cannot be
+// ages instead of times because the clocks of two processes cannot be
 // compared.
 struct suspicion_update {
     request_fingerprint fingerprint;
     suspicion_state state = suspicion_state::suspect;
     std::string tester;           // the entry instance that may run the trial
-    backend_process last_crashed; // the backend process that crashed last
-    duration age{};               // since the latest change of state or crash
+    backend_process last_crashed; // where a run was lost last
+    duration age{};               // since the latest change
+    std::vector<told_run> runs;
+    // Of the copy whose answer cleared the request last, since it was sent.
+    std::optional<duration> cleared_age;
+
+    // An instance of an older release tells neither.
+    bool tells_evidence() const { return !runs.empty() || cleared_age; }
 };
 
 // Run the request like any other.
@@ -49,13 +55,14 @@
 
 // Run the request as a trial: on a backend server other than `avoid` that runs
 // no other request meanwhile. Call on_trial_placed, and then on_answered,
-// on_trial_abandoned or on_backend_died.
+// on_trial_abandoned or on_connection_lost.
 struct run_alone {
     std::string avoid;
 };
 
-// The request did not run. It is a suspect, and another copy is on trial or
-// another entry instance (`tester`) may run the trial.
+// The request did not run. It is a suspect, and another copy is on trial,
+// another entry instance (`tester`) may run the trial, or it has not shown yet
+// what became of the process of the last trial.
 struct refuse_suspect {
     std::string tester;
     duration retry_after{};
@@ -68,26 +75,25 @@
     std::variant<run_normally, run_alone, refuse_suspect, refuse_quarantined>;
 
 struct quarantine_limits {
-    // How long after the latest crash or change of state a fingerprint is
-    // kept.
+    // How long after the latest change a fingerprint is kept.
     duration retention = std::chrono::minutes(10);
     // How long only the tester may run the trial of a suspect.
     duration trial_reservation = std::chrono::seconds(10);
+    // How long the next trial waits until it has shown whether the last one
+    // ended its process.
+    duration verdict_wait = std::chrono::seconds(5);
     duration retry_after = std::chrono::milliseconds(500);
     // How long after a complete answer a request cannot become a suspect.
     duration trust_period = std::chrono::seconds(10);
     std::size_t max_fingerprints = 4096;
 };
 
-// Prevents a request that crashes every backend server on which it runs from
-// crashing more than two, without refusing the requests that were in flight
-// beside it.
+// Prevents a request that ends every process on which it runs from ending more
+// than two, without refusing the requests that were in flight beside it, or
+// those that only lost their connection.
 //
-// Only a crash during a trial proves that a request is the cause. Two crashes
-// while other requests were in flight prove nothing: when a rack or a data
-// centre fails, popular requests were in flight on several of its backend
-// servers, and refusing these requests would be an outage caused by the load
-// balancer itself.
+// Only a run that was alone on a process that provably ended is evidence
+// against a request; see server_sign and crash_record.
 class quarantine {
 public:
     // `self` is this entry instance's name.
@@ -96,21 +102,43 @@
     // Must be called before a request is dispatched. run_alone marks a trial as
     // in progress.
     quarantine_decision admit(request_fingerprint fingerprint, time_point now);
-
-    // A backend server crashed with these requests of this entry instance in
-    // flight. Returns updates for the peers.
+    // Whether a request that has waited since it was admitted may still run
+    // beside others.
+    bool may_run_in_company(request_fingerprint fingerprint, time_point now);
+
+    // The connection of a request of this entry instance ended without an
+    // answer, at that moment; `alone` if the process ran nothing else. Returns
+    // an update for the peers, if there is any.
+    std::optional<suspicion_update>
+    on_connection_lost(request_fingerprint fingerprint,
+                       const backend_process& process, bool alone,
+                       time_point lost, time_point now);
+    // Shows that the process answered what was sent to it at that moment.
+    // Returns updates for the peers.
+    std::vector<suspicion_update>
+    on_process_answered(const backend_process& process, time_point sent,
+                        time_point now);
+    // Shows that the process, and those of its name before it, have ended.
+    std::vector<suspicion_update>
+    on_process_ended(const backend_process& process, time_point now);
+    // A backend server has ended with these requests of this entry instance in
+    // flight.
     std::vector<suspicion_update>
     on_backend_died(const backend_process& died,
                     const std::vector<request_fingerprint>& in_flight,
                     time_point now);
 
-    // A request got a complete answer. Returns an update for the peers if the
-    // request was a suspect. To be called for all requests, not only suspects:
-    // a request that was answered a short while ago, such as a popular read,
-    // does not become a suspect when its backend server crashes, so that no
-    // caller has to wait for its trial.
+    // A request that was sent at that moment got a complete answer, and not one
+    // that says that the server failed. Returns an update for the peers if the
+    // request was a suspect and is none any more. To be called for all
+    // requests, not only suspects: a request that was answered a short while
+    // ago, such as a popular read, does not become a suspect when its backend
+    // server crashes, so that no caller has to wait for its trial.
     std::optional<suspicion_update> on_answered(request_fingerprint fingerprint,
                                                 time_point now);
+    std::optional<suspicion_update> on_answered(request_fingerprint fingerprint,
+                                                time_point sent,
+                                                time_point now);
 
     // The trial that admit() allowed has been sent to this backend process.
     // Other copies may still be in flight elsewhere; a crash of their backend
@@ -126,6 +154,12 @@
     // and should be forwarded.
     bool merge(const suspicion_update& update, time_point now);
 
+    // Whether it is open, or may be in doubt, what became of a process of that
+    // server.
+    bool asks_about(const std::string& backend_server) const {
+        return in_question_.count(backend_server) != 0;
+    }
+
     // Returns all fingerprints, for a peer that has just started.
     std::vector<suspicion_update> snapshot(time_point now) const;
     // Returns the quarantined fingerprints.
@@ -137,18 +171,27 @@
 
 private:
     struct entry {
-        suspicion_state state = suspicion_state::suspect;
+        crash_record record;
         std::string tester;
-        backend_process last_crashed;
         time_point changed_at{};
+        // A peer of an older release has proof that it does not tell.
+        bool proven_elsewhere = false;
         bool trial_running = false;
         backend_process trial_backend; // set when the trial has been placed
+
+        suspicion_state state() const;
     };
 
     entry* find(request_fingerprint fingerprint, time_point now);
+    entry* find_or_add(request_fingerprint fingerprint, time_point now);
     bool expired(const entry& known, time_point now) const;
-    void record_crash(request_fingerprint fingerprint, const entry& crash,
-                      bool during_trial);
+    bool add_run(entry& to, const lost_run& run);
+    bool merge_runs(entry& into, const suspicion_update& update,
+                    time_point now);
+    bool merge_state(entry& into, const suspicion_update& update,
+                     time_point now);
+    template <typename Change>
+    std::vector<suspicion_update> change_all(time_point now, Change change);
     bool make_room(time_point now);
     suspicion_update update_for(request_fingerprint fingerprint,
                                 const entry& known, time_point now) const;
@@ -157,6 +200,8 @@
     quarantine_limits limits_;
     std::map<request_fingerprint, entry> entries_;
     recent_answers recent_answers_;
+    process_signs signs_;
+    std::unordered_set<std::string> in_question_; // names of backend servers
 };
 
 } // namespace waxwingvale::decision
--- a/include/waxwingvale/entry/backend_answer.hpp
+++ b/include/waxwingvale/entry/backend_answer.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <tuple>
 
+#include <waxwingvale/decision/server_sign.hpp>
 #include <waxwingvale/model/backend_belief.hpp>
 #include <waxwingvale/model/backend_load.hpp>
 #include <waxwingvale/model/backend_terms.hpp>
@@ -42,9 +43,13 @@
     run_outcome outcome = run_outcome::unknown;
     std::optional<backend_state> state; // what the server says of itself
     std::uint64_t incarnation = 0;      // 0 when it did not say
-    std::optional<backend_load> load;   // as it said in this answer
-    std::size_t bytes = 0;              // of the answer's body
-    std::optional<duration> cold_for;   // how much longer, as it said
+    // What it shows of the process to which the attempt was sent.
+    decision::server_sign sign = decision::server_sign::none;
+    // The start that answered, as the answer itself says; 0: it does not.
+    std::uint64_t named_incarnation = 0;
+    std::optional<backend_load> load; // as it said in this answer
+    std::size_t bytes = 0;            // of the answer's body
+    std::optional<duration> cold_for; // how much longer, as it said
     // As stated in the head of the answer; nothing without a head of that
     // server, or if its terms do not parse.
     std::optional<backend_terms> terms;
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -1,10 +1,19 @@
 #include <waxwingvale/decision/quarantine.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace waxwingvale::decision {
 
+suspicion_state quarantine::entry::state() const {
+    if (proven_elsewhere || record.proves_crash()) {
+        return suspicion_state::quarantined;
+    }
+    return record.is_suspect() ? suspicion_state::suspect
+                               : suspicion_state::cleared;
+}
+
 quarantine::quarantine(std::string self, const quarantine_limits& limits)
     : self_(std::move(self)),
       limits_(limits),
@@ -23,15 +32,28 @@
     return &found->second;
 }
 
+quarantine::entry* quarantine::find_or_add(request_fingerprint fingerprint,
+                                           time_point now) {
+    if (auto* known = find(fingerprint, now)) {
+        return known;
+    }
+    entries_.erase(fingerprint); // one that has expired
+    return make_room(now) ? &entries_[fingerprint] : nullptr;
+}
+
 quarantine_decision quarantine::admit(request_fingerprint fingerprint,
                                       time_point now) {
     auto* known = find(fingerprint, now);
-    if (known == nullptr || known->state == suspicion_state::cleared) {
+    if (known == nullptr || known->state() == suspicion_state::cleared) {
         return run_normally{};
     }
-    if (known->state == suspicion_state::quarantined) {
+    if (known->state() == suspicion_state::quarantined) {
         return refuse_quarantined{};
     }
+    const auto* undecided = known->record.undecided_trial();
+    if (undecided != nullptr && now - undecided->at < limits_.verdict_wait) {
+        return refuse_suspect{known->tester, limits_.retry_after};
+    }
     // Only one trial at a time, by one entry instance: a second trial of a
     // request that does crash its backend server would cost one more server.
     // The tester may have gone down itself, so after the reservation any entry
@@ -44,68 +66,114 @@
     }
     known->trial_running = true;
     known->trial_backend = backend_process{};
-    return run_alone{known->last_crashed.backend_server};
+    return run_alone{known->record.latest_lost()->process.backend_server};
+}
+
+bool quarantine::may_run_in_company(request_fingerprint fingerprint,
+                                    time_point now) {
+    const auto* known = find(fingerprint, now);
+    return known == nullptr || known->state() == suspicion_state::cleared;
+}
+
+bool quarantine::add_run(entry& to, const lost_run& run) {
+    in_question_.insert(run.process.backend_server);
+    return to.record.add(signs_.judged(run));
+}
+
+std::optional<suspicion_update>
+quarantine::on_connection_lost(request_fingerprint fingerprint,
+                               const backend_process& process, bool alone,
+                               time_point lost, time_point now) {
+    const bool is_known = find(fingerprint, now) != nullptr;
+    if (!is_known && !alone && recent_answers_.contains(fingerprint, now)) {
+        return std::nullopt;
+    }
+    auto* known = find_or_add(fingerprint, now);
+    if (known == nullptr) {
+        return std::nullopt;
+    }
+    const bool was_suspect =
+        is_known && known->state() == suspicion_state::suspect;
+    known->tester = was_suspect ? std::min(known->tester, self_) : self_;
+    known->changed_at = now;
+    known->trial_running = known->trial_running && !alone;
+    add_run(*known, {process, alone, process_fate::open, lost});
+    return update_for(fingerprint, *known, now);
+}
+
+template <typename Change>
+std::vector<suspicion_update> quarantine::change_all(time_point now,
+                                                     Change change) {
+    std::vector<suspicion_update> updates;
+    for (auto& [fingerprint, known] : entries_) {
+        if (!expired(known, now) && change(known.record)) {
+            updates.push_back(update_for(fingerprint, known, now));
+        }
+    }
+    return updates;
+}
+
+std::vector<suspicion_update>
+quarantine::on_process_answered(const backend_process& process, time_point sent,
+                                time_point now) {
+    signs_.note_answer(process, sent);
+    if (!asks_about(process.backend_server)) {
+        return {};
+    }
+    return change_all(now, [&](crash_record& record) {
+        const bool earlier_ended = record.settle_followed(process);
+        return record.settle_survived(process, sent) || earlier_ended;
+    });
+}
+
+std::vector<suspicion_update>
+quarantine::on_process_ended(const backend_process& process, time_point now) {
+    signs_.note_end(process, now);
+    if (!asks_about(process.backend_server)) {
+        return {};
+    }
+    return change_all(now, [&](crash_record& record) {
+        return record.settle_ended(process);
+    });
 }
 
 std::vector<suspicion_update>
 quarantine::on_backend_died(const backend_process& died,
                             const std::vector<request_fingerprint>& in_flight,
                             time_point now) {
+    for (const auto& fingerprint : in_flight) {
+        const auto* known = find(fingerprint, now);
+        const bool alone = known != nullptr && known->trial_running &&
+                           known->trial_backend == died;
+        on_connection_lost(fingerprint, died, alone, now, now);
+    }
+    on_process_ended(died, now);
     std::vector<suspicion_update> updates;
     for (const auto& fingerprint : in_flight) {
-        auto* known = find(fingerprint, now);
-        if (known == nullptr && recent_answers_.contains(fingerprint, now)) {
-            continue;
-        }
-        const bool during_trial = known != nullptr && known->trial_running &&
-                                  known->trial_backend == died;
-        if (during_trial) {
-            known->trial_running = false;
-        }
-        entry crash;
-        crash.tester = self_;
-        crash.last_crashed = died;
-        crash.changed_at = now;
-        record_crash(fingerprint, crash, during_trial);
-        if (auto* after = find(fingerprint, now)) {
-            updates.push_back(update_for(fingerprint, *after, now));
+        if (const auto* known = find(fingerprint, now)) {
+            updates.push_back(update_for(fingerprint, *known, now));
         }
     }
     return updates;
 }
 
-void quarantine::record_crash(request_fingerprint fingerprint,
-                              const entry& crash, bool during_trial) {
-    auto* known = find(fingerprint, crash.changed_at);
-    if (known == nullptr || known->state == suspicion_state::cleared) {
-        if (known == nullptr && !make_room(crash.changed_at)) {
-            return;
-        }
-        entries_[fingerprint] = crash;
-        return;
-    }
-    // Several entry instances may each report the same crash.
-    const bool same_crash =
-        !during_trial && known->last_crashed == crash.last_crashed;
-    if (known->state == suspicion_state::quarantined || same_crash) {
-        return;
-    }
-    if (during_trial) {
-        known->state = suspicion_state::quarantined;
-    }
-    known->tester = std::min(known->tester, crash.tester);
-    known->last_crashed = crash.last_crashed;
-    known->changed_at = crash.changed_at;
+std::optional<suspicion_update>
+quarantine::on_answered(request_fingerprint fingerprint, time_point now) {
+    return on_answered(fingerprint, now, now);
 }
 
 std::optional<suspicion_update>
-quarantine::on_answered(request_fingerprint fingerprint, time_point now) {
+quarantine::on_answered(request_fingerprint fingerprint, time_point sent,
+                        time_point now) {
     recent_answers_.add(fingerprint, now);
     auto* known = find(fingerprint, now);
-    if (known == nullptr || known->state != suspicion_state::suspect) {
+    if (known == nullptr || known->state() != suspicion_state::suspect) {
+        return std::nullopt;
+    }
+    known->record.clear(sent);
+    if (known->state() != suspicion_state::cleared) {
         return std::nullopt;
     }
-    known->state = suspicion_state::cleared;
     known->trial_running = false;
     known->changed_at = now;
     return update_for(fingerprint, *known, now);
@@ -126,47 +194,60 @@
     }
 }
 
-bool quarantine::merge(const suspicion_update& update, time_point now) {
-    entry received;
-    received.state = update.state;
-    received.tester = update.tester;
-    received.last_crashed = update.last_crashed;
-    received.changed_at = now - update.age;
-    if (expired(received, now)) {
-        return false;
+bool quarantine::merge_runs(entry& into, const suspicion_update& update,
+                            time_point now) {
+    bool changed = false;
+    for (const auto& run : update.runs) {
+        const lost_run told{run.process, run.alone, run.fate, now - run.age};
+        changed = add_run(into, told) || changed;
     }
-    auto* known = find(update.fingerprint, now);
-    if (known == nullptr) {
-        const bool only_suspect = update.state == suspicion_state::suspect;
-        if (only_suspect && recent_answers_.contains(update.fingerprint, now)) {
-            return false;
-        }
-        if (!make_room(now)) {
-            return false;
-        }
-        entries_[update.fingerprint] = received;
-        return true;
+    if (update.cleared_age) {
+        changed = into.record.clear(now - *update.cleared_age) || changed;
     }
-    if (known->state == suspicion_state::quarantined) {
-        return false;
+    return changed;
+}
+
+// A peer of an older release takes each broken connection for an end; only its
+// verdict is taken as it is, since nothing can be held against it.
+bool quarantine::merge_state(entry& into, const suspicion_update& update,
+                             time_point now) {
+    switch (update.state) {
+    case suspicion_state::suspect:
+        return add_run(into, {update.last_crashed, false, process_fate::open,
+                              now - update.age});
+    case suspicion_state::cleared:
+        return into.record.clear(now - update.age);
+    case suspicion_state::quarantined:
+        return !std::exchange(into.proven_elsewhere, true);
     }
-    if (update.state == suspicion_state::quarantined ||
-        (update.state == suspicion_state::cleared &&
-         known->state == suspicion_state::suspect &&
-         received.changed_at >= known->changed_at)) {
-        *known = received;
-        return true;
+    return false;
+}
+
+bool quarantine::merge(const suspicion_update& update, time_point now) {
+    if (update.age >= limits_.retention) {
+        return false;
     }
-    if (update.state == suspicion_state::cleared ||
-        known->last_crashed == received.last_crashed) {
+    const bool is_known = find(update.fingerprint, now) != nullptr;
+    const bool only_suspect = update.state == suspicion_state::suspect;
+    if (!is_known && only_suspect &&
+        recent_answers_.contains(update.fingerprint, now)) {
         return false;
     }
-    if (known->state == suspicion_state::cleared &&
-        received.changed_at < known->changed_at) {
+    auto* known = find_or_add(update.fingerprint, now);
+    if (known == nullptr) {
         return false;
     }
-    record_crash(update.fingerprint, received, false);
-    return true;
+    const auto before = known->state();
+    const bool changed = update.tells_evidence()
+                             ? merge_runs(*known, update, now)
+                             : merge_state(*known, update, now);
+    if (!is_known || changed) {
+        const bool was_suspect = is_known && before == suspicion_state::suspect;
+        known->tester = was_suspect ? std::min(known->tester, update.tester)
+                                    : update.tester;
+        known->changed_at = std::max(known->changed_at, now - update.age);
+    }
+    return !is_known || changed;
 }
 
 bool quarantine::make_room(time_point now) {
@@ -177,19 +258,25 @@
     if (entries_.size() < limits_.max_fingerprints) {
         return true;
     }
-    // Quarantined fingerprints stay; the oldest other entry is removed.
-    auto oldest = entries_.end();
+    // Quarantined fingerprints stay. Of the others, those go first under which
+    // the fewest processes have ended: many requests are in flight when a data
+    // centre fails, and must not push out one that goes on ending servers.
+    auto least = entries_.end();
+    const auto worth = [](const entry& of) {
+        return std::make_tuple(of.state() == suspicion_state::suspect,
+                               of.record.ended_processes(), of.changed_at);
+    };
     for (auto at = entries_.begin(); at != entries_.end(); ++at) {
-        if (at->second.state != suspicion_state::quarantined &&
-            (oldest == entries_.end() ||
-             at->second.changed_at < oldest->second.changed_at)) {
-            oldest = at;
+        if (at->second.state() != suspicion_state::quarantined &&
+            (least == entries_.end() ||
+             worth(at->second) < worth(least->second))) {
+            least = at;
         }
     }
-    if (oldest == entries_.end()) {
+    if (least == entries_.end()) {
         return false;
     }
-    entries_.erase(oldest);
+    entries_.erase(least);
     return true;
 }
 
@@ -198,10 +285,18 @@
                                         time_point now) const {
     suspicion_update update;
     update.fingerprint = fingerprint;
-    update.state = known.state;
+    update.state = known.state();
     update.tester = known.tester;
-    update.last_crashed = known.last_crashed;
     update.age = now - known.changed_at;
+    for (const auto& run : known.record.runs()) {
+        update.runs.push_back({run.process, run.alone, run.fate, now - run.at});
+    }
+    if (const auto* latest = known.record.latest_lost()) {
+        update.last_crashed = latest->process;
+    }
+    if (known.record.cleared()) {
+        update.cleared_age = now - *known.record.cleared();
+    }
     return update;
 }
 
@@ -218,7 +313,7 @@
 std::vector<std::uint64_t> quarantine::quarantined(time_point now) const {
     std::vector<std::uint64_t> found;
     for (const auto& [fingerprint, known] : entries_) {
-        if (known.state == suspicion_state::quarantined &&
+        if (known.state() == suspicion_state::quarantined &&
             !expired(known, now)) {
             found.push_back(fingerprint.value);
         }
@@ -227,8 +322,17 @@
 }
 
 void quarantine::tick(time_point now) {
+    signs_.tick(now);
+    in_question_.clear();
     for (auto at = entries_.begin(); at != entries_.end();) {
-        at = expired(at->second, now) ? entries_.erase(at) : std::next(at);
+        if (expired(at->second, now)) {
+            at = entries_.erase(at);
+            continue;
+        }
+        for (const auto& run : at->second.record.runs()) {
+            in_question_.insert(run.process.backend_server);
+        }
+        ++at;
     }
 }
 
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -101,6 +101,10 @@
         return_slot(service, action.request);
         return;
     }
+    if (call != nullptr && is_suspect_by_now(*call)) {
+        refuse_waiting_suspect(*call, action.request);
+        return;
+    }
     if (call != nullptr &&
         find_backend(service, action.backend_server) != nullptr) {
         dispatch(*call, service, action);
@@ -150,8 +154,8 @@
     call.silence_timer.cancel();
     arm_silence(call, slow_after);
     if (call.alone) {
-        crashes_.on_trial_placed(crash_fingerprint(call),
-                                 action.backend_server);
+        crashes_.on_trial_placed(crash_fingerprint(call), action.backend_server,
+                                 server.incarnation);
     }
     if (call.may_run_again() && call.may_reach_another() && !call.hedged) {
         arm_hedge(call, slow_after);
@@ -223,9 +227,6 @@
     auto& other = was_hedge ? call->running : call->hedge;
     const auto attempt = *ours;
     const auto answer = read_answer(*call, attempt, ended);
-    if (answer.end == attempt_end::broken) {
-        report_death(attempt);
-    }
     ours.reset();
     hedges_.erase(attempt_id);
     report_end(*call, attempt, answer);
@@ -254,12 +255,7 @@
     if (answer.end == attempt_end::answered) {
         part.policies.hedges(call.labels.request_class).on_latency(took);
     }
-    if (answer.outcome == run_outcome::ran) {
-        crashes_.on_alive(attempt.backend_server, answer.incarnation);
-        if (crashes_.wants_pass()) {
-            crashes_.on_passed(crash_fingerprint(call));
-        }
-    }
+    report_signs(call, attempt, answer);
     end_trial(call);
     outlet_.observe(attempt.backend_server, answer);
     decision::request_finished finished;
@@ -340,12 +336,14 @@
 void call_desk::cancel_attempts(call_record& call) {
     const auto& service = call.labels.service;
     if (call.running) {
+        report_unanswered(call, *call.running);
         cancel_attempt(service, *call.running);
         call.running.reset();
     } else {
         desk_of(service).handle(decision::request_cancelled{call.id});
     }
     if (call.hedge) {
+        report_unanswered(call, *call.hedge);
         cancel_attempt(service, *call.hedge);
         call.hedge.reset();
     }
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -59,6 +59,8 @@
     // A probe of one of the service's backend servers is sent, or ended.
     void take(const std::string& service, const decision::probe_started& probe);
     void take(const std::string& service, const decision::probe_ended& probe);
+    // What the end of a probe shows of its server.
+    void take_probe_sign(const attempt_sign& shown);
 
     // What to probe, see service_scheduler::servers_to_probe().
     std::vector<std::string> servers_to_probe(const std::string& service) const;
@@ -141,7 +143,13 @@
     crash_fingerprint(const call_record& call);
     bool pass_crash_guard(call_record& call);
     void end_trial(call_record& call);
-    void report_death(const running_attempt& lost);
+    void report_signs(const call_record& call, const running_attempt& attempt,
+                      const backend_answer& answer);
+    void report_unanswered(const call_record& call,
+                           const running_attempt& attempt);
+    bool is_suspect_by_now(const call_record& call);
+    void refuse_waiting_suspect(call_record& call,
+                                decision::request_id waiting);
 
     // call_slowness.cpp: answers that are slow to come
     void arm_silence(call_record& call, duration slow);
--- a/src/entry/call_services.cpp
+++ b/src/entry/call_services.cpp
@@ -46,6 +46,7 @@
 void call_desk::take(const program::view_published& published) {
     view_ = published.now;
     keys_.change_members(view_->members);
+    crashes_.follow(*view_);
     follow(*view_, *published.owners);
 }
 
--- a/src/entry/call_trials.cpp
+++ b/src/entry/call_trials.cpp
@@ -62,24 +62,61 @@
     }
 }
 
-// A connection broke while a request was in flight. Every request in flight on
-// that backend server may be the one that crashed it, and becomes a suspect.
-void call_desk::report_death(const running_attempt& lost) {
-    if (!crashes_.is_news(lost.backend_server, lost.incarnation)) {
+// What the end of an attempt shows of its server, and so of the request.
+void call_desk::report_signs(const call_record& call,
+                             const running_attempt& attempt,
+                             const backend_answer& answer) {
+    const attempt_sign shown{attempt.backend_server, attempt.incarnation,
+                             attempt.started, answer};
+    if (crash_guard::may_be_lost(answer)) {
+        crashes_.on_lost(crash_fingerprint(call), shown, call.alone);
+    }
+    crashes_.on_sign(shown);
+    // A server that fails may do so before it runs what would end it.
+    if (answer.end == attempt_end::answered && crashes_.wants_pass()) {
+        crashes_.on_passed(crash_fingerprint(call), attempt.started);
+    }
+}
+
+// Nobody waits any longer for an attempt that is on its way.
+void call_desk::report_unanswered(const call_record& call,
+                                  const running_attempt& attempt) {
+    if (!pool_.sent(attempt.call) || call.answering) {
         return;
     }
-    std::vector<decision::request_fingerprint> in_flight;
-    const auto runs_there = [&](const std::optional<running_attempt>& one) {
-        return one && one->backend_server == lost.backend_server &&
-               one->incarnation == lost.incarnation;
-    };
-    for (const auto& entry : calls_) {
-        if (runs_there(entry.second.running) ||
-            runs_there(entry.second.hedge)) {
-            in_flight.push_back(crash_fingerprint(entry.second));
-        }
+    backend_answer silent;
+    silent.end = attempt_end::timed_out;
+    silent.sign = decision::server_sign::silent;
+    crashes_.on_lost(
+        crash_fingerprint(call),
+        {attempt.backend_server, attempt.incarnation, attempt.started, silent},
+        call.alone);
+}
+
+void call_desk::take_probe_sign(const attempt_sign& shown) {
+    crashes_.on_sign(shown);
+}
+
+// Whether a request that has waited for its slot, or a second copy, may still
+// be sent beside others.
+bool call_desk::is_suspect_by_now(const call_record& call) {
+    return crashes_.watching() && !call.alone &&
+           !crashes_.may_run_in_company(crash_fingerprint(call));
+}
+
+// A request became a suspect while it, or its second copy, waited for a slot.
+void call_desk::refuse_waiting_suspect(call_record& call,
+                                       decision::request_id waiting) {
+    return_slot(call.labels.service, waiting);
+    if (waiting != call.id) {
+        hedges_.erase(waiting);
+        call.hedge_waiting = 0;
+        return;
     }
-    crashes_.on_died(lost.backend_server, lost.incarnation, in_flight);
+    own_answer answer;
+    answer.reason = "suspected-of-crashing";
+    answer.retry_after = retry_after_default;
+    finish(call.id, answer);
 }
 
 } // namespace waxwingvale::entry
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -11,9 +11,11 @@
 namespace {
 
 using namespace std::chrono_literals;
+using decision::server_sign;
 
 constexpr duration forgetting_period = 1s;
 constexpr unsigned passes_for_a_sample = 8;
+constexpr std::size_t most_silent_runs = 512;
 
 const char* event_of(decision::suspicion_state state) {
     switch (state) {
@@ -46,23 +48,28 @@
     : hub_(hub),
       timers_(timers),
       suspicions_(suspicions),
-      quarantine_(self, {}) {
+      quarantine_(self, {}),
+      silent_(most_silent_runs) {
     hub_.on_message(
         suspicion_kind,
         [this](const std::string& peer,
                const std::vector<std::uint8_t>& bytes) { take(peer, bytes); });
     hub_.on_link_change([this](const std::string& peer, bool up) {
-        // An instance that has just started knows of no suspect, and would
-        // run a crashing request once more.
+        // An instance that has just started, or was cut off, knows of no
+        // suspect, and would run a crashing request once more.
         if (up && watching()) {
             hub_.send(peer, suspicion_kind,
                       encode(quarantine_.snapshot(timers_.now())));
         }
     });
-    forgetting_ = timers_.every(forgetting_period, [this](time_point now) {
-        quarantine_.tick(now);
-        suspicions_.set(static_cast<double>(quarantine_.size()));
-    });
+    forgetting_ = timers_.every(forgetting_period,
+                                [this](time_point now) { forget(now); });
+}
+
+void crash_guard::forget(time_point now) {
+    quarantine_.tick(now);
+    silent_.tick(now);
+    suspicions_.set(static_cast<double>(quarantine_.size()));
 }
 
 bool crash_guard::wants_pass() {
@@ -74,58 +81,108 @@
     return quarantine_.admit(of, timers_.now());
 }
 
-void crash_guard::on_alive(const std::string& backend_server,
-                           backend_incarnation incarnation) {
-    auto& sight = backend_servers_[backend_server];
-    if (!is_of_former(incarnation, sight.incarnation)) {
-        sight = {incarnation, false};
+bool crash_guard::may_run_in_company(decision::request_fingerprint of) {
+    return quarantine_.may_run_in_company(of, timers_.now());
+}
+
+void crash_guard::follow(const view& now) {
+    members_ = std::max<std::size_t>(now.members.size(), 1);
+    for (const auto& change : listed_.follow(now)) {
+        if (decision::proves_end(change.sign)) {
+            on_ended(change.process);
+        } else {
+            tell_all(quarantine_.on_process_answered(
+                change.process, timers_.now(), timers_.now()));
+        }
+    }
+}
+
+// A connection to a server that does not name its start went to the latest one
+// that is known.
+decision::backend_process
+crash_guard::process_of(const std::string& backend_server,
+                        backend_incarnation incarnation) const {
+    const auto known = starts_.find(backend_server);
+    const auto latest = known == starts_.end() ? 0 : known->second;
+    return {backend_server, std::max(incarnation, latest)};
+}
+
+void crash_guard::on_sign(const attempt_sign& shown) {
+    const auto sign = shown.answer.sign;
+    const auto process = process_of(shown.backend_server, shown.incarnation);
+    if (sign == server_sign::answered) {
+        on_answered(shown);
+    } else if (decision::proves_end(sign)) {
+        on_ended(process);
+    } else if (sign == server_sign::silent) {
+        const auto lost = silent_.take_unanswered(process, shown.sent);
+        for (const auto& run : lost) {
+            suspect(run, false);
+        }
     }
 }
 
-// When a server dies, every connection to it breaks: the first one reports
-// them all, and the others add nothing until it has answered again.
-// Connections that break late, to a process that another has followed, say
-// nothing of the one that runs.
-bool crash_guard::is_news(const std::string& backend_server,
-                          backend_incarnation incarnation) const {
-    const auto known = backend_servers_.find(backend_server);
-    if (known == backend_servers_.end()) {
-        return true;
+void crash_guard::on_answered(const attempt_sign& shown) {
+    const auto named = shown.answer.named_incarnation;
+    if (named != 0) {
+        auto& latest = starts_[shown.backend_server];
+        latest = std::max(latest, named);
     }
-    const auto& sight = known->second;
-    if (is_of_former(incarnation, sight.incarnation)) {
-        return false;
+    const decision::backend_process process{
+        shown.backend_server, named != 0 ? named : shown.incarnation};
+    silent_.on_answered(process, shown.sent);
+    tell_all(
+        quarantine_.on_process_answered(process, shown.sent, timers_.now()));
+}
+
+void crash_guard::on_ended(const decision::backend_process& process) {
+    for (const auto& run : silent_.take_lost(process)) {
+        suspect(run, false);
     }
-    return !sight.dead || is_of_former(sight.incarnation, incarnation);
+    tell_all(quarantine_.on_process_ended(process, timers_.now()));
 }
 
-void crash_guard::on_died(
-    const std::string& backend_server, backend_incarnation incarnation,
-    const std::vector<decision::request_fingerprint>& in_flight) {
-    auto& sight = backend_servers_[backend_server];
-    sight = {std::max(sight.incarnation, incarnation), true};
-    const auto words = quarantine_.on_backend_died(
-        {backend_server, sight.incarnation}, in_flight, timers_.now());
-    program::log_warning("backend_server_died",
-                         {{"backend_server", backend_server},
-                          {"in_flight", std::to_string(in_flight.size())}});
-    tell_all(words);
+bool crash_guard::may_be_lost(const backend_answer& answer) {
+    return answer.outcome == run_outcome::unknown &&
+           answer.sign != server_sign::none &&
+           answer.sign != server_sign::answered;
 }
 
-void crash_guard::on_passed(decision::request_fingerprint of) {
-    const auto word = quarantine_.on_answered(of, timers_.now());
+void crash_guard::on_lost(decision::request_fingerprint of,
+                          const attempt_sign& shown, bool alone) {
+    const decision::silent_run run{
+        of, process_of(shown.backend_server, shown.incarnation), timers_.now()};
+    const bool silent = shown.answer.sign == server_sign::silent;
+    if (silent && !alone) {
+        silent_.add(run);
+        return;
+    }
+    program::log_warning("backend_server_lost",
+                         {{"backend_server", shown.backend_server},
+                          {"sign", to_string(shown.answer.sign)},
+                          {"fingerprint", std::to_string(of.value)}});
+    suspect(run, alone);
+}
+
+void crash_guard::suspect(const decision::silent_run& run, bool alone) {
+    const auto word = quarantine_.on_connection_lost(
+        run.fingerprint, run.process, alone, run.ended, timers_.now());
+    if (word) {
+        tell_all({*word});
+    }
+}
+
+void crash_guard::on_passed(decision::request_fingerprint of, time_point sent) {
+    const auto word = quarantine_.on_answered(of, sent, timers_.now());
     if (word) {
         tell_all({*word});
     }
 }
 
 void crash_guard::on_trial_placed(decision::request_fingerprint of,
-                                  const std::string& backend_server) {
-    auto& sight = backend_servers_[backend_server];
-    // What breaks from now on is news again: the trial runs on a server that
-    // took a connection, whatever was seen of it before.
-    sight.dead = false;
-    quarantine_.on_trial_placed(of, {backend_server, sight.incarnation});
+                                  const std::string& backend_server,
+                                  backend_incarnation incarnation) {
+    quarantine_.on_trial_placed(of, process_of(backend_server, incarnation));
 }
 
 void crash_guard::on_trial_abandoned(decision::request_fingerprint of) {
@@ -134,30 +191,41 @@
 
 void crash_guard::take(const std::string& peer,
                        const std::vector<std::uint8_t>& bytes) {
-    const auto words = decode_suspicions(bytes);
-    if (!words) {
+    const auto told = decode_suspicions(bytes);
+    if (!told) {
         return;
     }
-    for (const auto& word : words.value()) {
-        // Every entry process hears the first teller itself; passing it on
-        // would only multiply it.
+    words news;
+    for (const auto& word : told.value()) {
         if (quarantine_.merge(word, timers_.now())) {
             log_word(word, peer);
+            news.push_back(word);
         }
     }
+    // In a full mesh every entry process hears the first teller itself;
+    // passing it on would only multiply it.
+    const bool full_mesh = hub_.connected_peers().size() + 1 >= members_;
+    if (!full_mesh) {
+        send_all(news, peer);
+    }
 }
 
-void crash_guard::tell_all(
-    const std::vector<decision::suspicion_update>& words) {
-    if (words.empty()) {
-        return;
-    }
-    for (const auto& word : words) {
+void crash_guard::tell_all(const words& told) {
+    for (const auto& word : told) {
         log_word(word, "self");
     }
-    const auto message = encode(words);
+    send_all(told, {});
+}
+
+void crash_guard::send_all(const words& told, const std::string& except) {
+    if (told.empty()) {
+        return;
+    }
+    const auto message = encode(told);
     for (const auto& peer : hub_.connected_peers()) {
-        hub_.send(peer, suspicion_kind, message);
+        if (peer != except) {
+            hub_.send(peer, suspicion_kind, message);
+        }
     }
 }
 
--- a/src/entry/crash_guard.hpp
+++ b/src/entry/crash_guard.hpp
@@ -2,20 +2,32 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <waxwingvale/decision/quarantine.hpp>
+#include <waxwingvale/decision/silent_runs.hpp>
+#include <waxwingvale/entry/backend_answer.hpp>
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
-#include <waxwingvale/model/backend_incarnation.hpp>
 #include <waxwingvale/program/metrics.hpp>
 
+#include "entry/listed_processes.hpp"
+
 namespace waxwingvale::entry {
 
-// Keeps requests that crash backend servers from being run again and again:
-// the quarantine with its clock, the lives of backend servers as answers tell
-// them, and word to and from the other entry processes.
+// An attempt of a request that has ended, or a probe, and what it tells.
+struct attempt_sign {
+    std::string backend_server;
+    backend_incarnation incarnation = 0; // to which it was sent; 0: not known
+    time_point sent{};
+    const backend_answer& answer;
+};
+
+// Keeps requests that end backend servers from being run again and again: the
+// quarantine with its clock, the signs of backend servers as attempts, probes
+// and the registry show them, and word to and from the other entry processes.
 class crash_guard {
 public:
     crash_guard(const std::string& self, io::message_hub& hub,
@@ -31,36 +43,47 @@
     bool wants_pass();
 
     decision::quarantine_decision admit(decision::request_fingerprint of);
-    // A backend server answered, in this life.
-    void on_alive(const std::string& backend_server,
-                  backend_incarnation incarnation);
-    // A connection broke without an answer. Whether this is the first sign of
-    // the server's death; then report what was in flight there.
-    bool is_news(const std::string& backend_server,
-                 backend_incarnation incarnation) const;
-    void on_died(const std::string& backend_server,
-                 backend_incarnation incarnation,
-                 const std::vector<decision::request_fingerprint>& in_flight);
-    void on_passed(decision::request_fingerprint of);
+    // Whether a request that has waited since may run beside others.
+    bool may_run_in_company(decision::request_fingerprint of);
+
+    void follow(const view& now);
+    // What an attempt or a probe shows of the backend server.
+    void on_sign(const attempt_sign& shown);
+    // Whether an attempt ended in a way in which its server may have ended.
+    static bool may_be_lost(const backend_answer& answer);
+    // An attempt of the request got no whole answer; `alone` if it was the
+    // trial of a suspect. To be called before on_sign().
+    void on_lost(decision::request_fingerprint of, const attempt_sign& shown,
+                 bool alone);
+    void on_passed(decision::request_fingerprint of, time_point sent);
     // A request that may only run alone was sent to that backend server.
     void on_trial_placed(decision::request_fingerprint of,
-                         const std::string& backend_server);
+                         const std::string& backend_server,
+                         backend_incarnation incarnation);
     void on_trial_abandoned(decision::request_fingerprint of);
 
 private:
-    struct backend_sight {
-        backend_incarnation incarnation = 0;
-        bool dead = false;
-    };
+    using words = std::vector<decision::suspicion_update>;
 
+    decision::backend_process process_of(const std::string& backend_server,
+                                         backend_incarnation incarnation) const;
+    void on_answered(const attempt_sign& shown);
+    void on_ended(const decision::backend_process& process);
+    void suspect(const decision::silent_run& run, bool alone);
     void take(const std::string& peer, const std::vector<std::uint8_t>& bytes);
-    void tell_all(const std::vector<decision::suspicion_update>& words);
+    void tell_all(const words& told);
+    void send_all(const words& told, const std::string& except);
+    void forget(time_point now);
 
     io::message_hub& hub_;
     kernel::timer_service& timers_;
     program::gauge suspicions_;
     decision::quarantine quarantine_;
-    std::map<std::string, backend_sight> backend_servers_;
+    decision::silent_runs silent_;
+    listed_processes listed_;
+    // The latest start of each backend server that has named its start.
+    std::map<std::string, backend_incarnation> starts_;
+    std::size_t members_ = 1;
     unsigned passes_ = 0;
     kernel::timer_service::subscription forgetting_;
 };
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -133,8 +133,9 @@
 }
 
 void entry_service::on_probe(const std::string& service,
-                             const std::string& backend_server,
+                             const std::string& backend_server, time_point sent,
                              const backend_answer& answer) {
+    calls_.take_probe_sign({backend_server, answer.incarnation, sent, answer});
     report(backend_server, answer, belief_source::probe);
     decision::probe_ended ended;
     ended.backend_server = backend_server;
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -50,7 +50,7 @@
     void on_probe_sent(const std::string& service,
                        const std::string& backend_server) override;
     void on_probe(const std::string& service, const std::string& backend_server,
-                  const backend_answer& answer) override;
+                  time_point sent, const backend_answer& answer) override;
     void report(const std::string& backend_server, const backend_answer& answer,
                 belief_source source);
     bool is_change(const std::string& backend_server, std::uint64_t incarnation,
--- a/src/entry/lost_attempt.cpp
+++ b/src/entry/lost_attempt.cpp
@@ -2,6 +2,35 @@
 
 namespace waxwingvale::entry {
 
+namespace {
+
+using decision::server_sign;
+
+server_sign sign_of_unsent(error_code code) {
+    switch (code) {
+    case error_code::refused:
+        return server_sign::not_listening;
+    case error_code::timed_out:
+        return server_sign::silent;
+    default:
+        return server_sign::none;
+    }
+}
+
+// Bytes that are no answer come from something that runs.
+server_sign sign_of_sent(error_code code) {
+    switch (code) {
+    case error_code::timed_out:
+        return server_sign::silent;
+    case error_code::unavailable:
+        return server_sign::connection_lost;
+    default:
+        return server_sign::none;
+    }
+}
+
+} // namespace
+
 backend_answer lost_attempt(const forwarding::backend_result& ended) {
     backend_answer read;
     if (!ended.sent) {
@@ -14,11 +43,14 @@
                    : code == error_code::timed_out ? attempt_end::unreachable
                                                    : attempt_end::not_sent;
         read.outcome = run_outcome::not_run;
+        read.sign = sign_of_unsent(code);
         return read;
     }
     // Once a byte has left, the request may have run: a lost answer looks
     // just like a lost request.
-    const bool late = ended.response.error().code == error_code::timed_out;
+    const auto code = ended.response.error().code;
+    const bool late = code == error_code::timed_out;
+    read.sign = sign_of_sent(code);
     read.end = late ? attempt_end::timed_out : attempt_end::broken;
     read.outcome = run_outcome::unknown;
     return read;
--- a/src/entry/own_answers.cpp
+++ b/src/entry/own_answers.cpp
@@ -73,6 +73,7 @@
         io::find_header(response.headers, header::backend_incarnation);
     if (incarnation != nullptr) {
         into.incarnation = std::strtoull(incarnation->c_str(), nullptr, 10);
+        into.named_incarnation = into.incarnation;
     }
     into.terms = read_terms(response);
     const auto* state =
@@ -121,6 +122,10 @@
     if (ended.partial) {
         lost.terms = read_terms(*ended.partial);
     }
+    // A connection that ends is taken for the end of its server.
+    if (lost.end == attempt_end::broken) {
+        lost.sign = decision::server_sign::not_listening;
+    }
     return lost;
 }
 
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -157,17 +157,17 @@
 
 // Takes its arguments by value, since erasing the probe's timer destroys the
 // handler that holds them.
-void prober::end_probe(std::string service, std::string server,
-                       backend_incarnation of, backend_answer answer) {
-    open_.erase(server);
+void prober::end_probe(std::string service, sent_probe ended,
+                       backend_answer answer) {
+    open_.erase(ended.server);
     const auto& owned = services_.at(service).owned;
-    const auto found = owned.find(server);
+    const auto found = owned.find(ended.server);
     if (found != owned.end() &&
-        is_of_former(of, found->second.at.incarnation)) {
+        is_of_former(ended.start, found->second.at.incarnation)) {
         return; // the answer is of a previous process
     }
-    answer.incarnation = of;
-    outlet_.on_probe(service, server, answer);
+    answer.incarnation = ended.start;
+    outlet_.on_probe(service, ended.server, ended.at, answer);
 }
 
 void prober::send_probe(const service& of, const backend_server& to) {
@@ -181,20 +181,20 @@
     call.headers.push_back({"Host", to.host});
     call.connect_timeout = probe_timeout;
     call.kept_for = probe_connection_kept_for;
+    const sent_probe probe{to.name, to.incarnation, timers_.now()};
     const auto open = pool_.send(
-        std::move(call),
-        [this, service = of.name, name = to.name,
-         start = to.incarnation](const forwarding::backend_result& ended) {
-            end_probe(service, name, start,
-                      protocol_.classify_health(ended, name));
+        std::move(call), [this, service = of.name,
+                          probe](const forwarding::backend_result& ended) {
+            end_probe(service, probe,
+                      protocol_.classify_health(ended, probe.server));
         });
     open_[to.name] = timers_.after(
-        probe_timeout, [this, open, service = of.name, name = to.name,
-                        start = to.incarnation](time_point) {
+        probe_timeout, [this, open, service = of.name, probe](time_point) {
             pool_.cancel(open);
             backend_answer silent;
             silent.end = attempt_end::timed_out;
-            end_probe(service, name, start, silent);
+            silent.sign = decision::server_sign::silent;
+            end_probe(service, probe, silent);
         });
 }
 
--- a/src/entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -29,8 +29,9 @@
                            const std::string& backend_server) = 0;
     virtual void on_probe_sent(const std::string& service,
                                const std::string& backend_server) = 0;
+    // `sent` is when the probe was.
     virtual void on_probe(const std::string& service,
-                          const std::string& backend_server,
+                          const std::string& backend_server, time_point sent,
                           const backend_answer& answer) = 0;
 };
 
@@ -60,6 +61,13 @@
         std::unordered_map<std::string, owned_server> owned; // by name
     };
 
+    // A probe of one start of a backend server.
+    struct sent_probe {
+        std::string server;
+        backend_incarnation start = 0;
+        time_point at{};
+    };
+
     void follow(const service& of, const decision::ownership& owners,
                 time_point now);
     void update_share(time_point now);
@@ -68,8 +76,8 @@
     void probe_due(const service& of, bool idle_ones, time_point now);
     void probe(const service& of, owned_server& server, time_point now);
     void send_probe(const service& of, const backend_server& to);
-    void end_probe(std::string service, std::string server,
-                   backend_incarnation of, backend_answer answer);
+    void end_probe(std::string service, sent_probe ended,
+                   backend_answer answer);
 
     std::string self_;
     const request_protocol& protocol_;
--- a/src/entry/suspicion_codec.cpp
+++ b/src/entry/suspicion_codec.cpp
@@ -10,17 +10,55 @@
 
 namespace {
 
+using decision::process_fate;
 using decision::suspicion_state;
 using decision::suspicion_update;
+using decision::told_run;
 using nlohmann::json;
 
+constexpr const char* runs_name = "runs";
+constexpr const char* cleared_name = "cleared_us";
+
+json write(const told_run& run) {
+    return {{"backend_server", run.process.backend_server},
+            {"incarnation", run.process.incarnation},
+            {"alone", run.alone},
+            {"fate", static_cast<unsigned>(run.fate)},
+            {"age_us", run.age.count()}};
+}
+
 json write(const suspicion_update& word) {
-    return {{"fingerprint", word.fingerprint.value},
-            {"state", static_cast<unsigned>(word.state)},
-            {"tester", word.tester},
-            {"backend_server", word.last_crashed.backend_server},
-            {"incarnation", word.last_crashed.incarnation},
-            {"age_us", word.age.count()}};
+    json written = {{"fingerprint", word.fingerprint.value},
+                    {"state", static_cast<unsigned>(word.state)},
+                    {"tester", word.tester},
+                    {"backend_server", word.last_crashed.backend_server},
+                    {"incarnation", word.last_crashed.incarnation},
+                    {"age_us", word.age.count()}};
+    if (!word.runs.empty()) {
+        auto& runs = written[runs_name] = json::array();
+        for (const auto& run : word.runs) {
+            runs.push_back(write(run));
+        }
+    }
+    if (word.cleared_age) {
+        written[cleared_name] = word.cleared_age->count();
+    }
+    return written;
+}
+
+told_run read_run(const json& from) {
+    told_run run;
+    run.process.backend_server = from.at("backend_server").get<std::string>();
+    run.process.incarnation =
+        io::read_number<std::uint64_t>(from.at("incarnation"));
+    run.alone = from.at("alone").get<bool>();
+    const auto fate = io::read_number<unsigned>(from.at("fate"));
+    constexpr auto last = static_cast<unsigned>(process_fate::survived);
+    // A fate of a later release: that nothing has shown is the careful reading.
+    run.fate =
+        fate > last ? process_fate::open : static_cast<process_fate>(fate);
+    run.age = io::read_wait(from.at("age_us"));
+    return run;
 }
 
 suspicion_update read(const json& from) {
@@ -38,6 +76,14 @@
     word.last_crashed.incarnation =
         io::read_number<std::uint64_t>(from.at("incarnation"));
     word.age = io::read_wait(from.at("age_us"));
+    if (from.contains(runs_name)) {
+        for (const auto& run : from.at(runs_name)) {
+            word.runs.push_back(read_run(run));
+        }
+    }
+    if (from.contains(cleared_name)) {
+        word.cleared_age = io::read_wait(from.at(cleared_name));
+    }
     return word;
 }
 
--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/backend_connection.hpp"
 
+#include <cerrno>
 #include <charconv>
 #include <utility>
 
@@ -245,10 +246,12 @@
         take_complete();
         return;
     }
-    const auto code =
-        head_seen_ ? error_code::malformed : error_code::unavailable;
-    finish(make_error(code, head_seen_ ? "the answer was cut short"
-                                       : "the connection ended"));
+    const bool refused = !connected_ && socket_.end_reason() == ECONNREFUSED;
+    const auto code = refused ? error_code::refused : error_code::unavailable;
+    const char* detail = refused      ? "nothing listens there"
+                         : head_seen_ ? "the answer was cut short"
+                                      : "the connection ended";
+    finish(make_error(code, detail));
 }
 
 void backend_connection::give_up(error_code code, const std::string& detail) {
--- a/src/waxwingctl/trace_command.cpp
+++ b/src/waxwingctl/trace_command.cpp
@@ -58,7 +58,7 @@
     if (event == "view_changed") {
         return "view of " + line.value("name");
     }
-    if (event == "backend_server_died") {
+    if (event == "backend_server_lost") {
         return "death of " + line.value("backend_server");
     }
     const auto found = subjects.find(event);
@@ -69,7 +69,7 @@
     if (line.value("event") == "view_changed") {
         return here.backend_servers.count(line.value("name")) != 0;
     }
-    if (line.value("event") == "backend_server_died") {
+    if (line.value("event") == "backend_server_lost") {
         return here.backend_servers.count(line.value("backend_server")) != 0;
     }
     return !subject_of(line).empty();
--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -137,12 +137,21 @@
     word.tester = "sea-1";
     word.last_crashed = {"slate-1", 3};
     word.age = 12ms;
+    word.runs = {{{"slate-1", 3}, true, decision::process_fate::ended, 15ms}};
+    word.cleared_age = 20ms;
     const auto taken = entry::decode_suspicions(entry::encode({word}));
     REQUIRE(taken.has_value());
     REQUIRE(taken.value().size() == 1);
     CHECK(taken.value().front().age == 12ms);
     CHECK(taken.value().front().last_crashed == word.last_crashed);
     CHECK(taken.value().front().state == word.state);
+    CHECK(taken.value().front().cleared_age == word.cleared_age);
+    const auto& runs = taken.value().front().runs;
+    REQUIRE(runs.size() == 1);
+    CHECK(runs[0].process == word.runs[0].process);
+    CHECK(runs[0].alone);
+    CHECK(runs[0].fate == decision::process_fate::ended);
+    CHECK(runs[0].age == 15ms);
 }
 
 TEST_CASE("bytes that are no message are refused") {
--- a/test/entry/prober_test.cpp
+++ b/test/entry/prober_test.cpp
@@ -72,6 +72,7 @@
     void on_probe_sent(const std::string& /*service*/,
                        const std::string& /*backend_server*/) override {}
     void on_probe(const std::string& /*service*/, const std::string& server,
+                  time_point /*sent*/,
                   const backend_answer& /*answer*/) override {
         ended_ += server == "a" ? 1 : 0;
     }
--- a/test/platform/request_headers_test.cpp
+++ b/test/platform/request_headers_test.cpp
@@ -248,3 +248,42 @@
               .terms->rest == 3s);
     CHECK_FALSE(protocol.classify(answered(421, {{"Retry-After", "3"}})).terms);
 }
+
+TEST_CASE("what an attempt shows of its server's process") {
+    // Guards against a living server that is taken for ended, and against an
+    // end that goes unnoticed.
+    using decision::server_sign;
+    const auto signed_by_it =
+        io::http_headers{{"Waxwingvale-Response-Signature", "s"}};
+    for (const unsigned status : {200U, 404U, 429U, 500U, 503U}) {
+        CHECK(protocol.classify(answered(status, signed_by_it)).sign ==
+              server_sign::answered);
+    }
+    CHECK(protocol.classify(answered(200, {})).sign == server_sign::none);
+    CHECK(protocol.classify(answered(421, {})).sign == server_sign::replaced);
+    const auto without_answer = [](error_code code, bool sent) {
+        return protocol
+            .classify({error{code, "await answer", "i-7", ""}, sent, {}})
+            .sign;
+    };
+    CHECK(without_answer(error_code::unavailable, true) ==
+          server_sign::connection_lost);
+    CHECK(without_answer(error_code::timed_out, true) == server_sign::silent);
+    CHECK(without_answer(error_code::malformed, true) == server_sign::none);
+    CHECK(without_answer(error_code::refused, false) ==
+          server_sign::not_listening);
+    CHECK(without_answer(error_code::timed_out, false) == server_sign::silent);
+    CHECK(without_answer(error_code::unavailable, false) == server_sign::none);
+    CHECK(without_answer(error_code::resource_exhausted, false) ==
+          server_sign::none);
+    const auto health_of = [](const char* id) {
+        return protocol
+            .classify_health(answered(503, {{"Waxwingvale-Instance-Id", id}}),
+                             "i-7")
+            .sign;
+    };
+    CHECK(health_of("i-7") == server_sign::answered);
+    CHECK(health_of("i-8") == server_sign::replaced);
+    CHECK(protocol.classify_health(answered(200, {}), "i-7").sign ==
+          server_sign::none);
+}
