entry, platform: copies are known whatever their attempts' headers

Callers saw a service lose its servers again and again: 13 and 14 times after the third end, 31 ends in all. One request was behind it.

Cause: the fingerprint by which a request that ends servers is known again took in all headers but those of our own protocol. On the platform each attempt of a caller has an id and a deadline of its own, so each copy was a request never seen before. The class of the fault: an identity made of whatever is passed on, where only one of two protocols had said which parts of it belong to an attempt.

Now the protocol in use says which headers callers set anew for each attempt, and a copy is known by who asks whom for what: authority, client account, method, target, body and the other headers. The service is no part of it, since the next configuration may send the next copy to another one. Of a long body only what has always come when a copy is looked at counts.

--- a/include/waxwingvale/decision/fingerprint.hpp
+++ b/include/waxwingvale/decision/fingerprint.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace waxwingvale::decision {
@@ -38,6 +40,24 @@
     std::string value;
 };
 
+// What makes two requests copies of one for the quarantine: who asks whom for
+// what. The service that runs them is no part of it: a configuration may send
+// the next copy to another one.
+struct copy_identity {
+    std::string authority; // the host, or what else the target is relative to
+    std::string tenant;    // the client account
+    std::string method;
+    std::string target;
+    std::string_view body; // its beginning counts, up to identified_body
+    std::vector<fingerprint_header> headers;
+};
+
+// A long body is passed on while it comes, so that no more of it is known when
+// a copy is to be recognised.
+constexpr std::size_t identified_body = 256 * 1024; // bytes
+
+request_fingerprint crash_fingerprint_of(const copy_identity& of);
+
 // Returns the fingerprint by which the quarantine identifies requests: the four
 // parts above and the headers. Headers are included because one of them may
 // cause the crash, and a popular read without that header must not be refused
--- a/include/waxwingvale/entry/caller_call.hpp
+++ b/include/waxwingvale/entry/caller_call.hpp
@@ -16,6 +16,9 @@
     std::vector<route_target> targets; // at least one
     request_class kind;
     std::string target; // path and query that the backend server is asked for
+    // What the caller's target is relative to: a host, or the service that it
+    // names. It stays the same whatever service runs the request.
+    std::string authority;
     std::string tenant;
     std::string id; // names the request in log lines
     std::optional<std::string> key;
--- a/include/waxwingvale/entry/request_protocol.hpp
+++ b/include/waxwingvale/entry/request_protocol.hpp
@@ -39,6 +39,10 @@
     // run: then nobody may say "not run" who has not looked for it.
     virtual bool may_be_resent(const io::http_request& request) const = 0;
 
+    // Whether callers set that header anew for each attempt of a request: an id
+    // of the attempt, a deadline. What identifies the caller is none.
+    virtual bool is_of_one_attempt(const std::string& header) const = 0;
+
     // The headers of an attempt: the caller's end-to-end ones, and those that
     // the protocol sets anew.
     virtual io::http_headers
--- a/src/decision/fingerprint.cpp
+++ b/src/decision/fingerprint.cpp
@@ -98,4 +98,13 @@
     return digest_of(text);
 }
 
+request_fingerprint crash_fingerprint_of(const copy_identity& of) {
+    auto headers = of.headers;
+    // No header that a caller sends has such a name.
+    headers.push_back({":tenant", of.tenant});
+    return crash_fingerprint_of(of.authority, of.method, of.target,
+                                std::string(of.body.substr(0, identified_body)),
+                                headers);
+}
+
 } // namespace waxwingvale::decision
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -158,6 +158,7 @@
                    targets_.next(understood.kind.name, understood.targets),
                    understood.kind.name};
     call.content = content_of(call.caller, understood.target);
+    call.content.authority = understood.authority;
     call.arrived = timers_.now();
     call.deadline = call.arrived + understood.time_left;
     set_target(call, understood);
--- a/src/entry/call_record.hpp
+++ b/src/entry/call_record.hpp
@@ -45,6 +45,7 @@
     std::string method;
     std::string target;
     std::string host;         // as the caller named it; empty: it did not
+    std::string authority;    // what the target is relative to
     io::http_headers headers; // end to end
     std::shared_ptr<const std::string> body; // null: none
     // The rest of a long body, which can be sent only once.
--- a/src/entry/call_trials.cpp
+++ b/src/entry/call_trials.cpp
@@ -8,15 +8,21 @@
 namespace waxwingvale::entry {
 
 decision::request_fingerprint
-call_desk::crash_fingerprint(const call_record& call) {
-    std::vector<decision::fingerprint_header> headers;
+call_desk::crash_fingerprint(const call_record& call) const {
+    decision::copy_identity identity;
+    identity.authority = call.content.authority;
+    identity.tenant = call.labels.tenant;
+    identity.method = call.content.method;
+    identity.target = call.content.target;
+    if (call.content.body) {
+        identity.body = *call.content.body;
+    }
     for (const auto& header : call.content.headers) {
-        headers.push_back({header.name, header.value});
+        if (!protocol_.is_of_one_attempt(header.name)) {
+            identity.headers.push_back({header.name, header.value});
+        }
     }
-    static const std::string no_body;
-    return decision::crash_fingerprint_of(
-        call.labels.service, call.content.method, call.content.target,
-        call.content.body ? *call.content.body : no_body, headers);
+    return decision::crash_fingerprint_of(identity);
 }
 
 // Applies the decision of the quarantine on a request. Each operator returns
--- a/src/entry/own_protocol.hpp
+++ b/src/entry/own_protocol.hpp
@@ -32,6 +32,8 @@
                const io::http_request& request) const override;
     // Copies of one request carry the same key.
     bool may_be_resent(const io::http_request& request) const override;
+    // Those of ours are left out of every fingerprint.
+    bool is_of_one_attempt(const std::string&) const override { return false; }
     io::http_headers backend_headers(const io::http_headers& from_caller,
                                      const attempt_facts& facts) const override;
     std::optional<forwarding::echoed_header>
--- a/src/entry/own_requests.cpp
+++ b/src/entry/own_requests.cpp
@@ -96,6 +96,7 @@
                      "no service is called '" + name + "'"};
     }
     caller_call call;
+    call.authority = name;
     call.target = target.substr(name_end);
     if (call.target.empty() || call.target.front() != '/') {
         call.target.insert(0, "/");
--- a/test/platform/request_headers_test.cpp
+++ b/test/platform/request_headers_test.cpp
@@ -287,3 +287,23 @@
     CHECK(protocol.classify_health(answered(200, {}), "i-7").sign ==
           server_sign::none);
 }
+
+TEST_CASE("what differs between the attempts of a caller is known") {
+    // Guards against copies that look like requests never seen before, and
+    // against callers that are taken for one another.
+    CHECK(protocol.is_of_one_attempt("Waxwingvale-Attempt-Id"));
+    CHECK(protocol.is_of_one_attempt("waxwingvale-request-deadline"));
+    CHECK(protocol.is_of_one_attempt("Waxwingvale-Target-Instance"));
+    CHECK_FALSE(protocol.is_of_one_attempt("Authorization"));
+    CHECK_FALSE(protocol.is_of_one_attempt("Waxwingvale-Account"));
+    const auto config = read_sample();
+    const auto authority_by = [&](const std::string& host) {
+        return protocol
+            .understand(config,
+                        {"GET", "/look/1", {{"Host", host}}, "", "127.0.0.1"})
+            .value()
+            .authority;
+    };
+    CHECK(authority_by("a.example") == "a.example");
+    CHECK(authority_by("A.Example:8381") == "a.example");
+}
--- a/test/request_keys/fingerprint_test.cpp
+++ b/test/request_keys/fingerprint_test.cpp
@@ -2,6 +2,7 @@
 
 #include <waxwingvale/decision/fingerprint.hpp>
 
+using waxwingvale::decision::copy_identity;
 using waxwingvale::decision::crash_fingerprint_of;
 using waxwingvale::decision::fingerprint_of;
 
@@ -37,3 +38,42 @@
         crash_fingerprint_of("a", "GET", "/x", "", {{"A", "1"}, {"B", "2"}}) ==
         crash_fingerprint_of("a", "GET", "/x", "", {{"B", "2"}, {"A", "1"}}));
 }
+
+// Guards against copies that are not known as such, and against neighbours that
+// are refused in the place of a request that they only resemble.
+TEST_CASE("Copies agree in who asks whom for what, and in nothing less") {
+    const copy_identity one{"a.example", "t", "GET", "/x", "body", {}};
+    const auto known = crash_fingerprint_of(one);
+    CHECK(crash_fingerprint_of(copy_identity(one)) == known);
+    auto other = one;
+    other.authority = "b.example";
+    CHECK(crash_fingerprint_of(other) != known);
+    other = one;
+    other.tenant = "u";
+    CHECK(crash_fingerprint_of(other) != known);
+    other = one;
+    other.method = "HEAD";
+    CHECK(crash_fingerprint_of(other) != known);
+    other = one;
+    other.target = "/x?";
+    CHECK(crash_fingerprint_of(other) != known);
+    other = one;
+    other.body = "bodies";
+    CHECK(crash_fingerprint_of(other) != known);
+    other = one;
+    other.headers = {{"X-Account", "b"}};
+    CHECK(crash_fingerprint_of(other) != known);
+}
+
+// Guards against copies of a long body that differ by how much of it had come
+// when they were looked at.
+TEST_CASE("Of a long body only the beginning identifies its request") {
+    const std::string long_body(waxwingvale::decision::identified_body + 9,
+                                'x');
+    copy_identity whole{"a", "t", "POST", "/x", long_body, {}};
+    auto part = whole;
+    part.body.remove_suffix(5);
+    CHECK(crash_fingerprint_of(part) == crash_fingerprint_of(whole));
+    part.body.remove_suffix(5);
+    CHECK(crash_fingerprint_of(part) != crash_fingerprint_of(whole));
+}
