--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -45,6 +45,8 @@
     std::vector<told_run> runs;
     // Of the copy whose answer cleared the request last, since it was sent.
     std::optional<duration> cleared_age;
+    // Of the latest trial, since `tester` began it.
+    std::optional<duration> trial_age;
 
     // An instance of an older release tells neither.
     bool tells_evidence() const { return !runs.empty() || cleared_age; }
@@ -100,8 +102,11 @@
     quarantine(std::string self, const quarantine_limits& limits);
 
     // Must be called before a request is dispatched. run_alone marks a trial as
-    // in progress.
+    // in progress, of which the peers are to be told by update_on().
     quarantine_decision admit(request_fingerprint fingerprint, time_point now);
+    // What is known of a fingerprint, for the peers.
+    std::optional<suspicion_update> update_on(request_fingerprint fingerprint,
+                                              time_point now);
     // Whether a request that has waited since it was admitted may still run
     // beside others.
     bool may_run_in_company(request_fingerprint fingerprint, time_point now);
@@ -174,6 +179,7 @@
         crash_record record;
         std::string tester;
         time_point changed_at{};
+        std::optional<time_point> trial_began; // the latest, by `tester`
         // A peer of an older release has proof that it does not tell.
         bool proven_elsewhere = false;
         bool trial_running = false;
@@ -188,6 +194,9 @@
     bool add_run(entry& to, const lost_run& run);
     bool merge_runs(entry& into, const suspicion_update& update,
                     time_point now);
+    static bool merge_trial(entry& into, const suspicion_update& update,
+                            time_point now);
+    time_point reserved_until(const entry& of) const;
     bool merge_state(entry& into, const suspicion_update& update,
                      time_point now);
     template <typename Change>
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -58,17 +58,33 @@
     // request that does crash its backend server would cost one more server.
     // The tester may have gone down itself, so after the reservation any entry
     // instance that receives a copy may run the trial.
-    const auto reserved_until = known->changed_at + limits_.trial_reservation;
-    const bool reserved = known->tester != self_ && now < reserved_until;
+    const auto until = reserved_until(*known);
+    const bool reserved = known->tester != self_ && now < until;
     if (known->trial_running || reserved) {
-        const auto left = std::max(reserved_until - now, limits_.retry_after);
+        const auto left = std::max(until - now, limits_.retry_after);
         return refuse_suspect{known->tester, left};
     }
     known->trial_running = true;
+    known->trial_began = now;
+    known->tester = self_;
     known->trial_backend = backend_process{};
     return run_alone{known->record.latest_lost()->process.backend_server};
 }
 
+time_point quarantine::reserved_until(const entry& of) const {
+    const auto since =
+        std::max(of.changed_at, of.trial_began.value_or(of.changed_at));
+    return since + limits_.trial_reservation;
+}
+
+std::optional<suspicion_update>
+quarantine::update_on(request_fingerprint fingerprint, time_point now) {
+    const auto* known = find(fingerprint, now);
+    return known == nullptr
+               ? std::nullopt
+               : std::optional(update_for(fingerprint, *known, now));
+}
+
 bool quarantine::may_run_in_company(request_fingerprint fingerprint,
                                     time_point now) {
     const auto* known = find(fingerprint, now);
@@ -223,6 +239,23 @@
     return false;
 }
 
+// Whoever began the latest trial is the one to wait for: were the first one by
+// name, two instances would run trials at once after the tester is gone.
+bool quarantine::merge_trial(entry& into, const suspicion_update& update,
+                             time_point now) {
+    if (!update.trial_age) {
+        return false;
+    }
+    const auto began = now - *update.trial_age;
+    const bool is_later = !into.trial_began || began > *into.trial_began;
+    const bool is_other = update.tester != into.tester;
+    if (is_later) {
+        into.trial_began = began;
+        into.tester = update.tester;
+    }
+    return is_later && is_other;
+}
+
 bool quarantine::merge(const suspicion_update& update, time_point now) {
     if (update.age >= limits_.retention) {
         return false;
@@ -247,7 +280,8 @@
                                     : update.tester;
         known->changed_at = std::max(known->changed_at, now - update.age);
     }
-    return !is_known || changed;
+    const bool began = merge_trial(*known, update, now);
+    return !is_known || changed || began;
 }
 
 bool quarantine::make_room(time_point now) {
@@ -294,6 +328,9 @@
     if (const auto* latest = known.record.latest_lost()) {
         update.last_crashed = latest->process;
     }
+    if (known.trial_began) {
+        update.trial_age = now - *known.trial_began;
+    }
     if (known.record.cleared()) {
         update.cleared_age = now - *known.record.cleared();
     }
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -78,7 +78,12 @@
 
 decision::quarantine_decision
 crash_guard::admit(decision::request_fingerprint of) {
-    return quarantine_.admit(of, timers_.now());
+    const auto decided = quarantine_.admit(of, timers_.now());
+    if (std::holds_alternative<decision::run_alone>(decided)) {
+        // The peers wait for this trial, whoever was to run it.
+        tell_all({*quarantine_.update_on(of, timers_.now())});
+    }
+    return decided;
 }
 
 bool crash_guard::may_run_in_company(decision::request_fingerprint of) {
--- a/src/entry/suspicion_codec.cpp
+++ b/src/entry/suspicion_codec.cpp
@@ -18,6 +18,7 @@
 
 constexpr const char* runs_name = "runs";
 constexpr const char* cleared_name = "cleared_us";
+constexpr const char* trial_name = "trial_us";
 
 json write(const told_run& run) {
     return {{"backend_server", run.process.backend_server},
@@ -43,6 +44,9 @@
     if (word.cleared_age) {
         written[cleared_name] = word.cleared_age->count();
     }
+    if (word.trial_age) {
+        written[trial_name] = word.trial_age->count();
+    }
     return written;
 }
 
@@ -84,6 +88,9 @@
     if (from.contains(cleared_name)) {
         word.cleared_age = io::read_wait(from.at(cleared_name));
     }
+    if (from.contains(trial_name)) {
+        word.trial_age = io::read_wait(from.at(trial_name));
+    }
     return word;
 }
 
--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -139,6 +139,7 @@
     word.age = 12ms;
     word.runs = {{{"slate-1", 3}, true, decision::process_fate::ended, 15ms}};
     word.cleared_age = 20ms;
+    word.trial_age = 30ms;
     const auto taken = entry::decode_suspicions(entry::encode({word}));
     REQUIRE(taken.has_value());
     REQUIRE(taken.value().size() == 1);
@@ -146,6 +147,7 @@
     CHECK(taken.value().front().last_crashed == word.last_crashed);
     CHECK(taken.value().front().state == word.state);
     CHECK(taken.value().front().cleared_age == word.cleared_age);
+    CHECK(taken.value().front().trial_age == word.trial_age);
     const auto& runs = taken.value().front().runs;
     REQUIRE(runs.size() == 1);
     CHECK(runs[0].process == word.runs[0].process);
--- a/test/platform/ending_server.cpp
+++ b/test/platform/ending_server.cpp
@@ -80,7 +80,9 @@
 
 void ending_server::close(connection& which) {
     which.open = false;
-    which.running.cancel();
+    if (!ends_for_nobody || !up_) {
+        which.running.cancel();
+    }
     which.socket->close();
 }
 
@@ -125,7 +127,8 @@
     const auto takes = how == run_end::end_process ? ends_after : work;
     from.running =
         timers_.after(takes, [this, &from, how, attempt](time_point) {
-            if (from.open && up_) {
+            const bool ends = how == run_end::end_process && ends_for_nobody;
+            if (up_ && (from.open || ends)) {
                 finish(from, how, attempt);
             }
         });
@@ -188,6 +191,16 @@
     end(ends_by);
 }
 
+void ending_server::reset_connections() {
+    for (auto& each : connections_) {
+        if (each.open) {
+            each.open = false;
+            each.running.cancel();
+            each.socket->reset();
+        }
+    }
+}
+
 void ending_server::end(process_end how) {
     up_ = false;
     if (how != process_end::silence) {
--- a/test/platform/ending_server.hpp
+++ b/test/platform/ending_server.hpp
@@ -54,6 +54,8 @@
     // Begins the next process, at the address of the first.
     void start(const std::string& id);
     void end(process_end how);
+    // Resets all connections; the server lives on.
+    void reset_connections();
 
     const std::string& id() const { return id_; }
     std::uint16_t port() const { return port_; }
@@ -61,6 +63,7 @@
     process_end ends_by = process_end::reset;
     duration work = std::chrono::milliseconds(5);
     duration ends_after = std::chrono::milliseconds(20);
+    bool ends_for_nobody = false; // also when the caller's connection has gone
 
 private:
     struct connection {
--- a/test/quarantine/evidence_test.cpp
+++ b/test/quarantine/evidence_test.cpp
@@ -229,3 +229,20 @@
     }
     CHECK(runs.take_lost(second).size() == 2);
 }
+
+// Guards against two trials at once after the tester is gone: each would end a
+// server.
+TEST_CASE("whoever begins a trial late is the one to wait for") {
+    quarantine gone("e0", {});
+    quarantine late("e1", {});
+    quarantine later("e2", {});
+    const auto suspected = gone.on_backend_died(first, {request}, start);
+    tell(late, suspected, start);
+    tell(later, suspected, start);
+    const auto after = start + quarantine_limits().trial_reservation;
+    CHECK(std::holds_alternative<run_alone>(late.admit(request, after)));
+    later.merge(*late.update_on(request, after), after);
+    const auto refused = later.admit(request, after);
+    REQUIRE(std::holds_alternative<refuse_suspect>(refused));
+    CHECK(std::get<refuse_suspect>(refused).tester == "e1");
+}
