--- a/test/standin/fleet.cpp
+++ b/test/standin/fleet.cpp
@@ -117,7 +117,11 @@
 }
 
 void fleet::start() {
-    publish(configuration());
+    start(configuration());
+}
+
+void fleet::start(const nlohmann::json& configuration) {
+    publish(configuration);
     publish_instances();
     for (const auto& each : instances_) {
         each->start();
@@ -204,6 +208,18 @@
     return status_of(http_request_once(std::move(call))) == 200;
 }
 
+std::string fleet::read_answer(const entry_instance_process& by) const {
+    const auto ended = http_request_once(
+        call_to(by.caller_port(), "GET", "/" + service_name + "/"));
+    if (!ended.response) {
+        return to_string(ended.response.error());
+    }
+    const auto& answer = ended.response.value();
+    const auto* reason = io::find_header(answer.headers, "Waxwing-Reason");
+    return std::to_string(answer.status) +
+           (reason == nullptr ? "" : " " + *reason);
+}
+
 void fleet::wait_until_serving() {
     for (const auto& each : instances_) {
         if (!wait_until([&] { return serves(*each); })) {
--- a/test/standin/fleet.hpp
+++ b/test/standin/fleet.hpp
@@ -118,6 +118,8 @@
 
     // Starts all and waits until every entry instance serves.
     void start();
+    // The same with a changed configuration().
+    void start(const nlohmann::json& configuration);
 
     platform_process& platform() { return platform_; }
     entry_instance_process& instance(std::size_t index);
@@ -135,6 +137,8 @@
 
     // Whether every entry instance named serves a read and knows its peers.
     bool serves(const entry_instance_process& by) const;
+    // How it answers the read by which serves() asks: status and reason.
+    std::string read_answer(const entry_instance_process& by) const;
     void wait_until_serving();
 
     // One call by way of that entry instance, waited for.
--- a/test/standin/soak/soak_run.cpp
+++ b/test/standin/soak/soak_run.cpp
@@ -156,7 +156,8 @@
     for (std::size_t i = 0; i < plan_.entry_instances; ++i) {
         auto& each = fleet_.instance(i);
         if (!wait_until([&] { return fleet_.serves(each); })) {
-            broke(each.name() + " does not serve after all is healed");
+            broke(each.name() + " does not serve after all is healed: " +
+                  fleet_.read_answer(each));
         }
         if (!wait_until([&] { return each.revision_in_force() == revision; })) {
             broke(each.name() + " has not the newest configuration");
