entry: a connection that ends is no end of its server in our own protocol

Cause: own_protocol took each connection that ends for the end of its server, and a trial that ends its server is the proof. The class of the fault: the absence of an answer read as a statement about who should have given it.

Now the protocol shows what it sees, as the platform's adapter does, and an answer that names its server's start shows that this start lives: server_sign decides.

--- a/src/entry/own_answers.cpp
+++ b/src/entry/own_answers.cpp
@@ -75,6 +75,10 @@
         into.incarnation = std::strtoull(incarnation->c_str(), nullptr, 10);
         into.named_incarnation = into.incarnation;
     }
+    // An answer that does not name the start may be of another process.
+    if (into.named_incarnation != 0) {
+        into.sign = decision::server_sign::answered;
+    }
     into.terms = read_terms(response);
     const auto* state =
         io::find_header(response.headers, header::backend_state);
@@ -122,10 +126,6 @@
     if (ended.partial) {
         lost.terms = read_terms(*ended.partial);
     }
-    // A connection that ends is taken for the end of its server.
-    if (lost.end == attempt_end::broken) {
-        lost.sign = decision::server_sign::not_listening;
-    }
     return lost;
 }
 
--- a/test/entry/backend_answer_test.cpp
+++ b/test/entry/backend_answer_test.cpp
@@ -94,3 +94,25 @@
     CHECK(entry::lost_answer(refused).retry_after ==
           entry::retry_after_default);
 }
+
+TEST_CASE("what an attempt shows of a server that names its start") {
+    // Guards against a connection that a network resets and that is taken for
+    // the end of its server.
+    using decision::server_sign;
+    const io::http_headers named = {{"Waxwing-Backend-Incarnation", "3"}};
+    for (const unsigned status : {200U, 404U, 500U, 503U}) {
+        CHECK(protocol.classify(answered(status, named)).sign ==
+              server_sign::answered);
+        CHECK(protocol.classify(answered(status, named)).named_incarnation ==
+              3);
+        CHECK(protocol.classify(answered(status)).sign == server_sign::none);
+    }
+    CHECK(protocol.classify(failed(error_code::unavailable, true)).sign ==
+          server_sign::connection_lost);
+    CHECK(protocol.classify(failed(error_code::timed_out, true)).sign ==
+          server_sign::silent);
+    CHECK(protocol.classify(failed(error_code::refused, false)).sign ==
+          server_sign::not_listening);
+    CHECK(protocol.classify(failed(error_code::unavailable, false)).sign ==
+          server_sign::none);
+}
