decision, entry: word of lost runs ends, and is told once

Cause: an event was known by its process and its age. What a peer tells again comes later by the time that word takes and looked like another loss, so that instances took it for news and told it again. Now each lost run has a name, who saw it and a number of theirs, and a verdict that only rises. Besides, all instances that use a server see at about the same moment that it lives, and each told all others; now a suspect's tester does, and the others only if nobody has. Cleared suspicions are kept 30 s in place of ten minutes.

Peers' words of suspects are no longer logged, their verdicts are.

--- a/include/waxwingvale/decision/crash_record.hpp
+++ b/include/waxwingvale/decision/crash_record.hpp
@@ -22,27 +22,31 @@
     }
 };
 
-// What became of a process whose connection broke under a request. Later values
-// override earlier ones: an answer that the process gave afterwards shows that
-// whoever took it for ended was wrong.
-enum class process_fate {
-    open, // nothing has shown yet
-    ended,
-    survived
+// What a run that was lost counts for. Later values override earlier ones: an
+// answer that comes afterwards shows that whoever took the process for ended
+// was wrong.
+enum class run_verdict {
+    open,   // nothing has shown yet
+    ended,  // its process has ended
+    excused // the process lives, or a copy sent later got its answer
 };
 
-// The connection of a request to a process broke before its answer.
+// The connection of a request to a process broke before its answer. Who saw it
+// and a number of theirs name the event: told times are too inexact to know one
+// event from the next.
 struct lost_run {
     backend_process process;
+    std::string seen_by; // the entry instance
+    std::uint64_t number = 0;
     bool alone = false; // the process ran nothing else
-    process_fate fate = process_fate::open;
-    // When it was lost; of a process that survived, the latest moment at which
-    // something was sent to it that it answered.
+    run_verdict verdict = run_verdict::open;
     time_point at{};
 
-    friend bool operator==(const lost_run& a, const lost_run& b) {
-        return std::tie(a.process, a.alone, a.fate, a.at) ==
-               std::tie(b.process, b.alone, b.fate, b.at);
+    bool is_same_event(const lost_run& other) const {
+        return std::tie(process.backend_server, process.incarnation, seen_by,
+                        number) == std::tie(other.process.backend_server,
+                                            other.process.incarnation,
+                                            other.seen_by, other.number);
     }
 };
 
@@ -82,15 +86,16 @@
 
     std::size_t ended_processes() const;
     const std::vector<lost_run>& runs() const { return runs_; }
-    // When the copy was sent whose answer cleared the request last.
-    const std::optional<time_point>& cleared() const { return cleared_; }
 
 private:
+    template <typename Matches>
+    bool excuse(Matches matches);
     template <typename Matches>
     bool settle(const std::string& backend_server, Matches matches);
 
-    std::vector<lost_run> runs_;        // the longest known first
-    std::optional<time_point> cleared_; // runs lost until then do not count
+    std::vector<lost_run> runs_; // the longest known first
+    // When the copy was sent whose answer cleared the request here last.
+    std::optional<time_point> cleared_;
 };
 
 } // namespace waxwingvale::decision
--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -28,8 +28,10 @@
 // A run that was lost, as sent to the other entry instances.
 struct told_run {
     backend_process process;
+    std::string seen_by;
+    std::uint64_t number = 0;
     bool alone = false;
-    process_fate fate = process_fate::open;
+    run_verdict verdict = run_verdict::open;
     duration age{};
 };
 
@@ -42,14 +44,10 @@
     std::string tester;           // the entry instance that may run the trial
     backend_process last_crashed; // where a run was lost last
     duration age{};               // since the latest change
+    // None: from an instance of an older release.
     std::vector<told_run> runs;
-    // Of the copy whose answer cleared the request last, since it was sent.
-    std::optional<duration> cleared_age;
     // Of the latest trial, since `tester` began it.
     std::optional<duration> trial_age;
-
-    // An instance of an older release tells neither.
-    bool tells_evidence() const { return !runs.empty() || cleared_age; }
 };
 
 // Run the request like any other.
@@ -79,6 +77,8 @@
 struct quarantine_limits {
     // How long after the latest change a fingerprint is kept.
     duration retention = std::chrono::minutes(10);
+    // The same of one that is no suspect any more: word of it may be late.
+    duration cleared_retention = std::chrono::seconds(30);
     // How long only the tester may run the trial of a suspect.
     duration trial_reservation = std::chrono::seconds(10);
     // How long the next trial waits until it has shown whether the last one
--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -1,7 +1,9 @@
 #include <waxwingvale/decision/crash_record.hpp>
 
 #include <algorithm>
+#include <set>
 #include <tuple>
+#include <utility>
 
 namespace waxwingvale::decision {
 
@@ -12,45 +14,32 @@
 constexpr std::size_t ends_for_proof = 2;
 
 bool has_ended(const lost_run& run) {
-    return run.fate == process_fate::ended;
+    return run.verdict == run_verdict::ended;
 }
 
 bool tells_less(const lost_run& a, const lost_run& b) {
     const auto rank = [](const lost_run& run) {
-        const bool survived = run.fate == process_fate::survived;
-        return std::make_tuple(!survived, has_ended(run), run.alone, run.at);
+        const bool excused = run.verdict == run_verdict::excused;
+        return std::make_tuple(!excused, has_ended(run), run.alone, run.at);
     };
     return rank(a) < rank(b);
 }
 
-// Reads `told` as news of the same process. Returns whether it was any.
-bool learn(lost_run& known, const lost_run& told) {
-    const auto before = known;
-    const bool known_survived = known.fate == process_fate::survived;
-    const bool told_survived = told.fate == process_fate::survived;
-    if (known_survived != told_survived) {
-        // Whichever is later holds: a process that survived may end later.
-        known = told.at > known.at ? told : known;
-        return !(before == known);
-    }
-    known.alone = known.alone || told.alone;
-    known.fate = std::max(known.fate, told.fate);
-    known.at = std::max(known.at, told.at);
-    return before.alone != known.alone || before.fate != known.fate;
-}
-
 } // namespace
 
 bool crash_record::add(const lost_run& run) {
-    if (cleared_ && run.at <= *cleared_) {
-        return false;
-    }
     const auto same =
         std::find_if(runs_.begin(), runs_.end(), [&](const lost_run& each) {
-            return each.process == run.process;
+            return each.is_same_event(run);
         });
     if (same != runs_.end()) {
-        return learn(*same, run);
+        const auto verdict = std::max(same->verdict, run.verdict);
+        const bool changed = verdict != same->verdict;
+        same->verdict = verdict;
+        return changed;
+    }
+    if (cleared_ && run.at <= *cleared_) {
+        return false;
     }
     if (runs_.size() == most_runs) {
         runs_.erase(std::min_element(runs_.begin(), runs_.end(), tells_less));
@@ -77,8 +66,8 @@
     for (auto& run : runs_) {
         const bool there = run.process.backend_server == backend_server &&
                            matches(run.process.incarnation);
-        if (there && run.fate == process_fate::open) {
-            run.fate = process_fate::ended;
+        if (there && run.verdict == run_verdict::open) {
+            run.verdict = run_verdict::ended;
             changed = true;
         }
     }
@@ -87,34 +76,36 @@
 
 bool crash_record::settle_survived(const backend_process& process,
                                    time_point sent) {
+    return excuse([&](const lost_run& run) {
+        return run.process == process && run.at < sent;
+    });
+}
+
+bool crash_record::clear(time_point sent) {
+    cleared_ = std::max(cleared_.value_or(sent), sent);
+    return excuse([&](const lost_run& run) { return run.at <= sent; });
+}
+
+template <typename Matches>
+bool crash_record::excuse(Matches matches) {
     bool changed = false;
     for (auto& run : runs_) {
-        if (run.process == process && run.at < sent &&
-            run.fate != process_fate::survived) {
-            run.fate = process_fate::survived;
-            run.at = sent;
+        if (run.verdict != run_verdict::excused && matches(run)) {
+            run.verdict = run_verdict::excused;
             changed = true;
         }
     }
     return changed;
 }
 
-bool crash_record::clear(time_point sent) {
-    if (cleared_ && sent <= *cleared_) {
-        return false;
-    }
-    const auto counted = runs_.size();
-    cleared_ = sent;
-    runs_.erase(std::remove_if(
-                    runs_.begin(), runs_.end(),
-                    [&](const lost_run& run) { return run.at <= *cleared_; }),
-                runs_.end());
-    return runs_.size() != counted;
-}
-
 std::size_t crash_record::ended_processes() const {
-    return static_cast<std::size_t>(
-        std::count_if(runs_.begin(), runs_.end(), has_ended));
+    std::set<std::pair<std::string, std::uint64_t>> ended;
+    for (const auto& run : runs_) {
+        if (has_ended(run)) {
+            ended.insert({run.process.backend_server, run.process.incarnation});
+        }
+    }
+    return ended.size();
 }
 
 bool crash_record::proves_crash() const {
@@ -127,14 +118,14 @@
 
 bool crash_record::is_suspect() const {
     return std::any_of(runs_.begin(), runs_.end(), [](const lost_run& run) {
-        return run.fate != process_fate::survived;
+        return run.verdict != run_verdict::excused;
     });
 }
 
 const lost_run* crash_record::latest_lost() const {
     const lost_run* latest = nullptr;
     for (const auto& run : runs_) {
-        const bool counts = run.fate != process_fate::survived;
+        const bool counts = run.verdict != run_verdict::excused;
         if (counts && (latest == nullptr || latest->at < run.at)) {
             latest = &run;
         }
@@ -145,7 +136,7 @@
 const lost_run* crash_record::undecided_trial() const {
     const lost_run* latest = nullptr;
     for (const auto& run : runs_) {
-        const bool waits = run.alone && run.fate == process_fate::open;
+        const bool waits = run.alone && run.verdict == run_verdict::open;
         if (waits && (latest == nullptr || latest->at < run.at)) {
             latest = &run;
         }
--- a/src/decision/process_signs.cpp
+++ b/src/decision/process_signs.cpp
@@ -38,7 +38,7 @@
 
 lost_run process_signs::judged(lost_run run) const {
     const auto found = of_servers_.find(run.process.backend_server);
-    if (found == of_servers_.end() || run.fate == process_fate::survived) {
+    if (found == of_servers_.end() || run.verdict == run_verdict::excused) {
         return run;
     }
     const auto& known = found->second;
@@ -47,15 +47,14 @@
                           known.answered_by == incarnation &&
                           known.answered > run.at;
     if (survived) {
-        run.fate = process_fate::survived;
-        run.at = known.answered;
+        run.verdict = run_verdict::excused;
         return run;
     }
     const bool followed = known.has_answered && known.answered_by > incarnation;
     const bool ended = known.has_ended && known.ended_up_to >= incarnation &&
                        run.at <= known.ended + word_within;
     if (followed || ended) {
-        run.fate = process_fate::ended;
+        run.verdict = run_verdict::ended;
     }
     return run;
 }
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -6,6 +6,14 @@
 
 namespace waxwingvale::decision {
 
+namespace {
+
+// Far longer than word takes, and shorter than any two trials are apart that do
+// not begin at once.
+constexpr duration word_takes = std::chrono::seconds(1);
+
+} // namespace
+
 suspicion_state quarantine::entry::state() const {
     if (proven_elsewhere || record.proves_crash()) {
         return suspicion_state::quarantined;
@@ -20,7 +28,9 @@
       recent_answers_(limits.trust_period, limits.max_fingerprints) {}
 
 bool quarantine::expired(const entry& known, time_point now) const {
-    return now - known.changed_at >= limits_.retention;
+    const bool cleared = known.state() == suspicion_state::cleared;
+    const auto kept = cleared ? limits_.cleared_retention : limits_.retention;
+    return now - known.changed_at >= kept;
 }
 
 quarantine::entry* quarantine::find(request_fingerprint fingerprint,
@@ -113,7 +123,13 @@
     known->tester = was_suspect ? std::min(known->tester, self_) : self_;
     known->changed_at = now;
     known->trial_running = known->trial_running && !alone;
-    add_run(*known, {process, alone, process_fate::open, lost});
+    lost_run run;
+    run.process = process;
+    run.seen_by = self_;
+    run.number = static_cast<std::uint64_t>(lost.time_since_epoch().count());
+    run.alone = alone;
+    run.at = lost;
+    add_run(*known, run);
     return update_for(fingerprint, *known, now);
 }
 
@@ -123,6 +139,9 @@
     std::vector<suspicion_update> updates;
     for (auto& [fingerprint, known] : entries_) {
         if (!expired(known, now) && change(known.record)) {
+            if (known.state() == suspicion_state::cleared) {
+                known.changed_at = now;
+            }
             updates.push_back(update_for(fingerprint, known, now));
         }
     }
@@ -214,12 +233,11 @@
                             time_point now) {
     bool changed = false;
     for (const auto& run : update.runs) {
-        const lost_run told{run.process, run.alone, run.fate, now - run.age};
+        const lost_run told{run.process, run.seen_by, run.number,
+                            run.alone,   run.verdict, now - run.age};
         changed = add_run(into, told) || changed;
     }
-    if (update.cleared_age) {
-        changed = into.record.clear(now - *update.cleared_age) || changed;
-    }
+
     return changed;
 }
 
@@ -229,8 +247,8 @@
                              time_point now) {
     switch (update.state) {
     case suspicion_state::suspect:
-        return add_run(into, {update.last_crashed, false, process_fate::open,
-                              now - update.age});
+        return add_run(into, {update.last_crashed, update.tester, 0, false,
+                              run_verdict::open, now - update.age});
     case suspicion_state::cleared:
         return into.record.clear(now - update.age);
     case suspicion_state::quarantined:
@@ -247,7 +265,9 @@
         return false;
     }
     const auto began = now - *update.trial_age;
-    const bool is_later = !into.trial_began || began > *into.trial_began;
+    // What is told again seems later by the time that word took.
+    const bool is_later =
+        !into.trial_began || began > *into.trial_began + word_takes;
     const bool is_other = update.tester != into.tester;
     if (is_later) {
         into.trial_began = began;
@@ -271,9 +291,8 @@
         return false;
     }
     const auto before = known->state();
-    const bool changed = update.tells_evidence()
-                             ? merge_runs(*known, update, now)
-                             : merge_state(*known, update, now);
+    const bool changed = update.runs.empty() ? merge_state(*known, update, now)
+                                             : merge_runs(*known, update, now);
     if (!is_known || changed) {
         const bool was_suspect = is_known && before == suspicion_state::suspect;
         known->tester = was_suspect ? std::min(known->tester, update.tester)
@@ -323,7 +342,8 @@
     update.tester = known.tester;
     update.age = now - known.changed_at;
     for (const auto& run : known.record.runs()) {
-        update.runs.push_back({run.process, run.alone, run.fate, now - run.at});
+        update.runs.push_back({run.process, run.seen_by, run.number, run.alone,
+                               run.verdict, now - run.at});
     }
     if (const auto* latest = known.record.latest_lost()) {
         update.last_crashed = latest->process;
@@ -331,9 +351,7 @@
     if (known.trial_began) {
         update.trial_age = now - *known.trial_began;
     }
-    if (known.record.cleared()) {
-        update.cleared_age = now - *known.record.cleared();
-    }
+
     return update;
 }
 
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <waxwingvale/decision/stable_hash.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
 #include "entry/suspicion_codec.hpp"
@@ -16,6 +17,13 @@
 constexpr duration forgetting_period = 1s;
 constexpr unsigned passes_for_a_sample = 8;
 constexpr std::size_t most_silent_runs = 512;
+// All instances that use a server see at about the same moment that it lives.
+// Its tester tells of a suspect that is none any more; the others wait, each
+// for a time of its own, until nobody has.
+constexpr duration testers_turn = 20ms;
+constexpr duration others_turn = 300ms;
+constexpr duration turn_step = 40ms;
+constexpr std::uint64_t turns = 16;
 
 const char* event_of(decision::suspicion_state state) {
     switch (state) {
@@ -45,11 +53,15 @@
 crash_guard::crash_guard(const std::string& self, io::message_hub& hub,
                          kernel::timer_service& timers,
                          program::gauge suspicions)
-    : hub_(hub),
+    : self_(self),
+      hub_(hub),
       timers_(timers),
       suspicions_(suspicions),
       quarantine_(self, {}),
-      silent_(most_silent_runs) {
+      silent_(most_silent_runs),
+      own_turn_(others_turn +
+                turn_step *
+                    static_cast<int>(decision::stable_hash(self) % turns)) {
     hub_.on_message(
         suspicion_kind,
         [this](const std::string& peer,
@@ -70,6 +82,11 @@
     quarantine_.tick(now);
     silent_.tick(now);
     suspicions_.set(static_cast<double>(quarantine_.size()));
+    auto refused = quarantine_.quarantined(now);
+    if (on_refused_ && refused != refused_) {
+        refused_ = std::move(refused);
+        on_refused_(refused_);
+    }
 }
 
 bool crash_guard::wants_pass() {
@@ -78,7 +95,7 @@
 
 decision::quarantine_decision
 crash_guard::admit(decision::request_fingerprint of) {
-    const auto decided = quarantine_.admit(of, timers_.now());
+    auto decided = quarantine_.admit(of, timers_.now());
     if (std::holds_alternative<decision::run_alone>(decided)) {
         // The peers wait for this trial, whoever was to run it.
         tell_all({*quarantine_.update_on(of, timers_.now())});
@@ -96,7 +113,7 @@
         if (decision::proves_end(change.sign)) {
             on_ended(change.process);
         } else {
-            tell_all(quarantine_.on_process_answered(
+            tell_later(quarantine_.on_process_answered(
                 change.process, timers_.now(), timers_.now()));
         }
     }
@@ -136,7 +153,7 @@
     const decision::backend_process process{
         shown.backend_server, named != 0 ? named : shown.incarnation};
     silent_.on_answered(process, shown.sent);
-    tell_all(
+    tell_later(
         quarantine_.on_process_answered(process, shown.sent, timers_.now()));
 }
 
@@ -202,9 +219,15 @@
     }
     words news;
     for (const auto& word : told.value()) {
-        if (quarantine_.merge(word, timers_.now())) {
+        if (word.state != decision::suspicion_state::suspect) {
+            to_tell_.erase(word.fingerprint);
+        }
+        if (!quarantine_.merge(word, timers_.now())) {
+            continue;
+        }
+        news.push_back(word);
+        if (word.state == decision::suspicion_state::quarantined) {
             log_word(word, peer);
-            news.push_back(word);
         }
     }
     // In a full mesh every entry process hears the first teller itself;
@@ -222,6 +245,40 @@
     send_all(told, {});
 }
 
+void crash_guard::tell_later(const words& told) {
+    if (told.empty()) {
+        return;
+    }
+    const auto now = timers_.now();
+    const bool was_waiting = !to_tell_.empty();
+    for (const auto& word : told) {
+        const auto turn = word.tester == self_ ? testers_turn : own_turn_;
+        to_tell_.emplace(word.fingerprint, now + turn);
+    }
+    if (!was_waiting) {
+        telling_ = timers_.every(testers_turn,
+                                 [this](time_point at) { tell_waiting(at); });
+    }
+}
+
+void crash_guard::tell_waiting(time_point now) {
+    words due;
+    for (auto at = to_tell_.begin(); at != to_tell_.end();) {
+        if (at->second > now) {
+            ++at;
+            continue;
+        }
+        if (auto word = quarantine_.update_on(at->first, now)) {
+            due.push_back(std::move(*word));
+        }
+        at = to_tell_.erase(at);
+    }
+    send_all(due, {});
+    if (to_tell_.empty()) {
+        telling_.cancel();
+    }
+}
+
 void crash_guard::send_all(const words& told, const std::string& except) {
     if (told.empty()) {
         return;
--- a/src/entry/crash_guard.hpp
+++ b/src/entry/crash_guard.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <waxwingvale/decision/quarantine.hpp>
@@ -36,6 +38,12 @@
     // False while no request is under suspicion: then fingerprints need not
     // even be computed.
     bool watching() const { return quarantine_.size() > 0; }
+    // Told once a second of all fingerprints that are refused, if these have
+    // changed.
+    void
+    on_refused(std::function<void(const std::vector<std::uint64_t>&)> handler) {
+        on_refused_ = std::move(handler);
+    }
 
     // Whether the fingerprint of a request that passed is worth computing: of
     // each while some are under suspicion, else of every eighth, which soon
@@ -72,9 +80,13 @@
     void suspect(const decision::silent_run& run, bool alone);
     void take(const std::string& peer, const std::vector<std::uint8_t>& bytes);
     void tell_all(const words& told);
+    // Peers find most of this out for themselves, so that one tells it for all.
+    void tell_later(const words& told);
+    void tell_waiting(time_point now);
     void send_all(const words& told, const std::string& except);
     void forget(time_point now);
 
+    std::string self_;
     io::message_hub& hub_;
     kernel::timer_service& timers_;
     program::gauge suspicions_;
@@ -83,8 +95,15 @@
     listed_processes listed_;
     // The latest start of each backend server that has named its start.
     std::map<std::string, backend_incarnation> starts_;
+    std::function<void(const std::vector<std::uint64_t>&)> on_refused_;
+    std::vector<std::uint64_t> refused_; // as told last
     std::size_t members_ = 1;
     unsigned passes_ = 0;
+    // What is to be told of fingerprints that are suspects no more, and when,
+    // unless a peer tells it first.
+    std::map<decision::request_fingerprint, time_point> to_tell_;
+    duration own_turn_; // how long others are given to tell it
+    kernel::timer_service::subscription telling_;
     kernel::timer_service::subscription forgetting_;
 };
 
--- a/src/entry/suspicion_codec.cpp
+++ b/src/entry/suspicion_codec.cpp
@@ -10,21 +10,23 @@
 
 namespace {
 
-using decision::process_fate;
+using decision::run_verdict;
 using decision::suspicion_state;
 using decision::suspicion_update;
 using decision::told_run;
 using nlohmann::json;
 
 constexpr const char* runs_name = "runs";
-constexpr const char* cleared_name = "cleared_us";
+
 constexpr const char* trial_name = "trial_us";
 
 json write(const told_run& run) {
     return {{"backend_server", run.process.backend_server},
             {"incarnation", run.process.incarnation},
+            {"seen_by", run.seen_by},
+            {"number", run.number},
             {"alone", run.alone},
-            {"fate", static_cast<unsigned>(run.fate)},
+            {"verdict", static_cast<unsigned>(run.verdict)},
             {"age_us", run.age.count()}};
 }
 
@@ -41,9 +43,7 @@
             runs.push_back(write(run));
         }
     }
-    if (word.cleared_age) {
-        written[cleared_name] = word.cleared_age->count();
-    }
+
     if (word.trial_age) {
         written[trial_name] = word.trial_age->count();
     }
@@ -56,11 +56,13 @@
     run.process.incarnation =
         io::read_number<std::uint64_t>(from.at("incarnation"));
     run.alone = from.at("alone").get<bool>();
-    const auto fate = io::read_number<unsigned>(from.at("fate"));
-    constexpr auto last = static_cast<unsigned>(process_fate::survived);
-    // A fate of a later release: that nothing has shown is the careful reading.
-    run.fate =
-        fate > last ? process_fate::open : static_cast<process_fate>(fate);
+    run.seen_by = from.at("seen_by").get<std::string>();
+    run.number = io::read_number<std::uint64_t>(from.at("number"));
+    const auto verdict = io::read_number<unsigned>(from.at("verdict"));
+    constexpr auto last = static_cast<unsigned>(run_verdict::excused);
+    // Of a later release: that nothing has shown is the careful reading.
+    run.verdict =
+        verdict > last ? run_verdict::open : static_cast<run_verdict>(verdict);
     run.age = io::read_wait(from.at("age_us"));
     return run;
 }
@@ -85,9 +87,7 @@
             word.runs.push_back(read_run(run));
         }
     }
-    if (from.contains(cleared_name)) {
-        word.cleared_age = io::read_wait(from.at(cleared_name));
-    }
+
     if (from.contains(trial_name)) {
         word.trial_age = io::read_wait(from.at(trial_name));
     }
--- a/test/quarantine/evidence_test.cpp
+++ b/test/quarantine/evidence_test.cpp
@@ -246,3 +246,22 @@
     REQUIRE(std::holds_alternative<refuse_suspect>(refused));
     CHECK(std::get<refuse_suspect>(refused).tester == "e1");
 }
+
+// Guards against word that never ends: what a peer tells again comes later than
+// what is known, and looked like another loss.
+TEST_CASE("an event that is told again is no news") {
+    quarantine entry("e0", {});
+    quarantine other("e1", {});
+    entry.on_connection_lost(request, first, false, start, start);
+    const auto lost = *entry.update_on(request, start);
+    CHECK(other.merge(lost, start + 5ms));
+    entry.on_process_answered(first, start + 2ms, start + 3ms);
+    const auto told_again = *other.update_on(request, start + 6ms);
+    CHECK_FALSE(entry.merge(told_again, start + 9ms));
+    CHECK(entry.may_run_in_company(request, start + 9ms));
+    const auto excused = *entry.update_on(request, start + 9ms);
+    CHECK(other.merge(excused, start + 10ms));
+    CHECK_FALSE(other.merge(lost, start + 20ms));
+    CHECK_FALSE(other.merge(excused, start + 20ms));
+    CHECK(other.may_run_in_company(request, start + 20ms));
+}
