control, entry: operators see the requests that are refused

/v1/quarantine, waxwingctl quarantine and waxwing_quarantined showed the verdicts that peers exchange beside the membership, and nothing puts any there: the page stayed empty, by reading, while all instances refused a request. The entry service tells what it refuses, and the view holds both.

--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -175,7 +175,7 @@
     show("waxwing_members_gone", "Entry instances gone.",
          [&known] { return members_in(known, member_state::gone); });
     show("waxwing_quarantined", "Fingerprints in quarantine.",
-         [&known] { return known.quarantine.fingerprints().size(); });
+         [&known] { return known.refused_requests().size(); });
     show("waxwing_backend_servers_registered", "Found in the registry.",
          [&known] {
              return known.registry.records().size() -
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -9,6 +9,7 @@
 #include "control/reading_facts.hpp"
 #include "control/snapshot.hpp"
 #include <waxwingvale/entry/backend_seen.hpp>
+#include <waxwingvale/entry/requests_refused.hpp>
 #include <waxwingvale/model/configuration_file.hpp>
 #include <waxwingvale/program/service_name.hpp>
 #include <waxwingvale/program/state_log.hpp>
@@ -104,13 +105,18 @@
         }
         ports["admin"] = admin_->port();
     }
-    environment_.services.need<kernel::message_bus>(program::service_name::bus)
-        .subscribe<entry::backend_seen>(
-            [this](const entry::backend_seen& seen) {
-                if (known_.beliefs.observe(seen.belief)) {
-                    changed();
-                }
-            });
+    auto& bus = environment_.services.need<kernel::message_bus>(
+        program::service_name::bus);
+    bus.subscribe<entry::backend_seen>([this](const entry::backend_seen& seen) {
+        if (known_.beliefs.observe(seen.belief)) {
+            changed();
+        }
+    });
+    bus.subscribe<entry::requests_refused>(
+        [this](const entry::requests_refused& refused) {
+            known_.refused_here = refused.fingerprints;
+            changed();
+        });
     peers_.on_heard([this] { changed(); });
     wake_ = std::make_unique<kernel::wake_hook>(environment_.loop,
                                                 [this] { on_wake(); });
--- a/src/control/knowledge.cpp
+++ b/src/control/knowledge.cpp
@@ -1,6 +1,7 @@
 #include "control/knowledge.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -35,4 +36,12 @@
               hears_from_others(self, from.peers.seeds), {}, now),
       fresh(wake_gap, now) {}
 
+std::vector<std::uint64_t> knowledge::refused_requests() const {
+    const auto told = quarantine.fingerprints();
+    std::vector<std::uint64_t> all;
+    std::set_union(told.begin(), told.end(), refused_here.begin(),
+                   refused_here.end(), std::back_inserter(all));
+    return all;
+}
+
 } // namespace waxwingvale::control
--- a/src/control/knowledge.hpp
+++ b/src/control/knowledge.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "control/unreadable_items.hpp"
+#include <cstdint>
+#include <vector>
 #include <waxwingvale/membership/belief_table.hpp>
 #include <waxwingvale/membership/configuration_register.hpp>
 #include <waxwingvale/membership/freshness.hpp>
@@ -32,11 +34,16 @@
                 registry,       quarantine, readers};
     }
 
+    // Fingerprints refused here, or by the verdict of a peer; sorted.
+    std::vector<std::uint64_t> refused_requests() const;
+
     membership::configuration_register configurations;
     membership::member_table members;
     membership::belief_table beliefs;
     membership::registry_table registry;
     membership::quarantine_table quarantine;
+    // Fingerprints of requests that this instance refuses, sorted.
+    std::vector<std::uint64_t> refused_here;
     membership::reader_duty readers;
     membership::freshness fresh;
     unreadable_items unreadable;
--- a/src/control/view_publisher.cpp
+++ b/src/control/view_publisher.cpp
@@ -147,7 +147,7 @@
         }
         made.beliefs.push_back(std::move(belief));
     }
-    made.quarantined = known_.quarantine.fingerprints();
+    made.quarantined = known_.refused_requests();
     made.fresh = known_.fresh.fresh();
     made.members_known = members_known_;
     return made;
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -67,6 +68,12 @@
     bool may_probe(const std::string& service,
                    const std::string& backend_server) const;
 
+    // See crash_guard::on_refused().
+    void
+    on_refused(std::function<void(const std::vector<std::uint64_t>&)> handler) {
+        crashes_.on_refused(std::move(handler));
+    }
+
     // Calls that have no answer yet.
     std::size_t open_calls() const { return calls_.size(); }
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 #include <waxwingvale/entry/backend_seen.hpp>
+#include <waxwingvale/entry/requests_refused.hpp>
 #include <waxwingvale/program/service_name.hpp>
 #include <waxwingvale/program/view_published.hpp>
 
@@ -62,6 +63,9 @@
       prober_(self_.name, protocol, environment.timers, pool_, metrics_.probes,
               *this) {
     callers_.change_limits(limits_before_configuration());
+    calls_.on_refused([this](const std::vector<std::uint64_t>& fingerprints) {
+        bus_.publish(requests_refused{fingerprints});
+    });
     wire_peers();
 }
 
--- a/test/failures/backend_server_test.cpp
+++ b/test/failures/backend_server_test.cpp
@@ -145,6 +145,25 @@
     CHECK(status_of(http_request_once(running.read_call(1))) == 200);
 }
 
+TEST_CASE("operators see which requests are refused for ending servers") {
+    // Guards against a request that all instances refuse, while the page on
+    // which operators look for it is empty.
+    fleet_options options;
+    options.backend_servers = 5;
+    fleet running(options);
+    running.start();
+    const auto shown = [&](std::size_t instance) {
+        const auto page = running.instance(instance).admin("/v1/quarantine");
+        return page.is_object() ? page.at("fingerprints").size() : 0;
+    };
+    CHECK(wait_until([&] {
+        auto call = running.read_call(0);
+        call.headers.push_back({"X-Standin-Crash", "1"});
+        http_request_once(std::move(call));
+        return shown(0) == 1 && shown(1) == 1;
+    }));
+}
+
 TEST_CASE("a booking that crashes backend servers ends two of them at most") {
     // As above with a booking, which its caller sends with a new key each
     // time because the former one's answer was "unknown".
