--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -358,7 +358,8 @@
 std::vector<suspicion_update> quarantine::snapshot(time_point now) const {
     std::vector<suspicion_update> updates;
     for (const auto& [fingerprint, known] : entries_) {
-        if (!expired(known, now)) {
+        const bool tells = known.state() != suspicion_state::cleared;
+        if (tells && !expired(known, now)) {
             updates.push_back(update_for(fingerprint, known, now));
         }
     }
