--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -165,8 +165,8 @@
         return in_question_.count(backend_server) != 0;
     }
 
-    // Returns all suspects and quarantined fingerprints, for a peer that has just
-    // started or was cut off.
+    // Returns all suspects and quarantined fingerprints, for a peer that has
+    // just started or was cut off.
     std::vector<suspicion_update> snapshot(time_point now) const;
     // Returns the quarantined fingerprints.
     std::vector<std::uint64_t> quarantined(time_point now) const;
