--- a/test/platform/ending_server.cpp
+++ b/test/platform/ending_server.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "forwarding/wire_text.hpp"
+#include "standin/process.hpp"
 
 namespace waxwingvale::platform {
 
@@ -37,12 +38,15 @@
     up_ = true;
     connections_.clear();
     stop_listening();
+    if (port_ == 0) {
+        // None that an outgoing connection may take while nothing listens.
+        port_ = standin::free_port();
+    }
     const auto opened = io::open_listener("127.0.0.1", port_);
     if (!opened) {
         throw std::runtime_error(to_string(opened.error()));
     }
     listener_ = opened.value();
-    port_ = io::bound_port(listener_);
     ev_io_init(
         &accepting_,
         [](struct ev_loop*, ev_io* w, int) {
