decision, entry: who decides on repeats, by which counts and for how long

Whether a new owner allows repeats anew, whether some are counted by nobody, and whether requests are counted twice, could not be told apart: nothing said who had decided. Once a second the decider of a service logs what it allowed and declined, its window and for how long it holds it, and each instance the repeats that it started uncounted.

--- a/include/waxwingvale/decision/repeat_budget.hpp
+++ b/include/waxwingvale/decision/repeat_budget.hpp
@@ -29,6 +29,13 @@
     // did.
     bool try_spend(time_point now);
 
+    double requests() const { return requests_; }
+    double repeats() const { return repeats_; }
+    // The most repeats that the requests counted so far allow.
+    double limit() const {
+        return limits_.fraction * requests_ + limits_.extra;
+    }
+
 private:
     // Counts of one section of the window.
     struct window_section {
--- a/include/waxwingvale/decision/service_scheduler.hpp
+++ b/include/waxwingvale/decision/service_scheduler.hpp
@@ -27,6 +27,19 @@
 
 bool operator==(const slot_report& a, const slot_report& b);
 
+// What this instance has decided on repeated attempts since its start, and the
+// counts of the current window by which it decides.
+struct repeat_report {
+    std::uint64_t allowed = 0;  // for this instance and for peers
+    std::uint64_t declined = 0; // for want of budget
+    // Started here on a slot of its own, though no budget has counted them.
+    std::uint64_t uncounted = 0;
+    double window_requests = 0;
+    double window_repeats = 0;
+    double limit = 0;    // of window_repeats
+    duration held_for{}; // since this instance keeps the counts
+};
+
 // The quantities by which a scheduler currently admits and refuses requests.
 struct scheduler_load {
     bool owns_slots = false;     // this instance owns slots of the service
@@ -39,6 +52,7 @@
     std::size_t lent_slots = 0;  // slots granted to peers
     double arrivals_per_second = 0;
     std::uint64_t refused = 0; // requests since the start, those of peers too
+    repeat_report repeats;
 };
 
 // Decides, for one service on one entry instance, when and where each request
--- a/src/decision/repeat_budget.cpp
+++ b/src/decision/repeat_budget.cpp
@@ -31,7 +31,7 @@
 
 bool repeat_budget::try_spend(time_point now) {
     window_section& section = current_section(now);
-    if (repeats_ + 1 > limits_.fraction * requests_ + limits_.extra) {
+    if (repeats_ + 1 > limit()) {
         return false;
     }
     section.repeats += 1;
--- a/src/decision/request_queue.hpp
+++ b/src/decision/request_queue.hpp
@@ -34,6 +34,8 @@
     std::string peer;          // that received it; empty: this instance
     // When the peer last confirmed that the request is still queued there.
     time_point last_confirmed_at{};
+    // Whether a budget of repeats has counted it, here or at its owner.
+    bool repeat_counted = false;
 
     request_origin origin() const { return {peer, arrival.request}; }
 };
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -65,13 +65,11 @@
 // first time.
 void service_scheduler::impl::admit(queued_request entry) {
     const request_arrived& request = entry.arrival;
-    if (is_repeat(request)) {
-        if (has_usable_slots() && !repeats_.try_spend(now_)) {
-            decline(entry, refusal_reason::retry_budget);
-            return;
-        }
-    } else {
+    if (!is_repeat(request)) {
         repeats_.on_request(now_);
+    } else if (has_usable_slots() && !count_repeat(entry)) {
+        decline(entry, refusal_reason::retry_budget);
+        return;
     }
     if (request.target) {
         offered_load_.add(request.priority,
@@ -88,6 +86,13 @@
     enqueue(std::move(entry));
 }
 
+bool service_scheduler::impl::count_repeat(queued_request& entry) {
+    entry.repeat_counted = repeats_.try_spend(now_);
+    repeat_report_.allowed += entry.repeat_counted ? 1 : 0;
+    repeat_report_.declined += entry.repeat_counted ? 0 : 1;
+    return entry.repeat_counted;
+}
+
 // Starts a new request at once if nothing is queued. Otherwise it must queue as
 // well: the queued requests wait for better slots than the free ones, and
 // tolerate worse slots the longer they wait. When new requests could take the
@@ -292,6 +297,9 @@
     const request_arrived& request = entry.arrival;
     const std::string& server = table_.at(at).name();
     const duration slow = slow_after(entry, at);
+    if (is_repeat(request) && !entry.repeat_counted) {
+        ++repeat_report_.uncounted;
+    }
     running_request started;
     started.request_class = request.request_class;
     started.backend_server = server;
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -90,6 +90,9 @@
         // not run. Answers of peers may have arrived but not been read yet.
         borrower_.restart_silence_timers(now);
     }
+    if (now_ == time_point{}) {
+        first_event_at_ = now;
+    }
     now_ = std::max(now_, now);
     actions_ = &actions;
     const bool cancels = std::holds_alternative<request_cancelled>(event);
@@ -228,6 +231,11 @@
     load.lent_slots = lender_.given();
     load.arrivals_per_second = offered_load_.arrivals_per_second(now);
     load.refused = refused_;
+    load.repeats = repeat_report_;
+    load.repeats.window_requests = repeats_.requests();
+    load.repeats.window_repeats = repeats_.repeats();
+    load.repeats.limit = repeats_.limit();
+    load.repeats.held_for = now - first_event_at_;
     return load;
 }
 
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -88,6 +88,7 @@
     void decline_all();
     void decline_unserveable();
     void refuse(request_id request, refusal_reason reason);
+    bool count_repeat(queued_request& entry);
     bool try_assign_slot(const queued_request& entry);
     bool blocked_by_stale_view(const request_arrived& request) const;
     // Whether this instance may use slots of its own or a share of the slots of
@@ -183,6 +184,8 @@
     // whose state has changed.
     time_point next_full_scan_at_{};
     std::uint64_t refused_ = 0;
+    repeat_report repeat_report_;
+    time_point first_event_at_{};
 };
 
 } // namespace waxwingvale::decision
--- a/src/entry/service_desk.cpp
+++ b/src/entry/service_desk.cpp
@@ -7,6 +7,8 @@
 
 namespace waxwingvale::entry {
 
+using namespace std::chrono_literals;
+
 service_desk::service_desk(std::string service, member_id self,
                            kernel::timer_service& timers,
                            scheduler_outlet& outlet)
@@ -26,6 +28,7 @@
 
 void service_desk::log_load() {
     const auto load = scheduler_.load(timers_.now());
+    log_repeats(load);
     const auto refused = load.refused - refused_logged_;
     refused_logged_ = load.refused;
     if (refused == 0) {
@@ -46,6 +49,28 @@
          {"arrivals_per_second", std::to_string(load.arrivals_per_second)}});
 }
 
+void service_desk::log_repeats(const decision::scheduler_load& load) {
+    const auto& now = load.repeats;
+    const auto logged = std::exchange(repeats_logged_, now);
+    const auto allowed = now.allowed - logged.allowed;
+    const auto declined = now.declined - logged.declined;
+    const auto uncounted = now.uncounted - logged.uncounted;
+    if (allowed + declined + uncounted == 0) {
+        return;
+    }
+    program::log_change(
+        "repeats_counted",
+        {{"service", service_},
+         {"allowed", std::to_string(allowed)},
+         {"declined", std::to_string(declined)},
+         {"uncounted", std::to_string(uncounted)},
+         {"owns_slots", load.owns_slots ? "yes" : "no"},
+         {"window_requests", std::to_string(now.window_requests)},
+         {"window_repeats", std::to_string(now.window_repeats)},
+         {"limit", std::to_string(now.limit)},
+         {"held_ms", std::to_string(now.held_for / 1ms)}});
+}
+
 void service_desk::carry_out(const decision::start_request& action) {
     outlet_.start(service_, action);
 }
--- a/src/entry/service_desk.hpp
+++ b/src/entry/service_desk.hpp
@@ -35,6 +35,7 @@
     void log_load();
 
 private:
+    void log_repeats(const decision::scheduler_load& load);
     void carry_out(const decision::start_request& action);
     void carry_out(const decision::refuse_request& action);
     void carry_out(const decision::expire_request& action);
@@ -47,6 +48,7 @@
     scheduler_outlet& outlet_;
     decision::service_scheduler scheduler_;
     std::uint64_t refused_logged_ = 0;
+    decision::repeat_report repeats_logged_;
     kernel::timer_service::subscription wake_;
 };
 
