--- a/test/platform/ending_server.cpp
+++ b/test/platform/ending_server.cpp
@@ -117,6 +117,9 @@
         answer(from, status_ok, {});
         return;
     }
+    if (on_arrival) {
+        on_arrival(request);
+    }
     const auto meant = text_of(request.headers, "Waxwingvale-Target-Instance");
     if (!meant.empty() && meant != id_) {
         answer(from, status_misdirected, {});
--- a/test/platform/ending_server.hpp
+++ b/test/platform/ending_server.hpp
@@ -60,6 +60,8 @@
     const std::string& id() const { return id_; }
     std::uint16_t port() const { return port_; }
     bool up() const { return up_; }
+    // Called with each request that is no health check, run or not.
+    std::function<void(const io::http_request&)> on_arrival;
     process_end ends_by = process_end::reset;
     duration work = std::chrono::milliseconds(5);
     duration ends_after = std::chrono::milliseconds(20);
--- a/test/platform/ending_servers.cpp
+++ b/test/platform/ending_servers.cpp
@@ -35,8 +35,8 @@
 } // namespace
 
 ending_servers::ending_servers(std::size_t instance_count,
-                               std::size_t server_count)
-    : instances(instance_count, {zone}, store.port()) {
+                               std::size_t server_count, const json& budgets)
+    : instances(instance_count, {zone}, store.port(), budgets) {
     store.write(operator_text());
     for (std::size_t each = 0; each < server_count; ++each) {
         servers.push_back(std::make_unique<ending_server>(
--- a/test/platform/ending_servers.hpp
+++ b/test/platform/ending_servers.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json.hpp>
 #include <waxwingvale/io/http_client.hpp>
 
 #include "platform/ending_server.hpp"
@@ -30,7 +31,8 @@
 class ending_servers {
 public:
     explicit ending_servers(std::size_t instance_count = 4,
-                            std::size_t server_count = 8);
+                            std::size_t server_count = 8,
+                            const nlohmann::json& budgets = {});
 
     // A request to be sent, by the name under which its answers are counted.
     struct request {
--- a/test/platform/instance_group.cpp
+++ b/test/platform/instance_group.cpp
@@ -8,17 +8,24 @@
 
 instance_group::instance_group(std::size_t count,
                                std::vector<std::string> zones,
-                               std::uint16_t store_port)
-    : zones_(std::move(zones)), store_port_(store_port), ports_(count) {}
+                               std::uint16_t store_port, nlohmann::json budgets)
+    : zones_(std::move(zones)),
+      store_port_(store_port),
+      budgets_(std::move(budgets)),
+      ports_(count) {}
 
 void instance_group::start() {
     for (std::size_t each = 0; each < ports_.size(); ++each) {
-        processes_.push_back(launch(each));
+        processes_.push_back(launch_and_await(each));
     }
 }
 
 void instance_group::restart(std::size_t number) {
     processes_.at(number)->kill();
+    processes_.at(number) = launch_and_await(number);
+}
+
+void instance_group::start_again(std::size_t number) {
     processes_.at(number) = launch(number);
 }
 
@@ -33,6 +40,8 @@
     for (const auto& zone : zones_) {
         data_centres.push_back({{"name", zone}, {"region", "region-" + zone}});
     }
+    nlohmann::json deployment = {{"data_centres", data_centres}, {"owners", 1}};
+    deployment.update(budgets_.is_null() ? nlohmann::json::object() : budgets_);
     return nlohmann::json{
         {"settings_version", 2},
         {"instance",
@@ -52,7 +61,7 @@
         {"steer", {{"steer_port", 0}}},
         {"control",
          {{"control_port", ports_[number].control}, {"administration", false}}},
-        {"deployment", {{"data_centres", data_centres}, {"owners", 1}}}}
+        {"deployment", deployment}}
         .dump();
 }
 
@@ -60,9 +69,14 @@
 instance_group::launch(std::size_t number) {
     const auto file =
         folder_.write(std::to_string(number) + ".json", settings_of(number));
-    auto launched = std::make_unique<standin::child_process>(
+    return std::make_unique<standin::child_process>(
         "waxwing-platform-node",
         std::vector<std::string>{"--settings=" + file});
+}
+
+std::unique_ptr<standin::child_process>
+instance_group::launch_and_await(std::size_t number) {
+    auto launched = launch(number);
     launched->read_ready();
     return launched;
 }
--- a/test/platform/instance_group.hpp
+++ b/test/platform/instance_group.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "standin/process.hpp"
 #include "standin/temporary_folder.hpp"
 
@@ -19,8 +21,9 @@
         std::uint16_t caller = standin::free_port();
     };
 
+    // `budgets` are merged into the settings of the deployment.
     instance_group(std::size_t count, std::vector<std::string> zones,
-                   std::uint16_t store_port);
+                   std::uint16_t store_port, nlohmann::json budgets = {});
 
     std::size_t size() const { return ports_.size(); }
     std::uint16_t caller_port(std::size_t number) const {
@@ -33,13 +36,18 @@
     void start();
     // Kills an instance's process and starts it again.
     void restart(std::size_t number);
+    // Starts an instance whose process has ended, and does not wait for it.
+    void start_again(std::size_t number);
 
 private:
     std::string settings_of(std::size_t number) const;
     std::unique_ptr<standin::child_process> launch(std::size_t number);
+    std::unique_ptr<standin::child_process>
+    launch_and_await(std::size_t number);
 
     std::vector<std::string> zones_;
     std::uint16_t store_port_;
+    nlohmann::json budgets_;
     std::vector<ports> ports_;
     standin::temporary_folder folder_;
     std::vector<std::unique_ptr<standin::child_process>> processes_;
