decision: the instance that sends a repeat pays for it, from a part that is its own

What callers and servers saw: while servers of a service refuse or lose answers and instances end, the service gets more repeats in a window than ratio and extra allow.

Cause: the count was kept in memory by the owner of the slots, whoever that was. Each new owner began at nothing and allowed half of the extra anew; it, and every instance that shared slots with no owner in reach, allowed its ratio for requests for which the former owner had allowed repeats; a repeat that waited at an instance when its owner ended was counted by nobody.

Why it works: no two processes hold the same part, whoever owns the slots. An instance has a ratio of the requests that callers sent it, and its part of the extra, divided by all instances known, also those gone or out of reach, once it has run for a whole window (held_window says what a new holder may assume: that all was spent). What it lacks it asks of peers, who give up what they give.

--- a/include/waxwingvale/decision/scheduler_actions.hpp
+++ b/include/waxwingvale/decision/scheduler_actions.hpp
@@ -87,6 +87,21 @@
     std::optional<grant_use> use;
 };
 
+// Ask a peer for a part of its budget of repeated attempts. It receives
+// repeats_asked.
+struct ask_repeats {
+    std::string peer;
+    std::uint64_t round = 0;
+    double wanted = 0;
+};
+
+// Give a peer repeated attempts, or none. It receives repeats_given.
+struct give_repeats {
+    std::string peer;
+    std::uint64_t round = 0;
+    double amount = 0;
+};
+
 // Send time_passed at the given time. Replaces any earlier wake_at.
 struct wake_at {
     time_point when{};
@@ -94,7 +109,8 @@
 
 using scheduler_action =
     std::variant<start_request, refuse_request, expire_request, ask_slots,
-                 answer_ask, give_grant, return_grant, wake_at>;
+                 answer_ask, give_grant, return_grant, ask_repeats,
+                 give_repeats, wake_at>;
 
 bool operator==(const start_request& a, const start_request& b);
 bool operator==(const refuse_request& a, const refuse_request& b);
@@ -103,6 +119,8 @@
 bool operator==(const answer_ask& a, const answer_ask& b);
 bool operator==(const give_grant& a, const give_grant& b);
 bool operator==(const return_grant& a, const return_grant& b);
+bool operator==(const ask_repeats& a, const ask_repeats& b);
+bool operator==(const give_repeats& a, const give_repeats& b);
 bool operator==(const wake_at& a, const wake_at& b);
 
 } // namespace waxwingvale::decision
--- a/include/waxwingvale/decision/scheduler_events.hpp
+++ b/include/waxwingvale/decision/scheduler_events.hpp
@@ -95,6 +95,8 @@
     request_id request = 0;              // as numbered by the peer
     duration time_left{};                // until the deadline
     std::optional<duration> target_left; // until the target, negative after it
+    // Whether the peer has paid for it, if it is a repeated attempt.
+    bool repeat_paid = false;
 };
 
 // A started request ended; its slot is free again.
@@ -175,6 +177,21 @@
     std::optional<grant_use> use;
 };
 
+// A peer asks for a part of this instance's budget of repeated attempts.
+struct repeats_asked {
+    std::string peer;
+    std::uint64_t round = 0; // as numbered by the peer
+    double wanted = 0;       // repeated attempts
+};
+
+// A peer answers a question for repeated attempts. It has given up those that
+// it gives.
+struct repeats_given {
+    std::string peer;
+    std::uint64_t round = 0; // of the question
+    double amount = 0;
+};
+
 // A probe is sent to a backend server.
 struct probe_started {
     std::string backend_server;
@@ -195,8 +212,8 @@
 using scheduler_event =
     std::variant<view_changed, peer_reachability, request_arrived, answer_begun,
                  request_finished, request_cancelled, slots_asked, ask_answered,
-                 grant_received, grant_returned, probe_started, probe_ended,
-                 time_passed>;
+                 grant_received, grant_returned, repeats_asked, repeats_given,
+                 probe_started, probe_ended, time_passed>;
 
 bool operator==(const waiting_request& a, const waiting_request& b);
 bool operator==(const declined_request& a, const declined_request& b);
--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -82,10 +82,9 @@
     // How many requests a tenant may be served ahead of its share.
     unsigned fairness_window = 8;
 
-    // Part of the configured extra repeats that one owner allows. An owner that
-    // has just taken over does not know what its predecessor allowed, so that
-    // each may allow only a part.
-    double repeat_extra_share = 0.5;
+    // Part of the configured extra repeats that all instances together allow.
+    // The windows in which instances count are not quite the same.
+    double repeat_extra_share = 0.75;
 
     // Time without a load report after which a server is probed: one that was
     // slowed down in its last report, and any other.
--- a/include/waxwingvale/decision/service_scheduler.hpp
+++ b/include/waxwingvale/decision/service_scheduler.hpp
@@ -30,14 +30,13 @@
 // What this instance has decided on repeated attempts since its start, and the
 // counts of the current window by which it decides.
 struct repeat_report {
-    std::uint64_t allowed = 0;  // for this instance and for peers
-    std::uint64_t declined = 0; // for want of budget
-    // Started here on a slot of its own, though no budget has counted them.
-    std::uint64_t uncounted = 0;
+    std::uint64_t allowed = 0;
+    std::uint64_t declined = 0;  // for want of budget
+    std::uint64_t uncounted = 0; // sent though nobody paid for them
     double window_requests = 0;
     double window_repeats = 0;
     double limit = 0;    // of window_repeats
-    duration held_for{}; // since this instance keeps the counts
+    duration held_for{}; // since this process began
 };
 
 // The quantities by which a scheduler currently admits and refuses requests.
@@ -62,8 +61,11 @@
 // time in and carries out the actions returned.
 class service_scheduler {
 public:
+    // `process_began`: since when this process has run; whatever a former one
+    // of this name did came before.
     service_scheduler(std::string service, member_id self,
-                      const scheduling_policy& policy = {});
+                      const scheduling_policy& policy,
+                      time_point process_began);
     ~service_scheduler();
     service_scheduler(service_scheduler&&) noexcept;
     service_scheduler& operator=(service_scheduler&&) noexcept;
--- a/src/decision/scheduler_actions.cpp
+++ b/src/decision/scheduler_actions.cpp
@@ -59,6 +59,16 @@
     return std::tie(a.peer, a.grant, a.use) == std::tie(b.peer, b.grant, b.use);
 }
 
+bool operator==(const ask_repeats& a, const ask_repeats& b) {
+    return std::tie(a.peer, a.round, a.wanted) ==
+           std::tie(b.peer, b.round, b.wanted);
+}
+
+bool operator==(const give_repeats& a, const give_repeats& b) {
+    return std::tie(a.peer, a.round, a.amount) ==
+           std::tie(b.peer, b.round, b.amount);
+}
+
 bool operator==(const wake_at& a, const wake_at& b) {
     return a.when == b.when;
 }
--- a/src/decision/scheduler_events.cpp
+++ b/src/decision/scheduler_events.cpp
@@ -16,8 +16,8 @@
 
 bool operator==(const waiting_request& a, const waiting_request& b) {
     return fields(a) == fields(b) &&
-           std::tie(a.request, a.time_left, a.target_left) ==
-               std::tie(b.request, b.time_left, b.target_left);
+           std::tie(a.request, a.time_left, a.target_left, a.repeat_paid) ==
+               std::tie(b.request, b.time_left, b.target_left, b.repeat_paid);
 }
 
 bool operator==(const declined_request& a, const declined_request& b) {
--- a/src/decision/scheduler_grants.cpp
+++ b/src/decision/scheduler_grants.cpp
@@ -44,8 +44,12 @@
 }
 
 bool service_scheduler::impl::is_queued(const request_origin& origin) const {
+    const auto is_this = [&](const queued_request& entry) {
+        return entry.origin() == origin;
+    };
     return queue_.contains(origin) || late_queue_.contains(origin) ||
-           other_owners_queue_.contains(origin);
+           other_owners_queue_.contains(origin) ||
+           std::any_of(unpaid_.begin(), unpaid_.end(), is_this);
 }
 
 void service_scheduler::impl::remove_queued(const request_origin& origin) {
@@ -81,6 +85,7 @@
         entry.arrival.target = now_ + *waiting.target_left;
     }
     entry.arrived_at = now_;
+    entry.repeat_paid = waiting.repeat_paid;
     entry.peer = peer;
     entry.last_confirmed_at = now_;
     if (find_owner(view_.owners, peer) != nullptr) {
@@ -240,6 +245,7 @@
     started.from_peer = grant.peer;
     started.grant = grant.grant;
     running_[request] = std::move(started);
+    note_sent(*taken);
     borrower_.remove(request);
     actions_->emplace_back(start_request{request, grant.backend_server,
                                          grant.peer, grant.grant,
@@ -275,11 +281,14 @@
 waiting_request service_scheduler::impl::describe(request_id request) const {
     const request_origin origin{{}, request};
     const queued_request* entry = queue_.find(origin);
-    const request_arrived& arrival =
-        (entry != nullptr ? entry : late_queue_.find(origin))->arrival;
+    if (entry == nullptr) {
+        entry = late_queue_.find(origin);
+    }
+    const request_arrived& arrival = entry->arrival;
     waiting_request described;
     static_cast<request_needs&>(described) = arrival;
     described.request = request;
+    described.repeat_paid = entry->repeat_paid;
     described.time_left = arrival.deadline - now_;
     // An owner does not know which servers want nothing from this instance.
     for (std::string& resting : table_.resting_servers(now_)) {
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -7,14 +7,6 @@
 // Arrival, queueing, start and cancellation of requests.
 namespace waxwingvale::decision {
 
-namespace {
-
-bool is_repeat(const request_needs& request) {
-    return request.attempt > 1 || request.only_if_spare;
-}
-
-} // namespace
-
 void service_scheduler::impl::on(const request_arrived& event) {
     const request_origin origin{{}, event.request};
     if (is_queued(origin) || running_.count(event.request) != 0) {
@@ -64,13 +56,22 @@
 // Admits a request that arrived on this instance or that a peer named for the
 // first time.
 void service_scheduler::impl::admit(queued_request entry) {
-    const request_arrived& request = entry.arrival;
-    if (!is_repeat(request)) {
-        repeats_.on_request(now_);
-    } else if (has_usable_slots() && !count_repeat(entry)) {
-        decline(entry, refusal_reason::retry_budget);
-        return;
+    switch (pay(entry)) {
+    case payment::done:
+        place(std::move(entry));
+        break;
+    case payment::awaited:
+        await_payment(std::move(entry));
+        break;
+    case payment::impossible:
+        decline_unpaid(entry);
+        break;
     }
+}
+
+// Starts a request that is paid for, or has it wait for a slot.
+void service_scheduler::impl::place(queued_request entry) {
+    const request_arrived& request = entry.arrival;
     if (request.target) {
         offered_load_.add(request.priority,
                           admission_.mean_time(request.request_class), now_);
@@ -86,13 +87,6 @@
     enqueue(std::move(entry));
 }
 
-bool service_scheduler::impl::count_repeat(queued_request& entry) {
-    entry.repeat_counted = repeats_.try_spend(now_);
-    repeat_report_.allowed += entry.repeat_counted ? 1 : 0;
-    repeat_report_.declined += entry.repeat_counted ? 0 : 1;
-    return entry.repeat_counted;
-}
-
 // Starts a new request at once if nothing is queued. Otherwise it must queue as
 // well: the queued requests wait for better slots than the free ones, and
 // tolerate worse slots the longer they wait. When new requests could take the
@@ -297,9 +291,7 @@
     const request_arrived& request = entry.arrival;
     const std::string& server = table_.at(at).name();
     const duration slow = slow_after(entry, at);
-    if (is_repeat(request) && !entry.repeat_counted) {
-        ++repeat_report_.uncounted;
-    }
+    note_sent(entry);
     running_request started;
     started.request_class = request.request_class;
     started.backend_server = server;
@@ -352,6 +344,7 @@
             decline(queue->pop(), refusal_reason::no_backend_server);
         }
     }
+    decline_all_unpaid();
     while (!other_owners_queue_.empty()) {
         other_owners_queue_.pop(); // refused by the owner that received it
     }
@@ -369,6 +362,7 @@
     queue_.remove(origin);
     late_queue_.remove(origin);
     borrower_.remove(event.request);
+    cancel_unpaid(event.request);
 }
 
 } // namespace waxwingvale::decision
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -16,9 +16,10 @@
 }
 
 service_scheduler::service_scheduler(std::string service, member_id self,
-                                     const scheduling_policy& policy)
-    : impl_(std::make_unique<impl>(std::move(service), std::move(self),
-                                   policy)) {}
+                                     const scheduling_policy& policy,
+                                     time_point process_began)
+    : impl_(std::make_unique<impl>(std::move(service), std::move(self), policy,
+                                   process_began)) {}
 
 service_scheduler::~service_scheduler() = default;
 service_scheduler::service_scheduler(service_scheduler&&) noexcept = default;
@@ -69,7 +70,8 @@
 } // namespace
 
 service_scheduler::impl::impl(std::string service, member_id self,
-                              const scheduling_policy& policy)
+                              const scheduling_policy& policy,
+                              time_point process_began)
     : service_(std::move(service)),
       self_(std::move(self)),
       policy_(policy),
@@ -78,10 +80,13 @@
       queue_(policy.fairness_window, policy.urgency_only_interval),
       late_queue_(policy.fairness_window, policy.urgency_only_interval),
       other_owners_queue_(policy.fairness_window, policy.urgency_only_interval),
+      process_began_(process_began),
       repeats_({}),
       admission_(policy),
       lender_(self_),
-      borrower_(policy) {}
+      borrower_(policy) {
+    repeats_.hold_since(process_began_);
+}
 
 void service_scheduler::impl::handle(const scheduler_event& event,
                                      time_point now, action_list& actions) {
@@ -90,9 +95,6 @@
         // not run. Answers of peers may have arrived but not been read yet.
         borrower_.restart_silence_timers(now);
     }
-    if (now_ == time_point{}) {
-        first_event_at_ = now;
-    }
     now_ = std::max(now_, now);
     actions_ = &actions;
     const bool cancels = std::holds_alternative<request_cancelled>(event);
@@ -113,6 +115,7 @@
 // Runs after every event: assigns free slots to queued requests, answers peers,
 // and then asks peers for slots.
 void service_scheduler::impl::after_event() {
+    settle_unpaid();
     dispatch();
     answer_peers();
     check_unresponsive_owners();
@@ -144,6 +147,9 @@
             consider(next_full_scan_at_);
         }
     }
+    if (!unpaid_.empty()) {
+        consider(std::max(lenders_.round_ends(), now_ + duration(1)));
+    }
     const bool pending = wake_at_ && *wake_at_ > now_;
     if (!next || (pending && *wake_at_ <= *next)) {
         return;
@@ -175,28 +181,6 @@
     decline_unserveable();
 }
 
-// An instance that owns no slots allows only its part of the extra repeats,
-// since it does not know how many the others allow.
-void service_scheduler::impl::update_repeat_limits() {
-    const service* configured =
-        view_.config ? find_service(*view_.config, service_) : nullptr;
-    if (configured == nullptr) {
-        return;
-    }
-    const auto members =
-        static_cast<double>(std::max<std::size_t>(view_.members.size(), 1));
-    repeat_limits limits;
-    limits.window = configured->budgets.repeat_window;
-    limits.fraction =
-        configured->budgets.repeats > 0
-            ? configured->budgets.repeats
-            : configured->budgets.retries + configured->budgets.hedges;
-    limits.extra = configured->budgets.repeat_extra *
-                   policy_.repeat_extra_share /
-                   (table_.owns_any() ? 1 : members);
-    repeats_.change_limits(limits);
-}
-
 void service_scheduler::impl::on(const probe_started& event) {
     if (const auto at = table_.find(event.backend_server)) {
         table_.probe_started(*at, now_);
@@ -231,11 +215,7 @@
     load.lent_slots = lender_.given();
     load.arrivals_per_second = offered_load_.arrivals_per_second(now);
     load.refused = refused_;
-    load.repeats = repeat_report_;
-    load.repeats.window_requests = repeats_.requests();
-    load.repeats.window_repeats = repeats_.repeats();
-    load.repeats.limit = repeats_.limit();
-    load.repeats.held_for = now - first_event_at_;
+    load.repeats = report_repeats(now);
     return load;
 }
 
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -12,6 +12,7 @@
 #include "decision/grant_borrower.hpp"
 #include "decision/grant_lender.hpp"
 #include "decision/offered_load.hpp"
+#include "decision/repeat_lenders.hpp"
 #include "decision/request_queue.hpp"
 #include "decision/slot_table.hpp"
 #include "decision/unresponsive_owners.hpp"
@@ -23,7 +24,8 @@
 // Holds the parts of a service_scheduler and passes events through them.
 class service_scheduler::impl {
 public:
-    impl(std::string service, member_id self, const scheduling_policy& policy);
+    impl(std::string service, member_id self, const scheduling_policy& policy,
+         time_point process_began);
 
     void handle(const scheduler_event& event, time_point now,
                 std::vector<scheduler_action>& actions);
@@ -71,6 +73,8 @@
     void on(const ask_answered& event);
     void on(const grant_received& event);
     void on(const grant_returned& event);
+    void on(const repeats_asked& event);
+    void on(const repeats_given& event);
     void on(const probe_started& event);
     void on(const probe_ended& event);
     void on(const time_passed& event);
@@ -78,6 +82,7 @@
     // scheduler_requests.cpp
     bool refuse_if_impossible(const request_arrived& request);
     void admit(queued_request entry);
+    void place(queued_request entry);
     void enqueue(queued_request entry);
     void enqueue_late(queued_request entry);
     void assign_slot(const queued_request& entry, slot_table::index at);
@@ -88,7 +93,6 @@
     void decline_all();
     void decline_unserveable();
     void refuse(request_id request, refusal_reason reason);
-    bool count_repeat(queued_request& entry);
     bool try_assign_slot(const queued_request& entry);
     bool blocked_by_stale_view(const request_arrived& request) const;
     // Whether this instance may use slots of its own or a share of the slots of
@@ -149,7 +153,24 @@
         std::vector<declined_request> declined;
     };
 
+    // scheduler_repeats.cpp
+    // What becomes of the payment for a request.
+    enum class payment {
+        done,    // or none is needed
+        awaited, // peers may give what is missing
+        impossible
+    };
+    payment pay(queued_request& entry);
+    void decline_unpaid(const queued_request& entry);
+    void await_payment(queued_request entry);
+    void settle_unpaid();
+    void ask_for_repeats();
+    void cancel_unpaid(request_id request);
+    void decline_all_unpaid();
+    void note_sent(const queued_request& entry);
     void update_repeat_limits();
+    repeat_report report_repeats(time_point now) const;
+
     void after_event();
     void request_wake_up();
 
@@ -173,7 +194,11 @@
     // Requests of other owners that have no free slots at the moment.
     request_queue other_owners_queue_;
     offered_load offered_load_;
+    time_point process_began_;
     repeat_budget repeats_;
+    repeat_lenders lenders_;
+    // Repeated attempts that wait until they are paid for.
+    std::vector<queued_request> unpaid_;
     admission admission_;
     grant_lender lender_;
     grant_borrower borrower_;
@@ -184,8 +209,7 @@
     // whose state has changed.
     time_point next_full_scan_at_{};
     std::uint64_t refused_ = 0;
-    repeat_report repeat_report_;
-    time_point first_event_at_{};
+    repeat_report repeat_report_; // its counts since the start
 };
 
 } // namespace waxwingvale::decision
--- a/src/decision/slot_table_view.cpp
+++ b/src/decision/slot_table_view.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <waxwingvale/decision/stable_hash.hpp>
 
+#include "decision/assumed_instances.hpp"
 #include "decision/slot_table.hpp"
 
 namespace waxwingvale::decision {
@@ -15,12 +16,6 @@
            candidate.state == member_state::suspect;
 }
 
-// Number of instances that is assumed while no other instance is known.
-// Instances that all start at the same time do not know each other for a few
-// tenths of a second. If each used all slots, they would exceed the capacity of
-// the service many times. Small deployments have 12 to 18 instances.
-constexpr unsigned assumed_sharers = 16;
-
 // Returns the number of instances that share the slots of an unreachable owner:
 // the remaining owners, which other instances ask and callers are steered to;
 // if there are none, all members. 0 if this instance has to ask an owner
@@ -30,7 +25,7 @@
                              const std::unordered_set<std::string>& reachable,
                              const member_id& self) {
     if (!view.members_known) {
-        return assumed_sharers;
+        return assumed_instances;
     }
     unsigned owners = 0;
     bool self_owns = false;
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -179,6 +179,7 @@
     member_id self_;
     const request_protocol& protocol_;
     kernel::timer_service& timers_;
+    time_point began_;
     forwarding::backend_pool& pool_;
     entry_metrics& metrics_;
     call_log log_;
--- a/src/entry/call_services.cpp
+++ b/src/entry/call_services.cpp
@@ -136,8 +136,8 @@
 call_desk::service_part& call_desk::part_of(const std::string& service) {
     auto& part = services_[service];
     if (!part.desk) {
-        part.desk =
-            std::make_unique<service_desk>(service, self_, timers_, *this);
+        part.desk = std::make_unique<service_desk>(service, self_, began_,
+                                                   timers_, *this);
         for (const auto& peer : reachable_) {
             part.desk->handle(
                 decision::peer_reachability{peer.first, peer.second});
--- a/src/entry/grant_message.cpp
+++ b/src/entry/grant_message.cpp
@@ -52,6 +52,9 @@
 constexpr const char* answer_bytes = "u";
 constexpr const char* load = "o";
 constexpr const char* terms = "T";
+constexpr const char* repeat_paid = "P";
+constexpr const char* round = "N";
+constexpr const char* amount = "A";
 } // namespace field
 
 // What most requests have in common goes without saying.
@@ -130,6 +133,9 @@
     if (request.isolated) {
         written[field::isolated] = true;
     }
+    if (request.repeat_paid) {
+        written[field::repeat_paid] = true;
+    }
     if (request.only_if_spare) {
         written[field::only_if_spare] = true;
     }
@@ -158,6 +164,7 @@
             from.at(field::data_centres).get<std::vector<std::string>>();
     }
     request.isolated = from.value(field::isolated, false);
+    request.repeat_paid = from.value(field::repeat_paid, false);
     request.only_if_spare = from.value(field::only_if_spare, false);
     return request;
 }
@@ -217,6 +224,16 @@
             into[field::terms] = write_terms(*a.use->terms);
         }
     }
+    void operator()(const decision::ask_repeats& a) const {
+        into[field::type] = "c";
+        into[field::round] = a.round;
+        into[field::amount] = a.wanted;
+    }
+    void operator()(const decision::give_repeats& a) const {
+        into[field::type] = "C";
+        into[field::round] = a.round;
+        into[field::amount] = a.amount;
+    }
 };
 
 decision::scheduler_event read_ask(const std::string& peer, const json& from) {
@@ -298,16 +315,32 @@
     return returned;
 }
 
+decision::scheduler_event read_repeats_asked(const std::string& peer,
+                                             const json& from) {
+    return decision::repeats_asked{
+        peer, io::read_number<std::uint64_t>(from.at(field::round)),
+        io::read_rate(from.at(field::amount))};
+}
+
+decision::scheduler_event read_repeats_given(const std::string& peer,
+                                             const json& from) {
+    return decision::repeats_given{
+        peer, io::read_number<std::uint64_t>(from.at(field::round)),
+        io::read_rate(from.at(field::amount))};
+}
+
 struct event_reader {
     const char* type;
     decision::scheduler_event (*read)(const std::string&, const json&);
 };
 
-constexpr std::array<event_reader, 4> event_readers = {{
+constexpr std::array<event_reader, 6> event_readers = {{
     {"a", read_ask},
     {"w", read_answer},
     {"g", read_give},
     {"r", read_return},
+    {"c", read_repeats_asked},
+    {"C", read_repeats_given},
 }};
 
 } // namespace
--- a/src/entry/grant_message.hpp
+++ b/src/entry/grant_message.hpp
@@ -18,7 +18,8 @@
 struct outgoing_grant_message {
     std::string service;
     std::variant<decision::ask_slots, decision::answer_ask,
-                 decision::give_grant, decision::return_grant>
+                 decision::give_grant, decision::return_grant,
+                 decision::ask_repeats, decision::give_repeats>
         action;
 };
 
--- a/src/entry/service_desk.cpp
+++ b/src/entry/service_desk.cpp
@@ -10,12 +10,13 @@
 using namespace std::chrono_literals;
 
 service_desk::service_desk(std::string service, member_id self,
+                           time_point process_began,
                            kernel::timer_service& timers,
                            scheduler_outlet& outlet)
     : service_(service),
       timers_(timers),
       outlet_(outlet),
-      scheduler_(std::move(service), std::move(self)) {}
+      scheduler_(std::move(service), std::move(self), {}, process_began) {}
 
 void service_desk::handle(const decision::scheduler_event& event) {
     // Not a member: an action may lead to the next event before this returns.
--- a/src/entry/service_desk.hpp
+++ b/src/entry/service_desk.hpp
@@ -25,7 +25,7 @@
 // the resulting actions to the outlet, in order.
 class service_desk {
 public:
-    service_desk(std::string service, member_id self,
+    service_desk(std::string service, member_id self, time_point process_began,
                  kernel::timer_service& timers, scheduler_outlet& outlet);
 
     void handle(const decision::scheduler_event& event);
--- a/src/waxwing_replay/action_text.cpp
+++ b/src/waxwing_replay/action_text.cpp
@@ -59,6 +59,16 @@
            ' ' + std::to_string(count(a.use->service_time));
 }
 
+std::string text(const ask_repeats& a) {
+    return "ask-repeats " + a.peer + ' ' + std::to_string(a.round) + ' ' +
+           std::to_string(a.wanted);
+}
+
+std::string text(const give_repeats& a) {
+    return "give-repeats " + a.peer + ' ' + std::to_string(a.round) + ' ' +
+           std::to_string(a.amount);
+}
+
 std::string text(const wake_at& a) {
     return "wake " + std::to_string(count(a.when));
 }
--- a/src/waxwing_replay/decision_bench.cpp
+++ b/src/waxwing_replay/decision_bench.cpp
@@ -67,7 +67,8 @@
 public:
     request_mill(const view_changed& view, const member_id& self,
                  std::optional<target_case> timely)
-        : scheduler_(view.owners.service, self), timely_(timely) {
+        : scheduler_(view.owners.service, self, {}, started_long_ago),
+          timely_(timely) {
         for (const member& peer : view.members) {
             send(peer_reachability{peer.id.name, true});
         }
--- a/src/waxwing_replay/trace.cpp
+++ b/src/waxwing_replay/trace.cpp
@@ -55,8 +55,8 @@
         for (const json& known : header.at("instances")) {
             const member_id id{known.at("name").get<std::string>(),
                                known.at("incarnation").get<std::uint64_t>()};
-            schedulers_.push_back(
-                std::make_unique<service_scheduler>(service_, id, knobs_));
+            schedulers_.push_back(std::make_unique<service_scheduler>(
+                service_, id, knobs_, started_long_ago));
         }
     }
 
--- a/src/waxwing_replay/trace_codec.cpp
+++ b/src/waxwing_replay/trace_codec.cpp
@@ -181,6 +181,9 @@
     if (waiting.target_left) {
         line["target_left"] = count(*waiting.target_left);
     }
+    if (waiting.repeat_paid) {
+        line["repeat_paid"] = true;
+    }
     return line;
 }
 
@@ -192,6 +195,7 @@
     if (from.contains("target_left")) {
         made.target_left = duration_in(from, "target_left");
     }
+    made.repeat_paid = from.value("repeat_paid", false);
     return made;
 }
 
@@ -279,6 +283,32 @@
     return made;
 }
 
+json encode(const repeats_asked& event) {
+    return {{"event", "repeats_asked"},
+            {"peer", event.peer},
+            {"round", event.round},
+            {"wanted", event.wanted}};
+}
+
+scheduler_event decode_repeats_asked(const json& from) {
+    return repeats_asked{from.at("peer").get<std::string>(),
+                         from.at("round").get<std::uint64_t>(),
+                         from.at("wanted").get<double>()};
+}
+
+json encode(const repeats_given& event) {
+    return {{"event", "repeats_given"},
+            {"peer", event.peer},
+            {"round", event.round},
+            {"amount", event.amount}};
+}
+
+scheduler_event decode_repeats_given(const json& from) {
+    return repeats_given{from.at("peer").get<std::string>(),
+                         from.at("round").get<std::uint64_t>(),
+                         from.at("amount").get<double>()};
+}
+
 json encode(const probe_ended& event) {
     json line = {{"event", "probe_ended"},
                  {"backend_server", event.backend_server},
@@ -326,6 +356,8 @@
         {"ask_answered", decode_answer},
         {"grant_received", decode_grant},
         {"grant_returned", decode_return},
+        {"repeats_asked", decode_repeats_asked},
+        {"repeats_given", decode_repeats_given},
         {"probe_started", decode_probe_start},
         {"probe_ended", decode_probe},
         {"time_passed", decode_time}};
--- a/src/waxwing_replay/waxwing_policy.cpp
+++ b/src/waxwing_replay/waxwing_policy.cpp
@@ -59,8 +59,8 @@
     make_members();
     for (const member& made : sides_[0].members) {
         entry_instance instance;
-        instance.scheduler =
-            std::make_unique<service_scheduler>(service_.name, made.id, knobs_);
+        instance.scheduler = std::make_unique<service_scheduler>(
+            service_.name, made.id, knobs_, started_long_ago);
         instances_.push_back(std::move(instance));
     }
     link_all();
@@ -432,6 +432,18 @@
         grant_returned{member_id_of(instance).name, action.grant, action.use});
 }
 
+void waxwing_policy::act(std::size_t instance, const ask_repeats& action) {
+    send_to_peer(instance, action.peer,
+                 repeats_asked{member_id_of(instance).name, action.round,
+                               action.wanted});
+}
+
+void waxwing_policy::act(std::size_t instance, const give_repeats& action) {
+    send_to_peer(instance, action.peer,
+                 repeats_given{member_id_of(instance).name, action.round,
+                               action.amount});
+}
+
 void waxwing_policy::act(std::size_t instance, const wake_at& action) {
     world_->times().at(
         action.when, [this, instance] { send_event(instance, time_passed{}); });
--- a/src/waxwing_replay/waxwing_policy.hpp
+++ b/src/waxwing_replay/waxwing_policy.hpp
@@ -14,6 +14,10 @@
 
 namespace waxwingvale::replay {
 
+// Replayed instances have run for so long that they hold their part of all
+// sums.
+constexpr time_point started_long_ago{-std::chrono::hours(1)};
+
 // The name and life of the entry instance with that number.
 member_id member_id_of(std::size_t instance);
 
@@ -85,6 +89,8 @@
     void act(std::size_t instance, const decision::expire_request& action);
     void act(std::size_t instance, const decision::ask_slots& action);
     void act(std::size_t instance, const decision::answer_ask& action);
+    void act(std::size_t instance, const decision::ask_repeats& action);
+    void act(std::size_t instance, const decision::give_repeats& action);
     void act(std::size_t instance, const decision::give_grant& action);
     void act(std::size_t instance, const decision::return_grant& action);
     void act(std::size_t instance, const decision::wake_at& action);
--- a/test/scheduling/random_events_test.cpp
+++ b/test/scheduling/random_events_test.cpp
@@ -169,6 +169,12 @@
         deliver(event);
     }
 
+    void peer_trades_repeats() {
+        deliver(repeats_asked{"entry-1", 1, *rc::gen::element(0.0, 1.0, 1e6)});
+        deliver(repeats_given{"entry-1", asked_round_,
+                              *rc::gen::element(0.0, 0.4, 3.0)});
+    }
+
     void probe_ends() {
         probe_ended event;
         event.backend_server =
@@ -334,10 +340,18 @@
 
     void check(const wake_at& action) { RC_ASSERT(action.when > fixture_.now); }
 
+    void check(const give_repeats& action) { RC_ASSERT(action.amount >= 0); }
+
+    void check(const ask_repeats& action) {
+        RC_ASSERT(action.wanted >= 1);
+        asked_round_ = action.round;
+    }
+
     void check(const ask_slots& /*action*/) {}
     void check(const answer_ask& /*action*/) {}
 
     scheduler_fixture fixture_;
+    std::uint64_t asked_round_ = 0;
     request_id next_request_ = 1;
     grant_id next_grant_ = 1;
     std::map<request_id, request_arrived> waiting_;
