decision: a new owner of a cold server waits until it knows the last second

Found while looking for the cause of repeats beyond the budget elsewhere: what a cold server gets in a second was counted by its owner, and each new owner began at nothing. Four owners a quarter of a second apart sent it 28 requests where it bears 14 (test red before), and it crashes.

--- a/src/decision/cold_rate_limiter.cpp
+++ b/src/decision/cold_rate_limiter.cpp
@@ -23,6 +23,18 @@
     }
 }
 
+void cold_rate_limiter::set_owner(bool owner, bool first_view, time_point now) {
+    if (owner && !owner_.value_or(false)) {
+        const bool has_predecessors = owner_.has_value() || first_view;
+        owned_since_ = has_predecessors ? now : time_point();
+    }
+    owner_ = owner;
+}
+
+held_window cold_rate_limiter::past() const {
+    return {owned_since_, rate_window};
+}
+
 void cold_rate_limiter::set_registered_cold_until(time_point until) {
     if (until != registered_cold_until_) {
         registered_cold_until_ = until;
@@ -34,6 +46,9 @@
     if (!limit_ || !is_cold(now)) {
         return std::nullopt;
     }
+    if (!past().is_known(now)) {
+        return 0;
+    }
     const auto recent =
         std::count_if(starts_.begin(), starts_.end(), [now](time_point each) {
             return now - each < rate_window;
@@ -47,6 +62,9 @@
     if (!left || *left > 0) {
         return std::nullopt;
     }
+    if (!past().is_known(now)) {
+        return std::min(past().known_from(), cold_until_);
+    }
     return starts_.empty()
                ? cold_until_
                : std::min(starts_.front() + rate_window, cold_until_);
--- a/src/decision/cold_rate_limiter.hpp
+++ b/src/decision/cold_rate_limiter.hpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <vector>
 
+#include <waxwingvale/decision/held_window.hpp>
 #include <waxwingvale/model/time.hpp>
 
 namespace waxwingvale::decision {
@@ -16,6 +17,11 @@
     // Maximum number of requests from this instance in any second; unlimited if
     // not set.
     void set_limit(std::optional<unsigned> limit);
+    // Sets whether this instance owns the server. A new owner sends nothing
+    // until it knows what the server got in the last second. `first_view`: this
+    // process has just started; else a server that it has not seen before has
+    // had no owner before, either.
+    void set_owner(bool owner, bool first_view, time_point now);
     // Sets the end of the cold phase as listed in the registry. A repeated
     // value does not override what the server itself has reported since.
     void set_registered_cold_until(time_point until);
@@ -30,7 +36,11 @@
     void record_start(time_point now);
 
 private:
+    held_window past() const;
+
     std::optional<unsigned> limit_;
+    std::optional<bool> owner_; // not set: the server is new
+    time_point owned_since_{};
     time_point registered_cold_until_{};
     time_point cold_until_{};
     // Times of the last `limit_` starts, oldest first. Most servers have none;
--- a/src/decision/slot_table_view.cpp
+++ b/src/decision/slot_table_view.cpp
@@ -218,6 +218,8 @@
             allowance = 0;
         }
         server.set_allowance(allowance, fair_share);
+        server.limits().cold().set_owner(owned_[place], !configured_before_,
+                                         now);
         server.limits().cold().set_limit(
             cold_request_limit(owned_[place], sharers));
         server.limits().named().set_share(
--- a/test/scheduling/cold_test.cpp
+++ b/test/scheduling/cold_test.cpp
@@ -159,6 +159,45 @@
     CHECK(started_in_a_second(f, 1001) == 0);
 }
 
+TEST_CASE("owners that follow each other quickly keep a cold server's limit") {
+    // Guards against the crash of a cold server by owners none of which knows
+    // what the one before it sent.
+    constexpr unsigned most = 14;
+    unsigned sent = 0;
+    time_point now = start;
+    for (unsigned owner = 0; owner < 4; ++owner) {
+        scheduler_fixture f(1, 4, 0);
+        f.now = now;
+        set_cold_limit(f, most, start + 1h);
+        std::swap(f.view.owners.owners[0].backend_servers,
+                  f.view.owners.owners[1].backend_servers);
+        f.apply_view();
+        for (unsigned tick = 0; tick < 25; ++tick) {
+            f.arrive(tick + 1, 5ms);
+            if (!f.all<start_request>().empty()) {
+                ++sent;
+                f.finish(tick + 1, attempt_verdict::answered, 1ms);
+            }
+            f.pass(10ms);
+        }
+        now = f.now;
+    }
+    CHECK(sent <= most);
+}
+
+TEST_CASE("a new owner uses a cold server once it knows the last second") {
+    // Guards against a limit that is kept by sending nothing for long.
+    scheduler_fixture f(1, 4, 0);
+    f.now = start;
+    set_cold_limit(f, 14, start + 1h);
+    std::swap(f.view.owners.owners[0].backend_servers,
+              f.view.owners.owners[1].backend_servers);
+    f.apply_view();
+    CHECK(started_in_a_second(f, 1) == 0);
+    f.pass(300ms);
+    CHECK(started_in_a_second(f, 1001) == 7);
+}
+
 TEST_CASE("requests beyond the cold limit go to the warm server") {
     scheduler_fixture f(2, 4, 2);
     f.now = start;
