decision: a part of the repeats is a token bucket that carries little over

The part of an instance was counted over a sliding window of its own. Cause, the same class once more: a process spends at the onset what the requests of the window before allow, is killed, and its successor spends what the requests of this window allow, which no process counted together. A whole window was the price in the first form for the extra repeats only.

Now the part is a token bucket: empty when a process begins, gaining less than the ratio with each request, holding its part of three quarters of the extra and a quarter of what a window of requests gains, both together the ratio; full once nothing was spent for a window. Sums do not depend on which process spends. A new process may use what it gains from its first request on; before, the extra part came a window later.

--- a/include/waxwingvale/decision/repeat_budget.hpp
+++ b/include/waxwingvale/decision/repeat_budget.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <map>
-#include <optional>
 #include <vector>
 
 #include <waxwingvale/decision/held_window.hpp>
@@ -20,76 +19,66 @@
     double instances = 1;
 };
 
-// What a repeated attempt was charged to the budget of the instance that sends
-// it. The rest of it was charged to peers.
-struct repeat_charge {
-    double amount = 0;
-    time_point counted_at{}; // the latest time at which it may be sent
-};
-
 // The part of one instance in the repeated attempts (retries and hedges) that a
-// service may get, over a sliding window. Each instance pays for the repeats
-// that it sends itself:
+// service may get. Each instance pays for the repeats that it sends itself,
+// from a token bucket that
 //
-// - with `fraction` of a repeat for each request that it received itself;
-// - with its part of the extra ones, once it has run for a window: the former
-//   process of its name may have used them;
-// - with what peers have given it of theirs.
+// - gains a part of a repeat with each request that callers sent to it, and
+//   slowly more with time;
+// - holds no more than its part of the extra ones and some of what the requests
+//   of the last window allowed. Both together are `fraction`: a predecessor may
+//   have spent what was held, and its successor spends what it gains;
+// - is empty when the process begins, since the former process of its name may
+//   have spent all, and full when nothing was spent for a whole window;
+// - can be passed on to peers, who lose what they give.
 //
-// No two processes ever hold the same part, whoever owns the slots and whoever
+// No two processes ever hold the same token, whoever owns the slots and whoever
 // reaches whom, so that the sum stays within the limits when instances end,
-// stop, start or are cut apart.
+// stop, start or are cut apart. Where there are more instances than extra
+// repeats, each may hold one all the same.
 class repeat_budget {
 public:
     explicit repeat_budget(const repeat_limits& limits) : limits_(limits) {}
 
-    void change_limits(const repeat_limits& limits) { limits_ = limits; }
-    // Sets since when this process has run.
-    void hold_since(time_point began) { began_ = began; }
+    void change_limits(const repeat_limits& limits, time_point now);
+    // Sets since when this process has run. Before it spends anything.
+    void hold_since(time_point began);
     void on_request(time_point now);
-    // Charges one repeated attempt that will be sent until `latest_send`, if
-    // the budget allows it.
-    std::optional<repeat_charge> try_spend(time_point now,
-                                           time_point latest_send);
-    // The attempt is sent now.
-    void on_sent(const repeat_charge& charged, time_point now);
+    // Takes the token of one repeated attempt if there is one; returns whether
+    // there was.
+    bool try_spend(time_point now);
 
-    // Gives up to half of what is left to a peer; returns how much. The peer
-    // may use it for credit_lifetime.
+    // Gives up to half of the tokens to a peer; returns how much. The peer may
+    // use it for credit_lifetime after it has asked.
     double give(double wanted, time_point now);
     // A peer has given so much, which may be used until the given time.
     void receive(double amount, time_point usable_until);
-    static constexpr duration credit_lifetime = std::chrono::seconds(2);
+    static constexpr duration credit_lifetime = std::chrono::milliseconds(250);
 
-    // Requests and repeats of the window, and the most repeats allowed in it by
-    // what this instance holds itself.
-    double requests(time_point now) const;
-    double repeats(time_point now) const;
-    double limit(time_point now) const;
+    double tokens(time_point now) const;
+    double capacity(time_point now) const;
 
 private:
-    // Counts of one section of the window.
-    struct window_section {
-        double requests = 0;
-        double repeats = 0;
-    };
+    using section_counts = std::map<time_point, double>; // by their starts
+
+    double gain_of_request() const;
+    double requests(time_point now) const;
     // What a peer has given.
     struct credit {
         double amount = 0;
         time_point usable_until{};
     };
 
-    duration section_length() const;
-    window_section& section_at(time_point when);
-    void drop_old(time_point now);
-    double left(time_point now) const;
-    double credits_until(time_point latest_send) const;
-    void use_credits(double amount, time_point latest_send);
+    void refill(time_point now);
+    void take(double amount, time_point now);
+    double take_credits(double most, time_point now);
 
     repeat_limits limits_;
-    time_point began_{};
-    std::map<time_point, window_section> sections_; // by their starts
+    double tokens_ = 0;
+    time_point refilled_at_{};
+    time_point last_spent_{}; // by this process or, perhaps, its predecessors
     std::vector<credit> credits_;
+    section_counts requests_;
 };
 
 } // namespace waxwingvale::decision
--- a/include/waxwingvale/decision/scheduling_policy.hpp
+++ b/include/waxwingvale/decision/scheduling_policy.hpp
@@ -82,10 +82,6 @@
     // How many requests a tenant may be served ahead of its share.
     unsigned fairness_window = 8;
 
-    // Part of the configured extra repeats that all instances together allow.
-    // The windows in which instances count are not quite the same.
-    double repeat_extra_share = 0.75;
-
     // Time without a load report after which a server is probed: one that was
     // slowed down in its last report, and any other.
     duration slowed_probe_after{60000};
--- a/include/waxwingvale/decision/service_scheduler.hpp
+++ b/include/waxwingvale/decision/service_scheduler.hpp
@@ -27,15 +27,14 @@
 
 bool operator==(const slot_report& a, const slot_report& b);
 
-// What this instance has decided on repeated attempts since its start, and the
-// counts of the current window by which it decides.
+// What this instance has decided on repeated attempts since its start, and what
+// is left of its part of the service's budget.
 struct repeat_report {
     std::uint64_t allowed = 0;
     std::uint64_t declined = 0;  // for want of budget
     std::uint64_t uncounted = 0; // sent though nobody paid for them
-    double window_requests = 0;
-    double window_repeats = 0;
-    double limit = 0;    // of window_repeats
+    double tokens = 0;
+    double capacity = 0;
     duration held_for{}; // since this process began
 };
 
--- a/src/decision/repeat_budget.cpp
+++ b/src/decision/repeat_budget.cpp
@@ -7,118 +7,129 @@
 
 namespace {
 
+// Parts of the extra repeats that all buckets together hold, and that they gain
+// in a window. The rest is left for repeats that wait for a slot after they
+// were paid for.
+constexpr double held_share = 0.75;
+constexpr double gained_share = 0.125;
+
+// How much a bucket holds of what the requests of a window allow, as a part of
+// what it gains by them.
+constexpr double carried_share = 0.25;
+
 // The window slides in steps of one section.
 constexpr int sections_per_window = 20;
 
-// The part of a budget that an instance gives to a peer at most, so that the
+// The part of a bucket that an instance gives to a peer at most, so that the
 // one that asks first does not leave the others without.
 constexpr double most_given = 0.5;
 
 } // namespace
 
-duration repeat_budget::section_length() const {
-    return std::max(limits_.window / sections_per_window, duration(1));
+double repeat_budget::gain_of_request() const {
+    return limits_.fraction / (1 + carried_share);
 }
 
-repeat_budget::window_section& repeat_budget::section_at(time_point when) {
-    const auto since_start = when.time_since_epoch() % section_length();
-    return sections_[when - since_start];
+// Only sections that lie within the window as a whole.
+double repeat_budget::requests(time_point now) const {
+    return std::accumulate(
+        requests_.lower_bound(now - limits_.window), requests_.end(), 0.0,
+        [](double sum, const auto& each) { return sum + each.second; });
 }
 
-// What peers were given counts until it may no longer be used, so that sections
-// may lie in the future.
-void repeat_budget::drop_old(time_point now) {
-    const time_point oldest = now - limits_.window - section_length();
-    sections_.erase(sections_.begin(), sections_.upper_bound(oldest));
-    credits_.erase(std::remove_if(credits_.begin(), credits_.end(),
-                                  [now](const credit& each) {
-                                      return each.usable_until <= now;
-                                  }),
-                   credits_.end());
+double repeat_budget::capacity(time_point now) const {
+    const double extra = held_share * limits_.extra / limits_.instances;
+    return std::max(extra, 1.0) +
+           carried_share * gain_of_request() * requests(now);
 }
 
-// Only sections that lie within the window as a whole.
-double repeat_budget::requests(time_point now) const {
-    double sum = 0;
-    for (auto at = sections_.lower_bound(now - limits_.window);
-         at != sections_.end(); ++at) {
-        sum += at->second.requests;
+double repeat_budget::tokens(time_point now) const {
+    if (held_window(last_spent_, limits_.window).is_known(now)) {
+        return capacity(now);
     }
-    return sum;
+    const double windows = static_cast<double>((now - refilled_at_).count()) /
+                           static_cast<double>(limits_.window.count());
+    const double gained =
+        gained_share * limits_.extra / limits_.instances * windows;
+    return std::min(tokens_ + gained, capacity(now));
+}
+
+void repeat_budget::refill(time_point now) {
+    tokens_ = tokens(now);
+    refilled_at_ = now;
 }
 
-// Sections that lie within the window in part count, too.
-double repeat_budget::repeats(time_point now) const {
-    double sum = 0;
-    const time_point oldest = now - limits_.window - section_length();
-    for (auto at = sections_.upper_bound(oldest); at != sections_.end(); ++at) {
-        sum += at->second.repeats;
+void repeat_budget::change_limits(const repeat_limits& limits, time_point now) {
+    if (limits_.window > duration::zero()) {
+        refill(now);
     }
-    return sum;
+    limits_ = limits;
+    tokens_ = std::min(tokens_, capacity(now));
 }
 
-double repeat_budget::limit(time_point now) const {
-    const held_window past(began_, limits_.window + credit_lifetime);
-    const double own_extra =
-        past.is_known(now) ? limits_.extra / limits_.instances : 0;
-    return limits_.fraction * requests(now) + own_extra;
+void repeat_budget::hold_since(time_point began) {
+    refilled_at_ = began;
+    last_spent_ = began;
 }
 
-double repeat_budget::left(time_point now) const {
-    return std::max(limit(now) - repeats(now), 0.0);
+void repeat_budget::on_request(time_point now) {
+    refill(now);
+    const duration length =
+        std::max(limits_.window / sections_per_window, duration(1));
+    requests_[now - now.time_since_epoch() % length] += 1;
+    requests_.erase(requests_.begin(),
+                    requests_.lower_bound(now - limits_.window));
+    tokens_ = std::min(tokens_ + gain_of_request(), capacity(now));
 }
 
-// Those that are still usable when an attempt is sent at the latest.
-double repeat_budget::credits_until(time_point latest_send) const {
-    return std::accumulate(
-        credits_.begin(), credits_.end(), 0.0,
-        [latest_send](double sum, const credit& each) {
-            return sum + (each.usable_until >= latest_send ? each.amount : 0);
-        });
+void repeat_budget::take(double amount, time_point now) {
+    refill(now);
+    tokens_ -= amount;
+    last_spent_ = now;
 }
 
-void repeat_budget::use_credits(double amount, time_point latest_send) {
+double repeat_budget::take_credits(double most, time_point now) {
+    double taken = 0;
     for (credit& each : credits_) {
-        if (each.usable_until >= latest_send) {
-            const double used = std::min(each.amount, amount);
+        if (each.usable_until > now) {
+            const double used = std::min(each.amount, most - taken);
             each.amount -= used;
-            amount -= used;
+            taken += used;
         }
     }
+    return taken;
 }
 
-void repeat_budget::on_request(time_point now) {
-    drop_old(now);
-    section_at(now).requests += 1;
-}
-
-// What peers gave is used first, since it is lost soon; they count it.
-std::optional<repeat_charge> repeat_budget::try_spend(time_point now,
-                                                      time_point latest_send) {
-    drop_old(now);
-    const double given = std::min(credits_until(latest_send), 1.0);
-    if (left(now) + given < 1) {
-        return std::nullopt;
+// What peers gave is used first, since it is lost soon.
+bool repeat_budget::try_spend(time_point now) {
+    const double given = std::accumulate(
+        credits_.begin(), credits_.end(), 0.0,
+        [now](double sum, const credit& each) {
+            return sum + (each.usable_until > now ? each.amount : 0);
+        });
+    if (given + tokens(now) < 1) {
+        return false;
     }
-    use_credits(given, latest_send);
-    section_at(latest_send).repeats += 1 - given;
-    return repeat_charge{1 - given, latest_send};
-}
-
-void repeat_budget::on_sent(const repeat_charge& charged, time_point now) {
-    section_at(charged.counted_at).repeats -= charged.amount;
-    section_at(now).repeats += charged.amount;
+    const double taken = take_credits(1, now);
+    if (taken < 1) {
+        take(1 - taken, now);
+    }
+    return true;
 }
 
 double repeat_budget::give(double wanted, time_point now) {
-    drop_old(now);
-    const double given =
-        std::clamp(wanted, 0.0, std::max(left(now) * most_given, 0.0));
-    section_at(now + credit_lifetime).repeats += given;
+    const double given = std::clamp(wanted, 0.0, most_given * tokens(now));
+    if (given > 0) {
+        take(given, now);
+    }
     return given;
 }
 
 void repeat_budget::receive(double amount, time_point usable_until) {
+    credits_.erase(
+        std::remove_if(credits_.begin(), credits_.end(),
+                       [](const credit& each) { return each.amount <= 0; }),
+        credits_.end());
     if (amount > 0) {
         credits_.push_back({amount, usable_until});
     }
--- a/src/decision/request_queue.hpp
+++ b/src/decision/request_queue.hpp
@@ -9,7 +9,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include <waxwingvale/decision/repeat_budget.hpp>
 #include <waxwingvale/decision/scheduler_events.hpp>
 
 namespace waxwingvale::decision {
@@ -35,10 +34,9 @@
     std::string peer;          // that received it; empty: this instance
     // When the peer last confirmed that the request is still queued there.
     time_point last_confirmed_at{};
-    // Of a repeated attempt: whether it is paid for, what of it was charged
-    // here, and until when it waits for its payment.
+    // Of a repeated attempt: whether it is paid for, and until when it waits
+    // for its payment.
     bool repeat_paid = false;
-    std::optional<repeat_charge> charge{};
     time_point pay_by{};
 
     request_origin origin() const { return {peer, arrival.request}; }
--- a/src/decision/scheduler_repeats.cpp
+++ b/src/decision/scheduler_repeats.cpp
@@ -36,14 +36,12 @@
     if (entry.repeat_paid) {
         return payment::done;
     }
-    entry.charge = repeats_.try_spend(now_, request.deadline);
-    if (entry.charge) {
-        entry.repeat_paid = true;
+    entry.repeat_paid = repeats_.try_spend(now_);
+    if (entry.repeat_paid) {
         ++repeat_report_.allowed;
         return payment::done;
     }
-    const bool may_wait = arrived_here && !request.only_if_spare;
-    return may_wait && !linked_peers_.empty() && lenders_.is_hopeful(now_)
+    return arrived_here && !linked_peers_.empty() && lenders_.is_hopeful(now_)
                ? payment::awaited
                : payment::impossible;
 }
@@ -62,6 +60,10 @@
 // what has waited in vain.
 void service_scheduler::impl::settle_unpaid() {
     for (queued_request& entry : std::exchange(unpaid_, {})) {
+        if (entry.arrival.deadline <= now_) {
+            actions_->emplace_back(expire_request{entry.arrival.request});
+            continue;
+        }
         const payment paid = pay(entry);
         if (paid == payment::done) {
             place(std::move(entry));
@@ -118,12 +120,7 @@
     }
 }
 
-// A repeated attempt that was paid for at the latest time at which it might be
-// sent is sent now.
 void service_scheduler::impl::note_sent(const queued_request& entry) {
-    if (entry.charge) {
-        repeats_.on_sent(*entry.charge, now_);
-    }
     if (is_repeat(entry.arrival) && !entry.repeat_paid) {
         ++repeat_report_.uncounted;
     }
@@ -145,17 +142,15 @@
         configured->budgets.repeats > 0
             ? configured->budgets.repeats
             : configured->budgets.retries + configured->budgets.hedges;
-    limits.extra =
-        configured->budgets.repeat_extra * policy_.repeat_extra_share;
+    limits.extra = configured->budgets.repeat_extra;
     limits.instances = static_cast<double>(std::max<std::size_t>(known, least));
-    repeats_.change_limits(limits);
+    repeats_.change_limits(limits, now_);
 }
 
 repeat_report service_scheduler::impl::report_repeats(time_point now) const {
     repeat_report report = repeat_report_;
-    report.window_requests = repeats_.requests(now);
-    report.window_repeats = repeats_.repeats(now);
-    report.limit = repeats_.limit(now);
+    report.tokens = repeats_.tokens(now);
+    report.capacity = repeats_.capacity(now);
     report.held_for = now - process_began_;
     return report;
 }
--- a/src/entry/service_desk.cpp
+++ b/src/entry/service_desk.cpp
@@ -59,17 +59,15 @@
     if (allowed + declined + uncounted == 0) {
         return;
     }
-    program::log_change(
-        "repeats_counted",
-        {{"service", service_},
-         {"allowed", std::to_string(allowed)},
-         {"declined", std::to_string(declined)},
-         {"uncounted", std::to_string(uncounted)},
-         {"owns_slots", load.owns_slots ? "yes" : "no"},
-         {"window_requests", std::to_string(now.window_requests)},
-         {"window_repeats", std::to_string(now.window_repeats)},
-         {"limit", std::to_string(now.limit)},
-         {"held_ms", std::to_string(now.held_for / 1ms)}});
+    program::log_change("repeats_counted",
+                        {{"service", service_},
+                         {"allowed", std::to_string(allowed)},
+                         {"declined", std::to_string(declined)},
+                         {"uncounted", std::to_string(uncounted)},
+                         {"owns_slots", load.owns_slots ? "yes" : "no"},
+                         {"left", std::to_string(now.tokens)},
+                         {"most_left", std::to_string(now.capacity)},
+                         {"held_ms", std::to_string(now.held_for / 1ms)}});
 }
 
 void service_desk::carry_out(const decision::start_request& action) {
--- a/src/waxwing_replay/knob_table.cpp
+++ b/src/waxwing_replay/knob_table.cpp
@@ -57,7 +57,6 @@
     {"caller_travel", &scheduling_policy::caller_network_time},
     {"any_priority_every", &scheduling_policy::urgency_only_interval},
     {"least_spare_share", &scheduling_policy::min_spare_share},
-    {"repeat_extra_share", &scheduling_policy::repeat_extra_share},
     {"slowed_probe_after", &scheduling_policy::slowed_probe_after},
     {"idle_probe_after", &scheduling_policy::idle_probe_after},
     {"recheck", &scheduling_policy::recheck_interval},
