--- a/src/entry/attempt_end.cpp
+++ b/src/entry/attempt_end.cpp
@@ -27,7 +27,7 @@
 }
 
 std::optional<backend_state> state_for_all(const backend_answer& answer) {
-    if (answer.end == attempt_end::not_sent) {
+    if (answer.sign == decision::server_sign::not_listening) {
         return backend_state::dead;
     }
     const bool leaves = answer.terms && answer.terms->leaving;
