membership: the table of verdicts on crashing requests has a name of its own

Two things were named quarantine: what decides on crashing requests, and this table, which nothing in the product feeds any more. No change of logic.

--- a/include/waxwingvale/membership/quarantine_table.hpp
+++ b/include/waxwingvale/membership/crash_verdict_table.hpp
@@ -14,13 +14,12 @@
 
 // A request fingerprint in quarantine: all entry instances refuse requests that
 // have it.
-struct quarantine_record {
+struct crash_verdict {
     std::uint64_t fingerprint = 0;
     std::string observer; // entry instance
     time_point since{};
 
-    friend bool operator==(const quarantine_record& a,
-                           const quarantine_record& b) {
+    friend bool operator==(const crash_verdict& a, const crash_verdict& b) {
         return std::tie(a.fingerprint, a.observer, a.since) ==
                std::tie(b.fingerprint, b.observer, b.since);
     }
@@ -43,13 +42,13 @@
 };
 
 // Capacity and lifetime of the table's records.
-struct quarantine_limits {
+struct crash_verdict_limits {
     std::size_t fingerprints = 4096;
     std::size_t deaths = 4096;
     duration lifetime = std::chrono::hours(1);
 };
 
-struct quarantine_counters {
+struct crash_verdict_counters {
     std::uint64_t added = 0;
     std::uint64_t evicted = 0; // oldest records, removed from a full table
     std::uint64_t expired = 0;
@@ -61,13 +60,14 @@
 // quarantined after two deaths of different backend servers or incarnations, if
 // in at least one of them no other request was in flight. A request that was
 // merely in flight during two crashes is not quarantined.
-class quarantine_table {
+class crash_verdict_table {
 public:
-    explicit quarantine_table(quarantine_limits limits) : limits_(limits) {}
+    explicit crash_verdict_table(crash_verdict_limits limits)
+        : limits_(limits) {}
 
     // Each function returns whether the table changed. A verdict puts a
     // fingerprint into quarantine.
-    bool add_verdict(const quarantine_record& verdict);
+    bool add_verdict(const crash_verdict& verdict);
     bool add_death(const death_record& death);
     bool expire(time_point now);
 
@@ -75,25 +75,25 @@
         return verdicts_.count(fingerprint) > 0;
     }
     std::vector<std::uint64_t> fingerprints() const; // sorted
-    std::vector<quarantine_record> verdicts() const;
+    std::vector<crash_verdict> verdicts() const;
     std::vector<death_record> deaths() const;
-    std::vector<quarantine_record> take_new_verdicts();
+    std::vector<crash_verdict> take_new_verdicts();
     std::vector<death_record> take_new_deaths();
     // A hash over all verdicts, to compare two tables.
     std::uint64_t digest() const;
-    const quarantine_counters& counters() const { return counters_; }
+    const crash_verdict_counters& counters() const { return counters_; }
 
 private:
     void quarantine_if_confirmed(const death_record& latest);
     void evict_oldest_verdict();
 
-    quarantine_limits limits_;
-    std::map<std::uint64_t, quarantine_record> verdicts_;
+    crash_verdict_limits limits_;
+    std::map<std::uint64_t, crash_verdict> verdicts_;
     std::map<std::uint64_t, std::vector<death_record>> deaths_;
     std::size_t death_count_ = 0;
-    std::vector<quarantine_record> new_verdicts_;
+    std::vector<crash_verdict> new_verdicts_;
     std::vector<death_record> new_deaths_;
-    quarantine_counters counters_;
+    crash_verdict_counters counters_;
 };
 
 } // namespace waxwingvale::membership
--- a/include/waxwingvale/membership/exchange_message.hpp
+++ b/include/waxwingvale/membership/exchange_message.hpp
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include <waxwingvale/membership/belief_table.hpp>
+#include <waxwingvale/membership/crash_verdict_table.hpp>
 #include <waxwingvale/membership/digest.hpp>
 #include <waxwingvale/membership/member_record.hpp>
 #include <waxwingvale/membership/packed_text.hpp>
-#include <waxwingvale/membership/quarantine_table.hpp>
 #include <waxwingvale/membership/registry_table.hpp>
 #include <waxwingvale/model/view.hpp>
 
@@ -66,7 +66,7 @@
     std::vector<member_record> members;
     std::vector<belief_record> beliefs;
     std::vector<registry_record> registry;
-    std::vector<quarantine_record> quarantine;
+    std::vector<crash_verdict> quarantine;
     std::vector<death_record> deaths;
     // The message holds all of the sender's records of these buckets; the
     // receiver replies with the records that the sender lacks.
--- a/include/waxwingvale/membership/known_state.hpp
+++ b/include/waxwingvale/membership/known_state.hpp
@@ -2,8 +2,8 @@
 
 #include <waxwingvale/membership/belief_table.hpp>
 #include <waxwingvale/membership/configuration_register.hpp>
+#include <waxwingvale/membership/crash_verdict_table.hpp>
 #include <waxwingvale/membership/member_table.hpp>
-#include <waxwingvale/membership/quarantine_table.hpp>
 #include <waxwingvale/membership/reader_duty.hpp>
 #include <waxwingvale/membership/registry_table.hpp>
 
@@ -15,7 +15,7 @@
     member_table& members;
     belief_table& beliefs;
     registry_table& registry;
-    quarantine_table& quarantine;
+    crash_verdict_table& quarantine;
     reader_duty& readers;
 };
 
--- a/src/control/knowledge.hpp
+++ b/src/control/knowledge.hpp
@@ -5,10 +5,10 @@
 #include <vector>
 #include <waxwingvale/membership/belief_table.hpp>
 #include <waxwingvale/membership/configuration_register.hpp>
+#include <waxwingvale/membership/crash_verdict_table.hpp>
 #include <waxwingvale/membership/freshness.hpp>
 #include <waxwingvale/membership/member_table.hpp>
 #include <waxwingvale/membership/peer_exchange.hpp>
-#include <waxwingvale/membership/quarantine_table.hpp>
 #include <waxwingvale/membership/reader_duty.hpp>
 #include <waxwingvale/membership/registry_table.hpp>
 #include <waxwingvale/program/settings.hpp>
@@ -41,7 +41,7 @@
     membership::member_table members;
     membership::belief_table beliefs;
     membership::registry_table registry;
-    membership::quarantine_table quarantine;
+    membership::crash_verdict_table quarantine;
     // Fingerprints of requests that this instance refuses, sorted.
     std::vector<std::uint64_t> refused_here;
     membership::reader_duty readers;
--- a/src/io/exchange_codec.cpp
+++ b/src/io/exchange_codec.cpp
@@ -13,13 +13,13 @@
 using membership::belief_record;
 using membership::configuration_message;
 using membership::configuration_request;
+using membership::crash_verdict;
 using membership::death_record;
 using membership::digest_buckets;
 using membership::digest_message;
 using membership::exchange_message;
 using membership::member_record;
 using membership::platform_status;
-using membership::quarantine_record;
 using membership::records_message;
 using membership::records_request;
 using membership::registry_record;
@@ -73,12 +73,12 @@
     value.since = moment_of(read_age(from.at(7)), now);
 }
 
-json write(const quarantine_record& value, time_point now) {
+json write(const crash_verdict& value, time_point now) {
     return json::array(
         {value.fingerprint, value.observer, age_of(value.since, now)});
 }
 
-void read(const json& from, time_point now, quarantine_record& value) {
+void read(const json& from, time_point now, crash_verdict& value) {
     value.fingerprint = read_number<std::uint64_t>(from.at(0));
     value.observer = from.at(1).get<std::string>();
     value.since = moment_of(read_age(from.at(2)), now);
--- a/src/membership/quarantine_table.cpp
+++ b/src/membership/crash_verdict_table.cpp
@@ -1,4 +1,4 @@
-#include <waxwingvale/membership/quarantine_table.hpp>
+#include <waxwingvale/membership/crash_verdict_table.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -17,7 +17,7 @@
 
 } // namespace
 
-bool quarantine_table::add_verdict(const quarantine_record& verdict) {
+bool crash_verdict_table::add_verdict(const crash_verdict& verdict) {
     if (contains(verdict.fingerprint)) {
         return false;
     }
@@ -30,7 +30,7 @@
     return true;
 }
 
-void quarantine_table::evict_oldest_verdict() {
+void crash_verdict_table::evict_oldest_verdict() {
     const auto oldest = std::min_element(
         verdicts_.begin(), verdicts_.end(), [](const auto& a, const auto& b) {
             return a.second.since < b.second.since;
@@ -39,7 +39,7 @@
     ++counters_.evicted;
 }
 
-bool quarantine_table::add_death(const death_record& death) {
+bool crash_verdict_table::add_death(const death_record& death) {
     if (contains(death.fingerprint) || death_count_ >= limits_.deaths) {
         return false;
     }
@@ -57,7 +57,7 @@
     return true;
 }
 
-void quarantine_table::quarantine_if_confirmed(const death_record& latest) {
+void crash_verdict_table::quarantine_if_confirmed(const death_record& latest) {
     const auto& known = deaths_.at(latest.fingerprint);
     const bool any_alone =
         std::any_of(known.begin(), known.end(),
@@ -68,7 +68,7 @@
     add_verdict({latest.fingerprint, latest.backend_server, latest.since});
 }
 
-bool quarantine_table::expire(time_point now) {
+bool crash_verdict_table::expire(time_point now) {
     const auto is_old = [&](time_point since) {
         return now - since >= limits_.lifetime;
     };
@@ -92,7 +92,7 @@
     return changed;
 }
 
-std::vector<std::uint64_t> quarantine_table::fingerprints() const {
+std::vector<std::uint64_t> crash_verdict_table::fingerprints() const {
     std::vector<std::uint64_t> all;
     for (const auto& each : verdicts_) {
         all.push_back(each.first);
@@ -100,15 +100,15 @@
     return all;
 }
 
-std::vector<quarantine_record> quarantine_table::verdicts() const {
-    std::vector<quarantine_record> all;
+std::vector<crash_verdict> crash_verdict_table::verdicts() const {
+    std::vector<crash_verdict> all;
     for (const auto& each : verdicts_) {
         all.push_back(each.second);
     }
     return all;
 }
 
-std::vector<death_record> quarantine_table::deaths() const {
+std::vector<death_record> crash_verdict_table::deaths() const {
     std::vector<death_record> all;
     for (const auto& each : deaths_) {
         all.insert(all.end(), each.second.begin(), each.second.end());
@@ -116,15 +116,15 @@
     return all;
 }
 
-std::vector<quarantine_record> quarantine_table::take_new_verdicts() {
+std::vector<crash_verdict> crash_verdict_table::take_new_verdicts() {
     return std::exchange(new_verdicts_, {});
 }
 
-std::vector<death_record> quarantine_table::take_new_deaths() {
+std::vector<death_record> crash_verdict_table::take_new_deaths() {
     return std::exchange(new_deaths_, {});
 }
 
-std::uint64_t quarantine_table::digest() const {
+std::uint64_t crash_verdict_table::digest() const {
     std::uint64_t digest = 0;
     for (const auto& each : verdicts_) {
         digest ^= decision::stable_hash("quarantine", each.first);
--- a/src/membership/reconciliation.cpp
+++ b/src/membership/reconciliation.cpp
@@ -97,8 +97,8 @@
     return newer;
 }
 
-bool has_verdict(const std::vector<quarantine_record>& among,
-                 const quarantine_record& verdict) {
+bool has_verdict(const std::vector<crash_verdict>& among,
+                 const crash_verdict& verdict) {
     return std::any_of(among.begin(), among.end(), [&](const auto& each) {
         return each.fingerprint == verdict.fingerprint;
     });
--- a/test/membership/configuration_announcement_test.cpp
+++ b/test/membership/configuration_announcement_test.cpp
@@ -35,7 +35,7 @@
     member_table members{self_record(), {}, start};
     belief_table beliefs{100};
     registry_table registry{100};
-    quarantine_table quarantine{{}};
+    crash_verdict_table quarantine{{}};
     reader_duty readers;
     freshness fresh{1s, start};
     peer_exchange exchange{
--- a/test/membership/configuration_exchange_property_test.cpp
+++ b/test/membership/configuration_exchange_property_test.cpp
@@ -478,7 +478,7 @@
     member_table members{self(), {}, start};
     belief_table beliefs{100};
     registry_table registry{100};
-    quarantine_table quarantine{{}};
+    crash_verdict_table quarantine{{}};
     reader_duty readers{"sea-1", 1, false, {}, start};
     freshness fresh{1s, start};
     peer_exchange exchange{
--- a/test/membership/fleet_simulation.cpp
+++ b/test/membership/fleet_simulation.cpp
@@ -69,7 +69,7 @@
     member_table members;
     belief_table beliefs{8192};
     registry_table registry{8192};
-    quarantine_table quarantine{{}};
+    crash_verdict_table quarantine{{}};
     reader_duty readers;
     freshness fresh;
     peer_exchange exchange;
--- a/test/membership/membership_world.cpp
+++ b/test/membership/membership_world.cpp
@@ -49,7 +49,7 @@
     member_table members;
     belief_table beliefs{100};
     registry_table registry{100};
-    quarantine_table quarantine{{}};
+    crash_verdict_table quarantine{{}};
     reader_duty readers;
     freshness fresh;
     peer_exchange exchange;
--- a/test/membership/tables_test.cpp
+++ b/test/membership/tables_test.cpp
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include <waxwingvale/membership/belief_table.hpp>
+#include <waxwingvale/membership/crash_verdict_table.hpp>
 #include <waxwingvale/membership/link_plan.hpp>
 #include <waxwingvale/membership/member_table.hpp>
-#include <waxwingvale/membership/quarantine_table.hpp>
 #include <waxwingvale/membership/read_budget.hpp>
 #include <waxwingvale/membership/registry_table.hpp>
 
@@ -212,7 +212,7 @@
     "two deaths quarantine a request only if it was alone in one of them") {
     // Guards against popular pages being refused everywhere because their
     // requests were in flight on servers that another request crashed.
-    quarantine_table table({});
+    crash_verdict_table table({});
     table.add_death({1, "slate-1", 1, false, start});
     table.add_death({2, "slate-1", 1, false, start});
     table.add_death({2, "slate-2", 1, false, start});
--- a/test/standin/node_observer.cpp
+++ b/test/standin/node_observer.cpp
@@ -41,7 +41,7 @@
     membership::member_table members;
     membership::belief_table beliefs;
     membership::registry_table registry;
-    membership::quarantine_table quarantine;
+    membership::crash_verdict_table quarantine;
     membership::reader_duty readers;
     membership::freshness fresh;
     membership::peer_exchange exchange;
