--- a/src/decision/repeat_budget.cpp
+++ b/src/decision/repeat_budget.cpp
@@ -44,6 +44,9 @@
 }
 
 double repeat_budget::tokens(time_point now) const {
+    if (limits_.window <= duration::zero()) {
+        return 0; // no limits are known yet
+    }
     if (held_window(last_spent_, limits_.window).is_known(now)) {
         return capacity(now);
     }
@@ -60,9 +63,7 @@
 }
 
 void repeat_budget::change_limits(const repeat_limits& limits, time_point now) {
-    if (limits_.window > duration::zero()) {
-        refill(now);
-    }
+    refill(now);
     limits_ = limits;
     tokens_ = std::min(tokens_, capacity(now));
 }
--- a/src/decision/repeat_lenders.cpp
+++ b/src/decision/repeat_lenders.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 bool repeat_lenders::in_round(time_point now) const {
-    return !unanswered_.empty() && now < round_ends();
+    return round_ > 0 && now < round_ends();
 }
 
 time_point repeat_lenders::round_ends() const {
--- a/src/decision/repeat_lenders.hpp
+++ b/src/decision/repeat_lenders.hpp
@@ -25,7 +25,7 @@
     // Whether an answer may still come or a round may be begun.
     bool is_hopeful(time_point now) const;
     std::uint64_t round() const { return round_; }
-    // When the current round ends, answered or not.
+    // When the current round ends, and the next may begin.
     time_point round_ends() const;
 
 private:
--- a/src/decision/scheduler_repeats.cpp
+++ b/src/decision/scheduler_repeats.cpp
@@ -83,6 +83,9 @@
     const std::set<std::string> peers(linked_peers_.begin(),
                                       linked_peers_.end());
     const auto asked = lenders_.begin_round(peers, now_);
+    if (asked.empty()) {
+        return;
+    }
     // Twice as many as are needed, since some peers have nothing left.
     const double wanted =
         std::max(1.0, 2.0 * static_cast<double>(unpaid_.size()) /
