decision: parts of the extra repeats add up in fleets of any size

By reading: a bucket that holds less than one repeat can pay for none, so that each instance was given one at least, and 700 instances with 60 extra repeats held 700. Where there are fewer than instances, some now hold one, drawn by their names, and the others none; these ask peers.

--- a/include/waxwingvale/decision/repeat_budget.hpp
+++ b/include/waxwingvale/decision/repeat_budget.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
+#include <string>
 #include <vector>
 
 #include <waxwingvale/decision/held_window.hpp>
@@ -8,17 +10,22 @@
 
 namespace waxwingvale::decision {
 
-// How many repeated attempts a service may get from all instances: within any
-// period of length `window`, at most `fraction` times its requests plus
-// `extra`. `instances` is the number of all instances known, also of those that
-// are gone or out of reach, among which the extra ones are divided.
+// How many repeated attempts one instance may send to a service: within any
+// period of length `window`, `fraction` times the requests that callers sent to
+// it, and `extra`, its part of those that the service may get besides.
 struct repeat_limits {
     duration window{};
     double fraction = 0;
     double extra = 0;
-    double instances = 1;
 };
 
+// The part of an instance in the extra repeats of a service, which are divided
+// among all instances known, also those that are gone or out of reach. Where
+// there are fewer than instances, some hold a whole one and the others none:
+// nobody can send a part of a repeat.
+double part_of_extra(double extra, std::size_t instances,
+                     const std::string& instance, const std::string& service);
+
 // The part of one instance in the repeated attempts (retries and hedges) that a
 // service may get. Each instance pays for the repeats that it sends itself,
 // from a token bucket that
@@ -34,8 +41,7 @@
 //
 // No two processes ever hold the same token, whoever owns the slots and whoever
 // reaches whom, so that the sum stays within the limits when instances end,
-// stop, start or are cut apart. Where there are more instances than extra
-// repeats, each may hold one all the same.
+// stop, start or are cut apart.
 class repeat_budget {
 public:
     explicit repeat_budget(const repeat_limits& limits) : limits_(limits) {}
--- a/src/decision/repeat_budget.cpp
+++ b/src/decision/repeat_budget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <waxwingvale/decision/stable_hash.hpp>
 
 namespace waxwingvale::decision {
 
@@ -26,6 +27,18 @@
 
 } // namespace
 
+double part_of_extra(double extra, std::size_t instances,
+                     const std::string& instance, const std::string& service) {
+    const double part = extra / static_cast<double>(instances);
+    const double whole = 1 / held_share;
+    if (part >= whole) {
+        return part;
+    }
+    const double drawn = unit_interval(
+        combine_hashes(stable_hash(instance), stable_hash(service)));
+    return drawn < part / whole ? whole : 0;
+}
+
 double repeat_budget::gain_of_request() const {
     return limits_.fraction / (1 + carried_share);
 }
@@ -38,8 +51,7 @@
 }
 
 double repeat_budget::capacity(time_point now) const {
-    const double extra = held_share * limits_.extra / limits_.instances;
-    return std::max(extra, 1.0) +
+    return held_share * limits_.extra +
            carried_share * gain_of_request() * requests(now);
 }
 
@@ -52,8 +64,7 @@
     }
     const double windows = static_cast<double>((now - refilled_at_).count()) /
                            static_cast<double>(limits_.window.count());
-    const double gained =
-        gained_share * limits_.extra / limits_.instances * windows;
+    const double gained = gained_share * limits_.extra * windows;
     return std::min(tokens_ + gained, capacity(now));
 }
 
--- a/src/decision/scheduler_repeats.cpp
+++ b/src/decision/scheduler_repeats.cpp
@@ -145,8 +145,9 @@
         configured->budgets.repeats > 0
             ? configured->budgets.repeats
             : configured->budgets.retries + configured->budgets.hedges;
-    limits.extra = configured->budgets.repeat_extra;
-    limits.instances = static_cast<double>(std::max<std::size_t>(known, least));
+    limits.extra = part_of_extra(configured->budgets.repeat_extra,
+                                 std::max<std::size_t>(known, least),
+                                 self_.name, service_);
     repeats_.change_limits(limits, now_);
 }
 
--- a/test/retries/repeat_budget_test.cpp
+++ b/test/retries/repeat_budget_test.cpp
@@ -12,7 +12,7 @@
 const time_point start(100s);
 
 repeat_budget budget_of(double extra, double instances, time_point began) {
-    repeat_budget made({window, 0.2, extra, instances});
+    repeat_budget made({window, 0.2, extra / instances});
     made.hold_since(began);
     return made;
 }
@@ -87,3 +87,27 @@
     CHECK(taker.try_spend(start + 100ms));
     CHECK(!taker.try_spend(start + 100ms));
 }
+
+TEST_CASE("the parts of all instances are no more than the extra repeats") {
+    // Guards against a fleet each of whose many instances holds a whole repeat.
+    constexpr double extra = 60;
+    for (const std::size_t instances : {1U, 18U, 46U, 300U, 700U}) {
+        double sum = 0;
+        for (std::size_t each = 0; each < instances; ++each) {
+            sum += part_of_extra(extra, instances,
+                                 "instance-" + std::to_string(each), "view");
+        }
+        INFO(instances << " instances");
+        CHECK(sum <= extra * 4 / 3);
+        CHECK(sum >= extra / 2);
+    }
+}
+
+TEST_CASE("an instance that holds a single extra repeat can send it") {
+    double part = 0;
+    for (int each = 0; part == 0; ++each) {
+        part = part_of_extra(60, 700, "instance-" + std::to_string(each), "v");
+    }
+    repeat_budget budget = budget_of(part, 1, start - window);
+    CHECK(spend_all(budget, start) == 1);
+}
