--- a/test/scheduling/repeat_fleet.cpp
+++ b/test/scheduling/repeat_fleet.cpp
@@ -13,7 +13,6 @@
 constexpr duration link_delay = 1ms;
 constexpr duration work = 5ms;
 constexpr duration time_left = 800ms;
-constexpr duration gone_known_after = 1s;
 constexpr duration view_period = 100ms;
 constexpr const char* service_name = "view";
 constexpr unsigned server_count = 8;
