--- a/test/platform/ending_requests_test.cpp
+++ b/test/platform/ending_requests_test.cpp
@@ -59,6 +59,56 @@
     }
 }
 
+TEST_CASE("copies that differ in a header of their caller are known as one") {
+    // Guards against a request that ends all servers of a service, since its
+    // caller numbers its copies in a header of its own.
+    ending_servers played;
+    played.decide = ends_under_9;
+    std::size_t next = 0;
+    const auto sending = played.timers.every(150ms, [&](time_point) {
+        auto copy = ending;
+        copy.headers = {{"X-Copy", std::to_string(++next)}};
+        played.send(copy, next);
+        played.send({"another account",
+                     "a.example",
+                     "/look/9",
+                     "GET",
+                     {{"X-Account", "b"}},
+                     {}},
+                    next);
+    });
+    played.go_on(6s);
+    CHECK(played.ends.size() <= ends_until_known);
+    CHECK(played.sent["ending"].refused_for_good() > 0);
+    CHECK(played.sent["another account"].refused_for_good() == 0);
+    CHECK(played.sent["another account"].answers[200] > 20);
+}
+
+TEST_CASE("one value of a header that ends servers refuses no other value") {
+    // Guards against harmless requests that are refused for minutes, since
+    // another value of one of their headers ends servers.
+    ending_servers played;
+    played.decide = [](const io::http_request& asked) {
+        const auto* copy = io::find_header(asked.headers, "X-Copy");
+        const bool ends = copy != nullptr && *copy == "ending";
+        return ends ? run_end::end_process : run_end::answer;
+    };
+    std::size_t next = 0;
+    const auto sending = played.timers.every(150ms, [&](time_point) {
+        auto copy = ending;
+        copy.headers = {{"X-Copy", "ending"}};
+        played.send(copy, ++next);
+        copy.name = "harmless";
+        copy.headers = {{"X-Copy", std::to_string(next)}};
+        played.send(copy, next);
+    });
+    played.go_on(6s);
+    CHECK(played.ends.size() <= ends_until_known);
+    CHECK(played.sent["ending"].refused_for_good() > 0);
+    CHECK(played.sent["harmless"].refused_for_good() == 0);
+    CHECK(played.sent["harmless"].answers[200] > 20);
+}
+
 TEST_CASE("a request that ends servers without a word is known by all") {
     // Guards against ends that only show as silence, which is no sign of one
     // while a server is slow.
