decision, entry: copies that differ in the values of their headers are known as one

Callers saw a service end under one request whose caller numbered its copies in a header: 28 servers in 6 s on four real instances, no copy refused. Cause: what makes two requests copies of one held the value of every header but those that a protocol names, so that each copy was a request never seen before; the class is an identity that holds what its bearer can vary.

Each request now has a second fingerprint, of the names of its headers only. Runs that are lost are recorded under both; under the second one two copies that differ must have ended processes, one of them alone, before all are refused, so that a single value which ends servers shuts out no other value. Trials are of both. Word of earlier releases is read as before, and theirs holds for one copy.

--- a/include/waxwingvale/decision/crash_record.hpp
+++ b/include/waxwingvale/decision/crash_record.hpp
@@ -41,6 +41,9 @@
     bool alone = false; // the process ran nothing else
     run_verdict verdict = run_verdict::open;
     time_point at{};
+    // Which of the copies was lost, where the record is of copies that differ;
+    // 0: the record is of copies that are all the same.
+    std::uint64_t variant = 0;
 
     bool is_same_event(const lost_run& other) const {
         return std::tie(process.backend_server, process.incarnation, seen_by,
@@ -73,7 +76,9 @@
     // Whether the request ends the processes that run it: it was in flight on
     // two that ended, on one of them alone. Two ends beside other requests
     // prove nothing: a data centre that fails takes several servers, and
-    // popular requests were in flight on each.
+    // popular requests were in flight on each. Copies that differ prove it
+    // together only if two that differ did: else the difference may be what
+    // ends processes, and the other copies are harmless.
     bool proves_crash() const;
     // Whether a run was lost at a process that may have ended.
     bool is_suspect() const;
@@ -85,6 +90,7 @@
     const lost_run* latest_lost() const;
 
     std::size_t ended_processes() const;
+    bool ended_whatever_varies() const;
     const std::vector<lost_run>& runs() const { return runs_; }
 
 private:
--- a/include/waxwingvale/decision/fingerprint.hpp
+++ b/include/waxwingvale/decision/fingerprint.hpp
@@ -58,6 +58,10 @@
 
 request_fingerprint crash_fingerprint_of(const copy_identity& of);
 
+// The fingerprint of all copies that have the same headers with any values: a
+// caller may number its copies, or sign each, in a header of its own.
+request_fingerprint varying_fingerprint_of(const copy_identity& of);
+
 // Returns the fingerprint by which the quarantine identifies requests: the four
 // parts above and the headers. Headers are included because one of them may
 // cause the crash, and a popular read without that header must not be refused
--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -33,6 +33,7 @@
     bool alone = false;
     run_verdict verdict = run_verdict::open;
     duration age{};
+    std::uint64_t variant = 0; // see lost_run
 };
 
 // The state of a fingerprint as sent to the other entry instances. It carries
@@ -112,12 +113,14 @@
     bool may_run_in_company(request_fingerprint fingerprint, time_point now);
 
     // The connection of a request of this entry instance ended without an
-    // answer, at that moment; `alone` if the process ran nothing else. Returns
-    // an update for the peers, if there is any.
+    // answer, at that moment; `alone` if the process ran nothing else, and
+    // `variant` as in lost_run. Returns an update for the peers, if there is
+    // any.
     std::optional<suspicion_update>
     on_connection_lost(request_fingerprint fingerprint,
                        const backend_process& process, bool alone,
-                       time_point lost, time_point now);
+                       time_point lost, time_point now,
+                       std::uint64_t variant = 0);
     // Shows that the process answered what was sent to it at that moment.
     // Returns updates for the peers.
     std::vector<suspicion_update>
--- a/include/waxwingvale/decision/silent_runs.hpp
+++ b/include/waxwingvale/decision/silent_runs.hpp
@@ -15,6 +15,7 @@
     request_fingerprint fingerprint;
     backend_process process;
     time_point ended{}; // when nobody waited any longer
+    std::uint64_t variant = 0; // see lost_run
 };
 
 // Runs that got no answer in time. Slow servers leave many of them, so that
--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -113,7 +113,18 @@
         std::any_of(runs_.begin(), runs_.end(), [](const lost_run& run) {
             return run.alone && has_ended(run);
         });
-    return any_alone && ended_processes() >= ends_for_proof;
+    return any_alone && ended_processes() >= ends_for_proof &&
+           ended_whatever_varies();
+}
+
+bool crash_record::ended_whatever_varies() const {
+    std::set<std::uint64_t> variants;
+    for (const auto& run : runs_) {
+        if (has_ended(run)) {
+            variants.insert(run.variant);
+        }
+    }
+    return variants.count(0) != 0 || variants.size() > 1;
 }
 
 bool crash_record::is_suspect() const {
--- a/src/decision/fingerprint.cpp
+++ b/src/decision/fingerprint.cpp
@@ -107,4 +107,14 @@
                                 headers);
 }
 
+request_fingerprint varying_fingerprint_of(const copy_identity& of) {
+    auto without_values = of;
+    for (auto& header : without_values.headers) {
+        header.value.clear();
+    }
+    // No header that a caller sends has such a name.
+    without_values.headers.push_back({":values", "any"});
+    return crash_fingerprint_of(without_values);
+}
+
 } // namespace waxwingvale::decision
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -109,7 +109,8 @@
 std::optional<suspicion_update>
 quarantine::on_connection_lost(request_fingerprint fingerprint,
                                const backend_process& process, bool alone,
-                               time_point lost, time_point now) {
+                               time_point lost, time_point now,
+                               std::uint64_t variant) {
     const bool is_known = find(fingerprint, now) != nullptr;
     if (!is_known && !alone && recent_answers_.contains(fingerprint, now)) {
         return std::nullopt;
@@ -129,6 +130,7 @@
     run.number = static_cast<std::uint64_t>(lost.time_since_epoch().count());
     run.alone = alone;
     run.at = lost;
+    run.variant = variant;
     add_run(*known, run);
     return update_for(fingerprint, *known, now);
 }
@@ -233,8 +235,8 @@
                             time_point now) {
     bool changed = false;
     for (const auto& run : update.runs) {
-        const lost_run told{run.process, run.seen_by, run.number,
-                            run.alone,   run.verdict, now - run.age};
+        const lost_run told{run.process, run.seen_by,   run.number, run.alone,
+                            run.verdict, now - run.age, run.variant};
         changed = add_run(into, told) || changed;
     }
 
@@ -248,7 +250,7 @@
     switch (update.state) {
     case suspicion_state::suspect:
         return add_run(into, {update.last_crashed, update.tester, 0, false,
-                              run_verdict::open, now - update.age});
+                              run_verdict::open, now - update.age, 0});
     case suspicion_state::cleared:
         return into.record.clear(now - update.age);
     case suspicion_state::quarantined:
@@ -343,7 +345,7 @@
     update.age = now - known.changed_at;
     for (const auto& run : known.record.runs()) {
         update.runs.push_back({run.process, run.seen_by, run.number, run.alone,
-                               run.verdict, now - run.at});
+                               run.verdict, now - run.at, run.variant});
     }
     if (const auto* latest = known.record.latest_lost()) {
         update.last_crashed = latest->process;
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -146,8 +146,7 @@
     void cancel_attempts(call_record& call);
 
     // call_trials.cpp: requests suspected of crashing backend servers
-    decision::request_fingerprint
-    crash_fingerprint(const call_record& call) const;
+    copy_fingerprints crash_fingerprints(const call_record& call) const;
     bool pass_crash_guard(call_record& call);
     void end_trial(call_record& call);
     void report_signs(const call_record& call, const running_attempt& attempt,
--- a/src/entry/call_trials.cpp
+++ b/src/entry/call_trials.cpp
@@ -7,8 +7,7 @@
 
 namespace waxwingvale::entry {
 
-decision::request_fingerprint
-call_desk::crash_fingerprint(const call_record& call) const {
+copy_fingerprints call_desk::crash_fingerprints(const call_record& call) const {
     decision::copy_identity identity;
     identity.authority = call.content.authority;
     identity.tenant = call.labels.tenant;
@@ -22,7 +21,7 @@
             identity.headers.push_back({header.name, header.value});
         }
     }
-    return decision::crash_fingerprint_of(identity);
+    return fingerprints_of(identity);
 }
 
 // Applies the decision of the quarantine on a request. Each operator returns
@@ -55,7 +54,7 @@
 
 bool call_desk::pass_crash_guard(call_record& call) {
     return std::visit(admit_suspect{*this, call},
-                      crashes_.admit(crash_fingerprint(call)));
+                      crashes_.admit(crash_fingerprints(call)));
 }
 
 // Ends the trial of a suspect, whatever became of it. A trial that was refused
@@ -64,7 +63,7 @@
 void call_desk::end_trial(call_record& call) {
     if (call.alone) {
         call.alone = false;
-        crashes_.on_trial_abandoned(crash_fingerprint(call));
+        crashes_.on_trial_abandoned(crash_fingerprints(call));
     }
 }
 
@@ -75,12 +74,12 @@
     const attempt_sign shown{attempt.backend_server, attempt.incarnation,
                              attempt.started, answer};
     if (crash_guard::may_be_lost(answer)) {
-        crashes_.on_lost(crash_fingerprint(call), shown, call.alone);
+        crashes_.on_lost(crash_fingerprints(call), shown, call.alone);
     }
     crashes_.on_sign(shown);
     // A server that fails may do so before it runs what would end it.
     if (answer.end == attempt_end::answered && crashes_.wants_pass()) {
-        crashes_.on_passed(crash_fingerprint(call), attempt.started);
+        crashes_.on_passed(crash_fingerprints(call), attempt.started);
     }
 }
 
@@ -94,7 +93,7 @@
     silent.end = attempt_end::timed_out;
     silent.sign = decision::server_sign::silent;
     crashes_.on_lost(
-        crash_fingerprint(call),
+        crash_fingerprints(call),
         {attempt.backend_server, attempt.incarnation, attempt.started, silent},
         call.alone);
 }
@@ -107,7 +106,7 @@
 // be sent beside others.
 bool call_desk::is_suspect_by_now(const call_record& call) {
     return crashes_.watching() && !call.alone &&
-           !crashes_.may_run_in_company(crash_fingerprint(call));
+           !crashes_.may_run_in_company(crash_fingerprints(call));
 }
 
 // A request became a suspect while it, or its second copy, waited for a slot.
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -16,7 +16,7 @@
 
 constexpr duration forgetting_period = 1s;
 constexpr unsigned passes_for_a_sample = 8;
-constexpr std::size_t most_silent_runs = 512;
+constexpr std::size_t most_silent_runs = 1024; // two for each request
 // All instances that use a server see at about the same moment that it lives.
 // Its tester tells of a suspect that is none any more; the others wait, each
 // for a time of its own, until nobody has.
@@ -37,6 +37,14 @@
     return "request_suspected";
 }
 
+bool runs_alone(const decision::quarantine_decision& decided) {
+    return std::holds_alternative<decision::run_alone>(decided);
+}
+
+bool runs_normally(const decision::quarantine_decision& decided) {
+    return std::holds_alternative<decision::run_normally>(decided);
+}
+
 // Each instance logs what it learns, so that logs tell when each knew.
 void log_word(const decision::suspicion_update& word,
               const std::string& told_by) {
@@ -50,6 +58,11 @@
 
 } // namespace
 
+copy_fingerprints fingerprints_of(const decision::copy_identity& request) {
+    return {decision::crash_fingerprint_of(request),
+            decision::varying_fingerprint_of(request)};
+}
+
 crash_guard::crash_guard(const std::string& self, io::message_hub& hub,
                          kernel::timer_service& timers,
                          program::gauge suspicions)
@@ -93,18 +106,34 @@
     return watching() || ++passes_ % passes_for_a_sample == 0;
 }
 
-decision::quarantine_decision
-crash_guard::admit(decision::request_fingerprint of) {
-    auto decided = quarantine_.admit(of, timers_.now());
-    if (std::holds_alternative<decision::run_alone>(decided)) {
-        // The peers wait for this trial, whoever was to run it.
-        tell_all({*quarantine_.update_on(of, timers_.now())});
+// A trial is one of both, or of none.
+decision::quarantine_decision crash_guard::admit(const copy_fingerprints& of) {
+    const auto now = timers_.now();
+    auto of_varying = quarantine_.admit(of.varying, now);
+    const bool varying_alone = runs_alone(of_varying);
+    if (!varying_alone && !runs_normally(of_varying)) {
+        return of_varying;
+    }
+    auto of_same = quarantine_.admit(of.same, now);
+    const bool same_alone = runs_alone(of_same);
+    if (!same_alone && !runs_normally(of_same)) {
+        quarantine_.on_trial_abandoned(of.varying);
+        return of_same;
     }
-    return decided;
+    // The peers wait for this trial, whoever was to run it.
+    if (varying_alone) {
+        tell_all({*quarantine_.update_on(of.varying, now)});
+    }
+    if (same_alone) {
+        tell_all({*quarantine_.update_on(of.same, now)});
+    }
+    return varying_alone ? of_varying : of_same;
 }
 
-bool crash_guard::may_run_in_company(decision::request_fingerprint of) {
-    return quarantine_.may_run_in_company(of, timers_.now());
+bool crash_guard::may_run_in_company(const copy_fingerprints& of) {
+    const auto now = timers_.now();
+    return quarantine_.may_run_in_company(of.same, now) &&
+           quarantine_.may_run_in_company(of.varying, now);
 }
 
 void crash_guard::follow(const view& now) {
@@ -170,45 +199,56 @@
            answer.sign != server_sign::answered;
 }
 
-void crash_guard::on_lost(decision::request_fingerprint of,
+void crash_guard::on_lost(const copy_fingerprints& of,
                           const attempt_sign& shown, bool alone) {
-    const decision::silent_run run{
-        of, process_of(shown.backend_server, shown.incarnation), timers_.now()};
+    const auto process = process_of(shown.backend_server, shown.incarnation);
+    const auto now = timers_.now();
+    const decision::silent_run same{of.same, process, now, 0};
+    const decision::silent_run varying{of.varying, process, now, of.same.value};
     const bool silent = shown.answer.sign == server_sign::silent;
     if (silent && !alone) {
-        silent_.add(run);
+        silent_.add(same);
+        silent_.add(varying);
         return;
     }
     program::log_warning("backend_server_lost",
                          {{"backend_server", shown.backend_server},
                           {"sign", to_string(shown.answer.sign)},
-                          {"fingerprint", std::to_string(of.value)}});
-    suspect(run, alone);
+                          {"fingerprint", std::to_string(of.same.value)}});
+    suspect(same, alone);
+    suspect(varying, alone);
 }
 
 void crash_guard::suspect(const decision::silent_run& run, bool alone) {
     const auto word = quarantine_.on_connection_lost(
-        run.fingerprint, run.process, alone, run.ended, timers_.now());
+        run.fingerprint, run.process, alone, run.ended, timers_.now(),
+        run.variant);
     if (word) {
         tell_all({*word});
     }
 }
 
-void crash_guard::on_passed(decision::request_fingerprint of, time_point sent) {
-    const auto word = quarantine_.on_answered(of, sent, timers_.now());
-    if (word) {
-        tell_all({*word});
+void crash_guard::on_passed(const copy_fingerprints& of, time_point sent) {
+    for (const auto fingerprint : {of.same, of.varying}) {
+        const auto word =
+            quarantine_.on_answered(fingerprint, sent, timers_.now());
+        if (word) {
+            tell_all({*word});
+        }
     }
 }
 
-void crash_guard::on_trial_placed(decision::request_fingerprint of,
+void crash_guard::on_trial_placed(const copy_fingerprints& of,
                                   const std::string& backend_server,
                                   backend_incarnation incarnation) {
-    quarantine_.on_trial_placed(of, process_of(backend_server, incarnation));
+    const auto process = process_of(backend_server, incarnation);
+    quarantine_.on_trial_placed(of.same, process);
+    quarantine_.on_trial_placed(of.varying, process);
 }
 
-void crash_guard::on_trial_abandoned(decision::request_fingerprint of) {
-    quarantine_.on_trial_abandoned(of);
+void crash_guard::on_trial_abandoned(const copy_fingerprints& of) {
+    quarantine_.on_trial_abandoned(of.same);
+    quarantine_.on_trial_abandoned(of.varying);
 }
 
 void crash_guard::take(const std::string& peer,
--- a/src/entry/crash_guard.hpp
+++ b/src/entry/crash_guard.hpp
@@ -27,6 +27,15 @@
     const backend_answer& answer;
 };
 
+// The fingerprints of a request: of its very copies, and of all that differ
+// from it in the values of their headers only.
+struct copy_fingerprints {
+    decision::request_fingerprint same;
+    decision::request_fingerprint varying;
+};
+
+copy_fingerprints fingerprints_of(const decision::copy_identity& request);
+
 // Keeps requests that end backend servers from being run again and again: the
 // quarantine with its clock, the signs of backend servers as attempts, probes
 // and the registry show them, and word to and from the other entry processes.
@@ -50,9 +59,9 @@
     // finds those that are popular and must not become suspects.
     bool wants_pass();
 
-    decision::quarantine_decision admit(decision::request_fingerprint of);
+    decision::quarantine_decision admit(const copy_fingerprints& of);
     // Whether a request that has waited since may run beside others.
-    bool may_run_in_company(decision::request_fingerprint of);
+    bool may_run_in_company(const copy_fingerprints& of);
 
     void follow(const view& now);
     // What an attempt or a probe shows of the backend server.
@@ -61,14 +70,14 @@
     static bool may_be_lost(const backend_answer& answer);
     // An attempt of the request got no whole answer; `alone` if it was the
     // trial of a suspect. To be called before on_sign().
-    void on_lost(decision::request_fingerprint of, const attempt_sign& shown,
+    void on_lost(const copy_fingerprints& of, const attempt_sign& shown,
                  bool alone);
-    void on_passed(decision::request_fingerprint of, time_point sent);
+    void on_passed(const copy_fingerprints& of, time_point sent);
     // A request that may only run alone was sent to that backend server.
-    void on_trial_placed(decision::request_fingerprint of,
+    void on_trial_placed(const copy_fingerprints& of,
                          const std::string& backend_server,
                          backend_incarnation incarnation);
-    void on_trial_abandoned(decision::request_fingerprint of);
+    void on_trial_abandoned(const copy_fingerprints& of);
 
 private:
     using words = std::vector<decision::suspicion_update>;
--- a/src/entry/suspicion_codec.cpp
+++ b/src/entry/suspicion_codec.cpp
@@ -19,15 +19,20 @@
 constexpr const char* runs_name = "runs";
 
 constexpr const char* trial_name = "trial_us";
+constexpr const char* variant_name = "variant";
 
 json write(const told_run& run) {
-    return {{"backend_server", run.process.backend_server},
-            {"incarnation", run.process.incarnation},
-            {"seen_by", run.seen_by},
-            {"number", run.number},
-            {"alone", run.alone},
-            {"verdict", static_cast<unsigned>(run.verdict)},
-            {"age_us", run.age.count()}};
+    json written = {{"backend_server", run.process.backend_server},
+                    {"incarnation", run.process.incarnation},
+                    {"seen_by", run.seen_by},
+                    {"number", run.number},
+                    {"alone", run.alone},
+                    {"verdict", static_cast<unsigned>(run.verdict)},
+                    {"age_us", run.age.count()}};
+    if (run.variant != 0) {
+        written[variant_name] = run.variant;
+    }
+    return written;
 }
 
 json write(const suspicion_update& word) {
@@ -64,6 +69,9 @@
     run.verdict =
         verdict > last ? run_verdict::open : static_cast<run_verdict>(verdict);
     run.age = io::read_wait(from.at("age_us"));
+    if (from.contains(variant_name)) {
+        run.variant = io::read_number<std::uint64_t>(from.at(variant_name));
+    }
     return run;
 }
 
--- a/test/quarantine/evidence_test.cpp
+++ b/test/quarantine/evidence_test.cpp
@@ -56,6 +56,24 @@
     CHECK_FALSE(proves_end(server_sign::silent));
 }
 
+// Guards against harmless copies that are refused for good, since others that
+// differ from them in one header end servers.
+TEST_CASE("copies that differ prove a crash only if two that differ did") {
+    const std::uint64_t one = 1;
+    const std::uint64_t other = GENERATE(1, 2);
+    quarantine q("e0", {});
+    q.on_connection_lost(request, first, false, start, start, one);
+    q.on_process_ended(first, start);
+    q.admit(request, start + 1s);
+    q.on_trial_placed(request, second);
+    q.on_connection_lost(request, second, true, start + 2s, start + 2s, other);
+    q.on_process_ended(second, start + 2s);
+    CHECK(refused_for_good(q, start + 3s) == (other != one));
+    quarantine peer("e1", {});
+    tell(peer, q.snapshot(start + 3s), start + 3s);
+    CHECK(refused_for_good(peer, start + 3s) == (other != one));
+}
+
 // Guards against a request that is refused for good, since its connections were
 // reset while its servers lived.
 TEST_CASE("a lost connection alone refuses no request for good") {
