--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -116,11 +116,9 @@
     // answer, at that moment; `alone` if the process ran nothing else, and
     // `variant` as in lost_run. Returns an update for the peers, if there is
     // any.
-    std::optional<suspicion_update>
-    on_connection_lost(request_fingerprint fingerprint,
-                       const backend_process& process, bool alone,
-                       time_point lost, time_point now,
-                       std::uint64_t variant = 0);
+    std::optional<suspicion_update> on_connection_lost(
+        request_fingerprint fingerprint, const backend_process& process,
+        bool alone, time_point lost, time_point now, std::uint64_t variant = 0);
     // Shows that the process answered what was sent to it at that moment.
     // Returns updates for the peers.
     std::vector<suspicion_update>
--- a/include/waxwingvale/decision/silent_runs.hpp
+++ b/include/waxwingvale/decision/silent_runs.hpp
@@ -14,7 +14,7 @@
 struct silent_run {
     request_fingerprint fingerprint;
     backend_process process;
-    time_point ended{}; // when nobody waited any longer
+    time_point ended{};        // when nobody waited any longer
     std::uint64_t variant = 0; // see lost_run
 };
 
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -106,11 +106,9 @@
     return to.record.add(signs_.judged(run));
 }
 
-std::optional<suspicion_update>
-quarantine::on_connection_lost(request_fingerprint fingerprint,
-                               const backend_process& process, bool alone,
-                               time_point lost, time_point now,
-                               std::uint64_t variant) {
+std::optional<suspicion_update> quarantine::on_connection_lost(
+    request_fingerprint fingerprint, const backend_process& process, bool alone,
+    time_point lost, time_point now, std::uint64_t variant) {
     const bool is_known = find(fingerprint, now) != nullptr;
     if (!is_known && !alone && recent_answers_.contains(fingerprint, now)) {
         return std::nullopt;
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -154,8 +154,8 @@
     call.silence_timer.cancel();
     arm_silence(call, slow_after);
     if (call.alone) {
-        crashes_.on_trial_placed(crash_fingerprints(call), action.backend_server,
-                                 server.incarnation);
+        crashes_.on_trial_placed(crash_fingerprints(call),
+                                 action.backend_server, server.incarnation);
     }
     if (call.may_run_again() && call.may_reach_another() && !call.hedged) {
         arm_hedge(call, slow_after);
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -220,9 +220,9 @@
 }
 
 void crash_guard::suspect(const decision::silent_run& run, bool alone) {
-    const auto word = quarantine_.on_connection_lost(
-        run.fingerprint, run.process, alone, run.ended, timers_.now(),
-        run.variant);
+    const auto word =
+        quarantine_.on_connection_lost(run.fingerprint, run.process, alone,
+                                       run.ended, timers_.now(), run.variant);
     if (word) {
         tell_all({*word});
     }
