--- a/test/platform/ending_server.cpp
+++ b/test/platform/ending_server.cpp
@@ -1,6 +1,8 @@
 #include "platform/ending_server.hpp"
 
+#include <arpa/inet.h>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
 
@@ -23,6 +25,13 @@
     return found == nullptr ? std::string() : *found;
 }
 
+std::uint16_t port_at_other_end(int descriptor) {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getpeername(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
 } // namespace
 
 ending_server::ending_server(kernel::event_loop& loop,
@@ -71,6 +80,9 @@
         return;
     }
     auto& made = connections_.emplace_back();
+    if (who_connects) {
+        made.sender = who_connects(port_at_other_end(descriptor));
+    }
     made.socket = std::make_unique<io::stream_socket>(
         loop_, descriptor, false,
         io::stream_socket_handlers{
@@ -80,6 +92,31 @@
             },
             [this, &made] { close(made); },
             {}});
+    const auto cut = made.sender ? cuts_.find(*made.sender) : cuts_.end();
+    if (cut == cuts_.end()) {
+        return;
+    }
+    made.silent = cut->second == sender_cut::silence;
+    if (!made.silent) {
+        made.open = false;
+        made.socket->reset();
+    }
+}
+
+void ending_server::cut(std::size_t sender, sender_cut how) {
+    cuts_[sender] = how;
+    for (auto& each : connections_) {
+        if (each.sender != sender || !each.open) {
+            continue;
+        }
+        if (how == sender_cut::silence) {
+            each.silent = true;
+        } else if (how == sender_cut::reset) {
+            each.open = false;
+            each.running.cancel();
+            each.socket->reset();
+        }
+    }
 }
 
 void ending_server::close(connection& which) {
@@ -93,7 +130,7 @@
 void ending_server::read(connection& from, const char* bytes,
                          std::size_t size) {
     from.input.append(bytes, size);
-    if (!up_) {
+    if (!up_ || from.silent) {
         return;
     }
     using step = forwarding::request_reader::step;
@@ -130,6 +167,7 @@
 
 void ending_server::run(connection& from, const io::http_request& request) {
     const auto how = told_.decide(request);
+    from.body = body_of(request);
     const auto attempt = text_of(request.headers, "Waxwingvale-Attempt-Id");
     const auto takes = how == run_end::end_process ? ends_after : work;
     from.running =
@@ -181,9 +219,12 @@
 
 void ending_server::answer(connection& to, unsigned status,
                            io::http_headers headers) {
+    if (to.silent) {
+        return;
+    }
     headers.push_back({"Waxwingvale-Instance-Id", id_});
     headers.push_back({"Waxwingvale-Server-Load", "0,0,4"});
-    const std::string body = "done";
+    const auto& body = to.body;
     to.socket->write(
         forwarding::answer_head(status, headers,
                                 {forwarding::body_framing::length, body.size()},
--- a/test/platform/ending_server.hpp
+++ b/test/platform/ending_server.hpp
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <waxwingvale/io/http_message.hpp>
@@ -36,6 +38,14 @@
     replaced     // reset; the next process listens at once
 };
 
+// What a server does with the connections of a sender from which it is
+// partitioned.
+enum class sender_cut {
+    reset,     // resets those that are open, and new ones
+    silence,   // takes what comes and sends nothing, on open and new ones
+    new_resets // serves those that are open, and resets new ones
+};
+
 // A backend server as the platform's instances meet it, whose process may end
 // under a request. Each process has an id of its own; the address stays.
 class ending_server {
@@ -56,10 +66,18 @@
     void end(process_end how);
     // Resets all connections; the server lives on.
     void reset_connections();
+    // Is partitioned from that sender, as told by who_connects, until healed.
+    void cut(std::size_t sender, sender_cut how);
+    void heal(std::size_t sender) { cuts_.erase(sender); }
 
     const std::string& id() const { return id_; }
     std::uint16_t port() const { return port_; }
     bool up() const { return up_; }
+    // Tells who opened a connection, by the sender's port; empty: nobody asks.
+    std::function<std::optional<std::size_t>(std::uint16_t port)> who_connects;
+    // The body of an answer to that request.
+    std::function<std::string(const io::http_request&)> body_of =
+        [](const io::http_request&) { return std::string("done"); };
     // Called with each request that is no health check, run or not.
     std::function<void(const io::http_request&)> on_arrival;
     process_end ends_by = process_end::reset;
@@ -73,7 +91,10 @@
         forwarding::request_reader reader;
         std::string input;
         kernel::timer_service::subscription running;
+        std::string body = "done"; // of the answer to come
+        std::optional<std::size_t> sender;
         bool open = true;
+        bool silent = false; // partitioned: nothing is read or sent
     };
 
     void accept();
@@ -95,6 +116,7 @@
     int listener_ = -1;
     ev_io accepting_{};
     std::list<connection> connections_;
+    std::map<std::size_t, sender_cut> cuts_; // by sender
 };
 
 } // namespace waxwingvale::platform
--- a/test/platform/ending_servers.cpp
+++ b/test/platform/ending_servers.cpp
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 constexpr duration patience = 20s;
-constexpr const char* zone = "north";
+constexpr const char* zone = "north"; // of all servers
 
 json route(const char* name, const char* host, const char* prefix,
            const char* kind) {
@@ -35,8 +35,9 @@
 } // namespace
 
 ending_servers::ending_servers(std::size_t instance_count,
-                               std::size_t server_count, const json& budgets)
-    : instances(instance_count, {zone}, store.port(), budgets) {
+                               std::size_t server_count, const json& budgets,
+                               const std::vector<std::string>& zones)
+    : instances(instance_count, zones, store.port(), budgets) {
     store.write(operator_text());
     for (std::size_t each = 0; each < server_count; ++each) {
         servers.push_back(std::make_unique<ending_server>(
--- a/test/platform/ending_servers.hpp
+++ b/test/platform/ending_servers.hpp
@@ -32,7 +32,8 @@
 public:
     explicit ending_servers(std::size_t instance_count = 4,
                             std::size_t server_count = 8,
-                            const nlohmann::json& budgets = {});
+                            const nlohmann::json& budgets = {},
+                            const std::vector<std::string>& zones = {"north"});
 
     // A request to be sent, by the name under which its answers are counted.
     struct request {
@@ -56,6 +57,8 @@
     std::function<run_end(const io::http_request&)> decide =
         [](const io::http_request&) { return run_end::answer; };
     void ends_by(process_end how);
+    // Starts the next process of one that has ended.
+    void start_again(ending_server& which) { begin_process(which); }
 
     kernel::monotonic_clock clock;
     kernel::event_loop loop;
