--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -137,8 +137,15 @@
     word.tester = "sea-1";
     word.last_crashed = {"slate-1", 3};
     word.age = 12ms;
-    word.runs = {
-        {{"slate-1", 3}, "sea-1", 9, true, decision::run_verdict::ended, 15ms}};
+    decision::told_run lost;
+    lost.process = {"slate-1", 3};
+    lost.seen_by = "sea-1";
+    lost.number = 9;
+    lost.alone = true;
+    lost.verdict = decision::run_verdict::ended;
+    lost.age = 15ms;
+    lost.variant = 42;
+    word.runs = {lost};
 
     word.trial_age = 30ms;
     const auto taken = entry::decode_suspicions(entry::encode({word}));
@@ -157,6 +164,7 @@
     CHECK(runs[0].number == 9);
     CHECK(runs[0].verdict == decision::run_verdict::ended);
     CHECK(runs[0].age == 15ms);
+    CHECK(runs[0].variant == 42);
 }
 
 TEST_CASE("bytes that are no message are refused") {
