io: a request that is read while a server stops is answered at once

A process that stops an HTTP server was aborted by the library when a request was read during the last run before the stop, since it waited then: seen twice in a test that ends while killed instances read from the stand-in store. Such requests are now answered 503 as they are read.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -281,7 +281,11 @@
         return;
     }
     // The library aborts the process when it is stopped with connections
-    // suspended, so those that still wait are answered first.
+    // suspended, so those that still wait are answered first, and those that
+    // are read meanwhile at once.
+    state_->on_request = [](const http_request&, http_responder respond) {
+        respond({service_unavailable, {}, "stopping\n"});
+    };
     const auto waiting = state_->suspended;
     for (const auto& exchange : waiting) {
         exchange->accept({service_unavailable, {}, "stopping\n"});
