--- a/include/waxwingvale/decision/crash_record.hpp
+++ b/include/waxwingvale/decision/crash_record.hpp
@@ -69,6 +69,8 @@
     // The process answered what was sent to it at that moment: runs lost before
     // were not lost by its end.
     bool settle_survived(const backend_process& process, time_point sent);
+    // What that instance saw since then shows nothing of servers.
+    bool excuse_seen_by(const std::string& instance, time_point since);
     // A copy that was sent at that moment got its answer: what was lost before
     // says nothing of the request.
     bool clear(time_point sent);
--- a/include/waxwingvale/decision/ownership.hpp
+++ b/include/waxwingvale/decision/ownership.hpp
@@ -45,9 +45,9 @@
 // view agree without exchanging messages. There are at least two owners if two
 // such members exist and the configuration does not set another number. Owners
 // and standbys are placed in different data centres as long as there are
-// enough, and on low-capacity machines only if there are no others. A change of
-// the member list moves as few backend servers as the balance between owners
-// allows.
+// enough, and on low-capacity machines only if there are no others. Partitioned
+// members are selected only if all are partitioned. A change of the member list
+// moves as few backend servers as the balance between owners allows.
 ownership compute_ownership(const service& of,
                             const std::vector<member>& members);
 
--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -127,6 +127,11 @@
     // Shows that the process, and those of its name before it, have ended.
     std::vector<suspicion_update>
     on_process_ended(const backend_process& process, time_point now);
+    // This instance has been partitioned from the servers since that moment:
+    // what it lost since was lost to nothing of theirs. Returns updates for the
+    // peers.
+    std::vector<suspicion_update> on_partitioned(time_point since,
+                                                 time_point now);
     // A backend server has ended with these requests of this entry instance in
     // flight.
     std::vector<suspicion_update>
--- a/include/waxwingvale/decision/steering.hpp
+++ b/include/waxwingvale/decision/steering.hpp
@@ -51,7 +51,8 @@
 // first, ordered by rendezvous hashing weighted by the slots that they own, so
 // that callers are distributed in proportion to the slots. Instances without
 // slots follow, those in the caller's data centre before others. Suspect
-// members come last. Empty if no member is alive or suspect.
+// members come after these, and partitioned ones last. Empty if no member is
+// alive or suspect.
 steering_answer steer_caller(const configuration& config,
                              const ownership& owners,
                              const std::vector<member>& members,
@@ -61,7 +62,8 @@
 // instances of the caller's data centre; if there are none, those of its
 // region; if there are none, those in `home_regions`, or all if `home_regions`
 // is empty. Instances with far less capacity than the largest of these are left
-// out. At most `max_count` instances, in an order that depends on the caller.
+// out. Partitioned instances, chosen in the same way, come after the others.
+// At most `max_count` instances, in an order that depends on the caller.
 std::vector<member> nearby_instances(
     const std::vector<member>& members,
     const std::vector<data_centre>& data_centres, const steering_caller& caller,
--- a/include/waxwingvale/forwarding/backend_call.hpp
+++ b/include/waxwingvale/forwarding/backend_call.hpp
@@ -63,6 +63,8 @@
     bool sent = false;
     // The answer came in part: its status and headers are in `partial`.
     std::optional<io::http_response> partial;
+    // When the connection was begun on which it went; zero: there was none.
+    time_point connecting_began{};
 };
 
 // Told of an answer that is longer than is waited for: from its head on it
--- a/include/waxwingvale/forwarding/caller_exchange.hpp
+++ b/include/waxwingvale/forwarding/caller_exchange.hpp
@@ -28,6 +28,8 @@
     const io::http_request& request() const { return request_; }
     // Moves it out, for one who keeps it; request() is empty afterwards.
     io::http_request take_request() { return std::move(request_); }
+    // Puts one back that was moved out and changed.
+    void put_back(io::http_request request) { request_ = std::move(request); }
 
     // The request is handed over with its whole body, or with the first part
     // of a long one. The rest comes by take_body(), and the caller is held
--- a/include/waxwingvale/forwarding/caller_server.hpp
+++ b/include/waxwingvale/forwarding/caller_server.hpp
@@ -51,6 +51,8 @@
 
     // Fails with unavailable when the address cannot be listened on.
     result<void> start(handler on_request);
+    // The same at another port than the options name.
+    result<void> start(handler on_request, std::uint16_t port);
     std::uint16_t port() const;
 
     void change_limits(const caller_limits& limits);
--- a/include/waxwingvale/membership/member_record.hpp
+++ b/include/waxwingvale/membership/member_record.hpp
@@ -27,12 +27,14 @@
     liveness life = liveness::alive;
     // The member shuts down gracefully. Never reset within an incarnation.
     bool leaving = false;
+    // The member reaches no backend server, as it says itself.
+    bool partitioned = false;
 
     friend bool operator==(const member_record& a, const member_record& b) {
         return std::tie(a.id, a.data_centre, a.addresses, a.capacity,
-                        a.assertion, a.life, a.leaving) ==
+                        a.assertion, a.life, a.leaving, a.partitioned) ==
                std::tie(b.id, b.data_centre, b.addresses, b.capacity,
-                        b.assertion, b.life, b.leaving);
+                        b.assertion, b.life, b.leaving, b.partitioned);
     }
 };
 
--- a/include/waxwingvale/membership/member_table.hpp
+++ b/include/waxwingvale/membership/member_table.hpp
@@ -85,8 +85,9 @@
     // incarnation. A proposal that is not above every incarnation that peers
     // reported for this name is raised, unless it continues the reported one.
     bool start_life(std::uint64_t proposed);
-    bool leave();                   // marks a graceful shutdown
-    bool set_serving(bool serving); // whether the entry process answers
+    bool leave();                           // marks a graceful shutdown
+    bool set_serving(bool serving);         // whether the entry process answers
+    bool set_partitioned(bool partitioned); // reaches no backend server
     // Whether another process with this name started later, so that this one
     // was replaced and owns nothing.
     bool replaced() const { return replaced_; }
--- a/include/waxwingvale/model/member.hpp
+++ b/include/waxwingvale/model/member.hpp
@@ -43,11 +43,15 @@
     std::uint16_t caller_port = 0;  // HTTP, for requests
     std::uint16_t steer_port = 0;   // HTTP, for askings which address to use
     std::uint16_t control_port = 0; // websocket, for peers
+    // HTTP, for requests that a partitioned peer hands on; 0: none are taken.
+    std::uint16_t detour_port = 0;
 
     friend bool operator==(const member_addresses& a,
                            const member_addresses& b) {
-        return std::tie(a.host, a.caller_port, a.steer_port, a.control_port) ==
-               std::tie(b.host, b.caller_port, b.steer_port, b.control_port);
+        return std::tie(a.host, a.caller_port, a.steer_port, a.control_port,
+                        a.detour_port) == std::tie(b.host, b.caller_port,
+                                                   b.steer_port, b.control_port,
+                                                   b.detour_port);
     }
 };
 
@@ -70,11 +74,14 @@
     member_addresses addresses;
     member_state state = member_state::alive;
     member_capacity capacity;
+    // Callers and peers reach it, and it reaches no backend server.
+    bool partitioned = false;
 
     friend bool operator==(const member& a, const member& b) {
-        return std::tie(a.id, a.data_centre, a.addresses, a.state,
-                        a.capacity) ==
-               std::tie(b.id, b.data_centre, b.addresses, b.state, b.capacity);
+        return std::tie(a.id, a.data_centre, a.addresses, a.state, a.capacity,
+                        a.partitioned) == std::tie(b.id, b.data_centre,
+                                                   b.addresses, b.state,
+                                                   b.capacity, b.partitioned);
     }
 };
 
--- a/include/waxwingvale/program/settings.hpp
+++ b/include/waxwingvale/program/settings.hpp
@@ -55,6 +55,10 @@
 // The request path. Ports may be 0: any free one, told by the ready line.
 struct entry_settings {
     std::uint16_t caller_port = 0;
+    // Where partitioned instances hand requests on: the first port of these
+    // that is free, or any if they are 0.
+    std::uint16_t first_detour_port = 0;
+    std::uint16_t last_detour_port = 0;
     std::size_t body_limit = 0; // bytes of a caller's or a backend's body
     unsigned connection_limit = 0;
 };
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -9,6 +9,7 @@
 #include "control/reading_facts.hpp"
 #include "control/snapshot.hpp"
 #include <waxwingvale/entry/backend_seen.hpp>
+#include <waxwingvale/entry/reach_changed.hpp>
 #include <waxwingvale/entry/requests_refused.hpp>
 #include <waxwingvale/model/configuration_file.hpp>
 #include <waxwingvale/program/service_name.hpp>
@@ -117,6 +118,12 @@
             known_.refused_here = refused.fingerprints;
             changed();
         });
+    bus.subscribe<entry::reach_changed>(
+        [this](const entry::reach_changed& reach) {
+            if (known_.members.set_partitioned(reach.partitioned)) {
+                changed();
+            }
+        });
     peers_.on_heard([this] { changed(); });
     wake_ = std::make_unique<kernel::wake_hook>(environment_.loop,
                                                 [this] { on_wake(); });
--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -81,6 +81,13 @@
     });
 }
 
+bool crash_record::excuse_seen_by(const std::string& instance,
+                                  time_point since) {
+    return excuse([&](const lost_run& run) {
+        return run.seen_by == instance && run.at >= since;
+    });
+}
+
 bool crash_record::clear(time_point sent) {
     cleared_ = std::max(cleared_.value_or(sent), sent);
     return excuse([&](const lost_run& run) { return run.at <= sent; });
--- a/src/decision/ownership.cpp
+++ b/src/decision/ownership.cpp
@@ -15,6 +15,14 @@
            candidate.state == member_state::suspect;
 }
 
+// An instance that reaches no backend server would refuse the requests of all
+// others. It owns slots only if all are in that state.
+bool all_partitioned(const std::vector<member>& members) {
+    return std::none_of(members.begin(), members.end(), [](const member& each) {
+        return is_eligible(each) && !each.partitioned;
+    });
+}
+
 unsigned total_slots(const service& of) {
     unsigned sum = 0;
     for (const backend_server& server : of.backend_servers) {
@@ -44,8 +52,10 @@
                                           const std::vector<member>& members) {
     std::vector<scored_member> ranked;
     const fleet_capacity capacity(members);
+    const bool none_in_touch = all_partitioned(members);
     for (const member& candidate : members) {
-        if (!is_eligible(candidate)) {
+        if (!is_eligible(candidate) ||
+            (candidate.partitioned && !none_in_touch)) {
             continue;
         }
         const auto score = stable_hash(candidate.id.name, stable_hash(of.name));
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -148,6 +148,13 @@
     return updates;
 }
 
+std::vector<suspicion_update> quarantine::on_partitioned(time_point since,
+                                                         time_point now) {
+    return change_all(now, [&](crash_record& record) {
+        return record.excuse_seen_by(self_, since);
+    });
+}
+
 std::vector<suspicion_update>
 quarantine::on_process_answered(const backend_process& process, time_point sent,
                                 time_point now) {
--- a/src/decision/steering.cpp
+++ b/src/decision/steering.cpp
@@ -12,7 +12,8 @@
 
 struct candidate_address {
     steering_address address;
-    bool suspect = false; // not heard from for a while: only a fallback
+    bool suspect = false;     // not heard from for a while: only a fallback
+    bool partitioned = false; // serves by way of others: only a fallback
     bool owner = false;
     bool is_local = false; // in the caller's data centre
     double score = 0;
@@ -27,8 +28,10 @@
     // without slots.
     const bool a_local = a.is_local && !a.owner;
     const bool b_local = b.is_local && !b.owner;
-    return std::make_tuple(!a.suspect, a.owner, a_local, a.score) >
-           std::make_tuple(!b.suspect, b.owner, b_local, b.score);
+    return std::make_tuple(!a.partitioned, !a.suspect, a.owner, a_local,
+                           a.score) > std::make_tuple(!b.partitioned,
+                                                      !b.suspect, b.owner,
+                                                      b_local, b.score);
 }
 
 candidate_address make_candidate(const member& of, const ownership& owners,
@@ -38,6 +41,7 @@
     made.address = {of.id, of.addresses.host, of.addresses.caller_port,
                     owned != nullptr ? owned->slots : 0};
     made.suspect = of.state == member_state::suspect;
+    made.partitioned = of.partitioned;
     made.owner = made.address.weight > 0;
     made.is_local = of.data_centre == caller.data_centre;
     const double weight =
@@ -114,12 +118,11 @@
     return high_capacity.empty() ? all : high_capacity;
 }
 
-} // namespace
-
-std::vector<member> nearby_instances(
-    const std::vector<member>& members,
-    const std::vector<data_centre>& data_centres, const steering_caller& caller,
-    const std::vector<std::string>& home_regions, std::size_t max_count) {
+// Equivalent instances for a caller, whatever their number.
+std::vector<member> near_caller(const std::vector<member>& members,
+                                const std::vector<data_centre>& data_centres,
+                                const steering_caller& caller,
+                                const std::vector<std::string>& home_regions) {
     const auto region = region_of(data_centres, caller.data_centre);
     std::vector<member> in_data_centre;
     std::vector<member> in_region;
@@ -143,14 +146,35 @@
             in_region.push_back(each);
         }
     }
-    auto chosen = without_low_capacity(!in_data_centre.empty() ? in_data_centre
-                                       : !in_region.empty()    ? in_region
-                                                               : all);
-    std::sort(chosen.begin(), chosen.end(),
+    return without_low_capacity(!in_data_centre.empty() ? in_data_centre
+                                : !in_region.empty()    ? in_region
+                                                        : all);
+}
+
+void sort_for(const steering_caller& caller, std::vector<member>& members) {
+    std::sort(members.begin(), members.end(),
               [&](const member& a, const member& b) {
                   return stable_hash(a.id.name, caller.hash) <
                          stable_hash(b.id.name, caller.hash);
               });
+}
+
+} // namespace
+
+std::vector<member> nearby_instances(
+    const std::vector<member>& members,
+    const std::vector<data_centre>& data_centres, const steering_caller& caller,
+    const std::vector<std::string>& home_regions, std::size_t max_count) {
+    std::vector<member> in_touch;
+    std::vector<member> partitioned;
+    for (const auto& each : members) {
+        (each.partitioned ? partitioned : in_touch).push_back(each);
+    }
+    auto chosen = near_caller(in_touch, data_centres, caller, home_regions);
+    auto last = near_caller(partitioned, data_centres, caller, home_regions);
+    sort_for(caller, chosen);
+    sort_for(caller, last);
+    chosen.insert(chosen.end(), last.begin(), last.end());
     if (chosen.size() > max_count) {
         chosen.resize(max_count);
     }
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -56,6 +56,14 @@
 } // namespace
 
 void call_desk::queue_attempt(call_record& call) {
+    if (reach_.partitioned()) {
+        serve_by_detour(call);
+        return;
+    }
+    if (reach_.holds()) {
+        wait_for_check(call);
+        return;
+    }
     if (crashes_.watching() && !pass_crash_guard(call)) {
         return;
     }
@@ -218,18 +226,44 @@
                             decision::request_id attempt_id,
                             const std::string& service,
                             forwarding::backend_result ended) {
+    const auto* open = find(id);
+    if (open == nullptr) {
+        return;
+    }
+    const bool was_hedge = attempt_id != id;
+    const auto& ours = was_hedge ? open->hedge : open->running;
+    const auto meaning =
+        reach_.judge(ours->backend_server, ended,
+                     [this, id, attempt_id, service,
+                      ended](decision::failure_meaning known) {
+                         settle_result(id, attempt_id, service, ended, known);
+                     });
+    if (meaning != decision::failure_meaning::open) {
+        settle_result(id, attempt_id, service, std::move(ended), meaning);
+    }
+}
+
+// Takes the result of an attempt once it is known what it means.
+void call_desk::settle_result(decision::request_id id,
+                              decision::request_id attempt_id,
+                              const std::string& service,
+                              forwarding::backend_result ended,
+                              decision::failure_meaning meaning) {
     auto* call = find(id);
     if (call == nullptr) {
         return;
     }
     const bool was_hedge = attempt_id != id;
     auto& ours = was_hedge ? call->hedge : call->running;
+    if (!ours || ours->id != attempt_id) {
+        return; // it was given up while its meaning was open
+    }
     auto& other = was_hedge ? call->running : call->hedge;
     const auto attempt = *ours;
     const auto answer = read_answer(*call, attempt, ended);
     ours.reset();
     hedges_.erase(attempt_id);
-    report_end(*call, attempt, answer);
+    report_end(*call, attempt, answer, meaning);
     if (call->answering) {
         end_relay(*call, answer);
         return;
@@ -243,11 +277,13 @@
         note_lost_race(*call, loser);
         cancel_attempt(service, loser);
     }
-    end_with(*call, attempt, answer, std::move(ended));
+    end_with(*call, attempt, answer, std::move(ended), meaning);
 }
 
 void call_desk::report_end(call_record& call, const running_attempt& attempt,
-                           const backend_answer& answer) {
+                           const backend_answer& answer,
+                           decision::failure_meaning meaning) {
+    const bool of_server = meaning == decision::failure_meaning::of_server;
     const auto took = timers_.now() - attempt.started;
     note(call, "call_attempt_ended", ended_facts(attempt, answer, took));
     metrics_.backend_time.observe(call.labels, took);
@@ -255,12 +291,17 @@
     if (answer.end == attempt_end::answered) {
         part.policies.hedges(call.labels.request_class).on_latency(took);
     }
-    report_signs(call, attempt, answer);
+    if (of_server) {
+        report_signs(call, attempt, answer);
+    }
     end_trial(call);
-    outlet_.observe(attempt.backend_server, answer);
+    if (of_server) {
+        outlet_.observe(attempt.backend_server, answer);
+    }
     decision::request_finished finished;
     finished.request = attempt.id;
-    finished.verdict = verdict_of(answer.end);
+    finished.verdict = of_server ? verdict_of(answer.end)
+                                 : decision::attempt_verdict::cancelled;
     finished.service_time =
         answer.outcome == run_outcome::ran ? took : duration::zero();
     finished.load = answer.load;
@@ -271,13 +312,20 @@
 
 void call_desk::end_with(call_record& call, const running_attempt& attempt,
                          const backend_answer& answer,
-                         forwarding::backend_result ended) {
+                         forwarding::backend_result ended,
+                         decision::failure_meaning meaning) {
     const bool unsent_in_vain =
         !ended.response && ended.response.error().code == error_code::cancelled;
     if (unsent_in_vain) {
         drop(call);
         return;
     }
+    const bool reached_nobody =
+        meaning == decision::failure_meaning::of_partition && !ended.sent;
+    if (reached_nobody && reach_.partitioned()) {
+        replace_by_detour(call);
+        return;
+    }
     if (answer.end != attempt_end::answered &&
         try_again(call, attempt, answer)) {
         return;
@@ -312,7 +360,9 @@
     if (answer.outcome != run_outcome::not_run) {
         call.earlier = run_outcome::unknown;
     }
-    call.excluded.push_back(attempt.backend_server);
+    if (!attempt.backend_server.empty()) {
+        call.excluded.push_back(attempt.backend_server);
+    }
     metrics_.retries.add(call.labels);
     queue_attempt(call);
     return true;
@@ -335,7 +385,9 @@
 
 void call_desk::cancel_attempts(call_record& call) {
     const auto& service = call.labels.service;
-    if (call.running) {
+    if (call.is_elsewhere()) {
+        cancel_detour(call);
+    } else if (call.running) {
         report_unanswered(call, *call.running);
         cancel_attempt(service, *call.running);
         call.running.reset();
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -88,7 +88,8 @@
 call_desk::call_desk(member_id self, const request_protocol& protocol,
                      kernel::timer_service& timers,
                      forwarding::backend_pool& pool, io::message_hub& hub,
-                     entry_metrics& metrics, call_desk_outlet& outlet)
+                     entry_metrics& metrics, reach_watch& reach,
+                     detour_desk& detours, call_desk_outlet& outlet)
     : self_(self),
       protocol_(protocol),
       timers_(timers),
@@ -107,17 +108,42 @@
       keys_(self, hub, timers, *this),
       interest_(pool, keys_),
       crashes_(self.name, hub, timers, metrics.suspicions),
+      reach_(reach),
+      detours_(detours),
       targets_(self.name) {}
 
 void call_desk::take(forwarding::caller_exchange_ptr caller) {
+    take(std::move(caller), std::nullopt);
+}
+
+// What a request for a peer is answered before it becomes a call: the peer must
+// know whether another instance may take it.
+void call_desk::answer_unnamed(const forwarding::caller_exchange_ptr& caller,
+                               const own_answer& answer, bool detoured) {
+    auto rendered = protocol_.render(answer);
+    if (detoured) {
+        const bool not_taken = answer.status == status::service_unavailable &&
+                               answer.outcome == run_outcome::not_run;
+        add_outcome_header(rendered.headers,
+                           not_taken ? detour_outcome::not_taken
+                                     : to_detour_outcome(answer.outcome));
+    }
+    caller->answer(std::move(rendered));
+}
+
+void call_desk::take(forwarding::caller_exchange_ptr caller,
+                     const std::optional<detour_request>& detoured) {
+    const bool for_peer = detoured.has_value();
     if (!view_ || !view_->config) {
         log_unnamed(caller->request(), "call_without_configuration", nullptr,
                     "");
         own_answer answer;
         answer.reason = "no-configuration";
         answer.retry_after = retry_after_start;
-        leave_open_if_resent(answer, caller->request());
-        caller->answer(protocol_.render(answer));
+        if (!for_peer) {
+            leave_open_if_resent(answer, caller->request());
+        }
+        answer_unnamed(caller, answer, for_peer);
         return;
     }
     const auto understood =
@@ -130,7 +156,7 @@
         if (answer.status == status::not_found) {
             leave_open_if_resent(answer, caller->request());
         }
-        caller->answer(protocol_.render(answer));
+        answer_unnamed(caller, answer, for_peer);
         return;
     }
     const auto id = next_id_++;
@@ -139,7 +165,7 @@
             .emplace(std::piecewise_construct, std::forward_as_tuple(id),
                      std::forward_as_tuple(id, std::move(caller)))
             .first->second;
-    admit(call, understood.value());
+    admit(call, understood.value(), detoured);
 }
 
 // A process that has just started remembers no key, and one whose configuration
@@ -152,7 +178,8 @@
     }
 }
 
-void call_desk::admit(call_record& call, const caller_call& understood) {
+void call_desk::admit(call_record& call, const caller_call& understood,
+                      const std::optional<detour_request>& detoured) {
     call.kind = understood.kind;
     call.request_id = understood.id;
     call.labels = {understood.tenant,
@@ -165,13 +192,24 @@
     set_target(call, understood);
     call.nested = understood.attempt.has_value();
     call.attempts_above = understood.attempt.value_or(0);
+    if (detoured) {
+        call.detoured_for = detoured->from;
+        call.attempts_here = detoured->attempts_before;
+        call.deadline =
+            std::min(call.deadline, call.arrived + detoured->time_left);
+        call.earlier = detoured->may_have_run ? run_outcome::unknown
+                                              : run_outcome::not_run;
+        metrics_.detours_taken.add();
+    }
     metrics_.calls.add(call.labels);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
     call.caller->on_abandoned([this, id = call.id] { abandon(id); });
     note(call, "call_taken", taken_facts(call, *view_));
     arm_deadline(call);
+    // The instance that the caller asked looks after its key.
     const bool keyed = call.kind.nature == request_nature::at_most_once &&
-                       understood.key && call.content.more_body == nullptr;
+                       understood.key && call.content.more_body == nullptr &&
+                       !detoured;
     if (!keyed) {
         queue_attempt(call);
         return;
@@ -212,7 +250,8 @@
     if (waits_for_key) {
         keys_.on_waiter_gone(call->key->key, id);
     }
-    const bool sent = call->running || call->hedge || waits_for_key;
+    const bool sent =
+        call->running || call->hedge || call->detour || waits_for_key;
     note(*call, "call_deadline_passed");
     cancel_attempts(*call);
     own_answer late;
@@ -306,8 +345,9 @@
     const auto caller = call->caller;
     const bool kept = call->key && outcome == run_outcome::ran;
     note(*call, "call_answered", answered_facts(*call, outcome, answer.status));
-    close_record(*call, {outcome, true, timers_.now()},
-                 kept ? keepable(answer) : nullptr);
+    const auto to_keep = kept ? keepable(answer) : nullptr;
+    mark_for_peer(*call, outcome, answer);
+    close_record(*call, {outcome, true, timers_.now()}, to_keep);
     caller->answer(std::move(answer));
 }
 
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -20,8 +20,10 @@
 #include "entry/caller_interest.hpp"
 #include "entry/caller_patience.hpp"
 #include "entry/crash_guard.hpp"
+#include "entry/detour_desk.hpp"
 #include "entry/entry_metrics.hpp"
 #include "entry/key_desk.hpp"
+#include "entry/reach_watch.hpp"
 #include "entry/service_desk.hpp"
 #include "entry/service_policies.hpp"
 #include "entry/target_choice.hpp"
@@ -47,11 +49,16 @@
 public:
     call_desk(member_id self, const request_protocol& protocol,
               kernel::timer_service& timers, forwarding::backend_pool& pool,
-              io::message_hub& hub, entry_metrics& metrics,
-              call_desk_outlet& outlet);
+              io::message_hub& hub, entry_metrics& metrics, reach_watch& reach,
+              detour_desk& detours, call_desk_outlet& outlet);
 
     // A caller's request.
     void take(forwarding::caller_exchange_ptr caller);
+    // A request that a partitioned instance hands on.
+    void take_detoured(forwarding::caller_exchange_ptr caller);
+    // This instance has become partitioned from the backend servers, or is no
+    // more.
+    void follow_reach(bool partitioned);
     // A newer view: every service's scheduler and the keys follow it.
     void take(const program::view_published& published);
     // A peer's scheduler message.
@@ -97,9 +104,14 @@
 
     // call_desk.cpp: from arrival to answer
     call_record* find(decision::request_id id);
+    void take(forwarding::caller_exchange_ptr caller,
+              const std::optional<detour_request>& detoured);
+    void answer_unnamed(const forwarding::caller_exchange_ptr& caller,
+                        const own_answer& answer, bool detoured);
     void leave_open_if_resent(own_answer& answer,
                               const io::http_request& request) const;
-    void admit(call_record& call, const caller_call& understood);
+    void admit(call_record& call, const caller_call& understood,
+               const std::optional<detour_request>& detoured);
     void set_target(call_record& call, const caller_call& understood);
     void arm_deadline(call_record& call);
     void pass_deadline(decision::request_id id);
@@ -132,11 +144,17 @@
     void take_result(decision::request_id id, decision::request_id attempt_id,
                      const std::string& service,
                      forwarding::backend_result ended);
+    void settle_result(decision::request_id id, decision::request_id attempt_id,
+                       const std::string& service,
+                       forwarding::backend_result ended,
+                       decision::failure_meaning meaning);
     void report_end(call_record& call, const running_attempt& attempt,
-                    const backend_answer& answer);
+                    const backend_answer& answer,
+                    decision::failure_meaning meaning);
     void end_with(call_record& call, const running_attempt& attempt,
                   const backend_answer& answer,
-                  forwarding::backend_result ended);
+                  forwarding::backend_result ended,
+                  decision::failure_meaning meaning);
     bool try_again(call_record& call, const running_attempt& attempt,
                    const backend_answer& answer);
     // The slot of an attempt that is not made, or no longer.
@@ -157,6 +175,28 @@
     void refuse_waiting_suspect(call_record& call,
                                 decision::request_id waiting);
 
+    // call_detours.cpp: service by way of other instances
+    void wait_for_check(call_record& call);
+    void serve_by_detour(call_record& call);
+    void replace_by_detour(call_record& call);
+    void send_to(const member& by, call_record& call);
+    void take_detour_end(decision::request_id id,
+                         forwarding::backend_result ended);
+    void end_detour_with(call_record& call, const running_detour& by,
+                         io::http_response answer);
+    void end_lost_detour(call_record& call, const running_detour& by,
+                         const forwarding::backend_result& ended);
+    void try_other_detour(call_record& call);
+    forwarding::backend_call detour_call(const call_record& call) const;
+    forwarding::long_answer_handlers detour_handlers(decision::request_id id);
+    void begin_detour_answer(decision::request_id id, io::http_response head,
+                             std::optional<std::uint64_t> length);
+    void cancel_detour(call_record& call);
+    void leave_servers(call_record& call);
+    void forget_connections();
+    void mark_for_peer(const call_record& call, run_outcome outcome,
+                       io::http_response& answer) const;
+
     // call_slowness.cpp: answers that are slow to come
     void arm_silence(call_record& call, duration slow);
     void replace_silent(decision::request_id id);
@@ -187,6 +227,8 @@
     key_desk keys_;
     caller_interest interest_;
     crash_guard crashes_;
+    reach_watch& reach_;
+    detour_desk& detours_;
     target_choice targets_;
     caller_patience patience_;
     view_ptr view_;
--- a/src/entry/call_facts.cpp
+++ b/src/entry/call_facts.cpp
@@ -20,6 +20,9 @@
                  fact("path", call.content.target) + " " +
                  fact("revision", known.config->revision) + " " +
                  fact("time_left_ms", call.deadline - call.arrived);
+    if (!call.detoured_for.empty()) {
+        facts += " " + fact("detour_from", call.detoured_for);
+    }
     if (call.target) {
         facts += " " + fact("target_left_ms", *call.target - call.arrived);
     }
@@ -44,10 +47,11 @@
 // What the call waited for when its caller left.
 std::string left_facts(const call_record& call) {
     const bool for_key = call.key && call.key->attempt == 0;
-    const char* what = call.answering ? "rest-of-answer"
-                       : call.running ? "answer"
-                       : for_key      ? "key"
-                                      : "slot";
+    const char* what = call.answering                ? "rest-of-answer"
+                       : call.running || call.detour ? "answer"
+                       : call.waits_for_check        ? "check"
+                       : for_key                     ? "key"
+                                                     : "slot";
     return fact("waited_for", what);
 }
 
--- a/src/entry/call_record.hpp
+++ b/src/entry/call_record.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,6 +35,14 @@
     backend_incarnation incarnation = 0;
 };
 
+// A request on its way through another instance, while this one is partitioned
+// from the backend servers.
+struct running_detour {
+    std::string instance;
+    forwarding::backend_pool::call_id call = 0;
+    time_point started{};
+};
+
 // A key's right to run, held by this call until its outcome is reported.
 struct held_key {
     std::string key;
@@ -76,10 +85,15 @@
     bool nested = false; // the caller is itself serving a call
     bool alone = false;  // its attempt is the trial of a suspect
     bool hedged = false;
+    // Served for this partitioned instance; empty: for a caller of our own.
+    std::string detoured_for;
     bool answering = false;  // a long answer is on its way to the caller
     std::size_t relayed = 0; // bytes of it so far
     std::optional<running_attempt> running;
     std::optional<running_attempt> hedge;
+    std::optional<running_detour> detour;
+    std::set<std::string> detours_tried; // instances that did not take it
+    bool waits_for_check = false; // whether backend servers can be reached
     decision::request_id hedge_waiting = 0; // for a slot; 0: none is
     kernel::timer_service::subscription hedge_timer;
     kernel::timer_service::subscription silence_timer;
@@ -95,6 +109,8 @@
         const auto reached = attempts_here + (hedged ? 1U : 0U);
         return kind.max_attempts == 0 || reached < kind.max_attempts;
     }
+    // Nothing has been sent for it, nor is it in a queue of slots.
+    bool is_elsewhere() const { return detour || waits_for_check; }
     bool may_run_again() const {
         return kind.nature == request_nature::retriable && !content.more_body;
     }
--- a/src/entry/call_relay.cpp
+++ b/src/entry/call_relay.cpp
@@ -50,8 +50,10 @@
     call->answering = true;
     const auto& winner = was_hedge ? *call->hedge : *call->running;
     call->caller->on_drained([this, on = winner.call] { pool_.resume(on); });
-    call->caller->begin_answer(protocol_.pass_on(head, {}), length);
-    const auto said = protocol_.classify({head, true, std::nullopt});
+    auto passed_on = protocol_.pass_on(head, {});
+    mark_for_peer(*call, run_outcome::ran, passed_on);
+    call->caller->begin_answer(std::move(passed_on), length);
+    const auto said = protocol_.classify({head, true, std::nullopt, {}});
     if (said.terms) {
         desk_of(call->labels.service)
             .handle(decision::answer_begun{attempt_id, *said.terms});
@@ -65,7 +67,12 @@
     }
     call->relayed += bytes.size();
     call->caller->add(bytes);
-    if (call->caller->waiting() > relay_limit) {
+    if (call->caller->waiting() <= relay_limit) {
+        return;
+    }
+    if (call->detour) {
+        detours_.pause(call->detour->call);
+    } else {
         const auto& winner = call->running ? *call->running : *call->hedge;
         pool_.pause(winner.call);
     }
--- a/src/entry/call_services.cpp
+++ b/src/entry/call_services.cpp
@@ -47,6 +47,7 @@
     view_ = published.now;
     keys_.change_members(view_->members);
     crashes_.follow(*view_);
+    detours_.follow(*view_);
     follow(*view_, *published.owners);
 }
 
--- a/src/entry/call_slowness.cpp
+++ b/src/entry/call_slowness.cpp
@@ -43,6 +43,11 @@
         !call->may_reach_another()) {
         return;
     }
+    reach_.on_silence(call->running->backend_server, {});
+    if (reach_.reach() != decision::backend_reach::in_touch) {
+        arm_silence(*call, silence_min / silence_factor);
+        return;
+    }
     auto& part = part_of(call->labels.service);
     if (part.policies.retries().try_spend()) {
         pool_.forget(call->running->backend_server);
@@ -72,7 +77,8 @@
 
 void call_desk::consider_hedge(decision::request_id id) {
     auto* call = find(id);
-    if (call == nullptr || !call->running || call->alone || call->answering) {
+    if (call == nullptr || !call->running || call->alone || call->answering ||
+        reach_.partitioned()) {
         return;
     }
     if (!call->may_reach_another()) {
--- a/src/entry/call_trials.cpp
+++ b/src/entry/call_trials.cpp
@@ -89,13 +89,23 @@
     if (!pool_.sent(attempt.call) || call.answering) {
         return;
     }
-    backend_answer silent;
-    silent.end = attempt_end::timed_out;
-    silent.sign = decision::server_sign::silent;
-    crashes_.on_lost(
-        crash_fingerprints(call),
-        {attempt.backend_server, attempt.incarnation, attempt.started, silent},
-        call.alone);
+    const auto tell = [this, of = crash_fingerprints(call), attempt,
+                       alone = call.alone](decision::failure_meaning meaning) {
+        if (meaning != decision::failure_meaning::of_server) {
+            return;
+        }
+        backend_answer silent;
+        silent.end = attempt_end::timed_out;
+        silent.sign = decision::server_sign::silent;
+        crashes_.on_lost(of,
+                         {attempt.backend_server, attempt.incarnation,
+                          attempt.started, silent},
+                         alone);
+    };
+    const auto meaning = reach_.on_silence(attempt.backend_server, tell);
+    if (meaning != decision::failure_meaning::open) {
+        tell(meaning);
+    }
 }
 
 void call_desk::take_probe_sign(const attempt_sign& shown) {
--- a/src/entry/caller_interest.cpp
+++ b/src/entry/caller_interest.cpp
@@ -9,6 +9,9 @@
 }
 
 bool caller_interest::must_end(const call_record& call) const {
+    if (call.detour) {
+        return others_wait(call); // the instance that serves it decides
+    }
     decision::departed_call departed;
     departed.nature = call.kind.nature;
     departed.sent = sent(call.running);
@@ -20,7 +23,7 @@
 }
 
 run_outcome caller_interest::outcome_if_dropped(const call_record& call) const {
-    const bool may_run = sent(call.running) || sent(call.hedge);
+    const bool may_run = sent(call.running) || sent(call.hedge) || call.detour;
     return may_run ? run_outcome::unknown : call.earlier;
 }
 
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -17,6 +17,8 @@
 constexpr duration forgetting_period = 1s;
 constexpr unsigned passes_for_a_sample = 8;
 constexpr std::size_t most_silent_runs = 1024; // two for each request
+// A partition is noticed within this time.
+constexpr duration partition_unnoticed = 1s;
 // All instances that use a server see at about the same moment that it lives.
 // Its tester tells of a suspect that is none any more; the others wait, each
 // for a time of its own, until nobody has.
@@ -251,6 +253,11 @@
     quarantine_.on_trial_abandoned(of.varying);
 }
 
+void crash_guard::on_partitioned() {
+    const auto now = timers_.now();
+    tell_all(quarantine_.on_partitioned(now - partition_unnoticed, now));
+}
+
 void crash_guard::take(const std::string& peer,
                        const std::vector<std::uint8_t>& bytes) {
     const auto told = decode_suspicions(bytes);
--- a/src/entry/crash_guard.hpp
+++ b/src/entry/crash_guard.hpp
@@ -78,6 +78,8 @@
                          const std::string& backend_server,
                          backend_incarnation incarnation);
     void on_trial_abandoned(const copy_fingerprints& of);
+    // This instance has become partitioned from the servers.
+    void on_partitioned();
 
 private:
     using words = std::vector<decision::suspicion_update>;
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -33,6 +33,15 @@
       rests_asked(
           all.add_counter("waxwing_backend_rests_asked_total",
                           "Answers in which a backend server asks for rest.")),
+      detours_sent(all.add_counter(
+          "waxwing_detours_sent_total",
+          "Requests handed to other instances while partitioned.")),
+      detours_taken(
+          all.add_counter("waxwing_detours_taken_total",
+                          "Requests served for partitioned instances.")),
+      reach_checks(
+          all.add_counter("waxwing_reach_checks_total",
+                          "Checks whether backend servers can be reached.")),
       log_lines_dropped(all.add_counter(
           "waxwing_log_lines_dropped_total",
           "Log lines that neither the limits nor the reader took.")),
@@ -46,6 +55,9 @@
       keys(all.add_gauge("waxwing_request_keys", "Request keys remembered.")),
       suspicions(all.add_gauge(
           "waxwing_request_suspicions",
-          "Requests that were in flight when a backend server ended.")) {}
+          "Requests that were in flight when a backend server ended.")),
+      partitioned(
+          all.add_gauge("waxwing_backend_partitioned",
+                        "1 while no backend server is reached here alone.")) {}
 
 } // namespace waxwingvale::entry
--- a/src/entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -22,12 +22,16 @@
     program::counter probes;
     program::counter limits_named;
     program::counter rests_asked;
+    program::counter detours_sent;
+    program::counter detours_taken;
+    program::counter reach_checks;
     program::counter log_lines_dropped;
     program::gauge limited_servers;
     program::gauge open_calls;
     program::gauge process_lag;
     program::gauge keys;
     program::gauge suspicions;
+    program::gauge partitioned;
 };
 
 } // namespace waxwingvale::entry
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <utility>
 #include <waxwingvale/entry/backend_seen.hpp>
+#include <waxwingvale/entry/reach_changed.hpp>
 #include <waxwingvale/entry/requests_refused.hpp>
 #include <waxwingvale/program/service_name.hpp>
+#include <waxwingvale/program/state_log.hpp>
 #include <waxwingvale/program/view_published.hpp>
 
 #include "entry/connection_limits.hpp"
@@ -26,6 +28,12 @@
     return options;
 }
 
+forwarding::caller_server_options peer_options(const program::settings& from) {
+    auto options = caller_options(from);
+    options.port = from.entry.first_detour_port;
+    return options;
+}
+
 // Before a configuration is known nobody can say what is too large: such a
 // request is answered like all others, and can come again.
 caller_limits limits_before_configuration() {
@@ -56,13 +64,24 @@
           program::service_name::peers)),
       callers_(environment.loop, environment.timers,
                caller_options(environment.settings)),
+      peers_(environment.loop, environment.timers,
+             peer_options(environment.settings)),
       pool_(environment.loop, environment.timers),
+      peer_pool_(environment.loop, environment.timers),
       terms_log_(environment.timers, metrics_.limits_named,
                  metrics_.limited_servers, metrics_.rests_asked),
-      calls_(self_, protocol, environment.timers, pool_, hub_, metrics_, *this),
+      reach_(protocol, environment.timers, pool_, hub_, metrics_.partitioned,
+             metrics_.reach_checks),
+      detours_(self_.name, environment.timers, peer_pool_,
+               detour_token(environment.settings.peers.shared_key)),
+      calls_(self_, protocol, environment.timers, pool_, hub_, metrics_, reach_,
+             detours_, *this),
       prober_(self_.name, protocol, environment.timers, pool_, metrics_.probes,
-              *this) {
+              reach_, *this) {
     callers_.change_limits(limits_before_configuration());
+    // What a peer hands on has kept the limits there.
+    peers_.change_limits(limits_before_configuration());
+    reach_.on_change([this](bool partitioned) { follow_reach(partitioned); });
     calls_.on_refused([this](const std::vector<std::uint64_t>& fingerprints) {
         bus_.publish(requests_refused{fingerprints});
     });
@@ -70,11 +89,41 @@
 }
 
 result<void> entry_service::start() {
+    listen_to_peers();
     return callers_.start([this](forwarding::caller_exchange_ptr caller) {
         calls_.take(std::move(caller));
     });
 }
 
+// Without it callers are served all the same, only partitioned peers are not.
+void entry_service::listen_to_peers() {
+    const auto& from = environment_.settings.entry;
+    const auto metrics_port =
+        environment_.settings.instance.metrics_port.value_or(0);
+    const auto on_request = [this](forwarding::caller_exchange_ptr peer) {
+        calls_.take_detoured(std::move(peer));
+    };
+    for (unsigned port = from.first_detour_port; port <= from.last_detour_port;
+         ++port) {
+        const bool taken = port != 0 && port == metrics_port;
+        if (!taken &&
+            peers_.start(on_request, static_cast<std::uint16_t>(port))) {
+            return;
+        }
+    }
+    program::log_warning(
+        "detours_not_taken",
+        {{"first_port", std::to_string(from.first_detour_port)},
+         {"last_port", std::to_string(from.last_detour_port)}});
+}
+
+// Those whom the others must know first: owners change, and callers are named
+// other addresses.
+void entry_service::follow_reach(bool partitioned) {
+    bus_.publish(reach_changed{partitioned});
+    calls_.follow_reach(partitioned);
+}
+
 void entry_service::wire_peers() {
     bus_.subscribe<program::view_published>(
         [this](const program::view_published& published) { take(published); });
@@ -106,6 +155,7 @@
         callers_.change_limits(
             view->config->limits.value_or(limits_of(environment_.settings)));
     }
+    reach_.follow(view);
     calls_.take(published);
     prober_.take(published);
 }
@@ -201,9 +251,11 @@
 void entry_service::stop(std::function<void()> stopped) {
     stopped_ = std::move(stopped);
     callers_.ask_to_close();
+    peers_.ask_to_close();
     leave_notice_ = environment_.timers.after(
         environment_.settings.instance.leave_notice, [this](time_point) {
             callers_.stop_accepting();
+            peers_.stop_accepting();
             drain_check_ = environment_.timers.every(
                 drain_check_period, [this](time_point) { check_drained(); });
         });
@@ -213,8 +265,10 @@
 // that moment.
 void entry_service::check_drained() {
     callers_.close_idle();
-    if (calls_.open_calls() == 0 && callers_.pending() == 0 &&
-        callers_.connections() == 0) {
+    peers_.close_idle();
+    const auto pending = callers_.pending() + peers_.pending();
+    const auto connections = callers_.connections() + peers_.connections();
+    if (calls_.open_calls() == 0 && pending == 0 && connections == 0) {
         drain_check_.cancel();
         stopped_();
     }
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -30,6 +30,9 @@
 
     result<void> start();
     std::uint16_t port() const { return callers_.port(); }
+    // Where partitioned instances hand requests on; 0 when it could not be
+    // listened on.
+    std::uint16_t detour_port() const { return peers_.port(); }
     // Whether requests can be understood: a configuration is in force.
     bool ready() const { return view_ && view_->config; }
     // Callers that hold this address are served for a while yet, and asked to
@@ -61,6 +64,8 @@
     void take(const program::view_published& published);
     void follow_link(const std::string& peer, bool up);
     void check_drained();
+    void listen_to_peers();
+    void follow_reach(bool partitioned);
 
     program::program_environment environment_;
     member_id self_;
@@ -68,10 +73,14 @@
     kernel::message_bus& bus_;
     io::message_hub& hub_;
     forwarding::caller_server callers_;
+    forwarding::caller_server peers_; // partitioned ones hand requests on
     forwarding::backend_pool pool_;
+    forwarding::backend_pool peer_pool_;
     view_ptr view_;
     server_starts starts_;
     terms_log terms_log_;
+    reach_watch reach_;
+    detour_desk detours_;
     call_desk calls_;
     prober prober_;
     kernel::timer_service::subscription leave_notice_;
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -27,12 +27,14 @@
 
 prober::prober(std::string self, const request_protocol& protocol,
                kernel::timer_service& timers, forwarding::backend_pool& pool,
-               program::counter probes, probe_outlet& outlet)
+               program::counter probes, reach_watch& reach,
+               probe_outlet& outlet)
     : self_(std::move(self)),
       protocol_(protocol),
       timers_(timers),
       pool_(pool),
       probes_(probes),
+      reach_(reach),
       outlet_(outlet) {}
 
 void prober::take(const program::view_published& published) {
@@ -182,20 +184,75 @@
     call.connect_timeout = probe_timeout;
     call.kept_for = probe_connection_kept_for;
     const sent_probe probe{to.name, to.incarnation, timers_.now()};
-    const auto open = pool_.send(
-        std::move(call), [this, service = of.name,
-                          probe](const forwarding::backend_result& ended) {
-            end_probe(service, probe,
-                      protocol_.classify_health(ended, probe.server));
-        });
-    open_[to.name] = timers_.after(
-        probe_timeout, [this, open, service = of.name, probe](time_point) {
+    const auto open = pool_.send(std::move(call),
+                                 [this, service = of.name, probe](
+                                     const forwarding::backend_result& ended) {
+                                     take_result(service, probe, ended);
+                                 });
+    open_[to.name] = {
+        probe.at, timers_.after(probe_timeout, [this, open, service = of.name,
+                                                probe](time_point) {
             pool_.cancel(open);
-            backend_answer silent;
-            silent.end = attempt_end::timed_out;
-            silent.sign = decision::server_sign::silent;
-            end_probe(service, probe, silent);
+            give_up(service, probe);
+        })};
+}
+
+void prober::take_result(const std::string& service, const sent_probe& probe,
+                         const forwarding::backend_result& ended) {
+    const auto meaning = reach_.judge(
+        probe.server, ended,
+        [this, service, probe, ended](decision::failure_meaning known) {
+            settle(service, probe, ended, known);
         });
+    if (meaning != decision::failure_meaning::open) {
+        settle(service, probe, ended, meaning);
+    }
+}
+
+// Ends a probe once it is known what its result means.
+void prober::settle(const std::string& service, const sent_probe& probe,
+                    const forwarding::backend_result& ended,
+                    decision::failure_meaning meaning) {
+    if (!is_open(probe)) {
+        return; // it was given up while its meaning was open
+    }
+    if (meaning == decision::failure_meaning::of_server) {
+        end_probe(service, probe,
+                  protocol_.classify_health(ended, probe.server));
+        return;
+    }
+    backend_answer nothing;
+    nothing.end = attempt_end::held_back;
+    end_probe(service, probe, nothing);
+}
+
+// No answer came in time.
+void prober::give_up(const std::string& service, const sent_probe& probe) {
+    const auto meaning = reach_.on_silence(
+        probe.server, [this, service, probe](decision::failure_meaning known) {
+            settle_silent(service, probe, known);
+        });
+    if (meaning != decision::failure_meaning::open) {
+        settle_silent(service, probe, meaning);
+    }
+}
+
+void prober::settle_silent(const std::string& service, const sent_probe& probe,
+                           decision::failure_meaning meaning) {
+    if (!is_open(probe)) {
+        return;
+    }
+    const bool of_server = meaning == decision::failure_meaning::of_server;
+    backend_answer silent;
+    silent.end = attempt_end::timed_out;
+    silent.sign =
+        of_server ? decision::server_sign::silent : decision::server_sign::none;
+    end_probe(service, probe, silent);
+}
+
+bool prober::is_open(const sent_probe& probe) const {
+    const auto open = open_.find(probe.server);
+    return open != open_.end() && open->second.sent == probe.at;
 }
 
 } // namespace waxwingvale::entry
--- a/src/entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -14,6 +14,8 @@
 #include <waxwingvale/program/metrics.hpp>
 #include <waxwingvale/program/view_published.hpp>
 
+#include "entry/reach_watch.hpp"
+
 namespace waxwingvale::entry {
 
 // Connects the prober with the schedulers of the services, which decide what to
@@ -43,7 +45,7 @@
 public:
     prober(std::string self, const request_protocol& protocol,
            kernel::timer_service& timers, forwarding::backend_pool& pool,
-           program::counter probes, probe_outlet& outlet);
+           program::counter probes, reach_watch& reach, probe_outlet& outlet);
 
     void take(const program::view_published& published);
     // How many entry instances this one has a link to.
@@ -68,6 +70,11 @@
         time_point at{};
     };
 
+    struct open_probe {
+        time_point sent{};
+        kernel::timer_service::subscription limit;
+    };
+
     void follow(const service& of, const decision::ownership& owners,
                 time_point now);
     void update_share(time_point now);
@@ -76,6 +83,15 @@
     void probe_due(const service& of, bool idle_ones, time_point now);
     void probe(const service& of, owned_server& server, time_point now);
     void send_probe(const service& of, const backend_server& to);
+    void take_result(const std::string& service, const sent_probe& probe,
+                     const forwarding::backend_result& ended);
+    void settle(const std::string& service, const sent_probe& probe,
+                const forwarding::backend_result& ended,
+                decision::failure_meaning meaning);
+    void give_up(const std::string& service, const sent_probe& probe);
+    void settle_silent(const std::string& service, const sent_probe& probe,
+                       decision::failure_meaning meaning);
+    bool is_open(const sent_probe& probe) const;
     void end_probe(std::string service, sent_probe ended,
                    backend_answer answer);
 
@@ -84,12 +100,13 @@
     kernel::timer_service& timers_;
     forwarding::backend_pool& pool_;
     program::counter probes_;
+    reach_watch& reach_;
     probe_outlet& outlet_;
     view_ptr view_;
     std::size_t links_ = 0;
     std::map<std::string, service_probes> services_;
     // Probes under way, by backend server, and when they are given up.
-    std::map<std::string, kernel::timer_service::subscription> open_;
+    std::map<std::string, open_probe> open_;
     std::optional<kernel::timer_service::subscription> due_; // while owning
     unsigned checks_ = 0;
 };
--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -53,10 +53,11 @@
 
 backend_connection::backend_connection(kernel::event_loop& loop, int descriptor,
                                        std::string backend_server,
-                                       std::string address,
+                                       std::string address, time_point began,
                                        backend_connection_handlers handlers)
     : backend_server_(std::move(backend_server)),
       address_(std::move(address)),
+      began_(began),
       handlers_(std::move(handlers)),
       socket_(loop, descriptor, true,
               {[this] { on_connected(); },
@@ -267,7 +268,7 @@
 }
 
 void backend_connection::finish(result<io::http_response> response) {
-    backend_result ended{std::move(response), sent(), std::nullopt};
+    backend_result ended{std::move(response), sent(), std::nullopt, began_};
     if (!ended.response && head_seen_) {
         ended.partial = std::move(reader_.answer());
     }
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -27,11 +27,12 @@
 public:
     backend_connection(kernel::event_loop& loop, int descriptor,
                        std::string backend_server, std::string address,
-                       backend_connection_handlers handlers);
+                       time_point began, backend_connection_handlers handlers);
     backend_connection(const backend_connection&) = delete;
     backend_connection& operator=(const backend_connection&) = delete;
 
     const std::string& backend_server() const { return backend_server_; }
+    time_point began() const { return began_; }
     void send(backend_call call, long_answer_handlers on_long);
     // Ends the call with that error, unless it ended before.
     void give_up(error_code code, const std::string& detail);
@@ -67,6 +68,7 @@
 
     std::string backend_server_;
     std::string address_;
+    time_point began_;
     backend_connection_handlers handlers_;
     std::optional<backend_call> call_;
     long_answer_handlers on_long_;
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -119,7 +119,7 @@
     };
     handlers.on_lost = [this, self] { lose_idle(*self); };
     auto opened = std::make_shared<backend_connection>(
-        loop, descriptor.value(), call.backend_server, address,
+        loop, descriptor.value(), call.backend_server, address, timers.now(),
         std::move(handlers));
     *self = opened.get();
     ++servers[call.backend_server].open;
@@ -139,7 +139,7 @@
 
 void backend_pool::state::fail_soon(call_id id, error why) {
     loop.defer([this, id, why = std::move(why)] {
-        finish(id, {why, false, std::nullopt});
+        finish(id, {why, false, std::nullopt, {}});
     });
 }
 
--- a/src/forwarding/caller_server.cpp
+++ b/src/forwarding/caller_server.cpp
@@ -116,9 +116,12 @@
 }
 
 result<void> caller_server::start(handler on_request) {
+    return start(std::move(on_request), state_->options.port);
+}
+
+result<void> caller_server::start(handler on_request, std::uint16_t port) {
     state_->frame.on_request = std::move(on_request);
-    const auto opened =
-        io::open_listener(state_->options.address, state_->options.port);
+    const auto opened = io::open_listener(state_->options.address, port);
     if (!opened) {
         return opened.error();
     }
--- a/src/io/exchange_codec.cpp
+++ b/src/io/exchange_codec.cpp
@@ -41,9 +41,21 @@
     list.push_back(value.assertion);
     list.push_back(static_cast<unsigned>(value.life));
     list.push_back(value.leaving);
+    list.push_back(value.partitioned);
+    list.push_back(value.addresses.detour_port);
     return list;
 }
 
+// Instances of an earlier release know of no partitions and take no requests of
+// partitioned peers.
+void read_partition(const json& from, member_record& value) {
+    constexpr std::size_t size_with_partition = 15;
+    if (from.size() >= size_with_partition) {
+        value.partitioned = from.at(13).get<bool>();
+        value.addresses.detour_port = read_number<std::uint16_t>(from.at(14));
+    }
+}
+
 void read(const json& from, time_point, member_record& value) {
     const auto base = read_member(from);
     value.id = base.id;
@@ -53,6 +65,7 @@
     value.assertion = read_number<std::uint64_t>(from.at(10));
     value.life = read_enum(from.at(11), membership::liveness::gone);
     value.leaving = from.at(12).get<bool>();
+    read_partition(from, value);
 }
 
 json write(const belief_record& value, time_point now) {
--- a/src/membership/member_record.cpp
+++ b/src/membership/member_record.cpp
@@ -14,8 +14,9 @@
 }
 
 member to_member(const member_record& record) {
-    return {record.id, record.data_centre, record.addresses,
-            to_member_state(record), record.capacity};
+    return {record.id,        record.data_centre,
+            record.addresses, to_member_state(record),
+            record.capacity,  record.partitioned};
 }
 
 } // namespace waxwingvale::membership
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -12,8 +12,9 @@
 std::uint64_t hash_of(const member_record& record) {
     auto hash = decision::stable_hash(record.id.name, record.id.incarnation);
     hash = decision::combine_hashes(hash, record.assertion);
-    const auto state_bits =
-        static_cast<std::uint64_t>(record.life) * 2 + (record.leaving ? 1 : 0);
+    const auto state_bits = static_cast<std::uint64_t>(record.life) * 4 +
+                            (record.partitioned ? 2 : 0) +
+                            (record.leaving ? 1 : 0);
     return decision::combine_hashes(hash, state_bits);
 }
 
@@ -316,6 +317,16 @@
     return true;
 }
 
+bool member_table::set_partitioned(bool partitioned) {
+    auto& own = self_entry().record;
+    if (own.partitioned == partitioned) {
+        return false;
+    }
+    own.partitioned = partitioned;
+    assert_self();
+    return true;
+}
+
 bool member_table::set_serving(bool serving) {
     auto& own = self_entry().record;
     const auto life = serving ? liveness::alive : liveness::gone;
--- a/src/node/node_program.cpp
+++ b/src/node/node_program.cpp
@@ -125,6 +125,7 @@
     ports["steer"] = state_->steer->port();
     auto record = self_record(settings);
     record.addresses.caller_port = state_->entry->port();
+    record.addresses.detour_port = state_->entry->detour_port();
     record.addresses.steer_port = state_->steer->port();
     record.addresses.control_port = state_->hub.port();
     state_->control = std::make_unique<control::control_service>(
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -187,6 +187,12 @@
 entry_settings read_entry(object_reader reader) {
     entry_settings read;
     read.caller_port = listen_port(reader, caller_fields);
+    read.first_detour_port = listen_port(reader, "first_detour_port");
+    read.last_detour_port = listen_port(reader, "last_detour_port");
+    if (read.last_detour_port < read.first_detour_port) {
+        reader.complain("last_detour_port",
+                        "expected at least first_detour_port");
+    }
     read.body_limit =
         reader.number_or("body_limit_bytes", body_range, default_body_limit);
     read.connection_limit = connection_limit(reader);
--- a/test/entry/call_desk_test.cpp
+++ b/test/entry/call_desk_test.cpp
@@ -28,7 +28,12 @@
     program::metrics all_metrics;
     entry_metrics metrics{all_metrics};
     own_protocol protocol;
-    call_desk desk{{"entry-0", 1}, protocol, timers, pool, hub, metrics, *this};
+    forwarding::backend_pool peers{loop, timers};
+    reach_watch reach{
+        protocol, timers, pool, hub, metrics.partitioned, metrics.reach_checks};
+    detour_desk detours{"entry-0", timers, peers, "token"};
+    call_desk desk{{"entry-0", 1}, protocol, timers,  pool, hub,
+                   metrics,        reach,    detours, *this};
     configuration config;
     std::vector<backend_belief> beliefs;
     std::vector<attempt_end> ends; // of attempts
@@ -94,8 +99,12 @@
     }
 
     // Closes the connection of the request that came first.
+    // The server ends a connection, and others of its kind can be reached.
     void break_off() {
         run_for(20ms);
+        forwarding::backend_result answered{io::http_response{}, true, {}, {}};
+        answered.connecting_began = timers.now();
+        reach.judge("another", answered, {});
         ::close(::accept(listener, nullptr, nullptr));
         run_for(20ms);
     }
--- a/test/entry/caller_world.hpp
+++ b/test/entry/caller_world.hpp
@@ -42,8 +42,12 @@
     program::metrics all_metrics;
     entry::entry_metrics metrics{all_metrics};
     entry::own_protocol protocol;
-    entry::call_desk desk{{"entry-0", 1}, protocol, timers, pool, hub,
-                          metrics,        *this};
+    forwarding::backend_pool peers{loop, timers};
+    entry::reach_watch reach{
+        protocol, timers, pool, hub, metrics.partitioned, metrics.reach_checks};
+    entry::detour_desk detours{"entry-0", timers, peers, "token"};
+    entry::call_desk desk{{"entry-0", 1}, protocol, timers,  pool, hub,
+                          metrics,        reach,    detours, *this};
     forwarding::caller_server callers{loop, timers, {}};
     configuration config;
 
--- a/test/entry/prober_test.cpp
+++ b/test/entry/prober_test.cpp
@@ -85,11 +85,19 @@
     program::metrics metrics_;
     std::uint64_t views_ = 0;
     std::size_t ended_ = 0;
+    io::message_hub hub_{loop_, timers_, {"entry-0/entry", "key"}};
+    reach_watch reach_{protocol_,
+                       timers_,
+                       pool_,
+                       hub_,
+                       metrics_.add_gauge("partitioned", "Partitioned."),
+                       metrics_.add_counter("checks", "Checks.")};
     prober prober_{"entry-0",
                    protocol_,
                    timers_,
                    pool_,
                    metrics_.add_counter("probes", "Probes."),
+                   reach_,
                    *this};
 };
 
--- a/test/platform/connection_sender.cpp
+++ b/test/platform/connection_sender.cpp
@@ -1,49 +1,62 @@
 #include "platform/connection_sender.hpp"
 
-#include <cstdio>
+#include <arpa/inet.h>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace waxwingvale::platform {
 
 namespace {
 
-std::string hexadecimal(std::uint16_t port) {
-    char text[8];
-    std::snprintf(text, sizeof text, ":%04X", port);
-    return text;
-}
+struct diagnosis_request {
+    nlmsghdr header;
+    inet_diag_req_v2 of;
+};
 
-bool ends_with(const std::string& text, const std::string& end) {
-    return text.size() >= end.size() &&
-           text.compare(text.size() - end.size(), end.size(), end) == 0;
+diagnosis_request request_for(std::uint16_t sender_port,
+                              std::uint16_t server_port) {
+    diagnosis_request made{};
+    made.header.nlmsg_len = sizeof made;
+    made.header.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+    made.header.nlmsg_flags = NLM_F_REQUEST;
+    made.of.sdiag_family = AF_INET;
+    made.of.sdiag_protocol = IPPROTO_TCP;
+    made.of.idiag_states = ~0U;
+    made.of.id.idiag_sport = htons(sender_port);
+    made.of.id.idiag_dport = htons(server_port);
+    made.of.id.idiag_src[0] = htonl(INADDR_LOOPBACK);
+    made.of.id.idiag_dst[0] = htonl(INADDR_LOOPBACK);
+    made.of.id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+    made.of.id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+    return made;
 }
 
-// The inode of the socket at the sender's end, as the system lists it.
+// The inode of the socket at the sender's end. The list of all sockets would
+// take far longer on a busy machine.
 std::string inode_of(std::uint16_t sender_port, std::uint16_t server_port) {
-    std::ifstream list("/proc/net/tcp");
-    std::string line;
-    std::getline(list, line);
-    while (std::getline(list, line)) {
-        std::istringstream words(line);
-        std::string number;
-        std::string local;
-        std::string remote;
-        std::string skipped;
-        std::string inode;
-        words >> number >> local >> remote;
-        for (int each = 0; each < 6; ++each) {
-            words >> skipped;
-        }
-        words >> inode;
-        if (ends_with(local, hexadecimal(sender_port)) &&
-            ends_with(remote, hexadecimal(server_port))) {
-            return inode;
-        }
+    const int asking =
+        ::socket(AF_NETLINK, SOCK_RAW | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+    auto request = request_for(sender_port, server_port);
+    alignas(nlmsghdr) char answer[1024];
+    const auto sent = ::send(asking, &request, sizeof request, 0);
+    const auto size =
+        sent < 0 ? sent : ::recv(asking, answer, sizeof answer, 0);
+    ::close(asking);
+    const auto* header = reinterpret_cast<const nlmsghdr*>(answer);
+    const bool found = size >= static_cast<ssize_t>(NLMSG_LENGTH(0)) &&
+                       header->nlmsg_type == SOCK_DIAG_BY_FAMILY;
+    if (!found) {
+        return "";
     }
-    return "";
+    const auto* socket =
+        reinterpret_cast<const inet_diag_msg*>(NLMSG_DATA(header));
+    return std::to_string(socket->idiag_inode);
 }
 
 bool holds_socket(pid_t process, const std::string& inode) {
--- a/test/platform/ending_server.cpp
+++ b/test/platform/ending_server.cpp
@@ -121,6 +121,8 @@
 
 void ending_server::close(connection& which) {
     which.open = false;
+    abandoned += which.at_work ? 1 : 0;
+    which.at_work = false;
     if (!ends_for_nobody || !up_) {
         which.running.cancel();
     }
@@ -170,8 +172,10 @@
     from.body = body_of(request);
     const auto attempt = text_of(request.headers, "Waxwingvale-Attempt-Id");
     const auto takes = how == run_end::end_process ? ends_after : work;
+    from.at_work = true;
     from.running =
         timers_.after(takes, [this, &from, how, attempt](time_point) {
+            from.at_work = false;
             const bool ends = how == run_end::end_process && ends_for_nobody;
             if (up_ && (from.open || ends)) {
                 finish(from, how, attempt);
--- a/test/platform/ending_server.hpp
+++ b/test/platform/ending_server.hpp
@@ -81,6 +81,7 @@
     // Called with each request that is no health check, run or not.
     std::function<void(const io::http_request&)> on_arrival;
     process_end ends_by = process_end::reset;
+    unsigned abandoned = 0; // requests whose caller left while they ran
     duration work = std::chrono::milliseconds(5);
     duration ends_after = std::chrono::milliseconds(20);
     bool ends_for_nobody = false; // also when the caller's connection has gone
@@ -94,6 +95,7 @@
         std::string body = "done"; // of the answer to come
         std::optional<std::size_t> sender;
         bool open = true;
+        bool at_work = false;
         bool silent = false; // partitioned: nothing is read or sent
     };
 
--- a/test/quarantine/evidence_test.cpp
+++ b/test/quarantine/evidence_test.cpp
@@ -74,6 +74,19 @@
     CHECK(refused_for_good(peer, start + 3s) == (other != one));
 }
 
+// Guards against harmless requests that are refused elsewhere, since they were
+// lost as this instance was partitioned from all servers.
+TEST_CASE("what was lost in a partition makes no request a suspect") {
+    quarantine q("e0", {});
+    quarantine peer("e1", {});
+    tell(peer, {*q.on_connection_lost(request, first, false, start, start)},
+         start);
+    REQUIRE_FALSE(runs_normally(peer, start));
+    tell(peer, q.on_partitioned(start - 1s, start + 100ms), start + 100ms);
+    CHECK(runs_normally(q, start + 200ms));
+    CHECK(runs_normally(peer, start + 200ms));
+}
+
 // Guards against a request that is refused for good, since its connections were
 // reset while its servers lived.
 TEST_CASE("a lost connection alone refuses no request for good") {
