--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -36,9 +36,6 @@
     return decision::attempt_verdict::died;
 }
 
-// A request that must not run twice is sent on a kept connection only if the
-// connection was used a moment ago. If the other end has closed it since, the
-// request is lost and its outcome unknown; a read would just be sent again.
 constexpr duration at_most_once_kept_for = 200ms;
 constexpr duration retriable_kept_for = 10s;
 
@@ -135,11 +132,8 @@
     const auto& server = *find_backend(service, action.backend_server);
     const auto id = call.id;
     const auto attempt_id = action.request;
-    const auto kept_for = call.kind.nature == request_nature::at_most_once
-                              ? at_most_once_kept_for
-                              : retriable_kept_for;
     const auto sent = pool_.send(
-        make_backend_call(call, server, kept_for),
+        make_backend_call(call, server),
         [this, id, attempt_id, service](forwarding::backend_result ended) {
             take_result(id, attempt_id, service, std::move(ended));
         },
@@ -170,9 +164,18 @@
     }
 }
 
-forwarding::backend_call call_desk::make_backend_call(const call_record& call,
-                                                      const backend_server& to,
-                                                      duration kept_for) const {
+// A request that must not run twice is sent on a kept connection only if the
+// connection was used a moment ago. If the other end has closed it since, the
+// request is lost and its outcome unknown; a read would just be sent again.
+duration call_desk::kept_for(const call_record& call) {
+    return call.kind.nature == request_nature::at_most_once
+               ? at_most_once_kept_for
+               : retriable_kept_for;
+}
+
+forwarding::backend_call
+call_desk::make_backend_call(const call_record& call,
+                             const backend_server& to) const {
     attempt_facts facts;
     facts.request_id = call.request_id;
     facts.backend_server = to.name;
@@ -195,7 +198,7 @@
     made.more_body = call.content.more_body;
     made.body_length = call.content.body_length;
     made.echo = protocol_.echo_of(facts);
-    made.kept_for = kept_for;
+    made.kept_for = kept_for(call);
     made.still_wanted = [this, id = call.id] {
         const auto open = calls_.find(id);
         return open != calls_.end() && interest_.may_send(open->second);
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -135,9 +135,10 @@
     decision::request_arrived slot_request(const call_record& call) const;
     void dispatch(call_record& call, const std::string& service,
                   const decision::start_request& action);
+    // How long ago a connection that was kept may have been used.
+    static duration kept_for(const call_record& call);
     forwarding::backend_call make_backend_call(const call_record& call,
-                                               const backend_server& to,
-                                               duration kept_for) const;
+                                               const backend_server& to) const;
     backend_answer read_answer(call_record& call,
                                const running_attempt& attempt,
                                const forwarding::backend_result& ended);
--- a/src/entry/call_detours.cpp
+++ b/src/entry/call_detours.cpp
@@ -18,10 +18,6 @@
 
 // The way to the other instance and back, by which it must be done earlier.
 constexpr duration detour_margin = 10ms;
-// See the same in call_attempts.cpp: what must not run twice is sent only on a
-// connection that was used a moment ago.
-constexpr duration at_most_once_kept_for = 200ms;
-constexpr duration retriable_kept_for = 5s;
 
 own_answer nobody_serves() {
     own_answer answer;
@@ -123,9 +119,7 @@
     made.body = call.content.body;
     made.more_body = call.content.more_body;
     made.body_length = call.content.body_length;
-    made.kept_for = call.kind.nature == request_nature::at_most_once
-                        ? at_most_once_kept_for
-                        : retriable_kept_for;
+    made.kept_for = kept_for(call);
     made.still_wanted = [this, id = call.id] {
         const auto open = calls_.find(id);
         return open != calls_.end() && interest_.may_send(open->second);
