--- a/src/entry/reach_watch.cpp
+++ b/src/entry/reach_watch.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <waxwingvale/decision/stable_hash.hpp>
+#include <waxwingvale/decision/check_targets.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
 #include "entry/reach_codec.hpp"
@@ -17,9 +17,6 @@
 using decision::failure_kind;
 using decision::failure_meaning;
 
-// A check asks so many servers, of as many services and data centres as there
-// are: one whose servers are all down is no sign of a partition.
-constexpr std::size_t servers_of_a_check = 3;
 constexpr duration server_answers_within = 200ms;
 // While a check is under way, and while partitioned.
 constexpr duration tick_period = 20ms;
@@ -30,11 +27,6 @@
 // An answer that has come so lately tells a peer that servers answer here.
 constexpr duration lately = 200ms;
 
-struct listed_server {
-    const service* of = nullptr;
-    const backend_server* server = nullptr;
-};
-
 // Whether a server may be the reason, or the way to it; none of our own.
 bool is_failure(const forwarding::backend_result& ended) {
     const bool none_begun = ended.connecting_began == time_point{};
@@ -51,51 +43,6 @@
     }
 }
 
-// All servers in an order that differs from check to check, those first that
-// have not failed.
-std::vector<listed_server> servers_in_turn(const configuration& config,
-                                           const std::set<std::string>& failed,
-                                           std::uint64_t round) {
-    std::vector<listed_server> all;
-    for (const auto& of : config.services) {
-        for (const auto& server : of.backend_servers) {
-            all.push_back({&of, &server});
-        }
-    }
-    const auto rank = [&](const listed_server& each) {
-        return std::make_pair(failed.count(each.server->name),
-                              decision::stable_hash(each.server->name, round));
-    };
-    std::sort(all.begin(), all.end(),
-              [&](const listed_server& a, const listed_server& b) {
-                  return rank(a) < rank(b);
-              });
-    return all;
-}
-
-// The next server of another service and data centre than those chosen, or of
-// another of the two, or any.
-std::vector<listed_server> spread(const std::vector<listed_server>& all) {
-    std::vector<listed_server> chosen;
-    const auto likeness = [&](const listed_server& each) {
-        return std::count_if(
-            chosen.begin(), chosen.end(), [&](const listed_server& other) {
-                return other.of == each.of ||
-                       other.server->data_centre == each.server->data_centre;
-            });
-    };
-    auto left = all;
-    while (chosen.size() < servers_of_a_check && !left.empty()) {
-        const auto next = std::min_element(left.begin(), left.end(),
-                                           [&](const auto& a, const auto& b) {
-                                               return likeness(a) < likeness(b);
-                                           });
-        chosen.push_back(*next);
-        left.erase(next);
-    }
-    return chosen;
-}
-
 } // namespace
 
 reach_watch::reach_watch(const request_protocol& protocol,
@@ -262,7 +209,7 @@
         return;
     }
     for (const auto& each :
-         spread(servers_in_turn(*view_->config, failed_, round_))) {
+         decision::servers_to_check(*view_->config, failed_, round_)) {
         ask_server(*each.of, *each.server);
     }
 }
