--- a/src/administration/admin_documents.cpp
+++ b/src/administration/admin_documents.cpp
@@ -68,6 +68,7 @@
             {"incarnation", of.id.incarnation},
             {"data_centre", of.data_centre},
             {"state", to_string(of.state)},
+            {"partitioned", of.partitioned},
             {"host", of.addresses.host},
             {"caller_port", of.addresses.caller_port},
             {"steer_port", of.addresses.steer_port},
--- a/src/control/view_changes.cpp
+++ b/src/control/view_changes.cpp
@@ -24,7 +24,8 @@
     for (const auto& each : known.members) {
         found[each.id.name] = {
             "member", each.id.name, administration::to_string(each.state),
-            "incarnation=" + std::to_string(each.id.incarnation)};
+            "incarnation=" + std::to_string(each.id.incarnation) +
+                (each.partitioned ? " partitioned=yes" : "")};
     }
     return found;
 }
