--- a/test/partitions/check_targets_test.cpp
+++ b/test/partitions/check_targets_test.cpp
@@ -17,7 +17,9 @@
         of.name = name;
         for (const std::string data_centre : {"a", "b", "c"}) {
             backend_server server;
-            server.name = name + "-" + data_centre;
+            server.name = name;
+            server.name += "-";
+            server.name += data_centre;
             server.data_centre = data_centre;
             of.backend_servers.push_back(server);
         }
