forwarding, entry: each request that was read leaves one line of how it ended

Now the connection reports each request that it has read, once, when it has ended: answered (the system has taken the whole answer), left by its caller, silent, cut with its backend server, thrown away while its connection was being closed, or stopped with its process. request_ended says so with whose doing it was, and a counter by end. No decision is changed.

--- a/include/waxwingvale/forwarding/caller_exchange.hpp
+++ b/include/waxwingvale/forwarding/caller_exchange.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <utility>
 
+#include <waxwingvale/forwarding/request_end.hpp>
 #include <waxwingvale/io/http_message.hpp>
 
 namespace waxwingvale::forwarding {
@@ -31,6 +32,10 @@
     // Puts one back that was moved out and changed.
     void put_back(io::http_request request) { request_ = std::move(request); }
 
+    // What the request is called in the record of its end.
+    void give_name(std::string name) { name_ = std::move(name); }
+    const std::string& name() const { return name_; }
+
     // The request is handed over with its whole body, or with the first part
     // of a long one. The rest comes by take_body(), and the caller is held
     // back while it is not taken.
@@ -70,7 +75,7 @@
     }
     // Ends the connection so that the caller sees that its answer is not
     // whole.
-    void break_off();
+    void break_off(request_end why);
 
     // No answer, or no further part of one, can be given any more.
     bool finished() const { return finished_ || abandoned_; }
@@ -80,6 +85,7 @@
 
     std::weak_ptr<caller_connection> connection_;
     io::http_request request_;
+    std::string name_;
     std::string later_body_; // came after the request was handed over
     bool body_complete_ = true;
     std::optional<std::uint64_t> body_length_;
--- a/include/waxwingvale/forwarding/caller_server.hpp
+++ b/include/waxwingvale/forwarding/caller_server.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include <waxwingvale/forwarding/caller_exchange.hpp>
+#include <waxwingvale/forwarding/request_end.hpp>
 #include <waxwingvale/kernel/event_loop.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/caller_limits.hpp>
@@ -42,6 +43,7 @@
 class caller_server {
 public:
     using handler = std::function<void(caller_exchange_ptr)>;
+    using end_handler = std::function<void(const ended_request&)>;
 
     caller_server(kernel::event_loop& loop, kernel::timer_service& timers,
                   caller_server_options options);
@@ -55,6 +57,10 @@
     result<void> start(handler on_request, std::uint16_t port);
     std::uint16_t port() const;
 
+    // Called once for each request that was read, when it has ended; for those
+    // that are open when the server goes too.
+    void on_request_ended(end_handler on_end);
+
     void change_limits(const caller_limits& limits);
     // From now on every answer asks its caller to close the connection.
     void ask_to_close();
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -182,6 +182,7 @@
                       const std::optional<detour_request>& detoured) {
     call.kind = understood.kind;
     call.request_id = understood.id;
+    call.caller->give_name(understood.id);
     call.labels = {understood.tenant,
                    targets_.next(understood.kind.name, understood.targets),
                    understood.kind.name};
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -81,6 +81,9 @@
         crashes_.on_refused(std::move(handler));
     }
 
+    // Sees that lines which wait are handed on within a second.
+    void arm_log() { log_.arm(); }
+
     // Calls that have no answer yet.
     std::size_t open_calls() const { return calls_.size(); }
 
--- a/src/entry/call_relay.cpp
+++ b/src/entry/call_relay.cpp
@@ -88,7 +88,7 @@
     if (whole) {
         caller->end_answer();
     } else {
-        caller->break_off();
+        caller->break_off(forwarding::request_end::server_cut);
     }
 }
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -58,6 +58,11 @@
     : environment_(environment),
       self_(std::move(self)),
       metrics_(environment.metrics),
+      ends_("request_ended", "waxwing_requests_ended_total",
+            environment.metrics, [this] { calls_.arm_log(); }),
+      detour_ends_("detoured_request_ended",
+                   "waxwing_detoured_requests_ended_total", environment.metrics,
+                   [this] { calls_.arm_log(); }),
       bus_(environment.services.need<kernel::message_bus>(
           program::service_name::bus)),
       hub_(environment.services.need<io::message_hub>(
@@ -85,6 +90,12 @@
     calls_.on_refused([this](const std::vector<std::uint64_t>& fingerprints) {
         bus_.publish(requests_refused{fingerprints});
     });
+    callers_.on_request_ended([this](const forwarding::ended_request& ended) {
+        ends_.record(ended);
+    });
+    peers_.on_request_ended([this](const forwarding::ended_request& ended) {
+        detour_ends_.record(ended);
+    });
     wire_peers();
 }
 
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -15,6 +15,7 @@
 #include "entry/call_desk.hpp"
 #include "entry/entry_metrics.hpp"
 #include "entry/prober.hpp"
+#include "entry/request_end_log.hpp"
 #include "entry/server_starts.hpp"
 #include "entry/terms_log.hpp"
 
@@ -70,6 +71,8 @@
     program::program_environment environment_;
     member_id self_;
     entry_metrics metrics_;
+    request_end_log ends_;
+    request_end_log detour_ends_;
     kernel::message_bus& bus_;
     io::message_hub& hub_;
     forwarding::caller_server callers_;
--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/caller_connection.hpp"
 
+#include <algorithm>
+#include <cerrno>
 #include <utility>
 
 namespace waxwingvale::forwarding {
@@ -42,7 +44,8 @@
 
 void caller_connection::on_bytes(const char* bytes, std::size_t size) {
     if (phase_ == phase::closing) {
-        return; // read only so that the connection ends in order
+        report_discarded(); // read only so that the connection ends in order
+        return;
     }
     input_.append(bytes, size);
     if (phase_ == phase::reading && !head_begun_) {
@@ -146,6 +149,8 @@
     auto request = std::move(reader_.request());
     request.peer = peer_;
     phase_ = phase::answering;
+    handed_over_ = frame_.now();
+    status_ = 0;
     head_begun_ = false;
     head_request_ = request.method == "HEAD";
     http_1_0_ = reader_.is_http_1_0();
@@ -164,11 +169,12 @@
 void caller_connection::refuse(unsigned status, const std::string& detail) {
     if (exchange_) {
         // The fault lies in the rest of a body whose request is under way.
-        abandon_exchange();
+        abandon_exchange(request_end::body_refused);
         socket_.reset();
         close();
         return;
     }
+    announced_close_ = true;
     const auto body = detail + "\n";
     socket_.write(answer_head(status, {{"Content-Type", "text/plain"}},
                               {body_framing::length, body.size()}, true),
@@ -198,6 +204,7 @@
     const auto plan = plan_of(whole.status, whole.body.size());
     const bool with_body =
         plan.framing == body_framing::length && !head_request_;
+    status_ = whole.status;
     close_after_ = closes_after_answer();
     socket_.write(answer_head(whole.status, whole.headers, plan, close_after_),
                   with_body ? std::string_view(whole.body)
@@ -208,6 +215,7 @@
 void caller_connection::begin_answer(const io::http_response& head,
                                      std::optional<std::uint64_t> length) {
     const auto plan = plan_of(head.status, length);
+    status_ = head.status;
     chunked_answer_ = plan.framing == body_framing::chunks;
     close_after_ =
         closes_after_answer() || plan.framing == body_framing::until_end;
@@ -235,11 +243,16 @@
 
 // The answer is written; the next request's turn comes, or the end.
 void caller_connection::finish_exchange() {
+    given_.push_back(end_of(*exchange_, request_end::answered));
     exchange_->finished_ = true;
     exchange_.reset();
     --frame_.pending;
     since_ = frame_.now();
+    if (socket_.waiting() == 0) {
+        report_given(request_end::answered);
+    }
     if (close_after_) {
+        announced_close_ = true;
         begin_closing();
         return;
     }
@@ -262,7 +275,8 @@
     }
 }
 
-void caller_connection::break_off() {
+void caller_connection::break_off(request_end why) {
+    report(end_of(*exchange_, why));
     exchange_->finished_ = true;
     exchange_.reset();
     --frame_.pending;
@@ -277,6 +291,7 @@
 }
 
 void caller_connection::on_drained() {
+    report_given(request_end::answered);
     if (phase_ == phase::closing) {
         since_ = frame_.now();
         socket_.end_writing();
@@ -285,10 +300,11 @@
     }
 }
 
-void caller_connection::abandon_exchange() {
+void caller_connection::abandon_exchange(request_end why) {
     if (!exchange_) {
         return;
     }
+    report(end_of(*exchange_, why));
     ++frame_.counters.abandoned;
     --frame_.pending;
     const auto left = std::exchange(exchange_, nullptr);
@@ -299,7 +315,11 @@
 }
 
 void caller_connection::on_end() {
-    abandon_exchange();
+    const auto why = socket_.end_reason() == ETIMEDOUT
+                         ? request_end::caller_silent
+                         : request_end::caller_left;
+    report_given(why);
+    abandon_exchange(why);
     close();
 }
 
@@ -312,6 +332,46 @@
     frame_.on_closed(*this);
 }
 
+ended_request caller_connection::end_of(const caller_exchange& exchange,
+                                        request_end end) const {
+    return {end,     exchange.name(),   peer_,
+            status_, socket_.waiting(), frame_.now() - handed_over_};
+}
+
+void caller_connection::report(const ended_request& ended) {
+    if (frame_.on_request_ended) {
+        frame_.on_request_ended(ended);
+    }
+}
+
+void caller_connection::report_given(request_end end) {
+    for (auto& each : std::exchange(given_, {})) {
+        each.end = end;
+        each.unsent = std::min(each.unsent, socket_.waiting());
+        report(each);
+    }
+}
+
+void caller_connection::report_stopped() {
+    report_given(request_end::stopped);
+    if (exchange_) {
+        report(end_of(*exchange_, request_end::stopped));
+    }
+}
+
+// Bytes of a request that nobody will answer, once for each connection.
+void caller_connection::report_discarded() {
+    if (discarded_) {
+        return;
+    }
+    discarded_ = true;
+    ended_request unanswered;
+    unanswered.end =
+        announced_close_ ? request_end::sent_too_late : request_end::closing;
+    unanswered.peer = peer_;
+    report(unanswered);
+}
+
 void caller_connection::close_if_idle() {
     const bool idle = phase_ == phase::reading && input_.empty() &&
                       !reader_.reading(input_) && socket_.waiting() == 0;
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <waxwingvale/forwarding/caller_exchange.hpp>
 #include <waxwingvale/forwarding/caller_server.hpp>
@@ -25,6 +26,7 @@
     std::function<time_point()> now;
     std::function<void(caller_exchange_ptr)> on_request;
     std::function<void(caller_connection&)> on_closed;
+    std::function<void(const ended_request&)> on_request_ended;
 };
 
 // One connection of a caller: requests are read and answered one at a time, in
@@ -42,6 +44,8 @@
     // the caller does not close its side after our last answer.
     void look_at_time(time_point now);
     void close_if_idle();
+    // Reports what is open; the server goes.
+    void report_stopped();
 
     // For the exchange.
     void answer(io::http_response whole);
@@ -49,7 +53,7 @@
                       std::optional<std::uint64_t> length);
     void add(std::string_view body);
     void end_answer();
-    void break_off();
+    void break_off(request_end why);
     void body_taken();
     std::size_t waiting() const { return socket_.waiting(); }
     bool caller_has_left() const { return socket_.peer_has_closed(); }
@@ -77,13 +81,24 @@
                       std::optional<std::uint64_t> length) const;
     bool closes_after_answer() const;
     void finish_exchange();
-    void abandon_exchange();
+    void abandon_exchange(request_end why);
     void begin_closing();
+    void report_discarded();
+    ended_request end_of(const caller_exchange& exchange,
+                         request_end end) const;
+    void report(const ended_request& ended);
+    void report_given(request_end end);
     void close();
     void hold_back();
 
     caller_connection_frame& frame_;
     std::string peer_;
+    // Answered requests of whose answers some bytes still wait to go out.
+    std::vector<ended_request> given_;
+    unsigned status_ = 0;          // of the answer that was given or begun
+    time_point handed_over_{};     // the request that is under way
+    bool announced_close_ = false; // an answer told the caller of the end
+    bool discarded_ = false;       // bytes that came after the end
     phase phase_ = phase::reading;
     request_reader reader_;
     std::string input_;
--- a/src/forwarding/caller_exchange.cpp
+++ b/src/forwarding/caller_exchange.cpp
@@ -61,10 +61,10 @@
     return connection && !finished() ? connection->waiting() : 0;
 }
 
-void caller_exchange::break_off() {
+void caller_exchange::break_off(request_end why) {
     const auto connection = connection_.lock();
     if (connection && !finished()) {
-        connection->break_off();
+        connection->break_off(why);
     }
 }
 
--- a/src/forwarding/caller_server.cpp
+++ b/src/forwarding/caller_server.cpp
@@ -111,6 +111,9 @@
 
 caller_server::~caller_server() {
     state_->close_listener();
+    for (const auto& entry : state_->connections) {
+        entry.second->report_stopped();
+    }
     // Nobody is told of connections that close because the server goes.
     state_->frame.on_closed = [](caller_connection&) {};
 }
@@ -144,6 +147,10 @@
     return state_->port;
 }
 
+void caller_server::on_request_ended(end_handler on_end) {
+    state_->frame.on_request_ended = std::move(on_end);
+}
+
 void caller_server::change_limits(const caller_limits& limits) {
     state_->frame.limits = limits;
 }
--- a/test/forwarding/caller_server_test.cpp
+++ b/test/forwarding/caller_server_test.cpp
@@ -1,43 +1,18 @@
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
 #include <vector>
-#include <waxwingvale/forwarding/caller_server.hpp>
 
-#include "standin/raw_peer.hpp"
+#include "forwarding/served_callers.hpp"
 
 using namespace std::chrono_literals;
 using namespace waxwingvale;
 using forwarding::caller_exchange_ptr;
-
-namespace {
-
-// A server whose requests the test answers by hand.
-struct served : standin::loop_fixture {
-    forwarding::caller_server server{loop, timers, {}};
-    std::vector<caller_exchange_ptr> requests;
-
-    served() {
-        REQUIRE(server.start([this](caller_exchange_ptr request) {
-            requests.push_back(std::move(request));
-        }));
-    }
-
-    std::unique_ptr<standin::raw_connection> caller() {
-        return standin::connect_to(loop, server.port());
-    }
-    bool await_requests(std::size_t count) {
-        return run_until([&] { return requests.size() == count; });
-    }
-};
-
-std::string get(const std::string& target) {
-    return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
-}
-
-} // namespace
+using standin::get;
+using standin::served_callers;
 
 TEST_CASE("requests of one connection are answered in order") {
-    served fixture;
+    served_callers fixture;
     auto caller = fixture.caller();
     caller->send(get("/1") + get("/2"));
     REQUIRE(fixture.await_requests(1));
@@ -56,7 +31,7 @@
 }
 
 TEST_CASE("thousands of requests sent ahead and answered at once are served") {
-    served fixture;
+    served_callers fixture;
     std::size_t answered = 0;
     forwarding::caller_server server(fixture.loop, fixture.timers, {});
     REQUIRE(server.start([&](caller_exchange_ptr request) {
@@ -76,7 +51,7 @@
     // A caller gives up and closes its connection while its request waits for
     // a backend server. Unnoticed, the request would still be run, and take a
     // slot from somebody who waits.
-    served fixture;
+    served_callers fixture;
     auto caller = fixture.caller();
     caller->send(get("/"));
     REQUIRE(fixture.await_requests(1));
@@ -96,7 +71,7 @@
     // that it sent ahead lie before it.
     const bool reset = GENERATE(false, true);
     CAPTURE(reset);
-    served fixture;
+    served_callers fixture;
     auto caller = fixture.caller();
     // More than is kept and a read takes, and no more than a small receive
     // window holds besides: a close behind a full one does not arrive.
@@ -115,7 +90,7 @@
 }
 
 TEST_CASE("an answer in pieces is complete only when it is ended") {
-    served fixture;
+    served_callers fixture;
     auto caller = fixture.caller();
     caller->send(get("/"));
     REQUIRE(fixture.await_requests(1));
@@ -134,7 +109,7 @@
     // The backend server dies in the middle of a long answer. Were the
     // connection closed in order, a caller that reads to the end of the
     // connection would take the half for the whole.
-    served fixture;
+    served_callers fixture;
     auto caller = fixture.caller();
     caller->send("GET / HTTP/1.0\r\n\r\n");
     REQUIRE(fixture.await_requests(1));
@@ -142,13 +117,13 @@
     fixture.requests[0]->add("half");
     REQUIRE(
         fixture.run_until([&] { return caller->received_contains("half"); }));
-    fixture.requests[0]->break_off();
+    fixture.requests[0]->break_off(forwarding::request_end::server_cut);
     REQUIRE(fixture.run_until([&] { return caller->ended(); }));
     CHECK(caller->ended_by_reset());
 }
 
 TEST_CASE("a long body is handed over before all of it has come") {
-    served fixture;
+    served_callers fixture;
     auto caller = fixture.caller();
     const std::size_t size = 3 * 1024 * 1024;
     std::string body(size, 'x');
@@ -174,7 +149,7 @@
 }
 
 TEST_CASE("a caller that asked whether to go on is told so") {
-    served fixture;
+    served_callers fixture;
     auto caller = fixture.caller();
     caller->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
                  "Expect: 100-continue\r\n\r\n");
@@ -186,7 +161,7 @@
 }
 
 TEST_CASE("bytes that are no request are refused and the connection ends") {
-    served fixture;
+    served_callers fixture;
     auto caller = fixture.caller();
     caller->send("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
                  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
@@ -197,7 +172,7 @@
 }
 
 TEST_CASE("a head that does not come in time is given up") {
-    served fixture;
+    served_callers fixture;
     caller_limits limits;
     limits.head_time = 100ms;
     fixture.server.change_limits(limits);
@@ -211,7 +186,7 @@
     // A caller keeps to the limits in force while it sends; the next
     // configuration allows less. Turned away with 431, 413 or 408, it would
     // not come back, though it did nothing wrong.
-    served fixture;
+    served_callers fixture;
     caller_limits wide;
     fixture.server.change_limits(wide);
     const std::string body(1000, 'b');
@@ -234,7 +209,7 @@
 }
 
 TEST_CASE("limits that grow hold for a request that is half read") {
-    served fixture;
+    served_callers fixture;
     caller_limits narrow;
     narrow.head = 100;
     fixture.server.change_limits(narrow);
@@ -247,7 +222,7 @@
 }
 
 TEST_CASE("narrower limits hold from the next request on") {
-    served fixture;
+    served_callers fixture;
     auto caller = fixture.caller();
     caller->send(get("/1"));
     REQUIRE(fixture.await_requests(1));
@@ -261,7 +236,7 @@
 }
 
 TEST_CASE("a connection that stays idle is closed in order") {
-    served fixture;
+    served_callers fixture;
     caller_limits limits;
     limits.idle_time = 100ms;
     fixture.server.change_limits(limits);
@@ -274,7 +249,7 @@
 TEST_CASE("limits told again neither keep nor close an idle connection") {
     // Each configuration tells them. Begun anew with each, the time without a
     // request would never be over.
-    served fixture;
+    served_callers fixture;
     caller_limits limits;
     limits.idle_time = 600ms;
     auto caller = fixture.caller();
@@ -290,7 +265,7 @@
 TEST_CASE("a stop cuts no request and closes connections after their answer") {
     // The process is told to stop while one caller waits for its answer and
     // another has an idle connection. Neither may be cut in the middle.
-    served fixture;
+    served_callers fixture;
     auto busy = fixture.caller();
     auto idle = fixture.caller();
     busy->send(get("/"));
@@ -317,7 +292,7 @@
 }
 
 TEST_CASE("a caller that does not read its answer holds back the sender") {
-    served fixture;
+    served_callers fixture;
     auto caller = fixture.caller();
     caller->send(get("/"));
     REQUIRE(fixture.await_requests(1));
@@ -336,3 +311,83 @@
     CHECK(fixture.run_until([&] { return drained; }));
     request.end_answer();
 }
+
+TEST_CASE("each request that was read leaves one record of its end") {
+    using forwarding::request_end;
+    served_callers fixture;
+    auto answered = fixture.caller();
+    answered->send(get("/1"));
+    REQUIRE(fixture.await_requests(1));
+    fixture.requests[0]->give_name("first");
+    fixture.requests[0]->answer({200, {}, "one"});
+    REQUIRE(fixture.await_ends(1));
+    CHECK(fixture.ended[0].end == request_end::answered);
+    CHECK(fixture.ended[0].name == "first");
+    CHECK(fixture.ended[0].status == 200);
+
+    auto leaving = fixture.caller();
+    leaving->send(get("/2"));
+    REQUIRE(fixture.await_requests(2));
+    leaving->close();
+    REQUIRE(fixture.await_ends(2));
+    CHECK(fixture.ended[1].end == request_end::caller_left);
+
+    auto cut = fixture.caller();
+    cut->send(get("/3"));
+    REQUIRE(fixture.await_requests(3));
+    fixture.requests[2]->begin_answer({200, {}, ""}, 10);
+    fixture.requests[2]->break_off(request_end::server_cut);
+    REQUIRE(fixture.await_ends(3));
+    CHECK(fixture.ended[2].end == request_end::server_cut);
+    CHECK(party_of(fixture.ended[2].end) ==
+          forwarding::ended_by::backend_server);
+    fixture.run_for(20ms);
+    CHECK(fixture.ended.size() == 3);
+}
+
+// Guards against an answer that counts as given though its caller has not
+// taken it.
+TEST_CASE("an answer that waits to go out has not ended its request") {
+    using forwarding::request_end;
+    served_callers fixture;
+    auto caller = fixture.caller();
+    caller->pause();
+    caller->send(get("/"));
+    REQUIRE(fixture.await_requests(1));
+    constexpr std::size_t more_than_the_system_takes = 32 * 1024 * 1024;
+    fixture.requests[0]->answer(
+        {200, {}, std::string(more_than_the_system_takes, 'x')});
+    fixture.run_for(100ms);
+    CHECK(fixture.ended.empty());
+    const bool takes_it = GENERATE(false, true);
+    CAPTURE(takes_it);
+    if (takes_it) {
+        caller->resume();
+    } else {
+        caller->reset();
+    }
+    REQUIRE(fixture.await_ends(1));
+    CHECK(fixture.ended[0].end ==
+          (takes_it ? request_end::answered : request_end::caller_left));
+    CHECK((fixture.ended[0].unsent == 0) == takes_it);
+    CHECK(fixture.ended[0].status == 200);
+}
+
+TEST_CASE("requests that are open when the server goes are told as stopped") {
+    using forwarding::request_end;
+    standin::loop_fixture world;
+    std::vector<forwarding::ended_request> ended;
+    std::size_t taken = 0;
+    auto server = std::make_unique<forwarding::caller_server>(
+        world.loop, world.timers, forwarding::caller_server_options{});
+    server->on_request_ended(
+        [&](const forwarding::ended_request& each) { ended.push_back(each); });
+    REQUIRE(server->start([&](caller_exchange_ptr) { ++taken; }));
+    auto caller = standin::connect_to(world.loop, server->port());
+    caller->send(get("/"));
+    REQUIRE(world.run_until([&] { return taken == 1; }));
+    server.reset();
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].end == request_end::stopped);
+    CHECK(party_of(ended[0].end) == forwarding::ended_by::instance);
+}
