--- a/test/standin/entry_instance_process.cpp
+++ b/test/standin/entry_instance_process.cpp
@@ -16,9 +16,10 @@
 entry_instance_process::entry_instance_process(std::string name,
                                                std::string data_centre,
                                                std::uint16_t platform_port,
-                                               const temporary_folder& folder)
+                                               const temporary_folder& folder,
+                                               const json& instance_settings)
     : name_(std::move(name)), data_centre_(std::move(data_centre)) {
-    const json settings = {
+    json settings = {
         {"settings_version", 2},
         {"instance",
          {{"name", name_},
@@ -32,6 +33,7 @@
          {{"control_port", control_port_},
           {"admin_port", admin_port_},
           {"admin_token", admin_token}}}};
+    settings["instance"].update(instance_settings);
     settings_file_ = folder.write(name_ + ".json", settings.dump(2));
 }
 
--- a/test/standin/fleet.cpp
+++ b/test/standin/fleet.cpp
@@ -112,7 +112,7 @@
     const auto& centre = data_centres[number % data_centres.size()];
     instances_.push_back(std::make_unique<entry_instance_process>(
         centre + "-" + std::to_string(number + 1), centre, platform_.port(),
-        folder_));
+        folder_, options_.instance_settings));
     return *instances_.back();
 }
 
--- a/test/standin/fleet.hpp
+++ b/test/standin/fleet.hpp
@@ -63,7 +63,8 @@
 public:
     entry_instance_process(std::string name, std::string data_centre,
                            std::uint16_t platform_port,
-                           const temporary_folder& folder);
+                           const temporary_folder& folder,
+                           const nlohmann::json& instance_settings);
 
     void start();
     // SIGTERM; the exit code, or nothing when it did not end in time.
@@ -107,6 +108,8 @@
     double hedges = 0.05;
     // Further options of each standin-backend.
     std::vector<std::string> backend_options = {"--service-ms=5"};
+    // Merged into the part "instance" of each instance's settings.
+    nlohmann::json instance_settings = nlohmann::json::object();
 };
 
 // The whole system as separate processes on loopback: a platform, entry
