forwarding: what has come is read before a connection is closed or given up

Callers saw an ordered close on a kept connection in place of an answer: 0 of 20 requests were answered that came while a stopping instance got no processor time for 0.3 s. Cause: closes by a stop and by the idle limit, and 408, are decided in timers, which a late loop runs before it reads its sockets; what has come counted as nothing asked. Worse, the connection only ended its writing side, read the request and threw it away, so that nobody could say that it was not taken; the same befell a request that crossed the close. Class: a decision on the absence of what was not looked for.

Now such a decision reads first what waits in the socket, and decides on what is left. A connection closed for lack of requests is closed whole and read no further: a request that crosses the close is answered by a reset, unread. Bytes of an earlier answer that are not confirmed are waited for up to the linger limit, since that reset would end them. Connections that wait for the listener are accepted before it is closed.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -372,13 +372,41 @@
     report(unanswered);
 }
 
+bool caller_connection::nothing_asked() const {
+    return !closed_ && phase_ == phase::reading && !head_begun_ &&
+           input_.empty();
+}
+
+// What came while the process was busy with other work is read before anything
+// is decided on its absence: timers run before sockets are read.
+void caller_connection::catch_up() {
+    while (!closed_ && phase_ == phase::reading && socket_.read_now()) {
+    }
+}
+
+// A request may be on its way on a connection that was just opened, or whose
+// answer has just gone out.
 void caller_connection::close_if_idle() {
-    const bool idle = phase_ == phase::reading && input_.empty() &&
-                      !reader_.reading(input_) && socket_.waiting() == 0;
-    // A request may be on its way on a connection that was just opened, or
-    // whose answer has just gone out.
-    if (idle && frame_.now() - since_ >= idle_before_closing) {
-        begin_closing();
+    const auto rested = [this] {
+        return nothing_asked() && frame_.now() - since_ >= idle_before_closing;
+    };
+    if (rested()) {
+        catch_up();
+    }
+    if (rested()) {
+        close_unasked();
+    }
+}
+
+// The connection is closed at once, and not read any further: its caller must
+// be able to tell that a request which crosses the close was not read. Such a
+// request also ends what is still on its way to the caller, which is therefore
+// waited for, but not from one that confirms nothing any more.
+void caller_connection::close_unasked() {
+    const bool on_its_way =
+        socket_.unconfirmed() > 0 && frame_.now() - since_ < linger_limit;
+    if (socket_.waiting() == 0 && !on_its_way) {
+        close();
     }
 }
 
@@ -394,14 +422,28 @@
         if (socket_.waiting() == 0 && passed >= linger_limit) {
             close();
         }
-    } else if (phase_ == phase::reading && head_begun_) {
-        if (passed >= limits().head_time) {
-            ++frame_.counters.too_slow;
-            refuse(status_request_timeout, "the request did not come in time");
-        }
-    } else if (phase_ == phase::reading && passed >= frame_.limits.idle_time) {
+    } else if (head_begun_ && passed >= limits().head_time) {
+        catch_up();
+        give_up_slow_head(now);
+    } else if (!head_begun_ && passed >= frame_.limits.idle_time) {
+        catch_up();
+        close_too_idle(now);
+    }
+}
+
+void caller_connection::give_up_slow_head(time_point now) {
+    const bool slow = !closed_ && phase_ == phase::reading && head_begun_ &&
+                      now - since_ >= limits().head_time;
+    if (slow) {
+        ++frame_.counters.too_slow;
+        refuse(status_request_timeout, "the request did not come in time");
+    }
+}
+
+void caller_connection::close_too_idle(time_point now) {
+    if (nothing_asked() && now - since_ >= frame_.limits.idle_time) {
         ++frame_.counters.idle;
-        begin_closing();
+        close_unasked();
     }
 }
 
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -83,6 +83,11 @@
     void finish_exchange();
     void abandon_exchange(request_end why);
     void begin_closing();
+    bool nothing_asked() const;
+    void catch_up();
+    void close_unasked();
+    void give_up_slow_head(time_point now);
+    void close_too_idle(time_point now);
     void report_discarded();
     ended_request end_of(const caller_exchange& exchange,
                          request_end end) const;
--- a/src/forwarding/caller_server.cpp
+++ b/src/forwarding/caller_server.cpp
@@ -32,7 +32,8 @@
           caller_server_options as)
         : loop(on), timers(with), options(std::move(as)) {}
 
-    void accept_waiting();
+    // Takes connections that wait, up to a batch; how many there were.
+    int accept_waiting();
     void forget(caller_connection& closed);
     void look(time_point now);
     void close_listener();
@@ -49,12 +50,13 @@
     kernel::timer_service::subscription looking;
 };
 
-void caller_server::state::accept_waiting() {
-    for (int taken = 0; taken < accept_batch; ++taken) {
+int caller_server::state::accept_waiting() {
+    int taken = 0;
+    for (; taken < accept_batch; ++taken) {
         std::string peer;
         const int descriptor = io::accept_connection(listener, &peer);
         if (descriptor < 0) {
-            return;
+            break;
         }
         if (connections.size() >= options.connection_limit) {
             ++frame.counters.refused_connection_limit;
@@ -67,6 +69,7 @@
             loop, descriptor, std::move(peer), frame);
         connections.emplace(added.get(), added);
     }
+    return taken;
 }
 
 void caller_server::state::forget(caller_connection& closed) {
@@ -159,7 +162,13 @@
     state_->frame.ask_to_close = true;
 }
 
+// Connections that wait to be taken would be reset with the listener, and with
+// them requests that their callers have sent.
 void caller_server::stop_accepting() {
+    if (state_->listener >= 0) {
+        while (state_->accept_waiting() == accept_batch) {
+        }
+    }
     state_->close_listener();
 }
 
--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -4,9 +4,11 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -284,7 +286,21 @@
     }
 }
 
-void stream_socket::read_some() {
+bool stream_socket::read_now() {
+    const bool can_read =
+        descriptor_ >= 0 && !connecting_ && !ended_ && reading_;
+    return can_read && read_some();
+}
+
+std::size_t stream_socket::unconfirmed() const {
+    int bytes = 0;
+    const bool known =
+        descriptor_ >= 0 && ::ioctl(descriptor_, SIOCOUTQ, &bytes) == 0;
+    return known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+// Whether bytes were read.
+bool stream_socket::read_some() {
     std::array<char, read_chunk> buffer;
     const auto got = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
     if (got > 0) {
@@ -295,6 +311,7 @@
     } else if (!is_transient(errno)) {
         end(errno);
     }
+    return got > 0;
 }
 
 void stream_socket::flush() {
@@ -331,6 +348,7 @@
 
 void stream_socket::end(int reason) {
     end_reason_ = reason;
+    ended_ = true;
     ev_io_stop(loop_, &watcher_);
     if (handlers_.on_end) {
         handlers_.on_end();
--- a/src/io/stream_socket.hpp
+++ b/src/io/stream_socket.hpp
@@ -50,6 +50,12 @@
     void pause_reading();
     void resume_reading();
     bool reading() const { return reading_; }
+    // Reads what has come and waits to be read, as the loop would later; false
+    // once nothing is left, the connection has ended, or reading is paused.
+    // May call on_bytes and on_end.
+    bool read_now();
+    // Bytes handed to the system that the peer has not confirmed.
+    std::size_t unconfirmed() const;
     // Whether the peer has closed its side or reset the connection, as far as
     // has come here, even if this has not been read yet.
     bool peer_has_closed() const;
@@ -65,7 +71,7 @@
 private:
     void on_ready(int events);
     void finish_connect();
-    void read_some();
+    bool read_some();
     void flush();
     void watch();
     void end(int reason);
@@ -75,6 +81,7 @@
     int descriptor_;
     bool connecting_;
     bool reading_ = true;
+    bool ended_ = false;
     int end_reason_ = 0;
     stream_socket_handlers handlers_;
     std::string outgoing_;
