entry: a stop answers what it cannot finish, and a late answer ends

Callers whose requests waited for a slot when drain_timeout was over saw their connections cut, though "not run" was true of them: the program's frame ends the loop, and nobody told the call desk. Callers of an answer that was passed on as it came, and whose time ended, saw neither the rest nor an end: an answer whose head is out cannot be answered again, and nothing else was done; a stop waited for such a connection until its time was over.

Now a stop bounds the time of each request by 0.5 s before its own end: what waits is told 503, what is with a server 504, and the answers go out. A late answer amid its body is broken off, with its cause.

--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -202,6 +202,9 @@
                                               : run_outcome::not_run;
         metrics_.detours_taken.add();
     }
+    if (ends_by_) {
+        call.deadline = std::min(call.deadline, *ends_by_);
+    }
     metrics_.calls.add(call.labels);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
     call.caller->on_abandoned([this, id = call.id] { abandon(id); });
@@ -235,6 +238,17 @@
     call.target = call.arrived + call.kind.target_latency - spent;
 }
 
+void call_desk::end_by(time_point latest) {
+    ends_by_ = latest;
+    for (auto& entry : calls_) {
+        auto& call = entry.second;
+        if (call.deadline > latest) {
+            call.deadline = latest;
+            arm_deadline(call);
+        }
+    }
+}
+
 void call_desk::arm_deadline(call_record& call) {
     const auto wait = std::max(call.deadline - timers_.now(), duration::zero());
     call.deadline_timer = timers_.after(
@@ -253,11 +267,17 @@
     }
     const bool sent =
         call->running || call->hedge || call->detour || waits_for_key;
-    note(*call, "call_deadline_passed");
+    const bool stops = ends_by_ && call->deadline >= *ends_by_;
+    note(*call, stops ? "call_ended_by_stop" : "call_deadline_passed");
+    if (call->answering) {
+        cut_answer(*call, stops ? forwarding::request_end::stopped
+                                : forwarding::request_end::deadline_cut);
+        return;
+    }
     cancel_attempts(*call);
     own_answer late;
-    late.reason = "deadline-passed";
-    late.retry_after = retry_after_default;
+    late.reason = stops ? "instance-stops" : "deadline-passed";
+    late.retry_after = stops ? retry_after_start : retry_after_default;
     if (sent) {
         late.status = status::gateway_timeout;
         late.outcome = run_outcome::unknown;
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -81,6 +81,10 @@
         crashes_.on_refused(std::move(handler));
     }
 
+    // This instance stops: what is open then gets its answer by that time, and
+    // what comes yet is not begun if it takes longer.
+    void end_by(time_point latest);
+
     // Sees that lines which wait are handed on within a second.
     void arm_log() { log_.arm(); }
 
@@ -218,11 +222,13 @@
                      std::optional<std::uint64_t> length);
     void relay(decision::request_id id, const std::string& bytes);
     void end_relay(call_record& call, const backend_answer& answer);
+    void cut_answer(call_record& call, forwarding::request_end why);
 
     member_id self_;
     const request_protocol& protocol_;
     kernel::timer_service& timers_;
     time_point began_;
+    std::optional<time_point> ends_by_; // see end_by()
     forwarding::backend_pool& pool_;
     entry_metrics& metrics_;
     call_log log_;
--- a/src/entry/call_relay.cpp
+++ b/src/entry/call_relay.cpp
@@ -92,4 +92,16 @@
     }
 }
 
+// The answer that is passed on has no time left. What the caller has got is
+// not the whole of it, which a close in order would hide.
+void call_desk::cut_answer(call_record& call, forwarding::request_end why) {
+    const auto caller = call.caller;
+    note(call, "call_cut",
+         fact("outcome", to_string(run_outcome::unknown)) + " " +
+             fact("bytes", call.relayed));
+    cancel_attempts(call);
+    close_record(call, {run_outcome::unknown, false, timers_.now()}, nullptr);
+    caller->break_off(why);
+}
+
 } // namespace waxwingvale::entry
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -18,6 +18,9 @@
 using namespace std::chrono_literals;
 
 constexpr duration drain_check_period = 20ms;
+// Before the end of a stop, for the last answers to go out and for peers to
+// hear of the end.
+constexpr duration last_answers_time = 500ms;
 
 forwarding::caller_server_options
 caller_options(const program::settings& from) {
@@ -263,6 +266,9 @@
     stopped_ = std::move(stopped);
     callers_.ask_to_close();
     peers_.ask_to_close();
+    calls_.end_by(environment_.timers.now() +
+                  environment_.settings.instance.drain_timeout -
+                  last_answers_time);
     leave_notice_ = environment_.timers.after(
         environment_.settings.instance.leave_notice, [this](time_point) {
             callers_.stop_accepting();
