kernel: a late loop reads what has come before its timers fire

The class behind the requests that were thrown away: libev runs the timers of a wake-up before its sockets, and what came due while a batch of sockets was read fires too, though what came during it was not asked for. Each time limit (of an answer, a connection, a peer) then decides on an absence that it has not looked for. Timers now have the least priority, and fire only if they were due when the loop last asked its sockets.

--- a/include/waxwingvale/kernel/timer_service.hpp
+++ b/include/waxwingvale/kernel/timer_service.hpp
@@ -33,7 +33,8 @@
         std::uint64_t number_ = 0;
     };
 
-    // With a loop, due timers fire by themselves.
+    // With a loop, due timers fire by themselves, after what its sockets have
+    // brought meanwhile.
     timer_service(const clock& time, event_loop& loop);
     // Without one, only fire_due() fires them.
     explicit timer_service(const clock& time);
@@ -44,7 +45,7 @@
     [[nodiscard]] subscription after(duration delay, handler call);
     [[nodiscard]] subscription every(duration period, handler call);
 
-    // Calls all that are due; for tests and for the loop's own watcher.
+    // Calls all that are due; for tests.
     void fire_due();
 
     time_point now() const { return clock_.now(); }
@@ -55,6 +56,7 @@
 
     subscription add(duration delay, duration period, handler call);
     void remove(std::uint64_t number);
+    void fire_due_by(time_point latest);
     void rearm();
 
     const clock& clock_;
--- a/src/kernel/timer_service.cpp
+++ b/src/kernel/timer_service.cpp
@@ -15,7 +15,9 @@
 struct timer_service::loop_timer {
     struct ev_loop* loop;
     ev_timer watcher{};
+    ev_check polled{};
     time_point armed_for{};
+    time_point polled_at{}; // when the loop last asked its sockets
 };
 
 timer_service::subscription::subscription(timer_service& of,
@@ -52,10 +54,22 @@
     ev_timer_init(
         &loop_timer_->watcher,
         [](struct ev_loop*, ev_timer* w, int) {
-            static_cast<timer_service*>(w->data)->fire_due();
+            auto* self = static_cast<timer_service*>(w->data);
+            self->fire_due_by(self->loop_timer_->polled_at);
         },
         0., 0.);
     loop_timer_->watcher.data = this;
+    ev_check_init(&loop_timer_->polled, [](struct ev_loop*, ev_check* w, int) {
+        auto* self = static_cast<timer_service*>(w->data);
+        self->loop_timer_->polled_at = self->clock_.now();
+    });
+    loop_timer_->polled.data = this;
+    // Timers come last, and only those that were due when the sockets were
+    // asked: in a late loop, what has come is read before a timer decides on
+    // its absence.
+    ev_set_priority(&loop_timer_->watcher, EV_MINPRI);
+    ev_set_priority(&loop_timer_->polled, EV_MAXPRI);
+    ev_check_start(loop_timer_->loop, &loop_timer_->polled);
 }
 
 timer_service::timer_service(const clock& time) : clock_(time) {}
@@ -63,6 +77,7 @@
 timer_service::~timer_service() {
     if (loop_timer_) {
         ev_timer_stop(loop_timer_->loop, &loop_timer_->watcher);
+        ev_check_stop(loop_timer_->loop, &loop_timer_->polled);
     }
 }
 
@@ -103,8 +118,12 @@
 }
 
 void timer_service::fire_due() {
+    fire_due_by(clock_.now());
+}
+
+void timer_service::fire_due_by(time_point latest) {
     const auto now = clock_.now();
-    while (!due_.empty() && due_.begin()->first <= now) {
+    while (!due_.empty() && due_.begin()->first <= latest) {
         const auto number = due_.begin()->second;
         due_.erase(due_.begin());
         // Held here because the handler may end its own subscription.
--- /dev/null
+++ b/test/kernel/late_loop_test.cpp
@@ -0,0 +1,98 @@
+#include <array>
+#include <catch2/catch.hpp>
+#include <ev.h>
+#include <functional>
+#include <string>
+#include <thread>
+#include <unistd.h>
+
+#include <waxwingvale/kernel/timer_service.hpp>
+
+using namespace std::chrono_literals;
+using namespace waxwingvale;
+
+namespace {
+
+// A byte that comes once, and what is done when the loop reads it.
+class one_byte {
+public:
+    one_byte(kernel::event_loop& loop, std::function<void()> on_read)
+        : loop_(loop.native()), on_read_(std::move(on_read)) {
+        REQUIRE(::pipe(ends_.data()) == 0);
+        ev_io_init(
+            &readable_,
+            [](struct ev_loop* on, ev_io* w, int) {
+                ev_io_stop(on, w);
+                static_cast<one_byte*>(w->data)->on_read_();
+            },
+            ends_[0], EV_READ);
+        readable_.data = this;
+        ev_io_start(loop_, &readable_);
+    }
+    ~one_byte() {
+        ev_io_stop(loop_, &readable_);
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+    one_byte(const one_byte&) = delete;
+    one_byte& operator=(const one_byte&) = delete;
+
+    void send() { REQUIRE(::write(ends_[1], "x", 1) == 1); }
+
+private:
+    struct ev_loop* loop_;
+    std::function<void()> on_read_;
+    std::array<int, 2> ends_{};
+    ev_io readable_{};
+};
+
+struct late_loop {
+    kernel::event_loop loop;
+    kernel::monotonic_clock clock;
+    kernel::timer_service timers{clock, loop};
+    std::string order;
+
+    void run_for(duration time) {
+        const auto until = clock.now() + time;
+        const auto beat = timers.every(5ms, [](time_point) {});
+        while (clock.now() < until) {
+            loop.run_once(true);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a loop that wakes late and lets a timer decide on the absence
+// of bytes that have come: an answer in time is given up, a peer in touch is
+// taken for gone.
+TEST_CASE("a late loop reads what has come before its timers fire") {
+    late_loop late;
+    one_byte byte(late.loop, [&] { late.order += "read "; });
+    const auto due =
+        late.timers.after(20ms, [&](time_point) { late.order += "timer "; });
+    byte.send();
+    std::this_thread::sleep_for(50ms);
+    late.run_for(20ms);
+    CHECK(late.order == "read timer ");
+}
+
+// Guards against the same where the loop is late because of what it reads: what
+// comes due meanwhile waits until the sockets were asked again.
+TEST_CASE("a timer that comes due amid slow reading waits for what has come") {
+    late_loop late;
+    one_byte second(late.loop, [&] { late.order += "second "; });
+    one_byte first(late.loop, [&] {
+        late.order += "first ";
+        second.send();
+        std::this_thread::sleep_for(100ms);
+    });
+    const auto before =
+        late.timers.after(20ms, [&](time_point) { late.order += "due "; });
+    const auto amid =
+        late.timers.after(80ms, [&](time_point) { late.order += "later "; });
+    first.send();
+    std::this_thread::sleep_for(40ms);
+    late.run_for(300ms);
+    CHECK(late.order == "first due second later ");
+}
