--- /dev/null
+++ b/test/forwarding/ends_of_requests_test.cpp
@@ -0,0 +1,89 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include "forwarding/served_callers.hpp"
+
+using namespace std::chrono_literals;
+using namespace waxwingvale;
+using forwarding::request_end;
+using standin::get;
+using standin::served_callers;
+
+namespace {
+
+// Leaves the process no descriptor for a new connection.
+class no_descriptors_left {
+public:
+    no_descriptors_left() {
+        ::getrlimit(RLIMIT_NOFILE, &before_);
+        const int lowest_free = ::dup(STDIN_FILENO);
+        ::close(lowest_free);
+        auto none = before_;
+        none.rlim_cur = static_cast<rlim_t>(lowest_free);
+        ::setrlimit(RLIMIT_NOFILE, &none);
+    }
+    no_descriptors_left(const no_descriptors_left&) = delete;
+    no_descriptors_left& operator=(const no_descriptors_left&) = delete;
+    ~no_descriptors_left() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+
+private:
+    rlimit before_{};
+};
+
+} // namespace
+
+// Guards against work for a caller of which nobody can tell whether it still
+// reads: one that ends its side counts as one that has left.
+TEST_CASE("a caller that ends its sending side has left") {
+    served_callers fixture;
+    auto caller = fixture.caller();
+    caller->send(get("/"));
+    REQUIRE(fixture.await_requests(1));
+    caller->end_writing();
+    REQUIRE(fixture.await_ends(1));
+    CHECK(fixture.ended[0].end == request_end::caller_left);
+    CHECK(fixture.run_until([&] { return caller->ended(); }));
+    CHECK_FALSE(caller->ended_by_reset());
+    CHECK(fixture.server.pending() == 0);
+}
+
+// Guards against requests of other callers that end when one too many connects.
+TEST_CASE("a connection beyond the limit is closed, the others are served") {
+    std::vector<forwarding::ended_request> ended;
+    standin::loop_fixture world;
+    forwarding::caller_server_options options;
+    options.connection_limit = 1;
+    forwarding::caller_server server(world.loop, world.timers, options);
+    server.on_request_ended(
+        [&](const forwarding::ended_request& each) { ended.push_back(each); });
+    std::vector<forwarding::caller_exchange_ptr> requests;
+    REQUIRE(server.start([&](forwarding::caller_exchange_ptr request) {
+        requests.push_back(std::move(request));
+    }));
+    auto first = standin::connect_to(world.loop, server.port());
+    first->send(get("/1"));
+    REQUIRE(world.run_until([&] { return requests.size() == 1; }));
+    auto second = standin::connect_to(world.loop, server.port());
+    REQUIRE(world.run_until([&] { return second->ended(); }));
+    CHECK(server.counters().refused_connection_limit == 1);
+    requests[0]->answer({200, {}, "one"});
+    CHECK(world.run_until([&] { return first->received_contains("one"); }));
+    CHECK(ended.size() == 1);
+}
+
+// Guards against callers that get no answer any more once descriptors were
+// short for a while.
+TEST_CASE("a connection that finds no descriptor waits until there is one") {
+    served_callers fixture;
+    auto waiting = fixture.caller();
+    waiting->send(get("/"));
+    {
+        const no_descriptors_left until_here;
+        fixture.run_for(100ms);
+        CHECK(fixture.requests.empty());
+    }
+    CHECK(fixture.await_requests(1));
+}
