forwarding: a stop answers requests that were sent ahead

A caller that sends its next request before the last answer saw an ordered close without an answer for it when its instance was told to stop: the request had been read, and was thrown away.

Cause: the answer under way announced the end of the connection though bytes of a further request lay in the buffer. Such an answer no longer does; the last one does.

Evidence: 'requests sent ahead before a stop are all answered' was red before (the second request never came).

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -182,10 +182,16 @@
     begin_closing();
 }
 
+// Whether a part of a further request has been read. Empty lines are none.
+bool caller_connection::sent_ahead() const {
+    return input_.find_first_not_of("\r\n") != input_.npos;
+}
+
+// What is left of a body that nobody reads would be taken for the next request.
+// What was sent ahead and read has to be answered before a stop may close.
 bool caller_connection::closes_after_answer() const {
-    // What is left of a body that nobody reads would be taken for the next
-    // request.
-    return close_after_ || frame_.ask_to_close || !exchange_->body_complete();
+    const bool asked = frame_.ask_to_close && !sent_ahead();
+    return close_after_ || asked || !exchange_->body_complete();
 }
 
 body_plan
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -79,6 +79,7 @@
     void refuse(unsigned status, const std::string& detail);
     body_plan plan_of(unsigned status,
                       std::optional<std::uint64_t> length) const;
+    bool sent_ahead() const;
     bool closes_after_answer() const;
     void finish_exchange();
     void abandon_exchange(request_end why);
--- a/test/forwarding/ends_of_requests_test.cpp
+++ b/test/forwarding/ends_of_requests_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
@@ -14,6 +15,12 @@
 
 namespace {
 
+std::size_t count_of(const served_callers& in, request_end end) {
+    return static_cast<std::size_t>(
+        std::count_if(in.ended.begin(), in.ended.end(),
+                      [&](const auto& each) { return each.end == end; }));
+}
+
 // Leaves the process no descriptor for a new connection.
 class no_descriptors_left {
 public:
@@ -35,6 +42,26 @@
 
 } // namespace
 
+// Guards against requests that a stop leaves without an answer though they were
+// read before the answer that asks to close their connection.
+TEST_CASE("requests sent ahead before a stop are all answered") {
+    served_callers fixture;
+    auto caller = fixture.caller();
+    caller->send(get("/1") + get("/2"));
+    REQUIRE(fixture.await_requests(1));
+    fixture.run_for(20ms);
+    fixture.server.ask_to_close();
+    fixture.requests[0]->answer({200, {}, "one"});
+    REQUIRE(fixture.await_requests(2));
+    fixture.requests[1]->answer({200, {}, "two"});
+    REQUIRE(fixture.run_until([&] { return caller->ended(); }));
+    CHECK(caller->received() ==
+          "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+          "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+          "Connection: close\r\n\r\ntwo");
+    CHECK(count_of(fixture, request_end::answered) == 2);
+}
+
 // Guards against work for a caller of which nobody can tell whether it still
 // reads: one that ends its side counts as one that has left.
 TEST_CASE("a caller that ends its sending side has left") {
