forwarding: a request behind the end of its connection leaves its line

Callers see the same. A request that had been read before its connection's end was announced left no line when it was thrown away, and the rest of a body that was answered early, or of a request that was refused, left one of a request that nobody sent.

Cause: only bytes that came after the announcement were told, whatever they were.

Evidence: three cases were red before: no line, and one too many twice.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -175,6 +175,7 @@
         return;
     }
     announced_close_ = true;
+    rest_is_known_ = true;
     const auto body = detail + "\n";
     socket_.write(answer_head(status, {{"Content-Type", "text/plain"}},
                               {body_framing::length, body.size()}, true),
@@ -250,6 +251,7 @@
 // The answer is written; the next request's turn comes, or the end.
 void caller_connection::finish_exchange() {
     given_.push_back(end_of(*exchange_, request_end::answered));
+    rest_is_known_ = !exchange_->body_complete();
     exchange_->finished_ = true;
     exchange_.reset();
     --frame_.pending;
@@ -274,6 +276,9 @@
 void caller_connection::begin_closing() {
     phase_ = phase::closing;
     since_ = frame_.now();
+    if (sent_ahead()) {
+        report_discarded();
+    }
     input_.clear();
     socket_.resume_reading();
     if (socket_.waiting() == 0) {
@@ -367,10 +372,10 @@
 
 // Bytes of a request that nobody will answer, once for each connection.
 void caller_connection::report_discarded() {
-    if (discarded_) {
+    if (rest_is_known_) {
         return;
     }
-    discarded_ = true;
+    rest_is_known_ = true;
     ended_request unanswered;
     unanswered.end =
         announced_close_ ? request_end::sent_too_late : request_end::closing;
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -104,7 +104,9 @@
     unsigned status_ = 0;          // of the answer that was given or begun
     time_point handed_over_{};     // the request that is under way
     bool announced_close_ = false; // an answer told the caller of the end
-    bool discarded_ = false;       // bytes that came after the end
+    // What comes after the end was reported, or is the rest of a request that
+    // was answered before all of it had come.
+    bool rest_is_known_ = false;
     phase phase_ = phase::reading;
     request_reader reader_;
     std::string input_;
--- a/test/forwarding/ends_of_requests_test.cpp
+++ b/test/forwarding/ends_of_requests_test.cpp
@@ -21,6 +21,11 @@
                       [&](const auto& each) { return each.end == end; }));
 }
 
+std::string post_head(std::size_t length) {
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(length) + "\r\n\r\n";
+}
+
 // Leaves the process no descriptor for a new connection.
 class no_descriptors_left {
 public:
@@ -62,6 +67,55 @@
     CHECK(count_of(fixture, request_end::answered) == 2);
 }
 
+// Guards against a request that leaves no line since it was read before the end
+// of its connection was announced.
+TEST_CASE("a request behind one that ends the connection leaves its record") {
+    served_callers fixture;
+    auto caller = fixture.caller();
+    const bool read_before = GENERATE(true, false);
+    CAPTURE(read_before);
+    const std::string last =
+        "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    caller->send(read_before ? last + get("/2") : last);
+    REQUIRE(fixture.await_requests(1));
+    fixture.run_for(20ms);
+    fixture.requests[0]->answer({200, {}, "one"});
+    if (!read_before) {
+        caller->send(get("/2"));
+    }
+    REQUIRE(fixture.await_ends(2));
+    CHECK(count_of(fixture, request_end::answered) == 1);
+    CHECK(count_of(fixture, request_end::sent_too_late) == 1);
+    CHECK(fixture.requests.size() == 1);
+}
+
+// Guards against lines of requests that nobody sent.
+TEST_CASE("the rest of a body that nobody reads is no request") {
+    served_callers fixture;
+    auto caller = fixture.caller();
+    constexpr std::size_t half = 400 * 1024;
+    caller->send(post_head(2 * half) + std::string(half, 'x'));
+    REQUIRE(fixture.await_requests(1));
+    fixture.requests[0]->answer({503, {}, "no"});
+    REQUIRE(fixture.run_until([&] { return caller->received_contains("no"); }));
+    caller->send(std::string(half, 'x'));
+    fixture.run_for(50ms);
+    REQUIRE(fixture.ended.size() == 1);
+    CHECK(fixture.ended[0].end == request_end::answered);
+}
+
+// Guards against the same for what was refused before it became a request.
+TEST_CASE("the rest of a request that was refused leaves no record") {
+    served_callers fixture;
+    auto caller = fixture.caller();
+    caller->send("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n");
+    REQUIRE(
+        fixture.run_until([&] { return caller->received_contains("400"); }));
+    caller->send("more of it");
+    fixture.run_for(50ms);
+    CHECK(fixture.ended.empty());
+}
+
 // Guards against work for a caller of which nobody can tell whether it still
 // reads: one that ends its side counts as one that has left.
 TEST_CASE("a caller that ends its sending side has left") {
@@ -77,6 +131,24 @@
     CHECK(fixture.server.pending() == 0);
 }
 
+// Guards against a connection without an end when the rest of a body under way
+// is no body.
+TEST_CASE("a body that breaks the protocol under way ends with a reset") {
+    served_callers fixture;
+    auto caller = fixture.caller();
+    caller->send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+                 "\r\n\r\n4b000\r\n" +
+                 std::string(0x4b000, 'x') + "\r\n");
+    REQUIRE(fixture.await_requests(1));
+    REQUIRE_FALSE(fixture.requests[0]->body_complete());
+    caller->send("no chunk\r\n");
+    REQUIRE(fixture.await_ends(1));
+    CHECK(fixture.ended[0].end == request_end::body_refused);
+    CHECK(fixture.run_until([&] { return caller->ended_by_reset(); }));
+    CHECK(fixture.requests[0]->abandoned());
+    CHECK(fixture.server.pending() == 0);
+}
+
 // Guards against requests of other callers that end when one too many connects.
 TEST_CASE("a connection beyond the limit is closed, the others are served") {
     std::vector<forwarding::ended_request> ended;
