forwarding: a reset tells of the answers that it takes along

Callers that send ahead see the same: an answer that waits to go out is lost when the connection is reset for the request behind it. That request left no line.

Cause: a reset for a broken body or answer told the end of the one under way only.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -170,6 +170,7 @@
     if (exchange_) {
         // The fault lies in the rest of a body whose request is under way.
         abandon_exchange(request_end::body_refused);
+        report_given(request_end::body_refused);
         socket_.reset();
         close();
         return;
@@ -287,6 +288,7 @@
 }
 
 void caller_connection::break_off(request_end why) {
+    report_given(why);
     report(end_of(*exchange_, why));
     exchange_->finished_ = true;
     exchange_.reset();
--- a/test/forwarding/ends_of_requests_test.cpp
+++ b/test/forwarding/ends_of_requests_test.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// More than the system takes of an answer to a caller that does not read.
+constexpr std::size_t longer_than_is_taken = 32 * 1024 * 1024;
+
 std::size_t count_of(const served_callers& in, request_end end) {
     return static_cast<std::size_t>(
         std::count_if(in.ended.begin(), in.ended.end(),
@@ -116,6 +119,37 @@
     CHECK(fixture.ended.empty());
 }
 
+// Guards against an answer that is lost without a line, since the connection
+// that it waits on is reset for the next request.
+TEST_CASE("a reset tells the ends of answers that wait to go out") {
+    served_callers fixture;
+    auto caller = fixture.caller();
+    caller->pause();
+    const bool by_body = GENERATE(false, true);
+    CAPTURE(by_body);
+    const std::string second =
+        by_body ? "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+                  "\r\n\r\n4b000\r\n" +
+                      std::string(0x4b000, 'x') + "\r\n"
+                : get("/2");
+    caller->send(get("/1") + second);
+    REQUIRE(fixture.await_requests(1));
+    fixture.requests[0]->answer(
+        {200, {}, std::string(longer_than_is_taken, 'x')});
+    REQUIRE(fixture.await_requests(2));
+    if (by_body) {
+        caller->send("no chunk");
+    } else {
+        fixture.requests[1]->begin_answer({200, {}, ""}, 10);
+        fixture.requests[1]->break_off(request_end::server_cut);
+    }
+    REQUIRE(fixture.await_ends(2));
+    CHECK(std::count_if(fixture.ended.begin(), fixture.ended.end(),
+                        [](const auto& each) { return each.status == 200; }) >=
+          1);
+    CHECK(fixture.server.pending() == 0);
+}
+
 // Guards against work for a caller of which nobody can tell whether it still
 // reads: one that ends its side counts as one that has left.
 TEST_CASE("a caller that ends its sending side has left") {
