forwarding: a connection stays until its last answer has come through

A caller on a narrow path got a part of its last answer and then a reset, if it sent anything more.

Cause: the connection was closed one second after the system had taken the answer, not after the caller had it; a byte that comes to a closed connection resets it. It stays now while the caller confirms parts within that second.

Evidence: 'a connection stays until its last answer has come through' was red before: 128,000 bytes of 1 MB had come, and the record said 'answered'.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -431,10 +431,7 @@
             on_end();
         }
     } else if (phase_ == phase::closing) {
-        // What waits to go out is bounded by the limit of silence.
-        if (socket_.waiting() == 0 && passed >= linger_limit) {
-            close();
-        }
+        linger(now);
     } else if (head_begun_ && passed >= limits().head_time) {
         catch_up();
         give_up_slow_head(now);
@@ -444,6 +441,20 @@
     }
 }
 
+// A close before the last answer has come through would cut it if its caller
+// sent anything more. It is waited for as long as the caller confirms parts of
+// it; what has not gone out is bounded by the limit of silence.
+void caller_connection::linger(time_point now) {
+    const auto on_its_way = socket_.unconfirmed();
+    if (on_its_way != last_on_its_way_) {
+        last_on_its_way_ = on_its_way;
+        since_ = now;
+    }
+    if (socket_.waiting() == 0 && now - since_ >= linger_limit) {
+        close();
+    }
+}
+
 void caller_connection::give_up_slow_head(time_point now) {
     const bool slow = !closed_ && phase_ == phase::reading && head_begun_ &&
                       now - since_ >= limits().head_time;
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -87,6 +87,7 @@
     bool nothing_asked() const;
     void catch_up();
     void close_unasked();
+    void linger(time_point now);
     void give_up_slow_head(time_point now);
     void close_too_idle(time_point now);
     void report_discarded();
@@ -119,7 +120,9 @@
     bool head_begun_ = false;
     caller_limits at_begin_; // in force when the head began
     bool reading_on_ = false;
-    time_point since_{}; // of the phase, or of the head's first byte
+    // Of the phase, the head's first byte, or the last progress of the end.
+    time_point since_{};
+    std::size_t last_on_its_way_ = 0;
     io::stream_socket socket_;
 };
 
--- a/test/forwarding/ends_of_requests_test.cpp
+++ b/test/forwarding/ends_of_requests_test.cpp
@@ -150,6 +150,32 @@
     CHECK(fixture.server.pending() == 0);
 }
 
+// Guards against an answer on a narrow path that is cut when its caller sends
+// something more, since its connection was closed before it had gone out.
+TEST_CASE("a connection stays until its last answer has come through") {
+    served_callers fixture;
+    auto caller = fixture.caller();
+    caller->pause();
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    REQUIRE(fixture.await_requests(1));
+    // What the system takes whole while the caller's side is full.
+    constexpr std::size_t size = 1024 * 1024;
+    fixture.requests[0]->answer({200, {}, std::string(size, 'x')});
+    REQUIRE(count_of(fixture, request_end::answered) == 1);
+    for (int part = 0; part < 8; ++part) {
+        fixture.run_for(300ms);
+        caller->resume();
+        fixture.loop.run_once(false);
+        caller->pause();
+    }
+    REQUIRE(caller->received().size() < size);
+    caller->send(get("/2"));
+    fixture.run_for(100ms);
+    caller->resume();
+    REQUIRE(fixture.run_until([&] { return caller->ended(); }));
+    CHECK(caller->received().size() > size);
+}
+
 // Guards against work for a caller of which nobody can tell whether it still
 // reads: one that ends its side counts as one that has left.
 TEST_CASE("a caller that ends its sending side has left") {
