entry: a retry takes the place of a second copy that waits for a slot

A caller hung amid its answer, and a stop waited for it until its time was over: its first server had gone silent and then turned the request away, its second copy and its retry both waited for a slot, and the copy's long answer had begun when the retry was refused. Had the retry been placed too, bytes of two answers could have gone to one caller. It also stood in the way of a retry that a limit of attempts allows, as the copy that was not sent counted as one.

Cause: an attempt that ended queued its retry and left the copy in the queue; the answer for the retry is passed over by an exchange whose answer has begun, and nobody ends it.

Evidence: 'a retry takes the place of the second copy that waits for a slot' was red before: one request pending at the connection, no open call, half an answer.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -280,6 +280,7 @@
         note_lost_race(*call, loser);
         cancel_attempt(service, loser);
     }
+    withdraw_second_copy(*call);
     end_with(*call, attempt, answer, std::move(ended), meaning);
 }
 
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -213,6 +213,7 @@
     void consider_hedge(decision::request_id id);
     void send_second_copy(call_record& call, bool only_if_spare);
     void drop_waiting_hedge(call_record& call);
+    void withdraw_second_copy(call_record& call);
 
     // call_relay.cpp: answers that are passed on while they come
     forwarding::long_answer_handlers
--- a/src/entry/call_slowness.cpp
+++ b/src/entry/call_slowness.cpp
@@ -134,4 +134,13 @@
     desk_of(call.labels.service).handle(decision::request_cancelled{hedge_id});
 }
 
+// No attempt of the call runs any more: what is sent for it next takes the
+// place of a second copy that still waits, and does not go on beside it.
+void call_desk::withdraw_second_copy(call_record& call) {
+    if (call.hedge_waiting != 0) {
+        drop_waiting_hedge(call);
+        call.hedged = false;
+    }
+}
+
 } // namespace waxwingvale::entry
