--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -170,11 +170,13 @@
     if (exchange_) {
         // The fault lies in the rest of a body whose request is under way.
         abandon_exchange(request_end::body_refused);
+        report_given(request_end::body_refused);
         socket_.reset();
         close();
         return;
     }
     announced_close_ = true;
+    rest_is_known_ = true;
     const auto body = detail + "\n";
     socket_.write(answer_head(status, {{"Content-Type", "text/plain"}},
                               {body_framing::length, body.size()}, true),
@@ -182,10 +184,16 @@
     begin_closing();
 }
 
+// Whether a part of a further request has been read. Empty lines are none.
+bool caller_connection::sent_ahead() const {
+    return input_.find_first_not_of("\r\n") != input_.npos;
+}
+
+// What is left of a body that nobody reads would be taken for the next request.
+// What was sent ahead and read has to be answered before a stop may close.
 bool caller_connection::closes_after_answer() const {
-    // What is left of a body that nobody reads would be taken for the next
-    // request.
-    return close_after_ || frame_.ask_to_close || !exchange_->body_complete();
+    const bool asked = frame_.ask_to_close && !sent_ahead();
+    return close_after_ || asked || !exchange_->body_complete();
 }
 
 body_plan
@@ -244,6 +252,7 @@
 // The answer is written; the next request's turn comes, or the end.
 void caller_connection::finish_exchange() {
     given_.push_back(end_of(*exchange_, request_end::answered));
+    rest_is_known_ = !exchange_->body_complete();
     exchange_->finished_ = true;
     exchange_.reset();
     --frame_.pending;
@@ -268,6 +277,9 @@
 void caller_connection::begin_closing() {
     phase_ = phase::closing;
     since_ = frame_.now();
+    if (sent_ahead()) {
+        report_discarded();
+    }
     input_.clear();
     socket_.resume_reading();
     if (socket_.waiting() == 0) {
@@ -276,6 +288,7 @@
 }
 
 void caller_connection::break_off(request_end why) {
+    report_given(why);
     report(end_of(*exchange_, why));
     exchange_->finished_ = true;
     exchange_.reset();
@@ -361,10 +374,10 @@
 
 // Bytes of a request that nobody will answer, once for each connection.
 void caller_connection::report_discarded() {
-    if (discarded_) {
+    if (rest_is_known_) {
         return;
     }
-    discarded_ = true;
+    rest_is_known_ = true;
     ended_request unanswered;
     unanswered.end =
         announced_close_ ? request_end::sent_too_late : request_end::closing;
@@ -418,10 +431,7 @@
             on_end();
         }
     } else if (phase_ == phase::closing) {
-        // What waits to go out is bounded by the limit of silence.
-        if (socket_.waiting() == 0 && passed >= linger_limit) {
-            close();
-        }
+        linger(now);
     } else if (head_begun_ && passed >= limits().head_time) {
         catch_up();
         give_up_slow_head(now);
@@ -431,6 +441,20 @@
     }
 }
 
+// A close before the last answer has come through would cut it if its caller
+// sent anything more. It is waited for as long as the caller confirms parts of
+// it; what has not gone out is bounded by the limit of silence.
+void caller_connection::linger(time_point now) {
+    const auto on_its_way = socket_.unconfirmed();
+    if (on_its_way != last_on_its_way_) {
+        last_on_its_way_ = on_its_way;
+        since_ = now;
+    }
+    if (socket_.waiting() == 0 && now - since_ >= linger_limit) {
+        close();
+    }
+}
+
 void caller_connection::give_up_slow_head(time_point now) {
     const bool slow = !closed_ && phase_ == phase::reading && head_begun_ &&
                       now - since_ >= limits().head_time;
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -79,6 +79,7 @@
     void refuse(unsigned status, const std::string& detail);
     body_plan plan_of(unsigned status,
                       std::optional<std::uint64_t> length) const;
+    bool sent_ahead() const;
     bool closes_after_answer() const;
     void finish_exchange();
     void abandon_exchange(request_end why);
@@ -86,6 +87,7 @@
     bool nothing_asked() const;
     void catch_up();
     void close_unasked();
+    void linger(time_point now);
     void give_up_slow_head(time_point now);
     void close_too_idle(time_point now);
     void report_discarded();
@@ -103,7 +105,9 @@
     unsigned status_ = 0;          // of the answer that was given or begun
     time_point handed_over_{};     // the request that is under way
     bool announced_close_ = false; // an answer told the caller of the end
-    bool discarded_ = false;       // bytes that came after the end
+    // What comes after the end was reported, or is the rest of a request that
+    // was answered before all of it had come.
+    bool rest_is_known_ = false;
     phase phase_ = phase::reading;
     request_reader reader_;
     std::string input_;
@@ -116,7 +120,9 @@
     bool head_begun_ = false;
     caller_limits at_begin_; // in force when the head began
     bool reading_on_ = false;
-    time_point since_{}; // of the phase, or of the head's first byte
+    // Of the phase, the head's first byte, or the last progress of the end.
+    time_point since_{};
+    std::size_t last_on_its_way_ = 0;
     io::stream_socket socket_;
 };
 
