forwarding: a kept connection to a server is read before it is used again

A booking that was sent on a kept connection whose close had come, unread, ended with outcome unknown and 502; bytes that had come unasked were taken for the answer to the next request where nothing names it. Before reuse the connection is read once; a lost one gives way to the next, or to a new one.

--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -39,6 +39,9 @@
     void close();
     void pause() { socket_.pause_reading(); }
     void resume();
+    // Takes what has come on a connection that no call is on: its server's
+    // close, or bytes that answer nothing, end it.
+    void catch_up() { socket_.read_now(); }
 
     bool connected() const { return connected_; }
     // Whether a byte of the call's request has left.
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -51,6 +51,7 @@
         : loop(on), timers(with) {}
 
     connection_ptr take_kept(const backend_call& call);
+    connection_ptr latest_kept(const backend_call& call);
     result<connection_ptr> open(const backend_call& call, call_id id);
     void fail_soon(call_id id, error why);
     void finish(call_id id, backend_result ended);
@@ -74,19 +75,29 @@
 
 // The connection used last is the one most likely to be open.
 backend_pool::state::connection_ptr
-backend_pool::state::take_kept(const backend_call& call) {
+backend_pool::state::latest_kept(const backend_call& call) {
     const auto found = servers.find(call.backend_server);
     if (found == servers.end() || found->second.idle.empty()) {
         return nullptr;
     }
-    auto& idle = found->second.idle;
-    const auto age = timers.now() - idle.back().since;
-    if (age > std::min(call.kept_for, idle.back().keep)) {
-        return nullptr;
+    const auto& latest = found->second.idle.back();
+    const auto age = timers.now() - latest.since;
+    return age > std::min(call.kept_for, latest.keep) ? nullptr
+                                                      : latest.connection;
+}
+
+// Its server's close may have come and not be read; a request that is sent then
+// is lost, and nobody can say whether it ran.
+backend_pool::state::connection_ptr
+backend_pool::state::take_kept(const backend_call& call) {
+    while (auto latest = latest_kept(call)) {
+        latest->catch_up();
+        if (latest->usable()) {
+            servers.at(call.backend_server).idle.pop_back();
+            return latest;
+        }
     }
-    auto taken = std::move(idle.back().connection);
-    idle.pop_back();
-    return taken;
+    return nullptr;
 }
 
 result<backend_pool::state::connection_ptr>
--- a/test/forwarding/backend_pool_test.cpp
+++ b/test/forwarding/backend_pool_test.cpp
@@ -128,6 +128,30 @@
     CHECK(fixture.server.count() == 1);
 }
 
+// Guards against a booking of unknown outcome, sent on a kept connection whose
+// close has come and is not read yet.
+TEST_CASE("a kept connection that its server has closed is not used again") {
+    pooled fixture;
+    fixture.warm_up();
+    fixture.server.at(0).close();
+    fixture.send(fixture.call("/book"));
+    CHECK(fixture.await_request(1, "/book"));
+    CHECK(!fixture.ended);
+}
+
+// Guards against an answer to nobody's request that is taken for the next one.
+TEST_CASE(
+    "bytes that came on a kept connection are no answer to the next call") {
+    pooled fixture;
+    fixture.warm_up();
+    fixture.server.at(0).send(ok + "Content-Length: 5\r\n\r\nstray");
+    fixture.send(fixture.call("/next"));
+    REQUIRE(fixture.await_request(1, "/next"));
+    fixture.server.at(1).send(ok + "Content-Length: 4\r\n\r\nours");
+    REQUIRE(fixture.await_end());
+    CHECK(fixture.ended->response.value().body == "ours");
+}
+
 TEST_CASE("a refused connection proves that nothing was sent") {
     pooled fixture;
     auto call = fixture.call();
