forwarding: empty lines between requests keep no connection open

A close by the idle limit that waits for bytes on their way was counted at each look, 9 for one connection in 2.5 s.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -101,6 +101,8 @@
 bool caller_connection::take_step(request_reader::step step) {
     switch (step) {
     case request_reader::step::need_more:
+        // Empty lines between requests begin none.
+        head_begun_ = head_begun_ && reader_.reading(input_);
         hold_back();
         return false;
     case request_reader::step::faulty:
@@ -386,8 +388,7 @@
 }
 
 bool caller_connection::nothing_asked() const {
-    return !closed_ && phase_ == phase::reading && !head_begun_ &&
-           input_.empty();
+    return !closed_ && phase_ == phase::reading && !reader_.reading(input_);
 }
 
 // What came while the process was busy with other work is read before anything
@@ -466,8 +467,8 @@
 
 void caller_connection::close_too_idle(time_point now) {
     if (nothing_asked() && now - since_ >= frame_.limits.idle_time) {
-        ++frame_.counters.idle;
         close_unasked();
+        frame_.counters.idle += closed_ ? 1 : 0;
     }
 }
 
--- a/test/forwarding/late_process_test.cpp
+++ b/test/forwarding/late_process_test.cpp
@@ -88,3 +88,15 @@
     fixture.server.stop_accepting();
     CHECK(fixture.await_requests(waiting.size()));
 }
+
+// Guards against an empty line behind a request that counts as the beginning of
+// the next one: it held up a stop, and was answered 408.
+TEST_CASE("an empty line between requests does not keep a connection open") {
+    served_callers fixture;
+    auto caller = fixture.kept_caller();
+    caller->send("\r\n");
+    fixture.run_for(20ms);
+    fixture.let_it_rest();
+    fixture.server.close_idle();
+    CHECK(fixture.server.connections() == 0);
+}
