entry: a stop leaves an eighth of its time, and no slot to calls that are over

A slot that comes when a call's time is over is given back. The time for last answers is an eighth of the drain, 1 s at most: fixed at 0.5 s it took all of a short one, and little of a long one (review).

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -106,6 +106,14 @@
         return_slot(service, action.request);
         return;
     }
+    if (call != nullptr && call->deadline <= timers_.now()) {
+        return_slot(service, action.request);
+        if (id == action.request) {
+            note(*call, "call_deadline_passed");
+            finish(id, too_late(*call));
+        }
+        return;
+    }
     if (call != nullptr && is_suspect_by_now(*call)) {
         refuse_waiting_suspect(*call, action.request);
         return;
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -267,7 +267,7 @@
     }
     const bool sent =
         call->running || call->hedge || call->detour || waits_for_key;
-    const bool stops = ends_by_ && call->deadline >= *ends_by_;
+    const bool stops = ends_with_stop(*call);
     note(*call, stops ? "call_ended_by_stop" : "call_deadline_passed");
     if (call->answering) {
         cut_answer(*call, stops ? forwarding::request_end::stopped
@@ -275,9 +275,7 @@
         return;
     }
     cancel_attempts(*call);
-    own_answer late;
-    late.reason = stops ? "instance-stops" : "deadline-passed";
-    late.retry_after = stops ? retry_after_start : retry_after_default;
+    auto late = too_late(*call);
     if (sent) {
         late.status = status::gateway_timeout;
         late.outcome = run_outcome::unknown;
@@ -285,6 +283,19 @@
     finish(id, late);
 }
 
+bool call_desk::ends_with_stop(const call_record& call) const {
+    return ends_by_ && call.deadline >= *ends_by_;
+}
+
+// The answer to a call whose time ended before it was sent.
+own_answer call_desk::too_late(const call_record& call) const {
+    const bool stops = ends_with_stop(call);
+    own_answer late;
+    late.reason = stops ? "instance-stops" : "deadline-passed";
+    late.retry_after = stops ? retry_after_start : retry_after_default;
+    return late;
+}
+
 // Called when the caller's close has been read.
 void call_desk::abandon(decision::request_id id) {
     auto* call = find(id);
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -122,6 +122,8 @@
     void set_target(call_record& call, const caller_call& understood);
     void arm_deadline(call_record& call);
     void pass_deadline(decision::request_id id);
+    bool ends_with_stop(const call_record& call) const;
+    own_answer too_late(const call_record& call) const;
     void abandon(decision::request_id id);
     void drop(call_record& call);
     void follow(const view& now, const decision::service_ownerships& owners);
@@ -201,11 +203,14 @@
                              std::optional<std::uint64_t> length);
     void cancel_detour(call_record& call);
     void leave_servers(call_record& call);
+    void leave_servers_at(call_record& call, time_point when);
     void forget_connections();
     void mark_for_peer(const call_record& call, run_outcome outcome,
                        io::http_response& answer) const;
 
     // call_slowness.cpp: answers that are slow to come
+    // After so long an attempt's connection counts as silent.
+    static duration silent_after(duration slow);
     void arm_silence(call_record& call, duration slow);
     void replace_silent(decision::request_id id);
     void note_lost_race(const call_record& call, const running_attempt& loser);
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -19,8 +19,9 @@
 
 constexpr duration drain_check_period = 20ms;
 // Before the end of a stop, for the last answers to go out and for peers to
-// hear of the end.
-constexpr duration last_answers_time = 500ms;
+// hear of the end: a part of its time, and no more than so much.
+constexpr int last_answers_part = 8;
+constexpr duration last_answers_most = 1s;
 
 forwarding::caller_server_options
 caller_options(const program::settings& from) {
@@ -266,9 +267,10 @@
     stopped_ = std::move(stopped);
     callers_.ask_to_close();
     peers_.ask_to_close();
-    calls_.end_by(environment_.timers.now() +
-                  environment_.settings.instance.drain_timeout -
-                  last_answers_time);
+    const auto drain = environment_.settings.instance.drain_timeout;
+    const auto last_answers =
+        std::min(drain / last_answers_part, last_answers_most);
+    calls_.end_by(environment_.timers.now() + drain - last_answers);
     leave_notice_ = environment_.timers.after(
         environment_.settings.instance.leave_notice, [this](time_point) {
             callers_.stop_accepting();
