entry: a request at a server at work stays there in a partition

Cause: beside servers and links that are full, the check of whether servers can be reached fails though they can; a partitioned instance broke off reads that were sent, and handed them to instances that refused them. Class: a suspicion that breaks off work.

What was sent stays with its server until its connection counts as silent, after the time by which a second copy is asked for too; only then, and only if the partition lasts, is it taken elsewhere. What was not sent goes at once, and a stopping instance now says of a handed-on request that it has not begun that it was not taken, so that another is asked. The tests of true partitions pass as before.

--- a/src/entry/call_detours.cpp
+++ b/src/entry/call_detours.cpp
@@ -52,7 +52,7 @@
         return;
     }
     const bool not_taken =
-        outcome == run_outcome::not_run && reach_.partitioned();
+        outcome == run_outcome::not_run && (reach_.partitioned() || ends_by_);
     add_outcome_header(answer.headers, not_taken ? detour_outcome::not_taken
                                                  : to_detour_outcome(outcome));
 }
@@ -272,6 +272,8 @@
 
 // Takes a call from servers that cannot be reached to an instance that reaches
 // them. What was sent and must not run twice stays: its answer may still come.
+// So does, for a time, what may run again: its server may be at work, and the
+// partition an error of a busy deployment.
 void call_desk::leave_servers(call_record& call) {
     const bool waits_for_key = call.key && call.key->attempt == 0;
     if (call.is_elsewhere() || call.answering || waits_for_key) {
@@ -294,6 +296,12 @@
     if (stays || !call.running) {
         return;
     }
+    const auto& latest = call.hedge ? *call.hedge : *call.running;
+    const auto given_up = latest.started + silent_after(latest.slow_after);
+    if (sent && timers_.now() < given_up) {
+        leave_servers_at(call, given_up);
+        return;
+    }
     const auto attempt = *call.running;
     cancel_attempts(call);
     end_trial(call);
@@ -309,4 +317,14 @@
     }
 }
 
+void call_desk::leave_servers_at(call_record& call, time_point when) {
+    const auto check = [this, id = call.id](time_point) {
+        auto* open = find(id);
+        if (open != nullptr && reach_.partitioned()) {
+            leave_servers(*open);
+        }
+    };
+    call.leave_timer = timers_.after(when - timers_.now(), check);
+}
+
 } // namespace waxwingvale::entry
--- a/src/entry/call_record.hpp
+++ b/src/entry/call_record.hpp
@@ -97,6 +97,7 @@
     decision::request_id hedge_waiting = 0; // for a slot; 0: none is
     kernel::timer_service::subscription hedge_timer;
     kernel::timer_service::subscription silence_timer;
+    kernel::timer_service::subscription leave_timer; // see leave_servers()
     kernel::timer_service::subscription deadline_timer;
     // What earlier attempts leave open: a read that got lost once is not
     // "not run" when its next attempt is refused.
--- a/src/entry/call_slowness.cpp
+++ b/src/entry/call_slowness.cpp
@@ -21,6 +21,10 @@
 
 } // namespace
 
+duration call_desk::silent_after(duration slow) {
+    return std::max<duration>(slow * silence_factor, silence_min);
+}
+
 // A read on a kept connection that has gone silent would wait for its whole
 // deadline; hedges alone do not help, since they need a spare slot and their
 // budget is soon used up when many connections go silent together.
@@ -28,9 +32,9 @@
     if (!call.may_run_again() || !call.may_reach_another() || call.nested) {
         return;
     }
-    const auto wait = std::max<duration>(slow * silence_factor, silence_min);
-    call.silence_timer = timers_.after(
-        wait, [this, id = call.id](time_point) { replace_silent(id); });
+    call.silence_timer =
+        timers_.after(silent_after(slow),
+                      [this, id = call.id](time_point) { replace_silent(id); });
 }
 
 // The silent attempt goes on beside its second copy: its server may be at work
--- a/test/entry/ends_of_calls_test.cpp
+++ b/test/entry/ends_of_calls_test.cpp
@@ -197,3 +197,32 @@
     REQUIRE(f.ended.size() == 1);
     CHECK(f.ended[0].end == request_end::caller_left);
 }
+
+// Guards against a request that gets a slot when its time is over, since others
+// end at the same moment: it was sent in vain, and its outcome unknown.
+TEST_CASE("a slot that falls free when a call's time is over is not used") {
+    constexpr std::size_t waiting = 20;
+    noted_ends f(1);
+    for (std::size_t i = 0; i < 2 + waiting; ++i) {
+        f.send(caller_world::get());
+    }
+    REQUIRE(f.run_until([&] { return f.desk.open_calls() == 2 + waiting; }));
+    REQUIRE(f.run_until([&] { return f.requests_at_servers() == 2; }));
+    f.desk.end_by(f.clock.now() + 100ms);
+    CHECK(f.all_answered());
+    CHECK(f.count_of("504") == 2);
+    CHECK(f.count_of("503") == waiting);
+}
+
+// Guards against a request that is broken off at a server at work, since its
+// instance takes itself for partitioned, and is answered on its own account.
+TEST_CASE("a request at a server at work stays there in a partition") {
+    noted_ends f(1);
+    f.send(caller_world::get());
+    REQUIRE(f.run_until([&] { return f.requests_at_servers() == 1; }));
+    f.desk.follow_reach(true);
+    f.run_for(50ms);
+    f.busy_server().send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    CHECK(f.all_answered());
+    CHECK(f.count_of("200") == 1);
+}
