soak, tests: a request that an instance read and ended fails the run

Output of child processes is read all the while by a thread each; lines request_ended go to one collector. The soak stops all instances in the end, reports every line by=instance as broken, and compares the lines of answered requests with the answers that callers got. Test programs fail where an instance that they started wrote by=instance. In the product's own protocol requests have no name in the log, so the soak compares counts, not names.

--- a/test/standin/fleet.cpp
+++ b/test/standin/fleet.cpp
@@ -204,13 +204,17 @@
     if (status_of(steer) != 200) {
         return false;
     }
-    auto call = call_to(by.caller_port(), "GET", "/" + service_name + "/");
-    return status_of(http_request_once(std::move(call))) == 200;
+    return status_of(read_once(by)) == 200;
 }
 
-std::string fleet::read_answer(const entry_instance_process& by) const {
-    const auto ended = http_request_once(
+io::http_call_result fleet::read_once(const entry_instance_process& by) const {
+    ++reads_;
+    return http_request_once(
         call_to(by.caller_port(), "GET", "/" + service_name + "/"));
+}
+
+std::string fleet::read_answer(const entry_instance_process& by) const {
+    const auto ended = read_once(by);
     if (!ended.response) {
         return to_string(ended.response.error());
     }
--- a/test/standin/fleet.hpp
+++ b/test/standin/fleet.hpp
@@ -143,6 +143,8 @@
     // How it answers the read by which serves() asks: status and reason.
     std::string read_answer(const entry_instance_process& by) const;
     void wait_until_serving();
+    // How many requests these have sent to instances.
+    std::size_t reads() const { return reads_; }
 
     // One call by way of that entry instance, waited for.
     io::http_call read_call(std::size_t instance) const;
@@ -155,7 +157,10 @@
                              const std::string& service = "desk") const;
 
 private:
+    io::http_call_result read_once(const entry_instance_process& by) const;
+
     fleet_options options_;
+    mutable std::size_t reads_ = 0;
     temporary_folder folder_;
     std::string history_file_;
     platform_process platform_;
--- a/test/standin/process.cpp
+++ b/test/standin/process.cpp
@@ -8,7 +8,6 @@
 #include <cstring>
 #include <fcntl.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -140,69 +139,40 @@
         become(path.c_str(), raw.data(), ends[1]);
     }
     close(ends[1]);
-    output_ = ends[0];
     if (id_ < 0) {
+        close(ends[0]);
         throw system_failure("fork");
     }
+    output_ = std::make_unique<process_output>(ends[0]);
 }
 
 child_process::~child_process() {
     if (id_ > 0) {
         kill();
     }
-    if (output_ >= 0) {
-        close(output_);
-    }
 }
 
 child_process::child_process(child_process&& other) noexcept
     : id_(std::exchange(other.id_, -1)),
-      output_(std::exchange(other.output_, -1)),
-      unread_(std::move(other.unread_)),
+      output_(std::move(other.output_)),
       ended_(other.ended_) {}
 
 child_process& child_process::operator=(child_process&& other) noexcept {
     std::swap(id_, other.id_);
     std::swap(output_, other.output_);
-    std::swap(unread_, other.unread_);
     std::swap(ended_, other.ended_);
     return *this;
 }
 
-// Reads what is there; false at the end of the output or of the time.
-bool child_process::fill(steady_clock::time_point until) {
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(until - steady_clock::now());
-    pollfd readable{output_, POLLIN, 0};
-    const auto wait_ms = static_cast<int>(std::max<long>(0, left.count()));
-    if (poll(&readable, 1, wait_ms) <= 0) {
-        return false;
-    }
-    char buffer[4096];
-    const auto count = read(output_, buffer, sizeof buffer);
-    if (count <= 0) {
-        return false;
-    }
-    unread_.append(buffer, static_cast<std::size_t>(count));
-    return true;
-}
-
 std::string child_process::read_line(milliseconds bound) {
-    const auto until = steady_clock::now() + bound;
-    for (;;) {
-        const auto end = unread_.find('\n');
-        if (end != std::string::npos) {
-            auto line = unread_.substr(0, end);
-            unread_.erase(0, end + 1);
-            return line;
-        }
-        if (!fill(until)) {
-            throw std::runtime_error(
-                "no line from process " + std::to_string(id_) +
-                (running() ? ", which runs"
-                           : ", exit code " + std::to_string(*ended_)));
-        }
+    auto line = output_->next_line(steady_clock::now() + bound);
+    if (!line) {
+        throw std::runtime_error(
+            "no line from process " + std::to_string(id_) +
+            (running() ? ", which runs"
+                       : ", exit code " + std::to_string(*ended_)));
     }
+    return std::move(*line);
 }
 
 nlohmann::json child_process::read_ready(milliseconds bound) {
@@ -214,10 +184,7 @@
 }
 
 std::string child_process::read_rest(milliseconds bound) {
-    const auto until = steady_clock::now() + bound;
-    while (fill(until)) {
-    }
-    return std::exchange(unread_, {});
+    return output_->rest(steady_clock::now() + bound);
 }
 
 void child_process::signal(int number) const {
@@ -227,7 +194,10 @@
 }
 
 std::optional<int> child_process::wait(milliseconds bound) {
-    wait_until([this] { return !running(); }, bound);
+    const auto until = steady_clock::now() + bound;
+    if (wait_until([this] { return !running(); }, bound)) {
+        output_->wait_for_end(until);
+    }
     return ended_;
 }
 
--- a/test/standin/process.hpp
+++ b/test/standin/process.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -9,6 +10,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "standin/process_output.hpp"
+
 namespace waxwingvale::standin {
 
 // Bounds on waiting in tests: far above what anything takes on a busy machine,
@@ -57,18 +60,16 @@
     // Sends a signal (SIGKILL, SIGTERM, SIGSTOP, SIGCONT).
     void signal(int number) const;
     // Waits for its end. The exit code, or 128 + signal when it was killed;
-    // nothing when it still runs after the bound.
+    // nothing when it still runs after the bound. What it has written is read
+    // by then.
     std::optional<int> wait(std::chrono::milliseconds bound = patience);
     bool running();
     // Kills it by SIGKILL and reaps it.
     void kill();
 
 private:
-    bool fill(std::chrono::steady_clock::time_point until);
-
     pid_t id_ = -1;
-    int output_ = -1;
-    std::string unread_;
+    std::unique_ptr<process_output> output_;
     std::optional<int> ended_;
 };
 
--- a/test/standin/run_history.cpp
+++ b/test/standin/run_history.cpp
@@ -81,4 +81,15 @@
         }));
 }
 
+sent_attempts run_history::attempts() const {
+    sent_attempts counted;
+    for (const auto& event : events_) {
+        if (event.at("event") == "answer") {
+            ++counted.sent;
+            counted.answered += event.at("status") == 0 ? 0 : 1;
+        }
+    }
+    return counted;
+}
+
 } // namespace waxwingvale::standin
--- a/test/standin/run_history.hpp
+++ b/test/standin/run_history.hpp
@@ -8,8 +8,14 @@
 
 namespace waxwingvale::standin {
 
+// What was sent to instances, and answered.
+struct sent_attempts {
+    std::size_t sent = 0;
+    std::size_t answered = 0;
+};
+
 // What stand-in backend servers wrote into their history file; it also holds
-// what those ran that have been killed.
+// what those ran that have been killed. Or what callers wrote into theirs.
 class run_history {
 public:
     explicit run_history(const std::string& file);
@@ -28,6 +34,8 @@
                         const std::string& backend_server) const;
     // Runs that ended so: "answered", "cancelled", "expired".
     std::size_t ended(const std::string& how) const;
+    // Of callers: each attempt of each call.
+    sent_attempts attempts() const;
 
 private:
     std::vector<nlohmann::json> events_;
--- a/test/standin/soak/soak_plan.cpp
+++ b/test/standin/soak/soak_plan.cpp
@@ -77,6 +77,13 @@
                        });
 }
 
+bool soak_plan::may_lose_lines() const {
+    return std::any_of(faults.begin(), faults.end(),
+                       [](const planned_fault& fault) {
+                           return fault.kind == fault_kind::kill_instance;
+                       });
+}
+
 soak_plan make_plan(std::uint64_t seed, milliseconds length) {
     dice roll(seed);
     soak_plan plan;
--- a/test/standin/soak/soak_plan.hpp
+++ b/test/standin/soak/soak_plan.hpp
@@ -54,6 +54,8 @@
     // Whether a caller may rightly be left without an answer: the process or
     // the link that held its request was taken away.
     bool may_lose_answers() const;
+    // Whether an instance may rightly be left no time to write its last lines.
+    bool may_lose_lines() const;
 };
 
 // The same seed makes the same plan on every machine. Faults overlap and come
--- a/test/standin/soak/soak_run.cpp
+++ b/test/standin/soak/soak_run.cpp
@@ -7,6 +7,8 @@
 #include <sstream>
 #include <thread>
 
+#include "standin/request_ends.hpp"
+
 namespace waxwingvale::standin {
 
 namespace {
@@ -34,6 +36,7 @@
       fleet_(options_of(plan)),
       told_to_stop_(plan.entry_instances),
       backend_down_(plan.backend_servers) {
+    request_ends::of_instances().clear(); // of an earlier plan
     make_relays();
     events_.write({{"event", "soak_began"}}); // so that there is a file
 }
@@ -128,6 +131,8 @@
     check_load(load);
     check_healed();
     check_history();
+    stop_all();
+    check_request_ends();
     return broken_;
 }
 
@@ -219,6 +224,62 @@
     }
 }
 
+// All have ended in order then, and written what they had to tell.
+void soak_run::stop_all() {
+    for (std::size_t i = 0; i < plan_.entry_instances; ++i) {
+        fleet_.instance(i).process().signal(SIGTERM);
+    }
+    for (std::size_t i = 0; i < plan_.entry_instances; ++i) {
+        check_end_of(fleet_.instance(i));
+    }
+}
+
+void soak_run::check_end_of(entry_instance_process& stopped) {
+    const auto code = stopped.process().wait();
+    if (!code) {
+        broke(stopped.name() + " does not end after SIGTERM");
+        return;
+    }
+    const bool in_order = *code == stopped_in_order || *code == stopped_late ||
+                          *code == 128 + SIGKILL;
+    if (!in_order) {
+        broke(stopped.name() + " ended by itself with code " +
+              std::to_string(*code));
+    }
+}
+
+// No fault explains such an end: the time that an instance has to stop is
+// longer than the time of any call and all faults of a plan, so that also one
+// that is stopped beside paused backend servers can answer all that it read.
+void soak_run::check_request_ends() {
+    auto& ends = request_ends::of_instances();
+    for (const auto& line : ends.take_instances_doing()) {
+        broke("an instance ended a request: " + line);
+    }
+    if (ends.lines_were_dropped()) {
+        summary_ += ", lines dropped, ends not counted";
+    } else if (plan_.may_lose_lines()) {
+        summary_ += ", instances killed, ends not counted";
+    } else {
+        check_count_of_ends();
+    }
+}
+
+// Each answer that a caller got has one line. Of other requests nobody can
+// tell here whether an instance read or answered them.
+void soak_run::check_count_of_ends() {
+    const auto lines = request_ends::of_instances().ended("answered");
+    const auto attempts = run_history(callers_file_).attempts();
+    const auto most = attempts.sent + fleet_.reads();
+    const auto told = std::to_string(lines) + " lines of answered requests, " +
+                      std::to_string(attempts.answered) + " answers, " +
+                      std::to_string(most) + " requests sent";
+    if (lines < attempts.answered || lines > most) {
+        broke("not one line for each request: " + told);
+    }
+    summary_ += ", " + told;
+}
+
 entry_instance_process& soak_run::instance(std::size_t target) {
     return fleet_.instance(target % plan_.entry_instances);
 }
@@ -257,18 +318,11 @@
     if (is_up(target) && !told_to_stop) {
         return;
     }
-    const auto code = each.process().wait();
-    if (!code) {
-        broke(each.name() + " does not end after SIGTERM");
+    check_end_of(each);
+    if (is_up(target)) {
         return;
     }
     told_to_stop = false;
-    const bool in_order = *code == stopped_in_order || *code == stopped_late ||
-                          *code == 128 + SIGKILL;
-    if (!in_order) {
-        broke(each.name() + " ended by itself with code " +
-              std::to_string(*code));
-    }
     each.start();
 }
 
--- a/test/standin/soak/soak_run.hpp
+++ b/test/standin/soak/soak_run.hpp
@@ -17,7 +17,7 @@
 
     // What was broken, in words; empty: nothing.
     std::vector<std::string> play();
-    // What callers got, for the report.
+    // What callers got, and what was not checked, for the report.
     const std::string& summary() const { return summary_; }
 
 private:
@@ -39,6 +39,10 @@
     void check_healed();
     void check_load(child_process& load);
     void check_history();
+    void stop_all();
+    void check_end_of(entry_instance_process& stopped);
+    void check_request_ends();
+    void check_count_of_ends();
     std::string events_of(const std::string& broken) const;
     void broke(const std::string& what) { broken_.push_back(what); }
 
