--- a/test/entry/ends_of_calls_test.cpp
+++ b/test/entry/ends_of_calls_test.cpp
@@ -197,3 +197,21 @@
     REQUIRE(f.ended.size() == 1);
     CHECK(f.ended[0].end == request_end::caller_left);
 }
+
+// Guards against requests that are held for a check beyond their time.
+TEST_CASE("requests that wait for a check are answered when their time ends") {
+    noted_ends f(1);
+    f.shorten_deadlines(100ms);
+    auto known = std::make_shared<view>();
+    known->config = std::make_shared<const configuration>(f.config);
+    f.reach.follow(known); // its servers are asked, and do not answer
+    f.send(caller_world::get());
+    REQUIRE(f.run_until([&] { return f.requests_at_servers() == 1; }));
+    f.busy_server().reset();
+    REQUIRE(f.run_until([&] { return f.reach.holds(); }));
+    f.send(caller_world::get());
+    CHECK(f.all_answered());
+    CHECK(f.count_of("504") == 1); // what its attempt means is open
+    CHECK(f.count_of("503") == 1);
+    f.check_nothing_open();
+}
