--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -107,7 +107,7 @@
         return;
     }
     if (call != nullptr && call->deadline <= timers_.now()) {
-        return_slot(service, action.request);
+        return_slot_later(service, action.request);
         if (id == action.request) {
             note(*call, "call_deadline_passed");
             finish(id, too_late(*call));
@@ -388,6 +388,18 @@
     desk_of(service).handle(ended);
 }
 
+// On the loop's next turn: the slot may go to a call that is over too, and to
+// the next one, as many as wait.
+void call_desk::return_slot_later(const std::string& service,
+                                  decision::request_id attempt) {
+    late_slots_.push_back({service, attempt});
+    late_slots_timer_ = timers_.after(duration::zero(), [this](time_point) {
+        for (const auto& each : std::exchange(late_slots_, {})) {
+            return_slot(each.service, each.attempt);
+        }
+    });
+}
+
 void call_desk::cancel_attempt(const std::string& service,
                                const running_attempt& attempt) {
     pool_.cancel(attempt.call);
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -101,6 +101,10 @@
 
 private:
     struct settle_call;
+    struct late_slot {
+        std::string service;
+        decision::request_id attempt = 0;
+    };
     struct admit_suspect;
 
     // One service: its scheduler and its budgets.
@@ -169,6 +173,8 @@
                    const backend_answer& answer);
     // The slot of an attempt that is not made, or no longer.
     void return_slot(const std::string& service, decision::request_id attempt);
+    void return_slot_later(const std::string& service,
+                           decision::request_id attempt);
     void cancel_attempt(const std::string& service,
                         const running_attempt& attempt);
     void cancel_attempts(call_record& call);
@@ -250,6 +256,8 @@
     view_ptr view_;
     std::map<std::string, service_part> services_;
     std::map<std::string, bool> reachable_; // peers, by member name
+    std::vector<late_slot> late_slots_;     // see return_slot_later()
+    kernel::timer_service::subscription late_slots_timer_;
     decision::request_id next_id_ = 1;
     std::unordered_map<decision::request_id, call_record> calls_;
     // The scheduler's number of each hedge, and the call it belongs to.
