forwarding, entry: a connection that fails at once counts as a failure

Callers of an instance cut from all backend servers, where connect() itself fails (refused, or no route), saw none of their requests served: in the new test with five real instances the two cut ones served 0 of their reads and 0 of their bookings for the 3 s after the time to notice, with each of ECONNREFUSED, ENETUNREACH and EHOSTUNREACH.

Cause: backend_pool gave the result of such a call no moment at which a connection was begun, and reach_watch took that for a limit of this process: judge() said "of the server" without a check, and where something else began one, all of its questions failed the same way, so that it ended as one that could ask nobody. Nor was a refusal at once told as one. Class: two causes told by the same absence.

Now the error's code tells them: start_connect names limits of this machine (descriptors, ports, memory) resource_exhausted and a refusal refused; the result has its moment in either case. A refused connection of one server that has ended is judged as before, by a check that others answer.

Two tests of the pool, red before: no route (a broadcast address, to which the system connects without sending anything) and no descriptor left.

--- a/include/waxwingvale/forwarding/backend_call.hpp
+++ b/include/waxwingvale/forwarding/backend_call.hpp
@@ -63,7 +63,8 @@
     bool sent = false;
     // The answer came in part: its status and headers are in `partial`.
     std::optional<io::http_response> partial;
-    // When the connection was begun on which it went; zero: there was none.
+    // When the connection was begun on which it went, or one was refused at
+    // once.
     time_point connecting_began{};
 };
 
--- a/src/entry/reach_watch.cpp
+++ b/src/entry/reach_watch.cpp
@@ -27,10 +27,9 @@
 // An answer that has come so lately tells a peer that servers answer here.
 constexpr duration lately = 200ms;
 
-// Whether a server may be the reason, or the way to it; none of our own.
+// Whether a server may be the reason, or the way to it; no limit of our own.
 bool is_failure(const forwarding::backend_result& ended) {
-    const bool none_begun = ended.connecting_began == time_point{};
-    if (ended.response || none_begun) {
+    if (ended.response) {
         return false;
     }
     switch (ended.response.error().code) {
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -138,8 +138,8 @@
 }
 
 void backend_pool::state::fail_soon(call_id id, error why) {
-    loop.defer([this, id, why = std::move(why)] {
-        finish(id, {why, false, std::nullopt, {}});
+    loop.defer([this, id, why = std::move(why), began = timers.now()] {
+        finish(id, {why, false, std::nullopt, began});
     });
 }
 
--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -29,7 +29,25 @@
     }
 };
 
-error socket_error(const char* step, const std::string& peer, int number) {
+// A limit of this process or its machine, which shows nothing of a peer.
+bool is_own_limit(int number) {
+    return number == EMFILE || number == ENFILE || number == ENOBUFS ||
+           number == ENOMEM || number == EADDRNOTAVAIL || number == EAGAIN;
+}
+
+error_code code_of_connect(int number) {
+    if (is_own_limit(number)) {
+        return error_code::resource_exhausted;
+    }
+    return number == ECONNREFUSED ? error_code::refused
+                                  : error_code::unavailable;
+}
+
+error connect_error(const char* step, const std::string& peer, int number) {
+    return {code_of_connect(number), step, peer, std::strerror(number)};
+}
+
+error listen_error(const char* step, const std::string& peer, int number) {
     return {error_code::unavailable, step, peer, std::strerror(number)};
 }
 
@@ -104,7 +122,7 @@
         ::socket(address.value().generic()->sa_family,
                  SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
-        return socket_error("open socket", peer, errno);
+        return connect_error("open socket", peer, errno);
     }
     set_no_delay(descriptor);
     if (::connect(descriptor, address.value().generic(),
@@ -112,7 +130,7 @@
         errno != EINPROGRESS) {
         const int number = errno;
         ::close(descriptor);
-        return socket_error("connect", peer, number);
+        return connect_error("connect", peer, number);
     }
     return descriptor;
 }
@@ -127,7 +145,7 @@
         ::socket(where.value().generic()->sa_family,
                  SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
-        return socket_error("open socket", peer, errno);
+        return listen_error("open socket", peer, errno);
     }
     const int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -135,7 +153,7 @@
         ::listen(descriptor, listen_backlog) != 0) {
         const int number = errno;
         ::close(descriptor);
-        return socket_error("listen", peer, number);
+        return listen_error("listen", peer, number);
     }
     return descriptor;
 }
--- a/src/io/stream_socket.hpp
+++ b/src/io/stream_socket.hpp
@@ -95,7 +95,9 @@
 // to an instance that lost its power is open for many minutes.
 void limit_silence(int descriptor, duration limit);
 
-// Starts connecting to an IP number; the descriptor, or why it cannot be.
+// Starts connecting to an IP number; the descriptor, or why it cannot be:
+// resource_exhausted at a limit of this machine, which shows nothing of the
+// peer, and refused where nothing listens.
 result<int> start_connect(const std::string& host, std::uint16_t port);
 
 // A listening socket at an IP number.
--- a/test/forwarding/backend_pool_test.cpp
+++ b/test/forwarding/backend_pool_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <sys/resource.h>
 #include <waxwingvale/forwarding/backend_pool.hpp>
 
 #include "standin/raw_peer.hpp"
@@ -270,3 +271,35 @@
           error_code::resource_exhausted);
     CHECK(fixture.server.count() == 1);
 }
+
+TEST_CASE("a connection that fails at once was begun") {
+    // Guards against a host without a route that is taken for a limit of this
+    // process, which says nothing of the way to servers. The system connects
+    // to no broadcast address and sends nothing there.
+    pooled fixture;
+    auto call = fixture.call();
+    call.host = "255.255.255.255";
+    const auto before = fixture.timers.now();
+    fixture.send(call);
+    REQUIRE(fixture.await_end());
+    CHECK_FALSE(fixture.ended->sent);
+    CHECK(fixture.ended->response.error().code == error_code::unavailable);
+    CHECK(fixture.ended->connecting_began >= before);
+    CHECK(fixture.pool.counters().connections_failed == 1);
+}
+
+TEST_CASE("a full table of descriptors is a limit of this process") {
+    // Guards against a server that is believed to be gone since this process
+    // has no descriptor left for it.
+    pooled fixture;
+    rlimit before{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+    const rlimit none_left{0, before.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &none_left) == 0);
+    fixture.send(fixture.call());
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &before) == 0);
+    REQUIRE(fixture.await_end());
+    CHECK_FALSE(fixture.ended->sent);
+    CHECK(fixture.ended->response.error().code ==
+          error_code::resource_exhausted);
+}
--- a/test/platform/ending_servers.cpp
+++ b/test/platform/ending_servers.cpp
@@ -36,8 +36,9 @@
 
 ending_servers::ending_servers(std::size_t instance_count,
                                std::size_t server_count, const json& budgets,
-                               const std::vector<std::string>& zones)
-    : instances(instance_count, zones, store.port(), budgets) {
+                               const std::vector<std::string>& zones,
+                               const std::string& program)
+    : instances(instance_count, zones, store.port(), budgets, program) {
     store.write(operator_text());
     for (std::size_t each = 0; each < server_count; ++each) {
         servers.push_back(std::make_unique<ending_server>(
--- a/test/platform/ending_servers.hpp
+++ b/test/platform/ending_servers.hpp
@@ -33,7 +33,8 @@
     explicit ending_servers(std::size_t instance_count = 4,
                             std::size_t server_count = 8,
                             const nlohmann::json& budgets = {},
-                            const std::vector<std::string>& zones = {"north"});
+                            const std::vector<std::string>& zones = {"north"},
+                            const std::string& program = shipped_program);
 
     // A request to be sent, by the name under which its answers are counted.
     struct request {
--- a/test/platform/instance_group.cpp
+++ b/test/platform/instance_group.cpp
@@ -1,6 +1,7 @@
 #include "platform/instance_group.hpp"
 
 #include <algorithm>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -8,10 +9,12 @@
 
 instance_group::instance_group(std::size_t count,
                                std::vector<std::string> zones,
-                               std::uint16_t store_port, nlohmann::json budgets)
+                               std::uint16_t store_port, nlohmann::json budgets,
+                               std::string program)
     : zones_(std::move(zones)),
       store_port_(store_port),
       budgets_(std::move(budgets)),
+      program_(std::move(program)),
       ports_(count) {}
 
 void instance_group::start() {
@@ -29,6 +32,17 @@
     processes_.at(number) = launch(number);
 }
 
+void instance_group::fail_connects(std::size_t number, int error_number,
+                                   const std::vector<std::uint16_t>& to) {
+    auto text = std::to_string(error_number);
+    for (const auto port : to) {
+        text += " " + std::to_string(port);
+    }
+    const auto name = std::to_string(number) + ".json.connects";
+    const auto written = folder_.write(name + ".new", text);
+    std::filesystem::rename(written, folder_.file(name));
+}
+
 std::string instance_group::settings_of(std::size_t number) const {
     constexpr std::size_t most_seeds = 2;
     auto seeds = nlohmann::json::array();
@@ -70,8 +84,7 @@
     const auto file =
         folder_.write(std::to_string(number) + ".json", settings_of(number));
     return std::make_unique<standin::child_process>(
-        "waxwing-platform-node",
-        std::vector<std::string>{"--settings=" + file});
+        program_, std::vector<std::string>{"--settings=" + file});
 }
 
 std::unique_ptr<standin::child_process>
--- a/test/platform/instance_group.hpp
+++ b/test/platform/instance_group.hpp
@@ -12,6 +12,10 @@
 
 namespace waxwingvale::platform {
 
+constexpr const char* shipped_program = "waxwing-platform-node";
+// The same, but connections fail where it is told so.
+constexpr const char* cut_node = "standin-cut-node";
+
 // Instances as the platform starts them, each a process of its own, spread over
 // zones. Each zone is a region of its own.
 class instance_group {
@@ -23,7 +27,8 @@
 
     // `budgets` are merged into the settings of the deployment.
     instance_group(std::size_t count, std::vector<std::string> zones,
-                   std::uint16_t store_port, nlohmann::json budgets = {});
+                   std::uint16_t store_port, nlohmann::json budgets = {},
+                   std::string program = shipped_program);
 
     std::size_t size() const { return ports_.size(); }
     std::uint16_t caller_port(std::size_t number) const {
@@ -36,6 +41,11 @@
     void start();
     // Kills an instance's process and starts it again.
     void restart(std::size_t number);
+    // Making a connection to these ports fails at once with that error of the
+    // system, also after a restart, until no ports are given. Only a cut_node
+    // does so.
+    void fail_connects(std::size_t number, int error_number,
+                       const std::vector<std::uint16_t>& to);
     // Starts an instance whose process has ended, and does not wait for it.
     void start_again(std::size_t number);
 
@@ -48,6 +58,7 @@
     std::vector<std::string> zones_;
     std::uint16_t store_port_;
     nlohmann::json budgets_;
+    std::string program_;
     std::vector<ports> ports_;
     standin::temporary_folder folder_;
     std::vector<std::unique_ptr<standin::child_process>> processes_;
--- a/test/platform/partition_test.cpp
+++ b/test/platform/partition_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <string>
 
 #include "platform/partitioned_instances.hpp"
@@ -40,9 +41,8 @@
     CHECK(played.served_bookings(phase, played.others({})) >= least_served);
 }
 
-void play_partition(partitioned_instances& played, const numbers& cut,
-                    sender_cut how) {
-    played.cut(cut, how);
+// Of instances that have just been cut.
+void play_partition(partitioned_instances& played, const numbers& cut) {
     played.play("noticing", noticed_within);
     played.play("partitioned", 3s);
     played.heal(cut);
@@ -54,6 +54,12 @@
     CHECK(played.refused_for_good() == 0);
 }
 
+void play_partition(partitioned_instances& played, const numbers& cut,
+                    sender_cut how) {
+    played.cut(cut, how);
+    play_partition(played, cut);
+}
+
 } // namespace
 
 TEST_CASE("instances whose connections to servers are reset serve by others") {
@@ -75,6 +81,17 @@
     play_partition(played, {2, 4}, sender_cut::new_resets);
 }
 
+TEST_CASE("instances whose connections to servers fail at once serve by "
+          "others") {
+    // Guards against a failure to connect, known before anything is sent, that
+    // is taken for none: refused, or no route to the network or the host.
+    const int error_number = GENERATE(ECONNREFUSED, ENETUNREACH, EHOSTUNREACH);
+    partitioned_instances played({"north"}, cut_node);
+    const numbers cut{0, 3};
+    played.cut_at_connect(cut, error_number);
+    play_partition(played, cut);
+}
+
 TEST_CASE("a data centre that reaches no server serves by others") {
     // Guards against an overload of the few that are left.
     const auto how = GENERATE(sender_cut::reset, sender_cut::silence);
--- a/test/platform/partitioned_instances.cpp
+++ b/test/platform/partitioned_instances.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 partitioned_instances::partitioned_instances(
-    const std::vector<std::string>& zones)
-    : world(instance_count, server_count, {}, zones) {
+    const std::vector<std::string>& zones, const std::string& program)
+    : world(instance_count, server_count, {}, zones, program) {
     for (auto& server : world.servers) {
         server->who_connects = [this, at = server.get()](std::uint16_t port) {
             std::vector<pid_t> processes;
@@ -55,8 +55,21 @@
     }
 }
 
+void partitioned_instances::cut_at_connect(const numbers& which,
+                                           int error_number) {
+    std::vector<std::uint16_t> ports;
+    for (const auto& server : world.servers) {
+        ports.push_back(server->port());
+    }
+    for (const auto each : which) {
+        world.instances.fail_connects(each, error_number, ports);
+    }
+    cut(which, sender_cut::reset);
+}
+
 void partitioned_instances::heal(const numbers& which) {
     for (const auto each : which) {
+        world.instances.fail_connects(each, 0, {});
         for (auto& server : world.servers) {
             server->heal(each);
         }
--- a/test/platform/partitioned_instances.hpp
+++ b/test/platform/partitioned_instances.hpp
@@ -15,11 +15,15 @@
 // each instance all the while.
 class partitioned_instances {
 public:
-    explicit partitioned_instances(const std::vector<std::string>& zones = {
-                                       "north"});
+    explicit partitioned_instances(
+        const std::vector<std::string>& zones = {"north"},
+        const std::string& program = shipped_program);
 
     using numbers = std::set<std::size_t>; // of instances
     void cut(const numbers& which, sender_cut how);
+    // Their open connections to servers are reset, and making one fails at
+    // once with that error of the system. Only with cut_node.
+    void cut_at_connect(const numbers& which, int error_number);
     void heal(const numbers& which);
 
     // Sends for that long, and tells by its name what became of it.
