entry: an instance that starts partitioned refuses what it has not sent

Callers of an instance that starts while it reaches no backend server saw 502, of unknown outcome, for about a second, reads too.

Cause: a verdict needs the word of a peer, and none is linked yet. The check settled nothing after 250 ms, and for the next second nothing waited for one: requests were sent on connections that open and are reset, and a sent request without an answer is of unknown outcome. By the code, requests whose connection was never made were said to be "not run" (503) before too.

Now an instance that no server has ever answered, and that had no link to a peer when the check began, goes on with checks for at most 2 s from its first failure. What has not been sent waits for the first check and is then refused as not run, to come back in 250 ms; a request handed on by a peer is not taken. Each peer is asked as soon as it is linked. A server's answer ends it at once, and never again does it begin in that process. "Not run" holds, as such a request reaches no queue of slots; one that was sent before keeps its unknown outcome.

--- a/include/waxwingvale/decision/reach_monitor.hpp
+++ b/include/waxwingvale/decision/reach_monitor.hpp
@@ -40,6 +40,9 @@
     // While no server answers anybody, checks begin at most so often, and
     // nothing waits for them.
     duration unproven_pause = std::chrono::seconds(1);
+    // How long an instance that no server has ever answered waits for its first
+    // link to a peer, and refuses what it would send.
+    duration first_peer_within = std::chrono::seconds(2);
     // Servers must answer for so long before a partitioned instance uses them
     // again, twice as long after each return that did not last.
     duration return_after = std::chrono::milliseconds(500);
@@ -62,10 +65,13 @@
     bool holds() const {
         return reach_ == backend_reach::doubtful && !unproven_;
     }
+    // Whether what would be sent is refused instead: no server has ever
+    // answered, a check has failed, and no peer is linked that could tell why.
+    bool refuses() const { return holds() && lacks_peers_; }
     // Whether a check is to be begun, or begun anew: servers are asked over new
     // connections, and peers whether servers answer them.
     bool wants_check(time_point now) const;
-    void on_check_begun(time_point now);
+    void on_check_begun(time_point now, bool has_peers = true);
 
     // An attempt got no answer.
     failure_meaning on_failure(failure_kind kind, time_point now);
@@ -86,6 +92,8 @@
     failure_meaning settled_as() const;
 
 private:
+    bool awaits_first_peer(time_point now) const;
+    void end_late_check(time_point now);
     void settle(time_point now);
     void become_partitioned(time_point now);
     void return_to_servers(time_point now);
@@ -99,6 +107,8 @@
     bool servers_failed_ = false; // all that the check asked
     bool peer_in_touch_ = false;  // since the check began
     bool unproven_ = false;       // the last check settled nothing
+    bool has_peers_ = true;       // when the check began
+    bool lacks_peers_ = false;    // the last check failed without any
     time_point doubt_began_{};
     std::optional<time_point> answers_since_; // while partitioned
     std::optional<time_point> returned_;
--- a/src/decision/reach_monitor.cpp
+++ b/src/decision/reach_monitor.cpp
@@ -35,8 +35,10 @@
     return false;
 }
 
-void reach_monitor::on_check_begun(time_point now) {
+void reach_monitor::on_check_begun(time_point now, bool has_peers) {
     check_began_ = now;
+    has_peers_ = has_peers;
+    lacks_peers_ = lacks_peers_ && !has_peers;
     check_running_ = true;
     servers_failed_ = false;
     peer_in_touch_ = false;
@@ -46,6 +48,9 @@
     if (reach_ == backend_reach::partitioned) {
         return failure_meaning::of_partition;
     }
+    if (refuses()) {
+        return failure_meaning::unproven;
+    }
     if (holds()) {
         return failure_meaning::open;
     }
@@ -62,6 +67,7 @@
     reach_ = backend_reach::doubtful;
     doubt_began_ = now;
     check_running_ = false;
+    lacks_peers_ = false;
     return unproven_ ? failure_meaning::unproven : failure_meaning::open;
 }
 
@@ -143,12 +149,26 @@
     servers_failed_ = true;
     settle(now);
     if (reach_ == backend_reach::doubtful) {
+        end_late_check(now);
+    }
+}
+
+// No server has answered in time, nor any peer.
+void reach_monitor::end_late_check(time_point now) {
+    check_running_ = false;
+    lacks_peers_ = awaits_first_peer(now);
+    if (!lacks_peers_) {
         reach_ = backend_reach::in_touch;
-        check_running_ = false;
         unproven_ = true;
     }
 }
 
+bool reach_monitor::awaits_first_peer(time_point now) const {
+    const bool never_answered = !proven_;
+    const bool is_early = now - doubt_began_ < limits_.first_peer_within;
+    return never_answered && !has_peers_ && !unproven_ && is_early;
+}
+
 void reach_monitor::become_partitioned(time_point now) {
     const bool returned_lately =
         returned_ && now - *returned_ < limits_.lasting_return;
@@ -172,7 +192,8 @@
     case backend_reach::partitioned:
         return failure_meaning::of_partition;
     case backend_reach::doubtful:
-        return unproven_ ? failure_meaning::unproven : failure_meaning::open;
+        return unproven_ || refuses() ? failure_meaning::unproven
+                                      : failure_meaning::open;
     case backend_reach::in_touch:
         return unproven_ ? failure_meaning::unproven
                          : failure_meaning::of_server;
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -57,6 +57,10 @@
         serve_by_detour(call);
         return;
     }
+    if (reach_.refuses()) {
+        refuse_unreached(call);
+        return;
+    }
     if (reach_.holds()) {
         wait_for_check(call);
         return;
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -185,6 +185,7 @@
 
     // call_detours.cpp: service by way of other instances
     void wait_for_check(call_record& call);
+    void refuse_unreached(call_record& call);
     void serve_by_detour(call_record& call);
     void replace_by_detour(call_record& call);
     void send_to(const member& by, call_record& call);
--- a/src/entry/call_detours.cpp
+++ b/src/entry/call_detours.cpp
@@ -19,6 +19,16 @@
 // The way to the other instance and back, by which it must be done earlier.
 constexpr duration detour_margin = 10ms;
 
+// By then a peer may be linked that can serve the request.
+constexpr duration retry_after_first_check = 250ms;
+
+own_answer none_reached() {
+    own_answer answer;
+    answer.reason = "no-server-and-no-peer";
+    answer.retry_after = retry_after_first_check;
+    return answer;
+}
+
 own_answer nobody_serves() {
     own_answer answer;
     answer.reason = "no-instance-in-touch";
@@ -51,12 +61,18 @@
     if (call.detoured_for.empty()) {
         return;
     }
-    const bool not_taken =
-        outcome == run_outcome::not_run && reach_.partitioned();
+    const bool not_taken = outcome == run_outcome::not_run &&
+                           (reach_.partitioned() || reach_.refuses());
     add_outcome_header(answer.headers, not_taken ? detour_outcome::not_taken
                                                  : to_detour_outcome(outcome));
 }
 
+// No server has answered this instance yet, and no other can serve the call.
+void call_desk::refuse_unreached(call_record& call) {
+    note(call, "call_reaches_nobody");
+    finish(call.id, none_reached());
+}
+
 // Queues the call's attempt once it is known whether servers can be reached.
 void call_desk::wait_for_check(call_record& call) {
     call.waits_for_check = true;
--- a/src/entry/reach_watch.cpp
+++ b/src/entry/reach_watch.cpp
@@ -59,6 +59,11 @@
                                        const std::vector<std::uint8_t>& bytes) {
         take(peer, bytes);
     });
+    hub_.on_link_change([this](const std::string& peer, bool up) {
+        if (up) {
+            ask_newcomer(peer);
+        }
+    });
 }
 
 void reach_watch::follow(view_ptr now) {
@@ -161,7 +166,8 @@
 }
 
 void reach_watch::settle_waiting() {
-    if (monitor_.holds() || waiting_.empty()) {
+    const bool is_open = monitor_.holds() && !monitor_.refuses();
+    if (is_open || waiting_.empty()) {
         return;
     }
     const auto meaning = monitor_.settled_as();
@@ -189,7 +195,7 @@
     checks_.add();
     ++round_;
     end_asking();
-    monitor_.on_check_begun(now);
+    monitor_.on_check_begun(now, !hub_.connected_peers().empty());
     check_began_ = now;
     last_tick_ = now;
     peers_asked_ = false;
@@ -280,9 +286,19 @@
         return;
     }
     peers_asked_ = true;
-    const auto question = encode(reach_message{round_, true});
     for (const auto& peer : hub_.connected_peers()) {
-        hub_.send(peer, reach_kind, question);
+        ask_peer(peer);
+    }
+}
+
+void reach_watch::ask_peer(const std::string& peer) {
+    hub_.send(peer, reach_kind, encode(reach_message{round_, true}));
+}
+
+// A peer that was linked after the others were asked.
+void reach_watch::ask_newcomer(const std::string& peer) {
+    if (peers_asked_ && monitor_.reach() == backend_reach::doubtful) {
+        ask_peer(peer);
     }
 }
 
--- a/src/entry/reach_watch.hpp
+++ b/src/entry/reach_watch.hpp
@@ -36,6 +36,8 @@
     }
     // Whether what would be sent to servers is to wait; see when_settled().
     bool holds() const { return monitor_.holds(); }
+    // Whether it is refused instead, as nobody is there who could serve it.
+    bool refuses() const { return monitor_.refuses(); }
 
     void follow(view_ptr now);
 
@@ -47,7 +49,8 @@
     // The same of a call for which nobody waits any longer.
     decision::failure_meaning on_silence(const std::string& backend_server,
                                          settled_handler when_settled);
-    // Calls it when the check that is under way has ended.
+    // Calls it when the check that is under way has ended, or what waits for it
+    // is refused.
     void when_settled(settled_handler handler);
     // Called when this instance has become partitioned, or is no more.
     void on_change(std::function<void(bool partitioned)> handler) {
@@ -70,6 +73,8 @@
     void end_ask(std::uint64_t number, const std::string& backend_server,
                  const forwarding::backend_result& ended);
     void ask_peers();
+    void ask_peer(const std::string& peer);
+    void ask_newcomer(const std::string& peer);
     void take(const std::string& peer, const std::vector<std::uint8_t>& bytes);
     void answer_peers();
     bool answered_lately() const;
--- a/test/partitions/reach_monitor_test.cpp
+++ b/test/partitions/reach_monitor_test.cpp
@@ -103,6 +103,60 @@
     CHECK(monitor.on_failure(lost, start + 4s) == failure_meaning::open);
 }
 
+// Guards against requests that are sent in vain by an instance that starts
+// partitioned, before it has a link to the peer that shows so.
+TEST_CASE("an instance that nobody has answered refuses while it has no peer") {
+    reach_monitor monitor({});
+    monitor.on_failure(lost, start);
+    monitor.on_check_begun(start, false);
+    monitor.on_check_failed(start + 5ms);
+    CHECK(monitor.holds());
+    CHECK_FALSE(monitor.refuses());
+    monitor.tick(start + 260ms);
+    CHECK(monitor.refuses());
+    CHECK(monitor.settled_as() == failure_meaning::unproven);
+    CHECK(monitor.on_failure(lost, start + 260ms) == failure_meaning::unproven);
+    REQUIRE(monitor.wants_check(start + 260ms));
+    monitor.on_check_begun(start + 260ms, false);
+    CHECK(monitor.refuses());
+    const bool by_peer = GENERATE(true, false);
+    if (by_peer) {
+        monitor.on_check_failed(start + 265ms);
+        monitor.on_peer_in_touch(start + 300ms);
+        CHECK(monitor.reach() == backend_reach::partitioned);
+    } else {
+        monitor.on_answer(start + 261ms, start + 262ms);
+        CHECK(monitor.reach() == backend_reach::in_touch);
+        CHECK(monitor.settled_as() == failure_meaning::of_server);
+    }
+    CHECK_FALSE(monitor.refuses());
+}
+
+// Guards against a refusal of all where servers are down, or have no health to
+// tell, and where a link is lost later.
+TEST_CASE("nothing is refused for want of peers for long, or later") {
+    const bool answered_before = GENERATE(true, false);
+    const bool linked = GENERATE(true, false);
+    reach_monitor monitor({});
+    if (answered_before) {
+        monitor.on_answer(start - 1s, start - 1s);
+    }
+    monitor.on_failure(failure_kind::unconnected, start);
+    auto now = start;
+    for (; now < start + 3s; now += 20ms) {
+        if (monitor.wants_check(now)) {
+            monitor.on_check_begun(now, linked);
+        }
+        monitor.tick(now);
+        if (answered_before || linked) {
+            CHECK_FALSE(monitor.refuses());
+        }
+    }
+    CHECK(monitor.reach() == backend_reach::in_touch);
+    CHECK_FALSE(monitor.refuses());
+    CHECK(monitor.on_failure(lost, now) == failure_meaning::unproven);
+}
+
 // Guards against a question of a peer that holds up requests here.
 TEST_CASE("a peer's question begins a check for which nothing waits") {
     reach_monitor monitor({});
--- a/test/platform/instance_group.hpp
+++ b/test/platform/instance_group.hpp
@@ -34,6 +34,9 @@
     std::uint16_t caller_port(std::size_t number) const {
         return ports_.at(number).caller;
     }
+    std::uint16_t control_port(std::size_t number) const {
+        return ports_.at(number).control;
+    }
     standin::child_process& process(std::size_t number) {
         return *processes_.at(number);
     }
--- a/test/platform/partition_test.cpp
+++ b/test/platform/partition_test.cpp
@@ -190,3 +190,63 @@
     check_served(played, "partitioned", cut);
     CHECK(played.booked_twice() == 0);
 }
+
+TEST_CASE(
+    "an instance that starts while it is cut answers what it did not send "
+    "as not run") {
+    // Guards against requests that are sent in vain, and so are of unknown
+    // outcome, until the first link to a peer is open.
+    partitioned_instances played({"north"}, cut_node);
+    auto& instances = played.world.instances;
+    const bool fails_at_once = GENERATE(false, true);
+    std::vector<std::uint16_t> servers;
+    for (const auto& each : played.world.servers) {
+        if (fails_at_once) {
+            servers.push_back(each->port());
+        }
+    }
+    auto unreached = servers; // peers too, at first
+    for (std::size_t each = 1; each < instances.size(); ++each) {
+        unreached.push_back(instances.control_port(each));
+    }
+    played.cut({0}, sender_cut::reset);
+    instances.fail_connects(0, ECONNREFUSED, unreached);
+    instances.process(0).kill();
+    // Until peers look for it every other second only.
+    played.world.go_on(4s);
+    instances.start_again(0);
+    instances.process(0).read_ready();
+    const ending_servers::request read{"read", "a.example", "/look/1",
+                                       "GET",  {},          {}};
+    const ending_servers::request booking{"booking", "a.example", "/book/1",
+                                          "POST",    {},          "one"};
+    {
+        const auto sending = played.world.timers.every(10ms, [&](time_point) {
+            played.world.send(read, 0);
+            played.world.send(booking, 0);
+        });
+        played.world.go_on(1s);
+        instances.fail_connects(0, ECONNREFUSED, servers);
+        played.world.go_on(3s);
+    }
+    played.world.go_on(850ms);
+    // Before the first of them has failed.
+    const unsigned sent_at_first = fails_at_once ? 0 : 12;
+    const auto& reads = played.world.sent["read"].answers;
+    const auto& bookings = played.world.sent["booking"].answers;
+    const auto count = [](const auto& answers, unsigned status) {
+        const auto found = answers.find(status);
+        return found == answers.end() ? 0U : found->second;
+    };
+    const auto unknown = count(reads, 502) + count(reads, 504) +
+                         count(reads, 0) + count(bookings, 502) +
+                         count(bookings, 504) + count(bookings, 0);
+    INFO("of unknown outcome " << unknown << ", refused " << count(reads, 503)
+                               << " reads and " << count(bookings, 503)
+                               << " bookings, served " << count(reads, 200)
+                               << " and " << count(bookings, 200));
+    CHECK(unknown <= sent_at_first);
+    CHECK(count(reads, 200) > 0);
+    CHECK(count(bookings, 200) > 0);
+    CHECK(played.booked_twice() == 0);
+}
