--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -32,9 +32,9 @@
 constexpr number_range watch_range{50, 60'000};     // ms
 constexpr number_range keep_range{100, 3'600'000};  // ms
 constexpr number_range data_centre_count{0, 256};
-constexpr fraction_range budget_range{0., 1.};     // of first attempts
-constexpr number_range window_range{100, 600'000}; // ms
-constexpr number_range extra_range{0, 100'000};    // attempts
+constexpr fraction_range budget_range{0., 1.};      // of first attempts
+constexpr number_range window_range{100, 600'000};  // ms
+constexpr fraction_range extra_range{0., 100'000.}; // attempts
 constexpr fraction_range overage_range{0., 1000.};
 constexpr fraction_range slack_range{0., 100'000.}; // requests a second
 constexpr fraction_range probe_range{0., 1000.};    // a second and server
@@ -230,8 +230,9 @@
         reader.fraction_or("repeats", budget_range, budgets.repeats);
     budgets.repeat_window = reader.milliseconds_or(
         "repeat_window_ms", window_range, budgets.repeat_window);
+    // A part of an attempt allows none.
     budgets.repeat_extra = static_cast<unsigned>(
-        reader.number_or("repeat_extra", extra_range, budgets.repeat_extra));
+        reader.fraction_or("repeat_extra", extra_range, budgets.repeat_extra));
     budgets.hedges = reader.fraction_or("hedges", budget_range, budgets.hedges);
     budgets.probes =
         reader.fraction_or("probes_per_second", probe_range, budgets.probes);
--- a/test/platform/settings_template_test.cpp
+++ b/test/platform/settings_template_test.cpp
@@ -88,3 +88,14 @@
     CHECK(read.value().deployment.cold_overage == 1.5);
     CHECK(read.value().deployment.cold_slack == 8);
 }
+
+// Guards against instances that do not start, since a figure of the deployment
+// that is a share of another one is no whole number.
+TEST_CASE("a budget of repeats that is no whole number is rounded down") {
+    auto fields = machine_fields();
+    fields["Bounds"]["RetryBudgetExtra"] = 22.093;
+    const auto text = render_template(settings_template(), fields);
+    const auto read = program::parse_settings(text, "local.toml");
+    REQUIRE(read.has_value());
+    CHECK(read.value().deployment.budgets.repeat_extra == 22);
+}
