--- a/include/waxwingvale/forwarding/backend_pool.hpp
+++ b/include/waxwingvale/forwarding/backend_pool.hpp
@@ -44,6 +44,9 @@
     void cancel(call_id call);
     // Whether a byte of the call's request has left; false once it has ended.
     bool sent(call_id call) const;
+    // Whether the call is open and no byte of it has left, so that it has not
+    // run if it is cancelled now.
+    bool unsent(call_id call) const;
     // Holds back, or goes on reading, the answer of that call.
     void pause(call_id call);
     void resume(call_id call);
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -265,8 +265,12 @@
     if (waits_for_key) {
         keys_.on_waiter_gone(call->key->key, id);
     }
-    const bool sent =
-        call->running || call->hedge || call->detour || waits_for_key;
+    // The meaning of an attempt that has ended may be open yet.
+    const auto may_run = [this](const std::optional<running_attempt>& attempt) {
+        return attempt && !pool_.unsent(attempt->call);
+    };
+    const bool sent = may_run(call->running) || may_run(call->hedge) ||
+                      call->detour || waits_for_key;
     const bool stops = ends_with_stop(*call);
     note(*call, stops ? "call_ended_by_stop" : "call_deadline_passed");
     if (call->answering) {
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -287,6 +287,10 @@
            found->second.connection->sent();
 }
 
+bool backend_pool::unsent(call_id call) const {
+    return state_->calls.count(call) != 0 && !sent(call);
+}
+
 void backend_pool::pause(call_id call) {
     const auto found = state_->calls.find(call);
     if (found != state_->calls.end() && found->second.connection) {
--- a/test/entry/ends_of_calls_test.cpp
+++ b/test/entry/ends_of_calls_test.cpp
@@ -112,6 +112,7 @@
     f.callers.ask_to_close();
     f.desk.end_by(f.clock.now() + 100ms);
     CHECK(f.all_answered());
+    INFO("requests sent to servers: " << f.requests_at_servers());
     CHECK(f.count_of("504") == 3); // two at work, and one copy
     CHECK(f.count_of("503") == 2);
     f.check_nothing_open();
