--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -113,7 +113,7 @@
         service_policies policies;
     };
 
-    // call_desk.cpp: from arrival to answer
+    // call_desk.cpp: arrival
     call_record* find(decision::request_id id);
     void take(forwarding::caller_exchange_ptr caller,
               const std::optional<detour_request>& detoured);
@@ -124,26 +124,28 @@
     void admit(call_record& call, const caller_call& understood,
                const std::optional<detour_request>& detoured);
     void set_target(call_record& call, const caller_call& understood);
+    void follow(const view& now, const decision::service_ownerships& owners);
+    void log_lag();
+    void note(call_record& call, const char* event, std::string facts = {});
+    service_part& part_of(const std::string& service);
+    service_desk& desk_of(const std::string& service);
+    const backend_server* find_backend(const std::string& service,
+                                       const std::string& name) const;
+
+    // call_ends.cpp: how calls end
     void arm_deadline(call_record& call);
     void pass_deadline(decision::request_id id);
     bool ends_with_stop(const call_record& call) const;
     own_answer too_late(const call_record& call) const;
     void abandon(decision::request_id id);
     void drop(call_record& call);
-    void follow(const view& now, const decision::service_ownerships& owners);
     void finish(decision::request_id id, run_outcome outcome,
                 io::http_response answer);
     void finish(decision::request_id id, const own_answer& answer);
     void close_record(call_record& call, call_end end,
                       decision::answer_ptr answer);
-    void log_lag();
-    void note(call_record& call, const char* event, std::string facts = {});
-    service_part& part_of(const std::string& service);
-    service_desk& desk_of(const std::string& service);
-    const backend_server* find_backend(const std::string& service,
-                                       const std::string& name) const;
 
-    // call_attempts.cpp: attempts on backend servers
+    // call_sending.cpp: sending attempts to backend servers
     void queue_attempt(call_record& call);
     decision::request_arrived slot_request(const call_record& call) const;
     void dispatch(call_record& call, const std::string& service,
@@ -152,6 +154,8 @@
     static duration kept_for(const call_record& call);
     forwarding::backend_call make_backend_call(const call_record& call,
                                                const backend_server& to) const;
+
+    // call_attempts.cpp: the results of attempts
     backend_answer read_answer(call_record& call,
                                const running_attempt& attempt,
                                const forwarding::backend_result& ended);
