entry: an instance that stops takes no request back from a server

A stopping instance has no time to see a request through elsewhere, so what it has sent stays. Red before: refused while its server was at work.

--- a/src/entry/call_detours.cpp
+++ b/src/entry/call_detours.cpp
@@ -290,7 +290,7 @@
 // Takes a call from servers that cannot be reached to an instance that reaches
 // them. What was sent and must not run twice stays: its answer may still come.
 // So does, for a time, what may run again: its server may be at work, and the
-// partition an error of a busy deployment.
+// partition an error of a busy deployment. One that stops takes nothing back.
 void call_desk::leave_servers(call_record& call) {
     const bool waits_for_key = call.key && call.key->attempt == 0;
     if (call.is_elsewhere() || call.answering || waits_for_key) {
@@ -308,8 +308,9 @@
         return attempt && pool_.sent(attempt->call);
     };
     const bool sent = may_run(call.running) || may_run(call.hedge);
-    const bool stays =
-        sent && (!call.may_run_again() || !call.may_reach_another());
+    const bool may_be_repeated =
+        call.may_run_again() && call.may_reach_another() && !ends_by_;
+    const bool stays = sent && !may_be_repeated;
     if (stays || !call.running) {
         return;
     }
--- a/test/entry/ends_of_calls_test.cpp
+++ b/test/entry/ends_of_calls_test.cpp
@@ -245,3 +245,18 @@
     CHECK(f.count_of("503") == 1);
     f.check_nothing_open();
 }
+
+// Guards against the same in a stop, which has no time to see a request through
+// elsewhere, however long its server takes.
+TEST_CASE("a stop takes no request back from a server at work") {
+    noted_ends f(1);
+    f.send(caller_world::get());
+    REQUIRE(f.run_until([&] { return f.requests_at_servers() == 1; }));
+    f.run_for(1s); // so long that its connection counts as silent
+    f.desk.end_by(f.clock.now() + 10s);
+    f.desk.follow_reach(true);
+    f.run_for(50ms);
+    f.busy_server().send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    CHECK(f.all_answered());
+    CHECK(f.count_of("200") == 1);
+}
