entry: a first copy that may have run is remembered while the second is not sent

By reading: since a call of which no byte has left is told "not run" at its end, a read whose first copy was lost with its server, and whose second copy was still connecting, would have been told so too. No test plays it.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -113,7 +113,12 @@
         return;
     }
     if (other && answer.end != attempt_end::answered) {
-        return; // the other attempt may still be answered
+        // The other attempt may still be answered; if it is not even sent,
+        // this one has perhaps run.
+        if (answer.outcome != run_outcome::not_run) {
+            call->earlier = run_outcome::unknown;
+        }
+        return;
     }
     if (other) {
         const auto loser = *other;
--- a/src/forwarding/caller_connection_end.cpp
+++ b/src/forwarding/caller_connection_end.cpp
@@ -123,8 +123,8 @@
     return !closed_ && phase_ == phase::reading && !reader_.reading(input_);
 }
 
-// What came while the process was busy with other work is read before anything
-// is decided on its absence: timers run before sockets are read.
+// All that has come is read before anything is decided on its absence. The loop
+// reads a part of it in each turn only, and not of all connections.
 void caller_connection::catch_up() {
     while (!closed_ && phase_ == phase::reading && socket_.read_now()) {
     }
