kernel: a timer that is about to fire is not armed anew

Whoever subscribes to a timer meanwhile (each request does) came to rearm(), found the expired watcher no longer active, and stopped and started it, by which libev forgets that it was to be called. In a process that reads something that subscribes in each turn no timer fires at all.

--- a/src/kernel/timer_service.cpp
+++ b/src/kernel/timer_service.cpp
@@ -148,6 +148,12 @@
     if (!loop_timer_) {
         return;
     }
+    // It fires at the end of this turn of the loop, and is armed then. Armed
+    // now it would lose that: a loop that subscribes in each turn would never
+    // fire any timer.
+    if (ev_is_pending(&loop_timer_->watcher)) {
+        return;
+    }
     const bool armed = ev_is_active(&loop_timer_->watcher) != 0;
     if (due_.empty() ||
         (armed && loop_timer_->armed_for <= due_.begin()->first)) {
--- a/test/kernel/late_loop_test.cpp
+++ b/test/kernel/late_loop_test.cpp
@@ -46,6 +46,37 @@
     ev_io readable_{};
 };
 
+// Bytes that are there at each turn of the loop, and what is done then.
+class steady_bytes {
+public:
+    steady_bytes(kernel::event_loop& loop, std::function<void()> on_turn)
+        : loop_(loop.native()), on_turn_(std::move(on_turn)) {
+        REQUIRE(::pipe(ends_.data()) == 0);
+        REQUIRE(::write(ends_[1], "x", 1) == 1);
+        ev_io_init(
+            &readable_,
+            [](struct ev_loop*, ev_io* w, int) {
+                static_cast<steady_bytes*>(w->data)->on_turn_();
+            },
+            ends_[0], EV_READ);
+        readable_.data = this;
+        ev_io_start(loop_, &readable_);
+    }
+    ~steady_bytes() {
+        ev_io_stop(loop_, &readable_);
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+    steady_bytes(const steady_bytes&) = delete;
+    steady_bytes& operator=(const steady_bytes&) = delete;
+
+private:
+    struct ev_loop* loop_;
+    std::function<void()> on_turn_;
+    std::array<int, 2> ends_{};
+    ev_io readable_{};
+};
+
 struct late_loop {
     kernel::event_loop loop;
     kernel::monotonic_clock clock;
@@ -96,3 +127,25 @@
     late.run_for(300ms);
     CHECK(late.order == "first due second later ");
 }
+
+// Guards against a busy process in which no timer fires at all, since what it
+// reads at each turn of its loop subscribes to timers: its limits of time pass
+// unnoticed, and its peers hear nothing of it.
+TEST_CASE("timers fire in a loop that always has something to read") {
+    late_loop busy;
+    kernel::timer_service::subscription deadline;
+    unsigned turns = 0;
+    const steady_bytes bytes(busy.loop, [&] {
+        ++turns;
+        std::this_thread::sleep_for(5ms);
+        deadline = busy.timers.after(1h, [](time_point) {});
+    });
+    unsigned beats = 0;
+    const auto beating = busy.timers.every(20ms, [&](time_point) { ++beats; });
+    const auto until = busy.clock.now() + 1s;
+    while (busy.clock.now() < until) {
+        busy.loop.run_once(true);
+    }
+    CHECK(turns > 20);
+    CHECK(beats > 10);
+}
