io, control: what instances send each other is counted by kind and by distance

Messages and their bytes are counted by kind (suspicion, grant, records and others) and by whether the peer lies in another data centre.

--- a/include/waxwingvale/io/message_hub.hpp
+++ b/include/waxwingvale/io/message_hub.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <waxwingvale/io/link_traffic.hpp>
 #include <waxwingvale/kernel/event_loop.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 #include <waxwingvale/model/error.hpp>
@@ -112,6 +113,8 @@
     bool connected(const std::string& peer_name) const;
     std::vector<std::string> connected_peers() const; // sorted
     const message_hub_counters& counters() const;
+    link_traffic& traffic();
+    const link_traffic& traffic() const;
 
 private:
     struct state;
--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -120,7 +120,7 @@
                                  const knowledge& known,
                                  const view_publisher& views,
                                  const peer_links& peers)
-    : metrics_(to) {
+    : metrics_(to), hub_(hub) {
     add_link_metrics(hub);
     add_platform_metrics(platform);
     add_knowledge_metrics(known);
@@ -223,7 +223,37 @@
     });
 }
 
+control_metrics::copied_traffic&
+control_metrics::traffic_of(const io::traffic_class& which) {
+    const auto known = traffic_.find(which);
+    if (known != traffic_.end()) {
+        return known->second;
+    }
+    const program::metrics::labels labels = {{"kind", which.kind},
+                                             {"to", which.crosses_data_centres
+                                                        ? "other-data-centre"
+                                                        : "same-data-centre"}};
+    copied_traffic made{
+        metrics_.add_counter("waxwing_link_messages_by_kind_total",
+                             "Messages sent over links, by kind.", labels),
+        metrics_.add_counter("waxwing_link_payload_bytes_by_kind_total",
+                             "Bytes of messages sent over links, by kind.",
+                             labels),
+        {}};
+    return traffic_.emplace(which, std::move(made)).first->second;
+}
+
+void control_metrics::copy_traffic() {
+    for (const auto& [which, sum] : hub_.traffic().sent()) {
+        auto& to = traffic_of(which);
+        to.messages.add(static_cast<double>(sum.messages - to.copied.messages));
+        to.bytes.add(static_cast<double>(sum.bytes - to.copied.bytes));
+        to.copied = sum;
+    }
+}
+
 void control_metrics::update() {
+    copy_traffic();
     for (auto& each : counters_) {
         const auto total = each.from();
         each.to.add(static_cast<double>(total - each.copied));
--- a/src/control/control_metrics.hpp
+++ b/src/control/control_metrics.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <vector>
 
 #include "control/knowledge.hpp"
@@ -35,6 +36,13 @@
         reading from;
     };
 
+    // What was sent over links of one class, as copied last.
+    struct copied_traffic {
+        program::counter messages;
+        program::counter bytes;
+        io::traffic_sum copied;
+    };
+
     void count(const char* name, const char* help, reading from);
     void show(const char* name, const char* help, reading from);
     void add_link_metrics(const io::message_hub& hub);
@@ -43,9 +51,14 @@
     void add_exchange_metrics(const view_publisher& views,
                               const peer_links& peers);
 
+    void copy_traffic();
+    copied_traffic& traffic_of(const io::traffic_class& which);
+
     program::metrics& metrics_;
+    const io::message_hub& hub_;
     std::vector<copied_counter> counters_;
     std::vector<copied_gauge> gauges_;
+    std::map<io::traffic_class, copied_traffic> traffic_;
 };
 
 } // namespace waxwingvale::control
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -53,6 +53,11 @@
     hub_.on_link_replaced([this](const std::string& peer) {
         exchange_.link_replaced(peer, timers_.now());
     });
+    hub_.traffic().locate_by([this](const std::string& peer) {
+        const auto* member = known_.members.find(peer);
+        return member != nullptr &&
+               member->data_centre != known_.members.self().data_centre;
+    });
     for (const auto* kind : io::exchange_kinds) {
         hub_.on_message(
             kind, [this, kind](const std::string& peer, const auto& body) {
--- a/src/io/message_hub.cpp
+++ b/src/io/message_hub.cpp
@@ -72,6 +72,7 @@
     kernel::timer_service& timers;
     message_hub_options options;
     message_hub_counters counters;
+    link_traffic traffic;
     link_websocket_factory websockets;
     std::mt19937_64 random{std::random_device{}()};
     int listener = -1;
@@ -409,7 +410,11 @@
         return false;
     }
     auto* to = state_->newest(peer_name);
-    return to != nullptr && to->send(kind, std::move(body));
+    if (to == nullptr) {
+        return false;
+    }
+    state_->traffic.record(peer_name, kind, body.size());
+    return to->send(kind, std::move(body));
 }
 
 void message_hub::on_message(const std::string& kind, message_handler handler) {
@@ -440,4 +445,12 @@
     return state_->counters;
 }
 
+link_traffic& message_hub::traffic() {
+    return state_->traffic;
+}
+
+const link_traffic& message_hub::traffic() const {
+    return state_->traffic;
+}
+
 } // namespace waxwingvale::io
