decision, entry: word of suspects goes to those who could send the request

Cause: each request whose connection ends without an answer becomes a suspect, and word of it went over all links of all instances, twice since (two fingerprints), once more when it was cleared.

--- a/include/waxwingvale/decision/service_scheduler.hpp
+++ b/include/waxwingvale/decision/service_scheduler.hpp
@@ -81,6 +81,9 @@
     // Whether no request is queued and a slot may be free, on this instance or
     // at another owner. A hedge may be sent only then.
     bool has_spare_slot() const;
+    // Whether this instance owns slots, also in place of an owner that cannot
+    // be reached. One that owns none may use a share of such an owner's slots.
+    bool owns_slots() const;
     std::vector<slot_report> slots() const;
     scheduler_load load(time_point now) const;
     // Backend servers owned by this instance that have not reported their load
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -275,12 +275,11 @@
     // What is told again seems later by the time that word took.
     const bool is_later =
         !into.trial_began || began > *into.trial_began + word_takes;
-    const bool is_other = update.tester != into.tester;
     if (is_later) {
         into.trial_began = began;
         into.tester = update.tester;
     }
-    return is_later && is_other;
+    return is_later;
 }
 
 bool quarantine::merge(const suspicion_update& update, time_point now) {
--- a/src/decision/service_scheduler.cpp
+++ b/src/decision/service_scheduler.cpp
@@ -43,6 +43,10 @@
     return impl_->has_spare_slot();
 }
 
+bool service_scheduler::owns_slots() const {
+    return impl_->owns_slots();
+}
+
 std::vector<slot_report> service_scheduler::slots() const {
     return impl_->slots();
 }
--- a/src/decision/service_scheduler_impl.hpp
+++ b/src/decision/service_scheduler_impl.hpp
@@ -33,6 +33,7 @@
     std::size_t queued() const { return queue_.size() + late_queue_.size(); }
     std::size_t in_flight() const { return running_.size(); }
     bool has_spare_slot() const;
+    bool owns_slots() const { return table_.owns_any(); }
     scheduler_load load(time_point now) const;
     std::vector<slot_report> slots() const;
     std::vector<std::string> servers_to_probe(time_point now) const;
--- a/src/entry/call_sending.cpp
+++ b/src/entry/call_sending.cpp
@@ -116,6 +116,10 @@
         },
         relay_handlers(id, attempt_id));
     outlet_.on_sent(server.name);
+    if (action.from_peer.empty() &&
+        !desk_of(service).scheduler().owns_slots()) {
+        crashes_.on_sent_unasked();
+    }
     const auto usual_delay =
         part_of(service).policies.hedges(call.labels.request_class).delay();
     const auto slow_after =
--- a/src/entry/call_services.cpp
+++ b/src/entry/call_services.cpp
@@ -46,7 +46,7 @@
 void call_desk::take(const program::view_published& published) {
     view_ = published.now;
     keys_.change_members(view_->members);
-    crashes_.follow(*view_);
+    crashes_.follow(*view_, *published.owners);
     detours_.follow(*view_);
     follow(*view_, *published.owners);
 }
@@ -89,9 +89,14 @@
     log_.arm();
     const bool known = view_ && view_->config &&
                        find_service(*view_->config, message.service) != nullptr;
-    if (known) {
-        desk_of(message.service).handle(message.event);
+    if (!known) {
+        return;
+    }
+    if (const auto* asked =
+            std::get_if<decision::slots_asked>(&message.event)) {
+        crashes_.on_slots_asked(asked->peer);
     }
+    desk_of(message.service).handle(message.event);
 }
 
 void call_desk::take(const decision::peer_reachability& reach) {
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <waxwingvale/decision/stable_hash.hpp>
+#include <waxwingvale/membership/link_plan.hpp>
 #include <waxwingvale/program/state_log.hpp>
 
 #include "entry/suspicion_codec.hpp"
@@ -26,6 +27,13 @@
 constexpr duration others_turn = 300ms;
 constexpr duration turn_step = 40ms;
 constexpr std::uint64_t turns = 16;
+// As long as what was told to an asker is kept there.
+constexpr duration asker_kept = 10min;
+// Who sends unasked goes on for seconds, until owners that are out of reach
+// have been replaced.
+constexpr duration unasked_lasts = 10s;
+// Bounds the size of a message, whose limit is some megabytes.
+constexpr std::size_t words_per_message = 256;
 
 const char* event_of(decision::suspicion_state state) {
     switch (state) {
@@ -58,6 +66,28 @@
          {"told_by", told_by}});
 }
 
+std::set<std::string> names_of(const std::vector<member>& members) {
+    std::set<std::string> names;
+    for (const auto& each : members) {
+        names.insert(each.id.name);
+    }
+    return names;
+}
+
+std::set<std::string>
+registrars_of(const decision::service_ownerships& owners) {
+    std::set<std::string> registrars;
+    for (const auto& of : owners) {
+        for (const auto& owner : of.second.owners) {
+            registrars.insert(owner.member.name);
+        }
+        for (const auto& standby : of.second.standbys) {
+            registrars.insert(standby.member.name);
+        }
+    }
+    return registrars;
+}
+
 } // namespace
 
 copy_fingerprints fingerprints_of(const decision::copy_identity& request) {
@@ -67,13 +97,15 @@
 
 crash_guard::crash_guard(const std::string& self, io::message_hub& hub,
                          kernel::timer_service& timers,
-                         program::gauge suspicions)
+                         program::gauge suspicions, program::counter words_sent)
     : self_(self),
       hub_(hub),
       timers_(timers),
       suspicions_(suspicions),
+      words_sent_(words_sent),
       quarantine_(self, {}),
       silent_(most_silent_runs),
+      audience_(self, asker_kept),
       own_turn_(others_turn +
                 turn_step *
                     static_cast<int>(decision::stable_hash(self) % turns)) {
@@ -81,12 +113,11 @@
         suspicion_kind,
         [this](const std::string& peer,
                const std::vector<std::uint8_t>& bytes) { take(peer, bytes); });
-    hub_.on_link_change([this](const std::string& peer, bool up) {
-        // An instance that has just started, or was cut off, knows of no
-        // suspect, and would run a crashing request once more.
-        if (up && watching()) {
-            hub_.send(peer, suspicion_kind,
-                      encode(quarantine_.snapshot(timers_.now())));
+    hub_.on_link_change(
+        [this](const std::string& peer, bool up) { follow_link(peer, up); });
+    hub_.on_link_replaced([this](const std::string& peer) {
+        if (audience_.hears(peer)) {
+            tell_all_known({peer});
         }
     });
     forgetting_ = timers_.every(forgetting_period,
@@ -124,10 +155,10 @@
     }
     // The peers wait for this trial, whoever was to run it.
     if (varying_alone) {
-        tell_all({*quarantine_.update_on(of.varying, now)});
+        tell({*quarantine_.update_on(of.varying, now)});
     }
     if (same_alone) {
-        tell_all({*quarantine_.update_on(of.same, now)});
+        tell({*quarantine_.update_on(of.same, now)});
     }
     return varying_alone ? of_varying : of_same;
 }
@@ -138,8 +169,54 @@
            quarantine_.may_run_in_company(of.varying, now);
 }
 
-void crash_guard::follow(const view& now) {
-    members_ = std::max<std::size_t>(now.members.size(), 1);
+// An instance that has just started, or was cut off, knows of no suspect, and
+// would run a crashing request once more.
+void crash_guard::follow_link(const std::string& peer, bool up) {
+    if (!up) {
+        audience_.link_down(peer);
+        return;
+    }
+    audience_.link_up(peer);
+    tell_all_known({peer});
+}
+
+void crash_guard::on_slots_asked(const std::string& peer) {
+    if (audience_.asked_for_slots(peer, timers_.now())) {
+        tell_all_known({peer});
+    }
+}
+
+void crash_guard::on_sent_unasked() {
+    audience_.tell_everybody_until(timers_.now() + unasked_lasts);
+}
+
+void crash_guard::tell_all_known(const std::set<std::string>& peers) {
+    if (watching()) {
+        const auto now = timers_.now();
+        send(quarantine_.snapshot(now), {peers, audience_.reach(now)});
+    }
+}
+
+// This instance owns slots from now on, and sends on them without asking.
+void crash_guard::ask_registrars() {
+    suspicion_message question;
+    question.asks = true;
+    const auto bytes = encode(question);
+    for (const auto& peer : audience_.registrars()) {
+        hub_.send(peer, suspicion_kind, bytes);
+    }
+}
+
+void crash_guard::follow(const view& now,
+                         const decision::service_ownerships& owners) {
+    auto members = names_of(now.members);
+    const bool full_mesh = members.size() <= membership::full_mesh_limit;
+    const bool was_registrar = audience_.is_registrar(self_);
+    tell_all_known(audience_.follow(std::move(members), registrars_of(owners),
+                                    full_mesh, timers_.now()));
+    if (!full_mesh && !was_registrar && audience_.is_registrar(self_)) {
+        ask_registrars();
+    }
     for (const auto& change : listed_.follow(now)) {
         if (decision::proves_end(change.sign)) {
             on_ended(change.process);
@@ -169,9 +246,7 @@
         on_ended(process);
     } else if (sign == server_sign::silent) {
         const auto lost = silent_.take_unanswered(process, shown.sent);
-        for (const auto& run : lost) {
-            suspect(run, false);
-        }
+        suspect(lost, false);
     }
 }
 
@@ -189,10 +264,8 @@
 }
 
 void crash_guard::on_ended(const decision::backend_process& process) {
-    for (const auto& run : silent_.take_lost(process)) {
-        suspect(run, false);
-    }
-    tell_all(quarantine_.on_process_ended(process, timers_.now()));
+    suspect(silent_.take_lost(process), false);
+    tell(quarantine_.on_process_ended(process, timers_.now()));
 }
 
 bool crash_guard::may_be_lost(const backend_answer& answer) {
@@ -217,27 +290,32 @@
                          {{"backend_server", shown.backend_server},
                           {"sign", to_string(shown.answer.sign)},
                           {"fingerprint", std::to_string(of.same.value)}});
-    suspect(same, alone);
-    suspect(varying, alone);
+    suspect({same, varying}, alone);
 }
 
-void crash_guard::suspect(const decision::silent_run& run, bool alone) {
-    const auto word =
-        quarantine_.on_connection_lost(run.fingerprint, run.process, alone,
-                                       run.ended, timers_.now(), run.variant);
-    if (word) {
-        tell_all({*word});
+void crash_guard::suspect(const std::vector<decision::silent_run>& runs,
+                          bool alone) {
+    words told;
+    for (const auto& run : runs) {
+        auto word = quarantine_.on_connection_lost(run.fingerprint, run.process,
+                                                   alone, run.ended,
+                                                   timers_.now(), run.variant);
+        if (word) {
+            told.push_back(std::move(*word));
+        }
     }
+    tell(told);
 }
 
 void crash_guard::on_passed(const copy_fingerprints& of, time_point sent) {
+    words told;
     for (const auto fingerprint : {of.same, of.varying}) {
-        const auto word =
-            quarantine_.on_answered(fingerprint, sent, timers_.now());
+        auto word = quarantine_.on_answered(fingerprint, sent, timers_.now());
         if (word) {
-            tell_all({*word});
+            told.push_back(std::move(*word));
         }
     }
+    tell(told);
 }
 
 void crash_guard::on_trial_placed(const copy_fingerprints& of,
@@ -255,41 +333,61 @@
 
 void crash_guard::on_partitioned() {
     const auto now = timers_.now();
-    tell_all(quarantine_.on_partitioned(now - partition_unnoticed, now));
+    tell(quarantine_.on_partitioned(now - partition_unnoticed, now));
 }
 
 void crash_guard::take(const std::string& peer,
                        const std::vector<std::uint8_t>& bytes) {
-    const auto told = decode_suspicions(bytes);
-    if (!told) {
+    const auto read = decode_suspicions(bytes);
+    if (!read) {
         return;
     }
+    const auto& message = read.value();
+    if (message.asks) {
+        tell_all_known({peer});
+    }
     words news;
-    for (const auto& word : told.value()) {
-        if (word.state != decision::suspicion_state::suspect) {
-            to_tell_.erase(word.fingerprint);
+    words missed; // by the peer
+    for (const auto& word : message.words) {
+        const bool settled = word.state != decision::suspicion_state::suspect;
+        const bool was_to_tell =
+            settled && to_tell_.erase(word.fingerprint) != 0;
+        const bool is_news = quarantine_.merge(word, timers_.now());
+        if (is_news || was_to_tell) {
+            news.push_back(word);
         }
-        if (!quarantine_.merge(word, timers_.now())) {
-            continue;
-        }
-        news.push_back(word);
-        if (word.state == decision::suspicion_state::quarantined) {
+        if (is_news && word.state == decision::suspicion_state::quarantined) {
             log_word(word, peer);
         }
+        if (is_refused(word)) {
+            missed.push_back(
+                *quarantine_.update_on(word.fingerprint, timers_.now()));
+        }
     }
-    // In a full mesh every entry process hears the first teller itself;
-    // passing it on would only multiply it.
-    const bool full_mesh = hub_.connected_peers().size() + 1 >= members_;
-    if (!full_mesh) {
-        send_all(news, peer);
+    pass_on(news, peer, message.reach);
+    send(missed, {{peer}, audience_.reach(timers_.now())});
+}
+
+// Whether the request is refused for good here, and who told the word does not
+// know.
+bool crash_guard::is_refused(const decision::suspicion_update& word) {
+    if (word.state == decision::suspicion_state::quarantined) {
+        return false;
     }
+    const auto known = quarantine_.update_on(word.fingerprint, timers_.now());
+    return known && known->state == decision::suspicion_state::quarantined;
 }
 
-void crash_guard::tell_all(const words& told) {
+void crash_guard::tell(const words& told) {
     for (const auto& word : told) {
         log_word(word, "self");
     }
-    send_all(told, {});
+    send(told, audience_.of_own(timers_.now()));
+}
+
+void crash_guard::pass_on(const words& told, const std::string& origin,
+                          const decision::suspicion_reach& reach) {
+    send(told, audience_.of_told(origin, reach, timers_.now()));
 }
 
 void crash_guard::tell_later(const words& told) {
@@ -320,20 +418,25 @@
         }
         at = to_tell_.erase(at);
     }
-    send_all(due, {});
+    send(due, audience_.of_own(now));
     if (to_tell_.empty()) {
         telling_.cancel();
     }
 }
 
-void crash_guard::send_all(const words& told, const std::string& except) {
-    if (told.empty()) {
-        return;
-    }
-    const auto message = encode(told);
-    for (const auto& peer : hub_.connected_peers()) {
-        if (peer != except) {
-            hub_.send(peer, suspicion_kind, message);
+void crash_guard::send(const words& told,
+                       const decision::suspicion_recipients& to) {
+    for (std::size_t from = 0; from < told.size(); from += words_per_message) {
+        const auto count = std::min(words_per_message, told.size() - from);
+        const auto first = told.begin() + static_cast<std::ptrdiff_t>(from);
+        const auto message = encode(suspicion_message{
+            {first, first + static_cast<std::ptrdiff_t>(count)},
+            to.reach,
+            false});
+        for (const auto& peer : to.peers) {
+            if (hub_.send(peer, suspicion_kind, message)) {
+                words_sent_.add(static_cast<double>(count));
+            }
         }
     }
 }
--- a/src/entry/crash_guard.hpp
+++ b/src/entry/crash_guard.hpp
@@ -4,12 +4,15 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include <waxwingvale/decision/ownership.hpp>
 #include <waxwingvale/decision/quarantine.hpp>
 #include <waxwingvale/decision/silent_runs.hpp>
+#include <waxwingvale/decision/suspicion_audience.hpp>
 #include <waxwingvale/entry/backend_answer.hpp>
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
@@ -38,11 +41,13 @@
 
 // Keeps requests that end backend servers from being run again and again: the
 // quarantine with its clock, the signs of backend servers as attempts, probes
-// and the registry show them, and word to and from the other entry processes.
+// and the registry show them, and word to and from those of the other entry
+// processes that have to know.
 class crash_guard {
 public:
     crash_guard(const std::string& self, io::message_hub& hub,
-                kernel::timer_service& timers, program::gauge suspicions);
+                kernel::timer_service& timers, program::gauge suspicions,
+                program::counter words_sent);
 
     // False while no request is under suspicion: then fingerprints need not
     // even be computed.
@@ -63,7 +68,10 @@
     // Whether a request that has waited since may run beside others.
     bool may_run_in_company(const copy_fingerprints& of);
 
-    void follow(const view& now);
+    void follow(const view& now, const decision::service_ownerships& owners);
+    // A peer asks for slots. To be called before it is answered: what it sends
+    // on a slot is then judged by what is known here.
+    void on_slots_asked(const std::string& peer);
     // What an attempt or a probe shows of the backend server.
     void on_sign(const attempt_sign& shown);
     // Whether an attempt ended in a way in which its server may have ended.
@@ -72,6 +80,9 @@
     // trial of a suspect. To be called before on_sign().
     void on_lost(const copy_fingerprints& of, const attempt_sign& shown,
                  bool alone);
+    // An attempt was sent on a slot that no owner gave, as others may do too
+    // while the owners are out of reach.
+    void on_sent_unasked();
     void on_passed(const copy_fingerprints& of, time_point sent);
     // A request that may only run alone was sent to that backend server.
     void on_trial_placed(const copy_fingerprints& of,
@@ -88,19 +99,27 @@
                                          backend_incarnation incarnation) const;
     void on_answered(const attempt_sign& shown);
     void on_ended(const decision::backend_process& process);
-    void suspect(const decision::silent_run& run, bool alone);
+    void suspect(const std::vector<decision::silent_run>& runs, bool alone);
     void take(const std::string& peer, const std::vector<std::uint8_t>& bytes);
-    void tell_all(const words& told);
+    // Tells those who have to know of what was found out here.
+    void tell(const words& told);
     // Peers find most of this out for themselves, so that one tells it for all.
     void tell_later(const words& told);
     void tell_waiting(time_point now);
-    void send_all(const words& told, const std::string& except);
+    void pass_on(const words& told, const std::string& origin,
+                 const decision::suspicion_reach& reach);
+    void send(const words& told, const decision::suspicion_recipients& to);
+    void follow_link(const std::string& peer, bool up);
+    void tell_all_known(const std::set<std::string>& peers);
+    void ask_registrars();
+    bool is_refused(const decision::suspicion_update& word);
     void forget(time_point now);
 
     std::string self_;
     io::message_hub& hub_;
     kernel::timer_service& timers_;
     program::gauge suspicions_;
+    program::counter words_sent_;
     decision::quarantine quarantine_;
     decision::silent_runs silent_;
     listed_processes listed_;
@@ -108,7 +127,7 @@
     std::map<std::string, backend_incarnation> starts_;
     std::function<void(const std::vector<std::uint64_t>&)> on_refused_;
     std::vector<std::uint64_t> refused_; // as told last
-    std::size_t members_ = 1;
+    decision::suspicion_audience audience_;
     unsigned passes_ = 0;
     // What is to be told of fingerprints that are suspects no more, and when,
     // unless a peer tells it first.
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -42,6 +42,9 @@
       reach_checks(
           all.add_counter("waxwing_reach_checks_total",
                           "Checks whether backend servers can be reached.")),
+      suspicion_words_sent(all.add_counter(
+          "waxwing_suspicion_words_sent_total",
+          "Word of requests under suspicion, by each instance told.")),
       log_lines_dropped(all.add_counter(
           "waxwing_log_lines_dropped_total",
           "Log lines that neither the limits nor the reader took.")),
--- a/src/entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -25,6 +25,7 @@
     program::counter detours_sent;
     program::counter detours_taken;
     program::counter reach_checks;
+    program::counter suspicion_words_sent;
     program::counter log_lines_dropped;
     program::gauge limited_servers;
     program::gauge open_calls;
--- a/src/entry/suspicion_codec.cpp
+++ b/src/entry/suspicion_codec.cpp
@@ -1,6 +1,7 @@
 #include "entry/suspicion_codec.hpp"
 
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -20,6 +21,10 @@
 
 constexpr const char* trial_name = "trial_us";
 constexpr const char* variant_name = "variant";
+constexpr const char* unreached_name = "unreached";
+constexpr const char* registrars_name = "registrars";
+constexpr const char* for_all_name = "for_all";
+constexpr const char* asks_name = "asks";
 
 json write(const told_run& run) {
     json written = {{"backend_server", run.process.backend_server},
@@ -102,25 +107,51 @@
     return word;
 }
 
+// Absent: false, as from an instance of an older release.
+bool read_flag(const json& from, const char* name) {
+    return from.contains(name) && from.at(name).get<bool>();
+}
+
 } // namespace
 
-std::vector<std::uint8_t> encode(const std::vector<suspicion_update>& words) {
+std::vector<std::uint8_t> encode(const suspicion_message& message) {
     json list = json::array();
-    for (const auto& word : words) {
+    for (const auto& word : message.words) {
         list.push_back(write(word));
     }
-    return json::to_cbor(json({{"words", std::move(list)}}));
+    json written = {{"words", std::move(list)}};
+    written[registrars_name] = message.reach.registrars;
+    if (!message.reach.unreached.empty()) {
+        written[unreached_name] = message.reach.unreached;
+    }
+    if (message.reach.for_all) {
+        written[for_all_name] = true;
+    }
+    if (message.asks) {
+        written[asks_name] = true;
+    }
+    return json::to_cbor(written);
 }
 
-result<std::vector<suspicion_update>>
+result<suspicion_message>
 decode_suspicions(const std::vector<std::uint8_t>& bytes) {
     try {
-        std::vector<suspicion_update> words;
-        const auto message = io::parse_cbor(bytes.data(), bytes.size());
-        for (const auto& item : message.at("words")) {
-            words.push_back(read(item));
+        suspicion_message message;
+        const auto from = io::parse_cbor(bytes.data(), bytes.size());
+        for (const auto& item : from.at("words")) {
+            message.words.push_back(read(item));
+        }
+        if (from.contains(unreached_name)) {
+            message.reach.unreached =
+                from.at(unreached_name).get<std::set<std::string>>();
+        }
+        if (from.contains(registrars_name)) {
+            message.reach.registrars =
+                io::read_number<std::uint64_t>(from.at(registrars_name));
         }
-        return words;
+        message.reach.for_all = read_flag(from, for_all_name);
+        message.asks = read_flag(from, asks_name);
+        return message;
     } catch (const json::exception& problem) {
         return error{error_code::malformed, "decode suspicion", "",
                      problem.what()};
--- a/src/entry/suspicion_codec.hpp
+++ b/src/entry/suspicion_codec.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include <waxwingvale/decision/quarantine.hpp>
+#include <waxwingvale/decision/suspicion_audience.hpp>
 #include <waxwingvale/model/error.hpp>
 
 namespace waxwingvale::entry {
@@ -12,11 +13,17 @@
 // processes.
 constexpr const char* suspicion_kind = "suspicion";
 
-std::vector<std::uint8_t>
-encode(const std::vector<decision::suspicion_update>& words);
+struct suspicion_message {
+    std::vector<decision::suspicion_update> words;
+    decision::suspicion_reach reach;
+    // Whether the sender wants to be told all that is known.
+    bool asks = false;
+};
 
-// Fails with malformed on bytes that are no such words.
-result<std::vector<decision::suspicion_update>>
+std::vector<std::uint8_t> encode(const suspicion_message& message);
+
+// Fails with malformed on bytes that are no such message.
+result<suspicion_message>
 decode_suspicions(const std::vector<std::uint8_t>& bytes);
 
 } // namespace waxwingvale::entry
--- a/test/entry/codec_test.cpp
+++ b/test/entry/codec_test.cpp
@@ -148,15 +148,19 @@
     word.runs = {lost};
 
     word.trial_age = 30ms;
-    const auto taken = entry::decode_suspicions(entry::encode({word}));
+    const entry::suspicion_message sent{{word}, {{"spk-1"}, 77, true}, true};
+    const auto taken = entry::decode_suspicions(entry::encode(sent));
     REQUIRE(taken.has_value());
-    REQUIRE(taken.value().size() == 1);
-    CHECK(taken.value().front().age == 12ms);
-    CHECK(taken.value().front().last_crashed == word.last_crashed);
-    CHECK(taken.value().front().state == word.state);
+    CHECK(taken.value().reach == sent.reach);
+    CHECK(taken.value().asks);
+    const auto& words = taken.value().words;
+    REQUIRE(words.size() == 1);
+    CHECK(words.front().age == 12ms);
+    CHECK(words.front().last_crashed == word.last_crashed);
+    CHECK(words.front().state == word.state);
 
-    CHECK(taken.value().front().trial_age == word.trial_age);
-    const auto& runs = taken.value().front().runs;
+    CHECK(words.front().trial_age == word.trial_age);
+    const auto& runs = words.front().runs;
     REQUIRE(runs.size() == 1);
     CHECK(runs[0].process == word.runs[0].process);
     CHECK(runs[0].alone);
--- a/test/fuzz/message_targets.cpp
+++ b/test/fuzz/message_targets.cpp
@@ -144,11 +144,11 @@
 
 void run_suspicion(const std::string& input) {
     const auto bytes = to_bytes(input);
-    must_be_stable(bytes, entry::decode_suspicions, [](const auto& words) {
-        for (const auto& word : words) {
+    must_be_stable(bytes, entry::decode_suspicions, [](const auto& message) {
+        for (const auto& word : message.words) {
             must_be_a_wait(word.age, "the age of a death is a wait");
         }
-        return entry::encode(words);
+        return entry::encode(message);
     });
 }
 
@@ -161,7 +161,8 @@
     word.runs = {
         {{"desk-1", 3}, "sea-1", 9, true, decision::run_verdict::ended, 1s}};
     word.trial_age = 2s;
-    return {to_text(entry::encode({word, word}))};
+    return {to_text(entry::encode(
+        entry::suspicion_message{{word, word}, {{"sea-2"}, 5, true}, true}))};
 }
 
 void run_exchange(const std::string& input) {
--- a/test/platform/ending_instances_test.cpp
+++ b/test/platform/ending_instances_test.cpp
@@ -93,6 +93,28 @@
     CHECK(played.sent["ending"].refused_for_good() > 0);
 }
 
+TEST_CASE(
+    "a large fleet knows which requests end servers, also after restarts") {
+    // Guards against one more end for each instance to which a copy comes, in a
+    // fleet that is no full mesh: only owners of slots, and those that ask them
+    // for some, are told.
+    constexpr std::size_t instances = 28;
+    ending_servers played(instances);
+    played.decide = ends_under_9;
+    played.repeat(ending, 150ms, 9s);
+    CHECK(played.ends.size() <= ends_until_known);
+    CHECK(played.sent["ending"].refused_for_good() > 0);
+    const auto ended = played.ends.size();
+    for (const std::size_t each : {0U, 9U, 18U, 27U}) {
+        played.instances.restart(each);
+        played.go_on(1s);
+        played.send(ending, each);
+        played.go_on(300ms);
+    }
+    CHECK(played.ends.size() == ended);
+    CHECK(played.sent["ending"].answers[200] == 0);
+}
+
 TEST_CASE("copies that come at once end servers only once") {
     // Guards against ends by copies that waited for slots, or were sent beside
     // a slow first one, when the first end was known.
