--- a/test/platform/ending_server.cpp
+++ b/test/platform/ending_server.cpp
@@ -227,7 +227,7 @@
         return;
     }
     headers.push_back({"Waxwingvale-Instance-Id", id_});
-    headers.push_back({"Waxwingvale-Server-Load", "0,0,4"});
+    headers.push_back({"Waxwingvale-Server-Load", load});
     const auto& body = to.body;
     to.socket->write(
         forwarding::answer_head(status, headers,
--- a/test/platform/ending_server.hpp
+++ b/test/platform/ending_server.hpp
@@ -84,6 +84,8 @@
     unsigned abandoned = 0; // requests whose caller left while they ran
     duration work = std::chrono::milliseconds(5);
     duration ends_after = std::chrono::milliseconds(20);
+    // Running, waiting, slots, as told in answers.
+    std::string load = "0,0,4";
     bool ends_for_nobody = false; // also when the caller's connection has gone
 
 private:
