--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -233,14 +233,14 @@
                                              {"to", which.crosses_data_centres
                                                         ? "other-data-centre"
                                                         : "same-data-centre"}};
-    copied_traffic made{
+    const copied_traffic made{
         metrics_.add_counter("waxwing_link_messages_by_kind_total",
                              "Messages sent over links, by kind.", labels),
         metrics_.add_counter("waxwing_link_payload_bytes_by_kind_total",
                              "Bytes of messages sent over links, by kind.",
                              labels),
         {}};
-    return traffic_.emplace(which, std::move(made)).first->second;
+    return traffic_.emplace(which, made).first->second;
 }
 
 void control_metrics::copy_traffic() {
