entry: word of suspects is not encoded for nobody, and taking it is split

Each view encoded all that is known of suspects, also where no registrar had come; so did news that nobody was to be told. Found by reading.

--- a/include/waxwingvale/decision/quarantine.hpp
+++ b/include/waxwingvale/decision/quarantine.hpp
@@ -108,6 +108,9 @@
     // What is known of a fingerprint, for the peers.
     std::optional<suspicion_update> update_on(request_fingerprint fingerprint,
                                               time_point now);
+    // The state of a fingerprint, or nothing if it is not known.
+    std::optional<suspicion_state> state_of(request_fingerprint fingerprint,
+                                            time_point now);
     // Whether a request that has waited since it was admitted may still run
     // beside others.
     bool may_run_in_company(request_fingerprint fingerprint, time_point now);
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -95,6 +95,12 @@
                : std::optional(update_for(fingerprint, *known, now));
 }
 
+std::optional<suspicion_state>
+quarantine::state_of(request_fingerprint fingerprint, time_point now) {
+    const auto* known = find(fingerprint, now);
+    return known == nullptr ? std::nullopt : std::optional(known->state());
+}
+
 bool quarantine::may_run_in_company(request_fingerprint fingerprint,
                                     time_point now) {
     const auto* known = find(fingerprint, now);
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -191,10 +191,11 @@
 }
 
 void crash_guard::tell_all_known(const std::set<std::string>& peers) {
-    if (watching()) {
-        const auto now = timers_.now();
-        send(quarantine_.snapshot(now), {peers, audience_.reach(now)});
+    if (peers.empty() || !watching()) {
+        return;
     }
+    const auto now = timers_.now();
+    send(quarantine_.snapshot(now), {peers, audience_.reach(now)});
 }
 
 // This instance owns slots from now on, and sends on them without asking.
@@ -349,17 +350,10 @@
     words news;
     words missed; // by the peer
     for (const auto& word : message.words) {
-        const bool settled = word.state != decision::suspicion_state::suspect;
-        const bool was_to_tell =
-            settled && to_tell_.erase(word.fingerprint) != 0;
-        const bool is_news = quarantine_.merge(word, timers_.now());
-        if (is_news || was_to_tell) {
+        if (take_word(word, peer)) {
             news.push_back(word);
         }
-        if (is_news && word.state == decision::suspicion_state::quarantined) {
-            log_word(word, peer);
-        }
-        if (is_refused(word)) {
+        if (is_refused_here_only(word)) {
             missed.push_back(
                 *quarantine_.update_on(word.fingerprint, timers_.now()));
         }
@@ -368,14 +362,25 @@
     send(missed, {{peer}, audience_.reach(timers_.now())});
 }
 
+// Returns whether it is to be passed on: it is news, or this instance was to
+// tell it in its turn.
+bool crash_guard::take_word(const decision::suspicion_update& word,
+                            const std::string& peer) {
+    const bool settled = word.state != decision::suspicion_state::suspect;
+    const bool was_to_tell = settled && to_tell_.erase(word.fingerprint) != 0;
+    const bool is_news = quarantine_.merge(word, timers_.now());
+    if (is_news && word.state == decision::suspicion_state::quarantined) {
+        log_word(word, peer);
+    }
+    return is_news || was_to_tell;
+}
+
 // Whether the request is refused for good here, and who told the word does not
 // know.
-bool crash_guard::is_refused(const decision::suspicion_update& word) {
-    if (word.state == decision::suspicion_state::quarantined) {
-        return false;
-    }
-    const auto known = quarantine_.update_on(word.fingerprint, timers_.now());
-    return known && known->state == decision::suspicion_state::quarantined;
+bool crash_guard::is_refused_here_only(const decision::suspicion_update& word) {
+    return word.state != decision::suspicion_state::quarantined &&
+           quarantine_.state_of(word.fingerprint, timers_.now()) ==
+               decision::suspicion_state::quarantined;
 }
 
 void crash_guard::tell(const words& told) {
@@ -426,6 +431,9 @@
 
 void crash_guard::send(const words& told,
                        const decision::suspicion_recipients& to) {
+    if (to.peers.empty()) {
+        return;
+    }
     for (std::size_t from = 0; from < told.size(); from += words_per_message) {
         const auto count = std::min(words_per_message, told.size() - from);
         const auto first = told.begin() + static_cast<std::ptrdiff_t>(from);
--- a/src/entry/crash_guard.hpp
+++ b/src/entry/crash_guard.hpp
@@ -112,7 +112,9 @@
     void follow_link(const std::string& peer, bool up);
     void tell_all_known(const std::set<std::string>& peers);
     void ask_registrars();
-    bool is_refused(const decision::suspicion_update& word);
+    bool take_word(const decision::suspicion_update& word,
+                   const std::string& peer);
+    bool is_refused_here_only(const decision::suspicion_update& word);
     void forget(time_point now);
 
     std::string self_;
