--- a/review/standin/backend.cpp
+++ b/review/standin/backend.cpp
@@ -55,23 +55,34 @@
 
 void backend::serve(int descriptor) {
     connection on(descriptor);
+    std::string late; // bytes that belong to no request
     while (!ended_) {
         const auto asked = on.read(true);
         if (!asked || !asked->complete) {
             return; // cut short: nothing has run
         }
-        const auto text = answer(*asked);
+        if (!late.empty()) {
+            on.send(std::exchange(late, {}));
+        }
+        const auto text = answer(*asked, late);
         if (text.empty() || !on.send(text)) {
             return;
         }
     }
 }
 
-std::string backend::answer(const message& request) {
+std::string backend::health(std::string& late) {
+    const auto now = on_health_ ? on_health_() : health_answer();
+    auto text = answer_text(
+        now.healthy ? 200 : 503, now.healthy ? "OK" : "Service Unavailable",
+        {{"Waxwingvale-Instance-Id", id_}, {server_load, load()}}, "");
+    late = now.again_late ? text : std::string();
+    return text;
+}
+
+std::string backend::answer(const message& request, std::string& late) {
     if (request.target() == "/healthz") {
-        return answer_text(
-            200, "OK",
-            {{"Waxwingvale-Instance-Id", id_}, {server_load, load()}}, "");
+        return health(late);
     }
     const auto named = request.field("Waxwingvale-Target-Instance");
     if (!named.empty() && named != id_) {
--- a/review/standin/backend.hpp
+++ b/review/standin/backend.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "http.hpp"
 
@@ -14,6 +15,14 @@
 // sent; empty: the connection is closed without one.
 using request_handler = std::function<std::string(const message& request)>;
 
+// What a backend says of its health.
+struct health_answer {
+    bool healthy = true;
+    // The answer comes a second time, late: where the next response on the
+    // connection is expected.
+    bool again_late = false;
+};
+
 // A backend as the pages describe it: it answers its liveness check, turns away
 // what names another backend, and hands each request to the case.
 class backend {
@@ -24,6 +33,11 @@
     backend(const backend&) = delete;
     backend& operator=(const backend&) = delete;
 
+    // Asked for each liveness check; without it the backend is healthy.
+    void on_health(std::function<health_answer()> handler) {
+        on_health_ = std::move(handler);
+    }
+
     const std::string& id() const { return id_; }
     // The value of its entry in the store.
     std::string entry(const std::string& service,
@@ -33,12 +47,14 @@
 
 private:
     void serve(int descriptor);
-    std::string answer(const message& request);
+    std::string answer(const message& request, std::string& late);
+    std::string health(std::string& late);
 
     std::string id_;
     std::string host_;
     unsigned slots_;
     request_handler on_request_;
+    std::function<health_answer()> on_health_;
     int listener_;
     std::uint16_t port_;
     std::atomic<bool> ended_{false};
