forwarding, entry: liveness checks have connections of their own

Callers saw: a payment that ran was answered 503, which says that it has not run, and could be made once more.

Cause: a late second copy of a liveness check's answer waited on a kept connection, and the next request on it was the payment. Nothing in the copy tells it from the payment's answer, since a check has no id to repeat. The same could come of a second copy of a refusal that does not repeat the request's id.

Why it works: a connection serves requests or checks, never both, and one that has brought an answer without an id serves no further request. So an answer without an id can only be that to the request under way.

--- a/include/waxwingvale/forwarding/backend_call.hpp
+++ b/include/waxwingvale/forwarding/backend_call.hpp
@@ -31,6 +31,11 @@
     std::string value;
 };
 
+// What a connection is used for. Answers to checks bear nothing that tells them
+// from answers to requests: a second one that comes late would be taken for the
+// answer to a request, so no connection serves both.
+enum class call_purpose { request, check };
+
 // A request to a backend server.
 struct backend_call {
     std::string backend_server; // what its connections are kept under
@@ -54,6 +59,7 @@
     // forgotten by the other end, and a request sent on it is lost without a
     // word of whether it ran.
     duration kept_for{};
+    call_purpose purpose = call_purpose::request;
 };
 
 // How a call ended.
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -183,6 +183,7 @@
     call.headers.push_back({"Host", to.host});
     call.connect_timeout = probe_timeout;
     call.kept_for = probe_connection_kept_for;
+    call.purpose = forwarding::call_purpose::check;
     const sent_probe probe{to.name, to.incarnation, timers_.now()};
     const auto open = pool_.send(std::move(call),
                                  [this, service = of.name, probe](
--- a/src/entry/reach_watch.cpp
+++ b/src/entry/reach_watch.cpp
@@ -243,6 +243,7 @@
     call.target = protocol_.health_target(of);
     call.headers.push_back({"Host", server.host});
     call.connect_timeout = server_answers_within;
+    call.purpose = forwarding::call_purpose::check;
     const auto number = next_ask_++;
     asked_[number] = pool_.send(std::move(call),
                                 [this, number, name = server.name](
--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -52,11 +52,9 @@
 } // namespace
 
 backend_connection::backend_connection(kernel::event_loop& loop, int descriptor,
-                                       std::string backend_server,
-                                       std::string address, time_point began,
+                                       connection_target to, time_point began,
                                        backend_connection_handlers handlers)
-    : backend_server_(std::move(backend_server)),
-      address_(std::move(address)),
+    : to_(std::move(to)),
       began_(began),
       handlers_(std::move(handlers)),
       socket_(loop, descriptor, true,
@@ -177,19 +175,16 @@
     return false;
 }
 
-// An answer without the header is taken as ours: servers that refuse a request
-// before they read it do not repeat what it said.
-bool backend_connection::belongs_to_call() const {
-    if (!call_->echo) {
-        return true;
-    }
-    const auto* echoed =
-        io::find_header(reader_.answer().headers, call_->echo->name);
-    return echoed == nullptr || *echoed == call_->echo->value;
+// Which call the answer is to, by its own word; null: it doesn't say.
+const std::string* backend_connection::echoed() const {
+    return call_->echo
+               ? io::find_header(reader_.answer().headers, call_->echo->name)
+               : nullptr;
 }
 
 void backend_connection::take_head() {
-    passing_over_ = !belongs_to_call();
+    const auto* of = echoed();
+    passing_over_ = of != nullptr && *of != call_->echo->value;
     if (passing_over_) {
         // A second answer to an earlier request, come late. Ours is still to
         // come, but the connection is not to be trusted with another call.
@@ -199,6 +194,10 @@
     }
     head_seen_ = true;
     kept_by_server_ = kept_by(reader_.answer());
+    // Servers that refuse a request before they read it don't repeat what it
+    // said. A second copy of such an answer could not be told from the answer
+    // to the next call.
+    usable_ = usable_ && (!call_->echo || of != nullptr);
 }
 
 void backend_connection::take_body() {
@@ -264,7 +263,7 @@
 
 error backend_connection::make_error(error_code code,
                                      const std::string& detail) const {
-    return {code, sent() ? "await answer" : "connect", address_, detail};
+    return {code, sent() ? "await answer" : "connect", to_.address, detail};
 }
 
 void backend_connection::finish(result<io::http_response> response) {
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -22,16 +22,24 @@
     std::function<void()> on_lost;
 };
 
+// Where a connection leads, and what for.
+struct connection_target {
+    std::string backend_server;
+    std::string address; // for errors
+    call_purpose purpose = call_purpose::request;
+};
+
 // One connection to a backend server, with at most one call on it at a time.
 class backend_connection {
 public:
     backend_connection(kernel::event_loop& loop, int descriptor,
-                       std::string backend_server, std::string address,
-                       time_point began, backend_connection_handlers handlers);
+                       connection_target to, time_point began,
+                       backend_connection_handlers handlers);
     backend_connection(const backend_connection&) = delete;
     backend_connection& operator=(const backend_connection&) = delete;
 
-    const std::string& backend_server() const { return backend_server_; }
+    const std::string& backend_server() const { return to_.backend_server; }
+    call_purpose purpose() const { return to_.purpose; }
     time_point began() const { return began_; }
     void send(backend_call call, long_answer_handlers on_long);
     // Ends the call with that error, unless it ended before.
@@ -63,14 +71,13 @@
     void read_on();
     bool take_step(answer_reader::step step);
     void take_head();
-    bool belongs_to_call() const;
+    const std::string* echoed() const;
     void take_body();
     void take_complete();
     void finish(result<io::http_response> response);
     error make_error(error_code code, const std::string& detail) const;
 
-    std::string backend_server_;
-    std::string address_;
+    connection_target to_;
     time_point began_;
     backend_connection_handlers handlers_;
     std::optional<backend_call> call_;
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -51,7 +51,8 @@
         : loop(on), timers(with) {}
 
     connection_ptr take_kept(const backend_call& call);
-    connection_ptr latest_kept(const backend_call& call);
+    connection_ptr latest_kept(const backend_call& call) const;
+    void unlist_idle(const backend_connection& connection);
     result<connection_ptr> open(const backend_call& call, call_id id);
     void fail_soon(call_id id, error why);
     void finish(call_id id, backend_result ended);
@@ -75,15 +76,29 @@
 
 // The connection used last is the one most likely to be open.
 backend_pool::state::connection_ptr
-backend_pool::state::latest_kept(const backend_call& call) {
+backend_pool::state::latest_kept(const backend_call& call) const {
     const auto found = servers.find(call.backend_server);
-    if (found == servers.end() || found->second.idle.empty()) {
+    if (found == servers.end()) {
+        return nullptr;
+    }
+    const auto& idle = found->second.idle;
+    const auto latest =
+        std::find_if(idle.rbegin(), idle.rend(), [&](const auto& each) {
+            return each.connection->purpose() == call.purpose;
+        });
+    if (latest == idle.rend()) {
         return nullptr;
     }
-    const auto& latest = found->second.idle.back();
-    const auto age = timers.now() - latest.since;
-    return age > std::min(call.kept_for, latest.keep) ? nullptr
-                                                      : latest.connection;
+    const auto age = timers.now() - latest->since;
+    return age > std::min(call.kept_for, latest->keep) ? nullptr
+                                                       : latest->connection;
+}
+
+void backend_pool::state::unlist_idle(const backend_connection& connection) {
+    auto& idle = servers.at(connection.backend_server()).idle;
+    idle.erase(std::find_if(idle.begin(), idle.end(), [&](const auto& each) {
+        return each.connection.get() == &connection;
+    }));
 }
 
 // Its server's close may have come and not be read; a request that is sent then
@@ -93,7 +108,7 @@
     while (auto latest = latest_kept(call)) {
         latest->catch_up();
         if (latest->usable()) {
-            servers.at(call.backend_server).idle.pop_back();
+            unlist_idle(*latest);
             return latest;
         }
     }
@@ -130,8 +145,9 @@
     };
     handlers.on_lost = [this, self] { lose_idle(*self); };
     auto opened = std::make_shared<backend_connection>(
-        loop, descriptor.value(), call.backend_server, address, timers.now(),
-        std::move(handlers));
+        loop, descriptor.value(),
+        connection_target{call.backend_server, address, call.purpose},
+        timers.now(), std::move(handlers));
     *self = opened.get();
     ++servers[call.backend_server].open;
     ++counters.connections_opened;
--- a/test/forwarding/backend_pool_test.cpp
+++ b/test/forwarding/backend_pool_test.cpp
@@ -92,6 +92,52 @@
     CHECK(fixture.pool.counters().reused == 1);
 }
 
+// Guards against a second copy of an answer that names no request, come late:
+// it would be taken for the answer to the next request on its connection.
+TEST_CASE("a connection is not used after an answer that names no request") {
+    pooled fixture;
+    auto first = fixture.call("/first");
+    first.echo = forwarding::echoed_header{"X-Id", "1"};
+    fixture.send(first);
+    REQUIRE(fixture.await_request(0, "/first"));
+    fixture.server.at(0).send(ok + "Content-Length: 0\r\n\r\n");
+    REQUIRE(fixture.await_end());
+    CHECK(fixture.ended->response);
+    auto second = fixture.call("/second");
+    second.echo = forwarding::echoed_header{"X-Id", "2"};
+    fixture.send(second);
+    CHECK(fixture.await_request(1, "/second"));
+    CHECK(fixture.pool.counters().reused == 0);
+}
+
+// Guards against a request that is given the late second copy of an answer to a
+// liveness check, which names no request.
+TEST_CASE("requests and checks never share a connection") {
+    const auto first = GENERATE(forwarding::call_purpose::request,
+                                forwarding::call_purpose::check);
+    const auto other = first == forwarding::call_purpose::request
+                           ? forwarding::call_purpose::check
+                           : forwarding::call_purpose::request;
+    pooled fixture;
+    auto earlier = fixture.call("/earlier");
+    earlier.purpose = first;
+    fixture.send(earlier);
+    REQUIRE(fixture.await_request(0, "/earlier"));
+    fixture.server.at(0).send(ok + "Content-Length: 0\r\n\r\n");
+    REQUIRE(fixture.await_end());
+    auto later = fixture.call("/later");
+    later.purpose = other;
+    fixture.send(later);
+    REQUIRE(fixture.await_request(1, "/later"));
+    fixture.server.at(1).send(ok + "Content-Length: 0\r\n\r\n");
+    REQUIRE(fixture.await_end());
+    later.purpose = first;
+    later.target = "/again";
+    fixture.send(later);
+    CHECK(fixture.await_request(0, "/again"));
+    CHECK(fixture.pool.counters().connections_opened == 2);
+}
+
 TEST_CASE("limits told again cost no kept connection and cut no call") {
     // Each view tells them. New connections to servers are dear, and what runs
     // there would be lost.
--- a/test/platform/ending_server.cpp
+++ b/test/platform/ending_server.cpp
@@ -152,8 +152,9 @@
 }
 
 void ending_server::take(connection& from, const io::http_request& request) {
+    from.socket->write(std::exchange(from.late, {}), {});
     if (request.target == "/healthz") {
-        answer(from, status_ok, {});
+        answer_check(from);
         return;
     }
     if (on_arrival) {
@@ -221,19 +222,29 @@
     }
 }
 
+void ending_server::answer_check(connection& to) {
+    const auto status = says_ill ? status_unavailable : status_ok;
+    answer(to, status, {});
+    if (repeats_checks) {
+        to.late = answer_text(status, {}, to.body);
+    }
+}
+
 void ending_server::answer(connection& to, unsigned status,
                            io::http_headers headers) {
-    if (to.silent) {
-        return;
+    if (!to.silent) {
+        to.socket->write(answer_text(status, std::move(headers), to.body), {});
     }
+}
+
+std::string ending_server::answer_text(unsigned status,
+                                       io::http_headers headers,
+                                       const std::string& body) const {
     headers.push_back({"Waxwingvale-Instance-Id", id_});
     headers.push_back({"Waxwingvale-Server-Load", load});
-    const auto& body = to.body;
-    to.socket->write(
-        forwarding::answer_head(status, headers,
-                                {forwarding::body_framing::length, body.size()},
-                                false),
-        body);
+    const forwarding::body_plan plan{forwarding::body_framing::length,
+                                     body.size()};
+    return forwarding::answer_head(status, headers, plan, false) + body;
 }
 
 void ending_server::end_under(connection& with) {
--- a/test/platform/ending_server.hpp
+++ b/test/platform/ending_server.hpp
@@ -87,6 +87,11 @@
     // Running, waiting, slots, as told in answers.
     std::string load = "0,0,4";
     bool ends_for_nobody = false; // also when the caller's connection has gone
+    bool says_ill =
+        false; // in answers to liveness checks; it works all the same
+    // Each answer to a liveness check comes again when the connection brings
+    // the next request.
+    bool repeats_checks = false;
 
 private:
     struct connection {
@@ -95,6 +100,7 @@
         std::string input;
         kernel::timer_service::subscription running;
         std::string body = "done"; // of the answer to come
+        std::string late;          // sent before the next answer
         std::optional<std::size_t> sender;
         bool open = true;
         bool at_work = false;
@@ -106,7 +112,10 @@
     void take(connection& from, const io::http_request& request);
     void run(connection& from, const io::http_request& request);
     void finish(connection& from, run_end how, const std::string& attempt);
+    void answer_check(connection& to);
     void answer(connection& to, unsigned status, io::http_headers headers);
+    std::string answer_text(unsigned status, io::http_headers headers,
+                            const std::string& body) const;
     void close(connection& which);
     void stop_listening();
     void end_under(connection& with);
