forwarding, entry: bytes without end from a backend server are borne

Callers saw: answers that were cut. Operators saw: memory that grows (115 MB from 16 MB at one second copy), and no word of which server sent what.

Cause: limits were set on what an answer may be, not on what may come in its place: lines between chunks and trailers had none, interim answers and answers to other requests were passed over for as long as they came, bodies of checks were kept whole, and a long answer went to the caller whatever its head said.

Why it works: whatever is not the call's own answer has a limit, past which the call ends as lost and its connection is closed; a head that cannot be an answer's ends it as soon as a part of its body has come.

--- a/include/waxwingvale/forwarding/backend_call.hpp
+++ b/include/waxwingvale/forwarding/backend_call.hpp
@@ -77,7 +77,11 @@
 // Told of an answer that is longer than is waited for: from its head on it
 // comes in pieces, and the result brings no body.
 struct long_answer_handlers {
-    std::function<void(const io::http_response& head,
+    // Whether the head may be that of an answer, asked when a part of its body
+    // has come. If not, the call ends with what has come. Empty: it may.
+    std::function<bool(const io::http_response& head)> may_be_answer;
+    // Whether the body is wanted; if not, the call ends with what has come.
+    std::function<bool(const io::http_response& head,
                        std::optional<std::uint64_t> length)>
         on_begin;
     std::function<void(std::string bytes)> on_bytes;
--- a/include/waxwingvale/forwarding/backend_pool.hpp
+++ b/include/waxwingvale/forwarding/backend_pool.hpp
@@ -20,6 +20,14 @@
     std::uint64_t no_room = 0; // calls refused at the limit of connections
 };
 
+// Bytes of a backend server that are no answer, or answer nothing that was
+// asked.
+struct malformed_bytes {
+    std::string backend_server;
+    call_purpose purpose = call_purpose::request; // of the connection
+    std::string detail;                           // what they are
+};
+
 // Connections to backend servers and the calls on them: HTTP/1.1 by the
 // Boost.Beast parser on the task's libev loop. It never sends a request a
 // second time, and knows whether a byte of it has left; libcurl does the
@@ -54,6 +62,8 @@
     // Most connections to one backend server, and of those most that are kept
     // while idle.
     void limit_connections(std::size_t open, std::size_t idle);
+    // Called with each such find; it must not use the pool.
+    void on_malformed(std::function<void(const malformed_bytes&)> told);
     // Closes the idle connections to that server: it is leaving or gone.
     void forget(const std::string& backend_server);
 
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -237,6 +237,7 @@
     // call_relay.cpp: answers that are passed on while they come
     forwarding::long_answer_handlers
     relay_handlers(decision::request_id id, decision::request_id attempt_id);
+    backend_answer meaning_of(const io::http_response& head) const;
     void begin_relay(decision::request_id id, decision::request_id attempt_id,
                      const io::http_response& head,
                      std::optional<std::uint64_t> length);
--- a/src/entry/call_detours.cpp
+++ b/src/entry/call_detours.cpp
@@ -234,9 +234,14 @@
 forwarding::long_answer_handlers
 call_desk::detour_handlers(decision::request_id id) {
     forwarding::long_answer_handlers handlers;
+    handlers.may_be_answer = [](const io::http_response& head) {
+        auto headers = head.headers;
+        return take_outcome_header(headers).has_value();
+    };
     handlers.on_begin = [this, id](const io::http_response& head,
                                    std::optional<std::uint64_t> length) {
         begin_detour_answer(id, head, length);
+        return true;
     };
     handlers.on_bytes = [this, id](const std::string& bytes) {
         relay(id, bytes);
--- a/src/entry/call_relay.cpp
+++ b/src/entry/call_relay.cpp
@@ -18,10 +18,17 @@
 call_desk::relay_handlers(decision::request_id id,
                           decision::request_id attempt_id) {
     forwarding::long_answer_handlers handlers;
+    handlers.may_be_answer = [this](const io::http_response& head) {
+        return meaning_of(head).outcome != run_outcome::unknown;
+    };
     handlers.on_begin = [this, id,
                          attempt_id](const io::http_response& head,
                                      std::optional<std::uint64_t> length) {
+        if (meaning_of(head).outcome != run_outcome::ran) {
+            return false; // nothing that a caller is given
+        }
         begin_relay(id, attempt_id, head, length);
+        return true;
     };
     handlers.on_bytes = [this, id](const std::string& bytes) {
         relay(id, bytes);
@@ -29,6 +36,11 @@
     return handlers;
 }
 
+// What an answer of that head proves.
+backend_answer call_desk::meaning_of(const io::http_response& head) const {
+    return protocol_.classify({head, true, std::nullopt, {}});
+}
+
 // The answer of this attempt goes to the caller: once its head is passed on,
 // the request can be neither retried nor hedged.
 void call_desk::begin_relay(decision::request_id id,
@@ -53,7 +65,7 @@
     auto passed_on = protocol_.pass_on(head, {});
     mark_for_peer(*call, run_outcome::ran, passed_on);
     call->caller->begin_answer(std::move(passed_on), length);
-    const auto said = protocol_.classify({head, true, std::nullopt, {}});
+    const auto said = meaning_of(head);
     if (said.terms) {
         desk_of(call->labels.service)
             .handle(decision::answer_begun{attempt_id, *said.terms});
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -79,6 +79,7 @@
       peer_pool_(environment.loop, environment.timers),
       terms_log_(environment.timers, metrics_.limits_named,
                  metrics_.limited_servers, metrics_.rests_asked),
+      malformed_log_(environment.timers, environment.metrics),
       reach_(protocol, environment.timers, pool_, hub_, metrics_.partitioned,
              metrics_.reach_checks),
       detours_(self_.name, environment.timers, peer_pool_,
@@ -100,6 +101,9 @@
     peers_.on_request_ended([this](const forwarding::ended_request& ended) {
         detour_ends_.record(ended);
     });
+    pool_.on_malformed([this](const forwarding::malformed_bytes& found) {
+        malformed_log_.record(found);
+    });
     wire_peers();
 }
 
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -14,6 +14,7 @@
 
 #include "entry/call_desk.hpp"
 #include "entry/entry_metrics.hpp"
+#include "entry/malformed_log.hpp"
 #include "entry/prober.hpp"
 #include "entry/request_end_log.hpp"
 #include "entry/server_starts.hpp"
@@ -82,6 +83,7 @@
     view_ptr view_;
     server_starts starts_;
     terms_log terms_log_;
+    malformed_log malformed_log_;
     reach_watch reach_;
     detour_desk detours_;
     call_desk calls_;
--- a/src/forwarding/answer_reader.cpp
+++ b/src/forwarding/answer_reader.cpp
@@ -14,6 +14,9 @@
 
 // Bytes of status line and headers: more than any real server sends.
 constexpr std::uint32_t head_limit = 64 * 1024;
+// Bytes that may wait for the end of a line between chunks, or for that of the
+// trailers; the library sets no limit there.
+constexpr std::size_t line_limit = 64 * 1024;
 constexpr unsigned first_final_status = 200;
 constexpr unsigned switching_protocols = 101;
 
@@ -97,6 +100,9 @@
         if (why && why != http::error::need_more) {
             return refuse(why.message());
         }
+        if (head_told && !parser->is_done() && input.size() > line_limit) {
+            return refuse("a line between chunks has no end");
+        }
         return step::need_more;
     }
 
--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -14,6 +14,11 @@
 // then be asked for again elsewhere, where the caller would else get a broken
 // one. 540 KB is the longest download of both users today.
 constexpr std::size_t whole_answer_limit = 1024 * 1024; // bytes
+// The body of an answer to a check, which nobody reads.
+constexpr std::size_t check_body_limit = 64 * 1024; // bytes
+// What may come before the head of the answer to a call: interim answers, and
+// late ones to earlier calls.
+constexpr std::uint64_t ahead_limit = 1024 * 1024; // bytes
 
 // "timeout=5, max=100" names seconds.
 std::optional<duration> kept_by(const io::http_response& answer) {
@@ -68,9 +73,11 @@
     call_ = std::move(call);
     on_long_ = std::move(on_long);
     head_seen_ = false;
+    head_checked_ = false;
     passing_over_ = false;
     long_begun_ = false;
     sent_before_ = socket_.bytes_out();
+    received_before_ = socket_.bytes_in();
     reader_.expect(call_->method);
     body_sent_ = call_->more_body == nullptr;
     if (connected_) {
@@ -138,11 +145,27 @@
         // given it.
         usable_ = false;
         ++stray_answers_;
+        note_malformed("bytes that answer nothing");
         handlers_.on_lost();
         return;
     }
     input_.append(bytes, size);
     read_on();
+    const auto received = socket_.bytes_in() - received_before_;
+    if (call_ && !head_seen_ && received > ahead_limit) {
+        refuse("no answer to the call among many bytes");
+    }
+}
+
+void backend_connection::note_malformed(const std::string& detail) {
+    handlers_.on_malformed(detail);
+}
+
+// Ends the call, of which nobody can say whether it has run.
+void backend_connection::refuse(const std::string& detail) {
+    usable_ = false;
+    note_malformed(detail);
+    finish(make_error(error_code::malformed, detail));
 }
 
 void backend_connection::read_on() {
@@ -159,15 +182,14 @@
     case answer_reader::step::need_more:
         return false;
     case answer_reader::step::faulty:
-        usable_ = false;
-        finish(make_error(error_code::malformed, reader_.fault()));
+        refuse(reader_.fault());
         return false;
     case answer_reader::step::head:
         take_head();
-        return true;
+        return call_.has_value();
     case answer_reader::step::body:
         take_body();
-        return true;
+        return call_.has_value();
     case answer_reader::step::complete:
         take_complete();
         return true;
@@ -190,6 +212,7 @@
         // come, but the connection is not to be trusted with another call.
         ++stray_answers_;
         usable_ = false;
+        note_malformed("an answer to another call");
         return;
     }
     head_seen_ = true;
@@ -200,19 +223,47 @@
     usable_ = usable_ && (!call_->echo || of != nullptr);
 }
 
+// Whether waiting for the rest of the body makes sense. An answer that came
+// whole at once is not asked about: its meaning is found out anyway.
+bool backend_connection::may_be_answer() {
+    if (std::exchange(head_checked_, true) || !on_long_.may_be_answer) {
+        return true;
+    }
+    return on_long_.may_be_answer(reader_.answer());
+}
+
 void backend_connection::take_body() {
     auto& answer = reader_.answer();
     if (passing_over_) {
         answer.body.clear();
         return;
     }
-    const bool is_long = answer.body.size() > whole_answer_limit;
-    if (!on_long_.on_begin || (!is_long && !long_begun_)) {
+    if (!may_be_answer()) {
+        usable_ = false;
+        note_malformed("a head that is no answer's");
+        finish(std::move(answer));
+        return;
+    }
+    const bool is_check = to_.purpose == call_purpose::check;
+    const auto limit = is_check ? check_body_limit : whole_answer_limit;
+    const bool is_long = answer.body.size() > limit;
+    if (!is_long && !long_begun_) {
         return;
     }
-    if (!long_begun_) {
-        long_begun_ = true;
-        on_long_.on_begin(answer, reader_.body_length());
+    if (!on_long_.on_begin) {
+        refuse("the body is too long");
+        return;
+    }
+    take_long_body(!long_begun_);
+}
+
+void backend_connection::take_long_body(bool begins) {
+    auto& answer = reader_.answer();
+    long_begun_ = true;
+    if (begins && !on_long_.on_begin(answer, reader_.body_length())) {
+        usable_ = false;
+        finish(std::move(answer));
+        return;
     }
     on_long_.on_bytes(std::exchange(answer.body, {}));
 }
@@ -230,7 +281,10 @@
     // before the whole request was sent leaves the rest of it on the wire.
     usable_ = usable_ && reader_.keep_alive() && input_.empty() && body_sent_ &&
               socket_.waiting() == 0;
-    stray_answers_ += input_.empty() ? 0 : 1;
+    if (!input_.empty()) {
+        ++stray_answers_;
+        note_malformed("bytes after the answer");
+    }
     finish(std::move(reader_.answer()));
 }
 
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -20,6 +20,9 @@
     std::function<void(backend_result)> on_done;
     // An idle connection ended, or brought bytes that nobody asked for.
     std::function<void()> on_lost;
+    // Bytes came that are no answer, or none to the call; told before either of
+    // the others.
+    std::function<void(const std::string& detail)> on_malformed;
 };
 
 // Where a connection leads, and what for.
@@ -72,8 +75,12 @@
     bool take_step(answer_reader::step step);
     void take_head();
     const std::string* echoed() const;
+    bool may_be_answer();
     void take_body();
+    void take_long_body(bool begins);
     void take_complete();
+    void note_malformed(const std::string& detail);
+    void refuse(const std::string& detail);
     void finish(result<io::http_response> response);
     error make_error(error_code code, const std::string& detail) const;
 
@@ -87,10 +94,12 @@
     bool connected_ = false;
     bool usable_ = true;
     bool head_seen_ = false; // of the answer to this call
+    bool head_checked_ = false;
     bool passing_over_ = false;
     bool long_begun_ = false;
     bool body_sent_ = true;
     std::uint64_t sent_before_ = 0; // bytes, when this call began
+    std::uint64_t received_before_ = 0;
     std::uint64_t stray_answers_ = 0;
     std::optional<duration> kept_by_server_;
     io::stream_socket socket_;
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -66,6 +66,7 @@
     backend_pool_counters counters;
     std::size_t limit = default_connections;
     std::size_t most_idle = default_connections;
+    std::function<void(const malformed_bytes&)> on_malformed;
     call_id next_id = 1;
     std::unordered_map<call_id, open_call> calls;
     // The call that is on a connection, for its handlers.
@@ -144,6 +145,12 @@
         }
     };
     handlers.on_lost = [this, self] { lose_idle(*self); };
+    handlers.on_malformed = [this, self](const std::string& detail) {
+        if (on_malformed) {
+            on_malformed(
+                {(*self)->backend_server(), (*self)->purpose(), detail});
+        }
+    };
     auto opened = std::make_shared<backend_connection>(
         loop, descriptor.value(),
         connection_target{call.backend_server, address, call.purpose},
@@ -326,6 +333,11 @@
     state_->most_idle = idle;
 }
 
+void backend_pool::on_malformed(
+    std::function<void(const malformed_bytes&)> told) {
+    state_->on_malformed = std::move(told);
+}
+
 void backend_pool::forget(const std::string& backend_server) {
     const auto found = state_->servers.find(backend_server);
     if (found == state_->servers.end()) {
--- a/test/forwarding/answer_reader_test.cpp
+++ b/test/forwarding/answer_reader_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 
@@ -52,6 +53,24 @@
     CHECK(io::find_header(reader.answer().headers, "X-A") == nullptr);
 }
 
+// Guards against input that grows until the memory is gone: lines between
+// chunks, and trailers, have no limit of the library's.
+TEST_CASE("lines without end around chunks are refused") {
+    const std::string begin = GENERATE("4;x=", "4\r\nbody\r\n0\r\nX-A: ");
+    std::string input = ok + "Transfer-Encoding: chunked\r\n\r\n" + begin;
+    answer_reader reader;
+    reader.expect("GET");
+    std::size_t longest = 0;
+    auto last = read_all(reader, input);
+    for (int piece = 0; piece < 100 && last == step::need_more; ++piece) {
+        input += std::string(4096, 'x');
+        last = read_all(reader, input);
+        longest = std::max(longest, input.size());
+    }
+    CHECK(last == step::faulty);
+    CHECK(longest < 80 * 1024);
+}
+
 TEST_CASE("an answer to HEAD has no body whatever its length says") {
     std::string input = ok + "Content-Length: 500\r\n\r\n";
     answer_reader reader;
--- a/test/forwarding/backend_pool_test.cpp
+++ b/test/forwarding/backend_pool_test.cpp
@@ -314,6 +314,7 @@
                           std::optional<std::uint64_t> length) {
         CHECK(head.status == 200);
         told = length;
+        return true;
     };
     pieces.on_bytes = [&](std::string bytes) { got += bytes; };
     fixture.pool.send(
--- a/test/platform/instance_group.hpp
+++ b/test/platform/instance_group.hpp
@@ -23,6 +23,7 @@
     struct ports {
         std::uint16_t control = standin::free_port();
         std::uint16_t caller = standin::free_port();
+        std::uint16_t metrics = standin::free_port();
     };
 
     // `budgets` are merged into the settings of the deployment.
@@ -37,6 +38,9 @@
     std::uint16_t control_port(std::size_t number) const {
         return ports_.at(number).control;
     }
+    std::uint16_t metrics_port(std::size_t number) const {
+        return ports_.at(number).metrics;
+    }
     standin::child_process& process(std::size_t number) {
         return *processes_.at(number);
     }
