decision, entry: an undecided trial is not forgotten for a partition

Operators saw: a request that ends servers ended a fourth one.

Cause: an instance that takes itself for partitioned excused all that it had lost in the second before: an end that was proven, and the trial that had just ended its server. It was not partitioned: three of four servers had ended, and the fourth reset connections.

The new unit test asks for what was dropped.

Why it works: what was lost before a server was last reached was lost to no partition, and a lost trial's process shows soon whether it has ended.

--- a/include/waxwingvale/decision/crash_record.hpp
+++ b/include/waxwingvale/decision/crash_record.hpp
@@ -69,7 +69,9 @@
     // The process answered what was sent to it at that moment: runs lost before
     // were not lost by its end.
     bool settle_survived(const backend_process& process, time_point sent);
-    // What that instance saw since then shows nothing of servers.
+    // What that instance saw since then shows nothing of servers. A run that
+    // was lost while alone stays open: its process may have ended all the same,
+    // and shows soon whether it has.
     bool excuse_seen_by(const std::string& instance, time_point since);
     // A copy that was sent at that moment got its answer: what was lost before
     // says nothing of the request.
--- a/include/waxwingvale/decision/reach_monitor.hpp
+++ b/include/waxwingvale/decision/reach_monitor.hpp
@@ -88,6 +88,9 @@
     void on_question(time_point now);
     void tick(time_point now);
 
+    // When the connection was begun that has brought the latest answer: servers
+    // were reached then. Nothing: none has answered yet.
+    std::optional<time_point> last_proof() const { return proven_; }
     // What failures mean that were open, once it is known.
     failure_meaning settled_as() const;
 
--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -84,7 +84,8 @@
 bool crash_record::excuse_seen_by(const std::string& instance,
                                   time_point since) {
     return excuse([&](const lost_run& run) {
-        return run.seen_by == instance && run.at >= since;
+        const bool undecided = run.alone && run.verdict == run_verdict::open;
+        return run.seen_by == instance && run.at >= since && !undecided;
     });
 }
 
--- a/src/entry/call_detours.cpp
+++ b/src/entry/call_detours.cpp
@@ -277,7 +277,7 @@
         return;
     }
     forget_connections();
-    crashes_.on_partitioned();
+    crashes_.on_partitioned(reach_.last_reached());
     std::vector<decision::request_id> open;
     for (const auto& entry : calls_) {
         open.push_back(entry.first);
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -332,9 +332,13 @@
     quarantine_.on_trial_abandoned(of.varying);
 }
 
-void crash_guard::on_partitioned() {
+// What was lost before a server was reached for the last time was lost to no
+// partition.
+void crash_guard::on_partitioned(std::optional<time_point> reached) {
     const auto now = timers_.now();
-    tell(quarantine_.on_partitioned(now - partition_unnoticed, now));
+    const auto earliest = now - partition_unnoticed;
+    tell(quarantine_.on_partitioned(
+        std::max(earliest, reached.value_or(earliest)), now));
 }
 
 void crash_guard::take(const std::string& peer,
--- a/src/entry/crash_guard.hpp
+++ b/src/entry/crash_guard.hpp
@@ -89,8 +89,9 @@
                          const std::string& backend_server,
                          backend_incarnation incarnation);
     void on_trial_abandoned(const copy_fingerprints& of);
-    // This instance has become partitioned from the servers.
-    void on_partitioned();
+    // This instance has become partitioned from the servers, the last of which
+    // was reached then.
+    void on_partitioned(std::optional<time_point> reached);
 
 private:
     using words = std::vector<decision::suspicion_update>;
--- a/src/entry/reach_watch.hpp
+++ b/src/entry/reach_watch.hpp
@@ -34,6 +34,10 @@
     bool partitioned() const {
         return reach() == decision::backend_reach::partitioned;
     }
+    // When the last connection was begun that has brought a server's answer.
+    std::optional<time_point> last_reached() const {
+        return monitor_.last_proof();
+    }
     // Whether what would be sent to servers is to wait; see when_settled().
     bool holds() const { return monitor_.holds(); }
     // Whether it is refused instead, as nobody is there who could serve it.
--- a/test/quarantine/evidence_test.cpp
+++ b/test/quarantine/evidence_test.cpp
@@ -87,6 +87,25 @@
     CHECK(runs_normally(peer, start + 200ms));
 }
 
+// Guards against one more end: an instance that takes itself for partitioned,
+// since most servers have ended and the others reset connections, drops what it
+// has lost, the trial that ended its server among it.
+TEST_CASE("a trial lost just before a partition stays open") {
+    auto entry = after_lost_trial();
+    entry.on_partitioned(start + 500ms, start + 1100ms);
+    CHECK(std::holds_alternative<refuse_suspect>(
+        entry.admit(request, start + 1200ms)));
+    const bool ended = GENERATE(true, false);
+    if (ended) {
+        entry.on_process_ended(second, start + 2s);
+    } else {
+        entry.on_process_answered(second, start + 2s, start + 2s);
+    }
+    const auto decided = entry.admit(request, start + 2s);
+    CHECK(std::holds_alternative<refuse_quarantined>(decided) == ended);
+    CHECK(std::holds_alternative<run_alone>(decided) != ended);
+}
+
 // Guards against a request that is refused for good, since its connections were
 // reset while its servers lived.
 TEST_CASE("a lost connection alone refuses no request for good") {
