entry: what is lost right after an outage of all servers counts

Operators saw: copies of a request that ends servers ended more of them 3 s after the third end, and later.

Cause: while no server answers anybody, losses are unproven and are dropped; the failed check left those of the next second unproven too, when the servers were back. Each instance lost a server more, and a trial could be dropped.

Why it works: a check under way, or one begun for the loss of a trial or of what a server had taken since the last check, tells whether servers answer again; if so, the loss is a suspicion like any other, which only an end can prove.

--- a/src/entry/reach_watch.cpp
+++ b/src/entry/reach_watch.cpp
@@ -26,6 +26,8 @@
 constexpr duration servers_alone_asked_for = 30ms;
 // An answer that has come so lately tells a peer that servers answer here.
 constexpr duration lately = 200ms;
+// Failures whose meaning is told when a check has ended.
+constexpr std::size_t most_unproven = 256;
 
 // Whether a server may be the reason, or the way to it; no limit of our own.
 bool is_failure(const forwarding::backend_result& ended) {
@@ -123,6 +125,17 @@
     waiting_.push_back(std::move(handler));
 }
 
+void reach_watch::when_checked(settled_handler handler, bool begin_check) {
+    if (begin_check) {
+        monitor_.on_question(timers_.now());
+    }
+    if (monitor_.reach() == backend_reach::doubtful &&
+        unproven_.size() < most_unproven) {
+        unproven_.push_back(std::move(handler));
+    }
+    update();
+}
+
 bool reach_watch::answered_lately() const {
     return any_answer_ && timers_.now() - last_answer_ < lately;
 }
@@ -154,6 +167,9 @@
     }
     // What is open is judged first: what had been sent is not taken for unsent.
     settle_waiting();
+    if (reach != backend_reach::doubtful) {
+        settle_unproven();
+    }
     const bool is_partitioned = reach == backend_reach::partitioned;
     if (is_partitioned != told_partitioned_) {
         told_partitioned_ = is_partitioned;
@@ -178,6 +194,13 @@
     }
 }
 
+void reach_watch::settle_unproven() {
+    const auto meaning = monitor_.settled_as();
+    for (const auto& handler : std::exchange(unproven_, {})) {
+        handler(meaning);
+    }
+}
+
 void reach_watch::end_asking() {
     for (const auto& each : std::exchange(asked_, {})) {
         pool_.cancel(each.second);
