decision: servers that are slow or rested are tried by bookings too

Callers saw: a backend server that was back got nothing for seconds, where all requests of its service must run at most once; the others had to bear them.

Cause: a straggler, and a server that has asked for rest, get only samples, and a request that must run at most once is one 2 s later than a read. That wait is for failing servers, where it may end with an unknown outcome. And work of 0.3 ms is 2.5 times as slow whenever the machine is busy, which makes stragglers of servers whose delay nobody notices.

Why it works: only servers that fail with open outcomes wait longer for a sample, and a straggler is used like others where its additional time is under 2 ms.

--- a/src/decision/backend_health.cpp
+++ b/src/decision/backend_health.cpp
@@ -49,6 +49,7 @@
 void backend_health::add_rest(duration wanted, time_point now,
                               const scheduling_policy& policy) {
     add_failure(true, true, now, policy);
+    asked_for_rest_ = true;
     failing_pause_ =
         std::min(failing_pause_, std::max(wanted, policy.failing_pause_min));
     next_sample_ = now + failing_pause_;
@@ -74,6 +75,7 @@
 
 void backend_health::add_failure(bool failed, bool unreachable, time_point now,
                                  const scheduling_policy& policy) {
+    asked_for_rest_ = false;
     failure_share_ +=
         policy.failure_gain * ((failed ? 1.0 : 0.0) - failure_share_);
     if (!failed) {
--- a/src/decision/backend_health.hpp
+++ b/src/decision/backend_health.hpp
@@ -36,6 +36,8 @@
     // Whether its attempts fail. slot_table, which knows the other servers,
     // decides whether the server is excluded for it.
     bool failing() const { return failing_; }
+    // Whether a request that is sent to it may end with an unknown outcome.
+    bool may_lose_requests() const { return failing_ && !asked_for_rest_; }
     bool sample_due(time_point now) const { return now >= next_sample_; }
     // Delays the next sample until the verdict of this one is known.
     void sample_started(time_point now, const scheduling_policy& policy);
@@ -53,6 +55,7 @@
     bool slow_ = false;
     bool straggler_ = false;
     bool failing_ = false;
+    bool asked_for_rest_ = false;   // the last failure was a refusal
     duration failing_pause_{};      // doubles with each failed sample
     duration straggler_interval_{}; // doubles with each slow sample
     time_point next_sample_{};
--- a/src/decision/slot_choice.cpp
+++ b/src/decision/slot_choice.cpp
@@ -15,6 +15,9 @@
 // time a retriable request may be the sample instead.
 constexpr duration write_sample_delay{2000000};
 
+// Additional service time that callers do not notice.
+constexpr duration unnoticed_delay{2000};
+
 // Lifetime of cached sums over load reports. The slowness of servers lasts many
 // times as long, and computing a sum over 268 servers takes some microseconds,
 // for each admitted request.
@@ -55,11 +58,15 @@
     return failing * 2 <= serving;
 }
 
+// Only where a sample may end with an unknown outcome a request that must not
+// run twice waits for a retriable one to be it. A straggler answers, and a
+// server that has asked for rest refuses before it runs anything.
 bool slot_table::sample_is_due(const backend_slots& server,
                                const slot_requirements& requirements,
                                time_point now) const {
-    return server.health().sample_due(
-        requirements.may_sample ? now : now - write_sample_delay);
+    const bool waits =
+        !requirements.may_sample && server.health().may_lose_requests();
+    return server.health().sample_due(waits ? now - write_sample_delay : now);
 }
 
 bool slot_table::admits(const backend_slots& server,
@@ -76,10 +83,12 @@
         return true;
     }
     // A straggler is worth using if waiting for the other servers would take
-    // longer than its additional service time.
+    // longer than its additional service time, or if nobody notices that: the
+    // time of very short work varies by far more than the ratio of stragglers.
     const double extra = (server.health().slowness() - 1.0) *
                          static_cast<double>(requirements.typical_time.count());
-    return static_cast<double>(requirements.backlog.count()) > extra;
+    const auto accepted = std::max(requirements.backlog, unnoticed_delay);
+    return static_cast<double>(accepted.count()) > extra;
 }
 
 double slot_table::contention_log(const backend_slots& server) const {
--- a/test/scheduling/health_test.cpp
+++ b/test/scheduling/health_test.cpp
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <map>
+#include <vector>
 
 #include "scheduler_fixture.hpp"
 
@@ -102,6 +104,63 @@
     CHECK(recovered.on_a() > 100);
 }
 
+// Guards against a server that stays unused for seconds at a service whose
+// requests must all run at most once, though it has recovered.
+TEST_CASE("bookings are samples of a straggler like reads") {
+    constexpr duration longest_gap = 4500ms;
+    scheduler_fixture f(3, 2, 3);
+    sequential_requests slow(f);
+    slow.run(200, attempt_verdict::answered, 160ms);
+    REQUIRE(f.scheduler().slots()[0].straggler);
+    std::vector<time_point> samples;
+    for (request_id id = 1001; id <= 1150; ++id) {
+        auto booking = f.request(id);
+        booking.nature = request_nature::at_most_once;
+        f.send(booking);
+        REQUIRE(f.all<start_request>().size() == 1);
+        const bool at_a = f.all<start_request>()[0].backend_server == "a";
+        if (at_a) {
+            samples.push_back(f.now);
+        }
+        const duration took = at_a ? 160ms : 20ms;
+        f.now += took;
+        f.finish(id, attempt_verdict::answered, took);
+        f.now += 100ms;
+    }
+    REQUIRE(samples.size() > 1);
+    for (std::size_t each = 1; each < samples.size(); ++each) {
+        CHECK(samples[each] - samples[each - 1] < longest_gap);
+    }
+}
+
+// Guards against a server that gets nothing, though its answers come hardly
+// later than those of the others: work of less than a millisecond takes several
+// times as long whenever the machine is busy.
+TEST_CASE("a straggler whose delay nobody notices is used like others") {
+    constexpr std::size_t servers = 4;
+    scheduler_fixture f(servers, 1, servers);
+    std::size_t started = 0;
+    for (request_id round = 0; round < 100; ++round) {
+        std::map<request_id, duration> running;
+        started = 0;
+        for (request_id each = 1; each <= servers; ++each) {
+            f.arrive(10 * round + each);
+            for (const auto& start : f.all<start_request>()) {
+                const bool at_a = start.backend_server == "a";
+                running[start.request] = at_a ? 1500us : 300us;
+                ++started;
+            }
+        }
+        f.now += 1500us;
+        for (const auto& [id, took] : running) {
+            f.finish(id, attempt_verdict::answered, took);
+        }
+        f.pass(2s); // what has waited is over
+    }
+    REQUIRE(f.scheduler().slots()[0].straggler);
+    CHECK(started == servers);
+}
+
 TEST_CASE("a server that refuses as full gets fewer requests for a while") {
     // During a partition two owners assign the same slots, and the backend
     // server refuses the excess requests. If it were tried again at once, it
