test: one class listens for the stand-ins

Four stand-ins opened a port and took its connections each in their own way; three of them share standin::listening_socket now. No check is changed.

--- a/test/platform/ending_server.cpp
+++ b/test/platform/ending_server.cpp
@@ -1,9 +1,7 @@
 #include "platform/ending_server.hpp"
 
 #include <arpa/inet.h>
-#include <stdexcept>
 #include <sys/socket.h>
-#include <unistd.h>
 #include <utility>
 
 #include "forwarding/wire_text.hpp"
@@ -36,49 +34,23 @@
 
 ending_server::ending_server(kernel::event_loop& loop,
                              kernel::timer_service& timers, hooks told)
-    : loop_(loop), timers_(timers), told_(std::move(told)) {}
-
-ending_server::~ending_server() {
-    stop_listening();
-}
+    : loop_(loop),
+      timers_(timers),
+      told_(std::move(told)),
+      listener_(loop, [this](int descriptor) { accept(descriptor); }) {}
 
 void ending_server::start(const std::string& id) {
     id_ = id;
     up_ = true;
     connections_.clear();
-    stop_listening();
     if (port_ == 0) {
         // None that an outgoing connection may take while nothing listens.
         port_ = standin::free_port();
     }
-    const auto opened = io::open_listener("127.0.0.1", port_);
-    if (!opened) {
-        throw std::runtime_error(to_string(opened.error()));
-    }
-    listener_ = opened.value();
-    ev_io_init(
-        &accepting_,
-        [](struct ev_loop*, ev_io* w, int) {
-            static_cast<ending_server*>(w->data)->accept();
-        },
-        listener_, EV_READ);
-    accepting_.data = this;
-    ev_io_start(loop_.native(), &accepting_);
-}
-
-void ending_server::stop_listening() {
-    if (listener_ >= 0) {
-        ev_io_stop(loop_.native(), &accepting_);
-        ::close(listener_);
-        listener_ = -1;
-    }
+    listener_.open(port_);
 }
 
-void ending_server::accept() {
-    const int descriptor = io::accept_connection(listener_);
-    if (descriptor < 0) {
-        return;
-    }
+void ending_server::accept(int descriptor) {
     auto& made = connections_.emplace_back();
     if (who_connects) {
         made.sender = who_connects(port_at_other_end(descriptor));
@@ -267,7 +239,7 @@
 void ending_server::end(process_end how) {
     up_ = false;
     if (how != process_end::silence) {
-        stop_listening();
+        listener_.close();
         for (auto& each : connections_) {
             const bool by_reset =
                 how == process_end::reset || how == process_end::replaced;
--- a/test/platform/ending_server.hpp
+++ b/test/platform/ending_server.hpp
@@ -13,6 +13,7 @@
 
 #include "forwarding/request_reader.hpp"
 #include "io/stream_socket.hpp"
+#include "standin/listening_socket.hpp"
 
 namespace waxwingvale::platform {
 
@@ -57,7 +58,6 @@
 
     ending_server(kernel::event_loop& loop, kernel::timer_service& timers,
                   hooks told);
-    ~ending_server();
     ending_server(const ending_server&) = delete;
     ending_server& operator=(const ending_server&) = delete;
 
@@ -107,7 +107,7 @@
         bool silent = false; // partitioned: nothing is read or sent
     };
 
-    void accept();
+    void accept(int descriptor);
     void read(connection& from, const char* bytes, std::size_t size);
     void take(connection& from, const io::http_request& request);
     void run(connection& from, const io::http_request& request);
@@ -117,7 +117,6 @@
     std::string answer_text(unsigned status, io::http_headers headers,
                             const std::string& body) const;
     void close(connection& which);
-    void stop_listening();
     void end_under(connection& with);
 
     kernel::event_loop& loop_;
@@ -126,8 +125,7 @@
     std::string id_;
     std::uint16_t port_ = 0;
     bool up_ = false;
-    int listener_ = -1;
-    ev_io accepting_{};
+    standin::listening_socket listener_;
     std::list<connection> connections_;
     std::map<std::size_t, sender_cut> cuts_; // by sender
 };
--- a/test/platform/endless_server.cpp
+++ b/test/platform/endless_server.cpp
@@ -1,8 +1,5 @@
 #include "platform/endless_server.hpp"
 
-#include <map>
-#include <stdexcept>
-#include <unistd.h>
 #include <utility>
 
 #include "forwarding/wire_text.hpp"
@@ -75,25 +72,8 @@
     : loop_(loop),
       timers_(timers),
       id_(std::move(id)),
-      port_(standin::free_port()) {
-    const auto opened = io::open_listener("127.0.0.1", port_);
-    if (!opened) {
-        throw std::runtime_error(to_string(opened.error()));
-    }
-    listener_ = opened.value();
-    ev_io_init(
-        &accepting_,
-        [](struct ev_loop*, ev_io* w, int) {
-            static_cast<endless_server*>(w->data)->accept();
-        },
-        listener_, EV_READ);
-    accepting_.data = this;
-    ev_io_start(loop_.native(), &accepting_);
-}
-
-endless_server::~endless_server() {
-    ev_io_stop(loop_.native(), &accepting_);
-    ::close(listener_);
+      listener_(loop, [this](int descriptor) { accept(descriptor); }) {
+    listener_.open(standin::free_port());
 }
 
 void endless_server::begin(endless_bytes what, endless_at where) {
@@ -102,11 +82,7 @@
     active_ = true;
 }
 
-void endless_server::accept() {
-    const int descriptor = io::accept_connection(listener_);
-    if (descriptor < 0) {
-        return;
-    }
+void endless_server::accept(int descriptor) {
     auto& made = connections_.emplace_back();
     made.socket = std::make_unique<io::stream_socket>(
         loop_, descriptor, false,
--- a/test/platform/endless_server.hpp
+++ b/test/platform/endless_server.hpp
@@ -11,6 +11,7 @@
 
 #include "forwarding/request_reader.hpp"
 #include "io/stream_socket.hpp"
+#include "standin/listening_socket.hpp"
 
 namespace waxwingvale::platform {
 
@@ -39,12 +40,11 @@
 public:
     endless_server(kernel::event_loop& loop, kernel::timer_service& timers,
                    std::string id);
-    ~endless_server();
     endless_server(const endless_server&) = delete;
     endless_server& operator=(const endless_server&) = delete;
 
     const std::string& id() const { return id_; }
-    std::uint16_t port() const { return port_; }
+    std::uint16_t port() const { return listener_.port(); }
     void begin(endless_bytes what, endless_at where);
     // Begins it on no further connection.
     void end() { active_ = false; }
@@ -65,7 +65,7 @@
         bool open = true;
     };
 
-    void accept();
+    void accept(int descriptor);
     void read(connection& from, const char* bytes, std::size_t size);
     void take(connection& from, const io::http_request& request);
     void answer(connection& to, const io::http_request& request);
@@ -75,9 +75,7 @@
     kernel::event_loop& loop_;
     kernel::timer_service& timers_;
     std::string id_;
-    std::uint16_t port_ = 0;
-    int listener_ = -1;
-    ev_io accepting_{};
+    standin::listening_socket listener_;
     std::list<connection> connections_;
     bool active_ = false;
     endless_bytes what_ = endless_bytes::head_lines;
--- a/test/standin/raw_peer.cpp
+++ b/test/standin/raw_peer.cpp
@@ -1,7 +1,6 @@
 #include "standin/raw_peer.hpp"
 
 #include <cerrno>
-#include <unistd.h>
 #include <utility>
 
 namespace waxwingvale::standin {
@@ -64,24 +63,11 @@
 }
 
 raw_listener::raw_listener(kernel::event_loop& loop)
-    : loop_(loop),
-      listener_(io::open_listener("127.0.0.1", 0).value()),
-      port_(io::bound_port(listener_)) {
-    ev_io_init(
-        &accepting_,
-        [](struct ev_loop*, ev_io* w, int) {
-            auto* self = static_cast<raw_listener*>(w->data);
-            self->connections_.push_back(std::make_unique<raw_connection>(
-                self->loop_, io::accept_connection(w->fd), false));
-        },
-        listener_, EV_READ);
-    accepting_.data = this;
-    ev_io_start(loop_.native(), &accepting_);
-}
-
-raw_listener::~raw_listener() {
-    ev_io_stop(loop_.native(), &accepting_);
-    ::close(listener_);
+    : listener_(loop, [this, &loop](int descriptor) {
+          connections_.push_back(
+              std::make_unique<raw_connection>(loop, descriptor, false));
+      }) {
+    listener_.open(0);
 }
 
 } // namespace waxwingvale::standin
--- a/test/standin/raw_peer.hpp
+++ b/test/standin/raw_peer.hpp
@@ -11,6 +11,7 @@
 #include <waxwingvale/kernel/timer_service.hpp>
 
 #include "io/stream_socket.hpp"
+#include "standin/listening_socket.hpp"
 
 namespace waxwingvale::standin {
 
@@ -61,20 +62,16 @@
 class raw_listener {
 public:
     explicit raw_listener(kernel::event_loop& loop);
-    ~raw_listener();
     raw_listener(const raw_listener&) = delete;
     raw_listener& operator=(const raw_listener&) = delete;
 
-    std::uint16_t port() const { return port_; }
+    std::uint16_t port() const { return listener_.port(); }
     std::size_t count() const { return connections_.size(); }
     raw_connection& at(std::size_t place) { return *connections_.at(place); }
 
 private:
-    kernel::event_loop& loop_;
-    int listener_;
-    std::uint16_t port_;
-    ev_io accepting_{};
     std::vector<std::unique_ptr<raw_connection>> connections_;
+    listening_socket listener_;
 };
 
 } // namespace waxwingvale::standin
