entry: checks for lost requests begin 50 ms apart at least

Where servers reset whatever comes, each loss could have begun a check of its own, with three connections each.

--- a/src/entry/reach_watch.cpp
+++ b/src/entry/reach_watch.cpp
@@ -26,6 +26,9 @@
 constexpr duration servers_alone_asked_for = 30ms;
 // An answer that has come so lately tells a peer that servers answer here.
 constexpr duration lately = 200ms;
+// Each check makes connections; where servers reset whatever comes, losses
+// would begin hundreds of checks a second.
+constexpr duration between_checks = 50ms;
 // Failures whose meaning is told when a check has ended.
 constexpr std::size_t most_unproven = 256;
 
@@ -126,8 +129,9 @@
 }
 
 void reach_watch::when_checked(settled_handler handler, bool begin_check) {
-    if (begin_check) {
-        monitor_.on_question(timers_.now());
+    const auto now = timers_.now();
+    if (begin_check && now - check_began_ >= between_checks) {
+        monitor_.on_question(now);
     }
     if (monitor_.reach() == backend_reach::doubtful &&
         unproven_.size() < most_unproven) {
--- a/src/entry/reach_watch.hpp
+++ b/src/entry/reach_watch.hpp
@@ -60,7 +60,8 @@
     time_point check_began() const { return check_began_; }
     // For a failure that is unproven, and that nothing waits for: calls it when
     // the check that is under way has ended, with what the failure means then.
-    // Without a check it is never called, unless one is begun for it.
+    // Without a check it is never called, unless one is begun for it, which
+    // happens some times a second at most.
     void when_checked(settled_handler handler, bool begin_check);
     // Called when this instance has become partitioned, or is no more.
     void on_change(std::function<void(bool partitioned)> handler) {
