forwarding: a server that ends amid an answer without a signature is seen to end

Cause: since a call whose head cannot be an answer's ended as soon as a part of its body had come, and so before the end of the connection, which shows that the server may have ended.

Taken back: "what is lost right after an outage of all servers counts" and its bound.

--- a/include/waxwingvale/forwarding/backend_call.hpp
+++ b/include/waxwingvale/forwarding/backend_call.hpp
@@ -78,7 +78,8 @@
 // comes in pieces, and the result brings no body.
 struct long_answer_handlers {
     // Whether the head may be that of an answer, asked when a part of its body
-    // has come. If not, the call ends with what has come. Empty: it may.
+    // has come. If not, little of the body is waited for, and the call ends
+    // with what has come. Empty: it may.
     std::function<bool(const io::http_response& head)> may_be_answer;
     // Whether the body is wanted; if not, the call ends with what has come.
     std::function<bool(const io::http_response& head,
--- a/src/entry/reach_watch.cpp
+++ b/src/entry/reach_watch.cpp
@@ -26,11 +26,6 @@
 constexpr duration servers_alone_asked_for = 30ms;
 // An answer that has come so lately tells a peer that servers answer here.
 constexpr duration lately = 200ms;
-// Each check makes connections; where servers reset whatever comes, losses
-// would begin hundreds of checks a second.
-constexpr duration between_checks = 50ms;
-// Failures whose meaning is told when a check has ended.
-constexpr std::size_t most_unproven = 256;
 
 // Whether a server may be the reason, or the way to it; no limit of our own.
 bool is_failure(const forwarding::backend_result& ended) {
@@ -128,18 +123,6 @@
     waiting_.push_back(std::move(handler));
 }
 
-void reach_watch::when_checked(settled_handler handler, bool begin_check) {
-    const auto now = timers_.now();
-    if (begin_check && now - check_began_ >= between_checks) {
-        monitor_.on_question(now);
-    }
-    if (monitor_.reach() == backend_reach::doubtful &&
-        unproven_.size() < most_unproven) {
-        unproven_.push_back(std::move(handler));
-    }
-    update();
-}
-
 bool reach_watch::answered_lately() const {
     return any_answer_ && timers_.now() - last_answer_ < lately;
 }
@@ -171,9 +154,6 @@
     }
     // What is open is judged first: what had been sent is not taken for unsent.
     settle_waiting();
-    if (reach != backend_reach::doubtful) {
-        settle_unproven();
-    }
     const bool is_partitioned = reach == backend_reach::partitioned;
     if (is_partitioned != told_partitioned_) {
         told_partitioned_ = is_partitioned;
@@ -198,13 +178,6 @@
     }
 }
 
-void reach_watch::settle_unproven() {
-    const auto meaning = monitor_.settled_as();
-    for (const auto& handler : std::exchange(unproven_, {})) {
-        handler(meaning);
-    }
-}
-
 void reach_watch::end_asking() {
     for (const auto& each : std::exchange(asked_, {})) {
         pool_.cancel(each.second);
--- a/src/entry/reach_watch.hpp
+++ b/src/entry/reach_watch.hpp
@@ -56,13 +56,6 @@
     // Calls it when the check that is under way has ended, or what waits for it
     // is refused.
     void when_settled(settled_handler handler);
-    // When the latest check was begun.
-    time_point check_began() const { return check_began_; }
-    // For a failure that is unproven, and that nothing waits for: calls it when
-    // the check that is under way has ended, with what the failure means then.
-    // Without a check it is never called, unless one is begun for it, which
-    // happens some times a second at most.
-    void when_checked(settled_handler handler, bool begin_check);
     // Called when this instance has become partitioned, or is no more.
     void on_change(std::function<void(bool partitioned)> handler) {
         on_change_ = std::move(handler);
@@ -76,7 +69,6 @@
     void update();
     void carry_out();
     void settle_waiting();
-    void settle_unproven();
     void end_asking();
     void begin_check();
     void tick(time_point now);
@@ -118,7 +110,6 @@
     // Peers that asked, and the rounds of theirs, until servers answer here.
     std::map<std::string, std::uint64_t> waiting_peers_;
     std::vector<settled_handler> waiting_;
-    std::vector<settled_handler> unproven_; // see when_checked()
     std::function<void(bool)> on_change_;
     kernel::timer_service::subscription ticking_;
 };
--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t whole_answer_limit = 1024 * 1024; // bytes
 // The body of an answer to a check, which nobody reads.
 constexpr std::size_t check_body_limit = 64 * 1024; // bytes
+// The body behind a head that can't be an answer's. A part of it is waited for:
+// if the connection ends in it, the server may have ended.
+constexpr std::size_t no_answer_limit = 64 * 1024; // bytes
 // What may come before the head of the answer to a call: interim answers, and
 // late ones to earlier calls.
 constexpr std::uint64_t ahead_limit = 1024 * 1024; // bytes
@@ -73,7 +76,7 @@
     call_ = std::move(call);
     on_long_ = std::move(on_long);
     head_seen_ = false;
-    head_checked_ = false;
+    head_judged_.reset();
     passing_over_ = false;
     long_begun_ = false;
     sent_before_ = socket_.bytes_out();
@@ -223,13 +226,22 @@
     usable_ = usable_ && (!call_->echo || of != nullptr);
 }
 
-// Whether waiting for the rest of the body makes sense. An answer that came
-// whole at once is not asked about: its meaning is found out anyway.
+// Whether the head can be an answer's. One that came whole at once is not asked
+// about: its meaning is found out anyway.
 bool backend_connection::may_be_answer() {
-    if (std::exchange(head_checked_, true) || !on_long_.may_be_answer) {
-        return true;
+    if (!head_judged_) {
+        head_judged_ =
+            !on_long_.may_be_answer || on_long_.may_be_answer(reader_.answer());
     }
-    return on_long_.may_be_answer(reader_.answer());
+    return *head_judged_;
+}
+
+// How much of a body is waited for.
+std::size_t backend_connection::body_limit() {
+    if (to_.purpose == call_purpose::check) {
+        return check_body_limit;
+    }
+    return may_be_answer() ? whole_answer_limit : no_answer_limit;
 }
 
 void backend_connection::take_body() {
@@ -238,18 +250,16 @@
         answer.body.clear();
         return;
     }
+    const bool is_long = answer.body.size() > body_limit();
+    if (!is_long && !long_begun_) {
+        return;
+    }
     if (!may_be_answer()) {
         usable_ = false;
-        note_malformed("a head that is no answer's");
+        note_malformed("a body without end behind a head of no answer");
         finish(std::move(answer));
         return;
     }
-    const bool is_check = to_.purpose == call_purpose::check;
-    const auto limit = is_check ? check_body_limit : whole_answer_limit;
-    const bool is_long = answer.body.size() > limit;
-    if (!is_long && !long_begun_) {
-        return;
-    }
     if (!on_long_.on_begin) {
         refuse("the body is too long");
         return;
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -76,6 +76,7 @@
     void take_head();
     const std::string* echoed() const;
     bool may_be_answer();
+    std::size_t body_limit();
     void take_body();
     void take_long_body(bool begins);
     void take_complete();
@@ -93,8 +94,8 @@
     std::string input_;
     bool connected_ = false;
     bool usable_ = true;
-    bool head_seen_ = false; // of the answer to this call
-    bool head_checked_ = false;
+    bool head_seen_ = false;          // of the answer to this call
+    std::optional<bool> head_judged_; // see may_be_answer()
     bool passing_over_ = false;
     bool long_begun_ = false;
     bool body_sent_ = true;
