--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -12,7 +12,7 @@
 
 // An answer up to this size is waited for whole: one that is cut short can
 // then be asked for again elsewhere, where the caller would else get a broken
-// one. 540 KB is the longest download of both users today.
+// one.
 constexpr std::size_t whole_answer_limit = 1024 * 1024; // bytes
 // The body of an answer to a check, which nobody reads.
 constexpr std::size_t check_body_limit = 64 * 1024; // bytes
