--- a/test/membership/configuration_announcement_test.cpp
+++ b/test/membership/configuration_announcement_test.cpp
@@ -453,3 +453,84 @@
     }
     CHECK(recipients == std::set<std::string>{"pdx-1", "spk-1"});
 }
+
+namespace {
+
+// The instance "sea-2", whose upstream peer "sea-1" hears of the platform from
+// the reader "pdx-1", and has not got the newest configuration yet.
+struct relayed_instance {
+    exchanging_instance relay{1};
+    exchanging_instance behind{1};
+
+    relayed_instance() {
+        relay.configurations.offer({3, "first"});
+        relay.exchange.link_up("pdx-1", start);
+        relay.exchange.link_up("sea-2", start);
+        digest_message subscribes;
+        subscribes.subscription = subscription_change::subscribe;
+        relay.exchange.receive("sea-2", subscribes, start);
+        relay.exchange.take_messages(start);
+        behind.configurations.offer({3, "first"});
+        behind.exchange.link_up("sea-1", start);
+    }
+
+    // The reader has read that revision just now. How often that is passed on.
+    unsigned hear(std::uint64_t revision, time_point now) {
+        relay.exchange.receive("pdx-1",
+                               platform_status{"pdx-1", 0ms,
+                                               relay.registry.fingerprint(),
+                                               revision},
+                               now);
+        unsigned passed_on = 0;
+        for (const auto& each : relay.exchange.take_messages(now)) {
+            if (each.peer == "sea-2" &&
+                std::holds_alternative<platform_status>(*each.message)) {
+                behind.exchange.receive("sea-1", *each.message, now);
+                ++passed_on;
+            }
+        }
+        return passed_on;
+    }
+};
+
+} // namespace
+
+TEST_CASE(
+    "a relay that lacks a configuration tells that there is a newer one") {
+    // Guards against instances behind one upstream peer that stay at an old
+    // configuration and take it for the newest: the peer tells them that the
+    // platform was read a moment ago.
+    relayed_instance f;
+    const auto now = start + 200ms;
+    REQUIRE(f.hear(18, now) == 1);
+    REQUIRE(f.behind.readers.age(now) == 0ms);
+    const auto pending = f.behind.exchange.files().pending(now);
+    REQUIRE(pending);
+    CHECK(pending->revision == 18);
+}
+
+TEST_CASE("an instance whose upstream peer stays behind reads the platform") {
+    // Guards against a configuration that is not in force after 2 s on an
+    // instance that reaches the platform all the while.
+    relayed_instance f;
+    member_record reader;
+    reader.id = {"pdx-1", 1};
+    reader.capacity.cpu_permille = 2 * self_record().capacity.cpu_permille;
+    f.behind.members.merge(reader, start);
+    f.behind.readers.take_members(f.behind.members.members());
+    auto now = start;
+    const auto tick = [&] {
+        now += 100ms;
+        f.hear(18, now);
+        f.behind.exchange.tick(now);
+        return f.behind.readers.should_read(now);
+    };
+    REQUIRE_FALSE(tick());
+    bool reads = false;
+    for (int i = 0; i < 15; ++i) {
+        reads = tick();
+    }
+    CHECK(reads);
+    f.behind.configurations.offer({18, "newest"});
+    CHECK_FALSE(tick());
+}
--- a/test/platform/restored_store_test.cpp
+++ b/test/platform/restored_store_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "platform/two_zones.hpp"
+#include "platform/growing_routes.hpp"
 
 using namespace std::chrono_literals;
 using namespace waxwingvale;
@@ -12,26 +12,10 @@
 // The bound within which a confirmed change is in force everywhere.
 constexpr duration in_force_within = 2s;
 
-// Four instances on a store that comes back from a copy. Configuration N has
-// the routes /look/, /1/ to /N/.
-struct restored_store : two_zones {
-    std::map<std::string, unsigned> statuses; // the last, by "instance path"
-    unsigned not_found = 0;
-
+// Four instances on a store that comes back from a copy.
+struct restored_store : growing_routes {
     restored_store() { go_on(1500ms); }
 
-    std::uint64_t write_configuration(unsigned version) {
-        auto file = json::parse(operator_text());
-        file["Version"] = version;
-        for (unsigned each = 1; each <= version; ++each) {
-            auto route = file["Routes"]["look"];
-            route["Name"] = "r" + std::to_string(each);
-            route["PathPrefix"] = path_of(each);
-            file["Routes"][route["Name"].get<std::string>()] = route;
-        }
-        return store.write(file.dump());
-    }
-
     std::uint64_t write_server(const std::string& zone, const char* state,
                                unsigned sequence) {
         auto entry = json::parse(entry_of(zone));
@@ -40,52 +24,6 @@
         return store.put("servers/i-" + zone, entry.dump());
     }
 
-    static std::string path_of(unsigned version) {
-        return "/" + std::to_string(version) + "/";
-    }
-
-    // Asks every instance for the route that a configuration has added, and
-    // waits for the answers. Whether all of them know it.
-    bool all_know(unsigned version) {
-        statuses.clear();
-        unsigned open = 0;
-        for (std::size_t each = 0; each < instances.size(); ++each) {
-            io::http_call call;
-            call.host = "127.0.0.1";
-            call.port = instances.caller_port(each);
-            call.method = "POST";
-            call.target = path_of(version) + "x";
-            call.headers = {{"Host", "a.example"},
-                            {"Waxwingvale-Attempt-Id", std::to_string(++asked)},
-                            {"Waxwingvale-Request-Deadline", "800"}};
-            call.timeout = 2s;
-            ++open;
-            client.send(std::move(call),
-                        [this, &open](const io::http_call_result& ended) {
-                            --open;
-                            const unsigned status =
-                                ended.response ? ended.response.value().status
-                                               : 0;
-                            ++statuses[std::to_string(status)];
-                        });
-        }
-        while (open > 0) {
-            loop.run_once(true);
-        }
-        return statuses.count("404") == 0 && statuses.count("0") == 0;
-    }
-
-    bool all_know_within(unsigned version, duration limit) {
-        const auto until = timers.now() + limit;
-        while (timers.now() < until) {
-            if (all_know(version)) {
-                return true;
-            }
-            go_on(50ms);
-        }
-        return false;
-    }
-
     // The store is away for a moment and comes back without what it had later.
     void come_back_from(const stand_in_store::copy& former, duration away) {
         store.set_silent(true);
