membership: word of the platform names the newest configuration that is known of

Cause: platform_status passes on the age of the reader's answer, but with the revision in force at whoever passes it on. A relay that waits for a file tells a small age and an old revision, so that those behind it know of no newer one. Why it works: the newest revision that the sender has heard of goes with the age. It is heard of once in the life of a process: what nobody sends for 10 s and no linked peer has is given up and not begun again for a peer that still names it, as a platform that came back from a copy may have lost it. An older release sends none, and ignores it.

--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -40,14 +40,23 @@
     void handle_announcement(const std::string& peer,
                              const revision_message& theirs, duration wait,
                              time_point now);
+    // Records that the peer knows of a revision whose file it may lack itself.
+    void hear_of(const std::string& peer, std::uint64_t revision,
+                 time_point now);
     void handle_link_down(const std::string& peer);
     // Whether the newest file that a peer announced has been accepted or
     // refused here.
     bool has_newest_announced() const;
-    // The newest revision that any peer has announced as in force, or 0.
+    // The newest revision that any peer has announced or knows of, or 0.
     std::uint64_t named() const { return newest_announced_; }
-    // Empty while no peer is known to have a newer file in force.
+    // Forgets a newer revision that nobody has sent for long and that no linked
+    // peer has. A platform that was restored from a copy may have lost it, and
+    // it would be awaited for ever.
+    void forget_unobtainable(time_point now);
+    // Empty while no newer revision is known of.
     std::optional<pending_configuration> pending(time_point now) const;
+    // How long a newer revision has been known of; empty while none is.
+    std::optional<duration> behind_for(time_point now) const;
     // The peer that sent the file accepted last, if it has this revision;
     // otherwise an empty name.
     std::string sender_of(std::uint64_t revision) const;
@@ -66,6 +75,8 @@
     // for a time, several peers are asked at once: one that does not answer
     // before the next stop would cost the time until the next wake-up.
     void woke_late(time_point now) { woke_late_at_ = now; }
+    // Whether that was a moment ago.
+    bool woke_recently(time_point now) const;
 
     revision_message own_revision() const;
 
@@ -98,6 +109,7 @@
 
     void record_announced(const std::string& peer, std::uint64_t revision,
                           time_point now);
+    bool any_peer_has_newer() const;
     bool lacks(const revision_message& theirs) const;
     bool is_open(const open_request& request, time_point now) const;
     bool may_request(time_point now) const;
@@ -120,9 +132,9 @@
     std::optional<time_point> woke_late_at_;
     // Revisions that arrived and were not accepted; not requested again.
     std::set<std::uint64_t> rejected_revisions_;
-    std::uint64_t newest_announced_ =
-        0; // the newest revision announced as in force
+    std::uint64_t newest_announced_ = 0; // also those only known to exist
     std::string newest_announced_by_;
+    std::uint64_t unobtainable_ = 0; // the newest revision given up
     std::optional<outdated_period> outdated_;
     received_file received_; // the file from a peer that was accepted last
     // Cache of the last file sent: the next peer probably requests the same
--- a/include/waxwingvale/membership/exchange_message.hpp
+++ b/include/waxwingvale/membership/exchange_message.hpp
@@ -105,6 +105,9 @@
     duration age{};
     std::uint64_t registry = 0; // fingerprint of the sender's table
     std::uint64_t revision = 0; // configuration in force at the sender
+    // The newest configuration that the sender knows of, whose file it may
+    // still lack; 0 from an older release.
+    std::uint64_t newest = 0;
 };
 
 using exchange_message =
--- a/src/io/exchange_codec.cpp
+++ b/src/io/exchange_codec.cpp
@@ -301,7 +301,8 @@
     return {{"n", value.reader},
             {"a", value.age.count()},
             {"g", value.registry},
-            {"r", value.revision}};
+            {"r", value.revision},
+            {"w", value.newest}};
 }
 
 exchange_message read_word(const json& from, time_point) {
@@ -310,6 +311,9 @@
     value.age = std::min(duration(read_age(from.at("a"))), longest_age);
     value.registry = read_number<std::uint64_t>(from.at("g"));
     value.revision = read_number<std::uint64_t>(from.at("r"));
+    if (from.contains("w")) { // an older release sends none
+        value.newest = read_number<std::uint64_t>(from.at("w"));
+    }
     return value;
 }
 
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -23,6 +23,9 @@
 constexpr std::ptrdiff_t most_open_when_late = 3;
 constexpr duration late_period = std::chrono::seconds(2);
 
+// A revision that no linked peer has is awaited for so long.
+constexpr duration longest_unobtainable_wait = std::chrono::seconds(10);
+
 revision_message newest_of(const revision_message& a,
                            const revision_message& b) {
     return {std::max(a.revision, b.revision), std::max(a.refused, b.refused)};
@@ -53,12 +56,15 @@
            lacks(asked_peer->second.announced);
 }
 
+bool configuration_exchange::woke_recently(time_point now) const {
+    return woke_late_at_ && now - *woke_late_at_ < late_period;
+}
+
 // A requested file takes a while on a busy link; a further request for each
 // newer announcement would bring as many whole files and load the link even
 // more.
 bool configuration_exchange::may_request(time_point now) const {
-    const bool late = woke_late_at_ && now - *woke_late_at_ < late_period;
-    const auto limit = late ? most_open_when_late : 1;
+    const auto limit = woke_recently(now) ? most_open_when_late : 1;
     const auto open = std::count_if(
         open_requests_.begin(), open_requests_.end(),
         [&](const open_request& each) { return is_open(each, now); });
@@ -66,11 +72,13 @@
 }
 
 bool configuration_exchange::lacks_any() const {
-    return lacks(newest_announcement_) ||
-           std::any_of(announcements_.begin(), announcements_.end(),
-                       [this](const auto& each) {
-                           return lacks(each.second.announced);
-                       });
+    return lacks(newest_announcement_) || any_peer_has_newer();
+}
+
+bool configuration_exchange::any_peer_has_newer() const {
+    return std::any_of(
+        announcements_.begin(), announcements_.end(),
+        [this](const auto& each) { return lacks(each.second.announced); });
 }
 
 // A newer announcement changes which file is requested, but never delays the
@@ -107,6 +115,24 @@
     }
 }
 
+void configuration_exchange::hear_of(const std::string& peer,
+                                     std::uint64_t revision, time_point now) {
+    if (revision > unobtainable_) {
+        record_announced(peer, revision, now);
+    }
+}
+
+void configuration_exchange::forget_unobtainable(time_point now) {
+    const auto awaited = pending(now);
+    if (!awaited || awaited->waiting_time < longest_unobtainable_wait ||
+        any_peer_has_newer()) {
+        return;
+    }
+    unobtainable_ = awaited->revision;
+    newest_announced_ = configurations_.revision();
+    outdated_.reset();
+}
+
 std::optional<pending_configuration>
 configuration_exchange::pending(time_point now) const {
     const auto mine = configurations_.revision();
@@ -118,6 +144,12 @@
                                  now - outdated_->since, outdated_->requests};
 }
 
+std::optional<duration>
+configuration_exchange::behind_for(time_point now) const {
+    const auto awaited = pending(now);
+    return awaited ? std::optional(awaited->waiting_time) : std::nullopt;
+}
+
 std::string configuration_exchange::sender_of(std::uint64_t revision) const {
     return received_.revision == revision ? received_.peer : std::string();
 }
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -397,6 +397,7 @@
         query_after_wakeup(peer);
     }
     handle_announced_revision(peer, {message.revision, 0}, now);
+    configurations_.hear_of(peer, message.newest, now);
     if (message.registry != state_.registry.fingerprint()) {
         // A message was lost, for example with a broken link. Without a request
         // now the difference would last until the next digest, and work would
@@ -427,6 +428,7 @@
     choose_upstream(now);
     send_due_records_request(now);
     send_due_configuration_request(now);
+    configurations_.forget_unobtainable(now);
     send_due_initial_digests(now);
     send_periodic_digest(now);
 }
--- a/src/membership/peer_exchange_sending.cpp
+++ b/src/membership/peer_exchange_sending.cpp
@@ -66,9 +66,10 @@
             outdated_peers.insert(peer);
         }
     }
+    const auto mine = state_.configurations.revision();
     send_to_all(outdated_peers,
                 platform_status{reader, age, state_.registry.fingerprint(),
-                                state_.configurations.revision()});
+                                mine, std::max(mine, configurations_.named())});
 }
 
 digest_message peer_exchange::own_digest() const {
--- a/test/membership/configuration_announcement_test.cpp
+++ b/test/membership/configuration_announcement_test.cpp
@@ -534,3 +534,24 @@
     f.behind.configurations.offer({18, "newest"});
     CHECK_FALSE(tick());
 }
+
+TEST_CASE("a configuration that nobody has is not awaited for ever") {
+    // Guards against requests that are never refused for good once the platform
+    // was restored from a copy, and the instances that had a later file ended.
+    relayed_instance f;
+    REQUIRE(f.hear(18, start + 200ms) == 1);
+    auto& exchange = f.behind.exchange;
+    exchange.link_down("sea-1", start + 300ms);
+    exchange.tick(start + 5s);
+    REQUIRE(exchange.files().pending(start + 5s));
+    exchange.tick(start + 11s);
+    CHECK_FALSE(exchange.files().pending(start + 11s));
+    // A peer that still remembers it does not begin the wait anew.
+    exchange.link_up("sea-1", start + 11s);
+    exchange.receive("sea-1", platform_status{"pdx-1", 0ms, 0, 3, 18},
+                     start + 12s);
+    CHECK_FALSE(exchange.files().pending(start + 12s));
+    exchange.receive("sea-1", platform_status{"pdx-1", 0ms, 0, 3, 19},
+                     start + 13s);
+    CHECK(exchange.files().pending(start + 13s));
+}
