membership: an instance that stays behind reads the platform itself

Cause: only the age of the word decides who reads; an instance that knows of a newer configuration asked its peers and nobody else.

--- a/include/waxwingvale/membership/reader_duty.hpp
+++ b/include/waxwingvale/membership/reader_duty.hpp
@@ -57,6 +57,14 @@
     // alone.
     void forgive_silence(duration stopped, time_point now);
 
+    // Sets for how long a newer configuration has been known of than the one in
+    // force here. If peers do not send it in the time in which a silent reader
+    // would be replaced, this instance reads the platform itself until it has
+    // it: what its peers have told it comes from one that lacks it as well.
+    void set_behind(std::optional<duration> behind_for) {
+        behind_for_ = behind_for;
+    }
+
     bool should_read(time_point now);
     // The latest result of should_read().
     bool reads() const { return reads_; }
@@ -68,10 +76,14 @@
     std::size_t rank() const { return rank_; }
     // The age of the newest known state of the platform.
     duration age(time_point now) const { return now - known_as_of_; }
+    // The same; empty as long as nothing was heard of the platform.
+    std::optional<duration> word_age(time_point now) const;
     const std::string& newest_reader() const { return newest_reader_; }
 
 private:
     bool decide(time_point now);
+    // How long this instance waits before it reads in another's place.
+    duration takeover_delay() const;
     bool is_reader(const std::string& name) const;
     bool precedes_self(const std::string& name) const;
 
@@ -85,6 +97,8 @@
     // The same, later by the time for which the process was stopped since.
     time_point silent_since_;
     std::string newest_reader_;
+    std::optional<time_point> word_as_of_; // of the newest word heard
+    std::optional<duration> behind_for_;
     bool reads_;
     std::optional<time_point> took_over_at_;
     // When this instance last learned of a read by an instance of lower rank.
--- a/src/membership/peer_exchange.cpp
+++ b/src/membership/peer_exchange.cpp
@@ -429,6 +429,7 @@
     send_due_records_request(now);
     send_due_configuration_request(now);
     configurations_.forget_unobtainable(now);
+    state_.readers.set_behind(configurations_.behind_for(now));
     send_due_initial_digests(now);
     send_periodic_digest(now);
 }
--- a/src/membership/reader_duty.cpp
+++ b/src/membership/reader_duty.cpp
@@ -96,10 +96,12 @@
 
 bool reader_duty::hear(const std::string& reader, duration age,
                        time_point now) {
+    const auto known_as_of = now - age;
+    word_as_of_ =
+        word_as_of_ ? std::max(*word_as_of_, known_as_of) : known_as_of;
     if (readers_ == 0) {
         return false;
     }
-    const auto known_as_of = now - age;
     if (reader == self_) {
         own_read_at_ = now;
     } else if (precedes_self(reader) && age < timing_.stale_after) {
@@ -123,6 +125,16 @@
     return reads_;
 }
 
+std::optional<duration> reader_duty::word_age(time_point now) const {
+    return word_as_of_ ? std::optional(now - *word_as_of_) : std::nullopt;
+}
+
+duration reader_duty::takeover_delay() const {
+    const auto ranks = static_cast<duration::rep>(rank_);
+    return timing_.stale_after +
+           std::min(timing_.rank_delay * ranks, timing_.max_rank_delay);
+}
+
 bool reader_duty::decide(time_point now) {
     if (readers_ > 0 && now < startup_wait_ends_) {
         return false;
@@ -131,17 +143,15 @@
         took_over_at_.reset();
         return true;
     }
-    const auto ranks = static_cast<duration::rep>(rank_);
-    const auto takeover_delay =
-        timing_.stale_after +
-        std::min(timing_.rank_delay * ranks, timing_.max_rank_delay);
-    const bool silent = now - silent_since_ > takeover_delay ||
-                        age(now) > timing_.max_forgiven_age;
-    if (silent && age(now) > takeover_delay) {
+    const auto delay = takeover_delay();
+    const bool silent =
+        now - silent_since_ > delay || age(now) > timing_.max_forgiven_age;
+    if (silent && age(now) > delay) {
         took_over_at_ = took_over_at_ ? took_over_at_ : now;
     }
-    if (!took_over_at_) {
-        return false;
+    const bool waits_in_vain = behind_for_ && *behind_for_ > delay;
+    if (!took_over_at_ || waits_in_vain) {
+        return waits_in_vain;
     }
     // If this instance has not read anything since it took over, no peer
     // depends on it and it stops at once.
