control, entry, steer: nothing is refused for good by an unproved configuration

Cause: 404 asked only whether the process had been heard of since a late wake-up; an instance that had heard nothing of the platform since, or knew of a newer configuration that had not come, or had just started, gave it as well. Why it works: each view says what is proved of its configuration (current, superseded, unconfirmed; membership/configuration_proof). Without proof a request that has no route, or a question for a service that nobody knows, gets 503 as not run, with a moment to come back.

Tests that count 404 as a route not in force count the new answer as well (standin/unknown_route.hpp), so that none is easier than before. The fixture of address_desk_test is now a fresh view, as a real one is when it serves.

--- /dev/null
+++ b/include/waxwingvale/membership/configuration_proof.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <optional>
+
+#include <waxwingvale/model/time.hpp>
+#include <waxwingvale/model/view.hpp>
+
+namespace waxwingvale::membership {
+
+// What an instance knows of how new the configuration is that it has in force.
+struct configuration_signs {
+    // The age of the newest word of the discovery platform; empty: none yet.
+    std::optional<duration> word_age;
+    // How long a newer configuration has been known of; empty: none is known.
+    std::optional<duration> behind_for;
+    // The process was stopped a moment ago, so that much may have changed.
+    bool woke_recently = false;
+};
+
+// Decides what is proved of a configuration in force. Word of the platform that
+// is older than `max_word_age` proves nothing: a newer configuration may be in
+// force elsewhere by now.
+configuration_standing standing_of(const configuration_signs& signs,
+                                   duration max_word_age);
+
+// The `max_word_age` of an instance that reads the platform by watches of that
+// length, each answered within `answer_within` after its end.
+duration max_word_age_for(duration watch, duration answer_within);
+
+} // namespace waxwingvale::membership
--- a/include/waxwingvale/model/view.hpp
+++ b/include/waxwingvale/model/view.hpp
@@ -29,6 +29,26 @@
     }
 };
 
+// What is proved of the configuration in a view.
+enum class configuration_standing {
+    current,     // the platform had no newer one a moment ago
+    superseded,  // a newer one is known of, and has not arrived
+    unconfirmed, // nothing was heard of the platform for too long, or ever
+};
+
+// The name under which operators see it.
+constexpr const char* to_string(configuration_standing standing) {
+    switch (standing) {
+    case configuration_standing::current:
+        return "current";
+    case configuration_standing::superseded:
+        return "superseded";
+    case configuration_standing::unconfirmed:
+        return "unconfirmed";
+    }
+    return "unconfirmed";
+}
+
 // All that an entry instance knows, as its parts are told. Every view is
 // whole; a later serial replaces an earlier one.
 struct view {
@@ -43,10 +63,18 @@
     std::vector<evacuation> evacuations;
     std::vector<evacuated_server> evacuated_servers;
     bool fresh = false; // false until word from platform or a peer has come
+    configuration_standing standing = configuration_standing::current;
     // False while nobody has told which other entry instances there are.
     bool members_known = true;
 };
 
+// Whether a name that the view's configuration lacks does not exist. It may
+// else have been added while this process did not run, or did not hear of it,
+// and must not be refused for good.
+inline bool proves_absence(const view& known) {
+    return known.fresh && known.standing == configuration_standing::current;
+}
+
 using view_ptr = std::shared_ptr<const view>;
 
 } // namespace waxwingvale
--- a/src/administration/admin_documents.cpp
+++ b/src/administration/admin_documents.cpp
@@ -146,6 +146,7 @@
             {"view_serial", seen.serial},
             {"configuration",
              {{"revision_in_force", revision_in_force(of)},
+              {"standing", to_string(seen.standing)},
               {"newest_revision_seen", of.newest_revision_seen},
               {"refused", refused_document(of.refused)}}},
             {"members", member_counts(seen)},
--- a/src/control/control_log.cpp
+++ b/src/control/control_log.cpp
@@ -54,6 +54,24 @@
          {"asked", std::to_string(awaited->requests)}});
 }
 
+void control_service::log_standing() {
+    if (std::exchange(logged_standing_, known_.standing) == known_.standing) {
+        return;
+    }
+    const auto now = environment_.timers.now();
+    const auto in_ms = [](const std::optional<duration>& time) {
+        return time ? std::to_string(*time / std::chrono::milliseconds(1))
+                    : std::string();
+    };
+    program::log_change(
+        "configuration_standing",
+        {{"standing", to_string(known_.standing)},
+         {"in_force", std::to_string(known_.configurations.revision())},
+         {"newest", std::to_string(peers_.exchange().files().named())},
+         {"word_age_ms", in_ms(known_.readers.word_age(now))},
+         {"behind_ms", in_ms(peers_.exchange().files().behind_for(now))}});
+}
+
 void control_service::log_turns() {
     const auto& configurations = known_.configurations;
     if (configurations.revision() != logged_revision_) {
@@ -71,6 +89,7 @@
             {{"revision", std::to_string(logged_refused_)},
              {"error", to_string(configurations.refused()->reason)}});
     }
+    log_standing();
     if (known_.members.replaced() && !logged_replaced_) {
         logged_replaced_ = true;
         program::log_warning("replaced",
--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -188,6 +188,10 @@
           [&known] { return known.unreadable.seen(); });
     show("waxwing_view_fresh", "1: heard of since the last wake-up.",
          [&known] { return known.fresh.fresh() ? 1U : 0U; });
+    show("waxwing_configuration_proved",
+         "1: the platform had no newer one a moment ago.", [&known] {
+             return known.standing == configuration_standing::current ? 1U : 0U;
+         });
     count("waxwing_late_wakeups_total", "Times the process had been stopped.",
           [&known] { return known.fresh.late_wakeups(); });
     show("waxwing_runs_late", "1: it runs late again and again.",
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -11,6 +11,7 @@
 #include <waxwingvale/entry/backend_seen.hpp>
 #include <waxwingvale/entry/reach_changed.hpp>
 #include <waxwingvale/entry/requests_refused.hpp>
+#include <waxwingvale/membership/configuration_proof.hpp>
 #include <waxwingvale/model/configuration_file.hpp>
 #include <waxwingvale/program/service_name.hpp>
 #include <waxwingvale/program/state_log.hpp>
@@ -263,16 +264,19 @@
     const bool look = ++ticks_ % ticks_between_looks == 0;
     const auto members_before = known_.members.version();
     const bool was_fresh = known_.fresh.fresh();
+    const auto standing_before = known_.standing;
     peers_.tick(now, look);
     const bool registry_changed = known_.registry.tick(now);
     settle_freshness();
     follow_reader_duty(now);
+    follow_standing(now);
     if (look) {
         forget_unnamed(now);
         metrics_.update();
         log_awaited(now);
     }
     const bool news = registry_changed || was_fresh != known_.fresh.fresh() ||
+                      standing_before != known_.standing ||
                       members_before != known_.members.version();
     const bool none_yet = views_.last_view() == nullptr;
     if (look || news || none_yet) {
@@ -282,6 +286,18 @@
     }
 }
 
+void control_service::follow_standing(time_point now) {
+    const auto& files = peers_.exchange().files();
+    membership::configuration_signs signs;
+    signs.word_age = known_.readers.word_age(now);
+    signs.behind_for = files.behind_for(now);
+    signs.woke_recently = files.woke_recently(now);
+    const auto& platform = environment_.settings.platform;
+    known_.standing = membership::standing_of(
+        signs,
+        membership::max_word_age_for(platform.watch, platform.answer_within));
+}
+
 void control_service::forget_unnamed(time_point now) {
     if (const auto config = known_.configurations.in_force()) {
         known_.beliefs.retain(named_backend_servers(*config),
@@ -341,6 +357,7 @@
 
 void control_service::publish_view() {
     const auto now = environment_.timers.now();
+    follow_standing(now);
     const auto wait = pace_.due_in(now);
     if (wait > duration::zero()) {
         if (!publishing_planned_) {
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -56,6 +56,7 @@
     void on_wake();
     void on_tick(time_point now);
     void follow_lateness(time_point now);
+    void follow_standing(time_point now);
     void forget_unnamed(time_point now);
     void follow_members();
     void follow_reader_duty(time_point now);
@@ -67,6 +68,7 @@
     void publish_view();
     void log_turns();
     void log_awaited(time_point now);
+    void log_standing();
 
     program::program_environment environment_;
     const published_state& published_;
@@ -93,6 +95,8 @@
     std::uint64_t logged_revision_ = 0;
     std::uint64_t logged_refused_ = 0;
     bool logged_replaced_ = false;
+    configuration_standing logged_standing_ =
+        configuration_standing::unconfirmed;
 };
 
 } // namespace waxwingvale::control
--- a/src/control/knowledge.hpp
+++ b/src/control/knowledge.hpp
@@ -48,6 +48,8 @@
     membership::reader_duty readers;
     membership::freshness fresh;
     membership::late_wakeup_history late_wakeups;
+    // What is proved of the configuration in force.
+    configuration_standing standing = configuration_standing::unconfirmed;
     unreadable_items unreadable;
 };
 
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -38,11 +38,9 @@
     return answer;
 }
 
-// The route may have been added while this process did not run: with a stale
-// view nothing is refused for good.
-own_answer not_known_yet() {
+own_answer not_known_yet(const view& known) {
     own_answer answer;
-    answer.reason = "stale-view";
+    answer.reason = known.fresh ? "unproved-configuration" : "stale-view";
     answer.retry_after = retry_after_start;
     return answer;
 }
@@ -140,11 +138,11 @@
         protocol_.understand(*view_->config, caller->request());
     if (!understood) {
         metrics_.not_understood.add();
-        log_unnamed(caller->request(), "call_not_understood",
-                    view_->config.get(), understood.error().detail);
+        log_unnamed(caller->request(), "call_not_understood", view_.get(),
+                    understood.error().detail);
         auto answer = not_understood(understood.error());
         if (answer.status == status::not_found) {
-            answer = view_->fresh ? answer : not_known_yet();
+            answer = proves_absence(*view_) ? answer : not_known_yet(*view_);
             leave_open_if_resent(answer, caller->request());
         }
         answer_unnamed(caller, answer, for_peer);
--- a/src/entry/call_facts.cpp
+++ b/src/entry/call_facts.cpp
@@ -6,11 +6,14 @@
 
 // A request that became no call, and so has no story.
 void log_unnamed(const io::http_request& request, const char* event,
-                 const configuration* by, const std::string& detail) {
-    program::log_details(fact("peer", request.peer) + " " +
-                             fact("path", request.target) + " " +
-                             fact("revision", by == nullptr ? 0 : by->revision),
-                         {{event, {}, fact("error", detail)}});
+                 const view* by, const std::string& detail) {
+    auto facts = fact("peer", request.peer) + " " +
+                 fact("path", request.target) + " " +
+                 fact("revision", by == nullptr ? 0 : by->config->revision);
+    if (by != nullptr) {
+        facts += " " + fact("standing", std::string(to_string(by->standing)));
+    }
+    program::log_details(facts, {{event, {}, fact("error", detail)}});
 }
 
 // What decides what becomes of a call, and which configuration says so.
--- a/src/entry/call_facts.hpp
+++ b/src/entry/call_facts.hpp
@@ -14,10 +14,10 @@
 // docs/operations/log-lines.md explains every field.
 namespace waxwingvale::entry {
 
-// Logs a request that became no call, and so has no story. `by` is the
-// configuration that decided so, or null.
+// Logs a request that became no call, and so has no story. `by` is the view
+// whose configuration decided so, or null.
 void log_unnamed(const io::http_request& request, const char* event,
-                 const configuration* by, const std::string& detail);
+                 const view* by, const std::string& detail);
 
 std::string taken_facts(const call_record& call, const view& known);
 // `queued` requests wait here.
--- a/src/steer/address_desk.cpp
+++ b/src/steer/address_desk.cpp
@@ -68,6 +68,9 @@
         return problem(status_unavailable, "no other instance heard of yet");
     }
     const auto owners = known_.owners->find(name);
+    if (owners == known_.owners->end() && !proves_absence(*view)) {
+        return problem(status_unavailable, "service: not heard of yet");
+    }
     if (owners == known_.owners->end()) {
         return problem(status_not_found, "service: none is called " + name);
     }
--- a/test/entry/entry_service_test.cpp
+++ b/test/entry/entry_service_test.cpp
@@ -45,9 +45,12 @@
         REQUIRE(entry->start());
     }
 
-    void publish(const configuration& config, bool fresh = true) {
+    void
+    publish(const configuration& config, bool fresh = true,
+            configuration_standing standing = configuration_standing::current) {
         auto now = std::make_shared<view>();
         now->fresh = fresh;
+        now->standing = standing;
         now->config = std::make_shared<const configuration>(config);
         bus.publish(program::with_owners(now));
     }
@@ -113,3 +116,18 @@
     f.publish({});
     CHECK(no_such_service(f.post(1000)));
 }
+
+TEST_CASE("by an unproved configuration no request is refused for good") {
+    // Guards against 404 for a route that was added and not heard of yet.
+    service_fixture f;
+    for (const auto standing : {configuration_standing::superseded,
+                                configuration_standing::unconfirmed}) {
+        f.publish({}, true, standing);
+        const auto unproved = f.post(1000);
+        CHECK(unproved.rfind("HTTP/1.1 503 ", 0) == 0);
+        CHECK(unproved.find("unproved-configuration") != std::string::npos);
+        CHECK(unproved.find("Retry-After") != std::string::npos);
+    }
+    f.publish({});
+    CHECK(no_such_service(f.post(1000)));
+}
--- a/test/platform/changing_routes_test.cpp
+++ b/test/platform/changing_routes_test.cpp
@@ -9,6 +9,7 @@
 #include "standin/process.hpp"
 #include "standin/published_files.hpp"
 #include "standin/temporary_folder.hpp"
+#include "standin/unknown_route.hpp"
 #include <waxwingvale/io/http_client.hpp>
 
 using namespace std::chrono_literals;
@@ -119,11 +120,16 @@
         call.timeout = 2s;
         client.send(std::move(call), [=](const io::http_call_result& ended) {
             if (ended.response) {
-                judge(number, service, sent, ended.response.value().status);
+                judge(number, service, sent,
+                      judged_status(ended.response.value()));
             }
         });
     }
 
+    static unsigned judged_status(const io::http_response& answer) {
+        return knows_no_route(answer) ? 404 : answer.status;
+    }
+
     void judge(std::size_t number, const std::string& service, time_point sent,
                unsigned status) {
         ++answers[status];
--- a/test/platform/late_instances.cpp
+++ b/test/platform/late_instances.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "standin/http_request_once.hpp"
+#include "standin/unknown_route.hpp"
 #include <waxwingvale/decision/ownership.hpp>
 
 namespace waxwingvale::platform {
@@ -47,6 +48,10 @@
     return all == 0 ? 1.0 : static_cast<double>(part) / all;
 }
 
+unsigned judged_status(const io::http_response& answer) {
+    return standin::knows_no_route(answer) ? not_found : answer.status;
+}
+
 } // namespace
 
 unsigned caller_results::reads() const {
@@ -317,7 +322,7 @@
     client_.send(std::move(call), [this, ended, sent = timers.now()](
                                       const io::http_call_result& result) {
         --open_;
-        ended(result.response ? result.response.value().status : 0,
+        ended(result.response ? judged_status(result.response.value()) : 0,
               timers.now() - sent);
     });
 }
--- a/test/standin/changing_fleet.cpp
+++ b/test/standin/changing_fleet.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "standin/http_request_once.hpp"
+#include "standin/unknown_route.hpp"
 
 namespace waxwingvale::standin {
 
@@ -192,7 +193,8 @@
             fault(asked, "no configuration, and no word when to come back");
         }
     }
-    if (!turns_away(answer.status)) {
+    const bool no_route = knows_no_route(answer);
+    if (!no_route && !turns_away(answer.status)) {
         return;
     }
     const bool always_allowed = published_files::stays(asked.service);
@@ -200,7 +202,7 @@
         undisturbed_for(asked.instance, calm_after, asked.sent) &&
         files_.allowed_by_all(asked.service, asked.sent - in_force_within,
                               fleet_.now());
-    if (always_allowed || allowed || answer.status != 404) {
+    if (always_allowed || allowed || !no_route) {
         fault(asked, std::to_string(answer.status));
     } else {
         ++seen_.not_found;
--- a/test/steer/address_desk_test.cpp
+++ b/test/steer/address_desk_test.cpp
@@ -17,7 +17,7 @@
     return made;
 }
 
-view_ptr two_instances() {
+view two_instances() {
     configuration config;
     service slate;
     slate.name = "slate-view";
@@ -33,7 +33,12 @@
     view made;
     made.config = std::make_shared<const configuration>(config);
     made.members = {instance("sea-1", 1'000'000), instance("sea-2", 2'000'000)};
-    return std::make_shared<const view>(made);
+    made.fresh = true;
+    return made;
+}
+
+program::view_published published(const view& made) {
+    return program::with_owners(std::make_shared<const view>(made));
 }
 
 io::http_request asking(const std::string& target) {
@@ -46,7 +51,7 @@
     // The first entry instance dies. Its callers go to the next address; with
     // a key that names the dead instance they could only be told "unknown".
     steer::address_desk desk;
-    desk.take(program::with_owners(two_instances()));
+    desk.take(published(two_instances()));
     const auto answer =
         desk.answer(asking("/v1/addresses?service=slate-view"), {1, 5'000'000});
     REQUIRE(answer.status == 200);
@@ -69,8 +74,24 @@
         return desk.answer(asking(target), {1, 0}).status;
     };
     CHECK(status("/v1/addresses?service=slate-view") == 503);
-    desk.take(program::with_owners(two_instances()));
+    desk.take(published(two_instances()));
     CHECK(status("/v1/addresses") == 400);
     CHECK(status("/v1/addresses?service=nobody") == 404);
     CHECK(status("/elsewhere") == 404);
 }
+
+TEST_CASE("by an unproved configuration no service is said not to exist") {
+    // Guards against 404 for a service that was added and not heard of yet.
+    steer::address_desk desk;
+    auto unproved = two_instances();
+    unproved.standing = configuration_standing::unconfirmed;
+    desk.take(published(unproved));
+    const auto target = "/v1/addresses?service=nobody";
+    CHECK(desk.answer(asking(target), {1, 0}).status == 503);
+    unproved.standing = configuration_standing::current;
+    unproved.fresh = false;
+    desk.take(published(unproved));
+    CHECK(desk.answer(asking(target), {1, 0}).status == 503);
+    desk.take(published(two_instances()));
+    CHECK(desk.answer(asking(target), {1, 0}).status == 404);
+}
