decision, entry: word of suspects is gathered before it is sent

Cause: each lost answer made a message of its own to each of 106 askers of an owner, 20,000 in a second; the owner gave no slots, and was taken for gone. Evidence: "hundreds of lost answers are told in few messages" counts 200 with the wait turned off, which is the code before, and 6 at most with it. Why it works: news waits 100 ms at most, one message for each peer; what is cleared by then is not told; whoever asks for a slot is told what waits for it before its answer, so that no copy is sent on a slot before word of it. Full meshes are as before.

--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -1,6 +1,7 @@
 #include "entry/crash_guard.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include <waxwingvale/decision/stable_hash.hpp>
 #include <waxwingvale/membership/link_plan.hpp>
@@ -32,6 +33,11 @@
 // Who sends unasked goes on for seconds, until owners that are out of reach
 // have been replaced.
 constexpr duration unasked_lasts = 10s;
+// In a fleet that is no full mesh, word waits for more this long for each
+// member, but
+constexpr duration gathering_per_member = 1ms;
+// no longer than this. An asker is told before its answer all the same.
+constexpr duration longest_gathering = 100ms;
 // Bounds the size of a message, whose limit is some megabytes.
 constexpr std::size_t words_per_message = 256;
 
@@ -128,6 +134,10 @@
     quarantine_.tick(now);
     silent_.tick(now);
     suspicions_.set(static_cast<double>(quarantine_.size()));
+    for (auto at = told_.begin(); at != told_.end();) {
+        const bool known = quarantine_.state_of(*at, now).has_value();
+        at = known ? std::next(at) : told_.erase(at);
+    }
     auto refused = quarantine_.quarantined(now);
     if (on_refused_ && refused != refused_) {
         refused_ = std::move(refused);
@@ -172,6 +182,7 @@
 // An instance that has just started, or was cut off, knows of no suspect, and
 // would run a crashing request once more.
 void crash_guard::follow_link(const std::string& peer, bool up) {
+    outbox_.forget(peer);
     if (!up) {
         audience_.link_down(peer);
         return;
@@ -181,8 +192,14 @@
 }
 
 void crash_guard::on_slots_asked(const std::string& peer) {
-    if (audience_.asked_for_slots(peer, timers_.now())) {
+    const auto now = timers_.now();
+    if (audience_.asked_for_slots(peer, now)) {
+        outbox_.forget(peer);
         tell_all_known({peer});
+        return;
+    }
+    for (const auto& batch : outbox_.take_for(peer)) {
+        send_batch(batch, now);
     }
 }
 
@@ -212,6 +229,10 @@
                          const decision::service_ownerships& owners) {
     auto members = names_of(now.members);
     const bool full_mesh = members.size() <= membership::full_mesh_limit;
+    const auto count = static_cast<duration::rep>(members.size());
+    outbox_.set_pause(
+        full_mesh ? duration::zero()
+                  : std::min(count * gathering_per_member, longest_gathering));
     const bool was_registrar = audience_.is_registrar(self_);
     tell_all_known(audience_.follow(std::move(members), registrars_of(owners),
                                     full_mesh, timers_.now()));
@@ -373,6 +394,7 @@
     const bool settled = word.state != decision::suspicion_state::suspect;
     const bool was_to_tell = settled && to_tell_.erase(word.fingerprint) != 0;
     const bool is_news = quarantine_.merge(word, timers_.now());
+    told_.insert(word.fingerprint);
     if (is_news && word.state == decision::suspicion_state::quarantined) {
         log_word(word, peer);
     }
@@ -391,12 +413,12 @@
     for (const auto& word : told) {
         log_word(word, "self");
     }
-    send(told, audience_.of_own(timers_.now()));
+    post(told, audience_.of_own(timers_.now()));
 }
 
 void crash_guard::pass_on(const words& told, const std::string& origin,
                           const decision::suspicion_reach& reach) {
-    send(told, audience_.of_told(origin, reach, timers_.now()));
+    post(told, audience_.of_told(origin, reach, timers_.now()));
 }
 
 void crash_guard::tell_later(const words& told) {
@@ -427,12 +449,68 @@
         }
         at = to_tell_.erase(at);
     }
-    send(due, audience_.of_own(now));
+    post(due, audience_.of_own(now));
     if (to_tell_.empty()) {
         telling_.cancel();
     }
 }
 
+void crash_guard::post(const words& told,
+                       const decision::suspicion_recipients& to) {
+    if (!outbox_.gathers()) {
+        send(told, to);
+        return;
+    }
+    const bool none_waited = outbox_.empty();
+    std::vector<decision::request_fingerprint> fingerprints;
+    for (const auto& word : worth_telling(told)) {
+        fingerprints.push_back(word.fingerprint);
+    }
+    const auto now = timers_.now();
+    outbox_.add(fingerprints, to, now);
+    if (none_waited && !outbox_.empty()) {
+        gathering_ =
+            timers_.after(outbox_.due_at() - now,
+                          [this](time_point fired) { send_gathered(fired); });
+    }
+}
+
+// A server that forgets idle connections loses an answer and answers the next
+// request: the news would be over before it came.
+crash_guard::words crash_guard::worth_telling(const words& told) {
+    words worth;
+    for (const auto& word : told) {
+        const bool cleared = word.state == decision::suspicion_state::cleared;
+        if (cleared && told_.count(word.fingerprint) == 0) {
+            outbox_.forget(word.fingerprint);
+        } else {
+            worth.push_back(word);
+        }
+    }
+    return worth;
+}
+
+void crash_guard::send_gathered(time_point now) {
+    for (const auto& batch : outbox_.take()) {
+        send_batch(batch, now);
+    }
+}
+
+// What is told is what is known by now: it may be more than there was to tell.
+void crash_guard::send_batch(const decision::suspicion_batch& batch,
+                             time_point now) {
+    words told;
+    for (const auto& fingerprint : batch.fingerprints) {
+        if (auto word = quarantine_.update_on(fingerprint, now)) {
+            told_.insert(fingerprint);
+            told.push_back(std::move(*word));
+        }
+    }
+    auto reach = audience_.reach(now);
+    reach.for_all = reach.for_all || batch.for_all;
+    send(told, {batch.peers, std::move(reach)});
+}
+
 void crash_guard::send(const words& told,
                        const decision::suspicion_recipients& to) {
     if (to.peers.empty()) {
--- a/src/entry/crash_guard.hpp
+++ b/src/entry/crash_guard.hpp
@@ -13,6 +13,7 @@
 #include <waxwingvale/decision/quarantine.hpp>
 #include <waxwingvale/decision/silent_runs.hpp>
 #include <waxwingvale/decision/suspicion_audience.hpp>
+#include <waxwingvale/decision/suspicion_outbox.hpp>
 #include <waxwingvale/entry/backend_answer.hpp>
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
@@ -109,6 +110,12 @@
     void tell_waiting(time_point now);
     void pass_on(const words& told, const std::string& origin,
                  const decision::suspicion_reach& reach);
+    // Sends word at once, or together with what else is told a moment later.
+    void post(const words& told, const decision::suspicion_recipients& to);
+    // Drops requests that were cleared before anybody was told of them.
+    words worth_telling(const words& told);
+    void send_gathered(time_point now);
+    void send_batch(const decision::suspicion_batch& batch, time_point now);
     void send(const words& told, const decision::suspicion_recipients& to);
     void follow_link(const std::string& peer, bool up);
     void tell_all_known(const std::set<std::string>& peers);
@@ -131,6 +138,10 @@
     std::function<void(const std::vector<std::uint64_t>&)> on_refused_;
     std::vector<std::uint64_t> refused_; // as told last
     decision::suspicion_audience audience_;
+    decision::suspicion_outbox outbox_;
+    kernel::timer_service::subscription gathering_;
+    // Requests of which this instance has told or heard.
+    std::set<decision::request_fingerprint> told_;
     unsigned passes_ = 0;
     // What is to be told of fingerprints that are suspects no more, and when,
     // unless a peer tells it first.
