--- a/src/decision/suspicion_outbox.cpp
+++ b/src/decision/suspicion_outbox.cpp
@@ -59,6 +59,7 @@
         }
     }
     std::vector<suspicion_batch> batches;
+    batches.reserve(peers_of.size());
     for (const auto& [news, peers] : peers_of) {
         batches.push_back({peers, news.second, news.first});
     }
