--- a/test/entry/crash_guard_test.cpp
+++ b/test/entry/crash_guard_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include <set>
+#include <map>
 #include <string>
 #include <thread>
 
@@ -34,7 +34,7 @@
                              metrics.add_gauge("suspicions", ""),
                              metrics.add_counter("words", "")};
     std::size_t messages = 0;
-    std::set<std::uint64_t> told; // fingerprints
+    std::map<std::uint64_t, decision::suspicion_state> told; // by fingerprint
 
     owner_and_asker() {
         asker.on_message(entry::suspicion_kind,
@@ -42,7 +42,7 @@
                              ++messages;
                              const auto read = entry::decode_suspicions(bytes);
                              for (const auto& word : read.value().words) {
-                                 told.insert(word.fingerprint.value);
+                                 told[word.fingerprint.value] = word.state;
                              }
                          });
         asker.listen("127.0.0.1", 0).value();
@@ -73,6 +73,12 @@
         }
     }
 
+    void answer() {
+        entry::backend_answer answered;
+        answered.sign = decision::server_sign::answered;
+        guard.on_sign({"i-1", 1, timers.now(), answered});
+    }
+
     void lose(std::uint64_t number) {
         entry::backend_answer lost;
         lost.sign = decision::server_sign::connection_lost;
@@ -121,10 +127,24 @@
     // loses an answer, and would be told of to a hundred instances twice.
     owner_and_asker f;
     f.lose(1);
-    entry::backend_answer answered;
-    answered.sign = decision::server_sign::answered;
     f.go_on(5ms);
-    f.guard.on_sign({"i-1", 1, f.timers.now(), answered});
+    f.answer();
     f.go_on(500ms);
     CHECK(f.messages == 0);
 }
+
+TEST_CASE("who was told of a suspect hears that it is none") {
+    // Guards against copies that may only run alone at an instance which was
+    // told all that is known when it asked, a moment before the request was
+    // cleared.
+    owner_and_asker f;
+    f.lose(1);
+    entry::suspicion_message question;
+    question.asks = true;
+    f.asker.send("owner", entry::suspicion_kind, entry::encode(question));
+    f.go_on(30ms);
+    REQUIRE(f.told.count(1) == 1);
+    f.answer();
+    f.go_on(1200ms);
+    CHECK(f.told.at(1) == decision::suspicion_state::cleared);
+}
