decision, entry: what is lost right after an outage of all servers counts

Operators saw: copies of a request that ends servers ended more of them 3 s after the third end, and later.

Cause: while no server answers anybody, losses are unproven and are dropped; the failed check left those of the next second unproven too, when the servers were back. Each instance lost a server more, and a trial could be dropped.

Why it works: a check under way, or one begun for the loss of a trial or of what a server had taken since the last check, tells whether servers answer again; if so, the loss is a suspicion like any other, which only an end can prove.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -143,6 +143,8 @@
     }
     if (of_server) {
         report_signs(call, attempt, answer);
+    } else if (meaning == decision::failure_meaning::unproven) {
+        report_loss_when_checked(call, attempt, answer);
     }
     end_trial(call);
     if (of_server) {
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -192,6 +192,9 @@
     void end_trial(call_record& call);
     void report_signs(const call_record& call, const running_attempt& attempt,
                       const backend_answer& answer);
+    void report_loss_when_checked(const call_record& call,
+                                  const running_attempt& attempt,
+                                  const backend_answer& answer);
     void report_unanswered(const call_record& call,
                            const running_attempt& attempt);
     bool is_suspect_by_now(const call_record& call);
--- a/src/entry/call_trials.cpp
+++ b/src/entry/call_trials.cpp
@@ -83,6 +83,28 @@
     }
 }
 
+// While no server answers anybody, what is lost shows nothing. But a check may
+// find servers that answer again, and then it does: else each instance would
+// lose one more server to the request, and each trial another.
+void call_desk::report_loss_when_checked(const call_record& call,
+                                         const running_attempt& attempt,
+                                         const backend_answer& answer) {
+    if (!crash_guard::may_be_lost(answer)) {
+        return;
+    }
+    const auto report = [this, of = crash_fingerprints(call), attempt, answer,
+                         alone = call.alone](decision::failure_meaning known) {
+        if (known == decision::failure_meaning::of_server) {
+            crashes_.on_lost(of,
+                             {attempt.backend_server, attempt.incarnation,
+                              attempt.started, answer},
+                             alone);
+        }
+    };
+    const bool taken_since = attempt.started > reach_.check_began();
+    reach_.when_checked({call.alone, taken_since, report});
+}
+
 // Nobody waits any longer for an attempt that is on its way.
 void call_desk::report_unanswered(const call_record& call,
                                   const running_attempt& attempt) {
--- a/src/entry/reach_watch.cpp
+++ b/src/entry/reach_watch.cpp
@@ -26,6 +26,9 @@
 constexpr duration servers_alone_asked_for = 30ms;
 // An answer that has come so lately tells a peer that servers answer here.
 constexpr duration lately = 200ms;
+// Each check makes connections; where servers reset whatever comes, losses
+// would begin hundreds of checks a second.
+constexpr duration between_checks = 50ms;
 
 // Whether a server may be the reason, or the way to it; no limit of our own.
 bool is_failure(const forwarding::backend_result& ended) {
@@ -123,6 +126,17 @@
     waiting_.push_back(std::move(handler));
 }
 
+void reach_watch::when_checked(decision::unproven_loss loss) {
+    const auto now = timers_.now();
+    if (loss.deserves_check() && now - check_began_ >= between_checks) {
+        monitor_.on_question(now);
+    }
+    if (monitor_.reach() == backend_reach::doubtful) {
+        unproven_.add(std::move(loss));
+    }
+    update();
+}
+
 bool reach_watch::answered_lately() const {
     return any_answer_ && timers_.now() - last_answer_ < lately;
 }
@@ -154,6 +168,9 @@
     }
     // What is open is judged first: what had been sent is not taken for unsent.
     settle_waiting();
+    if (reach != backend_reach::doubtful) {
+        unproven_.tell(monitor_.settled_as());
+    }
     const bool is_partitioned = reach == backend_reach::partitioned;
     if (is_partitioned != told_partitioned_) {
         told_partitioned_ = is_partitioned;
--- a/src/entry/reach_watch.hpp
+++ b/src/entry/reach_watch.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <waxwingvale/decision/reach_monitor.hpp>
+#include <waxwingvale/decision/unproven_losses.hpp>
 #include <waxwingvale/entry/request_protocol.hpp>
 #include <waxwingvale/forwarding/backend_pool.hpp>
 #include <waxwingvale/io/message_hub.hpp>
@@ -56,6 +57,12 @@
     // Calls it when the check that is under way has ended, or what waits for it
     // is refused.
     void when_settled(settled_handler handler);
+    // When the latest check was begun.
+    time_point check_began() const { return check_began_; }
+    // Tells what a loss means once the check that is under way has ended. It is
+    // never told without a check, for which checks begin some times a second at
+    // most, nor for more than a few losses that are no trials.
+    void when_checked(decision::unproven_loss loss);
     // Called when this instance has become partitioned, or is no more.
     void on_change(std::function<void(bool partitioned)> handler) {
         on_change_ = std::move(handler);
@@ -110,6 +117,7 @@
     // Peers that asked, and the rounds of theirs, until servers answer here.
     std::map<std::string, std::uint64_t> waiting_peers_;
     std::vector<settled_handler> waiting_;
+    decision::unproven_losses unproven_; // see when_checked()
     std::function<void(bool)> on_change_;
     kernel::timer_service::subscription ticking_;
 };
