--- a/src/decision/backend_slots.hpp
+++ b/src/decision/backend_slots.hpp
@@ -52,6 +52,8 @@
     // since.
     bool unresponsive() const { return unresponsive_; }
     void set_unresponsive(bool unresponsive) { unresponsive_ = unresponsive; }
+    // Whether no request is to go there as long as others can take it.
+    bool excluded() const { return health().failing() || unresponsive(); }
     send_limits& limits() { return limits_; }
     const send_limits& limits() const { return limits_; }
     const backend_health& health() const { return health_; }
--- a/src/entry/long_body.cpp
+++ b/src/entry/long_body.cpp
@@ -12,12 +12,6 @@
 
 } // namespace
 
-bool copy_budget::try_take(std::size_t held, std::size_t more) {
-    const bool fits = held + more <= of_one_ && used_ + more <= of_all_;
-    used_ += fits ? more : 0;
-    return fits;
-}
-
 // The body as one attempt reads it: what was copied first, then what comes.
 class long_body::attempt_stream : public forwarding::body_stream {
 public:
