decision: instances that share a silent owner's slots begin at different servers

Callers got 503 while nine of ten servers were idle: where owners are late or away, every instance uses a share of their slots, and each began its search at the same server, so that all filled the first few of each service. Among 240 instances that share 24 servers one server got all 240; now none gets more than twice its part. The test failed before. The search begins at a place by the instance's name, so it needs no word of the others.

--- a/src/decision/slot_choice.cpp
+++ b/src/decision/slot_choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <waxwingvale/decision/stable_hash.hpp>
 
 #include "decision/slot_table.hpp"
 
@@ -285,7 +286,17 @@
 std::optional<slot_table::index>
 slot_table::choose(const slot_requirements& requirements,
                    time_point now) const {
-    return choose_from(requirements, now, usable_, next_start_);
+    return choose_from(requirements, now, usable_, search_start());
+}
+
+// Instances that share the slots of an unreachable owner do not know what the
+// others run. If all began at the same server, they would fill a few servers
+// beside idle ones.
+std::size_t slot_table::search_start() const {
+    if (owns_any_ || usable_.empty()) {
+        return next_start_;
+    }
+    return (next_start_ + stable_hash(self_.name)) % usable_.size();
 }
 
 std::optional<slot_table::index>
--- a/src/decision/slot_table.hpp
+++ b/src/decision/slot_table.hpp
@@ -199,6 +199,8 @@
     duration max_report_age(const backend_slots& server) const;
     void record_load(backend_slots& server, const backend_load& load,
                      time_point now);
+    // Where in usable_ the search for a slot begins.
+    std::size_t search_start() const;
     std::optional<index> choose_from(const slot_requirements& requirements,
                                      time_point now,
                                      const std::vector<index>& among,
--- a/test/scheduling/grants_test.cpp
+++ b/test/scheduling/grants_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "scheduler_fixture.hpp"
 
@@ -430,6 +431,24 @@
     CHECK(f.scheduler().slots()[0].usable == 0);
 }
 
+TEST_CASE("instances that share the slots of a silent owner use many servers") {
+    // Guards against requests turned away by a few full servers beside idle
+    // ones, when all instances lose the owner.
+    constexpr unsigned servers = 24;
+    constexpr unsigned fair_share = 10;
+    std::map<std::string, unsigned> begun;
+    for (unsigned each = 0; each < servers * fair_share; ++each) {
+        scheduler_fixture f(servers, 2, 0, "sharer-" + std::to_string(each));
+        f.arrive(1);
+        REQUIRE(f.all<start_request>().size() == 1);
+        ++begun[f.all<start_request>()[0].backend_server];
+    }
+    CHECK(begun.size() == servers);
+    for (const auto& each : begun) {
+        CHECK(each.second <= 2 * fair_share);
+    }
+}
+
 TEST_CASE("without a connection to the owner its slots are shared at once") {
     scheduler_fixture f(1, 4, 0);
     f.arrive(1);
--- a/test/scheduling/scheduler_fixture.hpp
+++ b/test/scheduling/scheduler_fixture.hpp
@@ -8,8 +8,8 @@
 
 namespace waxwingvale::decision {
 
-// A scheduler of entry instance "entry-0" for a service with a few backend
-// servers, named "a", "b" and so on.
+// A scheduler of entry instance "entry-0", if no other is named, for a service
+// with a few backend servers, named "a", "b" and so on.
 class scheduler_fixture {
 public:
     std::vector<scheduler_action> actions; // returned for the last event
@@ -18,8 +18,9 @@
 
     // "entry-0" owns the first `own_servers` servers, "entry-1" the others.
     // Each server has `slots` slots.
-    scheduler_fixture(unsigned servers, unsigned slots, unsigned own_servers)
-        : scheduler_("slate-view", {"entry-0", 1}, {},
+    scheduler_fixture(unsigned servers, unsigned slots, unsigned own_servers,
+                      const std::string& self = "entry-0")
+        : scheduler_("slate-view", {self, 1}, {},
                      time_point(-std::chrono::hours(1))) {
         configuration config;
         service service_config;
