membership: an instance is behind until it has the newest file that it knows of

The instance had 64 in force, knew of 68 and said behind_ms="": how long it was behind counted from the first word of a newer file than the one in force, and began only with the next word once a file between the two had arrived. So 404 was said, and requests were run, by a view that counted as the newest known. Each newer revision is now remembered with the moment since when it is known of.

--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -96,17 +96,13 @@
         time_point deadline{};
     };
 
-    // The time since which peers are known to have a newer file in force.
-    struct outdated_period {
-        std::uint64_t in_force = 0;
-        time_point since{};
-        unsigned requests = 0;
-    };
     struct received_file {
         std::uint64_t revision = 0;
         std::string peer;
     };
 
+    // Forgets the revisions that are no longer newer than the one in force.
+    void forget_passed();
     void record_announced(const std::string& peer, std::uint64_t revision,
                           time_point now);
     bool any_peer_has_newer() const;
@@ -135,7 +131,10 @@
     std::uint64_t newest_announced_ = 0; // also those only known to exist
     std::string newest_announced_by_;
     std::uint64_t unobtainable_ = 0; // the newest revision given up
-    std::optional<outdated_period> outdated_;
+    // The revisions that are newer than the one in force, and since when each
+    // is known of. A file that arrives is not always the newest one.
+    std::map<std::uint64_t, time_point> known_since_;
+    unsigned requests_while_behind_ = 0;
     received_file received_; // the file from a peer that was accepted last
     // Cache of the last file sent: the next peer probably requests the same
     // file, and packing 294 kB takes 3.7 ms of a core.
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -19,6 +20,10 @@
 // How many rejected revisions are remembered; the oldest are dropped first.
 constexpr std::size_t max_rejected_revisions = 64;
 
+// How many newer revisions are remembered, while files come more slowly than
+// they are written.
+constexpr std::size_t max_known_revisions = 256;
+
 // After a late wake-up so many peers may be asked at once, for that long.
 constexpr std::ptrdiff_t most_open_when_late = 3;
 constexpr duration late_period = std::chrono::seconds(2);
@@ -108,13 +113,23 @@
         newest_announced_ = revision;
         newest_announced_by_ = peer;
     }
-    const auto mine = configurations_.revision();
-    const bool known_outdated = outdated_ && outdated_->in_force == mine;
-    if (revision > mine && !known_outdated) {
-        outdated_ = outdated_period{mine, now, 0};
+    forget_passed();
+    if (revision <= configurations_.revision()) {
+        return;
+    }
+    requests_while_behind_ = known_since_.empty() ? 0 : requests_while_behind_;
+    known_since_.emplace(revision, now);
+    if (known_since_.size() > max_known_revisions) {
+        // As long as none of them arrives, only the first one's time counts.
+        known_since_.erase(std::next(known_since_.begin()));
     }
 }
 
+void configuration_exchange::forget_passed() {
+    known_since_.erase(known_since_.begin(),
+                       known_since_.upper_bound(configurations_.revision()));
+}
+
 void configuration_exchange::hear_of(const std::string& peer,
                                      std::uint64_t revision, time_point now) {
     if (revision > unobtainable_) {
@@ -130,18 +145,17 @@
     }
     unobtainable_ = awaited->revision;
     newest_announced_ = configurations_.revision();
-    outdated_.reset();
+    known_since_.clear();
 }
 
 std::optional<pending_configuration>
 configuration_exchange::pending(time_point now) const {
-    const auto mine = configurations_.revision();
-    const bool outdated = outdated_ && outdated_->in_force == mine;
-    if (!outdated || !lacks({newest_announced_, 0})) {
+    const auto next = known_since_.upper_bound(configurations_.revision());
+    if (next == known_since_.end() || !lacks({newest_announced_, 0})) {
         return std::nullopt;
     }
     return pending_configuration{newest_announced_, newest_announced_by_,
-                                 now - outdated_->since, outdated_->requests};
+                                 now - next->second, requests_while_behind_};
 }
 
 std::optional<duration>
@@ -215,9 +229,7 @@
         now + (answer_timeout_ * (1U << announcement.unanswered_requests));
     announcement.unanswered_requests =
         std::min(announcement.unanswered_requests + 1, max_delay_doublings);
-    if (outdated_) {
-        ++outdated_->requests;
-    }
+    ++requests_while_behind_;
     const auto mine = own_revision();
     return addressed_message{
         peer, std::make_shared<const exchange_message>(
--- a/test/membership/configuration_announcement_test.cpp
+++ b/test/membership/configuration_announcement_test.cpp
@@ -73,6 +73,20 @@
 
 } // namespace
 
+TEST_CASE("an instance is behind until it has the newest file it knows of") {
+    // Guards against requests run by an old configuration that counts as the
+    // newest since a file between the two has arrived.
+    exchanging_instance f;
+    f.configurations.offer({62, ""});
+    f.exchange.receive("pdx-1", revision_message{64, 0}, start);
+    f.exchange.receive("pdx-1", revision_message{68, 0}, start + 1s);
+    CHECK(f.exchange.files().behind_for(start + 2s) == duration(2s));
+    f.configurations.offer({64, ""});
+    CHECK(f.exchange.files().behind_for(start + 3s) == duration(2s));
+    f.configurations.offer({68, ""});
+    CHECK_FALSE(f.exchange.files().behind_for(start + 3s));
+}
+
 TEST_CASE("a file that many peers announce is requested once") {
     // Guards against receiving hundreds of kilobytes a dozen times while
     // callers' answers wait on the same link. An operator's file of 1,600
