io: after a late wake-up the platform is asked what has changed, not for all

A configuration came as many stops late as the platform's list has pages: after each late wake-up a reader gave up its watch and listed everything, and takes a list over only when it is whole. With 265 items on pages of 50, and two reads a second, that is more than two seconds in which nothing is known. A watch from the revision that was read last tells the same in one answer; it is asked for without waiting, so that no change is an answer too. A platform that has forgotten the history says so, and is listed then, as before. The test failed before (a second list).

--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -71,13 +71,13 @@
     void set_share(membership::read_share share);
     // Marks what is asked for from here on.
     void set_epoch(std::uint64_t epoch) { epoch_ = epoch; }
-    // Ends the watches and asks anew at once, without waiting for a change:
-    // answers to what was asked before a late wake-up prove nothing. A list
-    // that is half read is read to its end first, and bears its own epoch:
-    // given up at every wake-up, it might never end.
+    // Ends the watches and asks at once, without waiting for a change, what has
+    // changed since: answers to what was asked before a late wake-up prove
+    // nothing. A list that is half read is read to its end first, and bears its
+    // own epoch: given up at every wake-up, it might never end.
     void read_again();
-    // Asks no more until resume(), which reads everything anew. What was asked
-    // is paid for, so its answer still counts.
+    // Asks no more until resume(), which asks what has changed since. What was
+    // asked is paid for, so its answer still counts.
     void pause();
     void resume();
     bool paused() const { return paused_; }
@@ -92,8 +92,9 @@
         reading_handler on_reading;
         std::uint64_t revision = 0; // to watch from
         std::uint64_t era = 0;      // of the platform, when it was listed
-        bool listed = false; // changes are watched; else it is read whole
-        bool again = false;  // once the list is read it is read anew
+        bool listed = false;     // changes are watched; else it is read whole
+        bool again = false;      // once the list is read it is read anew
+        bool catches_up = false; // the next watch is to be answered at once
         std::vector<published_item> pages; // read so far
         std::uint64_t epoch = 0;           // in which the first was asked for
         http_client::call_id call = 0;     // under way, or 0
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -10,6 +10,8 @@
 
 // A topic on which nothing was published yet is read again this much later.
 constexpr duration unpublished_pause = std::chrono::seconds(1);
+// The wait of a watch that is only to tell what has changed until now.
+constexpr duration shortest_watch = std::chrono::milliseconds(1);
 // An answer that goes on coming has so many times as long as one that does not
 // begin: a long list takes its time on a narrow link.
 constexpr int patience = 8;
@@ -41,7 +43,7 @@
     return !topic.listed && (topic.call != 0 || !topic.pages.empty());
 }
 
-// Everything is read anew, one topic first.
+// All topics are asked for, one first.
 void platform_client::start_reading() {
     probing_.reset();
     for (auto& [name, topic] : topics_) {
@@ -49,7 +51,7 @@
         if (topic.listed) {
             client_.cancel(std::exchange(topic.call, 0));
             topic.silence.cancel();
-            topic.listed = false;
+            topic.catches_up = true;
         }
         // An answer that came while the process was stopped is read before the
         // timer looks for it: the wait is not begun anew.
@@ -123,10 +125,11 @@
     call.connect_timeout = options_.answer_within;
     auto first_byte_within = options_.answer_within;
     if (topic.listed) {
-        call.target =
-            dialect_.watch_target(name, topic.revision, options_.watch);
-        call.timeout += options_.watch;
-        first_byte_within += options_.watch;
+        const auto wait = topic.catches_up ? shortest_watch : options_.watch;
+        topic.catches_up = false;
+        call.target = dialect_.watch_target(name, topic.revision, wait);
+        call.timeout += wait;
+        first_byte_within += wait;
     } else {
         const auto after =
             topic.pages.empty() ? std::string() : topic.pages.back().key;
--- a/test/io/platform_client_test.cpp
+++ b/test/io/platform_client_test.cpp
@@ -20,8 +20,11 @@
                             const std::string&) const override {
         return "/" + topic;
     }
+    mutable duration last_wait{}; // of a watch
+
     std::string watch_target(const std::string& topic, std::uint64_t,
-                             duration) const override {
+                             duration wait) const override {
+        last_wait = wait;
         return "/" + topic + "/watch";
     }
     result<io::published_page>
@@ -178,3 +181,27 @@
     }
     CHECK(readings == 2);
 }
+
+TEST_CASE("after a late wake-up only what has changed is read, and at once") {
+    // Guards against a configuration that comes as many stops late as a list of
+    // the platform has pages, in a process that is stopped again and again.
+    refusing_platform platform;
+    platform.answers = true;
+    io::platform_client_options options;
+    options.host = "127.0.0.1";
+    options.port = platform.server.port();
+    io::platform_client client(platform.client, platform.timers,
+                               platform.dialect, options);
+    client.set_share({1000., 1000., 10ms});
+    unsigned readings = 0;
+    client.watch("all", [&](const io::platform_reading&) { ++readings; });
+    while (platform.asked["/all/watch"] == 0) {
+        platform.loop.run_once(true);
+    }
+    REQUIRE(readings == 1);
+    client.read_again();
+    platform.run_for(100ms);
+    CHECK(platform.asked["/all"] == 1);
+    CHECK(platform.asked["/all/watch"] == 2);
+    CHECK(platform.dialect.last_wait < 10ms);
+}
