control, membership: an answer of the platform that waited during a stop is old

An answer to what was asked before a late wake-up counted as word of the moment at which it was read, so that a configuration which had been replaced during the stop was taken for proved. It is now as old as the stop. Found by reading; the half-read list, which is not given up at a wake-up, is what brings such answers.

--- a/include/waxwingvale/membership/freshness.hpp
+++ b/include/waxwingvale/membership/freshness.hpp
@@ -22,6 +22,7 @@
     // done. Returns whether the process was stopped since the last call.
     bool beat(time_point now) {
         last_gap_ = now - last_beat_;
+        stopped_at_ = last_gap_ > gap_limit_ ? last_beat_ : stopped_at_;
         const bool late = last_gap_ > gap_limit_;
         last_beat_ = now;
         if (late) {
@@ -60,6 +61,13 @@
         return true;
     }
 
+    // How long, at the last beat, an answer to a question of that epoch may
+    // have waited unread: if the process has been stopped since, for as long as
+    // it was at last.
+    duration longest_wait_of(std::uint64_t epoch) const {
+        return epoch == epoch_ ? duration::zero() : last_beat_ - stopped_at_;
+    }
+
     // How long before the last beat the one before it was.
     duration last_gap() const { return last_gap_; }
     std::uint64_t epoch() const { return epoch_; }
@@ -72,6 +80,7 @@
     duration gap_limit_;
     time_point last_beat_;
     duration last_gap_{};
+    time_point stopped_at_{}; // at last
     std::uint64_t epoch_ = 1;
     bool fresh_ = false;
     bool platform_answered_ = false;
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -173,7 +173,8 @@
     const auto now = environment_.timers.now();
     follow_era(reading);
     take_facts(reading);
-    known_.readers.hear(known_.members.self().id.name, duration::zero(), now);
+    known_.readers.hear(known_.members.self().id.name,
+                        known_.fresh.longest_wait_of(reading.epoch), now);
     known_.fresh.hear_platform(reading.epoch);
     settle_freshness();
     changed();
