membership: an instance that is stopped again and again reads the platform itself

The time of each stop was forgiven, so that it took over from a silent reader two seconds late. That is right where the reader runs and a word of it waits in the socket. Where all run late, word comes as late as everybody who passes it on.

--- a/include/waxwingvale/membership/reader_duty.hpp
+++ b/include/waxwingvale/membership/reader_duty.hpp
@@ -65,6 +65,11 @@
         behind_for_ = behind_for;
     }
 
+    // An instance that is stopped again and again is not forgiven the times of
+    // its stops: where others are stopped too, word that is passed on comes as
+    // late as everybody who passes it on, and it reads the platform itself.
+    void set_runs_late(bool late) { runs_late_ = late; }
+
     bool should_read(time_point now);
     // The latest result of should_read().
     bool reads() const { return reads_; }
@@ -99,6 +104,7 @@
     std::string newest_reader_;
     std::optional<time_point> word_as_of_; // of the newest word heard
     std::optional<duration> behind_for_;
+    bool runs_late_ = false;
     bool reads_;
     std::optional<time_point> took_over_at_;
     // When this instance last learned of a read by an instance of lower rank.
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -254,6 +254,7 @@
 // again and again says so and leaves it to the others.
 void control_service::follow_lateness(time_point now) {
     const bool late = known_.late_wakeups.runs_late(now);
+    known_.readers.set_runs_late(late);
     if (known_.members.set_runs_late(late)) {
         program::log_change("runs_late_changed",
                             {{"late", late ? "yes" : "no"}});
--- a/src/membership/reader_duty.cpp
+++ b/src/membership/reader_duty.cpp
@@ -144,8 +144,9 @@
         return true;
     }
     const auto delay = takeover_delay();
+    const auto silent_for = runs_late_ ? age(now) : now - silent_since_;
     const bool silent =
-        now - silent_since_ > delay || age(now) > timing_.max_forgiven_age;
+        silent_for > delay || age(now) > timing_.max_forgiven_age;
     if (silent && age(now) > delay) {
         took_over_at_ = took_over_at_ ? took_over_at_ : now;
     }
--- a/test/membership/reader_duty_test.cpp
+++ b/test/membership/reader_duty_test.cpp
@@ -104,6 +104,18 @@
     CHECK(reader_order(all) == before);
 }
 
+TEST_CASE("an instance that is stopped again and again reads the platform") {
+    // Guards against configurations that come as late as everybody who passes
+    // them on, where all instances run late.
+    const auto all = members(3);
+    auto second = duty_of_rank(1, all);
+    second.hear(reader_order(all)[0], 0s, start + 1s);
+    second.forgive_silence(1s, start + 2s);
+    CHECK_FALSE(second.should_read(start + 2s));
+    second.set_runs_late(true);
+    CHECK(second.should_read(start + 2s));
+}
+
 TEST_CASE("an instance that was stopped hears of the reader before it reads") {
     // Guards against a store that is read by all that run in slices, each time
     // that they wake. Where nothing is heard, they read all the same.
