entry, control, membership: no request is run by routes that others may have replaced

Cause: only what is refused waited for proof that the view is new enough; a known route was used whatever the view, also first thing after a late wake-up, when requests that waited in the socket are read before anybody has been heard, and where a newer configuration was known to be on its way for seconds.

Now a view says whether its routes hold. They do not until somebody was heard after a late wake-up, while a newer configuration is known of for longer than a change may take, and where an instance that runs late has no recent word though the platform answers it. Requests then wait for proof before they are understood, 100 ms of the time that the process runs, and are answered 503 as not run if none comes. While the platform is away and nothing newer is known of, known routes are used as before. A refusal of a client account (403) waits for proof like a 404.

--- a/include/waxwingvale/membership/configuration_proof.hpp
+++ b/include/waxwingvale/membership/configuration_proof.hpp
@@ -15,6 +15,14 @@
     std::optional<duration> behind_for;
     // The process was stopped a moment ago, so that much may have changed.
     bool woke_recently = false;
+    // The time since it was last known to be the newest; empty: never yet.
+    std::optional<duration> proof_age;
+    // The view is fresh, see membership::freshness.
+    bool fresh = true;
+    // The process is stopped again and again, so that word comes late.
+    bool runs_late = false;
+    // The platform answers this instance.
+    bool platform_answers = true;
 };
 
 // Decides what is proved of a configuration in force. Word of the platform that
@@ -23,6 +31,13 @@
 configuration_standing standing_of(const configuration_signs& signs,
                                    duration max_word_age);
 
+// Decides whether requests may be run by the routes of the configuration in
+// force. They may while the platform is away and nothing newer is known of.
+// They may not while a newer one has been known of for longer than a change may
+// take, nor where this process may have slept through one and will hear of it
+// at once.
+bool routes_hold(const configuration_signs& signs, duration max_word_age);
+
 // The `max_word_age` of an instance that reads the platform by watches of that
 // length, each answered within `answer_within` after its end.
 duration max_word_age_for(duration watch, duration answer_within);
--- a/include/waxwingvale/model/view.hpp
+++ b/include/waxwingvale/model/view.hpp
@@ -64,6 +64,10 @@
     std::vector<evacuated_server> evacuated_servers;
     bool fresh = false; // false until word from platform or a peer has come
     configuration_standing standing = configuration_standing::current;
+    // Whether requests may be run by the routes of config. If not, others may
+    // have had a newer one in force for so long that a request would be run by
+    // a service which it no longer leads to.
+    bool routes_hold = true;
     // False while nobody has told which other entry instances there are.
     bool members_known = true;
 };
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -243,6 +243,7 @@
     known_.late_wakeups.record(now);
     program::log_warning("late_wakeup",
                          {{"epoch", std::to_string(known_.fresh.epoch())}});
+    known_.routes_hold = false;
     views_.publish(peers_.exchange().introduced());
     platform_.set_epoch(known_.fresh.epoch());
     platform_.read_again();
@@ -267,6 +268,7 @@
     const auto members_before = known_.members.version();
     const bool was_fresh = known_.fresh.fresh();
     const auto standing_before = known_.standing;
+    const bool held_before = known_.routes_hold;
     peers_.tick(now, look);
     const bool registry_changed = known_.registry.tick(now);
     settle_freshness();
@@ -279,6 +281,7 @@
     }
     const bool news = registry_changed || was_fresh != known_.fresh.fresh() ||
                       standing_before != known_.standing ||
+                      held_before != known_.routes_hold ||
                       members_before != known_.members.version();
     const bool none_yet = views_.last_view() == nullptr;
     if (look || news || none_yet) {
@@ -294,10 +297,27 @@
     signs.word_age = known_.readers.word_age(now);
     signs.behind_for = files.behind_for(now);
     signs.woke_recently = files.woke_recently(now);
+    signs.fresh = known_.fresh.fresh();
+    signs.runs_late = known_.late_wakeups.runs_late(now);
+    signs.platform_answers = platform_.answers();
+    follow_proof(signs, now);
     const auto& platform = environment_.settings.platform;
-    known_.standing = membership::standing_of(
-        signs,
-        membership::max_word_age_for(platform.watch, platform.answer_within));
+    const auto max_age =
+        membership::max_word_age_for(platform.watch, platform.answer_within);
+    known_.standing = membership::standing_of(signs, max_age);
+    known_.routes_hold = membership::routes_hold(signs, max_age);
+}
+
+void control_service::follow_proof(membership::configuration_signs& signs,
+                                   time_point now) {
+    if (signs.word_age && !signs.behind_for) {
+        const auto named_at = now - *signs.word_age;
+        known_.proved_at =
+            std::max(known_.proved_at.value_or(named_at), named_at);
+    }
+    if (known_.proved_at) {
+        signs.proof_age = now - *known_.proved_at;
+    }
 }
 
 void control_service::forget_unnamed(time_point now) {
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -17,6 +17,7 @@
 #include <waxwingvale/io/message_hub.hpp>
 #include <waxwingvale/io/platform_client.hpp>
 #include <waxwingvale/kernel/wake_hook.hpp>
+#include <waxwingvale/membership/configuration_proof.hpp>
 #include <waxwingvale/program/program_frame.hpp>
 
 namespace waxwingvale::control {
@@ -57,6 +58,7 @@
     void on_tick(time_point now);
     void follow_lateness(time_point now);
     void follow_standing(time_point now);
+    void follow_proof(membership::configuration_signs& signs, time_point now);
     void forget_unnamed(time_point now);
     void follow_members();
     void follow_reader_duty(time_point now);
--- a/src/control/knowledge.hpp
+++ b/src/control/knowledge.hpp
@@ -2,6 +2,7 @@
 
 #include "control/unreadable_items.hpp"
 #include <cstdint>
+#include <optional>
 #include <vector>
 #include <waxwingvale/membership/belief_table.hpp>
 #include <waxwingvale/membership/configuration_register.hpp>
@@ -50,6 +51,9 @@
     membership::late_wakeup_history late_wakeups;
     // What is proved of the configuration in force.
     configuration_standing standing = configuration_standing::unconfirmed;
+    bool routes_hold = false; // see view
+    // When it was last known to be the newest; empty: never yet.
+    std::optional<time_point> proved_at;
     unreadable_items unreadable;
 };
 
--- a/src/control/view_publisher.cpp
+++ b/src/control/view_publisher.cpp
@@ -23,7 +23,8 @@
     return a.self == b.self && a.config == b.config && a.members == b.members &&
            a.beliefs == b.beliefs && a.quarantined == b.quarantined &&
            a.evacuations == b.evacuations && a.fresh == b.fresh &&
-           a.standing == b.standing && a.members_known == b.members_known;
+           a.standing == b.standing && a.routes_hold == b.routes_hold &&
+           a.members_known == b.members_known;
 }
 
 backend_server server_of(const membership::registry_record& record,
@@ -150,6 +151,7 @@
     made.quarantined = known_.refused_requests();
     made.fresh = known_.fresh.fresh();
     made.standing = known_.standing;
+    made.routes_hold = known_.routes_hold;
     made.members_known = members_known_;
     return made;
 }
--- a/src/entry/call_desk.cpp
+++ b/src/entry/call_desk.cpp
@@ -98,10 +98,29 @@
       reach_(reach),
       detours_(detours),
       targets_(self.name),
+      held_(timers, [this](const arrival& came) { refuse_held(came); }),
       copies_(std::make_shared<copy_budget>(copy_limit, all_copies_limit)) {}
 
 void call_desk::take(forwarding::caller_exchange_ptr caller) {
-    take(std::move(caller), std::nullopt);
+    take_or_hold({std::move(caller), std::nullopt, timers_.now()});
+}
+
+// A request is not understood before it is known by which configuration.
+void call_desk::take_or_hold(arrival came) {
+    if (view_ && view_->config && !view_->routes_hold) {
+        held_.hold(std::move(came));
+        return;
+    }
+    take(std::move(came));
+}
+
+void call_desk::refuse_held(const arrival& came) {
+    log_unnamed(came.caller->request(), "call_held_in_vain", view_.get(), "");
+    auto answer = not_known_yet(*view_);
+    if (!came.detoured) {
+        leave_open_if_resent(answer, came.caller->request());
+    }
+    answer_unnamed(came.caller, answer, came.detoured.has_value());
 }
 
 // What a request for a peer is answered before it becomes a call: the peer must
@@ -119,9 +138,9 @@
     caller->answer(std::move(rendered));
 }
 
-void call_desk::take(forwarding::caller_exchange_ptr caller,
-                     const std::optional<detour_request>& detoured) {
-    const bool for_peer = detoured.has_value();
+void call_desk::take(arrival came) {
+    auto& caller = came.caller;
+    const bool for_peer = came.detoured.has_value();
     if (!view_ || !view_->config) {
         log_unnamed(caller->request(), "call_without_configuration", nullptr,
                     "");
@@ -141,7 +160,8 @@
         log_unnamed(caller->request(), "call_not_understood", view_.get(),
                     understood.error().detail);
         auto answer = not_understood(understood.error());
-        if (answer.status == status::not_found) {
+        if (answer.status == status::not_found ||
+            answer.status == status::forbidden) {
             answer = proves_absence(*view_) ? answer : not_known_yet(*view_);
             leave_open_if_resent(answer, caller->request());
         }
@@ -154,7 +174,7 @@
             .emplace(std::piecewise_construct, std::forward_as_tuple(id),
                      std::forward_as_tuple(id, std::move(caller)))
             .first->second;
-    admit(call, understood.value(), detoured);
+    admit(call, understood.value(), came);
 }
 
 // A process that has just started remembers no key, and one whose configuration
@@ -168,7 +188,8 @@
 }
 
 void call_desk::admit(call_record& call, const caller_call& understood,
-                      const std::optional<detour_request>& detoured) {
+                      const arrival& came) {
+    const auto& detoured = came.detoured;
     call.kind = understood.kind;
     call.request_id = understood.id;
     call.caller->give_name(understood.id);
@@ -177,7 +198,7 @@
                    understood.kind.name};
     call.content = content_of(call.caller, understood.target, copies_);
     call.content.authority = understood.authority;
-    call.arrived = timers_.now();
+    call.arrived = came.at;
     call.deadline = call.arrived + understood.time_left;
     set_target(call, understood);
     call.nested = understood.attempt.has_value();
@@ -197,7 +218,7 @@
     metrics_.calls.add(call.labels);
     metrics_.open_calls.set(static_cast<double>(calls_.size()));
     call.caller->on_abandoned([this, id = call.id] { abandon(id); });
-    note(call, "call_taken", taken_facts(call, *view_));
+    note(call, "call_taken", taken_facts(call, *view_, timers_.now()));
     arm_deadline(call);
     // The instance that the caller asked looks after its key.
     const bool keyed = call.kind.nature == request_nature::at_most_once &&
--- a/src/entry/call_desk.hpp
+++ b/src/entry/call_desk.hpp
@@ -22,6 +22,7 @@
 #include "entry/crash_guard.hpp"
 #include "entry/detour_desk.hpp"
 #include "entry/entry_metrics.hpp"
+#include "entry/held_arrivals.hpp"
 #include "entry/key_desk.hpp"
 #include "entry/reach_watch.hpp"
 #include "entry/service_desk.hpp"
@@ -48,9 +49,10 @@
 class call_desk : public scheduler_outlet, public key_outlet {
 public:
     call_desk(member_id self, const request_protocol& protocol,
-              kernel::event_loop& loop, kernel::timer_service& timers, forwarding::backend_pool& pool,
-              io::message_hub& hub, entry_metrics& metrics, reach_watch& reach,
-              detour_desk& detours, call_desk_outlet& outlet);
+              kernel::event_loop& loop, kernel::timer_service& timers,
+              forwarding::backend_pool& pool, io::message_hub& hub,
+              entry_metrics& metrics, reach_watch& reach, detour_desk& detours,
+              call_desk_outlet& outlet);
 
     // A caller's request.
     void take(forwarding::caller_exchange_ptr caller);
@@ -115,14 +117,15 @@
 
     // call_desk.cpp: arrival
     call_record* find(decision::request_id id);
-    void take(forwarding::caller_exchange_ptr caller,
-              const std::optional<detour_request>& detoured);
+    void take_or_hold(arrival came);
+    void take(arrival came);
+    void refuse_held(const arrival& came);
     void answer_unnamed(const forwarding::caller_exchange_ptr& caller,
                         const own_answer& answer, bool detoured);
     void leave_open_if_resent(own_answer& answer,
                               const io::http_request& request) const;
     void admit(call_record& call, const caller_call& understood,
-               const std::optional<detour_request>& detoured);
+               const arrival& came);
     void set_target(call_record& call, const caller_call& understood);
     void follow(const view& now, const decision::service_ownerships& owners);
     void log_lag();
@@ -266,6 +269,7 @@
     reach_watch& reach_;
     detour_desk& detours_;
     target_choice targets_;
+    held_arrivals held_;
     std::shared_ptr<copy_budget> copies_; // outlives open bodies
     caller_patience patience_;
     view_ptr view_;
--- a/src/entry/call_detours.cpp
+++ b/src/entry/call_detours.cpp
@@ -53,7 +53,7 @@
         answer_unnamed(caller, nobody_serves(), true);
         return;
     }
-    take(std::move(caller), detoured.value());
+    take_or_hold({std::move(caller), detoured.value(), timers_.now()});
 }
 
 void call_desk::mark_for_peer(const call_record& call, run_outcome outcome,
--- a/src/entry/call_facts.cpp
+++ b/src/entry/call_facts.cpp
@@ -17,12 +17,16 @@
 }
 
 // What decides what becomes of a call, and which configuration says so.
-std::string taken_facts(const call_record& call, const view& known) {
+std::string taken_facts(const call_record& call, const view& known,
+                        time_point now) {
     auto facts = fact("class", call.labels.request_class) + " " +
                  fact("service", call.labels.service) + " " +
                  fact("path", call.content.target) + " " +
                  fact("revision", known.config->revision) + " " +
                  fact("time_left_ms", call.deadline - call.arrived);
+    if (now - call.arrived >= std::chrono::milliseconds(1)) {
+        facts += " " + fact("held_ms", now - call.arrived);
+    }
     if (!call.detoured_for.empty()) {
         facts += " " + fact("detour_from", call.detoured_for);
     }
--- a/src/entry/call_facts.hpp
+++ b/src/entry/call_facts.hpp
@@ -19,7 +19,8 @@
 void log_unnamed(const io::http_request& request, const char* event,
                  const view* by, const std::string& detail);
 
-std::string taken_facts(const call_record& call, const view& known);
+std::string taken_facts(const call_record& call, const view& known,
+                        time_point now);
 // `queued` requests wait here.
 std::string refused_facts(const decision::refuse_request& refusal,
                           std::size_t queued);
--- a/src/entry/call_services.cpp
+++ b/src/entry/call_services.cpp
@@ -49,6 +49,9 @@
     crashes_.follow(*view_, *published.owners);
     detours_.follow(*view_);
     follow(*view_, *published.owners);
+    if (view_->routes_hold) {
+        held_.release([this](arrival came) { take(std::move(came)); });
+    }
 }
 
 void call_desk::follow(const view& now,
--- a/src/membership/configuration_proof.cpp
+++ b/src/membership/configuration_proof.cpp
@@ -28,6 +28,16 @@
     return configuration_standing::current;
 }
 
+bool routes_hold(const configuration_signs& signs, duration max_word_age) {
+    const auto too_old = [&](const std::optional<duration>& age) {
+        return !age || *age > max_word_age;
+    };
+    const bool replaced = signs.behind_for && too_old(signs.proof_age);
+    const bool slept =
+        signs.runs_late && signs.platform_answers && too_old(signs.word_age);
+    return signs.fresh && !replaced && !slept;
+}
+
 duration max_word_age_for(duration watch, duration answer_within) {
     return std::max(longest_in_force_delay, watch + answer_within);
 }
--- a/test/entry/call_desk_test.cpp
+++ b/test/entry/call_desk_test.cpp
@@ -60,13 +60,14 @@
     desk_fixture& operator=(const desk_fixture&) = delete;
     ~desk_fixture() override { ::close(listener); }
 
-    void publish() {
+    void publish(bool routes_hold = true) {
         auto now = std::make_shared<view>();
         now->config = std::make_shared<const configuration>(config);
         member self;
         self.id = {"entry-0", 1};
         now->members = {self};
         now->fresh = true;
+        now->routes_hold = routes_hold;
         now->beliefs = beliefs;
         desk.take(program::with_owners(now));
     }
@@ -136,6 +137,29 @@
     CHECK(f.desk.open_calls() == 2);
 }
 
+TEST_CASE("a request waits for proof of which service is to run it") {
+    // Guards against a request that is run by the service to which its route
+    // led before the process was stopped.
+    desk_fixture f;
+    f.publish(false);
+    f.call();
+    f.run_for(20ms);
+    CHECK(f.desk.open_calls() == 0);
+    f.publish(true);
+    CHECK(f.desk.open_calls() == 1);
+}
+
+TEST_CASE("a request that waits in vain for proof of its route is not run") {
+    // Guards against the same where proof does not come, and against callers
+    // that are held until their time is over.
+    desk_fixture f;
+    f.publish(false);
+    f.call();
+    f.run_for(200ms);
+    f.publish(true);
+    CHECK(f.desk.open_calls() == 0);
+}
+
 TEST_CASE("a call keeps the time that it was given when it came") {
     // The operator shortens a time, or lengthens it, while calls are open.
     desk_fixture f;
--- a/test/membership/configuration_proof_test.cpp
+++ b/test/membership/configuration_proof_test.cpp
@@ -13,7 +13,18 @@
 configuration_standing standing(std::optional<duration> word_age,
                                 std::optional<duration> behind_for = {},
                                 bool woke_recently = false) {
-    return standing_of({word_age, behind_for, woke_recently}, max_age);
+    configuration_signs signs;
+    signs.word_age = word_age;
+    signs.behind_for = behind_for;
+    signs.woke_recently = woke_recently;
+    return standing_of(signs, max_age);
+}
+
+configuration_signs proved_now() {
+    configuration_signs signs;
+    signs.word_age = 0ms;
+    signs.proof_age = 0ms;
+    return signs;
 }
 
 } // namespace
@@ -38,6 +49,43 @@
     CHECK(standing(0ms, 0ms, true) == configuration_standing::superseded);
 }
 
+TEST_CASE("no request is run by routes that others have replaced for long") {
+    // Guards against a request that is run by the service to which its route
+    // led before.
+    auto signs = proved_now();
+    CHECK(routes_hold(signs, max_age));
+    signs.behind_for = 300ms;
+    signs.proof_age = 400ms;
+    CHECK(routes_hold(signs, max_age));
+    signs.proof_age = max_age + 1ms;
+    CHECK_FALSE(routes_hold(signs, max_age));
+    signs.proof_age.reset();
+    CHECK_FALSE(routes_hold(signs, max_age));
+}
+
+TEST_CASE("no request is run by routes that may have changed during a stop") {
+    // Guards against the same by a process that has slept through the change.
+    auto signs = proved_now();
+    signs.fresh = false;
+    CHECK_FALSE(routes_hold(signs, max_age));
+    signs.fresh = true;
+    signs.runs_late = true;
+    CHECK(routes_hold(signs, max_age));
+    signs.word_age = max_age + 1ms;
+    CHECK_FALSE(routes_hold(signs, max_age));
+}
+
+TEST_CASE("known routes are used while the platform is away") {
+    // Guards against callers that nobody serves since the platform is down.
+    auto signs = proved_now();
+    signs.word_age = 60s;
+    signs.proof_age = 60s;
+    signs.platform_answers = false;
+    CHECK(routes_hold(signs, max_age));
+    signs.runs_late = true;
+    CHECK(routes_hold(signs, max_age));
+}
+
 TEST_CASE("the age of word is allowed that watches of the platform make") {
     // Guards against 503 in place of 404 where little changes and the platform
     // is watched for long.
