--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -118,7 +118,10 @@
         return;
     }
     requests_while_behind_ = known_since_.empty() ? 0 : requests_while_behind_;
-    known_since_.emplace(revision, now);
+    // A revision was there before a newer one was, whoever tells of it later.
+    const auto newer = known_since_.lower_bound(revision);
+    const auto since = newer == known_since_.end() ? now : newer->second;
+    known_since_.emplace(revision, since);
     if (known_since_.size() > max_known_revisions) {
         // As long as none of them arrives, only the first one's time counts.
         known_since_.erase(std::next(known_since_.begin()));
--- a/test/membership/configuration_announcement_test.cpp
+++ b/test/membership/configuration_announcement_test.cpp
@@ -83,6 +83,8 @@
     CHECK(f.exchange.files().behind_for(start + 2s) == duration(2s));
     f.configurations.offer({64, ""});
     CHECK(f.exchange.files().behind_for(start + 3s) == duration(2s));
+    f.exchange.receive("pdx-2", revision_message{66, 0}, start + 3s);
+    CHECK(f.exchange.files().behind_for(start + 3s) == duration(2s));
     f.configurations.offer({68, ""});
     CHECK_FALSE(f.exchange.files().behind_for(start + 3s));
 }
