control, membership: the platform's answer alone proves routes after a late wake-up

Where all instances run late, a peer's answer comes after the next stop, and the platform's was not enough for a second: every other slice had a stale view.

--- a/include/waxwingvale/membership/configuration_proof.hpp
+++ b/include/waxwingvale/membership/configuration_proof.hpp
@@ -17,8 +17,8 @@
     bool woke_recently = false;
     // The time since it was last known to be the newest; empty: never yet.
     std::optional<duration> proof_age;
-    // The view is fresh, see membership::freshness.
-    bool fresh = true;
+    // The platform or a peer has answered since the last late wake-up.
+    bool heard = true;
     // The process is stopped again and again, so that word comes late.
     bool runs_late = false;
     // The platform answers this instance.
--- a/include/waxwingvale/membership/freshness.hpp
+++ b/include/waxwingvale/membership/freshness.hpp
@@ -43,12 +43,17 @@
         platform_answered_ = platform_answered_ || epoch == epoch_;
     }
 
-    // Makes the view fresh by the platform's answer alone if there are no peers
-    // or none has answered in time. A further late wake-up does not begin that
-    // time anew: in a process that is stopped again and again it would not end.
-    void settle(bool has_peers, time_point now) {
+    // Whether that was a query of the current epoch. It proves what only the
+    // platform decides.
+    bool platform_answered() const { return platform_answered_; }
+
+    // Makes the view fresh by the platform's answer alone if no peers are to be
+    // awaited or none has answered in time. A further late wake-up does not
+    // begin that time anew: in a process that is stopped again and again it
+    // would not end.
+    void settle(bool awaits_peers, time_point now) {
         const bool waited = now - stale_since_ >= max_peer_wait;
-        fresh_ = fresh_ || (platform_answered_ && (waited || !has_peers));
+        fresh_ = fresh_ || (platform_answered_ && (waited || !awaits_peers));
     }
 
     // Records that a peer answered a query of `epoch`. Returns whether this
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -228,8 +228,11 @@
 }
 
 void control_service::settle_freshness() {
-    const bool has_peers = known_.members.present() > 1;
-    known_.fresh.settle(has_peers, environment_.timers.now());
+    const auto now = environment_.timers.now();
+    // A peer's answer comes after the next stop of a process that runs late.
+    const bool awaits_peers =
+        known_.members.present() > 1 && !known_.late_wakeups.runs_late(now);
+    known_.fresh.settle(awaits_peers, now);
 }
 
 // A process that was stopped still believes its old view. Whatever event comes
@@ -297,7 +300,7 @@
     signs.word_age = known_.readers.word_age(now);
     signs.behind_for = files.behind_for(now);
     signs.woke_recently = files.woke_recently(now);
-    signs.fresh = known_.fresh.fresh();
+    signs.heard = known_.fresh.fresh() || known_.fresh.platform_answered();
     signs.runs_late = known_.late_wakeups.runs_late(now);
     signs.platform_answers = platform_.answers();
     follow_proof(signs, now);
--- a/src/membership/configuration_proof.cpp
+++ b/src/membership/configuration_proof.cpp
@@ -35,7 +35,7 @@
     const bool replaced = signs.behind_for && too_old(signs.proof_age);
     const bool slept =
         signs.runs_late && signs.platform_answers && too_old(signs.word_age);
-    return signs.fresh && !replaced && !slept;
+    return signs.heard && !replaced && !slept;
 }
 
 duration max_word_age_for(duration watch, duration answer_within) {
