membership, control: known routes are used after a stop if nobody at all is heard

With the change before, an instance without peers that was stopped once while the platform was away would have refused everything until the platform was back. The tests of processes that run late now check too that no request is run by the former service of its route.

--- a/include/waxwingvale/membership/configuration_proof.hpp
+++ b/include/waxwingvale/membership/configuration_proof.hpp
@@ -17,8 +17,9 @@
     bool woke_recently = false;
     // The time since it was last known to be the newest; empty: never yet.
     std::optional<duration> proof_age;
-    // The platform or a peer has answered since the last late wake-up.
-    bool heard = true;
+    // The time since a late wake-up after which neither the platform nor a peer
+    // has answered yet; empty: one has.
+    std::optional<duration> unheard_for;
     // The process is stopped again and again, so that word comes late.
     bool runs_late = false;
     // The platform answers this instance.
@@ -32,8 +33,9 @@
                                    duration max_word_age);
 
 // Decides whether requests may be run by the routes of the configuration in
-// force. They may while the platform is away and nothing newer is known of.
-// They may not while a newer one has been known of for longer than a change may
+// force. They may while the platform is away and nothing newer is known of,
+// also if nobody else can be heard. They may not first thing after a late
+// wake-up, while a newer one has been known of for longer than a change may
 // take, nor where this process may have slept through one and will hear of it
 // at once.
 bool routes_hold(const configuration_signs& signs, duration max_word_age);
--- a/include/waxwingvale/membership/freshness.hpp
+++ b/include/waxwingvale/membership/freshness.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include <waxwingvale/model/time.hpp>
 
@@ -43,9 +44,12 @@
         platform_answered_ = platform_answered_ || epoch == epoch_;
     }
 
-    // Whether that was a query of the current epoch. It proves what only the
-    // platform decides.
-    bool platform_answered() const { return platform_answered_; }
+    // The time since the first late wake-up after which neither the platform
+    // nor a peer has answered a query of the current epoch; empty: one has.
+    std::optional<duration> unheard_for(time_point now) const {
+        const bool heard = fresh_ || platform_answered_;
+        return heard ? std::nullopt : std::optional(now - stale_since_);
+    }
 
     // Makes the view fresh by the platform's answer alone if no peers are to be
     // awaited or none has answered in time. A further late wake-up does not
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -300,7 +300,7 @@
     signs.word_age = known_.readers.word_age(now);
     signs.behind_for = files.behind_for(now);
     signs.woke_recently = files.woke_recently(now);
-    signs.heard = known_.fresh.fresh() || known_.fresh.platform_answered();
+    signs.unheard_for = known_.fresh.unheard_for(now);
     signs.runs_late = known_.late_wakeups.runs_late(now);
     signs.platform_answers = platform_.answers();
     follow_proof(signs, now);
--- a/test/platform/late_instances_test.cpp
+++ b/test/platform/late_instances_test.cpp
@@ -38,6 +38,7 @@
     CHECK(of_late.served_reads() > 0.75);
     CHECK(of_late.served_share() > served_after_return);
     CHECK(of_late.late_routes() + of_others.late_routes() == 0);
+    CHECK(of_late.run_by_former + of_others.run_by_former == 0);
 }
 
 } // namespace
@@ -83,4 +84,5 @@
     INFO("others: " << to_string(of_others));
     CHECK(of_late.late_routes() == 0);
     CHECK(of_others.late_routes() == 0);
+    CHECK(of_late.run_by_former + of_others.run_by_former == 0);
 }
