--- a/test/platform/late_instances.cpp
+++ b/test/platform/late_instances.cpp
@@ -8,7 +8,6 @@
 
 #include "platform/wire_names.hpp"
 #include "standin/http_request_once.hpp"
-#include "standin/unknown_route.hpp"
 #include <waxwingvale/decision/ownership.hpp>
 
 namespace waxwingvale::platform {
@@ -20,7 +19,6 @@
 
 constexpr const char* host_name = "a.example";
 constexpr unsigned ok = 200;
-constexpr unsigned unavailable = 503;
 constexpr duration booking_patience = 500ms; // more than a read has
 // Longer than any deadline: what is late is an answer all the same.
 constexpr duration caller_patience = 5s;
@@ -73,36 +71,6 @@
     routes[name] = std::move(route);
 }
 
-double share_of(unsigned part, unsigned all) {
-    return all == 0 ? 1.0 : static_cast<double>(part) / all;
-}
-
-std::string to_string(const answer_counts& counts) {
-    return std::to_string(counts.served) + " of " +
-           std::to_string(counts.all()) + " (late " +
-           std::to_string(counts.late) + ", 503 " +
-           std::to_string(counts.refused) + ", not known " +
-           std::to_string(counts.not_known) + ", unanswered " +
-           std::to_string(counts.unanswered) + ", other " +
-           std::to_string(counts.other) + ")";
-}
-
-void count(answer_counts& counts, const io::http_call_result& result,
-           bool in_time) {
-    if (!result.response) {
-        ++counts.unanswered;
-        return;
-    }
-    const auto& answer = result.response.value();
-    if (standin::knows_no_route(answer)) {
-        ++counts.not_known;
-    } else if (answer.status == ok) {
-        ++(in_time ? counts.served : counts.late);
-    } else {
-        ++(answer.status == unavailable ? counts.refused : counts.other);
-    }
-}
-
 } // namespace
 
 std::vector<played_service> quick_services(std::size_t servers) {
@@ -139,61 +107,6 @@
     return {lookup, payment, history};
 }
 
-unsigned answer_counts::all() const {
-    return served + late + refused + not_known + unanswered + other;
-}
-
-double answer_counts::served_share() const {
-    return share_of(served, all());
-}
-
-void answer_counts::add(const answer_counts& more) {
-    served += more.served;
-    late += more.late;
-    refused += more.refused;
-    not_known += more.not_known;
-    unanswered += more.unanswered;
-    other += more.other;
-}
-
-double caller_results::served_reads() const {
-    answer_counts reads = first;
-    reads.add(added);
-    reads.add(moved);
-    return reads.served_share();
-}
-
-double caller_results::served_share() const {
-    answer_counts every = first;
-    every.add(added);
-    every.add(moved);
-    every.add(bookings);
-    return every.served_share();
-}
-
-double caller_results::added_by_first() const {
-    const auto of_first = first.served_share();
-    return of_first > 0 ? added.served_share() / of_first : 1.0;
-}
-
-void caller_results::add(const caller_results& more) {
-    first.add(more.first);
-    added.add(more.added);
-    moved.add(more.moved);
-    bookings.add(more.bookings);
-    oldest_route = std::max(oldest_route, more.oldest_route);
-    run_by_former += more.run_by_former;
-}
-
-std::string to_string(const caller_results& results) {
-    return "first " + to_string(results.first) + ", added " +
-           to_string(results.added) + ", moved " + to_string(results.moved) +
-           ", bookings " + to_string(results.bookings) + "; added by first " +
-           std::to_string(results.added_by_first()) + ", run by former " +
-           std::to_string(results.run_by_former) + ", oldest unknown " +
-           std::to_string(results.oldest_route / 1ms) + " ms";
-}
-
 late_instances::late_instances(const late_instances_options& options)
     : options_(options),
       random_(options.seed),
@@ -557,7 +470,7 @@
                   sent = timers.now()](const io::http_call_result& result) {
                      --open_;
                      const auto not_known = counts.not_known;
-                     count(counts, result, timers.now() - sent <= deadline);
+                     counts.add(result, timers.now() - sent <= deadline);
                      if (ended) {
                          ended(counts.not_known == not_known);
                      }
--- a/test/platform/late_instances.hpp
+++ b/test/platform/late_instances.hpp
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <waxwingvale/io/http_client.hpp>
 
+#include "platform/caller_results.hpp"
 #include "platform/instance_group.hpp"
 #include "platform/process_slices.hpp"
 #include "platform/stand_in_store.hpp"
@@ -65,42 +66,6 @@
 // of the time that callers have.
 std::vector<played_service> slow_services();
 
-// What callers got of one kind of request.
-struct answer_counts {
-    unsigned served = 0;     // within the time that the caller has
-    unsigned late = 0;       // served, but later
-    unsigned refused = 0;    // 503
-    unsigned not_known = 0;  // there is no such route, or none is known yet
-    unsigned unanswered = 0; // no answer
-    unsigned other = 0;
-
-    unsigned all() const;
-    double served_share() const;
-    void add(const answer_counts& more);
-};
-
-// What callers got of one instance.
-struct caller_results {
-    answer_counts first; // reads on routes of the first configuration
-    answer_counts added; // on routes added `in_force_within` before
-    answer_counts moved; // on routes moved to another service as long before
-    answer_counts bookings;
-    duration oldest_route{}; // time since the change of a route not known
-    // Runs by the service that a route led to before it was moved.
-    unsigned run_by_former = 0;
-
-    // Of the reads, and of all requests.
-    double served_reads() const;
-    double served_share() const;
-    // How often added routes are served for each time that a first one is.
-    double added_by_first() const;
-    // Routes that were changed `in_force_within` before and are not known.
-    unsigned late_routes() const { return added.not_known; }
-    void add(const caller_results& more);
-};
-
-std::string to_string(const caller_results& results);
-
 // Instances as processes of their own, on a stand-in store whose configuration
 // changes all the while and on stand-in servers with room for all requests.
 // Some are held to slices of running time. Requests go to all in turn, of kinds
