membership, control: routes that were proved a moment ago hold through a stop

But that the configuration was the newest 1.2 s ago is proof enough: a change may take longer than that to be in force.

--- a/include/waxwingvale/membership/configuration_proof.hpp
+++ b/include/waxwingvale/membership/configuration_proof.hpp
@@ -33,11 +33,11 @@
                                    duration max_word_age);
 
 // Decides whether requests may be run by the routes of the configuration in
-// force. They may while the platform is away and nothing newer is known of,
-// also if nobody else can be heard. They may not first thing after a late
-// wake-up, while a newer one has been known of for longer than a change may
-// take, nor where this process may have slept through one and will hear of it
-// at once.
+// force. They may if it was the newest `max_word_age` ago or later, whatever
+// has been heard since: a change may take so long. Else they may if nothing
+// newer is known of and the platform is away, also if nobody else can be heard;
+// but not where this process may have slept through a change and will hear of
+// it at once.
 bool routes_hold(const configuration_signs& signs, duration max_word_age);
 
 // The `max_word_age` of an instance that reads the platform by watches of that
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -246,7 +246,7 @@
     known_.late_wakeups.record(now);
     program::log_warning("late_wakeup",
                          {{"epoch", std::to_string(known_.fresh.epoch())}});
-    known_.routes_hold = false;
+    follow_standing(now);
     views_.publish(peers_.exchange().introduced());
     platform_.set_epoch(known_.fresh.epoch());
     platform_.read_again();
--- a/test/membership/configuration_proof_test.cpp
+++ b/test/membership/configuration_proof_test.cpp
@@ -66,17 +66,29 @@
 TEST_CASE("no request is run by routes that may have changed during a stop") {
     // Guards against the same by a process that has slept through the change.
     auto signs = proved_now();
+    signs.word_age = max_age + 1ms;
+    signs.proof_age = max_age + 1ms;
+    CHECK(routes_hold(signs, max_age));
     signs.unheard_for = 10ms;
     CHECK_FALSE(routes_hold(signs, max_age));
     signs.unheard_for = 60s;
     CHECK_FALSE(routes_hold(signs, max_age));
     signs.unheard_for.reset();
     signs.runs_late = true;
-    CHECK(routes_hold(signs, max_age));
-    signs.word_age = max_age + 1ms;
     CHECK_FALSE(routes_hold(signs, max_age));
 }
 
+TEST_CASE("routes that were proved a moment ago hold through a stop") {
+    // Guards against requests that wait and are refused on each waking of a
+    // process that is stopped again and again.
+    auto signs = proved_now();
+    signs.proof_age = 1200ms;
+    signs.unheard_for = 0ms;
+    signs.runs_late = true;
+    signs.behind_for = 100ms;
+    CHECK(routes_hold(signs, max_age));
+}
+
 TEST_CASE("known routes are used while the platform is away") {
     // Guards against callers that nobody serves since the platform is down.
     auto signs = proved_now();
