io: the answer to a watch that ended during a stop is read

At each late wake-up what was asked of the platform was given up and asked anew, on a new connection. A process of which every turn comes half a second late read no answer at all: nothing came, platform_lost, the whole list once more, and no proof of its routes.

--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -73,8 +73,10 @@
     void set_epoch(std::uint64_t epoch) { epoch_ = epoch; }
     // Ends the watches and asks at once, without waiting for a change, what has
     // changed since: answers to what was asked before a late wake-up prove
-    // nothing. A list that is half read is read to its end first, and bears its
-    // own epoch: given up at every wake-up, it might never end.
+    // nothing. A watch that is over by now is read before, as its answer has
+    // come: given up, it would cost its connection. A list that is half read is
+    // read to its end first, and bears its own epoch: given up at every
+    // wake-up, it might never end.
     void read_again();
     // Asks no more until resume(), which asks what has changed since. What was
     // asked is paid for, so its answer still counts.
@@ -95,6 +97,7 @@
         bool listed = false;     // changes are watched; else it is read whole
         bool again = false;      // once the list is read it is read anew
         bool catches_up = false; // the next watch is to be answered at once
+        time_point watch_ends{}; // of the watch under way
         std::vector<published_item> pages; // read so far
         std::uint64_t epoch = 0;           // in which the first was asked for
         http_client::call_id call = 0;     // under way, or 0
@@ -105,6 +108,7 @@
     };
 
     void start_reading();
+    void give_up_watch(watched_topic& topic);
     // Its list goes on from where it is.
     static bool half_read(const watched_topic& topic);
     void read_when_allowed(const std::string& name, duration at_least);
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -49,8 +49,7 @@
     for (auto& [name, topic] : topics_) {
         topic.again = half_read(topic);
         if (topic.listed) {
-            client_.cancel(std::exchange(topic.call, 0));
-            topic.silence.cancel();
+            give_up_watch(topic);
             topic.catches_up = true;
         }
         // An answer that came while the process was stopped is read before the
@@ -66,6 +65,13 @@
     }
 }
 
+void platform_client::give_up_watch(watched_topic& topic) {
+    if (timers_.now() < topic.watch_ends) {
+        client_.cancel(std::exchange(topic.call, 0));
+        topic.silence.cancel();
+    }
+}
+
 void platform_client::set_share(membership::read_share share) {
     budget_.set_share(share, timers_.now());
 }
@@ -127,6 +133,7 @@
     if (topic.listed) {
         const auto wait = topic.catches_up ? shortest_watch : options_.watch;
         topic.catches_up = false;
+        topic.watch_ends = timers_.now() + wait;
         call.target = dialect_.watch_target(name, topic.revision, wait);
         call.timeout += wait;
         first_byte_within += wait;
--- a/test/io/platform_client_test.cpp
+++ b/test/io/platform_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <thread>
 
 #include <waxwingvale/io/http_client.hpp>
 #include <waxwingvale/io/http_server.hpp>
@@ -51,6 +52,7 @@
     io::http_client client{loop, {}};
     bare_dialect dialect;
     bool answers = false;
+    bool answers_watches = false; // at once
     std::map<std::string, unsigned> asked;
 
     refusing_platform() {
@@ -58,8 +60,12 @@
             .start(
                 [this](io::http_request request, io::http_responder respond) {
                     ++asked[request.target];
-                    if (request.target.find("watch") == std::string::npos) {
+                    const bool watches =
+                        request.target.find("watch") != std::string::npos;
+                    if (!watches) {
                         respond({answers ? 200U : 503U, {}, ""});
+                    } else if (answers_watches) {
+                        respond({200U, {}, ""});
                     }
                 })
             .value();
@@ -205,3 +211,30 @@
     CHECK(platform.asked["/all/watch"] == 2);
     CHECK(platform.dialect.last_wait < 10ms);
 }
+
+TEST_CASE("the answer to a watch that ended during a stop is read") {
+    // Guards against a connection that is given up at each late wake-up: a
+    // process that is stopped again and again would do nothing but connect.
+    refusing_platform platform;
+    platform.answers = true;
+    platform.answers_watches = true;
+    io::platform_client_options options;
+    options.host = "127.0.0.1";
+    options.port = platform.server.port();
+    options.watch = 50ms;
+    io::platform_client client(platform.client, platform.timers,
+                               platform.dialect, options);
+    client.set_share({1000., 1000., 10ms});
+    unsigned readings = 0;
+    client.watch("all", [&](const io::platform_reading&) { ++readings; });
+    while (platform.asked["/all/watch"] == 0) {
+        platform.loop.run_once(true);
+    }
+    REQUIRE(readings == 1);
+    std::this_thread::sleep_for(100ms);
+    client.read_again();
+    platform.run_for(100ms);
+    CHECK(readings > 1);
+    CHECK(platform.asked["/all"] == 1);
+    CHECK(client.counters().failed == 0);
+}
