control: a view that requests wait for is published at once

Requests wait 100 ms for proof of their route, and the pace of views is 146 ms with 146 members: where a view had just been published they would be refused though the proof was there.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -383,7 +383,9 @@
 void control_service::publish_view() {
     const auto now = environment_.timers.now();
     follow_standing(now);
-    const auto wait = pace_.due_in(now);
+    const auto& last = views_.last_view();
+    const bool awaited = known_.routes_hold && last && !last->routes_hold;
+    const auto wait = pace_.due_in(now, awaited);
     if (wait > duration::zero()) {
         if (!publishing_planned_) {
             publishing_planned_ = true;
--- a/src/control/publication_pace.cpp
+++ b/src/control/publication_pace.cpp
@@ -18,8 +18,8 @@
     next_ = now + std::min(wait, longest_wait);
 }
 
-duration publication_pace::due_in(time_point now) const {
-    return std::max(next_ - now, duration::zero());
+duration publication_pace::due_in(time_point now, bool awaited) const {
+    return awaited ? duration::zero() : std::max(next_ - now, duration::zero());
 }
 
 } // namespace waxwingvale::control
--- a/src/control/publication_pace.hpp
+++ b/src/control/publication_pace.hpp
@@ -16,8 +16,8 @@
     // A view is published at `now`, with so many members.
     void published(time_point now, std::size_t members);
     // Zero: now. The first view of all, and one after a quiet while, is due at
-    // once.
-    duration due_in(time_point now) const;
+    // once, and so is one that requests wait for.
+    duration due_in(time_point now, bool awaited) const;
 
 private:
     time_point next_{};
--- a/test/control/publication_pace_test.cpp
+++ b/test/control/publication_pace_test.cpp
@@ -17,7 +17,7 @@
     unsigned views = 0;
     time_point now = start;
     for (std::size_t known = 1; known <= members; ++known, now += gap) {
-        if (pace.due_in(now) == duration::zero()) {
+        if (pace.due_in(now, false) == duration::zero()) {
             pace.published(now, known);
             ++views;
         }
@@ -38,11 +38,20 @@
 
 TEST_CASE("news after a quiet while waits for nothing") {
     publication_pace pace;
-    CHECK(pace.due_in(start) == duration::zero());
+    CHECK(pace.due_in(start, false) == duration::zero());
     pace.published(start, 128);
-    CHECK(pace.due_in(start) == 128ms);
-    CHECK(pace.due_in(start + 100ms) == 28ms);
-    CHECK(pace.due_in(start + 1s) == duration::zero());
+    CHECK(pace.due_in(start, false) == 128ms);
+    CHECK(pace.due_in(start + 100ms, false) == 28ms);
+    CHECK(pace.due_in(start + 1s, false) == duration::zero());
     pace.published(start, 1000);
-    CHECK(pace.due_in(start) == 200ms);
+    CHECK(pace.due_in(start, false) == 200ms);
+}
+
+TEST_CASE("a view that requests wait for is published at once") {
+    // Guards against requests that are refused while proof of their route is
+    // there: they wait for less time than the pace of views in a large fleet.
+    publication_pace pace;
+    pace.published(start, 146);
+    CHECK(pace.due_in(start + 10ms, false) > 100ms);
+    CHECK(pace.due_in(start + 10ms, true) == 0ms);
 }
