--- a/test/platform/late_instances_test.cpp
+++ b/test/platform/late_instances_test.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-// Of the users' rule: what is to be served after a return of all.
-constexpr double served_after_return = 0.25;
+// Of the users' rules: what is to be served after a return of all, and of added
+// routes by first ones.
+constexpr double least_served = 0.25;
 
 late_instances_options eight_instances() {
     late_instances_options options;
@@ -36,7 +37,7 @@
     INFO("others: " << to_string(of_others));
     CHECK(of_others.served_share() > 0.95);
     CHECK(of_late.served_reads() > 0.75);
-    CHECK(of_late.served_share() > served_after_return);
+    CHECK(of_late.served_share() > least_served);
     CHECK(of_late.late_routes() + of_others.late_routes() == 0);
     CHECK(of_late.run_by_former + of_others.run_by_former == 0);
 }
@@ -84,5 +85,7 @@
     INFO("others: " << to_string(of_others));
     CHECK(of_late.late_routes() == 0);
     CHECK(of_others.late_routes() == 0);
+    CHECK(of_late.added_by_first() >= least_served);
+    CHECK(of_others.added.served_share() > 0.9);
     CHECK(of_late.run_by_former + of_others.run_by_former == 0);
 }
