--- a/test/entry/entry_service_test.cpp
+++ b/test/entry/entry_service_test.cpp
@@ -56,7 +56,7 @@
     }
 
     // The status line and what follows.
-    std::string post(std::size_t body) {
+    std::string post(std::size_t body, const std::string& path = "/") {
         std::string received;
         const auto descriptor = io::start_connect("127.0.0.1", entry->port());
         io::stream_socket socket(loop, descriptor.value(), true,
@@ -66,7 +66,8 @@
                                   },
                                   {},
                                   {}});
-        socket.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+        socket.write("POST " + path + " HTTP/1.1\r\nHost: h\r\n" +
+                         "Waxwing-Tenant: stranger\r\nContent-Length: " +
                          std::to_string(body) + "\r\n\r\n",
                      std::string(body, 'b'));
         const auto until = clock.now() + 5s;
@@ -131,3 +132,25 @@
     f.publish({});
     CHECK(no_such_service(f.post(1000)));
 }
+
+TEST_CASE(
+    "by an unproved configuration no client account is refused for good") {
+    // Guards against 403 for a client account that was added and not heard of
+    // yet.
+    service_fixture f;
+    request_class look;
+    look.name = "look";
+    look.methods = {"POST"};
+    look.path_prefix = "/";
+    look.deadline = 1s;
+    service desk;
+    desk.name = "desk";
+    desk.classes = {look};
+    desk.tenants = {"league"};
+    configuration config;
+    config.services = {desk};
+    f.publish(config, true, configuration_standing::unconfirmed);
+    CHECK(f.post(10, "/desk/x").rfind("HTTP/1.1 503 ", 0) == 0);
+    f.publish(config);
+    CHECK(f.post(10, "/desk/x").rfind("HTTP/1.1 403 ", 0) == 0);
+}
