io, forwarding: what reads the heads of messages is in one place

The check of heads and the parser that keeps what the library finds are used by readers of callers' requests and of servers' answers. The client of the platform is to use them too, so they move to io; the parser of answers has a file of its own.

--- a/src/forwarding/answer_reader.cpp
+++ b/src/forwarding/answer_reader.cpp
@@ -1,9 +1,8 @@
 #include "forwarding/answer_reader.hpp"
 
-#include <limits>
 #include <optional>
 
-#include "forwarding/message_parser.hpp"
+#include "io/answer_parser.hpp"
 
 namespace waxwingvale::forwarding {
 
@@ -17,20 +16,11 @@
 // Bytes that may wait for the end of a line between chunks, or for that of the
 // trailers; the library sets no limit there.
 constexpr std::size_t line_limit = 64 * 1024;
-constexpr unsigned first_final_status = 200;
-constexpr unsigned switching_protocols = 101;
 
 } // namespace
 
-class answer_parser : public message_parser<false, io::http_response> {
-    void on_response_impl(int status, string_view, int,
-                          parse_result&) override {
-        message.status = static_cast<unsigned>(status);
-    }
-};
-
 struct answer_reader::state {
-    std::optional<answer_parser> parser;
+    std::optional<io::answer_parser> parser;
     std::string fault;
     bool without_body = false; // it answers a HEAD
     bool head_told = false;
@@ -39,8 +29,6 @@
     void begin() {
         parser.emplace();
         parser->header_limit(head_limit);
-        // Without a value the library, at 1.74, refuses every length.
-        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         parser->skip(without_body);
         parser->eager(false);
         head_told = false;
@@ -81,9 +69,7 @@
     }
 
     bool is_interim() const {
-        return parser->is_done() &&
-               parser->message.status < first_final_status &&
-               parser->message.status != switching_protocols;
+        return parser->is_done() && parser->is_interim();
     }
 };
 
--- a/src/forwarding/request_reader.cpp
+++ b/src/forwarding/request_reader.cpp
@@ -4,8 +4,8 @@
 #include <strings.h>
 #include <utility>
 
-#include "forwarding/head_check.hpp"
-#include "forwarding/message_parser.hpp"
+#include "io/head_check.hpp"
+#include "io/message_parser.hpp"
 
 namespace waxwingvale::forwarding {
 
@@ -39,7 +39,7 @@
 
 } // namespace
 
-class request_parser : public message_parser<true, io::http_request> {
+class request_parser : public io::message_parser<true, io::http_request> {
 public:
     unsigned version = 0;
 
@@ -170,13 +170,13 @@
         return refuse(status_head_too_large, "the headers are too large");
     }
     if (end == input.npos) {
-        return has_bare_line_feed(input)
+        return io::has_bare_line_feed(input)
                    ? refuse(status_bad_request,
                             "a line ends without a carriage return")
                    : step::need_more;
     }
     if (const char* wrong =
-            head_fault(std::string_view(input).substr(0, head_size))) {
+            io::head_fault(std::string_view(input).substr(0, head_size))) {
         return refuse(status_bad_request, wrong);
     }
     parser.emplace();
--- a/src/forwarding/head_check.cpp
+++ b/src/io/head_check.cpp
@@ -1,8 +1,8 @@
-#include "forwarding/head_check.hpp"
+#include "io/head_check.hpp"
 
 #include <algorithm>
 
-namespace waxwingvale::forwarding {
+namespace waxwingvale::io {
 
 namespace {
 
@@ -58,4 +58,4 @@
     return nullptr;
 }
 
-} // namespace waxwingvale::forwarding
+} // namespace waxwingvale::io
--- a/src/forwarding/head_check.hpp
+++ b/src/io/head_check.hpp
@@ -2,7 +2,7 @@
 
 #include <string_view>
 
-namespace waxwingvale::forwarding {
+namespace waxwingvale::io {
 
 // What is wrong with a message's head (everything up to and with the empty
 // line), or null. Only what two readers of one connection might read
@@ -16,4 +16,4 @@
 // contain such a fault, so that the sender need not be waited for.
 bool has_bare_line_feed(std::string_view bytes);
 
-} // namespace waxwingvale::forwarding
+} // namespace waxwingvale::io
--- a/src/forwarding/message_parser.hpp
+++ b/src/io/message_parser.hpp
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-namespace waxwingvale::forwarding {
+namespace waxwingvale::io {
 
 // The library's parser of requests or answers; what it finds is kept as the
 // product's own type of message. Fields after the body are no part of the head:
@@ -57,4 +57,4 @@
     }
 };
 
-} // namespace waxwingvale::forwarding
+} // namespace waxwingvale::io
