io: a status outside 200 to 599 is no answer, nor is a change of protocol

Cause: the library takes any three digits for a status; requests had a check of their own, answers had none. 101 was taken for a final answer.

Why it works: answer_parser refuses the status line itself, so that no reader of answers goes on behind it; the call ends as malformed: 502 where it can't be repeated, another server else, the connection isn't used again.

--- a/src/io/answer_parser.cpp
+++ b/src/io/answer_parser.cpp
@@ -6,8 +6,12 @@
 
 namespace {
 
-constexpr unsigned switching_protocols = 101;
+namespace http = boost::beast::http;
+
+constexpr int first_status = 100;
+constexpr int switching_protocols = 101;
 constexpr unsigned first_final_status = 200;
+constexpr int last_status = 599;
 
 } // namespace
 
@@ -17,12 +21,16 @@
 }
 
 bool answer_parser::is_interim() const {
-    return message.status < first_final_status &&
-           message.status != switching_protocols;
+    return message.status < first_final_status;
 }
 
 void answer_parser::on_response_impl(int status, string_view, int,
-                                     parse_result&) {
+                                     parse_result& why) {
+    const bool is_status = status >= first_status && status <= last_status;
+    if (!is_status || status == switching_protocols) {
+        why = http::error::bad_status;
+        return;
+    }
     message.status = static_cast<unsigned>(status);
 }
 
--- a/src/io/answer_parser.hpp
+++ b/src/io/answer_parser.hpp
@@ -6,7 +6,9 @@
 
 namespace waxwingvale::io {
 
-// Reads one answer by the library's parser.
+// Reads one answer, and refuses what the library takes though RFC 9110 and RFC
+// 9112 know no such answer to a request of ours: a status outside 100 to 599,
+// and a change of the protocol, for which we never ask.
 class answer_parser : public message_parser<false, http_response> {
 public:
     answer_parser();
--- a/test/forwarding/answer_reader_test.cpp
+++ b/test/forwarding/answer_reader_test.cpp
@@ -113,6 +113,32 @@
     }
 }
 
+// Guards against numbers that callers would be given for a status.
+TEST_CASE("a status that is none of a final answer is faulty") {
+    const std::string status =
+        GENERATE("000", "001", "099", "600", "999", "101");
+    const std::string ahead =
+        GENERATE("", "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n");
+    CAPTURE(status, ahead);
+    std::string input =
+        ahead + "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok";
+    answer_reader reader;
+    reader.expect("GET");
+    CHECK(read_all(reader, input) == step::faulty);
+}
+
+TEST_CASE("any status of 200 to 599 is one of an answer") {
+    const std::string status =
+        GENERATE("200", "299", "300", "399", "418", "499", "500", "599");
+    std::string input =
+        "HTTP/1.1 " + status + " \r\nContent-Length: 2\r\n" + "\r\nok";
+    answer_reader reader;
+    reader.expect("GET");
+    REQUIRE(read_all(reader, input) == step::complete);
+    CHECK(std::to_string(reader.answer().status) == status);
+    CHECK(reader.answer().body == "ok");
+}
+
 TEST_CASE("bytes after a whole answer are left over") {
     std::string input = ok + "Content-Length: 2\r\n\r\nok" + ok;
     answer_reader reader;
