io: an answer in a transfer coding other than chunked is none

Cause: the library reads until the connection's end, or by the length, where it doesn't find chunked as the list's end, and takes chunks where it does, whatever stands before. Transfer-Encoding concerns one connection and is dropped, so that nobody learns of it.

Why it works: the parser counts the codings of all such fields and refuses a head whose one coding isn't chunked, or whose version has none (RFC 9112, 6.1). Case, blanks and empty elements of the list don't matter.

--- a/src/io/answer_parser.cpp
+++ b/src/io/answer_parser.cpp
@@ -1,17 +1,48 @@
 #include "io/answer_parser.hpp"
 
+#include <algorithm>
 #include <limits>
+#include <strings.h>
 
 namespace waxwingvale::io {
 
 namespace {
 
 namespace http = boost::beast::http;
+using boost::beast::string_view;
 
+constexpr int version_1_1 = 11;
 constexpr int first_status = 100;
 constexpr int switching_protocols = 101;
 constexpr unsigned first_final_status = 200;
 constexpr int last_status = 599;
+constexpr const char* blanks = " \t";
+
+string_view trimmed(string_view text) {
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    const auto last = text.find_last_not_of(blanks);
+    return text.substr(0, last == text.npos ? 0 : last + 1);
+}
+
+// Calls it with each element of a list; empty ones count for nothing (RFC
+// 9110, 5.6.1.2).
+template <typename Use>
+void for_each_element(string_view list, Use use) {
+    while (!list.empty()) {
+        const auto end = std::min(list.find(','), list.size());
+        const auto element = trimmed(list.substr(0, end));
+        if (!element.empty()) {
+            use(element);
+        }
+        list.remove_prefix(std::min(end + 1, list.size()));
+    }
+}
+
+bool is_chunked(string_view coding) {
+    constexpr string_view name = "chunked";
+    return coding.size() == name.size() &&
+           strncasecmp(coding.data(), name.data(), name.size()) == 0;
+}
 
 } // namespace
 
@@ -24,7 +55,7 @@
     return message.status < first_final_status;
 }
 
-void answer_parser::on_response_impl(int status, string_view, int,
+void answer_parser::on_response_impl(int status, string_view, int version,
                                      parse_result& why) {
     const bool is_status = status >= first_status && status <= last_status;
     if (!is_status || status == switching_protocols) {
@@ -32,6 +63,30 @@
         return;
     }
     message.status = static_cast<unsigned>(status);
+    is_version_1_1_ = version == version_1_1;
+}
+
+void answer_parser::on_field_impl(http::field which, string_view name,
+                                  string_view value, parse_result& why) {
+    message_parser::on_field_impl(which, name, value, why);
+    if (which != http::field::transfer_encoding) {
+        return;
+    }
+    names_coding_ = true;
+    for_each_element(value, [this](string_view coding) {
+        ++(is_chunked(coding) ? chunked_codings_ : other_codings_);
+    });
+}
+
+// HTTP/1.0 has no transfer codings (RFC 9112, 6.1).
+void answer_parser::on_header_impl(parse_result& why) {
+    const bool is_known = is_version_1_1_ && chunked() &&
+                          chunked_codings_ == 1 && other_codings_ == 0;
+    if (names_coding_ && !is_known) {
+        why = http::error::bad_transfer_encoding;
+        return;
+    }
+    message_parser::on_header_impl(why);
 }
 
 } // namespace waxwingvale::io
--- a/src/io/message_parser.hpp
+++ b/src/io/message_parser.hpp
@@ -28,8 +28,6 @@
     void on_request_impl(boost::beast::http::verb, string_view, string_view,
                          int, parse_result&) override {}
     void on_response_impl(int, string_view, int, parse_result&) override {}
-
-private:
     void on_field_impl(boost::beast::http::field, string_view name,
                        string_view value, parse_result&) override {
         if (!head_done) {
@@ -37,13 +35,15 @@
         }
     }
     void on_header_impl(parse_result&) override { head_done = true; }
+    void on_chunk_header_impl(std::uint64_t, string_view,
+                              parse_result&) override {}
+
+private:
     void on_body_init_impl(const boost::optional<std::uint64_t>&,
                            parse_result&) override {}
     std::size_t on_body_impl(string_view bytes, parse_result&) override {
         return take(bytes);
     }
-    void on_chunk_header_impl(std::uint64_t, string_view,
-                              parse_result&) override {}
     std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes,
                                    parse_result&) override {
         return take(bytes);
--- a/test/forwarding/answer_reader_test.cpp
+++ b/test/forwarding/answer_reader_test.cpp
@@ -139,6 +139,49 @@
     CHECK(reader.answer().body == "ok");
 }
 
+// Guards against bytes in a coding that nobody has undone, taken for a body.
+TEST_CASE("a transfer coding other than chunked alone is faulty") {
+    const std::string lines = GENERATE(
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: chunked;a=b\r\n",
+        "Transfer-Encoding: chunked chunked\r\n",
+        "Transfer-Encoding: \"chunked\"\r\n", "Transfer-Encoding:\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: xchunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: xchunked\r\nContent-Length: 11\r\n");
+    CAPTURE(lines);
+    std::string input = ok + lines + "\r\n1\r\nx\r\n0\r\n\r\n";
+    answer_reader reader;
+    reader.expect("GET");
+    CHECK(read_all(reader, input) == step::faulty);
+}
+
+// Guards against a body whose end is found by a rule that its sender did not
+// know (RFC 9112, 6.1).
+TEST_CASE("chunks in an answer of HTTP/1.0 are faulty") {
+    std::string input = "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                        "\r\n2\r\nok\r\n0\r\n\r\n";
+    answer_reader reader;
+    reader.expect("GET");
+    CHECK(read_all(reader, input) == step::faulty);
+}
+
+TEST_CASE("chunked is known whatever its case and empty parts of its list") {
+    const std::string coding = GENERATE("CHUNKED", " \tchunked\t ", ", chunked",
+                                        "chunked ,", ",, chunked,,");
+    CAPTURE(coding);
+    std::string input =
+        ok + "Transfer-Encoding:" + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+    answer_reader reader;
+    reader.expect("GET");
+    REQUIRE(read_all(reader, input) == step::complete);
+    CHECK(reader.answer().body == "ok");
+}
+
 TEST_CASE("bytes after a whole answer are left over") {
     std::string input = ok + "Content-Length: 2\r\n\r\nok" + ok;
     answer_reader reader;
--- a/test/platform/broken_answers.cpp
+++ b/test/platform/broken_answers.cpp
@@ -27,6 +27,10 @@
     return ok + line + "\r\n" + length_6 + "\r\n" + spoilt;
 }
 
+std::string with_coding(const std::string& lines) {
+    return ok + lines + "\r\n" + spoilt_chunk + last_chunk;
+}
+
 std::string long_body() {
     return std::string(long_body_size, 'x');
 }
@@ -64,6 +68,30 @@
     return made;
 }
 
+std::vector<named_answer> broken_codings() {
+    std::vector<named_answer> made;
+    for (const std::string coding :
+         {"xchunked", "chunked, gzip", "chunked, chunked", "gzip, chunked",
+          "gzip", "identity", "chunked;a=1", "chunked chunked"}) {
+        made.push_back(
+            closing("coding-" + std::to_string(made.size()),
+                    with_coding("Transfer-Encoding: " + coding + "\r\n")));
+    }
+    made.push_back(closing("coding-two-lines", with_coding(chunked + chunked)));
+    made.push_back(
+        closing("coding-hidden",
+                with_coding("Transfer-Encoding: xchunked\r\n" + chunked)));
+    made.push_back(
+        closing("coding-and-length", with_coding(chunked + length_6)));
+    made.push_back(closing("coding-http-1-0",
+                           "HTTP/1.0 200 OK\r\n" + signed_head + chunked +
+                               "\r\n" + spoilt_chunk + last_chunk));
+    made.push_back(
+        closing("coding-long",
+                ok + "Transfer-Encoding: xchunked\r\n\r\n" + long_body()));
+    return made;
+}
+
 std::vector<named_answer> broken_fields() {
     std::vector<named_answer> made;
     const std::string nul(1, '\0');
@@ -124,8 +152,8 @@
 
 std::vector<named_answer> broken_answers() {
     std::vector<named_answer> all;
-    for (const auto& part :
-         {broken_status_lines(), broken_fields(), broken_bodies()}) {
+    for (const auto& part : {broken_status_lines(), broken_fields(),
+                             broken_bodies(), broken_codings()}) {
         all.insert(all.end(), part.begin(), part.end());
     }
     return all;
