io, forwarding: a head with a line that begins with a blank is no answer

Cause: the library joins such lines, which RFC 9112 (5.2) lets a gateway refuse; readers of requests refuse them, readers of answers did not.

Why it works: the reader keeps what was used of a head until it is whole, in whatever pieces it comes, and looks for a line end before a blank in it; heads of interim answers too. The bytes are kept for a head only, and dropped with it.

--- a/src/forwarding/answer_reader.cpp
+++ b/src/forwarding/answer_reader.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "io/answer_parser.hpp"
+#include "io/head_check.hpp"
 
 namespace waxwingvale::forwarding {
 
@@ -22,6 +23,9 @@
 struct answer_reader::state {
     std::optional<io::answer_parser> parser;
     std::string fault;
+    // What was used of a head that is not complete: the library joins lines
+    // that are continued, so that only the bytes tell of them.
+    std::string head;
     bool without_body = false; // it answers a HEAD
     bool head_told = false;
     bool complete_told = false;
@@ -31,6 +35,7 @@
         parser->header_limit(head_limit);
         parser->skip(without_body);
         parser->eager(false);
+        head.clear();
         head_told = false;
         complete_told = false;
     }
@@ -40,16 +45,29 @@
         return step::faulty;
     }
 
-    step read_some(std::string& input) {
-        parser->body_grew = false;
-        parser->eager(head_told);
+    // Gives the parser what it takes of the input.
+    parse_result use(std::string& input) {
+        const bool in_head = !parser->is_header_done();
         parse_result why;
         const auto used =
             parser->put(boost::asio::buffer(input.data(), input.size()), why);
+        if (in_head) {
+            head.append(input, 0, used);
+        }
         input.erase(0, used);
+        return why;
+    }
+
+    step read_some(std::string& input) {
+        parser->body_grew = false;
+        parser->eager(head_told);
+        const auto why = use(input);
         if (why && why != http::error::need_more) {
             return refuse(why.message());
         }
+        if (parser->is_header_done() && io::has_continued_line(head)) {
+            return refuse("a header is continued on the next line");
+        }
         if (head_told && !parser->is_done() && input.size() > line_limit) {
             return refuse("a line between chunks has no end");
         }
@@ -59,6 +77,7 @@
     step after_reading() {
         if (!head_told && parser->is_header_done()) {
             head_told = true;
+            std::string().swap(head);
             return step::head;
         }
         if (head_told && parser->is_done()) {
--- a/src/io/head_check.cpp
+++ b/src/io/head_check.cpp
@@ -26,12 +26,12 @@
     return false;
 }
 
-bool has_continued_line(std::string_view head) {
-    return head.find("\n ") != head.npos || head.find("\n\t") != head.npos;
-}
-
 } // namespace
 
+bool has_continued_line(std::string_view lines) {
+    return lines.find("\n ") != lines.npos || lines.find("\n\t") != lines.npos;
+}
+
 bool has_bare_line_feed(std::string_view bytes) {
     for (auto at = bytes.find('\n'); at != bytes.npos;
          at = bytes.find('\n', at + 1)) {
--- a/src/io/head_check.hpp
+++ b/src/io/head_check.hpp
@@ -12,6 +12,9 @@
 // as if some caller had asked for it.
 const char* head_fault(std::string_view head);
 
+// Whether a line begins with a blank, which once continued the line before it.
+bool has_continued_line(std::string_view lines);
+
 // Whether the bytes received so far of a head that is not complete already
 // contain such a fault, so that the sender need not be waited for.
 bool has_bare_line_feed(std::string_view bytes);
--- a/test/forwarding/answer_reader_test.cpp
+++ b/test/forwarding/answer_reader_test.cpp
@@ -182,6 +182,31 @@
     CHECK(reader.answer().body == "ok");
 }
 
+// Guards against a line of a head that is taken for a part of the line before
+// it, whatever pieces it comes in.
+TEST_CASE("a line that begins with a blank is faulty") {
+    const std::string head = GENERATE(
+        "HTTP/1.1 200 OK\r\n X-A: 1\r\n", "HTTP/1.1 200 OK\r\n\tX-A: 1\r\n",
+        "HTTP/1.1 200 OK\r\nX-A: 1\r\n X-B: 2\r\n",
+        "HTTP/1.1 200 OK\r\nX-A:\r\n\t2\r\n",
+        "HTTP/1.1 200 OK\r\nX-A: 1\r\n \r\n",
+        "HTTP/1.1 100 Continue\r\nX-A: 1\r\n X-B: 2\r\n\r\n"
+        "HTTP/1.1 200 OK\r\n");
+    const std::size_t piece = GENERATE(1U, 1000U);
+    CAPTURE(head, piece);
+    const std::string text = head + "Content-Length: 2\r\n\r\nok";
+    answer_reader reader;
+    reader.expect("GET");
+    std::string input;
+    auto last = step::need_more;
+    for (std::size_t at = 0; at < text.size() && last == step::need_more;
+         at += piece) {
+        input += text.substr(at, piece);
+        last = read_all(reader, input);
+    }
+    CHECK(last == step::faulty);
+}
+
 TEST_CASE("bytes after a whole answer are left over") {
     std::string input = ok + "Content-Length: 2\r\n\r\nok" + ok;
     answer_reader reader;
--- a/test/platform/broken_answers.cpp
+++ b/test/platform/broken_answers.cpp
@@ -35,6 +35,11 @@
     return std::string(long_body_size, 'x');
 }
 
+std::string long_with_line(const std::string& line) {
+    return ok + line + "\r\nContent-Length: " + std::to_string(long_body_size) +
+           "\r\n\r\n" + long_body();
+}
+
 named_answer closing(std::string name, std::string bytes) {
     return {std::move(name), {std::move(bytes), answer_ending::close}};
 }
@@ -122,6 +127,19 @@
     return made;
 }
 
+std::vector<named_answer> continued_lines() {
+    return {closing("line-blank", with_line(" X-Odd: 1")),
+            closing("line-tab", with_line("\tX-Odd: 1")),
+            closing("line-kept", with_line("X-Kept: 1\r\n X-Odd: 1")),
+            closing("line-empty", with_line("X-Kept: 1\r\n ")),
+            closing("line-first", "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n" +
+                                      signed_head + length_6 + "\r\n" + spoilt),
+            closing("line-long", long_with_line(" X-Odd: 1")),
+            closing("line-hints",
+                    "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n X-Odd: 1\r\n\r\n" +
+                        with_line("X-B: 1"))};
+}
+
 std::vector<named_answer> broken_bodies() {
     std::vector<named_answer> made;
     const auto add = [&](const std::string& name, const std::string& bytes,
@@ -152,8 +170,9 @@
 
 std::vector<named_answer> broken_answers() {
     std::vector<named_answer> all;
-    for (const auto& part : {broken_status_lines(), broken_fields(),
-                             broken_bodies(), broken_codings()}) {
+    for (const auto& part :
+         {broken_status_lines(), broken_fields(), broken_bodies(),
+          broken_codings(), continued_lines()}) {
         all.insert(all.end(), part.begin(), part.end());
     }
     return all;
