io, forwarding: malformed lines around chunks make no answer

Cause: the library looks for the end of a quoted value only, and joins lines.

Why it works: the parser looks at each extension; the reader looks at the lines behind the last chunk as at those of a head. A body that was passed on before such a line came is cut with a reset.

--- a/src/forwarding/answer_reader.cpp
+++ b/src/forwarding/answer_reader.cpp
@@ -23,9 +23,10 @@
 struct answer_reader::state {
     std::optional<io::answer_parser> parser;
     std::string fault;
-    // What was used of a head that is not complete: the library joins lines
-    // that are continued, so that only the bytes tell of them.
-    std::string head;
+    // The lines of a head that is not complete, then those behind the last
+    // chunk: the library joins lines that are continued, so that only the
+    // bytes tell of them.
+    std::string field_lines;
     bool without_body = false; // it answers a HEAD
     bool head_told = false;
     bool complete_told = false;
@@ -35,7 +36,7 @@
         parser->header_limit(head_limit);
         parser->skip(without_body);
         parser->eager(false);
-        head.clear();
+        field_lines.clear();
         head_told = false;
         complete_told = false;
     }
@@ -51,8 +52,11 @@
         parse_result why;
         const auto used =
             parser->put(boost::asio::buffer(input.data(), input.size()), why);
+        const char* used_end = input.data() + used;
         if (in_head) {
-            head.append(input, 0, used);
+            field_lines.append(input, 0, used);
+        } else if (parser->trailer() != nullptr && parser->is_done()) {
+            field_lines.assign(parser->trailer(), used_end);
         }
         input.erase(0, used);
         return why;
@@ -65,7 +69,7 @@
         if (why && why != http::error::need_more) {
             return refuse(why.message());
         }
-        if (parser->is_header_done() && io::has_continued_line(head)) {
+        if (parser->is_header_done() && io::has_continued_line(field_lines)) {
             return refuse("a header is continued on the next line");
         }
         if (head_told && !parser->is_done() && input.size() > line_limit) {
@@ -77,7 +81,7 @@
     step after_reading() {
         if (!head_told && parser->is_header_done()) {
             head_told = true;
-            std::string().swap(head);
+            std::string().swap(field_lines);
             return step::head;
         }
         if (head_told && parser->is_done()) {
--- a/src/io/answer_parser.cpp
+++ b/src/io/answer_parser.cpp
@@ -4,6 +4,8 @@
 #include <limits>
 #include <strings.h>
 
+#include "io/head_check.hpp"
+
 namespace waxwingvale::io {
 
 namespace {
@@ -89,4 +91,17 @@
     message_parser::on_header_impl(why);
 }
 
+// The library tells of the last chunk once all fields behind it have come.
+void answer_parser::on_chunk_header_impl(std::uint64_t size,
+                                         string_view extension,
+                                         parse_result& why) {
+    if (std::any_of(extension.begin(), extension.end(), is_control_character)) {
+        why = http::error::bad_chunk_extension;
+        return;
+    }
+    if (size == 0) {
+        trailer_ = extension.data() + extension.size();
+    }
+}
+
 } // namespace waxwingvale::io
--- a/src/io/head_check.cpp
+++ b/src/io/head_check.cpp
@@ -10,10 +10,8 @@
 constexpr unsigned char delete_character = 0x7f;
 
 bool is_forbidden(char c) {
-    const auto code = static_cast<unsigned char>(c);
     const bool is_line_end = c == '\r' || c == '\n';
-    return (code < first_printable && c != '\t' && !is_line_end) ||
-           code == delete_character;
+    return is_control_character(c) && !is_line_end;
 }
 
 bool has_bare_carriage_return(std::string_view head) {
@@ -28,6 +26,11 @@
 
 } // namespace
 
+bool is_control_character(char c) {
+    const auto code = static_cast<unsigned char>(c);
+    return (code < first_printable && c != '\t') || code == delete_character;
+}
+
 bool has_continued_line(std::string_view lines) {
     return lines.find("\n ") != lines.npos || lines.find("\n\t") != lines.npos;
 }
--- a/src/io/head_check.hpp
+++ b/src/io/head_check.hpp
@@ -12,6 +12,10 @@
 // as if some caller had asked for it.
 const char* head_fault(std::string_view head);
 
+// Whether it can stand in no line of a message: a control character but the tab
+// (RFC 9110, 5.5). Ends of lines count too.
+bool is_control_character(char c);
+
 // Whether a line begins with a blank, which once continued the line before it.
 bool has_continued_line(std::string_view lines);
 
--- a/test/forwarding/answer_reader_test.cpp
+++ b/test/forwarding/answer_reader_test.cpp
@@ -207,6 +207,22 @@
     CHECK(last == step::faulty);
 }
 
+// Guards against the same around chunks, where nothing of it is passed on but
+// the body would be.
+TEST_CASE("malformed lines around chunks are faulty") {
+    const std::string rest = GENERATE(
+        "2\r\nok\r\n0\r\nX-A: 1\r\n X-B: 2\r\n\r\n",
+        "2\r\nok\r\n0\r\n X-B: 2\r\n\r\n", "2\r\nok\r\n0\r\nX A: 1\r\n\r\n",
+        "2;a=\"\x01\"\r\nok\r\n0\r\n\r\n", "2\r\nok\r\n0;a=\"\x01\"\r\n\r\n",
+        "2 \r\nok\r\n0\r\n\r\n", "2\r\nokk\r\n0\r\n\r\n", "2\nok\r\n0\r\n\r\n",
+        "0x2\r\nok\r\n0\r\n\r\n");
+    CAPTURE(rest);
+    std::string input = ok + "Transfer-Encoding: chunked\r\n\r\n" + rest;
+    answer_reader reader;
+    reader.expect("GET");
+    CHECK(read_all(reader, input) == step::faulty);
+}
+
 TEST_CASE("bytes after a whole answer are left over") {
     std::string input = ok + "Content-Length: 2\r\n\r\nok" + ok;
     answer_reader reader;
--- a/test/platform/broken_answers.cpp
+++ b/test/platform/broken_answers.cpp
@@ -166,13 +166,21 @@
     return made;
 }
 
+std::vector<named_answer> broken_lines_around_chunks() {
+    return {
+        closing("chunk-extension",
+                ok + chunked + "\r\n6;a=\"\x01\"\r\nspoilt\r\n" + last_chunk),
+        closing("trailer-continued", ok + chunked + "\r\n" + spoilt_chunk +
+                                         "0\r\nX-A: 1\r\n X-Odd: 1\r\n\r\n")};
+}
+
 } // namespace
 
 std::vector<named_answer> broken_answers() {
     std::vector<named_answer> all;
     for (const auto& part :
          {broken_status_lines(), broken_fields(), broken_bodies(),
-          broken_codings(), continued_lines()}) {
+          broken_codings(), continued_lines(), broken_lines_around_chunks()}) {
         all.insert(all.end(), part.begin(), part.end());
     }
     return all;
