io: a reset that a write has met first is told as a reset

Cause: the system tells of a socket's error once. stream_socket left a failed write to the next read, which then found an end as if the peer had closed in order; and an answer without a length is complete by such an end.

Why it works: the socket keeps the number of the write that failed, writes no more, and tells it at the end of what is there to be read. Where the peer has closed its side in order before it resets, the write fails as closed (EPIPE), and the end stays one in order (io/a close in order stays one though what is written is reset, platform/an early answer without a length that ends in order is whole: green before and after). Answers, callers that leave, links and the directory share the socket: the end of a silent caller is now also told as such when a write met it.

--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -330,20 +330,22 @@
         bytes_in_ += static_cast<std::uint64_t>(got);
         handlers_.on_bytes(buffer.data(), static_cast<std::size_t>(got));
     } else if (got == 0) {
-        end(0);
+        end_of_bytes();
     } else if (!is_transient(errno)) {
         end(errno);
     }
     return got > 0;
 }
 
+// What the peer sent before a connection broke is read all the same: a failed
+// write ends nothing by itself.
 void stream_socket::flush() {
-    while (waiting() > 0) {
+    while (waiting() > 0 && write_failure_ == 0) {
         const auto sent =
             ::send(descriptor_, outgoing_.data() + outgoing_begin_, waiting(),
                    MSG_NOSIGNAL);
         if (sent < 0) {
-            // A broken connection is noticed, and told, by the next read.
+            write_failure_ = is_transient(errno) ? 0 : errno;
             break;
         }
         outgoing_begin_ += static_cast<std::size_t>(sent);
@@ -363,8 +365,8 @@
     if (descriptor_ < 0 || connecting_) {
         return;
     }
-    const int wanted =
-        (reading_ ? EV_READ : 0) | (waiting() > 0 ? EV_WRITE : 0);
+    const bool writes = waiting() > 0 && write_failure_ == 0;
+    const int wanted = (reading_ ? EV_READ : 0) | (writes ? EV_WRITE : 0);
     if (wanted != (watcher_.events & (EV_READ | EV_WRITE))) {
         ev_io_stop(loop_, &watcher_);
         ev_io_set(&watcher_, descriptor_, wanted);
@@ -372,6 +374,14 @@
     }
 }
 
+// The system tells of an error once. If a write was told, reads find an end as
+// if the peer had closed in order. It has done so only where the write failed
+// since the peer takes nothing more, which it may once its side is closed.
+void stream_socket::end_of_bytes() {
+    const bool closed_in_order = write_failure_ == 0 || write_failure_ == EPIPE;
+    end(closed_in_order ? 0 : write_failure_);
+}
+
 void stream_socket::end(int reason) {
     end_reason_ = reason;
     ended_ = true;
--- a/src/io/stream_socket.hpp
+++ b/src/io/stream_socket.hpp
@@ -43,8 +43,8 @@
     std::size_t buffered() const { return outgoing_.capacity(); }
     std::uint64_t bytes_in() const { return bytes_in_; }
     std::uint64_t bytes_out() const { return bytes_out_; }
-    // The system's number for what ended the connection; 0 when the peer closed
-    // it in order.
+    // The system's number for what ended the connection, whether a read or a
+    // write has met it; 0 when the peer closed it in order.
     int end_reason() const { return end_reason_; }
     // Takes no more bytes until reading is resumed, so that a peer that sends
     // faster than its bytes are used is held back by its own window. The
@@ -76,6 +76,7 @@
     bool read_some();
     void flush();
     void watch();
+    void end_of_bytes();
     void end(int reason);
 
     struct ev_loop* loop_;
@@ -85,6 +86,7 @@
     bool reading_ = true;
     bool ended_ = false;
     int end_reason_ = 0;
+    int write_failure_ = 0; // the system's number; nothing goes out after it
     stream_socket_handlers handlers_;
     std::string outgoing_;
     std::size_t outgoing_begin_ = 0;
