io: the client of the platform takes no broken answer, and no part of a head

What was seen: the client that reads the store, and that waxwing-load and waxwingctl use, took sixteen of 31 kinds of broken answers for answers (600, 999, 101; HTTP/2.0 in plain text; blanks and control bytes in names, no colon, no name, continued lines, bare line feeds; differing lengths; identity; chunks in HTTP/1.0; such a name behind the last chunk), a head that ended behind its status line for a whole answer with 200, and fields behind the last chunk for headers. Statuses 000 and 099 it refused already.

Cause: libcurl is lenient, and hands lines on as they are; the lines were taken apart without a check.

Evidence: io/the client takes nothing for an answer that is none, io/the client takes no part of an answer for the whole, io/the client takes no trailer for a header: red on in 16, 1 and 1 checks. A part that ends with a reset was refused there already, also while it sends (io/the client takes no part for the whole while it sends).

Why it works: the lines of a head are kept as they come and read by the same strict parser as servers' answers once the head is whole; an answer of which no final head was read is none. Odd but legal answers are taken as before (io/the client takes odd but legal answers, green before and after).

--- a/src/io/answer_parser.cpp
+++ b/src/io/answer_parser.cpp
@@ -40,6 +40,10 @@
     }
 }
 
+error malformed(const std::string& detail) {
+    return {error_code::malformed, "read answer", "", detail};
+}
+
 bool is_chunked(string_view coding) {
     constexpr string_view name = "chunked";
     return coding.size() == name.size() &&
@@ -104,4 +108,20 @@
     }
 }
 
+result<http_response> parse_answer_head(const std::string& head) {
+    answer_parser parser;
+    parser.header_limit(std::numeric_limits<std::uint32_t>::max());
+    parser.skip(true);
+    parser.eager(false);
+    boost::beast::error_code why;
+    parser.put(boost::asio::buffer(head), why);
+    if (why) {
+        return malformed(why.message());
+    }
+    if (has_continued_line(head)) {
+        return malformed("a header is continued on the next line");
+    }
+    return std::move(parser.message);
+}
+
 } // namespace waxwingvale::io
--- a/src/io/answer_parser.hpp
+++ b/src/io/answer_parser.hpp
@@ -2,8 +2,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 #include <waxwingvale/io/http_message.hpp>
+#include <waxwingvale/model/error.hpp>
 
 #include "io/message_parser.hpp"
 
@@ -43,4 +45,8 @@
     const char* trailer_ = nullptr;
 };
 
+// Reads a head that has come whole, from its status line up to and with the
+// empty line, as an answer without a body; the error is malformed.
+result<http_response> parse_answer_head(const std::string& head);
+
 } // namespace waxwingvale::io
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -4,9 +4,13 @@
 #include <curl/curl.h>
 #include <ev.h>
 #include <map>
+#include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
+#include "io/answer_parser.hpp"
+
 namespace waxwingvale::io {
 
 namespace {
@@ -15,6 +19,7 @@
 // A connection kept idle for longer is not used again: what stands between
 // the two ends may have forgotten it.
 constexpr long idle_connection_seconds = 10;
+constexpr unsigned first_final_status = 200;
 
 long to_milliseconds(duration value) {
     const auto rounded =
@@ -32,21 +37,62 @@
     http_response response;
     std::uint64_t received = 0; // bytes
     std::size_t body_limit = 0;
-    bool body_too_large = false;
+    std::string head; // as far as it came
+    bool head_read = false;
+    // Why the bytes are no answer. The library takes many that are none.
+    std::optional<error> fault;
 
     ~transfer() {
         curl_slist_free_all(headers);
         curl_easy_cleanup(easy);
     }
+
+    // Each tells whether the bytes can be an answer's.
+    bool take_line(std::string_view line);
+    bool take_head();
+    bool check_trailer(std::string_view line);
 };
 
+// One line of a head, or one behind the last chunk, with its end.
+bool transfer::take_line(std::string_view line) {
+    if (head_read) {
+        return check_trailer(line);
+    }
+    head += line;
+    const bool is_whole = line == "\r\n" || line == "\n";
+    return !is_whole || take_head();
+}
+
+bool transfer::take_head() {
+    auto read = parse_answer_head(std::exchange(head, {}));
+    if (!read) {
+        fault = read.error();
+        return false;
+    }
+    if (read.value().status >= first_final_status) {
+        head_read = true;
+        response = std::move(read.value());
+    }
+    return true;
+}
+
+// Fields behind the body are no part of the head.
+bool transfer::check_trailer(std::string_view line) {
+    const std::string status_line = "HTTP/1.1 200 OK\r\n";
+    const auto read =
+        parse_answer_head(status_line + std::string(line) + "\r\n");
+    if (!read) {
+        fault = read.error();
+    }
+    return read.has_value();
+}
+
 std::size_t take_body(char* data, std::size_t size, std::size_t count,
                       void* context) {
     auto* self = static_cast<transfer*>(context);
     const auto bytes = size * count;
     self->received += bytes;
     if (self->response.body.size() + bytes > self->body_limit) {
-        self->body_too_large = true;
         return 0;
     }
     self->response.body.append(data, bytes);
@@ -56,22 +102,9 @@
 std::size_t take_header(char* data, std::size_t size, std::size_t count,
                         void* context) {
     auto* self = static_cast<transfer*>(context);
-    self->received += size * count;
-    const std::string line(data, size * count);
-    if (line.compare(0, 5, "HTTP/") == 0) {
-        // A new status line: what came before was an interim answer (1xx).
-        self->response.headers.clear();
-        return size * count;
-    }
-    const auto colon = line.find(':');
-    if (colon == std::string::npos) {
-        return size * count;
-    }
-    auto value = line.substr(colon + 1);
-    value.erase(0, value.find_first_not_of(" \t"));
-    value.erase(value.find_last_not_of(" \t\r\n") + 1);
-    self->response.headers.push_back({line.substr(0, colon), value});
-    return size * count;
+    const auto bytes = size * count;
+    self->received += bytes;
+    return self->take_line({data, bytes}) ? bytes : 0;
 }
 
 error_code code_of(CURLcode code) {
@@ -94,6 +127,20 @@
     return call.host + ":" + std::to_string(call.port);
 }
 
+// Without an error of the library's: it takes a part of a head for the whole.
+error error_of(const transfer& ended, CURLcode code, bool sent) {
+    const char* step = sent ? "await answer" : "connect";
+    const auto peer = peer_of(ended.call);
+    if (ended.fault) {
+        return {ended.fault->code, step, peer, ended.fault->detail};
+    }
+    if (code == CURLE_OK) {
+        return {error_code::unavailable, step, peer,
+                "the answer was cut short"};
+    }
+    return {code_of(code), step, peer, curl_easy_strerror(code)};
+}
+
 } // namespace
 
 struct http_client::state {
@@ -220,23 +267,17 @@
 void http_client::state::finish(CURL* easy, CURLcode code) {
     transfer* done = nullptr;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &done);
-    long status = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     long request_bytes = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
     curl_multi_remove_handle(multi, easy);
     const auto held = std::move(transfers.at(done->id));
     transfers.erase(done->id);
-    held->response.status = static_cast<unsigned>(status);
     const bool sent = request_bytes > 0;
-    if (code == CURLE_OK) {
+    if (code == CURLE_OK && held->head_read) {
         held->on_done({std::move(held->response), sent});
         return;
     }
-    const char* step = sent ? "await answer" : "connect";
-    held->on_done({error{code_of(code), step, peer_of(held->call),
-                         curl_easy_strerror(code)},
-                   sent});
+    held->on_done({error_of(*held, code, sent), sent});
 }
 
 http_client::http_client(kernel::event_loop& loop, limits bounds)
