forwarding: a connection whose answer is cut ends with a reset

What a caller saw: to a caller of HTTP/1.0 an answer of unknown length ends with its connection. Where an instance stopped with such an answer begun, or said but not gone out, or gave one up since its caller had ended its sending side, the connection was closed in order, and the part looked whole.

Cause: only answers that a server or a limit cuts were reset; ends of the process and of abandoned requests went by a plain close.

Why it works: each way to close goes by one function, which resets where an answer is begun or bytes wait to go out. An instance that is killed can't do so.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -34,6 +34,7 @@
 
 caller_connection::~caller_connection() {
     frame_.guard->remove(*this);
+    close_socket();
 }
 
 void caller_connection::on_bytes(const char* bytes, std::size_t size) {
@@ -225,6 +226,7 @@
                                      std::optional<std::uint64_t> length) {
     const auto plan = plan_of(head.status, length);
     status_ = head.status;
+    answer_begun_ = true;
     chunked_answer_ = plan.framing == body_framing::chunks;
     close_after_ =
         closes_after_answer() || plan.framing == body_framing::until_end;
@@ -257,6 +259,7 @@
     rest_is_known_ = !exchange_->body_complete();
     exchange_->finished_ = true;
     exchange_.reset();
+    answer_begun_ = false;
     --frame_.pending;
     since_ = frame_.now();
     if (socket_.waiting() == 0) {
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -112,6 +112,7 @@
     void report(const ended_request& ended);
     void report_given(request_end end);
     void close();
+    void close_socket();
     void hold_back();
 
     caller_connection_frame& frame_;
@@ -132,6 +133,7 @@
     bool head_request_ = false; // HEAD: answers have no body
     bool http_1_0_ = false;
     bool chunked_answer_ = false;
+    bool answer_begun_ = false; // and not at its end
     bool close_after_ = false;
     bool closed_ = false;
     bool proven_ = false; // it has brought a whole request
--- a/src/forwarding/caller_connection_end.cpp
+++ b/src/forwarding/caller_connection_end.cpp
@@ -76,13 +76,23 @@
         return;
     }
     closed_ = true;
-    socket_.close();
+    close_socket();
     drop_input();
     held_.set(0);
     frame_.guard->remove(*this);
     frame_.on_closed(*this);
 }
 
+// A close in order would make a whole answer of a part where the connection's
+// end is that of the answer.
+void caller_connection::close_socket() {
+    if (answer_begun_ || socket_.waiting() > 0) {
+        socket_.reset();
+    } else {
+        socket_.close();
+    }
+}
+
 ended_request caller_connection::end_of(const caller_exchange& exchange,
                                         request_end end) const {
     return {end,     exchange.name(),   peer_,
--- a/test/forwarding/ends_of_requests_test.cpp
+++ b/test/forwarding/ends_of_requests_test.cpp
@@ -248,3 +248,64 @@
     }
     CHECK(fixture.await_requests(1));
 }
+
+// Guards against a part of an answer that looks whole to a caller of HTTP/1.0,
+// for whom an answer of unknown length ends with its connection.
+TEST_CASE("an answer that a stop cuts does not look whole") {
+    const bool is_said = GENERATE(false, true);
+    CAPTURE(is_said);
+    standin::loop_fixture world;
+    std::vector<forwarding::caller_exchange_ptr> requests;
+    auto server = std::make_unique<forwarding::caller_server>(
+        world.loop, world.timers, forwarding::caller_server_options{});
+    REQUIRE(server->start([&](forwarding::caller_exchange_ptr request) {
+        requests.push_back(std::move(request));
+    }));
+    auto caller = standin::connect_to(world.loop, server->port());
+    caller->send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+    REQUIRE(world.run_until([&] { return requests.size() == 1; }));
+    caller->pause();
+    requests[0]->begin_answer({200, {}, ""}, std::nullopt);
+    requests[0]->add("a part");
+    if (is_said) {
+        // Most of it still waits to go out.
+        requests[0]->add(std::string(longer_than_is_taken, 'x'));
+        requests[0]->end_answer();
+    }
+    world.run_for(20ms);
+    server.reset();
+    caller->resume();
+    REQUIRE(world.run_until([&] { return caller->ended(); }));
+    CHECK(caller->ended_by_reset());
+}
+
+// Guards against the same where the caller has ended its sending side, so that
+// it counts as one that has left, and reads on.
+TEST_CASE("an answer that is given up for its caller does not look whole") {
+    served_callers fixture;
+    auto caller = fixture.caller();
+    caller->send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+    REQUIRE(fixture.await_requests(1));
+    fixture.requests[0]->begin_answer({200, {}, ""}, std::nullopt);
+    fixture.requests[0]->add("a part");
+    REQUIRE(
+        fixture.run_until([&] { return caller->received_contains("part"); }));
+    caller->end_writing();
+    REQUIRE(fixture.run_until([&] { return caller->ended(); }));
+    CHECK(caller->ended_by_reset());
+    CHECK(fixture.requests[0]->abandoned());
+}
+
+// Guards against whole answers that are lost with the reset of such a one.
+TEST_CASE("a whole answer that ends with its connection is not reset") {
+    served_callers fixture;
+    auto caller = fixture.caller();
+    caller->send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+    REQUIRE(fixture.await_requests(1));
+    fixture.requests[0]->begin_answer({200, {}, ""}, std::nullopt);
+    fixture.requests[0]->add(std::string(longer_than_is_taken, 'x'));
+    fixture.requests[0]->end_answer();
+    REQUIRE(fixture.run_until([&] { return caller->ended(); }));
+    CHECK_FALSE(caller->ended_by_reset());
+    CHECK(caller->received().size() > longer_than_is_taken);
+}
