test: broken answers at checks, detours, links, the store and waxwing-load; fuzzing

Two fuzz targets: the bytes of a connection to a server (read alike in whatever pieces, no answer that RFC 9110 and 9112 don't know), and a head of the platform's.

--- a/test/forwarding/backend_pool_test.cpp
+++ b/test/forwarding/backend_pool_test.cpp
@@ -294,6 +294,63 @@
     CHECK(fixture.ended->partial->status == 200);
 }
 
+// Guards against a server that counts as one that answers its liveness checks,
+// and against a kept connection whose next answer is read amid such bytes.
+TEST_CASE("what is no answer ends a call and its connection") {
+    const std::string bytes =
+        GENERATE("HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\n X-A: 1\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n\r\nok",
+                 "no answer at all\r\n\r\n");
+    const auto purpose = GENERATE(forwarding::call_purpose::request,
+                                  forwarding::call_purpose::check);
+    CAPTURE(bytes, static_cast<int>(purpose));
+    pooled fixture;
+    std::string told;
+    fixture.pool.on_malformed([&](const forwarding::malformed_bytes& seen) {
+        told = seen.backend_server;
+    });
+    auto call = fixture.call("/first");
+    call.purpose = purpose;
+    fixture.send(call);
+    REQUIRE(fixture.await_request(0, "/first"));
+    fixture.server.at(0).send(bytes);
+    REQUIRE(fixture.await_end());
+    REQUIRE_FALSE(fixture.ended->response);
+    CHECK(fixture.ended->response.error().code == error_code::malformed);
+    CHECK(fixture.ended->sent);
+    CHECK_FALSE(fixture.ended->partial);
+    CHECK(told == "one");
+    call.target = "/next";
+    fixture.send(call);
+    CHECK(fixture.await_request(1, "/next"));
+    CHECK(fixture.run_until([&] { return fixture.server.at(0).ended(); }));
+}
+
+// Guards against the same where a part of the answer has come.
+TEST_CASE("a part of an answer to a check is none") {
+    const bool by_reset = GENERATE(false, true);
+    CAPTURE(by_reset);
+    pooled fixture;
+    auto call = fixture.call("/check");
+    call.purpose = forwarding::call_purpose::check;
+    fixture.send(call);
+    REQUIRE(fixture.await_request(0, "/check"));
+    fixture.server.at(0).send(
+        ok + (by_reset ? "\r\nok" : "Content-Length: 3\r\n\r\nok"));
+    fixture.run_for(10ms);
+    if (by_reset) {
+        fixture.server.at(0).reset();
+    } else {
+        fixture.server.at(0).close();
+    }
+    REQUIRE(fixture.await_end());
+    REQUIRE_FALSE(fixture.ended->response);
+    CHECK(fixture.ended->response.error().code == error_code::unavailable);
+}
+
 TEST_CASE("a cancelled call ends its connection and tells nobody") {
     pooled fixture;
     const auto id = fixture.send(fixture.call());
--- a/test/fuzz/fuzz_target.cpp
+++ b/test/fuzz/fuzz_target.cpp
@@ -2,6 +2,7 @@
 
 #include <stdexcept>
 
+#include "answer_targets.hpp"
 #include "document_targets.hpp"
 #include "message_targets.hpp"
 #include "request_targets.hpp"
@@ -19,6 +20,8 @@
         {"caller_headers", run_caller_headers, caller_headers_seeds},
         {"request_key", run_request_key, request_key_seeds},
         {"admin_request", run_admin_request, admin_request_seeds},
+        {"answer", run_answer, answer_seeds},
+        {"answer_head", run_answer_head, answer_head_seeds},
     };
     return table;
 }
--- a/test/io/platform_client_test.cpp
+++ b/test/io/platform_client_test.cpp
@@ -9,6 +9,8 @@
 #include <waxwingvale/io/platform_client.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 
+#include "standin/raw_peer.hpp"
+
 using namespace std::chrono_literals;
 using namespace waxwingvale;
 
@@ -238,3 +240,39 @@
     CHECK(platform.asked["/all"] == 1);
     CHECK(client.counters().failed == 0);
 }
+
+// Guards against a store that counts as one that answers, or is read, by bytes
+// that are no answer.
+TEST_CASE("what is no answer of the platform is a read that failed") {
+    const std::string bytes =
+        GENERATE("HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\n X-A: 1\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+                 "HTTP/1.1 200 OK\r\n");
+    CAPTURE(bytes);
+    standin::loop_fixture world;
+    standin::raw_listener server(world.loop);
+    const auto answering = world.timers.every(2ms, [&](time_point) {
+        for (std::size_t each = 0; each < server.count(); ++each) {
+            if (server.at(each).received_contains("\r\n\r\n")) {
+                server.at(each).take_received();
+                server.at(each).send(bytes);
+                server.at(each).end_writing();
+            }
+        }
+    });
+    io::http_client connections(world.loop, {});
+    const bare_dialect dialect;
+    io::platform_client_options options;
+    options.host = "127.0.0.1";
+    options.port = server.port();
+    io::platform_client client(connections, world.timers, dialect, options);
+    client.set_share({1000., 1000., 10ms});
+    unsigned readings = 0;
+    client.watch("all", [&](const io::platform_reading&) { ++readings; });
+    REQUIRE(world.run_until([&] { return client.counters().failed >= 2; }));
+    CHECK(readings == 0);
+    CHECK_FALSE(client.answers());
+}
--- a/test/links/hostile_peer_test.cpp
+++ b/test/links/hostile_peer_test.cpp
@@ -19,7 +19,7 @@
     hand_made_peer(hub_bench& bench, std::uint16_t port) : dialer("b") {
         io::link_websocket_handlers handlers;
         handlers.on_output = [this](const char* bytes, std::size_t size) {
-            socket->write(bytes, size);
+            socket->write(bytes, sends_half ? size / 2 : size);
         };
         handlers.on_open = [this] { open = true; };
         handlers.on_message = [this](const std::string& message) {
@@ -85,6 +85,7 @@
     std::string last;
     bool open = false;
     bool ended = false;
+    bool sends_half = false; // of each message
 };
 
 struct listening_hub {
@@ -115,6 +116,31 @@
     CHECK(fixture.hub->counters().refused_replayed == 1);
 }
 
+// Guards against a part of a message that is taken for one, since its link was
+// closed or reset behind it.
+TEST_CASE("a part of a message is none whatever ends its link") {
+    const bool by_reset = GENERATE(false, true);
+    CAPTURE(by_reset);
+    listening_hub fixture;
+    hand_made_peer peer(fixture.bench, fixture.hub->port());
+    const auto keys = peer.prove(fixture.bench);
+    REQUIRE(
+        fixture.bench.run_until([&] { return fixture.hub->connected("b"); }));
+    peer.sends_half = true;
+    peer.websocket->send(hand_made_peer::message(keys.dialer_to_listener, 0));
+    if (by_reset) {
+        peer.socket->reset();
+    } else {
+        peer.socket->close();
+    }
+    // What the hub still has to say meets the end first.
+    fixture.hub->send("b", "text", bytes_of("one"));
+    fixture.hub->send("b", "text", bytes_of("two"));
+    REQUIRE(
+        fixture.bench.run_until([&] { return !fixture.hub->connected("b"); }));
+    CHECK(fixture.received == 0);
+}
+
 TEST_CASE("a message of another connection or an altered one is refused") {
     // A recorded message is put into a later connection, or changed under
     // way. Its tag was made with another key, or over other bytes.
--- a/test/load/load_run_test.cpp
+++ b/test/load/load_run_test.cpp
@@ -5,6 +5,7 @@
 
 #include "standin/http_request_once.hpp"
 #include "standin/process.hpp"
+#include "standin/raw_peer.hpp"
 
 #include "waxwing_load/load_run.hpp"
 
@@ -170,6 +171,42 @@
     CHECK(load.code == 1);
 }
 
+// Guards against bytes that are no answer and count as one in a measurement.
+TEST_CASE("calls that get no answer but other bytes are lost") {
+    const std::string bytes =
+        GENERATE("HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+                 "HTTP/1.1 200 OK\r\n");
+    CAPTURE(bytes);
+    loop_fixture world;
+    raw_listener server(world.loop);
+    const auto answering =
+        world.timers.every(std::chrono::milliseconds(2), [&](time_point) {
+            for (std::size_t each = 0; each < server.count(); ++each) {
+                if (server.at(each).received_contains("\r\n\r\n")) {
+                    server.at(each).take_received();
+                    server.at(each).send(bytes);
+                    server.at(each).end_writing();
+                }
+            }
+        });
+    load::load_options options;
+    options.direct = {{"127.0.0.1", server.port()}};
+    options.read_path = options.write_path = "/games";
+    options.rate = 1000;
+    options.calls = 5;
+    options.length = std::chrono::seconds(10);
+    options.deadline = std::chrono::seconds(5);
+    options.open_limit = 100;
+    load::load_run running(world.loop, world.timers, options);
+    const auto found = running.run();
+    REQUIRE(found);
+    CHECK(found.value().direct.count(load::call_end::lost) == 5);
+    CHECK(found.value().direct.statuses().empty());
+}
+
 TEST_CASE("a bad command line ends with code 2, --version with 0") {
     CHECK(finished_load({"--direct=192.0.2.1:80"}).code == 2);
     CHECK(finished_load({"--calls=3"}).code == 2);
--- a/test/platform/broken_answers.cpp
+++ b/test/platform/broken_answers.cpp
@@ -186,6 +186,25 @@
     return all;
 }
 
+std::vector<named_answer> long_answers_that_break() {
+    const std::string chunks =
+        ok + chunked + "\r\n300000\r\n" + long_body() + "\r\n";
+    const std::string no_length = ok + "\r\n" + long_body();
+    const std::string too_long =
+        ok + "Content-Length: " + std::to_string(long_body_size + 1) +
+        "\r\n\r\n" + long_body();
+    return {closing("chunk-size", chunks + "no size\r\n"),
+            closing("chunk-extension", chunks + "6;a=\"\x01\"\r\nspoilt\r\n"),
+            closing("trailer-name", chunks + "0\r\nX Odd: 1\r\n\r\n"),
+            closing("trailer-continued",
+                    chunks + "0\r\nX-A: 1\r\n X-Odd: 1\r\n\r\n"),
+            closing("part-chunks", chunks),
+            closing("part-length", too_long),
+            {"part-chunks-reset", {chunks, answer_ending::reset}},
+            {"part-length-reset", {too_long, answer_ending::reset}},
+            {"part-no-length-reset", {no_length, answer_ending::reset}}};
+}
+
 std::vector<sound_answer> odd_sound_answers() {
     const std::string body = "sound";
     const std::string length_5 = "Content-Length: 5\r\n";
--- a/test/platform/broken_answers.hpp
+++ b/test/platform/broken_answers.hpp
@@ -17,6 +17,9 @@
 // end. Each bears the signature of a server.
 std::vector<named_answer> broken_answers();
 
+// Signed answers that are passed on while they come, and break then.
+std::vector<named_answer> long_answers_that_break();
+
 // What is an answer, though seldom seen, and the body that it has.
 struct sound_answer {
     std::string name;
--- a/test/platform/broken_answers_test.cpp
+++ b/test/platform/broken_answers_test.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr unsigned ok = 200;
 constexpr unsigned bad_gateway = 502;
 constexpr unsigned unavailable = 503;
 constexpr unsigned gateway_timeout = 504;
@@ -132,10 +133,67 @@
     CHECK(world.serves_a_read());
 }
 
-// Guards against sound answers that are lost to a check of broken ones.
+// Guards against the same where another instance has the request run, since the
+// first one reaches no server.
+TEST_CASE("what is no answer is not passed on by way of another instance") {
+    const auto all = broken_answers();
+    scripted_world world(by_name(all), 4, cut_node);
+    world.partition_first();
+    REQUIRE(world.serves_a_read());
+    unsigned reached = 0;
+    for (const auto& broken : all) {
+        for (const auto& route : routes) {
+            INFO(broken.name << " on " << route.prefix);
+            const auto call =
+                world.call(0, {route.method, route.prefix + broken.name});
+            REQUIRE(world.finish(*call));
+            check_refused(world, *call, route.repeatable);
+            reached += world.arrivals(call->id()) > 0 ? 1 : 0;
+        }
+    }
+    CHECK(reached >= all.size());
+    CHECK(world.serves_a_read());
+}
+
+// Guards against a part of a long answer that looks whole, also to callers for
+// whom an answer ends with its connection.
+TEST_CASE("a long answer that breaks while it is passed on is cut") {
+    const auto all = long_answers_that_break();
+    scripted_world world(by_name(all));
+    std::size_t begun = 0;
+    for (const auto& broken : all) {
+        for (const char* version : {"HTTP/1.1", "HTTP/1.0"}) {
+            for (const auto& route : routes) {
+                INFO(broken.name << " on " << route.prefix << version);
+                raw_request request;
+                request.method = route.method;
+                request.target = route.prefix + broken.name;
+                request.version = version;
+                const auto call = world.call(0, request);
+                REQUIRE(world.finish(*call));
+                const auto got = call->answer();
+                INFO("answer: " << call->bytes().substr(0, 300));
+                CHECK(answers_begun(call->bytes()) <= 1);
+                CHECK_FALSE(got.whole_success());
+                begun += got.status == ok ? 1 : 0;
+            }
+        }
+    }
+    CHECK(begun >= all.size());
+    CHECK(world.serves_a_read());
+}
+
+// Guards against sound answers that are lost to a check of broken ones, here or
+// at another instance that has the request run.
 TEST_CASE("odd but legal answers are served whole") {
+    const bool detoured = GENERATE(false, true);
+    CAPTURE(detoured);
     const auto all = odd_sound_answers();
-    scripted_world world(by_name(all));
+    scripted_world world(by_name(all), 4, cut_node);
+    if (detoured) {
+        world.partition_first();
+        REQUIRE(world.serves_a_read());
+    }
     for (const auto& sound : all) {
         for (const auto& route : routes) {
             INFO(sound.name << " on " << route.prefix);
--- a/test/platform/broken_uploads_test.cpp
+++ b/test/platform/broken_uploads_test.cpp
@@ -78,11 +78,13 @@
     return request;
 }
 
+// By the first instances, so many as are named.
 std::vector<std::unique_ptr<raw_call>> upload_at_once(scripted_world& world,
-                                                      const upload_case& of) {
+                                                      const upload_case& of,
+                                                      std::size_t instances) {
     std::vector<std::unique_ptr<raw_call>> calls;
     for (std::size_t each = 0; each < callers_at_once; ++each) {
-        calls.push_back(world.call(each, upload(each, of)));
+        calls.push_back(world.call(each % instances, upload(each, of)));
     }
     REQUIRE(world.go_on_until([&] {
         return std::all_of(calls.begin(), calls.end(),
@@ -125,13 +127,38 @@
     for (std::size_t each = 0; each < most_worlds && cut < least_cut; ++each) {
         scripted_world world(script, server_count);
         for (std::size_t round = 0; round < rounds_in_a_world; ++round) {
-            cut += check_cut(world, upload_at_once(world, played));
+            cut += check_cut(
+                world, upload_at_once(world, played, world.instances.size()));
         }
         CHECK(world.serves_a_read());
     }
     CHECK(cut >= least_cut);
 }
 
+// Guards against the same where another instance has the request run, since the
+// first one reaches no server.
+TEST_CASE("a part of an answer on a detour never looks complete") {
+    const auto played = GENERATE(cases[0], cases[2]);
+    INFO(played.name);
+    const auto script =
+        [&](const io::http_request& request) -> std::optional<scripted_answer> {
+        return is_upload(request) ? std::optional(cut_answer(played))
+                                  : std::nullopt;
+    };
+    std::size_t cut = 0;
+    for (std::size_t each = 0; each < most_worlds && cut < callers_at_once;
+         ++each) {
+        scripted_world world(script, server_count, cut_node);
+        world.partition_first();
+        REQUIRE(world.serves_a_read());
+        for (std::size_t round = 0; round < rounds_in_a_world; ++round) {
+            cut += check_cut(world, upload_at_once(world, played, 1));
+        }
+        CHECK(world.serves_a_read());
+    }
+    CHECK(cut >= callers_at_once);
+}
+
 // Guards against sound answers without a length that are lost since they come
 // while an upload is being sent.
 TEST_CASE("an early answer without a length that ends in order is whole") {
--- a/test/platform/scripted_server.cpp
+++ b/test/platform/scripted_server.cpp
@@ -63,6 +63,14 @@
     return found == arrivals_.end() ? 0 : found->second;
 }
 
+void scripted_server::reset_connections() {
+    for (auto& each : connections_) {
+        each.open = false;
+        each.ending.cancel();
+        each.socket->reset();
+    }
+}
+
 void scripted_server::accept(int descriptor) {
     ++connections_made_;
     auto& made = connections_.emplace_back();
--- a/test/platform/scripted_server.hpp
+++ b/test/platform/scripted_server.hpp
@@ -54,6 +54,8 @@
     // The entry under which the platform lists it.
     std::string entry() const;
     std::uint16_t port() const { return listener_.port(); }
+    // Resets all connections; new ones are taken.
+    void reset_connections();
     // How often it got the request of that id.
     unsigned arrivals(const std::string& attempt) const;
     unsigned connections_made() const { return connections_made_; }
--- a/test/platform/scripted_world.cpp
+++ b/test/platform/scripted_world.cpp
@@ -1,6 +1,7 @@
 #include "platform/scripted_world.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -15,6 +16,7 @@
 
 constexpr duration patience = 20s;
 constexpr duration piece_period = 1ms;
+constexpr duration noticed_within = 1500ms; // a partition
 constexpr std::size_t instance_count = 3;
 
 json route(const char* name, const char* prefix, const char* kind) {
@@ -110,9 +112,11 @@
 }
 
 scripted_world::scripted_world(scripted_server::script answers,
-                               std::size_t server_count)
+                               std::size_t server_count,
+                               const std::string& program)
     : instances(instance_count, {"north"}, store.port(),
-                {{"probes_per_second", 20}, {"retries", 1}, {"repeats", 1}}) {
+                {{"probes_per_second", 20}, {"retries", 1}, {"repeats", 1}},
+                program) {
     store.write(operator_text());
     for (std::size_t each = 0; each < server_count; ++each) {
         servers.push_back(std::make_unique<scripted_server>(
@@ -154,6 +158,18 @@
     return holds();
 }
 
+void scripted_world::partition_first() {
+    std::vector<std::uint16_t> ports;
+    for (const auto& each : servers) {
+        ports.push_back(each->port());
+    }
+    instances.fail_connects(0, ENETUNREACH, ports);
+    for (const auto& each : servers) {
+        each->reset_connections();
+    }
+    go_on(noticed_within);
+}
+
 unsigned scripted_world::arrivals(const std::string& id) const {
     unsigned count = 0;
     for (const auto& each : servers) {
--- a/test/platform/scripted_world.hpp
+++ b/test/platform/scripted_world.hpp
@@ -60,7 +60,8 @@
 class scripted_world {
 public:
     explicit scripted_world(scripted_server::script answers,
-                            std::size_t server_count = 4);
+                            std::size_t server_count = 4,
+                            const std::string& program = shipped_program);
 
     std::unique_ptr<raw_call> call(std::size_t by_instance,
                                    const raw_request& request);
@@ -68,6 +69,9 @@
     bool finish(const raw_call& call);
     void go_on(duration time);
     bool go_on_until(const std::function<bool()>& holds);
+    // The first instance reaches no server any more, so that others serve what
+    // it is asked. Needs a cut_node.
+    void partition_first();
     // How often servers got the request of that id.
     unsigned arrivals(const std::string& id) const;
     unsigned used_again() const;
