--- a/test/platform/broken_answers_test.cpp
+++ b/test/platform/broken_answers_test.cpp
@@ -58,7 +58,7 @@
 
     // Each got its own answer or a refusal.
     void check() {
-        world_.go_on_until([this] {
+        world_.run_until([this] {
             return std::all_of(calls_.begin(), calls_.end(),
                                [](const auto& each) { return each->over(); });
         });
@@ -206,7 +206,7 @@
             CHECK(got.complete);
             CHECK(got.has_header("Waxwingvale-Response-Signature"));
             CHECK((got.body == sound.body));
-            world.go_on(20ms);
+            world.run_for(20ms);
         }
     }
 }
--- a/test/platform/broken_uploads_test.cpp
+++ b/test/platform/broken_uploads_test.cpp
@@ -66,6 +66,13 @@
     return answer;
 }
 
+scripted_server::script cut_uploads(const upload_case& as) {
+    return [as](const io::http_request& request) {
+        return is_upload(request) ? std::optional(cut_answer(as))
+                                  : std::nullopt;
+    };
+}
+
 // The number picks the route, and whether the body goes in chunks.
 raw_request upload(std::size_t number, const upload_case& of) {
     raw_request request;
@@ -86,7 +93,7 @@
     for (std::size_t each = 0; each < callers_at_once; ++each) {
         calls.push_back(world.call(each % instances, upload(each, of)));
     }
-    REQUIRE(world.go_on_until([&] {
+    REQUIRE(world.run_until([&] {
         return std::all_of(calls.begin(), calls.end(),
                            [](const auto& each) { return each->over(); });
     }));
@@ -118,14 +125,9 @@
     const auto played =
         GENERATE(from_range(std::begin(cases), std::end(cases)));
     INFO(played.name);
-    const auto script =
-        [&](const io::http_request& request) -> std::optional<scripted_answer> {
-        return is_upload(request) ? std::optional(cut_answer(played))
-                                  : std::nullopt;
-    };
     std::size_t cut = 0;
     for (std::size_t each = 0; each < most_worlds && cut < least_cut; ++each) {
-        scripted_world world(script, server_count);
+        scripted_world world(cut_uploads(played), server_count);
         for (std::size_t round = 0; round < rounds_in_a_world; ++round) {
             cut += check_cut(
                 world, upload_at_once(world, played, world.instances.size()));
@@ -140,15 +142,10 @@
 TEST_CASE("a part of an answer on a detour never looks complete") {
     const auto played = GENERATE(cases[0], cases[2]);
     INFO(played.name);
-    const auto script =
-        [&](const io::http_request& request) -> std::optional<scripted_answer> {
-        return is_upload(request) ? std::optional(cut_answer(played))
-                                  : std::nullopt;
-    };
     std::size_t cut = 0;
     for (std::size_t each = 0; each < most_worlds && cut < callers_at_once;
          ++each) {
-        scripted_world world(script, server_count, cut_node);
+        scripted_world world(cut_uploads(played), server_count, cut_node);
         world.partition_first();
         REQUIRE(world.serves_a_read());
         for (std::size_t round = 0; round < rounds_in_a_world; ++round) {
--- a/test/platform/scripted_world.cpp
+++ b/test/platform/scripted_world.cpp
@@ -14,7 +14,6 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-constexpr duration patience = 20s;
 constexpr duration piece_period = 1ms;
 constexpr duration noticed_within = 1500ms; // a partition
 constexpr std::size_t instance_count = 3;
@@ -127,7 +126,7 @@
     if (!serves_a_read()) {
         throw std::runtime_error("the instances do not serve in calm");
     }
-    go_on(500ms);
+    run_for(500ms);
 }
 
 std::unique_ptr<raw_call> scripted_world::call(std::size_t by_instance,
@@ -138,24 +137,7 @@
 }
 
 bool scripted_world::finish(const raw_call& call) {
-    return go_on_until([&] { return call.over(); });
-}
-
-void scripted_world::go_on(duration time) {
-    const auto beat = timers.every(5ms, [](time_point) {});
-    const auto until = timers.now() + time;
-    while (timers.now() < until) {
-        loop.run_once(true);
-    }
-}
-
-bool scripted_world::go_on_until(const std::function<bool()>& holds) {
-    const auto beat = timers.every(5ms, [](time_point) {});
-    const auto until = timers.now() + patience;
-    while (!holds() && timers.now() < until) {
-        loop.run_once(true);
-    }
-    return holds();
+    return run_until([&] { return call.over(); });
 }
 
 void scripted_world::partition_first() {
@@ -167,7 +149,7 @@
     for (const auto& each : servers) {
         each->reset_connections();
     }
-    go_on(noticed_within);
+    run_for(noticed_within);
 }
 
 unsigned scripted_world::arrivals(const std::string& id) const {
@@ -189,7 +171,7 @@
 bool scripted_world::serves_a_read() {
     std::size_t serving = 0;
     std::unique_ptr<raw_call> asked;
-    return go_on_until([&] {
+    return run_until([&] {
         if (!asked) {
             asked = call(serving, {"GET", "/look/own"});
         } else if (asked->over()) {
--- a/test/platform/scripted_world.hpp
+++ b/test/platform/scripted_world.hpp
@@ -1,12 +1,10 @@
 #pragma once
 
 #include <cstddef>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include <waxwingvale/kernel/clock.hpp>
 #include <waxwingvale/kernel/timer_service.hpp>
 
 #include "platform/instance_group.hpp"
@@ -57,7 +55,7 @@
 // one repeat, on a stand-in store and servers that all answer as the test
 // scripts it. Routes: /look/ may be repeated, /fetch/ is a download, /book/ may
 // not be repeated.
-class scripted_world {
+class scripted_world : public standin::loop_fixture {
 public:
     explicit scripted_world(scripted_server::script answers,
                             std::size_t server_count = 4,
@@ -67,8 +65,6 @@
                                    const raw_request& request);
     // Sends it and waits until it is over; false: it was not in time.
     bool finish(const raw_call& call);
-    void go_on(duration time);
-    bool go_on_until(const std::function<bool()>& holds);
     // The first instance reaches no server any more, so that others serve what
     // it is asked. Needs a cut_node.
     void partition_first();
@@ -78,9 +74,6 @@
     // Asks again and again until a signed answer comes.
     bool serves_a_read();
 
-    kernel::monotonic_clock clock;
-    kernel::event_loop loop;
-    kernel::timer_service timers{clock, loop};
     stand_in_store store{loop, timers};
     std::vector<std::unique_ptr<scripted_server>> servers;
     instance_group instances;
