--- a/src/io/message_hub.cpp
+++ b/src/io/message_hub.cpp
@@ -2,14 +2,11 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <ev.h>
-#include <list>
-#include <map>
-#include <random>
 #include <unistd.h>
 #include <utility>
 
-#include "io/link.hpp"
+#include "io/message_hub_state.hpp"
+#include "io/stream_socket.hpp"
 
 namespace waxwingvale::io {
 
@@ -25,77 +22,9 @@
 // What somebody may send ahead who has not proved itself.
 constexpr std::size_t unproven_receive_buffer = 16 * 1024; // bytes
 constexpr duration accept_pause = std::chrono::milliseconds(100);
-// A peer that lost its link to us opens it again sooner than this, so that
-// rarely both do.
-constexpr duration rested_wait = std::chrono::milliseconds(50);
-
-// A peer that we keep connecting to.
-struct dialed_peer {
-    std::string name; // empty: whoever answers at the address
-    std::string host;
-    std::uint16_t port = 0;
-    duration backoff{};
-    bool under_way = false;
-    kernel::timer_service::subscription retry;
-    kernel::timer_service::subscription connecting;
-};
-
-std::string address_of(const std::string& host, std::uint16_t port) {
-    return host + ":" + std::to_string(port);
-}
 
 } // namespace
 
-struct message_hub::state {
-    state(kernel::event_loop& on, kernel::timer_service& with,
-          message_hub_options as);
-    ~state();
-
-    void accept_waiting();
-    void pause_accepting();
-    // Links whose other end connected to us and has not proved itself.
-    std::size_t unproven() const;
-    // Makes room for a link that may prove itself; whether it could.
-    bool drop_oldest_unproven();
-    std::shared_ptr<link> add_link(link_origin origin);
-    void close_dialed(const std::string& target);
-    void dial(const std::string& target);
-    void dial_later(const std::string& target, duration delay);
-    void dial_as(const std::string& target, const std::string& name,
-                 const std::string& host, std::uint16_t port);
-    void stop_dialing(const std::string& target);
-    void keep_if_wanted(const std::string& target);
-    void dial_where_rested(const std::string& peer);
-    duration next_backoff(dialed_peer& target);
-    void on_ready(link& of);
-    void on_closed(link& of);
-    void deliver(const link& from, const std::string& kind,
-                 const payload& body);
-    void tell_change(const std::string& peer, bool up);
-    link* newest(const std::string& peer) const;
-    void tick(time_point now);
-
-    kernel::event_loop& loop;
-    kernel::timer_service& timers;
-    message_hub_options options;
-    message_hub_counters counters;
-    link_traffic traffic;
-    link_websocket_factory websockets;
-    std::mt19937_64 random{std::random_device{}()};
-    int listener = -1;
-    ev_io accepting{};
-    std::list<std::shared_ptr<link>> links;
-    // Ready links of each peer, oldest first.
-    std::map<std::string, std::vector<link*>> by_peer;
-    std::map<std::string, dialed_peer> dialed;
-    std::map<std::string, message_handler> message_handlers;
-    std::vector<link_handler> link_handlers;
-    std::vector<peer_handler> replaced_handlers;
-    kernel::timer_service::subscription ticking;
-    kernel::timer_service::subscription accepting_again;
-    time_point last_tick{};
-};
-
 message_hub::state::state(kernel::event_loop& on, kernel::timer_service& with,
                           message_hub_options as)
     : loop(on), timers(with), options(std::move(as)), last_tick(with.now()) {
@@ -200,118 +129,6 @@
     return added;
 }
 
-void message_hub::state::close_dialed(const std::string& target) {
-    const std::vector<std::shared_ptr<link>> open(links.begin(), links.end());
-    for (const auto& each : open) {
-        if (each->dialed() && each->target() == target) {
-            each->close();
-        }
-    }
-}
-
-void message_hub::state::dial(const std::string& target) {
-    const auto found = dialed.find(target);
-    if (found == dialed.end() || found->second.under_way) {
-        return;
-    }
-    auto& peer = found->second;
-    if (!peer.name.empty() && newest(peer.name) != nullptr) {
-        // The peer holds a link to us, which does; look again later.
-        dial_later(target, options.reconnect_max);
-        return;
-    }
-    const auto descriptor = start_connect(peer.host, peer.port);
-    if (!descriptor) {
-        ++counters.connects_failed;
-        dial_later(target, next_backoff(peer));
-        return;
-    }
-    peer.under_way = true;
-    link_origin origin;
-    origin.descriptor = descriptor.value();
-    origin.dialed = true;
-    origin.target = target;
-    origin.expected_peer = peer.name;
-    origin.address = address_of(peer.host, peer.port);
-    const std::weak_ptr<link> added = add_link(std::move(origin));
-    peer.connecting =
-        timers.after(options.connect_timeout, [added](time_point) {
-            const auto dialed_link = added.lock();
-            if (dialed_link && !dialed_link->connected()) {
-                dialed_link->close();
-            }
-        });
-}
-
-void message_hub::state::dial_later(const std::string& target, duration delay) {
-    dialed.at(target).retry =
-        timers.after(delay, [this, target](time_point) { dial(target); });
-}
-
-void message_hub::state::dial_as(const std::string& target,
-                                 const std::string& name,
-                                 const std::string& host, std::uint16_t port) {
-    auto& peer = dialed[target];
-    const bool same = peer.host == host && peer.port == port;
-    if (same) {
-        return;
-    }
-    peer.name = name;
-    peer.host = host;
-    peer.port = port;
-    peer.backoff = duration::zero();
-    // A link to the former address would keep us from trying the new one.
-    close_dialed(target);
-    dial_later(target, duration::zero());
-}
-
-void message_hub::state::stop_dialing(const std::string& target) {
-    if (dialed.erase(target) > 0) {
-        close_dialed(target);
-    }
-}
-
-// Two instances that find each other by a seed's address both want the link by
-// name as well, and the one that was dialed rests. Closed with the address, the
-// only link would be gone: of 17 instances that started at once, peers could
-// not return 63 of 75 slots to the owner of a service, which then gave out none
-// until the leases had run out, 1.5 s later.
-void message_hub::state::keep_if_wanted(const std::string& target) {
-    for (const auto& each : links) {
-        if (!each->dialed() || each->target() != target) {
-            continue;
-        }
-        const auto wanted = dialed.find(each->peer());
-        const bool is_only = newest(each->peer()) == each.get() &&
-                             by_peer.at(each->peer()).size() == 1;
-        if (is_only && wanted != dialed.end() && !wanted->second.under_way) {
-            each->serve_as(wanted->first);
-            wanted->second.under_way = true;
-            wanted->second.retry.cancel();
-        }
-    }
-}
-
-// The peer's link to us, which spared ours, has closed. Left to the next look,
-// the two would be out of each other's reach for up to reconnect_max.
-void message_hub::state::dial_where_rested(const std::string& peer) {
-    const auto wanted = dialed.find(peer);
-    if (wanted != dialed.end() && !wanted->second.under_way) {
-        dial_later(peer, rested_wait + next_backoff(wanted->second));
-    }
-}
-
-// Doubles up to the bound; half of it is random, so that peers that lost each
-// other at one moment do not all come back at one moment.
-duration message_hub::state::next_backoff(dialed_peer& target) {
-    target.backoff =
-        std::min(std::max(target.backoff * 2, options.reconnect_min),
-                 options.reconnect_max);
-    const auto half = target.backoff.count() / 2;
-    std::uniform_int_distribution<duration::rep> jitter(0, half);
-    return duration(half + jitter(random));
-}
-
 link* message_hub::state::newest(const std::string& peer) const {
     const auto found = by_peer.find(peer);
     return found == by_peer.end() ? nullptr : found->second.back();
