--- a/src/io/answer_parser.hpp
+++ b/src/io/answer_parser.hpp
@@ -12,9 +12,9 @@
 namespace waxwingvale::io {
 
 // Reads one answer, and refuses what the library takes though RFC 9110 and RFC
-// 9112 know no such answer to a request of ours: a status outside 100 to 599,
-// a change of the protocol, for which we never ask, and a transfer coding other
-// than chunked, of which the body would be passed on undecoded, and control
+// 9112 know no such answer to a request of ours: a status outside 100 to 599, a
+// change of the protocol, for which we never ask, a transfer coding other than
+// chunked, of which the body would be passed on undecoded, and control
 // characters behind the size of a chunk. Lines that are continued on the next
 // one are joined by the library: see has_continued_line().
 class answer_parser : public message_parser<false, http_response> {
--- a/test/platform/broken_answers.cpp
+++ b/test/platform/broken_answers.cpp
@@ -174,6 +174,74 @@
                                          "0\r\nX-A: 1\r\n X-Odd: 1\r\n\r\n")};
 }
 
+const std::string sound = "sound";
+const std::string length_5 = "Content-Length: 5\r\n";
+const std::string sound_rest = signed_head + length_5 + "\r\n" + sound;
+
+sound_answer sound_of(std::string name, std::string bytes,
+                      std::string body = sound) {
+    return {std::move(name), {std::move(bytes)}, 200, std::move(body)};
+}
+
+// Its connection is closed behind it.
+sound_answer closed_behind(sound_answer made) {
+    made.answer.ending = answer_ending::close;
+    return made;
+}
+
+std::vector<sound_answer> odd_statuses() {
+    std::vector<sound_answer> made;
+    for (const unsigned status : {200U, 203U, 299U, 399U, 404U, 499U, 599U}) {
+        const auto code = std::to_string(status);
+        made.push_back(sound_of("status-" + code, "HTTP/1.1 "));
+        made.back().answer.bytes += code;
+        made.back().answer.bytes += " Odd\r\n" + sound_rest;
+        made.back().status = status;
+    }
+    made.push_back(
+        sound_of("no-content",
+                 "HTTP/1.1 204 No Content\r\n" + signed_head + "\r\n", ""));
+    made.back().status = 204;
+    return made;
+}
+
+std::vector<sound_answer> odd_heads() {
+    return {
+        sound_of("no-reason", "HTTP/1.1 200 \r\n" + sound_rest),
+        sound_of("other-reason",
+                 "HTTP/1.1 200 \xc3\xa9 \t 000\r\n" + sound_rest),
+        sound_of("interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 \r\n\r\n"
+                            "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n"
+                            "HTTP/1.1 199 Odd\r\n\r\n" +
+                                ok + length_5 + "\r\n" + sound),
+        sound_of("odd-values",
+                 ok +
+                     "X-Empty:\r\nX-Wide: \t a \t b \t\r\n"
+                     "X-Text: \xc3\xa9\xff\r\nx!#$%&'*+-.^_`|~: 1\r\n" +
+                     length_5 + "\r\n" + sound),
+        closed_behind(
+            sound_of("http-1-0", "HTTP/1.0 200 OK\r\n" + sound_rest))};
+}
+
+std::vector<sound_answer> odd_framings() {
+    const auto text = long_body();
+    return {
+        closed_behind(sound_of("no-length", ok + "\r\n" + sound)),
+        closed_behind(sound_of("no-length-close",
+                               ok + "Connection: close\r\n\r\n" + sound)),
+        closed_behind(sound_of("no-length-empty", ok + "\r\n", "")),
+        closed_behind(sound_of("no-length-long", ok + "\r\n" + text, text)),
+        closed_behind(
+            sound_of("no-length-1-0",
+                     "HTTP/1.0 200 OK\r\n" + signed_head + "\r\n" + sound)),
+        sound_of("chunks", ok + "transfer-encoding: Chunked\r\n\r\n"
+                                "2;a=\"b c\";d\r\nso\r\n003\r\nund\r\n"
+                                "000;e\r\nX-Trailer: 1\r\n\r\n"),
+        sound_of("chunks-long",
+                 ok + chunked + "\r\n300000\r\n" + text + "\r\n" + last_chunk,
+                 text)};
+}
+
 } // namespace
 
 std::vector<named_answer> broken_answers() {
@@ -206,68 +274,10 @@
 }
 
 std::vector<sound_answer> odd_sound_answers() {
-    const std::string body = "sound";
-    const std::string length_5 = "Content-Length: 5\r\n";
-    const std::string rest = signed_head + length_5 + "\r\n" + body;
-    const auto closed = answer_ending::close;
-    const std::string long_text = long_body();
     std::vector<sound_answer> all;
-    for (const unsigned status : {200U, 203U, 299U, 399U, 404U, 499U, 599U}) {
-        const auto code = std::to_string(status);
-        all.push_back({"status-" + code,
-                       {"HTTP/1.1 " + code + " Odd\r\n" + rest},
-                       status,
-                       body});
+    for (const auto& part : {odd_statuses(), odd_heads(), odd_framings()}) {
+        all.insert(all.end(), part.begin(), part.end());
     }
-    all.push_back({"no-reason", {"HTTP/1.1 200 \r\n" + rest}, 200, body});
-    all.push_back({"other-reason",
-                   {"HTTP/1.1 200 \xc3\xa9 \t 000\r\n" + rest},
-                   200,
-                   body});
-    all.push_back({"interim",
-                   {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 \r\n\r\n"
-                    "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n"
-                    "HTTP/1.1 199 Odd\r\n\r\n" +
-                    ok + length_5 + "\r\n" + body},
-                   200,
-                   body});
-    all.push_back({"no-length", {ok + "\r\n" + body, closed}, 200, body});
-    all.push_back({"no-length-close",
-                   {ok + "Connection: close\r\n\r\n" + body, closed},
-                   200,
-                   body});
-    all.push_back({"no-length-empty", {ok + "\r\n", closed}, 200, ""});
-    all.push_back(
-        {"no-length-long", {ok + "\r\n" + long_text, closed}, 200, long_text});
-    all.push_back(
-        {"http-1-0", {"HTTP/1.0 200 OK\r\n" + rest, closed}, 200, body});
-    all.push_back(
-        {"http-1-0-no-length",
-         {"HTTP/1.0 200 OK\r\n" + signed_head + "\r\n" + body, closed},
-         200,
-         body});
-    all.push_back({"no-content",
-                   {"HTTP/1.1 204 No Content\r\n" + signed_head + "\r\n"},
-                   204,
-                   ""});
-    all.push_back({"odd-values",
-                   {ok +
-                    "X-Empty:\r\nX-Wide: \t a \t b \t\r\n"
-                    "X-Text: \xc3\xa9\xff\r\nx!#$%&'*+-.^_`|~: 1\r\n" +
-                    length_5 + "\r\n" + body},
-                   200,
-                   body});
-    all.push_back({"chunks",
-                   {ok + "transfer-encoding: Chunked\r\n\r\n"
-                         "2;a=\"b c\";d\r\nso\r\n003\r\nund\r\n"
-                         "000;e\r\nX-Trailer: 1\r\n\r\n"},
-                   200,
-                   body});
-    all.push_back(
-        {"chunks-long",
-         {ok + chunked + "\r\n300000\r\n" + long_text + "\r\n" + last_chunk},
-         200,
-         long_text});
     return all;
 }
 
--- a/test/platform/scripted_world.cpp
+++ b/test/platform/scripted_world.cpp
@@ -73,7 +73,7 @@
 }
 
 std::string raw_call::framed(std::size_t bytes) const {
-    const std::string piece(bytes, 'u');
+    std::string piece(bytes, 'u');
     if (!request_.chunked) {
         return piece;
     }
