--- a/cmake/fuzz_targets.cmake
+++ b/cmake/fuzz_targets.cmake
@@ -3,6 +3,7 @@
 file(GLOB fuzz_sources CONFIGURE_DEPENDS
     ${PROJECT_SOURCE_DIR}/test/fuzz/fuzz_target.cpp
     ${PROJECT_SOURCE_DIR}/test/fuzz/*_targets.cpp
+    ${PROJECT_SOURCE_DIR}/test/fuzz/strict_answer.cpp
     ${PROJECT_SOURCE_DIR}/test/fuzz/libfuzzer/main.cpp)
 add_executable(fuzz-target ${fuzz_sources})
 target_include_directories(fuzz-target PRIVATE ${PROJECT_SOURCE_DIR}/test)
--- a/test/fuzz/answer_targets.cpp
+++ b/test/fuzz/answer_targets.cpp
@@ -7,6 +7,7 @@
 #include "forwarding/answer_reader.hpp"
 #include "fuzz_target.hpp"
 #include "io/answer_parser.hpp"
+#include "strict_answer.hpp"
 
 using namespace waxwingvale;
 using step = forwarding::answer_reader::step;
@@ -117,7 +118,11 @@
                   whole.answer.body == by_bytes.answer.body,
               "nor to the answer");
     must_be_an_answer(whole.answer);
-    must_hold(!head_is_continued(input), "no line is continued");
+    const strict_answer wanted(input);
+    must_hold(wanted.whole(), "nothing else is taken for an answer");
+    must_hold(wanted.status() == whole.answer.status &&
+                  wanted.body() == whole.answer.body,
+              "status and body are those of the answer");
 }
 
 std::vector<std::string> answer_seeds() {
