entry, platform: a refusal without proof is not passed on

Cause: an answer without the header that states that nothing ran counted as that of a request that ran, and went out with its status, though these four statuses promise the opposite. So it was held whole, passed on while it came, and by way of another instance.

Now such an answer ends an attempt as refused-unproven with outcome unknown: bookings get our 502 without the server's signature, reads go to another server within their attempts and the budget. By way of another instance a promise is given only where that instance says not-run and nothing ran before. The product's own protocol promises by Waxwing-Outcome; a server's header of that name is taken out, as callers read it before ours.

--- a/include/waxwingvale/entry/backend_answer.hpp
+++ b/include/waxwingvale/entry/backend_answer.hpp
@@ -19,6 +19,8 @@
     answered,    // a whole answer below 500
     failed,      // a whole answer of 500 or above
     not_started, // the backend server refused before it began
+    // It refused by a status that says "not run", without proof of it.
+    refused_unproven,
     not_sent,    // refused as a connection: nothing listens there
     unreachable, // no connection in time; no byte of the request left
     timed_out,   // sent, and no answer within the time left
--- a/include/waxwingvale/entry/request_protocol.hpp
+++ b/include/waxwingvale/entry/request_protocol.hpp
@@ -56,6 +56,10 @@
     virtual backend_answer
     classify(const forwarding::backend_result& ended) const = 0;
 
+    // Whether callers take the answer as a promise that the request has not run
+    // and never will. They send it again then, whatever its kind.
+    virtual bool promises_not_run(const io::http_response& answer) const = 0;
+
     // An answer of our own, and a backend server's as the caller gets it:
     // whole and unaltered but for headers of one connection. `path_taken`
     // tells operators where it came from.
--- a/src/entry/attempt_end.cpp
+++ b/src/entry/attempt_end.cpp
@@ -10,6 +10,8 @@
         return "failed";
     case attempt_end::not_started:
         return "not-started";
+    case attempt_end::refused_unproven:
+        return "refused-unproven";
     case attempt_end::not_sent:
         return "not-sent";
     case attempt_end::unreachable:
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -21,6 +21,7 @@
     case attempt_end::answered:
         return decision::attempt_verdict::answered;
     case attempt_end::failed:
+    case attempt_end::refused_unproven:
         return decision::attempt_verdict::failed;
     case attempt_end::not_started:
     case attempt_end::misdirected:
--- a/src/entry/call_detours.cpp
+++ b/src/entry/call_detours.cpp
@@ -194,6 +194,14 @@
         finish(call.id, lost);
         return;
     }
+    const bool proven = outcome == detour_outcome::not_run &&
+                        call.earlier == run_outcome::not_run;
+    if (protocol_.promises_not_run(answer) && !proven) {
+        backend_answer refused;
+        refused.end = attempt_end::refused_unproven;
+        finish(call.id, lost_answer(refused));
+        return;
+    }
     answer.headers = io::end_to_end_headers(answer.headers);
     finish(call.id, to_run_outcome(*outcome), std::move(answer));
 }
@@ -234,9 +242,11 @@
 forwarding::long_answer_handlers
 call_desk::detour_handlers(decision::request_id id) {
     forwarding::long_answer_handlers handlers;
-    handlers.may_be_answer = [](const io::http_response& head) {
+    // What makes a promise is waited for whole: only then it can be held back.
+    handlers.may_be_answer = [this](const io::http_response& head) {
         auto headers = head.headers;
-        return take_outcome_header(headers).has_value();
+        return take_outcome_header(headers).has_value() &&
+               !protocol_.promises_not_run(head);
     };
     handlers.on_begin = [this, id](const io::http_response& head,
                                    std::optional<std::uint64_t> length) {
--- a/src/entry/lost_attempt.cpp
+++ b/src/entry/lost_attempt.cpp
@@ -67,7 +67,9 @@
     }
     const bool late = answer.end == attempt_end::timed_out;
     lost.status = late ? status::gateway_timeout : status::bad_gateway;
-    lost.reason = "answer-lost";
+    lost.reason = answer.end == attempt_end::refused_unproven
+                      ? "refusal-unproven"
+                      : "answer-lost";
     return lost;
 }
 
--- a/src/entry/own_answers.cpp
+++ b/src/entry/own_answers.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstdlib>
 #include <optional>
+#include <strings.h>
 #include <utility>
 
 namespace waxwingvale::entry {
@@ -146,9 +147,23 @@
     return rendered;
 }
 
+bool own_protocol::promises_not_run(const io::http_response& answer) const {
+    const auto* outcome = io::find_header(answer.headers, header::outcome);
+    return outcome != nullptr && *outcome == to_string(run_outcome::not_run);
+}
+
+// What callers take for our word of a request is not a backend server's to say.
 io::http_response own_protocol::pass_on(io::http_response answer,
                                         const std::string& path_taken) const {
     answer.headers = io::end_to_end_headers(answer.headers);
+    const auto is_our_word = [](const io::http_header& each) {
+        return strcasecmp(each.name.c_str(), header::outcome) == 0 ||
+               strcasecmp(each.name.c_str(), header::reason) == 0 ||
+               strcasecmp(each.name.c_str(), header::route) == 0;
+    };
+    answer.headers.erase(std::remove_if(answer.headers.begin(),
+                                        answer.headers.end(), is_our_word),
+                         answer.headers.end());
     answer.headers.push_back({header::outcome, to_string(run_outcome::ran)});
     if (!path_taken.empty()) {
         answer.headers.push_back({header::route, path_taken});
--- a/test/entry/backend_answer_test.cpp
+++ b/test/entry/backend_answer_test.cpp
@@ -125,3 +125,21 @@
     CHECK(protocol.classify(failed(error_code::unavailable, false)).sign ==
           server_sign::none);
 }
+
+// Guards against a caller that sends a booking again, since its server has
+// written beside the answer that the request did not run.
+TEST_CASE("a server's word of the outcome is not passed on as ours") {
+    const auto passed = protocol.pass_on({503,
+                                          {{"waxwing-outcome", "not-run"},
+                                           {"Waxwing-Reason", "queue-full"},
+                                           {"Waxwing-Route", "x"},
+                                           {"X-Of-Theirs", "x"}},
+                                          ""},
+                                         "instance=a");
+    CHECK_FALSE(protocol.promises_not_run(passed));
+    REQUIRE(passed.headers.size() == 3);
+    CHECK(*io::find_header(passed.headers, "Waxwing-Outcome") == "ran");
+    CHECK(*io::find_header(passed.headers, "Waxwing-Route") == "instance=a");
+    CHECK(io::find_header(passed.headers, "X-Of-Theirs") != nullptr);
+    CHECK(protocol.promises_not_run(protocol.render(entry::own_answer{})));
+}
--- a/test/platform/broken_answers.hpp
+++ b/test/platform/broken_answers.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,27 @@
 };
 std::vector<sound_answer> odd_sound_answers();
 
+// Answers that refuse by a status, as one that "never ran" does, without the
+// header that proves it: 408, 421, 429 and 503 in each framing, and cut.
+std::vector<named_answer> unproven_refusals();
+
+// What follows the prefix of the route: the name of the answer to send.
+std::string name_in(const std::string& target);
+
+// Servers answer what the target names, if any of these, else as usual.
+template <typename Named>
+scripted_server::script by_name(const std::vector<Named>& all) {
+    std::map<std::string, scripted_answer> answers;
+    for (const auto& each : all) {
+        answers[each.name] = each.answer;
+    }
+    return [answers](const io::http_request& head) {
+        const auto found = answers.find(name_in(head.target));
+        return found == answers.end() ? std::nullopt
+                                      : std::optional(found->second);
+    };
+}
+
 // Longer than an instance waits for a whole answer.
 constexpr std::size_t long_body_size = 3 * 1024 * 1024; // bytes
 
