membership: a full registry keeps the servers that are routed to

With the table's new choice taken out the test failed: none of the servers that are routed to was among its records. In a full table they take the place of others now.

--- a/include/waxwingvale/membership/registry_table.hpp
+++ b/include/waxwingvale/membership/registry_table.hpp
@@ -77,6 +77,11 @@
     // Evacuations are accepted regardless of the limit.
     explicit registry_table(std::size_t limit) : limit_(limit) {}
 
+    // The services that are routed to. In a full table their backend servers
+    // take the place of others: anybody may register servers of services that
+    // nobody uses.
+    void set_services(std::set<std::string> services);
+
     // Applies the record if it is newer. Returns whether the table changed.
     bool merge(const registry_record& update, time_point now);
 
@@ -152,9 +157,13 @@
     std::vector<registry_record>
     missing_from_list(const publication_stamp& as_of) const;
     void mark_changed(const std::string& name);
+    bool is_used(const registry_record& record) const;
+    // Makes room for a record. Returns whether there is room.
+    bool make_room_for(const registry_record& record);
     bool is_evacuation(const std::string& name) const;
 
     std::size_t limit_;
+    std::set<std::string> services_;
     std::map<std::string, registry_record> records_;
     std::map<std::string, removal> removed_;
     std::set<std::string> listed_; // of the records, those in the list so far
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -199,6 +199,7 @@
     for (const auto& fact : read.facts) {
         std::visit([this](const auto& typed) { take(typed); }, fact);
     }
+    follow_services();
     if (!lists) {
         return;
     }
@@ -210,6 +211,19 @@
     }
 }
 
+void control_service::follow_services() {
+    const auto config = known_.configurations.in_force();
+    if (!config || config->revision == services_followed_) {
+        return;
+    }
+    services_followed_ = config->revision;
+    std::set<std::string> names;
+    for (const auto& each : config->services) {
+        names.insert(each.name);
+    }
+    known_.registry.set_services(std::move(names));
+}
+
 void control_service::take(const unrelated_item&) {}
 
 void control_service::take(const configuration_text& file) {
@@ -284,6 +298,7 @@
     const bool was_fresh = known_.fresh.fresh();
     const auto standing_before = known_.standing;
     const bool held_before = known_.routes_hold;
+    follow_services();
     peers_.tick(now, look);
     const bool registry_changed = known_.registry.tick(now);
     settle_freshness();
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -45,6 +45,8 @@
     void take_reading(const io::platform_reading& reading);
     void follow_era(const io::platform_reading& reading);
     void take_facts(const io::platform_reading& reading);
+    // Which backend servers the registry keeps if it is full.
+    void follow_services();
     void note_unreadable(const unreadable_item& item);
     void take(const unrelated_item& item);
     void take(const configuration_text& file);
@@ -87,7 +89,8 @@
     kernel::timer_service::subscription flushing_;
     kernel::timer_service::subscription stopping_;
     unsigned ticks_ = 0;
-    std::uint64_t members_followed_ = 0; // their version
+    std::uint64_t members_followed_ = 0;  // their version
+    std::uint64_t services_followed_ = 0; // the configuration's revision
     publication_pace pace_;
     bool publishing_planned_ = false;
     kernel::timer_service::subscription publishing_;
--- a/src/membership/registry_table.cpp
+++ b/src/membership/registry_table.cpp
@@ -85,8 +85,7 @@
     // Evacuations are accepted even when the table is full.
     const bool is_evacuation_record =
         update.subject == registry_subject::evacuation;
-    if (!is_evacuation_record && known == records_.end() &&
-        records_.size() >= limit_) {
+    if (known == records_.end() && !make_room_for(update)) {
         return false;
     }
     if (known != records_.end()) {
@@ -108,6 +107,36 @@
     return true;
 }
 
+void registry_table::set_services(std::set<std::string> services) {
+    services_ = std::move(services);
+}
+
+bool registry_table::is_used(const registry_record& record) const {
+    return record.subject == registry_subject::evacuation ||
+           services_.count(record.entry.service) != 0;
+}
+
+bool registry_table::make_room_for(const registry_record& record) {
+    if (records_.size() < limit_ ||
+        record.subject == registry_subject::evacuation) {
+        return true;
+    }
+    if (!is_used(record)) {
+        return false;
+    }
+    const auto unused = std::find_if(
+        records_.begin(), records_.end(),
+        [this](const auto& each) { return !is_used(each.second); });
+    if (unused == records_.end()) {
+        return false;
+    }
+    fingerprint_ ^= hash_of(unused->second);
+    changed_.erase(unused->first);
+    listed_.erase(unused->first);
+    records_.erase(unused);
+    return true;
+}
+
 // A removal is counted like the last write before it, as the platform tells no
 // count of it.
 void registry_table::remove(const std::string& name, publication_stamp stamp,
--- a/test/membership/tables_test.cpp
+++ b/test/membership/tables_test.cpp
@@ -535,3 +535,33 @@
     const auto scarce = read_share_for(10, 12);
     CHECK(scarce.hurried_per_second <= scarce.per_second);
 }
+
+TEST_CASE("a full registry has room for the servers that are routed to") {
+    // Guards against another program's registrations that leave callers without
+    // backend servers.
+    registry_table table(10);
+    table.set_services({"used"});
+    const auto entry = [](const std::string& name, const char* service) {
+        registry_record record{name, 1, true, {}};
+        record.entry.service = service;
+        return record;
+    };
+    for (int i = 0; i < 20; ++i) {
+        table.merge(entry("a-" + std::to_string(i), "other"), start);
+    }
+    CHECK(table.records().size() == 10);
+    for (int i = 0; i < 20; ++i) {
+        table.merge(entry("b-" + std::to_string(i), "used"), start);
+    }
+    CHECK(table.records().size() == 10);
+    CHECK(table.records().count("b-0") == 1);
+    CHECK(table.records().count("b-9") == 1);
+    CHECK(table.records().count("b-10") == 0);
+    CHECK_FALSE(table.merge(entry("a-99", "other"), start));
+    // Full tables with the same records have the same fingerprint.
+    registry_table same(10);
+    for (const auto& each : table.records()) {
+        same.merge(each.second, start);
+    }
+    CHECK(same.fingerprint() == table.fingerprint());
+}
