--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -172,22 +172,25 @@
 void control_service::take_reading(const io::platform_reading& reading) {
     const auto now = environment_.timers.now();
     follow_era(reading);
-    take_facts(reading);
+    const bool news = take_facts(reading);
     if (reading.ends) {
         known_.readers.hear(known_.members.self().id.name,
                             known_.fresh.longest_wait_of(reading.epoch), now);
         known_.fresh.hear_platform(reading.epoch);
         settle_freshness();
     }
-    changed();
+    if (news || reading.ends) {
+        changed();
+    }
 }
 
-void control_service::take_facts(const io::platform_reading& reading) {
+bool control_service::take_facts(const io::platform_reading& reading) {
     const auto now = environment_.timers.now();
     const bool lists =
         reading.whole && published_.lists_backend_servers(reading.topic);
     if (lists && reading.begins) {
         known_.registry.begin_list(now);
+        list_.begin(now);
     }
     const auto read = facts_of(reading, published_);
     for (const auto& item : read.unreadable) {
@@ -200,15 +203,18 @@
         std::visit([this](const auto& typed) { take(typed); }, fact);
     }
     follow_services();
+    bool news = !read.facts.empty() || !read.withdrawn.empty();
     if (!lists) {
-        return;
+        return news;
     }
-    for (const auto& record : read.listed) {
+    for (const auto& record : list_.add(read.listed, reading.ends, now)) {
         known_.registry.add_listed(record, now);
+        news = true;
     }
     if (reading.ends) {
         known_.registry.end_list({reading.revision, reading.era}, now);
     }
+    return news;
 }
 
 void control_service::follow_services() {
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -7,6 +7,7 @@
 
 #include "control/control_metrics.hpp"
 #include "control/knowledge.hpp"
+#include "control/listed_backends.hpp"
 #include "control/peer_links.hpp"
 #include "control/publication_pace.hpp"
 #include "control/reading_facts.hpp"
@@ -44,7 +45,8 @@
     void watch_platform();
     void take_reading(const io::platform_reading& reading);
     void follow_era(const io::platform_reading& reading);
-    void take_facts(const io::platform_reading& reading);
+    // Returns whether anything may have changed.
+    bool take_facts(const io::platform_reading& reading);
     // Which backend servers the registry keeps if it is full.
     void follow_services();
     void note_unreadable(const unreadable_item& item);
@@ -80,6 +82,7 @@
     io::http_client client_;
     io::platform_client platform_;
     knowledge known_;
+    listed_backends list_;
     view_publisher views_;
     peer_links peers_;
     control_metrics metrics_;
