--- a/test/platform/broken_answers.cpp
+++ b/test/platform/broken_answers.cpp
@@ -257,6 +257,10 @@
                          answer_ending ending = answer_ending::keep) {
         made.push_back({status + "-" + name, {std::move(bytes), ending}});
     };
+    const auto without = [&](const std::string& line) {
+        auto bytes = usual;
+        return bytes.erase(bytes.find(line), line.size());
+    };
     add("short", usual);
     add("rest", head + "Retry-After: 1\r\n" + length(spoilt.size()) + spoilt);
     add("empty", head + length(0));
@@ -268,6 +272,12 @@
     add("cut", part, answer_ending::close);
     add("reset", part, answer_ending::reset);
     add("twice", usual + usual);
+    add("no-id", without("Waxwingvale-Attempt-Id: {id}\r\n"));
+    if (status != "421") {
+        add("unsigned", without(signature));
+    }
+    add("early", usual);
+    made.back().answer.at_head = true;
     return made;
 }
 
@@ -325,4 +335,17 @@
     return made;
 }
 
+std::vector<named_answer> proven_refusals() {
+    const auto refusal = [](const std::string& status) {
+        return named_answer{
+            status,
+            {"HTTP/1.1 " + status +
+                 " Odd\r\nWaxwingvale-Attempt-Id: {id}\r\nX-Odd: 1\r\n"
+                 "Waxwingvale-Not-Executed: 1\r\n" +
+                 length_6 + "\r\n" + spoilt,
+             answer_ending::keep}};
+    };
+    return {refusal("421"), refusal("429"), refusal("503")};
+}
+
 } // namespace waxwingvale::platform
--- a/test/platform/broken_answers.hpp
+++ b/test/platform/broken_answers.hpp
@@ -32,9 +32,14 @@
 std::vector<sound_answer> odd_sound_answers();
 
 // Answers that refuse by a status, as one that "never ran" does, without the
-// header that proves it: 408, 421, 429 and 503 in each framing, and cut.
+// header that proves it: 408, 421, 429 and 503 in each framing, cut, without an
+// id or a signature, and before the request is whole. A 421 without both says
+// by its status that another server has the address.
 std::vector<named_answer> unproven_refusals();
 
+// The same with the header: 421, 429 and 503.
+std::vector<named_answer> proven_refusals();
+
 // What follows the prefix of the route: the name of the answer to send.
 std::string name_in(const std::string& target);
 
--- a/test/platform/unproven_refusals_test.cpp
+++ b/test/platform/unproven_refusals_test.cpp
@@ -24,6 +24,14 @@
     return {"POST", "/book/" + name};
 }
 
+// Its body is on its way when the server answers.
+raw_request upload_of(const std::string& name) {
+    auto made = booking_of(name);
+    made.body_size = 600 * 1024;
+    made.chunked = true;
+    return made;
+}
+
 // It got nothing of what the server sent, and no promise that it did not run.
 void check_no_promise(const scripted_world& world, const raw_call& call) {
     const auto got = call.answer();
@@ -60,6 +68,10 @@
             send_until_it_arrives(world, booking_of(refusal.name));
         check_no_promise(world, *booking);
         CHECK(world.arrivals(booking->id()) == 1);
+        const auto upload =
+            send_until_it_arrives(world, upload_of(refusal.name));
+        check_no_promise(world, *upload);
+        CHECK(world.arrivals(upload->id()) == 1);
         const auto read = send_until_it_arrives(world, read_of(refusal.name));
         check_no_promise(world, *read);
     }
@@ -106,3 +118,27 @@
     }
     CHECK(met == 4);
 }
+
+// Guards against a caller that is told that its booking may have run, where the
+// server has proved that it has not: it could have booked at once.
+TEST_CASE("a refusal that proves that nothing ran is given as one") {
+    const bool detoured = GENERATE(false, true);
+    CAPTURE(detoured);
+    scripted_world world(by_name(proven_refusals()), 4, cut_node);
+    if (detoured) {
+        world.partition_first();
+        REQUIRE(world.serves_a_read());
+    }
+    for (const auto& refusal : proven_refusals()) {
+        INFO(refusal.name);
+        const auto booking =
+            send_until_it_arrives(world, booking_of(refusal.name));
+        const auto got = booking->answer();
+        INFO("answer: " << booking->bytes().substr(0, 300));
+        CHECK(got.status == unavailable);
+        CHECK(got.has_header("Retry-After"));
+        CHECK_FALSE(got.has_header("Waxwingvale-Response-Signature"));
+        CHECK_FALSE(got.has_header("X-Odd"));
+    }
+    CHECK(world.serves_a_read());
+}
