--- a/test/platform/endless_answers_test.cpp
+++ b/test/platform/endless_answers_test.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <fstream>
 #include <iterator>
 #include <set>
 #include <string>
@@ -27,19 +26,6 @@
     endless_bytes::unsigned_body,   endless_bytes::chunk_extension,
     endless_bytes::trailers,        endless_bytes::after_answer};
 
-// The most memory that a process has held, in KiB.
-std::size_t peak_memory(pid_t process) {
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string word;
-    std::size_t peak = 0;
-    while (status >> word) {
-        if (word == "VmHWM:") {
-            status >> peak;
-        }
-    }
-    return peak;
-}
-
 // Two instances on three servers of which one sends bytes without end.
 struct endless_world {
     ending_servers world{2, 2, {{"probes_per_second", 20}}};
@@ -62,7 +48,7 @@
                 .dump());
         world.go_on(1s);
         for (std::size_t each = 0; each < world.instances.size(); ++each) {
-            peaks_.push_back(peak_memory(process(each).id()));
+            peaks_.push_back(process(each).peak_memory());
         }
     }
 
@@ -111,7 +97,7 @@
         std::size_t counted_by = 0;
         for (std::size_t each = 0; each < world.instances.size(); ++each) {
             REQUIRE(process(each).running());
-            CHECK(peak_memory(process(each).id()) <
+            CHECK(process(each).peak_memory() <
                   peaks_[each] + memory_growth_limit);
             const auto text = metrics_of(each);
             counted_by +=
--- a/test/platform/foreign_entries_test.cpp
+++ b/test/platform/foreign_entries_test.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -10,6 +9,8 @@
 #include "platform/sample_configuration.hpp"
 #include "platform/scripted_world.hpp"
 #include "platform/store_state.hpp"
+#include "standin/control_fleet.hpp"
+#include "standin/http_request_once.hpp"
 
 using namespace std::chrono_literals;
 using namespace waxwingvale;
@@ -19,10 +20,10 @@
 namespace {
 
 constexpr std::size_t largest_value = 1024 * 1024; // bytes, of the store
-constexpr std::size_t foreign_count = 60;
-constexpr duration between_writes = 30ms;
 // Far above what a read takes, and below the time of its route.
 constexpr duration longest_wait = 1s;
+// Requests may be answered so much later than their route's time.
+constexpr duration longest_held = 500ms;
 constexpr std::size_t most_growth = 48 * 1024; // kilobytes, of a process
 
 std::string repeated(const std::string& piece, std::size_t size) {
@@ -58,15 +59,26 @@
     };
 }
 
-// Kilobytes, the most that the process has had.
-std::size_t peak_memory(pid_t process) {
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string word;
-    while (status >> word && word != "VmHWM:") {
-    }
-    std::size_t kilobytes = 0;
-    status >> kilobytes;
-    return kilobytes;
+// Small enough to be looked into.
+std::map<std::string, std::string> small_foreign_values() {
+    return {
+        {"lacks-fields", R"({"Service": "view"})"},
+        {"no-text", std::string("\xff\xfe\x00\x80", 4)},
+        {"brackets", std::string(8000, '[')},
+        {"other-service", sound_entry_with("Service", "of-others")},
+        {"other-state", sound_entry_with("State", "asleep")},
+    };
+}
+
+// The longest turn that an instance tells of.
+duration longest_turn(const scripted_world& world, std::size_t number) {
+    const auto text = standin::body_of(
+        standin::http_get(world.instances.metrics_port(number), "/metrics"));
+    const auto seconds =
+        standin::metric_in(text, "waxwing_longest_turn_seconds");
+    REQUIRE(seconds);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(*seconds));
 }
 
 // Reads of all instances, and how long each waited for its answer.
@@ -131,6 +143,29 @@
     return entry.dump();
 }
 
+// Of almost as many bytes as the store takes; the version adds a route.
+std::string large_configuration(unsigned version) {
+    const auto route = [](const std::string& prefix) {
+        return json{{"Name", "r" + prefix}, {"Host", "a.example"},
+                    {"PathPrefix", prefix}, {"Kind", "idempotent"},
+                    {"Service", "view"},    {"Timeout", 3000},
+                    {"MaxAttempts", 2}};
+    };
+    auto routes = json::array({route("/look/")});
+    routes.push_back(route("/added-" + std::to_string(version) + "/"));
+    constexpr std::size_t route_count = 7500;
+    for (std::size_t i = 0; i < route_count; ++i) {
+        routes.push_back(route("/other-" + std::to_string(i) + "/"));
+    }
+    const json services = {{{"Name", "view"}, {"HealthPath", "/healthz"}}};
+    auto text =
+        json{{"Version", version}, {"Routes", routes}, {"Services", services}}
+            .dump();
+    REQUIRE(text.size() < largest_value);
+    REQUIRE(text.size() > largest_value / 10 * 9);
+    return text;
+}
+
 using keys_and_values = std::vector<std::pair<std::string, std::string>>;
 
 keys_and_values small_entries(std::size_t count) {
@@ -142,6 +177,55 @@
     return made;
 }
 
+// What another program writes beside the entries of backend servers.
+struct foreign_writer {
+    std::string value;
+    duration period{}; // between two turns
+    std::size_t a_turn = 1;
+    std::size_t in_all = 1;
+    std::size_t keys = 1; // written one after the other, again and again
+};
+
+// Callers of three instances are served meanwhile, and a server leaves.
+void play(const foreign_writer& writer) {
+    scripted_world world(answers_all);
+    std::size_t before = 0;
+    for (std::size_t i = 0; i < world.instances.size(); ++i) {
+        before = std::max(before, world.instances.process(i).peak_memory());
+    }
+    watched_reads reads(world);
+    std::size_t written = 0;
+    auto writing = world.timers.every(writer.period, [&](time_point) {
+        for (std::size_t i = 0; i < writer.a_turn && written < writer.in_all;
+             ++i) {
+            world.store.put("servers/" +
+                                std::to_string(written++ % writer.keys),
+                            writer.value);
+        }
+    });
+    REQUIRE(world.run_until([&] { return written >= writer.in_all / 2; }));
+    world.store.put("servers/" + world.servers[3]->id(),
+                    leaving(*world.servers[3]));
+    world.run_for(2s);
+    reads.forbid(*world.servers[3]);
+    REQUIRE(world.run_until([&] { return written == writer.in_all; }));
+    world.run_for(2s);
+    CHECK(reads.longest() / 1ms < longest_wait / 1ms);
+    CHECK(reads.served() > 200);
+    CHECK(reads.misled() == 0);
+    for (std::size_t i = 0; i < world.instances.size(); ++i) {
+        INFO("instance " << i);
+        const auto peak = world.instances.process(i).peak_memory();
+        CHECK(peak < before + most_growth);
+        CHECK(longest_turn(world, i) / 1ms < longest_held / 1ms);
+    }
+    // One that starts now reads all of it as a list.
+    world.instances.process(0).kill();
+    world.instances.start_again(0);
+    CHECK(world.serves_a_read());
+    CHECK(world.instances.process(0).peak_memory() < before + most_growth);
+}
+
 std::string page_of(const keys_and_values& all) {
     json items = json::array();
     std::uint64_t revision = 0;
@@ -161,39 +245,41 @@
     const auto values = foreign_values();
     const auto kind = GENERATE_COPY(from_range(values));
     CAPTURE(kind.first);
+    play({kind.second, 30ms, 1, 60, 60});
+}
+
+// Guards against the same by entries that are small and many, or written over
+// and over.
+TEST_CASE("thousands of small entries of other programs hold up nobody") {
+    const auto values = small_foreign_values();
+    const auto kind = GENERATE_COPY(from_range(values));
+    const bool rewritten = GENERATE(false, true);
+    CAPTURE(kind.first, rewritten);
+    play({kind.second, 10ms, 60, 12'000, rewritten ? 40U : 12'000U});
+}
+
+// Guards against an instance that answers nobody while it reads a new
+// configuration of the largest size, or has it in force too late.
+TEST_CASE("configurations of the largest size hold up nobody") {
     scripted_world world(answers_all);
-    std::size_t before = 0;
-    for (std::size_t i = 0; i < world.instances.size(); ++i) {
-        before = std::max(before, peak_memory(world.instances.process(i).id()));
-    }
     watched_reads reads(world);
-    std::size_t written = 0;
-    auto writing = world.timers.every(between_writes, [&](time_point) {
-        if (written < foreign_count) {
-            world.store.put("servers/" + std::to_string(written++),
-                            kind.second);
+    unsigned version = 1;
+    auto writing = world.timers.every(400ms, [&](time_point) {
+        if (version < 6) {
+            world.store.write(large_configuration(++version));
         }
     });
-    REQUIRE(world.run_until([&] { return written == foreign_count / 2; }));
-    world.store.put("servers/" + world.servers[3]->id(),
-                    leaving(*world.servers[3]));
-    world.run_for(2s);
-    reads.forbid(*world.servers[3]);
-    REQUIRE(world.run_until([&] { return written == foreign_count; }));
+    REQUIRE(world.run_until([&] { return version == 6; }));
     world.run_for(2s);
     CHECK(reads.longest() / 1ms < longest_wait / 1ms);
     CHECK(reads.served() > 200);
-    CHECK(reads.misled() == 0);
     for (std::size_t i = 0; i < world.instances.size(); ++i) {
         INFO("instance " << i);
-        const auto peak = peak_memory(world.instances.process(i).id());
-        CHECK(peak < before + most_growth);
+        const auto call = world.call(i, {"GET", "/added-6/x"});
+        REQUIRE(world.finish(*call));
+        CHECK(call->answer().whole_success());
+        CHECK(longest_turn(world, i) / 1ms < longest_held / 1ms);
     }
-    // One that starts now reads all of it as a list.
-    world.instances.process(0).kill();
-    world.instances.start_again(0);
-    CHECK(world.serves_a_read());
-    CHECK(peak_memory(world.instances.process(0).id()) < before + most_growth);
 }
 
 // Guards against a turn of the loop as long as the list that is read in it.
--- a/test/standin/process.cpp
+++ b/test/standin/process.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <fstream>
 #include <netinet/in.h>
 #include <stdexcept>
 #include <sys/prctl.h>
@@ -209,6 +210,18 @@
     return !ended_;
 }
 
+std::size_t child_process::peak_memory() const {
+    std::ifstream status("/proc/" + std::to_string(id_) + "/status");
+    std::string word;
+    std::size_t peak = 0;
+    while (status >> word) {
+        if (word == "VmHWM:") {
+            status >> peak;
+        }
+    }
+    return peak;
+}
+
 void child_process::kill() {
     if (!running()) {
         return;
--- a/test/standin/process.hpp
+++ b/test/standin/process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -64,6 +65,8 @@
     // by then.
     std::optional<int> wait(std::chrono::milliseconds bound = patience);
     bool running();
+    // The most memory that it has held so far, in KiB; 0 when it has ended.
+    std::size_t peak_memory() const;
     // Kills it by SIGKILL and reaps it.
     void kill();
 
