--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -150,6 +150,8 @@
     // topic is asked for again once all have been.
     void deliver(const std::string& name);
     void end_delivery(const std::string& name);
+    // Pages of its list have been read, and others follow.
+    static bool has_pages_before(const watched_topic& topic);
     // What is half read is read anew.
     static void give_up_list(watched_topic& topic);
     // Whether an answer is of the era that the topic is read in. If not, the
--- a/src/io/cbor_reading.cpp
+++ b/src/io/cbor_reading.cpp
@@ -10,8 +10,8 @@
 using nlohmann::json;
 
 constexpr std::size_t depth_limit = 16; // containers within one another
-// Values of one message, those within others counted too. The longest that
-// instances send has some 250,000.
+// Values of one message, those within others counted too: as many records as a
+// message may have, with room for their fields.
 constexpr std::size_t value_limit = 512 * 1024;
 constexpr int bad_value = 501; // the library's number for such errors
 
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// A topic on which nothing was published yet is read again this much later.
-constexpr duration unpublished_pause = std::chrono::seconds(1);
 // The wait of a watch that is only to tell what has changed until now.
 constexpr duration shortest_watch = std::chrono::milliseconds(1);
 // An answer that goes on coming has so many times as long as one that does not
@@ -50,6 +48,10 @@
     return !topic.listed && (topic.call != 0 || topic.in_list);
 }
 
+bool platform_client::has_pages_before(const watched_topic& topic) {
+    return topic.in_list && !topic.last_key.empty();
+}
+
 void platform_client::give_up_list(watched_topic& topic) {
     topic.in_list = false;
     topic.last_key.clear();
@@ -124,8 +126,7 @@
     }
     auto& topic = topics_.at(name);
     const auto now = timers_.now();
-    const bool amid_list = topic.in_list && !topic.last_key.empty();
-    budget_.set_hurried(amid_list || topic.long_answer, now);
+    budget_.set_hurried(has_pages_before(topic) || topic.long_answer, now);
     const auto wait = std::max(budget_.wait_before_read(now), at_least);
     topic.next = timers_.after(wait, [this, name](time_point) { read(name); });
 }
@@ -146,7 +147,7 @@
     call.connect_timeout = options_.answer_within;
     auto first_byte_within = options_.answer_within;
     const bool amid_list =
-        topic.in_list && !topic.last_key.empty() &&
+        has_pages_before(topic) &&
         timers_.now() - topic.changes_known >= longest_without_changes;
     topic.asked_changes = topic.listed || amid_list;
     if (topic.asked_changes) {
@@ -207,152 +208,6 @@
     }
 }
 
-// The changes are not to be had, as they are forgotten or too many for one
-// answer. A list comes in pages.
-void platform_client::read_anew(const std::string& name) {
-    ++counters_.relists;
-    succeed(name);
-    topics_.at(name).listed = false;
-    give_up_list(topics_.at(name));
-    read_when_allowed(name, duration::zero());
-}
-
-void platform_client::take_page(const std::string& name, std::uint64_t asked_in,
-                                const http_response& response) {
-    auto page = dialect_.read_list(name, response);
-    if (!page && page.error().code == error_code::not_found) {
-        ++counters_.unpublished;
-        succeed(name);
-        read_when_allowed(name, unpublished_pause);
-        return;
-    }
-    if (!page) {
-        fail(name, page.error());
-        return;
-    }
-    succeed(name);
-    auto& topic = topics_.at(name);
-    const auto era = page.value().era;
-    if (!topic.in_list) {
-        topic.era = std::max(era_, era);
-    }
-    if (!follow_era(name, era)) {
-        return;
-    }
-    if (!topic.in_list) {
-        // Pages are not a snapshot: what changes while they are read is
-        // brought by the watch, which begins where the first page was.
-        topic.revision = page.value().revision;
-        topic.list_revision = topic.revision;
-        topic.epoch = asked_in;
-        topic.changes_known = timers_.now();
-    }
-    delivery started;
-    started.reading.topic = name;
-    started.reading.whole = true;
-    started.reading.revision = topic.list_revision;
-    started.reading.era = era;
-    started.reading.epoch = topic.epoch;
-    started.more = page.value().more;
-    started.portions =
-        std::make_unique<reading_portions>(std::move(page.value()));
-    topic.delivering = std::move(started);
-    deliver(name);
-}
-
-void platform_client::take_changes(const std::string& name,
-                                   std::uint64_t asked_in,
-                                   const http_response& response) {
-    auto& topic = topics_.at(name);
-    auto read = dialect_.read_watch(name, topic.revision, response);
-    if (!read && read.error().code == error_code::stale) {
-        read_anew(name);
-        return;
-    }
-    if (!read) {
-        fail(name, read.error());
-        return;
-    }
-    succeed(name);
-    auto& changes = read.value();
-    if (!follow_era(name, changes.era)) {
-        return;
-    }
-    const bool none =
-        changes.changes.empty() && (!changes.rest || changes.rest->empty());
-    ++(none ? counters_.unchanged : counters_.values);
-    delivery started;
-    started.reading.topic = name;
-    started.reading.revision = changes.revision;
-    started.reading.era = changes.era;
-    started.reading.epoch = asked_in;
-    started.portions = std::make_unique<reading_portions>(std::move(changes));
-    topic.delivering = std::move(started);
-    deliver(name);
-}
-
-void platform_client::deliver(const std::string& name) {
-    auto& topic = topics_.at(name);
-    auto& from = *topic.delivering;
-    auto reading = from.reading;
-    const auto taken = from.portions->take(reading);
-    if (!taken) {
-        topic.delivering.reset();
-        fail(name, taken.error());
-        return;
-    }
-    const bool all_given = from.portions->empty();
-    const auto last_key = from.portions->last_key();
-    // An empty page ends a list, whatever it says.
-    const bool more = from.more && !last_key.empty();
-    if (reading.whole) {
-        reading.begins = !std::exchange(topic.in_list, true);
-    }
-    reading.ends = all_given && !more && (reading.whole || topic.listed);
-    if (!all_given) {
-        from.reading.begins = false;
-        from.next = timers_.after(duration::zero(),
-                                  [this, name](time_point) { deliver(name); });
-    } else if (more) {
-        topic.last_key = last_key;
-        topic.delivering.reset();
-        read_when_allowed(name, duration::zero());
-    } else {
-        end_delivery(name);
-    }
-    topic.on_reading(reading);
-}
-
-void platform_client::end_delivery(const std::string& name) {
-    auto& topic = topics_.at(name);
-    if (topic.delivering->reading.whole) {
-        ++counters_.values;
-        topic.listed = !std::exchange(topic.again, false);
-        give_up_list(topic);
-    } else {
-        topic.revision = topic.delivering->reading.revision;
-        topic.changes_known = timers_.now();
-        topic.delivering.reset();
-    }
-    read_when_allowed(name, duration::zero());
-}
-
-// Answers of an older era came late. In a later one, revisions are given out
-// again: what follows a revision of before says nothing of the changes between
-// the copy and it, and pages of two eras are no list.
-bool platform_client::follow_era(const std::string& name, std::uint64_t era) {
-    era_ = std::max(era_, era);
-    auto& topic = topics_.at(name);
-    if (era == topic.era) {
-        return true;
-    }
-    ++counters_.relists;
-    topic.listed = false;
-    give_up_list(topic);
-    read_when_allowed(name, duration::zero());
-    return false;
-}
-
 void platform_client::succeed(const std::string& name) {
     budget_.succeeded();
     set_answers(true, {});
--- a/src/program/turn_log.cpp
+++ b/src/program/turn_log.cpp
@@ -13,7 +13,7 @@
 using namespace std::chrono_literals;
 
 constexpr duration look_period = 1s;
-// A part of the time that the most urgent requests have.
+// Callers notice a wait of that length.
 constexpr duration longest_ordinary_turn = 100ms;
 
 } // namespace
