platform: the depth of an entry is looked at before it is built

Cause: read_document let the JSON library build all of a document first. Profile of the instance that read the store: nine tenths of a processor, over half of the samples in the library's tree and its memory, some 30 ms for a page of 1 MB. It fell behind what was written, so that the changes were more than an answer holds and lists were read in their place.

Excluded: the stand-in store (a third of a processor), the pace of reads.

Now a pass over the text counts levels (64) and, for entries, values (1,024), and ends at the first bound.

--- a/src/io/json_parts.cpp
+++ b/src/io/json_parts.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::size_t depth_limit = 64; // containers within one another
 constexpr std::size_t field_limit = 64;
 constexpr const char* white_space = " \t\r\n";
 
@@ -35,6 +34,15 @@
         return at_ == text_.size();
     }
 
+    // The next of these that stands in no string; 0: there is none.
+    char take_sign(const char* signs) {
+        at_ = text_.find_first_of(signs, at_);
+        while (at_ != text_.npos && text_[at_] == '"') {
+            at_ = text_.find_first_of(signs, end_of_string(at_));
+        }
+        return at_ == text_.npos ? '\0' : text_[at_++];
+    }
+
     // A string with its quotes; empty: there is none.
     std::string_view take_string() {
         return is_next('"') ? take_until(end_of_string(at_)) : "";
@@ -99,7 +107,7 @@
             if (depth == 0) {
                 return at;
             }
-            if (depth > depth_limit) {
+            if (depth > most_json_levels) {
                 return text_.npos;
             }
         }
@@ -156,6 +164,26 @@
 
 } // namespace
 
+json_extent extent_of(std::string_view text, std::size_t most_values) {
+    json_cursor from(text);
+    std::size_t depth = 0;
+    std::size_t values = 1;
+    for (char sign = from.take_sign("\"[]{},"); sign != '\0';
+         sign = from.take_sign("\"[]{},")) {
+        const bool closes = sign == ']' || sign == '}';
+        depth += sign == '[' || sign == '{' ? 1 : 0;
+        depth -= closes && depth > 0 ? 1 : 0;
+        values += closes ? 0 : 1;
+        if (depth > most_json_levels) {
+            return json_extent::too_deep;
+        }
+        if (values > most_values) {
+            return json_extent::too_many_values;
+        }
+    }
+    return json_extent::fits;
+}
+
 std::optional<json_list> cut_list(std::string_view text, std::string_view name,
                                   std::size_t most) {
     json_list found;
--- a/src/io/json_parts.hpp
+++ b/src/io/json_parts.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,7 +11,17 @@
 // Parts of a JSON text, found in one pass without building a tree: a tree of
 // some small values takes many times their bytes, and far longer to make. Only
 // the outline is checked; each part is whatever stands there, for a parser to
-// judge. Containers within one another go 64 levels deep.
+// judge.
+
+// Containers within one another go so many levels deep.
+constexpr std::size_t most_json_levels = 64;
+
+// How a JSON text compares with what a tree of it may cost.
+enum class json_extent { fits, too_deep, too_many_values };
+
+// Counts values and levels up to the bound that is passed first. A text that is
+// no JSON has some extent, too.
+json_extent extent_of(std::string_view text, std::size_t most_values);
 
 // A JSON object whose list is cut out.
 struct json_list {
--- a/test/io/json_parts_test.cpp
+++ b/test/io/json_parts_test.cpp
@@ -77,6 +77,25 @@
     CHECK_FALSE(io::cut_list("{\"items\":[" + ones + ",1]}", "items", many));
 }
 
+// Guards against a tree that is built of a text before its depth is looked at.
+TEST_CASE("the extent of a text is known without a tree") {
+    using io::extent_of;
+    using io::json_extent;
+    CHECK(extent_of(nested(64), many) == json_extent::fits);
+    CHECK(extent_of(nested(65), many) == json_extent::too_deep);
+    CHECK(extent_of(std::string(8000, '{'), many) == json_extent::too_deep);
+    const std::string brackets(100, '[');
+    CHECK(extent_of("\"\\\"" + brackets + "\"", many) == json_extent::fits);
+    CHECK(extent_of("[\"" + brackets + "\",[1]]", 4) == json_extent::fits);
+    CHECK(extent_of(R"({"a":1,"b":{"c":2}})", 4) == json_extent::fits);
+    CHECK(extent_of(R"({"a":1,"b":{"c":2}})", 3) ==
+          json_extent::too_many_values);
+    CHECK(extent_of("[1,2,3]", 3) == json_extent::too_many_values);
+    CHECK(extent_of("]]]1", 1) == json_extent::fits);
+    CHECK(extent_of("", 1) == json_extent::fits);
+    CHECK(extent_of("\"no end", 1) == json_extent::fits);
+}
+
 TEST_CASE("the fields of an object are cut apart") {
     const auto fields =
         io::cut_fields(R"({"Key": "a/b", "Value":"eA==","Revision" :12,)"
--- a/test/platform/foreign_entries_test.cpp
+++ b/test/platform/foreign_entries_test.cpp
@@ -332,6 +332,28 @@
     }
 }
 
+// Guards against entries that take hundreds of times as long to refuse as to
+// read, since the library builds all of them first.
+TEST_CASE("an entry too deep or of too many values is refused unbuilt") {
+    const store_state published(sample_deployment());
+    const auto why = [&](const std::string& value) {
+        const auto decoded = published.decode({"servers/i", value, 1, ""});
+        REQUIRE_FALSE(decoded);
+        CHECK(decoded.error().code == error_code::malformed);
+        return decoded.error().detail;
+    };
+    CHECK(why(std::string(8000, '[')) ==
+          "expected at most 64 levels of nesting");
+    CHECK(why("[" + repeated("1,", 8000) + "1]") ==
+          "expected at most 1024 values");
+    auto extended = json::parse(sound_entry_with("Zone", "n"));
+    extended["More"] = json::parse("[" + repeated("[[]],", 1000) + "{}]");
+    CHECK(published.decode({"servers/i", extended.dump(), 1, ""}));
+    const auto told = published.parse({1, std::string(512 * 1024, '[')});
+    REQUIRE_FALSE(told);
+    CHECK(told.error().detail == "expected at most 64 levels of nesting");
+}
+
 // Guards against names that fill the memory of every instance.
 TEST_CASE("an entry with a name that is too long names no server") {
     const store_state published(sample_deployment());
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -54,6 +54,25 @@
     CHECK(page.value().items[2].value.empty());
 }
 
+TEST_CASE("a value is read the same with escapes as without") {
+    const auto page = dialect.read_list(
+        "", {200,
+             {},
+             R"({"items":[{"Key":"a","Value":"Pz8/","Revision":1},)"
+             R"({"Key":"b","Value":"Pz8\/","Revision":1},)"
+             R"({"Key":"c","Value":"Pz8\u002f","Revision":1},)"
+             R"({"Key":"d","Value":"Pz8\\","Revision":1}],)"
+             R"("HasMore":false,"AsOf":1})"});
+    REQUIRE(page);
+    const auto& items = page.value().items;
+    REQUIRE(items.size() == 4);
+    for (std::size_t i = 0; i < 3; ++i) {
+        CHECK(items[i].value == "???");
+        CHECK(items[i].problem.empty());
+    }
+    CHECK_FALSE(items[3].problem.empty());
+}
+
 TEST_CASE("changes tell what is written and what is gone") {
     const auto changes = dialect.read_watch("", 411, answer(200, R"({"events": [
             {"Key": "a", "Value": "eA==", "Revision": 412},
