io: a list goes on though changes amid it are lost

A list that takes over 200 ms is interrupted to ask what has changed. Where that was more than an answer holds, or was forgotten by the store, the list began anew, so that it never ended as long as much was written, and nothing behind its first pages was known.

Now the list goes on and is read once more at its end for what was missed; the changes that the next looks bring begin at the next page, and looks become more frequent, to 25 ms, so that each has less to bring.

--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -100,6 +100,11 @@
     const platform_counters& counters() const { return counters_; }
 
 private:
+    // A list that takes longer is interrupted to ask what has changed
+    // meanwhile.
+    static constexpr duration longest_without_changes =
+        std::chrono::milliseconds(200);
+
     // An answer whose items are being given on.
     struct delivery {
         platform_reading reading; // what every portion tells
@@ -122,6 +127,10 @@
         bool asked_changes = false;      // by the call under way
         bool long_answer = false;        // the last one
         time_point changes_known{};      // up to when; while a list is read
+        // Then the list is interrupted to ask for them.
+        duration without_changes = longest_without_changes;
+        // Those until the next page are not to be had.
+        bool changes_lost = false;
         std::uint64_t epoch = 0; // in which the first page was asked for
         std::optional<delivery> delivering;
         http_client::call_id call = 0; // under way, or 0
@@ -141,6 +150,9 @@
     void look_for_silence(const std::string& name, duration after);
     void finish(const std::string& name, std::uint64_t asked_in,
                 http_call_result got);
+    // The changes are not to be had, as they are forgotten or too many for one
+    // answer.
+    void lose_changes(const std::string& name);
     void read_anew(const std::string& name);
     void take_page(const std::string& name, std::uint64_t asked_in,
                    const http_response& response);
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -17,8 +17,6 @@
 // After more failures in a row than this a half-read list begins anew: by then
 // the history after its first page may no longer be kept.
 constexpr unsigned most_failures_in_list = 4;
-// A list that takes longer is interrupted to ask what has changed meanwhile.
-constexpr duration longest_without_changes = std::chrono::milliseconds(200);
 // The changes of a quiet platform, or a page of it, take less.
 constexpr std::size_t long_answer_size = 512 * 1024; // bytes
 // Then another topic is tried in its place.
@@ -54,6 +52,7 @@
 
 void platform_client::give_up_list(watched_topic& topic) {
     topic.in_list = false;
+    topic.changes_lost = false;
     topic.last_key.clear();
     topic.delivering.reset();
 }
@@ -147,8 +146,8 @@
     call.connect_timeout = options_.answer_within;
     auto first_byte_within = options_.answer_within;
     const bool amid_list =
-        has_pages_before(topic) &&
-        timers_.now() - topic.changes_known >= longest_without_changes;
+        has_pages_before(topic) && !topic.changes_lost &&
+        timers_.now() - topic.changes_known >= topic.without_changes;
     topic.asked_changes = topic.listed || amid_list;
     if (topic.asked_changes) {
         const bool at_once = topic.catches_up || amid_list;
@@ -193,7 +192,7 @@
     const bool too_long = !got.response && got.response.error().code ==
                                                error_code::resource_exhausted;
     if (too_long && topic.asked_changes) {
-        read_anew(name);
+        lose_changes(name);
         return;
     }
     if (!got.response) {
--- a/src/io/platform_client_readings.cpp
+++ b/src/io/platform_client_readings.cpp
@@ -14,11 +14,29 @@
 
 // A topic on which nothing was published yet is read again this much later.
 constexpr duration unpublished_pause = std::chrono::seconds(1);
+// A list whose changes are lost again and again is interrupted no more often.
+constexpr duration shortest_without_changes = std::chrono::milliseconds(25);
 
 } // namespace
 
-// The changes are not to be had, as they are forgotten or too many for one
-// answer. A list comes in pages.
+// Begun anew each time, a list would never end while much changes. It goes on,
+// and is read once more for what has changed behind its place; then what
+// changes is asked for more often, so that there is less of it.
+void platform_client::lose_changes(const std::string& name) {
+    auto& topic = topics_.at(name);
+    if (!has_pages_before(topic)) {
+        read_anew(name);
+        return;
+    }
+    ++counters_.relists;
+    succeed(name);
+    topic.again = true;
+    topic.changes_lost = true;
+    topic.without_changes =
+        std::max(topic.without_changes / 2, shortest_without_changes);
+    read_when_allowed(name, duration::zero());
+}
+
 void platform_client::read_anew(const std::string& name) {
     ++counters_.relists;
     succeed(name);
@@ -50,11 +68,14 @@
         return;
     }
     if (!topic.in_list) {
-        // Pages are not a snapshot: what changes while they are read is
-        // brought by the watch, which begins where the first page was.
-        topic.revision = page.value().revision;
-        topic.list_revision = topic.revision;
+        topic.list_revision = page.value().revision;
         topic.epoch = asked_in;
+    }
+    // Pages are not a snapshot: what changes while they are read is brought by
+    // the watch, which begins where the first page was, or the first after
+    // changes that were lost.
+    if (!topic.in_list || std::exchange(topic.changes_lost, false)) {
+        topic.revision = page.value().revision;
         topic.changes_known = timers_.now();
     }
     delivery started;
@@ -76,7 +97,7 @@
     auto& topic = topics_.at(name);
     auto read = dialect_.read_watch(name, topic.revision, response);
     if (!read && read.error().code == error_code::stale) {
-        read_anew(name);
+        lose_changes(name);
         return;
     }
     if (!read) {
@@ -138,6 +159,9 @@
     if (topic.delivering->reading.whole) {
         ++counters_.values;
         topic.listed = !std::exchange(topic.again, false);
+        if (topic.listed) {
+            topic.without_changes = longest_without_changes;
+        }
         give_up_list(topic);
     } else {
         topic.revision = topic.delivering->reading.revision;
