--- a/test/io/platform_starvation_test.cpp
+++ b/test/io/platform_starvation_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "io/paged_reader.hpp"
 #include "io/stream_socket.hpp"
 #include <waxwingvale/io/http_client.hpp>
 #include <waxwingvale/io/http_server.hpp>
@@ -18,39 +19,8 @@
 
 namespace {
 
-// A list of numbered pages, each of one item: "3+" is the third of more.
-class paged_dialect : public io::platform_dialect {
-public:
-    std::string list_target(const std::string&,
-                            const std::string& after) const override {
-        return "/list/" + (after.empty() ? "0" : after);
-    }
-    std::string watch_target(const std::string&, std::uint64_t,
-                             duration) const override {
-        return "/watch";
-    }
-    result<io::published_page>
-    read_list(const std::string&,
-              const io::http_response& answer) const override {
-        if (answer.status != 200) {
-            return error{error_code::unavailable, "read", "", ""};
-        }
-        io::published_page page;
-        page.more = answer.body.back() == '+';
-        page.items.push_back(
-            {answer.body.substr(0, answer.body.find('+')), "", 1, ""});
-        page.revision = 1;
-        return page;
-    }
-    result<io::published_changes>
-    read_watch(const std::string&, std::uint64_t,
-               const io::http_response&) const override {
-        return io::published_changes{};
-    }
-};
-
 // A watch is answered by 410 or by nothing new.
-class eventful_dialect : public paged_dialect {
+class eventful_dialect : public io::paged_dialect {
 public:
     result<io::published_changes>
     read_watch(const std::string&, std::uint64_t,
@@ -64,50 +34,8 @@
     }
 };
 
-struct reader_bench {
-    kernel::event_loop loop;
-    kernel::monotonic_clock time;
-    kernel::timer_service timers{time, loop};
-    io::http_client http{loop, {}};
-    paged_dialect dialect;
-    std::vector<std::string> listed;
-    unsigned readings = 0;
-
-    std::unique_ptr<io::platform_client>
-    start_reading(std::uint16_t port, duration answer_within = 3s) {
-        io::platform_client_options options;
-        options.host = "127.0.0.1";
-        options.port = port;
-        options.answer_within = answer_within;
-        options.seed = 1;
-        auto client = std::make_unique<io::platform_client>(http, timers,
-                                                            dialect, options);
-        client->set_share({1000., 1000., 1ms});
-        client->watch("all", [this](const io::platform_reading& reading) {
-            readings += reading.ends ? 1 : 0;
-            if (reading.begins) {
-                listed.clear();
-            }
-            for (const auto& item : reading.items) {
-                listed.push_back(item.key);
-            }
-        });
-        return client;
-    }
-
-    // Whether the condition holds within that time.
-    bool within(duration limit, const std::function<bool()>& condition) {
-        const auto until = time.now() + limit;
-        const auto ticking = timers.every(5ms, [](time_point) {});
-        while (!condition() && time.now() < until) {
-            loop.run_once(true);
-        }
-        return condition();
-    }
-};
-
 // Answers lists of so many pages, and no watch.
-struct paged_platform : reader_bench {
+struct paged_platform : io::reader_bench {
     explicit paged_platform(unsigned page_count) : pages(page_count) {
         server
             .start(
@@ -125,11 +53,9 @@
             respond({503, {}, ""});
             return;
         }
-        const auto page = std::stoul(request.target.substr(6)) + 1;
-        const io::http_response with{
-            200, {}, std::to_string(page) + (page < pages ? "+" : "")};
         late.push_back(timers.after(
-            delay, [respond, with](time_point) { respond(with); }));
+            delay, [respond, with = io::page_asked_for(request, pages)](
+                       time_point) { respond(with); }));
     }
 
     io::http_server server{loop, {}};
@@ -141,7 +67,7 @@
 };
 
 // Sends each answer in pieces, one every `gap`.
-struct slow_platform : reader_bench {
+struct slow_platform : io::reader_bench {
     slow_platform(duration piece_gap, unsigned piece_count)
         : gap(piece_gap),
           pieces(piece_count),
@@ -297,7 +223,7 @@
 // Answers every watch at once, by the same status, and counts how long the
 // reader goes without word once its burst is used up, at most.
 duration longest_wait_for_word(unsigned watch_status) {
-    reader_bench bench;
+    io::reader_bench bench;
     io::http_server server(bench.loop, {});
     server
         .start([&](io::http_request request, io::http_responder respond) {
@@ -331,138 +257,3 @@
     CHECK(longest_wait_for_word(200) < 1s);
     CHECK(longest_wait_for_word(410) < 1s);
 }
-
-namespace {
-
-// Revisions are times in milliseconds; a watch tells since when, and how long
-// it waits.
-class dated_dialect : public paged_dialect {
-public:
-    explicit dated_dialect(const kernel::monotonic_clock& time) : time_(time) {}
-
-    std::uint64_t now() const {
-        return static_cast<std::uint64_t>(time_.now().time_since_epoch() / 1ms);
-    }
-    std::string watch_target(const std::string&, std::uint64_t revision,
-                             duration wait) const override {
-        return "/watch/" + std::to_string(wait / 1ms) + "/" +
-               std::to_string(revision);
-    }
-    result<io::published_page>
-    read_list(const std::string& topic,
-              const io::http_response& answer) const override {
-        auto page = paged_dialect::read_list(topic, answer);
-        if (page) {
-            page.value().revision = now();
-        }
-        return page;
-    }
-    result<io::published_changes>
-    read_watch(const std::string&, std::uint64_t,
-               const io::http_response& answer) const override {
-        if (answer.status == 410) {
-            return error{error_code::stale, "read", "", ""};
-        }
-        io::published_changes changes;
-        changes.revision = now();
-        return changes;
-    }
-
-private:
-    const kernel::monotonic_clock& time_;
-};
-
-// Answers a watch that does not wait by what has changed in the last `history`,
-// else by 410, or by more than an answer may have; and no watch that waits.
-struct forgetful_platform : reader_bench {
-    forgetful_platform(duration kept, bool refuse) : history(kept) {
-        server
-            .start([this, refuse](const io::http_request& request,
-                                  const io::http_responder& respond) {
-                const auto watched = request.target.rfind("/watch/", 0) == 0;
-                if (!watched) {
-                    answer_list(request, respond);
-                    return;
-                }
-                const auto slash = request.target.rfind('/');
-                const auto since =
-                    std::stoull(request.target.substr(slash + 1));
-                const bool waits = request.target.substr(7, slash - 7) != "1";
-                const bool kept_all = dialect.now() - since <=
-                                      static_cast<std::uint64_t>(history / 1ms);
-                waiting += waits ? 1 : 0;
-                lost += !waits && !kept_all ? 1 : 0;
-                if (!waits && kept_all) {
-                    respond({200, {}, ""});
-                } else if (!waits && refuse) {
-                    respond({410, {}, ""});
-                } else if (!waits) {
-                    respond({200, {}, std::string(2000, 'x')});
-                }
-            })
-            .value();
-        io::platform_client_options options;
-        options.host = "127.0.0.1";
-        options.port = server.port();
-        io::http_client::limits small;
-        small.response_body = 1000;
-        connections = std::make_unique<io::http_client>(loop, small);
-        client = std::make_unique<io::platform_client>(*connections, timers,
-                                                       dialect, options);
-        client->set_share({1000., 1000., 1ms});
-        client->watch("all", [this](const io::platform_reading& reading) {
-            readings += reading.whole && reading.ends ? 1 : 0;
-            listed += reading.items.size();
-        });
-    }
-
-    void answer_list(const io::http_request& request,
-                     const io::http_responder& respond) {
-        const auto page = std::stoul(request.target.substr(6)) + 1;
-        const io::http_response with{
-            200, {}, std::to_string(page) + (page < pages ? "+" : "")};
-        late.push_back(
-            timers.after(20ms, [respond, with](time_point) { respond(with); }));
-    }
-
-    static constexpr unsigned pages = 40;
-    duration history;
-    dated_dialect dialect{time};
-    unsigned waiting = 0;
-    unsigned lost = 0;
-    unsigned readings = 0;
-    std::size_t listed = 0;
-    std::vector<kernel::timer_service::subscription> late;
-    io::http_server server{loop, {}};
-    std::unique_ptr<io::http_client> connections;
-    std::unique_ptr<io::platform_client> client;
-};
-
-} // namespace
-
-// Guards against a list that never ends, as it begins anew whenever more has
-// changed amid it than the platform tells: a server's leaving is not known.
-TEST_CASE("a list is read to its end though changes amid it are lost") {
-    const bool refuse = GENERATE(false, true);
-    CAPTURE(refuse);
-    forgetful_platform platform(duration::zero(), refuse);
-    CHECK(platform.within(5s, [&] { return platform.readings >= 2; }));
-    CHECK(platform.listed >= 2 * platform.pages);
-    CHECK(platform.lost > 0);
-    CHECK(platform.waiting == 0); // it is not known what has changed
-    CHECK(platform.client->answers());
-    CHECK(platform.client->counters().failed == 0);
-}
-
-// Guards against a list that is read again and again, though what changes amid
-// it is to be had by who asks for it often.
-TEST_CASE("changes that were lost amid a list are asked for more often") {
-    const bool refuse = GENERATE(false, true);
-    CAPTURE(refuse);
-    forgetful_platform platform(150ms, refuse);
-    CHECK(platform.within(8s, [&] { return platform.waiting > 0; }));
-    CHECK(platform.lost > 0);
-    CHECK(platform.readings >= 2); // one more for what was lost
-    CHECK(platform.readings <= 3);
-    CHECK(platform.listed == platform.readings * platform.pages);
-}
--- a/test/platform/broken_answers.cpp
+++ b/test/platform/broken_answers.cpp
@@ -1,5 +1,7 @@
 #include "platform/broken_answers.hpp"
 
+#include <catch2/catch.hpp>
+
 namespace waxwingvale::platform {
 
 namespace {
@@ -320,6 +322,15 @@
     return all;
 }
 
+void check_own_answer(const raw_call& call) {
+    const auto got = call.answer();
+    CHECK(answers_begun(call.bytes()) == 1);
+    CHECK(got.complete);
+    CHECK_FALSE(got.has_header("Waxwingvale-Response-Signature"));
+    CHECK_FALSE(got.has_header("X-Odd"));
+    CHECK(got.body.find(spoilt) == std::string::npos);
+}
+
 std::string name_in(const std::string& target) {
     const auto at = target.find('/', 1);
     return at == target.npos ? std::string() : target.substr(at + 1);
--- a/test/platform/broken_answers.hpp
+++ b/test/platform/broken_answers.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "platform/scripted_server.hpp"
+#include "platform/scripted_world.hpp"
 
 namespace waxwingvale::platform {
 
@@ -40,6 +41,10 @@
 // The same with the header: 421, 429 and 503.
 std::vector<named_answer> proven_refusals();
 
+// Checks that a call got one whole answer of the instance itself, and nothing
+// of what a server had sent in place of one of those above.
+void check_own_answer(const raw_call& call);
+
 // What follows the prefix of the route: the name of the answer to send.
 std::string name_in(const std::string& target);
 
--- a/test/platform/broken_answers_test.cpp
+++ b/test/platform/broken_answers_test.cpp
@@ -71,11 +71,7 @@
                    bool repeatable) {
     const auto got = call.answer();
     INFO("answer: " << call.bytes().substr(0, 300));
-    CHECK(answers_begun(call.bytes()) == 1);
-    CHECK(got.complete);
-    CHECK_FALSE(got.has_header("Waxwingvale-Response-Signature"));
-    CHECK_FALSE(got.has_header("X-Odd"));
-    CHECK(got.body.find("spoilt") == std::string::npos);
+    check_own_answer(call);
     const auto arrivals = world.arrivals(call.id());
     if (arrivals == 0) {
         CHECK(got.status == unavailable);
--- a/test/platform/unproven_refusals_test.cpp
+++ b/test/platform/unproven_refusals_test.cpp
@@ -36,12 +36,8 @@
 void check_no_promise(const scripted_world& world, const raw_call& call) {
     const auto got = call.answer();
     INFO("answer: " << call.bytes().substr(0, 300));
-    CHECK(answers_begun(call.bytes()) == 1);
-    CHECK(got.complete);
-    CHECK_FALSE(got.has_header("Waxwingvale-Response-Signature"));
+    check_own_answer(call);
     CHECK_FALSE(got.has_header("Retry-After"));
-    CHECK_FALSE(got.has_header("X-Odd"));
-    CHECK(got.body.find("spoilt") == std::string::npos);
     CHECK((got.status == bad_gateway || got.status == gateway_timeout));
     CHECK(world.arrivals(call.id()) > 0);
 }
