control, platform: a long configuration is read on several turns

Cause: a file was read whole, as one document, where it came in.

Now configuration_intake takes files from the store and from peers. One over 64 KiB is read 256 routes or 64 KiB a turn of the loop; one that is being read is read to its end, so that files that keep coming don't keep all of them out, then the newest of those that wait. The reading of the store that brought it ends when it is in force: until then it proves nothing to be the newest, and no more of that topic is read (platform_client::hold). No file is asked of a peer while one is read.

--- a/include/waxwingvale/control/published_state.hpp
+++ b/include/waxwingvale/control/published_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -22,6 +23,16 @@
     std::variant<unrelated_item, configuration_text, membership::platform_list,
                  membership::registry_record>;
 
+// A configuration that is being read, a little a turn of the loop.
+class configuration_reading {
+public:
+    virtual ~configuration_reading() = default;
+    // Reads on for a few milliseconds at most; whether that was its end.
+    virtual bool read_on() = 0;
+    // At its end: what it says.
+    virtual result<configuration> take() = 0;
+};
+
 // What the platform publishes, and in which form. One is in use per process;
 // it translates and decides nothing.
 class published_state {
@@ -47,6 +58,12 @@
     // Reads a configuration, whole or not at all.
     virtual result<configuration>
     parse(const configuration_text& file) const = 0;
+    // The same of one that takes long; null: it doesn't.
+    virtual std::unique_ptr<configuration_reading>
+    begin(const configuration_text& file) const {
+        static_cast<void>(file);
+        return nullptr;
+    }
 };
 
 // The product's own: one value with the configuration file, and one with the
--- a/include/waxwingvale/io/platform_client.hpp
+++ b/include/waxwingvale/io/platform_client.hpp
@@ -94,6 +94,11 @@
     void resume();
     bool paused() const { return paused_; }
 
+    // Reads and gives on no more of the topic until go_on(): what was given
+    // takes longer. For its reading_handler, while that is called.
+    void hold(const std::string& topic);
+    void go_on(const std::string& topic);
+
     bool answers() const { return answers_; }
     // When it answered last, if ever.
     std::optional<time_point> last_answer() const { return last_answer_; }
@@ -138,6 +143,7 @@
         kernel::timer_service::subscription silence;
         kernel::timer_service::subscription next;
         bool waits = false; // for another topic's read to succeed
+        bool held = false;  // see hold()
     };
 
     void start_reading();
@@ -161,6 +167,7 @@
     // Gives on the next portion, and the others on later turns of the loop. The
     // topic is asked for again once all have been.
     void deliver(const std::string& name);
+    void deliver_later(const std::string& name);
     void end_delivery(const std::string& name);
     // Pages of its list have been read, and others follow.
     static bool has_pages_before(const watched_topic& topic);
--- a/include/waxwingvale/membership/configuration_exchange.hpp
+++ b/include/waxwingvale/membership/configuration_exchange.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <waxwingvale/membership/configuration_register.hpp>
@@ -34,6 +36,13 @@
     configuration_exchange(configuration_register& configurations,
                            duration answer_timeout);
 
+    // Offers a received file, and returns the outcome. One that is `begun` is
+    // read on, and its outcome told later.
+    using offerer = std::function<offer_outcome(
+        configuration_text, std::function<void(offer_outcome)>)>;
+    // In place of the register itself.
+    void offer_by(offerer offers) { offer_ = std::move(offers); }
+
     // Records the revisions that a peer announced. A file that is missing here
     // is requested after `wait`, within which it often arrives from the
     // discovery platform.
@@ -66,8 +75,8 @@
     // The files here that the requesting peer does not have.
     std::vector<configuration_message>
     answer(const configuration_request& request);
-    // Offers a received file to the register. Error: the bytes cannot be
-    // unpacked; the file is then requested again.
+    // Offers a received file. Error: the bytes cannot be unpacked; the file is
+    // then requested again.
     result<offer_outcome> receive(const std::string& peer,
                                   const configuration_message& message);
 
@@ -113,10 +122,14 @@
     announcements::iterator best_request_target(time_point now);
     void clear_open_request(const std::string& peer);
     void record_received(const std::string& peer, std::uint64_t revision);
+    void take_outcome(const std::string& peer, std::uint64_t revision,
+                      offer_outcome outcome);
     void mark_rejected(std::uint64_t revision);
     configuration_message packed_message(const configuration_text& file);
 
     configuration_register& configurations_;
+    offerer offer_;
+    unsigned being_read_ = 0; // files; no other is requested meanwhile
     duration answer_timeout_;
     announcements announcements_; // by the names of linked peers
     // The newest announcement of any peer, also of peers whose link is down.
--- a/include/waxwingvale/membership/configuration_register.hpp
+++ b/include/waxwingvale/membership/configuration_register.hpp
@@ -13,11 +13,12 @@
 
 // The result of offering a configuration file.
 enum class offer_outcome {
-    accepted,   // valid and newer: in force from now on
-    refused,    // newer but invalid: the previous file stays in force
-    duplicate,  // the same file as the one in force or the one refused
-    older,      // does not replace the file in force, as it is older
-    conflicting // differs from a known file with the same revision
+    accepted,    // valid and newer: in force from now on
+    refused,     // newer but invalid: the previous file stays in force
+    duplicate,   // the same file as the one in force or the one refused
+    older,       // does not replace the file in force, as it is older
+    conflicting, // differs from a known file with the same revision
+    begun        // long: it is being read, and offered at its end
 };
 
 // A newer file that was refused, and the first error found in it.
@@ -72,6 +73,11 @@
         std::shared_ptr<const configuration_precedence> precedence);
 
     offer_outcome offer(const configuration_text& file);
+    // Whether the outcome of that depends on what the file says.
+    bool is_new(const configuration_text& file) const;
+    // Offers a file that was read elsewhere, by the same rules.
+    offer_outcome offer(const configuration_text& file,
+                        result<configuration> read);
 
     // Null, with revision 0, until a first file has been accepted.
     configuration_ptr in_force() const { return in_force_; }
@@ -87,8 +93,9 @@
     const configuration_counters& counters() const { return counters_; }
 
 private:
-    offer_outcome compare_same_revision(const configuration_text& known,
-                                        const configuration_text& file);
+    const configuration_text*
+    same_revision(const configuration_text& file) const;
+    offer_outcome pass_over(const configuration_text& file);
 
     validator validate_;
     std::shared_ptr<const configuration_precedence> precedence_;
--- a/include/waxwingvale/membership/peer_exchange.hpp
+++ b/include/waxwingvale/membership/peer_exchange.hpp
@@ -136,6 +136,10 @@
                (was_introduced_ || configurations_.has_newest_announced());
     }
     const configuration_exchange& files() const { return configurations_; }
+    // See configuration_exchange.
+    void offer_files_by(configuration_exchange::offerer offers) {
+        configurations_.offer_by(std::move(offers));
+    }
     const exchange_counters& counters() const { return counters_; }
     // Returns and clears the error of the last message that could not be used.
     std::optional<error> take_error() {
--- a/src/control/control_readings.cpp
+++ b/src/control/control_readings.cpp
@@ -1,6 +1,7 @@
 // The part of control_service that takes what is read of the platform.
 
 #include <set>
+#include <utility>
 #include <variant>
 
 #include <waxwingvale/program/state_log.hpp>
@@ -10,20 +11,45 @@
 namespace waxwingvale::control {
 
 void control_service::take_reading(const io::platform_reading& reading) {
-    const auto now = environment_.timers.now();
     follow_era(reading);
+    const auto files_before = files_being_read_;
     const bool news = take_facts(reading);
-    if (reading.ends) {
+    const reading_end end{reading.topic, reading.epoch, news, reading.ends};
+    if (files_being_read_ == files_before) {
+        end_reading(end);
+        return;
+    }
+    held_.push_back(end);
+    platform_.hold(end.topic);
+    if (news) {
+        changed(); // of what is not in the files
+    }
+}
+
+void control_service::end_reading(const reading_end& end) {
+    if (end.all) {
         known_.readers.hear(known_.members.self().id.name,
-                            known_.fresh.longest_wait_of(reading.epoch), now);
-        known_.fresh.hear_platform(reading.epoch);
+                            known_.fresh.longest_wait_of(end.epoch),
+                            environment_.timers.now());
+        known_.fresh.hear_platform(end.epoch);
         settle_freshness();
     }
-    if (news || reading.ends) {
+    if (end.news || end.all) {
         changed();
     }
 }
 
+// Nothing is known to be the newest until all of a reading is in force.
+void control_service::end_file() {
+    if (--files_being_read_ > 0) {
+        return;
+    }
+    for (const auto& each : std::exchange(held_, {})) {
+        end_reading(each);
+        platform_.go_on(each.topic);
+    }
+}
+
 bool control_service::take_facts(const io::platform_reading& reading) {
     const auto now = environment_.timers.now();
     const bool lists =
@@ -73,13 +99,26 @@
 void control_service::take(const unrelated_item&) {}
 
 void control_service::take(const configuration_text& file) {
-    const auto outcome = known_.configurations.offer(file);
+    const auto outcome =
+        intake_.offer(file, [this, revision = file.revision](auto later) {
+            log_passed_over(revision, later);
+            end_file();
+        });
+    if (outcome == membership::offer_outcome::begun) {
+        ++files_being_read_;
+    } else {
+        log_passed_over(file.revision, outcome);
+    }
+}
+
+void control_service::log_passed_over(std::uint64_t revision,
+                                      membership::offer_outcome outcome) const {
     const bool passed_over = outcome == membership::offer_outcome::older ||
                              outcome == membership::offer_outcome::conflicting;
     if (passed_over) {
         program::log_change(
             "configuration_passed_over",
-            {{"revision", std::to_string(file.revision)},
+            {{"revision", std::to_string(revision)},
              {"in_force", std::to_string(known_.configurations.revision())}});
     }
 }
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -82,6 +82,7 @@
               return published.parse(file);
           },
           environment.timers.now()),
+      intake_(environment.timers, known_.configurations, published),
       views_(environment.services.need<kernel::message_bus>(
                  program::service_name::bus),
              environment.timers, known_),
@@ -126,6 +127,16 @@
             }
         });
     peers_.on_heard([this] { changed(); });
+    peers_.offer_files_by(
+        [this](configuration_text file,
+               const configuration_intake::outcome_handler& then) {
+            return intake_.offer(
+                std::move(file),
+                [this, then](membership::offer_outcome outcome) {
+                    then(outcome);
+                    changed();
+                });
+        });
     wake_ = std::make_unique<kernel::wake_hook>(environment_.loop,
                                                 [this] { on_wake(); });
     ticking_ =
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -4,7 +4,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "control/configuration_intake.hpp"
 #include "control/control_metrics.hpp"
 #include "control/knowledge.hpp"
 #include "control/listed_backends.hpp"
@@ -45,6 +47,16 @@
     void watch_platform();
     void take_reading(const io::platform_reading& reading);
     void follow_era(const io::platform_reading& reading);
+    // What is left to do with a reading once its files are read.
+    struct reading_end {
+        std::string topic;
+        std::uint64_t epoch = 0;
+        bool news = false; // anything may have changed
+        bool all = false;  // see platform_reading
+    };
+    void end_reading(const reading_end& end);
+    // One of its files was read.
+    void end_file();
     // Returns whether anything may have changed.
     bool take_facts(const io::platform_reading& reading);
     // Which backend servers the registry keeps if it is full.
@@ -52,6 +64,8 @@
     void note_unreadable(const unreadable_item& item);
     void take(const unrelated_item& item);
     void take(const configuration_text& file);
+    void log_passed_over(std::uint64_t revision,
+                         membership::offer_outcome outcome) const;
     void take(const membership::platform_list& list);
     void take(const membership::registry_record& record);
     void on_platform_state(bool answers, const error& why);
@@ -82,7 +96,11 @@
     io::http_client client_;
     io::platform_client platform_;
     knowledge known_;
+    configuration_intake intake_;
     listed_backends list_;
+    // The readings whose files are being read, and how many are.
+    std::vector<reading_end> held_;
+    unsigned files_being_read_ = 0;
     view_publisher views_;
     peer_links peers_;
     control_metrics metrics_;
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -34,6 +34,11 @@
         on_heard_ = std::move(handler);
     }
 
+    // See configuration_exchange.
+    void offer_files_by(membership::configuration_exchange::offerer offers) {
+        exchange_.offer_files_by(std::move(offers));
+    }
+
     // Computes the links anew and dials, or gives up, what changed.
     void plan();
     // Also plans, when members have changed, a link is missing, or `anyhow`.
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -120,10 +120,10 @@
 
 void platform_client::read_when_allowed(const std::string& name,
                                         duration at_least) {
-    if (paused_) {
+    auto& topic = topics_.at(name);
+    if (paused_ || topic.held) {
         return;
     }
-    auto& topic = topics_.at(name);
     const auto now = timers_.now();
     budget_.set_hurried(has_pages_before(topic) || topic.long_answer, now);
     const auto wait = std::max(budget_.wait_before_read(now), at_least);
--- a/src/io/platform_client_readings.cpp
+++ b/src/io/platform_client_readings.cpp
@@ -142,8 +142,7 @@
     reading.ends = all_given && !more && (reading.whole || topic.listed);
     if (!all_given) {
         from.reading.begins = false;
-        from.next = timers_.after(duration::zero(),
-                                  [this, name](time_point) { deliver(name); });
+        deliver_later(name);
     } else if (more) {
         topic.last_key = last_key;
         topic.delivering.reset();
@@ -154,6 +153,30 @@
     topic.on_reading(reading);
 }
 
+void platform_client::deliver_later(const std::string& name) {
+    topics_.at(name).delivering->next = timers_.after(
+        duration::zero(), [this, name](time_point) { deliver(name); });
+}
+
+void platform_client::hold(const std::string& name) {
+    auto& topic = topics_.at(name);
+    topic.held = true;
+    topic.next.cancel();
+    if (topic.delivering) {
+        topic.delivering->next.cancel();
+    }
+}
+
+void platform_client::go_on(const std::string& name) {
+    auto& topic = topics_.at(name);
+    topic.held = false;
+    if (topic.delivering) {
+        deliver_later(name);
+    } else if (topic.call == 0 && !topic.waits) {
+        read_when_allowed(name, duration::zero());
+    }
+}
+
 void platform_client::end_delivery(const std::string& name) {
     auto& topic = topics_.at(name);
     if (topic.delivering->reading.whole) {
--- a/src/membership/configuration_exchange.cpp
+++ b/src/membership/configuration_exchange.cpp
@@ -40,7 +40,11 @@
 
 configuration_exchange::configuration_exchange(
     configuration_register& configurations, duration answer_timeout)
-    : configurations_(configurations), answer_timeout_(answer_timeout) {}
+    : configurations_(configurations),
+      offer_([&configurations](const configuration_text& file, const auto&) {
+          return configurations.offer(file);
+      }),
+      answer_timeout_(answer_timeout) {}
 
 revision_message configuration_exchange::own_revision() const {
     return {configurations_.revision(), configurations_.refused_revision()};
@@ -69,6 +73,9 @@
 // newer announcement would bring as many whole files and load the link even
 // more.
 bool configuration_exchange::may_request(time_point now) const {
+    if (being_read_ > 0) {
+        return false;
+    }
     const auto limit = woke_recently(now) ? most_open_when_late : 1;
     const auto open = std::count_if(
         open_requests_.begin(), open_requests_.end(),
@@ -291,13 +298,27 @@
     }
     record_received(peer, message.revision);
     const auto outcome =
-        configurations_.offer({message.revision, std::move(text.value())});
-    if (outcome == offer_outcome::accepted) {
-        received_ = {message.revision, peer};
+        offer_({message.revision, std::move(text.value())},
+               [this, peer, revision = message.revision](offer_outcome later) {
+                   --being_read_;
+                   take_outcome(peer, revision, later);
+               });
+    if (outcome == offer_outcome::begun) {
+        ++being_read_;
     } else {
-        mark_rejected(message.revision);
+        take_outcome(peer, message.revision, outcome);
     }
     return outcome;
 }
 
+void configuration_exchange::take_outcome(const std::string& peer,
+                                          std::uint64_t revision,
+                                          offer_outcome outcome) {
+    if (outcome == offer_outcome::accepted) {
+        received_ = {revision, peer};
+    } else {
+        mark_rejected(revision);
+    }
+}
+
 } // namespace waxwingvale::membership
--- a/test/io/platform_client_test.cpp
+++ b/test/io/platform_client_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
 #include <thread>
@@ -365,3 +366,39 @@
     CHECK(given[1].items.size() == 1);
     CHECK(platform.asked["/all/watch"] == 1);
 }
+
+// Guards against a reading that counts as known while a part of it still is
+// not.
+TEST_CASE("a topic that is held is read on from where it was") {
+    refusing_platform platform;
+    platform.answers = true;
+    const long_dialect dialect;
+    io::platform_client_options options;
+    options.host = "127.0.0.1";
+    options.port = platform.server.port();
+    io::platform_client client(platform.client, platform.timers, dialect,
+                               options);
+    client.set_share({1000., 1000., 10ms});
+    std::size_t given = 0;
+    client.watch("all", [&](const io::platform_reading&) {
+        ++given;
+        client.hold("all");
+    });
+    const auto given_after = [&](const std::function<void()>& act) {
+        act();
+        platform.run_for(50ms);
+        return given;
+    };
+    // Its first portion, whatever else happens meanwhile.
+    CHECK(given_after([] {}) == 1);
+    CHECK(given_after([&] { client.read_again(); }) == 1);
+    CHECK(platform.asked["/all"] == 1);
+    CHECK(given_after([&] { client.go_on("all"); }) == 2);
+    // It is all given: nothing more is asked until it goes on.
+    CHECK(platform.asked["/all/watch"] == 0);
+    CHECK(given_after([&] { client.pause(); }) == 2);
+    CHECK(given_after([&] { client.resume(); }) == 2);
+    CHECK(platform.asked["/all"] + platform.asked["/all/watch"] == 1);
+    given_after([&] { client.go_on("all"); });
+    CHECK(platform.asked["/all"] + platform.asked["/all/watch"] == 2);
+}
--- a/test/membership/configuration_announcement_test.cpp
+++ b/test/membership/configuration_announcement_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <set>
 #include <string>
 #include <variant>
@@ -227,6 +228,37 @@
     CHECK(instance.exchange.introduced());
 }
 
+// Guards against whole files from one peer after the other while the first is
+// being read.
+TEST_CASE("no file is requested while one is being read") {
+    exchanging_instance instance;
+    std::function<void(offer_outcome)> tell;
+    instance.exchange.offer_files_by([&](const auto&, const auto& then) {
+        tell = then;
+        return offer_outcome::begun;
+    });
+    for (const unsigned each : {1U, 2U}) {
+        instance.exchange.link_up(peer_name(each), start);
+        instance.introduce(peer_name(each));
+        instance.exchange.receive(peer_name(each), revision_message{7, 0},
+                                  start);
+    }
+    instance.exchange.tick(start + 1s);
+    CHECK(instance.count_requests(start + 1s) == 1);
+    instance.exchange.receive("pdx-1", configuration_message{7, pack("new")},
+                              start + 1s);
+    REQUIRE(tell);
+    for (auto now = start + 1s; now < start + 20s; now += 100ms) {
+        instance.exchange.tick(now);
+        CHECK(instance.count_requests(now) == 0);
+    }
+    CHECK(instance.exchange.files().behind_for(start + 5s));
+    tell(offer_outcome::conflicting); // it could not be used
+    instance.exchange.receive("pdx-2", revision_message{8, 0}, start + 20s);
+    instance.exchange.tick(start + 21s);
+    CHECK(instance.count_requests(start + 21s) > 0);
+}
+
 TEST_CASE("a digest is sent again when one of two links with a peer closes") {
     // Guards against a lost announcement. A new configuration is announced on a
     // link that the other end is just closing in favour of a second one;
--- a/test/platform/operator_file_test.cpp
+++ b/test/platform/operator_file_test.cpp
@@ -88,6 +88,48 @@
                     .has_value());
 }
 
+// Guards against a turn of the loop as long as a file of the largest size.
+TEST_CASE("a long file is read in portions, and as it is read at once") {
+    constexpr std::size_t route_count = 2000;
+    auto document = nlohmann::json::parse(sample_configuration);
+    const auto first = document["Routes"][0];
+    for (std::size_t i = 0; i < route_count; ++i) {
+        auto route = first;
+        route["Name"] = "r" + std::to_string(i);
+        route["PathPrefix"] = "/p" + std::to_string(i) + "/";
+        document["Routes"].push_back(route);
+        document["Services"].push_back({{"Name", "s" + std::to_string(i)}});
+    }
+    document["Version"] = 7;
+    const configuration_text file{7, document.dump()};
+    const auto read = [&](const configuration_text& text, std::size_t& turns) {
+        operator_file_reading reading(text, sample_deployment(), true);
+        for (turns = 1; !reading.read_on(); ++turns) {
+        }
+        return reading.take();
+    };
+    std::size_t turns = 0;
+    const auto config = read(file, turns);
+    REQUIRE(config);
+    CHECK(turns > 2 * route_count / 256);
+    CHECK(config.value().routes->all().size() == document["Routes"].size());
+    CHECK(config.value().services.size() == document["Services"].size());
+    route_to(config.value(), "a.example", "/p1999/x");
+    CHECK(config.value().services.back().name == "s1999");
+    REQUIRE(config.value().limits);
+    CHECK(config.value().limits->body == read_sample().limits->body);
+    for (const auto* list : {"Routes", "Services"}) {
+        auto bad = document;
+        bad[list].back().erase("Name");
+        const auto refused = read({7, bad.dump()}, turns);
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().code == error_code::malformed);
+        CHECK(refused.error().detail.find("Name") != std::string::npos);
+    }
+    CHECK_FALSE(read({8, file.text}, turns));
+    CHECK_FALSE(read({7, file.text.substr(0, file.text.size() / 2)}, turns));
+}
+
 TEST_CASE("what a cold server bears is read with what goes beyond it") {
     auto deployment = sample_deployment();
     deployment.cold_overage = 1.5;
